--- /dev/null
+++ b/adapter/src/wire.rs
@@ -0,0 +1,108 @@
+//! Lines of the simulator's wire: splitting them, and milliseconds to nanoseconds and back.
+
+use ochreshed::{How, Listed, Name, Nanos, State};
+
+const SETTINGS: &str = "\tProfileData=";
+
+/// A line's name and its fields, in the order they came.
+pub struct Line<'a> {
+    pub name: &'a str,
+    fields: Vec<(&'a str, &'a str)>,
+}
+
+impl<'a> Line<'a> {
+    pub fn read(line: &'a str) -> Result<Line<'a>, String> {
+        // The settings run to the line's end, whatever they hold.
+        let (line, settings) = match line.find(SETTINGS) {
+            Some(at) => (&line[..at], Some(("ProfileData", &line[at + SETTINGS.len()..]))),
+            None => (line, None),
+        };
+        let mut parts = line.split('\t');
+        let name = parts.next().unwrap_or_default();
+        if name.is_empty() {
+            return Err("a line without a name".into());
+        }
+        let fields = parts.map(|part| part.split_once('=').ok_or(format!("'{part}' is not name=value")));
+        let mut fields = fields.collect::<Result<Vec<_>, _>>()?;
+        fields.extend(settings);
+        Ok(Line { name, fields })
+    }
+
+    pub fn get(&self, field: &str) -> Option<&'a str> {
+        self.fields.iter().find(|(name, _)| *name == field).map(|(_, value)| *value)
+    }
+
+    pub fn must(&self, field: &str) -> Result<&'a str, String> {
+        self.get(field).ok_or_else(|| format!("{} lacks {field}", self.name))
+    }
+
+    pub fn int(&self, field: &str) -> Result<u64, String> {
+        let text = self.must(field)?;
+        text.parse().map_err(|_| format!("{field}={text} is not a whole number"))
+    }
+
+    pub fn flag(&self, field: &str) -> bool {
+        self.get(field) == Some("1")
+    }
+
+    pub fn time(&self, field: &str) -> Result<Nanos, String> {
+        nanos(self.must(field)?).ok_or_else(|| format!("{field} is not a time"))
+    }
+
+    /// The load report; a value that can't be read is a gap (NaN).
+    pub fn report(&self) -> Vec<f64> {
+        let text = self.get("Stats").unwrap_or_default();
+        text.split(',').filter(|v| !v.is_empty()).map(|v| v.parse().unwrap_or(f64::NAN)).collect()
+    }
+}
+
+/// Milliseconds with a fraction, as text, to nanoseconds without a detour over floating point.
+pub fn nanos(text: &str) -> Option<Nanos> {
+    let (whole, part) = text.split_once('.').unwrap_or((text, ""));
+    let digits = |s: &str| !s.is_empty() && s.bytes().all(|b| b.is_ascii_digit());
+    if !digits(whole) || !(part.is_empty() || digits(part)) {
+        // Exponents and signs are rare; a negative time counts as none.
+        let value: f64 = text.parse().ok().filter(|v: &f64| v.is_finite())?;
+        return Some((value.max(0.0) * 1e6) as Nanos);
+    }
+    let part: Nanos = format!("{part:0<6.6}").parse().ok()?;
+    whole.parse::<Nanos>().ok()?.checked_mul(1_000_000)?.checked_add(part)
+}
+
+pub fn millis(time: Nanos) -> String {
+    format!("{}.{:06}", time / 1_000_000, time % 1_000_000)
+}
+
+pub fn how(code: &str) -> Result<How, String> {
+    Ok(match code {
+        "Ok" => How::Done,
+        "Failed" => How::Error,
+        "QueueFull" => How::Full,
+        "TimedOut" => How::TimedOut,
+        "ConnectError" => How::NoConnection,
+        "ResetByPeer" => How::Reset,
+        "Canceled" => How::Recalled,
+        "Ignored" => How::NotSent,
+        _ => return Err(format!("How={code} is no outcome")),
+    })
+}
+
+/// One `upstream` line of a `pool`.
+pub fn listed(line: &Line) -> Result<Listed, String> {
+    let state = match line.must("Condition")? {
+        "up" => State::Up,
+        "draining" => State::Draining,
+        "removed" => State::Gone,
+        other => return Err(format!("Condition={other} is no state")),
+    };
+    let weight =
+        line.get("CapacityHint").and_then(|v| v.parse().ok()).filter(|w: &f64| w.is_finite() && *w > 0.0);
+    Ok(Listed {
+        srv: line.must("Upstream")?.into(),
+        state,
+        came_up: line.get("CameUp").and_then(nanos).filter(|t| *t > 0),
+        weight: weight.unwrap_or(1.0),
+        site: Name::from(line.get("Hall").unwrap_or_default()),
+        cell: line.get("Stripe").and_then(|v| v.parse().ok()).unwrap_or(0),
+    })
+}
--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,726 @@
+//! Every decision of ochreshed. An instance, `Balancer`, is made from its start time, its seed and a map of
+//! facts, and is then asked: `place` for where a req goes, `after` for what follows an outcome, `wait` for the
+//! chore to do next or how long until it is asked again. The values that go in and out are in `plain.rs`; the
+//! adapter keeps timers and reqs. The design and each departure from it are told in `docs/design.md`.
+//!
+//! The design: a failure is sent again only by the balancer whose callee owns it, on another srv, within a tenth
+//! of our first sends; smooth weighted round robin that skips crowded srvs; a ramp for new and returning srvs.
+//! Beside it stand five mechanisms:
+//! 1. Level: no more in flight than we finish within a part of the response target.
+//! 2. Queue: reqs over the level wait a little, by utility; those whose wait would be too long are denied at once.
+//! 3. Health: a srv is judged by its last few outcomes, set aside, and returns after a fixed and a random time.
+//! 4. Cold budget: a cold srv gets from us no more than our share of what its least capacity takes.
+//! 5. Shares: a customer over its share goes last, and is denied while anyone waits.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::plain::*;
+
+const MS: Nanos = 1_000_000;
+const S: Nanos = 1_000 * MS;
+
+/// Owned failures are sent again within this part of our first sends, over the budget's ring.
+const TENTH: f64 = 0.1;
+/// Sends again that a quiet instance may make in a ring's time all the same.
+const FLOOR: f64 = 1.0;
+/// The part of the shortest response target that a req may take at the first tier by what we keep in flight.
+const LEVEL_PART: f64 = 0.5;
+/// The part of its response target that a req may wait in our queue.
+const PATIENCE_PART: f64 = 0.2;
+/// Outcomes a srv is judged by, and how long it is set aside: a fixed time and a random part.
+const FEW: u32 = 6;
+const ASIDE: Nanos = 3 * S;
+const ASIDE_RANDOM: Nanos = 2 * S;
+/// Ramp of a srv that returns from being set aside.
+const RETURN_RAMP: Nanos = 3 * S;
+/// What a cold srv may get over the even share, against bursts that are chance.
+const COLD_HEADROOM: f64 = 1.5;
+const COLD_FLOOR_PER_S: f64 = 0.25;
+
+/// A multiply-with-carry generator.
+struct Chance(u64);
+
+impl Chance {
+    fn new(seed: u64) -> Chance {
+        let mixed = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ (seed >> 29);
+        Chance((mixed & 0x7FFF_FFFF_FFFF_FFFF) | 1)
+    }
+
+    fn next(&mut self) -> u32 {
+        self.0 = (self.0 & 0xFFFF_FFFF) * 4_294_957_665 + (self.0 >> 32);
+        self.0 as u32
+    }
+
+    /// Evenly from 0 up to, but not including, 1.
+    fn part(&mut self) -> f64 {
+        f64::from(self.next()) / 4_294_967_296.0
+    }
+
+    fn span(&mut self, most: Nanos) -> Nanos {
+        (self.part() * most as f64) as Nanos
+    }
+}
+
+const BUCKETS: usize = 10;
+
+/// Sums over the last buckets of time; a bucket is used again once its time has passed.
+struct Ring {
+    width: Nanos,
+    buckets: [(u64, f64); BUCKETS],
+}
+
+impl Ring {
+    fn over(span: Nanos) -> Ring {
+        Ring { width: span / BUCKETS as u64, buckets: [(0, 0.0); BUCKETS] }
+    }
+
+    fn add(&mut self, now: Nanos, value: f64) {
+        let turn = now / self.width;
+        let bucket = &mut self.buckets[(turn % BUCKETS as u64) as usize];
+        if bucket.0 != turn {
+            *bucket = (turn, 0.0);
+        }
+        bucket.1 += value;
+    }
+
+    fn sum(&self, now: Nanos) -> f64 {
+        let turn = now / self.width;
+        self.buckets.iter().filter(|b| b.0 + BUCKETS as u64 > turn).map(|b| b.1).sum()
+    }
+
+    /// The sum for each second; `born` keeps the time before the start from counting as idle.
+    fn rate(&self, now: Nanos, born: Nanos) -> f64 {
+        let span = (BUCKETS as u64 - 1) * self.width + now % self.width;
+        let span = span.min(now - born).max(self.width);
+        self.sum(now) * S as f64 / span as f64
+    }
+}
+
+struct RuleSet {
+    name: Name,
+    target: Nanos,
+    window: Nanos,
+    utility: f64,
+    late_utility: f64,
+    effect: Effect,
+    group: Group,
+    took: Ring,
+    done: Ring,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Effect {
+    Replayable,
+    Uniqued,
+    NonReplayable,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Group {
+    All,
+    Site,
+    Cell,
+}
+
+struct Customer {
+    name: Name,
+    share_per_s: f64,
+    asked: Ring,
+}
+
+struct Srv {
+    weight: f64,
+    site: Name,
+    cell: u64,
+    state: State,
+    came_up: Option<Nanos>,
+    in_flight: u32,
+    turn: f64,
+    /// The last few outcomes, newest in the lowest bit (1: a failure), and how many there are.
+    failures: u32,
+    judged: u32,
+    aside_until: Nanos,
+    /// What a cold srv may still get of its budget, and when that was last reckoned.
+    budget: f64,
+    budget_at: Nanos,
+    reported: f64,
+    reported_at: Nanos,
+}
+
+struct Waiting {
+    id: u64,
+    rank: f64,
+    until: Nanos,
+}
+
+pub struct Balancer {
+    facts: Facts,
+    born: Nanos,
+    tier: usize,
+    tiers: usize,
+    instances: f64,
+    chance: Chance,
+    rule_sets: Vec<RuleSet>,
+    customers: Vec<Customer>,
+    srvs: BTreeMap<Name, Srv>,
+    in_flight: u32,
+    first: Ring,
+    again: Ring,
+    done: Ring,
+    outcomes: Ring,
+    failed: Ring,
+    waiting: Vec<Waiting>,
+    /// The held req that `wait` has just called up.
+    called: Option<u64>,
+    holding: bool,
+    subscribed: bool,
+    watch_at: Option<Nanos>,
+    watch_pause: Nanos,
+    log: VecDeque<String>,
+}
+
+impl Balancer {
+    pub fn new(now: Nanos, seed: u64, facts: Facts) -> Balancer {
+        let mut chance = Chance::new(seed);
+        let rule_sets = list(&facts, "rule_sets").iter().map(RuleSet::new).collect();
+        let customers = list(&facts, "customers").iter().map(Customer::new).collect();
+        // All instances may have started in one step: the list is one service for all of them.
+        let watch_at = (text(&facts, "list_mode") == "ask").then(|| now + chance.span(S));
+        Balancer {
+            born: now,
+            tier: number(&facts, "tier", 0.0) as usize,
+            tiers: number(&facts, "tiers", 1.0) as usize,
+            instances: number(&facts, "instances", 1.0).max(1.0),
+            facts,
+            chance,
+            rule_sets,
+            customers,
+            srvs: BTreeMap::new(),
+            in_flight: 0,
+            first: Ring::over(10 * S),
+            again: Ring::over(10 * S),
+            done: Ring::over(2 * S),
+            outcomes: Ring::over(5 * S),
+            failed: Ring::over(5 * S),
+            waiting: Vec::new(),
+            called: None,
+            holding: false,
+            subscribed: false,
+            watch_at,
+            watch_pause: S,
+            log: VecDeque::new(),
+        }
+    }
+
+    /// Where this req goes now.
+    pub fn place(&mut self, now: Nanos, req: &mut Req) -> Place {
+        let called = self.called.take() == Some(req.id);
+        let held = self.waiting.iter().position(|w| w.id == req.id).map(|at| self.waiting.remove(at));
+        if let Some(last) = req.dispatches.last() {
+            if last.how.is_none() {
+                // Never two dispatches of one req at once.
+                return Place::Later { ask_at: req.ends };
+            }
+            let srv = if self.may_go_again(now, req) { self.pick(now, Some(req)) } else { None };
+            return match srv {
+                Some(srv) => {
+                    self.again.add(now, 1.0);
+                    self.send(now, req, srv)
+                }
+                None => self.give_up_on(now, req, 0),
+            };
+        }
+        if now >= req.ends {
+            return self.give_up_on(now, req, 0);
+        }
+        let over_share = held.is_none() && self.count_customer(now, &req.customer);
+        if (called || self.waiting.is_empty()) && self.room(now) > 0.0 {
+            if let Some(srv) = self.pick(now, None) {
+                self.first.add(now, 1.0);
+                return self.send(now, req, srv);
+            }
+        }
+        self.hold(now, req, held, over_share)
+    }
+
+    /// Over the level: wait in the queue if an answer in time can still be expected, else be denied at once.
+    fn hold(&mut self, now: Nanos, req: &Req, held: Option<Waiting>, over_share: bool) -> Place {
+        let set = self.rule_set(&req.rule_set);
+        let mut rank = set.map_or(1.0, |set| self.rank(now, set));
+        let patience = set.map_or(S, |set| (set.target as f64 * PATIENCE_PART) as Nanos);
+        if over_share {
+            rank *= number(&self.facts, "excess_utility", 1.0);
+        }
+        let waiting =
+            held.unwrap_or(Waiting { id: req.id, rank, until: (req.taken + patience).min(req.ends) });
+        let at = self.waiting.partition_point(|w| w.rank >= waiting.rank);
+        let wait = self.wait_at(now, at);
+        if now + wait > waiting.until || (over_share && !self.waiting.is_empty()) {
+            return self.give_up_on(now, req, wait);
+        }
+        let ask_at = waiting.until;
+        self.waiting.insert(at, waiting);
+        Place::Later { ask_at }
+    }
+
+    /// How long the req at this place of the queue is likely to wait.
+    fn wait_at(&self, now: Nanos, at: usize) -> Nanos {
+        let rate = self.done.rate(now, self.born).max(1.0);
+        ((at + 1) as f64 / rate * S as f64) as Nanos
+    }
+
+    /// How much more may be in flight. Guards against srvs held crowded, which turn slower and stay so:
+    /// by Little's law, what we finish in a span is what may be in flight for an answer within that span.
+    fn room(&self, now: Nanos) -> f64 {
+        let target = self.rule_sets.iter().map(|set| set.target).min().unwrap_or(S) as f64 / S as f64;
+        let below = (self.tiers.saturating_sub(self.tier)).max(1) as f64 / self.tiers.max(1) as f64;
+        let level = self.done.rate(now, self.born) * target * LEVEL_PART * below;
+        let usable = self.srvs.values().filter(|srv| srv.usable(now)).count() as f64;
+        // A new instance has finished nothing yet, and that says nothing of the srvs.
+        let least = if now < self.born + 2 * S { 9.0 } else { 3.0 };
+        let floor = (usable * least / self.instances).max(least);
+        level.max(floor) - f64::from(self.in_flight)
+    }
+
+    fn rank(&self, now: Nanos, set: &RuleSet) -> f64 {
+        if text(&self.facts, "utility_by") == "work" {
+            return set.utility;
+        }
+        let done = set.done.sum(now);
+        if done < 3.0 { set.utility } else { set.utility * done / set.took.sum(now).max(1e-3) }
+    }
+
+    /// Counts a req for its customer and tells whether that customer is over its share.
+    fn count_customer(&mut self, now: Nanos, name: &str) -> bool {
+        if self.tier > 0 {
+            return false;
+        }
+        let (born, instances) = (self.born, self.instances);
+        let Some(customer) = self.customers.iter_mut().find(|c| &*c.name == name) else { return false };
+        customer.asked.add(now, 1.0);
+        customer.asked.rate(now, born) * instances > customer.share_per_s * 1.2
+    }
+
+    fn rule_set(&self, name: &str) -> Option<&RuleSet> {
+        self.rule_sets.iter().find(|set| &*set.name == name)
+    }
+
+    /// Whether this req's failure is ours to send again, and its rule set and the tenth allow it.
+    fn may_go_again(&self, now: Nanos, req: &Req) -> bool {
+        let last_tier = self.tier + 1 >= self.tiers;
+        let owned = match req.dispatches.last().and_then(|d| d.how) {
+            Some(How::NoConnection | How::Reset | How::Full) => true,
+            Some(How::Error | How::TimedOut) => last_tier,
+            _ => false,
+        };
+        let most = number(&self.facts, "max_dispatches", 2.0) as usize;
+        owned
+            && req.dispatches.len() < most
+            && now < req.ends
+            && self.again.sum(now) + 1.0 <= self.first.sum(now) * TENTH + FLOOR
+            && self.may_run_again(now, req)
+    }
+
+    /// The second rule: another run only where it can't be a second effect.
+    fn may_run_again(&self, now: Nanos, req: &Req) -> bool {
+        let Some(ran) = may_have_run(req) else { return true };
+        match self.rule_set(&req.rule_set) {
+            Some(set) if set.effect == Effect::Uniqued => now + MS < ran.at + set.window,
+            Some(set) => set.effect == Effect::Replayable,
+            None => false,
+        }
+    }
+
+    /// The final answer for what we give up on: a deny where a repeat by the client is safe.
+    fn give_up_on(&mut self, now: Nanos, req: &Req, wait: Nanos) -> Place {
+        let all = self
+            .rule_set(&req.rule_set)
+            .is_some_and(|s| s.effect != Effect::Uniqued || s.group == Group::All);
+        if may_have_run(req).is_some() && !(all && self.may_run_again(now, req)) {
+            return Place::Abort;
+        }
+        if !flag(&self.facts, "come_back_passed") {
+            return Place::Deny { come_back: 0 };
+        }
+        let most = span(&self.facts, "max_come_back", S);
+        let come_back = wait + self.chance.span(S / 2);
+        Place::Deny { come_back: come_back.min(most) }
+    }
+
+    /// Smooth weighted round robin over the srvs that may take a req now; `again`: a req that goes another time.
+    fn pick(&mut self, now: Nanos, again: Option<&Req>) -> Option<Name> {
+        let fit: Vec<(Name, f64)> = self.candidates(now, again);
+        let total: f64 = fit.iter().map(|(_, weight)| weight).sum();
+        let mut best: Option<(Name, f64)> = None;
+        for (name, weight) in fit {
+            let srv = self.srvs.get_mut(&name)?;
+            srv.turn += weight;
+            if best.as_ref().is_none_or(|(_, turn)| srv.turn > *turn) {
+                best = Some((name, srv.turn));
+            }
+        }
+        let (name, _) = best?;
+        self.srvs.get_mut(&name)?.turn -= total;
+        Some(name)
+    }
+
+    fn candidates(&mut self, now: Nanos, again: Option<&Req>) -> Vec<(Name, f64)> {
+        self.fill_budgets(now);
+        let ran = again.and_then(may_have_run);
+        let group = again
+            .and_then(|req| self.rule_set(&req.rule_set))
+            .map_or(Group::All, |set| if set.effect == Effect::Uniqued { set.group } else { Group::All });
+        let in_group = |srv: &Srv| match (ran, group) {
+            (None, _) | (_, Group::All) => true,
+            (Some(ran), Group::Site) => srv.site == ran.site,
+            (Some(ran), Group::Cell) => srv.cell == ran.cell,
+        };
+        let tried = |name: &Name| again.is_some_and(|req| req.dispatches.iter().any(|d| d.srv == *name));
+        let cold = span(&self.facts, "cold", 0);
+        let open = |name: &Name, srv: &Srv| {
+            srv.state == State::Up
+                && !tried(name)
+                && in_group(srv)
+                && (!srv.cold(now, cold) || srv.budget >= 1.0)
+        };
+        let (crowd, reported) = (self.mean_in_flight(now), self.mean_report(now));
+        let share = number(&self.facts, "cold_share", 1.0);
+        let fits = |strict: bool| -> Vec<(Name, f64)> {
+            let fit = self.srvs.iter().filter(|(name, srv)| {
+                open(name, srv) && (!strict || (srv.usable(now) && !srv.crowded(now, crowd, reported)))
+            });
+            fit.map(|(name, srv)| (name.clone(), srv.weight * srv.ramp(now, cold, share))).collect()
+        };
+        let fit = fits(true);
+        // With every srv set aside or crowded, a doubtful one is better than none.
+        if fit.is_empty() { fits(false) } else { fit }
+    }
+
+    /// In flight for each unit of weight.
+    fn mean_in_flight(&self, now: Nanos) -> f64 {
+        let weight: f64 = self.srvs.values().filter(|srv| srv.usable(now)).map(|srv| srv.weight).sum();
+        let out: u32 = self.srvs.values().filter(|srv| srv.usable(now)).map(|srv| srv.in_flight).sum();
+        if weight > 0.0 { f64::from(out) / weight } else { 0.0 }
+    }
+
+    /// What srvs report of their load, for each unit of weight.
+    fn mean_report(&self, now: Nanos) -> f64 {
+        let fresh = self.srvs.values().filter(|srv| srv.usable(now) && srv.fresh(now));
+        let (load, weight) = fresh.fold((0.0, 0.0), |(l, w), srv| (l + srv.reported, w + srv.weight));
+        if weight > 0.0 { load / weight } else { 0.0 }
+    }
+
+    /// The fourth rule: a cold srv's budget grows by our share of what warm srvs of like size take from us,
+    /// scaled to the least capacity it can have at its age.
+    fn fill_budgets(&mut self, now: Nanos) {
+        let (cold, share) = (span(&self.facts, "cold", 0), number(&self.facts, "cold_share", 1.0));
+        if !self.srvs.values().any(|srv| srv.state == State::Up && srv.cold(now, cold)) {
+            return;
+        }
+        let up = self.srvs.values().filter(|srv| srv.usable(now));
+        let weight: f64 = up.map(|srv| srv.weight * srv.ramp(now, cold, share)).sum();
+        let sent = self.first.rate(now, self.born) + self.again.rate(now, self.born);
+        let per_weight = sent / weight.max(1e-9);
+        for srv in self.srvs.values_mut().filter(|srv| srv.cold(now, cold)) {
+            let rate = per_weight * srv.weight * srv.ramp(now, cold, share) * COLD_HEADROOM;
+            let grown = rate.max(COLD_FLOOR_PER_S) * (now - srv.budget_at.min(now)) as f64 / S as f64;
+            srv.budget = (srv.budget + grown).min((rate / 2.0).max(1.0));
+            srv.budget_at = now;
+        }
+    }
+
+    fn send(&mut self, now: Nanos, req: &mut Req, name: Name) -> Place {
+        let give_up = self.give_up_time(req);
+        if let Some(srv) = self.srvs.get_mut(&name) {
+            srv.in_flight += 1;
+            srv.budget -= 1.0;
+            let (site, cell) = (srv.site.clone(), srv.cell);
+            req.dispatches.push(Dispatch { srv: name.clone(), site, cell, at: now, how: None });
+        }
+        self.in_flight += 1;
+        Place::Send { srv: name, give_up }
+    }
+
+    /// Where an answer after the response target has no utility, the first tier stops waiting for it then.
+    fn give_up_time(&self, req: &Req) -> Nanos {
+        match self.rule_set(&req.rule_set) {
+            Some(set) if self.tier == 0 && set.late_utility <= 0.0 => req.ends.min(req.taken + set.target),
+            _ => req.ends,
+        }
+    }
+
+    /// What follows an outcome; news of the list enters here too.
+    pub fn after(&mut self, now: Nanos, outcome: Outcome) -> Follow {
+        match outcome {
+            Outcome::Dispatch { req, number, how, took, closed, report } => {
+                let Some(dispatch) = req.dispatches.get_mut(number) else { return Follow::Nothing };
+                dispatch.how = Some(how);
+                let name = dispatch.srv.clone();
+                self.in_flight = self.in_flight.saturating_sub(1);
+                if let Some(srv) = self.srvs.get_mut(&name) {
+                    srv.in_flight = srv.in_flight.saturating_sub(1);
+                }
+                self.note_report(now, &name, report);
+                if how == How::Done {
+                    self.done.add(now, 1.0);
+                    if let Some(set) = self.rule_sets.iter_mut().find(|set| set.name == req.rule_set) {
+                        set.done.add(now, 1.0);
+                        set.took.add(now, took as f64 / S as f64);
+                    }
+                }
+                self.judge(now, &name, how);
+                if closed { Follow::Nothing } else { Follow::Place }
+            }
+            Outcome::Probe { srv, report, .. } => {
+                self.note_report(now, srv, report);
+                Follow::Nothing
+            }
+            Outcome::List { whole, old, entries } => {
+                self.follow_list(now, whole, old, entries);
+                Follow::Nothing
+            }
+            Outcome::ListFailed => {
+                // The list is one service for all: ask again after a pause that grows and is partly random.
+                self.subscribed = false;
+                self.watch_at = Some(now + self.watch_pause / 2 + self.chance.span(self.watch_pause));
+                self.watch_pause = (self.watch_pause * 2).min(4 * S);
+                Follow::Nothing
+            }
+            Outcome::Left { req } => {
+                self.waiting.retain(|w| w.id != req.id);
+                let out = req.dispatches.iter().position(|d| d.how.is_none());
+                match out {
+                    Some(number) if flag(&self.facts, "may_recall") => Follow::Recall(number),
+                    _ => Follow::Nothing,
+                }
+            }
+        }
+    }
+
+    fn note_report(&mut self, now: Nanos, name: &str, report: &[f64]) {
+        let at = ["report_in_flight", "report_queue"].iter().find_map(|field| self.facts.get(*field));
+        let Some(Value::Number(at)) = at else { return };
+        let value = report.get(*at as usize).copied().filter(|v| v.is_finite());
+        if let (Some(value), Some(srv)) = (value, self.srvs.get_mut(name)) {
+            srv.reported = value;
+            srv.reported_at = now;
+        }
+    }
+
+    /// Judges a srv by its last few outcomes, against how the others do: what fails everywhere is not its fault.
+    fn judge(&mut self, now: Nanos, name: &Name, how: How) {
+        let failure = match how {
+            How::Done => false,
+            How::Error | How::Reset | How::TimedOut | How::NoConnection => true,
+            How::Full | How::Recalled | How::NotSent => return,
+        };
+        self.outcomes.add(now, 1.0);
+        if failure {
+            self.failed.add(now, 1.0);
+        }
+        let everywhere = self.failed.sum(now) / self.outcomes.sum(now).max(1.0);
+        let aside = self.srvs.values().filter(|s| s.state == State::Up && !s.usable(now)).count();
+        let up = self.srvs.values().filter(|s| s.state == State::Up).count();
+        let Some(srv) = self.srvs.get_mut(name) else { return };
+        // A refused connection tells more than an error: it weighs double.
+        let times = if how == How::NoConnection { 2 } else { 1 };
+        for _ in 0..times {
+            srv.failures = (srv.failures << 1 | u32::from(failure)) & ((1 << FEW) - 1);
+            srv.judged = (srv.judged + 1).min(FEW);
+        }
+        let failures = srv.failures.count_ones();
+        let allowed = f64::from(srv.judged) * (2.0 * everywhere + 0.2);
+        if failure
+            && srv.usable(now)
+            && failures >= 2
+            && f64::from(failures) > allowed
+            && 2 * (aside + 1) <= up
+        {
+            srv.aside_until = now + ASIDE + self.chance.span(ASIDE_RANDOM);
+            let judged = srv.judged;
+            // It returns on trial: one more failure sets it aside again.
+            (srv.failures, srv.judged) = (1, 3);
+            self.say(format!(
+                "aside {name}: {failures} of its last {judged} failed, {everywhere:.2} everywhere"
+            ));
+        }
+    }
+
+    fn follow_list(&mut self, now: Nanos, whole: bool, old: bool, entries: &[Listed]) {
+        if !old {
+            self.subscribed = true;
+            self.watch_pause = S;
+        }
+        if whole {
+            for (name, srv) in &mut self.srvs {
+                if !entries.iter().any(|entry| entry.srv == *name) {
+                    srv.state = State::Gone;
+                }
+            }
+        }
+        for entry in entries {
+            match self.srvs.get_mut(&entry.srv) {
+                Some(srv) => {
+                    if srv.came_up != entry.came_up && entry.state == State::Up {
+                        // A fresh process under the same id: nothing known of the old one holds.
+                        (srv.failures, srv.judged, srv.aside_until) = (0, 0, 0);
+                        (srv.budget, srv.budget_at) = (self.chance.part(), now);
+                    }
+                    srv.state = entry.state;
+                    srv.came_up = entry.came_up;
+                    srv.weight = entry.weight;
+                }
+                None => {
+                    // A random start of its turn, so that instances don't walk the list in step.
+                    let turn = self.chance.part() * entry.weight;
+                    let budget = self.chance.part();
+                    self.srvs.insert(entry.srv.clone(), Srv::new(now, entry, turn, budget));
+                }
+            }
+        }
+        self.srvs.retain(|_, srv| srv.state != State::Gone || srv.in_flight > 0);
+    }
+
+    /// A chore to do first, or when to ask again.
+    pub fn wait(&mut self, now: Nanos) -> Wait {
+        if let Some(line) = self.log.pop_front() {
+            return Wait::Log(line);
+        }
+        if self.watch_at.is_some_and(|at| at <= now) {
+            self.watch_at = None;
+            return Wait::Watch;
+        }
+        let holding = !self.waiting.is_empty();
+        if holding != self.holding {
+            self.holding = holding;
+            let (rate, out) = (self.done.rate(now, self.born), self.in_flight);
+            let mode = if holding { "holding" } else { "open" };
+            return Wait::Log(format!("{mode}: {out} in flight, {rate:.0} done a second"));
+        }
+        if holding && self.room(now) > 0.0 && !self.candidates(now, None).is_empty() {
+            let first = self.waiting[0].id;
+            self.called = Some(first);
+            return Wait::Place(first);
+        }
+        if let Some(last) = self.waiting.last()
+            && now + self.wait_at(now, self.waiting.len() - 1) > last.until
+        {
+            // Those that came with more utility have pushed it out: it is told now, not when its time is up.
+            return Wait::Place(last.id);
+        }
+        let poll = if holding { now + 20 * MS } else { Nanos::MAX };
+        Wait::Until(self.watch_at.unwrap_or(Nanos::MAX).min(poll))
+    }
+
+    fn say(&mut self, line: String) {
+        self.log.push_back(line);
+    }
+}
+
+impl Srv {
+    fn new(now: Nanos, entry: &Listed, turn: f64, budget: f64) -> Srv {
+        Srv {
+            weight: entry.weight,
+            site: entry.site.clone(),
+            cell: entry.cell,
+            state: entry.state,
+            came_up: entry.came_up,
+            in_flight: 0,
+            turn,
+            failures: 0,
+            judged: 0,
+            aside_until: 0,
+            budget,
+            budget_at: now,
+            reported: 0.0,
+            reported_at: 0,
+        }
+    }
+
+    fn usable(&self, now: Nanos) -> bool {
+        self.state == State::Up && self.aside_until <= now
+    }
+
+    fn cold(&self, now: Nanos, cold: Nanos) -> bool {
+        self.came_up.is_some_and(|at| now < at + cold)
+    }
+
+    fn fresh(&self, now: Nanos) -> bool {
+        self.reported_at > 0 && now < self.reported_at + 3 * S
+    }
+
+    /// The part of its weight that a new or returning srv counts with.
+    fn ramp(&self, now: Nanos, cold: Nanos, share: f64) -> f64 {
+        let warm = match self.came_up {
+            Some(at) if now < at + cold => {
+                share + (1.0 - share) * now.saturating_sub(at) as f64 / cold as f64
+            }
+            _ => 1.0,
+        };
+        let back = now.saturating_sub(self.aside_until);
+        let returned = if back < RETURN_RAMP { 0.2 + 0.8 * back as f64 / RETURN_RAMP as f64 } else { 1.0 };
+        warm * returned
+    }
+
+    /// Far more in flight than our mean, or reporting far more than others do.
+    fn crowded(&self, now: Nanos, mean: f64, reported: f64) -> bool {
+        f64::from(self.in_flight) > 1.5 * mean * self.weight + 1.0
+            || (self.fresh(now) && self.reported > 1.5 * reported * self.weight + 2.0)
+    }
+}
+
+impl RuleSet {
+    fn new(facts: &Facts) -> RuleSet {
+        RuleSet {
+            name: text(facts, "name").into(),
+            target: span(facts, "response_target", S),
+            window: span(facts, "window", 0),
+            utility: number(facts, "utility", 1.0),
+            late_utility: number(facts, "late_utility", 0.0),
+            effect: match text(facts, "effect") {
+                "replayable" => Effect::Replayable,
+                "uniqued" => Effect::Uniqued,
+                _ => Effect::NonReplayable,
+            },
+            group: match text(facts, "group") {
+                "all" => Group::All,
+                "site" => Group::Site,
+                _ => Group::Cell,
+            },
+            took: Ring::over(20 * S),
+            done: Ring::over(20 * S),
+        }
+    }
+}
+
+impl Customer {
+    fn new(facts: &Facts) -> Customer {
+        let share_per_s = number(facts, "share_per_s", f64::INFINITY);
+        Customer { name: text(facts, "name").into(), share_per_s, asked: Ring::over(4 * S) }
+    }
+}
+
+/// The first dispatch that is not proved never to have run.
+fn may_have_run(req: &Req) -> Option<&Dispatch> {
+    req.dispatches.iter().find(|d| !d.how.is_some_and(How::never_ran))
+}
+
+fn number(facts: &Facts, name: &str, otherwise: f64) -> f64 {
+    if let Some(Value::Number(value)) = facts.get(name) { *value } else { otherwise }
+}
+
+fn span(facts: &Facts, name: &str, otherwise: Nanos) -> Nanos {
+    if let Some(Value::Span(value)) = facts.get(name) { *value } else { otherwise }
+}
+
+fn text<'a>(facts: &'a Facts, name: &str) -> &'a str {
+    if let Some(Value::Text(value)) = facts.get(name) { value } else { "" }
+}
+
+fn flag(facts: &Facts, name: &str) -> bool {
+    matches!(facts.get(name), Some(Value::Flag(true)))
+}
+
+fn list<'a>(facts: &'a Facts, name: &str) -> &'a [Facts] {
+    if let Some(Value::List(items)) = facts.get(name) { items } else { &[] }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,8 @@
+//! ochreshed decides where a balancer sends each req. Every decision is made in [`decide`]; the
+//! plain values that go in and out of it are in [`plain`]. Nothing here knows a wire or a clock.
+
+pub mod decide;
+pub mod plain;
+
+pub use decide::Balancer;
+pub use plain::*;
--- /dev/null
+++ b/src/plain.rs
@@ -0,0 +1,148 @@
+//! The plain values that a protocol's adapter and the decision module hand each other.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// A point in time or a span, in whole nanoseconds.
+pub type Nanos = u64;
+
+/// A name or an id, kept as the protocol gave it.
+pub type Name = Arc<str>;
+
+/// What an instance is told at its start: names to values.
+pub type Facts = BTreeMap<String, Value>;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Value {
+    Number(f64),
+    Span(Nanos),
+    Text(Name),
+    Flag(bool),
+    List(Vec<Facts>),
+}
+
+/// How a dispatch, or a probe, ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum How {
+    Done,
+    Error,
+    Full,
+    TimedOut,
+    NoConnection,
+    Reset,
+    Recalled,
+    NotSent,
+}
+
+impl How {
+    /// Whether the outcome proves that the srv never ran the req.
+    pub fn never_ran(self) -> bool {
+        matches!(self, How::Full | How::NoConnection | How::NotSent)
+    }
+}
+
+/// One dispatch of a req; `how` is empty while it is out.
+#[derive(Clone, Debug)]
+pub struct Dispatch {
+    pub srv: Name,
+    pub site: Name,
+    pub cell: u64,
+    pub at: Nanos,
+    pub how: Option<How>,
+}
+
+/// A req in hand. The adapter keeps it and lends it; the module writes its dispatches.
+#[derive(Clone, Debug)]
+pub struct Req {
+    pub id: u64,
+    pub rule_set: Name,
+    pub customer: Name,
+    /// The client marked this as a repeat of an earlier try.
+    pub again: bool,
+    pub taken: Nanos,
+    /// When the client stops waiting for this try.
+    pub ends: Nanos,
+    pub dispatches: Vec<Dispatch>,
+}
+
+/// Where a req goes now.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Place {
+    Send { srv: Name, give_up: Nanos },
+    Later { ask_at: Nanos },
+    Deny { come_back: Nanos },
+    Abort,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Up,
+    Draining,
+    Gone,
+}
+
+/// What the list of srvs says of one of them.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub srv: Name,
+    pub state: State,
+    /// When its process last started; empty: long ago.
+    pub came_up: Option<Nanos>,
+    pub weight: f64,
+    pub site: Name,
+    pub cell: u64,
+}
+
+/// What has happened. `report` holds the srv's load report, in the order the facts name.
+pub enum Outcome<'a> {
+    /// A dispatch ended; `closed` when its req has had its final answer.
+    Dispatch {
+        req: &'a mut Req,
+        number: usize,
+        how: How,
+        took: Nanos,
+        closed: bool,
+        report: &'a [f64],
+    },
+    Probe {
+        srv: &'a str,
+        how: How,
+        took: Nanos,
+        report: &'a [f64],
+    },
+    /// News of the list: the whole of it, or the changed entries only.
+    List {
+        whole: bool,
+        old: bool,
+        entries: &'a [Listed],
+    },
+    /// A call to the list failed, or the subscription was dropped.
+    ListFailed,
+    /// The client has gone.
+    Left {
+        req: &'a mut Req,
+    },
+}
+
+/// What follows an outcome.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Follow {
+    Nothing,
+    /// Ask `place` for this req now.
+    Place,
+    /// Stop waiting for the dispatch of this number.
+    Recall(usize),
+}
+
+/// What an instance does between reqs.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Wait {
+    Watch,
+    List,
+    Probe(Name),
+    Log(String),
+    /// Ask `place` for this held req now.
+    Place(u64),
+    /// Nothing to do before then.
+    Until(Nanos),
+}
