--- a/src/decide.rs
+++ b/src/decide.rs
@@ -234,11 +234,12 @@
             return self.give_up_on(now, req, 0);
         }
         let over_share = held.is_none() && self.count_customer(now, &req.customer);
-        if (called || self.waiting.is_empty()) && self.room(now) > 0.0 {
-            if let Some(srv) = self.pick(now, None) {
-                self.first.add(now, 1.0);
-                return self.send(now, req, srv);
-            }
+        if (called || self.waiting.is_empty())
+            && self.room(now) > 0.0
+            && let Some(srv) = self.pick(now, None)
+        {
+            self.first.add(now, 1.0);
+            return self.send(now, req, srv);
         }
         self.hold(now, req, held, over_share)
     }
