--- a/src/decide.rs
+++ b/src/decide.rs
@@ -24,7 +24,7 @@
 /// Sends again that a quiet instance may make in a ring's time all the same.
 const FLOOR: f64 = 1.0;
 /// The part of the shortest response target that a req may take at the first tier by what we keep in flight.
-const LEVEL_PART: f64 = 0.5;
+const LEVEL_PART: f64 = 0.8;
 /// The part of its response target that a req may wait in our queue.
 const PATIENCE_PART: f64 = 0.2;
 /// Outcomes a srv is judged by, and how long it is set aside: a fixed time and a random part.
@@ -274,8 +274,7 @@
     /// by Little's law, what we finish in a span is what may be in flight for an answer within that span.
     fn room(&self, now: Nanos) -> f64 {
         let target = self.rule_sets.iter().map(|set| set.target).min().unwrap_or(S) as f64 / S as f64;
-        let below = (self.tiers.saturating_sub(self.tier)).max(1) as f64 / self.tiers.max(1) as f64;
-        let level = self.done.rate(now, self.born) * target * LEVEL_PART * below;
+        let level = self.done.rate(now, self.born) * target * LEVEL_PART;
         let usable = self.srvs.values().filter(|srv| srv.usable(now)).count() as f64;
         // A new instance has finished nothing yet, and that says nothing of the srvs.
         let least = if now < self.born + 2 * S { 9.0 } else { 3.0 };
