--- a/src/decide.rs
+++ b/src/decide.rs
@@ -33,6 +33,10 @@
 const ASIDE_RANDOM: Nanos = 2 * S;
 /// Ramp of a srv that returns from being set aside.
 const RETURN_RAMP: Nanos = 3 * S;
+/// A srv is crowded with this many times our mean in flight, and some, on the mean of a span.
+const CROWD: f64 = 1.5;
+const CROWD_SLACK: f64 = 0.2;
+const CROWD_SPAN: Nanos = 3 * S;
 /// What a cold srv may get over the even share, against bursts that are chance.
 const COLD_HEADROOM: f64 = 1.5;
 const COLD_FLOOR_PER_S: f64 = 0.25;
@@ -134,7 +138,9 @@
     cell: u64,
     state: State,
     came_up: Option<Nanos>,
-    in_flight: u32,
+    /// When each dispatch that is out was sent, and the time that ended ones were out.
+    out: Vec<Nanos>,
+    held: Ring,
     turn: f64,
     /// The last few outcomes, newest in the lowest bit (1: a failure), and how many there are.
     failures: u32,
@@ -399,8 +405,8 @@
     /// In flight for each unit of weight.
     fn mean_in_flight(&self, now: Nanos) -> f64 {
         let weight: f64 = self.srvs.values().filter(|srv| srv.usable(now)).map(|srv| srv.weight).sum();
-        let out: u32 = self.srvs.values().filter(|srv| srv.usable(now)).map(|srv| srv.in_flight).sum();
-        if weight > 0.0 { f64::from(out) / weight } else { 0.0 }
+        let out: f64 = self.srvs.values().filter(|srv| srv.usable(now)).map(|srv| srv.mean_out(now)).sum();
+        if weight > 0.0 { out / weight } else { 0.0 }
     }
 
     /// What srvs report of their load, for each unit of weight.
@@ -432,7 +438,7 @@
     fn send(&mut self, now: Nanos, req: &mut Req, name: Name) -> Place {
         let give_up = self.give_up_time(req);
         if let Some(srv) = self.srvs.get_mut(&name) {
-            srv.in_flight += 1;
+            srv.out.push(now);
             srv.budget -= 1.0;
             let (site, cell) = (srv.site.clone(), srv.cell);
             req.dispatches.push(Dispatch { srv: name.clone(), site, cell, at: now, how: None });
@@ -455,10 +461,13 @@
             Outcome::Dispatch { req, number, how, took, closed, report } => {
                 let Some(dispatch) = req.dispatches.get_mut(number) else { return Follow::Nothing };
                 dispatch.how = Some(how);
-                let name = dispatch.srv.clone();
+                let (name, at) = (dispatch.srv.clone(), dispatch.at);
                 self.in_flight = self.in_flight.saturating_sub(1);
                 if let Some(srv) = self.srvs.get_mut(&name) {
-                    srv.in_flight = srv.in_flight.saturating_sub(1);
+                    if let Some(place) = srv.out.iter().position(|sent| *sent == at) {
+                        srv.out.swap_remove(place);
+                    }
+                    srv.held.add(now, seconds((now - at).min(CROWD_SPAN)));
                 }
                 self.note_report(now, &name, report);
                 if how == How::Done {
@@ -578,7 +587,7 @@
                 }
             }
         }
-        self.srvs.retain(|_, srv| srv.state != State::Gone || srv.in_flight > 0);
+        self.srvs.retain(|_, srv| srv.state != State::Gone || !srv.out.is_empty());
     }
 
     /// A chore to do first, or when to ask again.
@@ -625,7 +634,8 @@
             cell: entry.cell,
             state: entry.state,
             came_up: entry.came_up,
-            in_flight: 0,
+            out: Vec::new(),
+            held: Ring::over(CROWD_SPAN),
             turn,
             failures: 0,
             judged: 0,
@@ -662,9 +672,16 @@
         warm * returned
     }
 
+    /// In flight on the mean of the last seconds. At a quiet instance the count of the moment is nearly always
+    /// none or one, even at a srv many times slower than the others.
+    fn mean_out(&self, now: Nanos) -> f64 {
+        let out: f64 = self.out.iter().map(|at| seconds((now - at).min(CROWD_SPAN))).sum();
+        (self.held.sum(now) + out) / seconds(CROWD_SPAN)
+    }
+
     /// Far more in flight than our mean, or reporting far more than others do.
     fn crowded(&self, now: Nanos, mean: f64, reported: f64) -> bool {
-        f64::from(self.in_flight) > 1.5 * mean * self.weight + 1.0
+        self.mean_out(now) > CROWD * mean * self.weight + CROWD_SLACK
             || (self.fresh(now) && self.reported > 1.5 * reported * self.weight + 2.0)
     }
 }
@@ -705,6 +722,10 @@
     req.dispatches.iter().find(|d| !d.how.is_some_and(How::never_ran))
 }
 
+fn seconds(span: Nanos) -> f64 {
+    span as f64 / S as f64
+}
+
 fn number(facts: &Facts, name: &str, otherwise: f64) -> f64 {
     if let Some(Value::Number(value)) = facts.get(name) { *value } else { otherwise }
 }
