--- a/src/decide.rs
+++ b/src/decide.rs
@@ -389,11 +389,13 @@
                 && in_group(srv)
                 && (!srv.cold(now, cold) || srv.budget >= 1.0)
         };
-        let (crowd, reported) = (self.mean_in_flight(now), self.mean_report(now));
+        let (lasting, moment) = (self.mean(now, |s| s.mean_out(now)), self.mean(now, |s| s.out.len() as f64));
+        let reported = self.mean_report(now);
         let share = number(&self.facts, "cold_share", 1.0);
         let fits = |strict: bool| -> Vec<(Name, f64)> {
             let fit = self.srvs.iter().filter(|(name, srv)| {
-                open(name, srv) && (!strict || (srv.usable(now) && !srv.crowded(now, crowd, reported)))
+                open(name, srv)
+                    && (!strict || (srv.usable(now) && !srv.crowded(now, lasting, moment, reported)))
             });
             fit.map(|(name, srv)| (name.clone(), srv.weight * srv.ramp(now, cold, share))).collect()
         };
@@ -402,11 +404,11 @@
         if fit.is_empty() { fits(false) } else { fit }
     }
 
-    /// In flight for each unit of weight.
-    fn mean_in_flight(&self, now: Nanos) -> f64 {
-        let weight: f64 = self.srvs.values().filter(|srv| srv.usable(now)).map(|srv| srv.weight).sum();
-        let out: f64 = self.srvs.values().filter(|srv| srv.usable(now)).map(|srv| srv.mean_out(now)).sum();
-        if weight > 0.0 { out / weight } else { 0.0 }
+    /// The sum of something over the usable srvs, for each unit of weight.
+    fn mean(&self, now: Nanos, of: impl Fn(&Srv) -> f64) -> f64 {
+        let usable = self.srvs.values().filter(|srv| srv.usable(now));
+        let (sum, weight) = usable.fold((0.0, 0.0), |(s, w), srv| (s + of(srv), w + srv.weight));
+        if weight > 0.0 { sum / weight } else { 0.0 }
     }
 
     /// What srvs report of their load, for each unit of weight.
@@ -679,10 +681,11 @@
         (self.held.sum(now) + out) / seconds(CROWD_SPAN)
     }
 
-    /// Far more in flight than our mean, or reporting far more than others do.
-    fn crowded(&self, now: Nanos, mean: f64, reported: f64) -> bool {
-        self.mean_out(now) > CROWD * mean * self.weight + CROWD_SLACK
-            || (self.fresh(now) && self.reported > 1.5 * reported * self.weight + 2.0)
+    /// Far more in flight than our mean, lasting or at the moment, or reporting far more than others do.
+    fn crowded(&self, now: Nanos, lasting: f64, moment: f64, reported: f64) -> bool {
+        self.mean_out(now) > CROWD * lasting * self.weight + CROWD_SLACK
+            || self.out.len() as f64 > CROWD * moment * self.weight + 1.0
+            || (self.fresh(now) && self.reported > CROWD * reported * self.weight + 2.0)
     }
 }
 
