--- a/src/decide.rs
+++ b/src/decide.rs
@@ -23,8 +23,10 @@
 const TENTH: f64 = 0.1;
 /// Sends again that a quiet instance may make in a ring's time all the same.
 const FLOOR: f64 = 1.0;
-/// The part of the shortest response target that a req may take at the first tier by what we keep in flight.
-const LEVEL_PART: f64 = 0.8;
+/// The span that the level allows: this many unloaded times of a req, within these parts of the response target.
+const LEVEL_TIMES: f64 = 1.6;
+const LEVEL_LEAST: f64 = 0.5;
+const LEVEL_MOST: f64 = 0.8;
 /// The part of its response target that a req may wait in our queue.
 const PATIENCE_PART: f64 = 0.2;
 /// Outcomes a srv is judged by, and how long it is set aside: a fixed time and a random part.
@@ -88,8 +90,13 @@
     }
 
     fn sum(&self, now: Nanos) -> f64 {
+        self.live(now).sum()
+    }
+
+    /// The buckets' sums, none for a bucket whose time has passed.
+    fn live(&self, now: Nanos) -> impl Iterator<Item = f64> {
         let turn = now / self.width;
-        self.buckets.iter().filter(|b| b.0 + BUCKETS as u64 > turn).map(|b| b.1).sum()
+        self.buckets.iter().map(move |b| if b.0 + BUCKETS as u64 > turn { b.1 } else { 0.0 })
     }
 
     /// The sum for each second; `born` keeps the time before the start from counting as idle.
@@ -173,6 +180,9 @@
     first: Ring,
     again: Ring,
     done: Ring,
+    /// Seconds that done reqs took, and their number, over a longer while.
+    took: Ring,
+    counted: Ring,
     outcomes: Ring,
     failed: Ring,
     waiting: Vec<Waiting>,
@@ -206,6 +216,8 @@
             first: Ring::over(10 * S),
             again: Ring::over(10 * S),
             done: Ring::over(2 * S),
+            took: Ring::over(20 * S),
+            counted: Ring::over(20 * S),
             outcomes: Ring::over(5 * S),
             failed: Ring::over(5 * S),
             waiting: Vec::new(),
@@ -280,7 +292,8 @@
     /// by Little's law, what we finish in a span is what may be in flight for an answer within that span.
     fn room(&self, now: Nanos) -> f64 {
         let target = self.rule_sets.iter().map(|set| set.target).min().unwrap_or(S) as f64 / S as f64;
-        let level = self.done.rate(now, self.born) * target * LEVEL_PART;
+        let span = (self.unloaded(now) * LEVEL_TIMES).clamp(target * LEVEL_LEAST, target * LEVEL_MOST);
+        let level = self.done.rate(now, self.born) * span;
         let usable = self.srvs.values().filter(|srv| srv.usable(now)).count() as f64;
         // A new instance has finished nothing yet, and that says nothing of the srvs.
         let least = if now < self.born + 2 * S { 9.0 } else { 3.0 };
@@ -288,6 +301,12 @@
         level.max(floor) - f64::from(self.in_flight)
     }
 
+    /// The least mean time of a req in any bucket of the last while: about what it takes with no queue before it.
+    fn unloaded(&self, now: Nanos) -> f64 {
+        let buckets = self.took.live(now).zip(self.counted.live(now)).filter(|(_, count)| *count >= 10.0);
+        buckets.map(|(took, count)| took / count).fold(f64::INFINITY, f64::min)
+    }
+
     fn rank(&self, now: Nanos, set: &RuleSet) -> f64 {
         if text(&self.facts, "utility_by") == "work" {
             return set.utility;
@@ -474,9 +493,11 @@
                 self.note_report(now, &name, report);
                 if how == How::Done {
                     self.done.add(now, 1.0);
+                    self.took.add(now, seconds(took));
+                    self.counted.add(now, 1.0);
                     if let Some(set) = self.rule_sets.iter_mut().find(|set| set.name == req.rule_set) {
                         set.done.add(now, 1.0);
-                        set.took.add(now, took as f64 / S as f64);
+                        set.took.add(now, seconds(took));
                     }
                 }
                 self.judge(now, &name, how);
