--- a/src/decide.rs
+++ b/src/decide.rs
@@ -292,7 +292,11 @@
     /// by Little's law, what we finish in a span is what may be in flight for an answer within that span.
     fn room(&self, now: Nanos) -> f64 {
         let target = self.rule_sets.iter().map(|set| set.target).min().unwrap_or(S) as f64 / S as f64;
-        let span = (self.unloaded(now) * LEVEL_TIMES).clamp(target * LEVEL_LEAST, target * LEVEL_MOST);
+        let span = if self.tier == 0 {
+            (self.unloaded(now) * LEVEL_TIMES).clamp(target * LEVEL_LEAST, target * LEVEL_MOST)
+        } else {
+            target * LEVEL_MOST
+        };
         let level = self.done.rate(now, self.born) * span;
         let usable = self.srvs.values().filter(|srv| srv.usable(now)).count() as f64;
         // A new instance has finished nothing yet, and that says nothing of the srvs.
