--- a/src/decide.rs
+++ b/src/decide.rs
@@ -6,7 +6,7 @@
 //! The design: a failure is sent again only by the balancer whose callee owns it, on another srv, within a tenth
 //! of our first sends; smooth weighted round robin that skips crowded srvs; a ramp for new and returning srvs.
 //! Beside it stand five mechanisms:
-//! 1. Level: no more in flight than we finish within a part of the response target.
+//! 1. Level: no more in flight at a srv than it finishes within a part of the response target.
 //! 2. Queue: reqs over the level wait a little, by utility; those whose wait would be too long are denied at once.
 //! 3. Health: a srv is judged by its last few outcomes, set aside, and returns after a fixed and a random time.
 //! 4. Cold budget: a cold srv gets from us no more than our share of what its least capacity takes.
@@ -148,6 +148,8 @@
     /// When each dispatch that is out was sent, and the time that ended ones were out.
     out: Vec<Nanos>,
     held: Ring,
+    done: Ring,
+    known: Nanos,
     turn: f64,
     /// The last few outcomes, newest in the lowest bit (1: a failure), and how many there are.
     failures: u32,
@@ -253,7 +255,6 @@
         }
         let over_share = held.is_none() && self.count_customer(now, &req.customer);
         if (called || self.waiting.is_empty())
-            && self.room(now) > 0.0
             && let Some(srv) = self.pick(now, None)
         {
             self.first.add(now, 1.0);
@@ -288,21 +289,20 @@
         ((at + 1) as f64 / rate * S as f64) as Nanos
     }
 
-    /// How much more may be in flight. Guards against srvs held crowded, which turn slower and stay so:
-    /// by Little's law, what we finish in a span is what may be in flight for an answer within that span.
-    fn room(&self, now: Nanos) -> f64 {
-        let target = self.rule_sets.iter().map(|set| set.target).min().unwrap_or(S) as f64 / S as f64;
-        let span = if self.tier == 0 {
-            (self.unloaded(now) * LEVEL_TIMES).clamp(target * LEVEL_LEAST, target * LEVEL_MOST)
-        } else {
-            target * LEVEL_MOST
-        };
-        let level = self.done.rate(now, self.born) * span;
-        let usable = self.srvs.values().filter(|srv| srv.usable(now)).count() as f64;
-        // A new instance has finished nothing yet, and that says nothing of the srvs.
-        let least = if now < self.born + 2 * S { 9.0 } else { 3.0 };
-        let floor = (usable * least / self.instances).max(least);
-        level.max(floor) - f64::from(self.in_flight)
+    /// The span within which what is in flight at a srv should be done, in seconds.
+    fn span_allowed(&self, now: Nanos) -> f64 {
+        let target = seconds(self.rule_sets.iter().map(|set| set.target).min().unwrap_or(S));
+        if self.tier > 0 {
+            return target * LEVEL_MOST;
+        }
+        (self.unloaded(now) * LEVEL_TIMES).clamp(target * LEVEL_LEAST, target * LEVEL_MOST)
+    }
+
+    /// What any srv may have in flight from us, however little it has done for us.
+    fn floor(&self, now: Nanos) -> f64 {
+        // A new instance has seen nothing done yet, and that says nothing of the srvs.
+        let least = (4.0 / self.instances).max(1.0);
+        if now < self.born + 2 * S { least * 3.0 } else { least }
     }
 
     /// The least mean time of a req in any bucket of the last while: about what it takes with no queue before it.
@@ -415,15 +415,16 @@
         let (lasting, moment) = (self.mean(now, |s| s.mean_out(now)), self.mean(now, |s| s.out.len() as f64));
         let reported = self.mean_report(now);
         let share = number(&self.facts, "cold_share", 1.0);
+        let (span, floor) = (self.span_allowed(now), self.floor(now));
+        let room = |srv: &Srv| again.is_some() || srv.room(now, span, floor);
         let fits = |strict: bool| -> Vec<(Name, f64)> {
-            let fit = self.srvs.iter().filter(|(name, srv)| {
-                open(name, srv)
-                    && (!strict || (srv.usable(now) && !srv.crowded(now, lasting, moment, reported)))
-            });
+            let sound = |srv: &Srv| srv.usable(now) && !srv.crowded(now, lasting, moment, reported);
+            let fit = self.srvs.iter().filter(|(name, srv)| open(name, srv) && room(srv));
+            let fit = fit.filter(|(_, srv)| !strict || sound(srv));
             fit.map(|(name, srv)| (name.clone(), srv.weight * srv.ramp(now, cold, share))).collect()
         };
         let fit = fits(true);
-        // With every srv set aside or crowded, a doubtful one is better than none.
+        // With every srv set aside or crowded, a doubtful one is better than none; the level holds all the same.
         if fit.is_empty() { fits(false) } else { fit }
     }
 
@@ -493,6 +494,9 @@
                         srv.out.swap_remove(place);
                     }
                     srv.held.add(now, seconds((now - at).min(CROWD_SPAN)));
+                    if how == How::Done {
+                        srv.done.add(now, 1.0);
+                    }
                 }
                 self.note_report(now, &name, report);
                 if how == How::Done {
@@ -633,7 +637,7 @@
             let mode = if holding { "holding" } else { "open" };
             return Wait::Log(format!("{mode}: {out} in flight, {rate:.0} done a second"));
         }
-        if holding && self.room(now) > 0.0 && !self.candidates(now, None).is_empty() {
+        if holding && !self.candidates(now, None).is_empty() {
             let first = self.waiting[0].id;
             self.called = Some(first);
             return Wait::Place(first);
@@ -663,6 +667,8 @@
             came_up: entry.came_up,
             out: Vec::new(),
             held: Ring::over(CROWD_SPAN),
+            done: Ring::over(4 * S),
+            known: now,
             turn,
             failures: 0,
             judged: 0,
@@ -699,6 +705,13 @@
         warm * returned
     }
 
+    /// Whether it may have more in flight from us. By Little's law, what it finishes in a span is what it may have
+    /// in flight for answers within that span. Reckoned for each srv: a few that are slow must not fill a level
+    /// that the healthy ones need. Guards against srvs held crowded, which turn slower and stay so.
+    fn room(&self, now: Nanos, span: f64, floor: f64) -> bool {
+        (self.out.len() as f64) < (self.done.rate(now, self.known) * span).max(floor)
+    }
+
     /// In flight on the mean of the last seconds. At a quiet instance the count of the moment is nearly always
     /// none or one, even at a srv many times slower than the others.
     fn mean_out(&self, now: Nanos) -> f64 {
