--- a/src/decide.rs
+++ b/src/decide.rs
@@ -292,17 +292,19 @@
     /// The span within which what is in flight at a srv should be done, in seconds.
     fn span_allowed(&self, now: Nanos) -> f64 {
         let target = seconds(self.rule_sets.iter().map(|set| set.target).min().unwrap_or(S));
+        let most =
+            target * LEVEL_MOST * (self.tiers.saturating_sub(self.tier)).max(1) as f64 / self.tiers as f64;
         if self.tier > 0 {
-            return target * LEVEL_MOST;
+            most
+        } else {
+            (self.unloaded(now) * LEVEL_TIMES).clamp(target * LEVEL_LEAST, most)
         }
-        (self.unloaded(now) * LEVEL_TIMES).clamp(target * LEVEL_LEAST, target * LEVEL_MOST)
     }
 
-    /// What any srv may have in flight from us, however little it has done for us.
+    /// What any srv may have in flight from us, however little it has done for us: our share of a few.
     fn floor(&self, now: Nanos) -> f64 {
         // A new instance has seen nothing done yet, and that says nothing of the srvs.
-        let least = (4.0 / self.instances).max(1.0);
-        if now < self.born + 2 * S { least * 3.0 } else { least }
+        if now < self.born + 2 * S { 12.0 / self.instances } else { 4.0 / self.instances }
     }
 
     /// The least mean time of a req in any bucket of the last while: about what it takes with no queue before it.
@@ -416,7 +418,13 @@
         let reported = self.mean_report(now);
         let share = number(&self.facts, "cold_share", 1.0);
         let (span, floor) = (self.span_allowed(now), self.floor(now));
-        let room = |srv: &Srv| again.is_some() || srv.room(now, span, floor);
+        let level: f64 =
+            self.srvs.values().filter(|s| s.usable(now)).map(|s| s.level(now, span, floor)).sum();
+        if again.is_none() && f64::from(self.in_flight) >= level.max(1.0) {
+            return Vec::new();
+        }
+        let room =
+            |srv: &Srv| again.is_some() || (srv.out.len() as f64) < srv.level(now, span, floor).max(1.0);
         let fits = |strict: bool| -> Vec<(Name, f64)> {
             let sound = |srv: &Srv| srv.usable(now) && !srv.crowded(now, lasting, moment, reported);
             let fit = self.srvs.iter().filter(|(name, srv)| open(name, srv) && room(srv));
@@ -705,11 +713,11 @@
         warm * returned
     }
 
-    /// Whether it may have more in flight from us. By Little's law, what it finishes in a span is what it may have
-    /// in flight for answers within that span. Reckoned for each srv: a few that are slow must not fill a level
+    /// What it may have in flight from us. By Little's law, what it finishes in a span is what it may have in
+    /// flight for answers within that span. Reckoned for each srv: a few that are slow must not fill a level
     /// that the healthy ones need. Guards against srvs held crowded, which turn slower and stay so.
-    fn room(&self, now: Nanos, span: f64, floor: f64) -> bool {
-        (self.out.len() as f64) < (self.done.rate(now, self.known) * span).max(floor)
+    fn level(&self, now: Nanos, span: f64, floor: f64) -> f64 {
+        (self.done.rate(now, self.known) * span).max(floor)
     }
 
     /// In flight on the mean of the last seconds. At a quiet instance the count of the moment is nearly always
