--- a/src/decide.rs
+++ b/src/decide.rs
@@ -150,6 +150,8 @@
     held: Ring,
     done: Ring,
     known: Nanos,
+    /// When it last answered anything.
+    heard: Nanos,
     turn: f64,
     /// The last few outcomes, newest in the lowest bit (1: a failure), and how many there are.
     failures: u32,
@@ -426,7 +428,9 @@
         let room =
             |srv: &Srv| again.is_some() || (srv.out.len() as f64) < srv.level(now, span, floor).max(1.0);
         let fits = |strict: bool| -> Vec<(Name, f64)> {
-            let sound = |srv: &Srv| srv.usable(now) && !srv.crowded(now, lasting, moment, reported);
+            let sound = |srv: &Srv| {
+                srv.usable(now) && !srv.silent(now, span) && !srv.crowded(now, lasting, moment, reported)
+            };
             let fit = self.srvs.iter().filter(|(name, srv)| open(name, srv) && room(srv));
             let fit = fit.filter(|(_, srv)| !strict || sound(srv));
             fit.map(|(name, srv)| (name.clone(), srv.weight * srv.ramp(now, cold, share))).collect()
@@ -505,6 +509,9 @@
                     if how == How::Done {
                         srv.done.add(now, 1.0);
                     }
+                    if matches!(how, How::Done | How::Error | How::Full) {
+                        srv.heard = now;
+                    }
                 }
                 self.note_report(now, &name, report);
                 if how == How::Done {
@@ -570,8 +577,8 @@
         let aside = self.srvs.values().filter(|s| s.state == State::Up && !s.usable(now)).count();
         let up = self.srvs.values().filter(|s| s.state == State::Up).count();
         let Some(srv) = self.srvs.get_mut(name) else { return };
-        // A refused connection tells more than an error: it weighs double.
-        let times = if how == How::NoConnection { 2 } else { 1 };
+        // No connection, or no answer, tells more than an error: it weighs double.
+        let times = if matches!(how, How::NoConnection | How::TimedOut) { 2 } else { 1 };
         for _ in 0..times {
             srv.failures = (srv.failures << 1 | u32::from(failure)) & ((1 << FEW) - 1);
             srv.judged = (srv.judged + 1).min(FEW);
@@ -677,6 +684,7 @@
             held: Ring::over(CROWD_SPAN),
             done: Ring::over(4 * S),
             known: now,
+            heard: 0,
             turn,
             failures: 0,
             judged: 0,
@@ -720,6 +728,12 @@
         (self.done.rate(now, self.known) * span).max(floor)
     }
 
+    /// Whether it owes an answer for longer than the span and has answered nothing since that was sent. Guards
+    /// against srvs cut off without a sign: what is out there must not fill the level.
+    fn silent(&self, now: Nanos, span: f64) -> bool {
+        self.out.iter().any(|at| self.heard <= *at && seconds(now - at) > 1.5 * span)
+    }
+
     /// In flight on the mean of the last seconds. At a quiet instance the count of the moment is nearly always
     /// none or one, even at a srv many times slower than the others.
     fn mean_out(&self, now: Nanos) -> f64 {
