--- a/src/decide.rs
+++ b/src/decide.rs
@@ -399,6 +399,7 @@
 
     fn candidates(&mut self, now: Nanos, again: Option<&Req>) -> Vec<(Name, f64)> {
         self.fill_budgets(now);
+        self.judge_sites(now);
         let ran = again.and_then(may_have_run);
         let group = again
             .and_then(|req| self.rule_set(&req.rule_set))
@@ -601,6 +602,36 @@
         }
     }
 
+    /// Sets a whole site aside that owes us answers and has given none since. Guards against a lost site: failures
+    /// there are not independent, and a quiet instance would lose a req to each of its srvs to learn that.
+    fn judge_sites(&mut self, now: Nanos) {
+        let span = self.span_allowed(now);
+        let mut sites: BTreeMap<Name, (Nanos, Vec<Nanos>)> = BTreeMap::new();
+        for srv in self.srvs.values() {
+            let (heard, owed) = sites.entry(srv.site.clone()).or_default();
+            *heard = srv.heard.max(*heard);
+            owed.extend(srv.out.iter().filter(|at| seconds(now - **at) > 1.5 * span));
+        }
+        if sites.len() < 2 {
+            return;
+        }
+        for (site, (heard, owed)) in sites {
+            let owed = owed.iter().filter(|at| heard <= **at).count();
+            let mut in_site = self.srvs.values().filter(|srv| srv.site == site);
+            if owed < 2 || !in_site.any(|srv| srv.usable(now)) {
+                continue;
+            }
+            let until = now + ASIDE + self.chance.span(ASIDE_RANDOM);
+            for srv in self.srvs.values_mut().filter(|srv| srv.site == site) {
+                srv.aside_until = srv.aside_until.max(until);
+            }
+            self.say(format!(
+                "aside site {site}: silent for {:.1} s, {owed} owed",
+                seconds(now - heard.min(now))
+            ));
+        }
+    }
+
     fn follow_list(&mut self, now: Nanos, whole: bool, old: bool, entries: &[Listed]) {
         if !old {
             self.subscribed = true;
