--- a/src/decide.rs
+++ b/src/decide.rs
@@ -427,7 +427,7 @@
             return Vec::new();
         }
         let room =
-            |srv: &Srv| again.is_some() || (srv.out.len() as f64) < srv.level(now, span, floor).max(1.0);
+            |srv: &Srv| again.is_some() || (srv.due(now, span) as f64) < srv.level(now, span, floor).max(1.0);
         let fits = |strict: bool| -> Vec<(Name, f64)> {
             let sound = |srv: &Srv| {
                 srv.usable(now) && !srv.silent(now, span) && !srv.crowded(now, lasting, moment, reported)
@@ -759,6 +759,12 @@
         (self.done.rate(now, self.known) * span).max(floor)
     }
 
+    /// What is out there and may still be answered in time. Guards against a stop: with what is overdue counted, a
+    /// fault further down that holds one req at each srv would leave no room anywhere until those time out.
+    fn due(&self, now: Nanos, span: f64) -> usize {
+        self.out.iter().filter(|at| seconds(now - **at) <= 1.5 * span).count()
+    }
+
     /// Whether it owes an answer for longer than the span and has answered nothing since that was sent. Guards
     /// against srvs cut off without a sign: what is out there must not fill the level.
     fn silent(&self, now: Nanos, span: f64) -> bool {
