--- a/src/decide.rs
+++ b/src/decide.rs
@@ -421,9 +421,10 @@
         let reported = self.mean_report(now);
         let share = number(&self.facts, "cold_share", 1.0);
         let (span, floor) = (self.span_allowed(now), self.floor(now));
-        let level: f64 =
-            self.srvs.values().filter(|s| s.usable(now)).map(|s| s.level(now, span, floor)).sum();
-        if again.is_none() && f64::from(self.in_flight) >= level.max(1.0) {
+        let answering = self.srvs.values().filter(|srv| srv.usable(now) && !srv.silent(now, span));
+        let (level, out) =
+            answering.fold((0.0, 0), |(l, o), srv| (l + srv.level(now, span, floor), o + srv.due(now, span)));
+        if again.is_none() && out as f64 >= f64::max(level, 1.0) {
             return Vec::new();
         }
         let room =
