--- a/src/decide.rs
+++ b/src/decide.rs
@@ -27,6 +27,8 @@
 const LEVEL_TIMES: f64 = 1.6;
 const LEVEL_LEAST: f64 = 0.5;
 const LEVEL_MOST: f64 = 0.8;
+/// A dispatch is overdue after this many of those spans.
+const SILENT: f64 = 1.5;
 /// The part of its response target that a req may wait in our queue.
 const PATIENCE_PART: f64 = 0.2;
 /// Outcomes a srv is judged by, and how long it is set aside: a fixed time and a random part.
@@ -422,13 +424,14 @@
         let share = number(&self.facts, "cold_share", 1.0);
         let (span, floor) = (self.span_allowed(now), self.floor(now));
         let answering = self.srvs.values().filter(|srv| srv.usable(now) && !srv.silent(now, span));
-        let (level, out) =
-            answering.fold((0.0, 0), |(l, o), srv| (l + srv.level(now, span, floor), o + srv.due(now, span)));
+        let (level, out) = answering
+            .fold((0.0, 0), |(l, o), srv| (l + srv.level(now, span, floor), o + srv.counted(now, span)));
         if again.is_none() && out as f64 >= f64::max(level, 1.0) {
             return Vec::new();
         }
-        let room =
-            |srv: &Srv| again.is_some() || (srv.due(now, span) as f64) < srv.level(now, span, floor).max(1.0);
+        let room = |srv: &Srv| {
+            again.is_some() || (srv.counted(now, span) as f64) < srv.level(now, span, floor).max(1.0)
+        };
         let fits = |strict: bool| -> Vec<(Name, f64)> {
             let sound = |srv: &Srv| {
                 srv.usable(now) && !srv.silent(now, span) && !srv.crowded(now, lasting, moment, reported)
@@ -611,7 +614,7 @@
         for srv in self.srvs.values() {
             let (heard, owed) = sites.entry(srv.site.clone()).or_default();
             *heard = srv.heard.max(*heard);
-            owed.extend(srv.out.iter().filter(|at| seconds(now - **at) > 1.5 * span));
+            owed.extend(srv.out.iter().filter(|at| seconds(now - **at) > SILENT * span));
         }
         if sites.len() < 2 {
             return;
@@ -760,16 +763,18 @@
         (self.done.rate(now, self.known) * span).max(floor)
     }
 
-    /// What is out there and may still be answered in time. Guards against a stop: with what is overdue counted, a
-    /// fault further down that holds one req at each srv would leave no room anywhere until those time out.
-    fn due(&self, now: Nanos, span: f64) -> usize {
-        self.out.iter().filter(|at| seconds(now - **at) <= 1.5 * span).count()
+    /// What counts against its level. Guards against a stop: a fault further down that holds one req at each srv
+    /// would leave no room anywhere until those time out, so at a silent srv what is overdue doesn't count. At one
+    /// that answers, if late, it is load.
+    fn counted(&self, now: Nanos, span: f64) -> usize {
+        let all = !self.silent(now, span);
+        self.out.iter().filter(|at| all || seconds(now - **at) <= SILENT * span).count()
     }
 
     /// Whether it owes an answer for longer than the span and has answered nothing since that was sent. Guards
     /// against srvs cut off without a sign: what is out there must not fill the level.
     fn silent(&self, now: Nanos, span: f64) -> bool {
-        self.out.iter().any(|at| self.heard <= *at && seconds(now - at) > 1.5 * span)
+        self.out.iter().any(|at| self.heard <= *at && seconds(now - at) > SILENT * span)
     }
 
     /// In flight on the mean of the last seconds. At a quiet instance the count of the moment is nearly always
