--- a/src/decide.rs
+++ b/src/decide.rs
@@ -31,6 +31,8 @@
 const SILENT: f64 = 1.5;
 /// The part of its response target that a req may wait in our queue.
 const PATIENCE_PART: f64 = 0.2;
+/// Below the first tier a dispatch is given up after this many of the tier's parts of the response target.
+const GIVE_UP: f64 = 1.5;
 /// Outcomes a srv is judged by, and how long it is set aside: a fixed time and a random part.
 const FEW: u32 = 6;
 const ASIDE: Nanos = 3 * S;
@@ -479,7 +481,7 @@
     }
 
     fn send(&mut self, now: Nanos, req: &mut Req, name: Name) -> Place {
-        let give_up = self.give_up_time(req);
+        let give_up = self.give_up_time(now, req);
         if let Some(srv) = self.srvs.get_mut(&name) {
             srv.out.push(now);
             srv.budget -= 1.0;
@@ -490,12 +492,16 @@
         Place::Send { srv: name, give_up }
     }
 
-    /// Where an answer after the response target has no utility, the first tier stops waiting for it then.
-    fn give_up_time(&self, req: &Req) -> Nanos {
-        match self.rule_set(&req.rule_set) {
-            Some(set) if self.tier == 0 && set.late_utility <= 0.0 => req.ends.min(req.taken + set.target),
-            _ => req.ends,
+    /// How long a dispatch is waited for. At the first tier, for an answer with any utility. Below it, for the part
+    /// of the response target that is left to this tier and those under it, and half as much again: a call stuck
+    /// at a lost srv would hold a slot of each caller above it until the client's time-out.
+    fn give_up_time(&self, now: Nanos, req: &Req) -> Nanos {
+        let Some(set) = self.rule_set(&req.rule_set) else { return req.ends };
+        if self.tier > 0 {
+            let left = (self.tiers.saturating_sub(self.tier)).max(1) as f64 / self.tiers as f64;
+            return req.ends.min(now + (set.target as f64 * left * GIVE_UP) as Nanos);
         }
+        if set.late_utility <= 0.0 { req.ends.min(req.taken + set.target) } else { req.ends }
     }
 
     /// What follows an outcome; news of the list enters here too.
