--- a/src/decide.rs
+++ b/src/decide.rs
@@ -31,8 +31,6 @@
 const SILENT: f64 = 1.5;
 /// The part of its response target that a req may wait in our queue.
 const PATIENCE_PART: f64 = 0.2;
-/// Below the first tier a dispatch is given up after this many of the tier's parts of the response target.
-const GIVE_UP: f64 = 1.5;
 /// Outcomes a srv is judged by, and how long it is set aside: a fixed time and a random part.
 const FEW: u32 = 6;
 const ASIDE: Nanos = 3 * S;
@@ -149,8 +147,8 @@
     cell: u64,
     state: State,
     came_up: Option<Nanos>,
-    /// When each dispatch that is out was sent, and the time that ended ones were out.
-    out: Vec<Nanos>,
+    /// The dispatches that are out, and the time that ended ones were out.
+    out: Vec<Out>,
     held: Ring,
     done: Ring,
     known: Nanos,
@@ -168,6 +166,13 @@
     reported_at: Nanos,
 }
 
+struct Out {
+    at: Nanos,
+    id: u64,
+    number: usize,
+    recalled: bool,
+}
+
 struct Waiting {
     id: u64,
     rank: f64,
@@ -200,6 +205,7 @@
     subscribed: bool,
     watch_at: Option<Nanos>,
     watch_pause: Nanos,
+    recalls: VecDeque<(u64, usize)>,
     log: VecDeque<String>,
 }
 
@@ -234,6 +240,7 @@
             subscribed: false,
             watch_at,
             watch_pause: S,
+            recalls: VecDeque::new(),
             log: VecDeque::new(),
         }
     }
@@ -481,9 +488,9 @@
     }
 
     fn send(&mut self, now: Nanos, req: &mut Req, name: Name) -> Place {
-        let give_up = self.give_up_time(now, req);
+        let give_up = self.give_up_time(req);
         if let Some(srv) = self.srvs.get_mut(&name) {
-            srv.out.push(now);
+            srv.out.push(Out { at: now, id: req.id, number: req.dispatches.len(), recalled: false });
             srv.budget -= 1.0;
             let (site, cell) = (srv.site.clone(), srv.cell);
             req.dispatches.push(Dispatch { srv: name.clone(), site, cell, at: now, how: None });
@@ -492,16 +499,12 @@
         Place::Send { srv: name, give_up }
     }
 
-    /// How long a dispatch is waited for. At the first tier, for an answer with any utility. Below it, for the part
-    /// of the response target that is left to this tier and those under it, and half as much again: a call stuck
-    /// at a lost srv would hold a slot of each caller above it until the client's time-out.
-    fn give_up_time(&self, now: Nanos, req: &Req) -> Nanos {
-        let Some(set) = self.rule_set(&req.rule_set) else { return req.ends };
-        if self.tier > 0 {
-            let left = (self.tiers.saturating_sub(self.tier)).max(1) as f64 / self.tiers as f64;
-            return req.ends.min(now + (set.target as f64 * left * GIVE_UP) as Nanos);
+    /// Where an answer after the response target has no utility, the first tier stops waiting for it then.
+    fn give_up_time(&self, req: &Req) -> Nanos {
+        match self.rule_set(&req.rule_set) {
+            Some(set) if self.tier == 0 && set.late_utility <= 0.0 => req.ends.min(req.taken + set.target),
+            _ => req.ends,
         }
-        if set.late_utility <= 0.0 { req.ends.min(req.taken + set.target) } else { req.ends }
     }
 
     /// What follows an outcome; news of the list enters here too.
@@ -513,7 +516,9 @@
                 let (name, at) = (dispatch.srv.clone(), dispatch.at);
                 self.in_flight = self.in_flight.saturating_sub(1);
                 if let Some(srv) = self.srvs.get_mut(&name) {
-                    if let Some(place) = srv.out.iter().position(|sent| *sent == at) {
+                    if let Some(place) =
+                        srv.out.iter().position(|out| out.id == req.id && out.number == number)
+                    {
                         srv.out.swap_remove(place);
                     }
                     srv.held.add(now, seconds((now - at).min(CROWD_SPAN)));
@@ -612,33 +617,46 @@
         }
     }
 
-    /// Sets a whole site aside that owes us answers and has given none since. Guards against a lost site: failures
-    /// there are not independent, and a quiet instance would lose a req to each of its srvs to learn that.
+    /// Sets a whole site aside that owes us answers and has given none since, while others did, and recalls what
+    /// it owes. Guards against a lost site: failures there are not independent, so a quiet instance would lose a
+    /// req to each of its srvs to learn that, and what is stuck there holds a slot of each caller above.
     fn judge_sites(&mut self, now: Nanos) {
-        let span = self.span_allowed(now);
-        let mut sites: BTreeMap<Name, (Nanos, Vec<Nanos>)> = BTreeMap::new();
+        let overdue = self.span_allowed(now) * SILENT;
+        let may_recall = flag(&self.facts, "may_recall");
+        let mut heard: BTreeMap<Name, Nanos> = BTreeMap::new();
         for srv in self.srvs.values() {
-            let (heard, owed) = sites.entry(srv.site.clone()).or_default();
-            *heard = srv.heard.max(*heard);
-            owed.extend(srv.out.iter().filter(|at| seconds(now - **at) > SILENT * span));
-        }
-        if sites.len() < 2 {
-            return;
-        }
-        for (site, (heard, owed)) in sites {
-            let owed = owed.iter().filter(|at| heard <= **at).count();
-            let mut in_site = self.srvs.values().filter(|srv| srv.site == site);
-            if owed < 2 || !in_site.any(|srv| srv.usable(now)) {
+            let at = heard.entry(srv.site.clone()).or_default();
+            *at = srv.heard.max(*at);
+        }
+        for (site, last) in &heard {
+            let others = heard.iter().filter(|(name, _)| *name != site).map(|(_, at)| *at).max().unwrap_or(0);
+            let mut owed = Vec::new();
+            for srv in self.srvs.values_mut().filter(|srv| srv.site == *site) {
+                let late =
+                    |out: &&mut Out| *last <= out.at && out.at < others && seconds(now - out.at) > overdue;
+                owed.extend(srv.out.iter_mut().filter(late));
+            }
+            if owed.len() < 2 {
                 continue;
             }
-            let until = now + ASIDE + self.chance.span(ASIDE_RANDOM);
-            for srv in self.srvs.values_mut().filter(|srv| srv.site == site) {
-                srv.aside_until = srv.aside_until.max(until);
+            let count = owed.len();
+            for out in owed.into_iter().filter(|out| !out.recalled) {
+                out.recalled = true;
+                if may_recall {
+                    self.recalls.push_back((out.id, out.number));
+                }
             }
-            self.say(format!(
-                "aside site {site}: silent for {:.1} s, {owed} owed",
-                seconds(now - heard.min(now))
-            ));
+            let in_site = |srv: &&mut Srv| srv.site == *site;
+            if !self.srvs.values().any(|srv| srv.site == *site && srv.usable(now)) {
+                continue;
+            }
+            let until = now + ASIDE + self.chance.span(ASIDE_RANDOM);
+            self.srvs
+                .values_mut()
+                .filter(in_site)
+                .for_each(|srv| srv.aside_until = srv.aside_until.max(until));
+            let silent = seconds(now - last);
+            self.log.push_back(format!("aside site {site}: silent for {silent:.1} s, {count} owed"));
         }
     }
 
@@ -682,6 +700,9 @@
         if let Some(line) = self.log.pop_front() {
             return Wait::Log(line);
         }
+        if let Some((id, number)) = self.recalls.pop_front() {
+            return Wait::Recall(id, number);
+        }
         if self.watch_at.is_some_and(|at| at <= now) {
             self.watch_at = None;
             return Wait::Watch;
@@ -774,19 +795,19 @@
     /// that answers, if late, it is load.
     fn counted(&self, now: Nanos, span: f64) -> usize {
         let all = !self.silent(now, span);
-        self.out.iter().filter(|at| all || seconds(now - **at) <= SILENT * span).count()
+        self.out.iter().filter(|out| all || seconds(now - out.at) <= SILENT * span).count()
     }
 
     /// Whether it owes an answer for longer than the span and has answered nothing since that was sent. Guards
     /// against srvs cut off without a sign: what is out there must not fill the level.
     fn silent(&self, now: Nanos, span: f64) -> bool {
-        self.out.iter().any(|at| self.heard <= *at && seconds(now - at) > SILENT * span)
+        self.out.iter().any(|out| self.heard <= out.at && seconds(now - out.at) > SILENT * span)
     }
 
     /// In flight on the mean of the last seconds. At a quiet instance the count of the moment is nearly always
     /// none or one, even at a srv many times slower than the others.
     fn mean_out(&self, now: Nanos) -> f64 {
-        let out: f64 = self.out.iter().map(|at| seconds((now - at).min(CROWD_SPAN))).sum();
+        let out: f64 = self.out.iter().map(|out| seconds((now - out.at).min(CROWD_SPAN))).sum();
         (self.held.sum(now) + out) / seconds(CROWD_SPAN)
     }
 
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -141,6 +141,8 @@
     List,
     Probe(Name),
     Log(String),
+    /// Stop waiting for a req's dispatch of this number.
+    Recall(u64, usize),
     /// Ask `place` for this held req now.
     Place(u64),
     /// Nothing to do before then.
