--- a/src/decide.rs
+++ b/src/decide.rs
@@ -700,6 +700,7 @@
         if let Some(line) = self.log.pop_front() {
             return Wait::Log(line);
         }
+        self.judge_sites(now);
         if let Some((id, number)) = self.recalls.pop_front() {
             return Wait::Recall(id, number);
         }
@@ -725,7 +726,12 @@
             // Those that came with more utility have pushed it out: it is told now, not when its time is up.
             return Wait::Place(last.id);
         }
-        let poll = if holding { now + 20 * MS } else { Nanos::MAX };
+        let poll = match (holding, self.in_flight) {
+            (true, _) => now + 20 * MS,
+            (_, 0) => Nanos::MAX,
+            // What is out may become overdue without anything else happening here.
+            _ => now + S / 4,
+        };
         Wait::Until(self.watch_at.unwrap_or(Nanos::MAX).min(poll))
     }
 
