--- a/src/decide.rs
+++ b/src/decide.rs
@@ -27,6 +27,8 @@
 const LEVEL_TIMES: f64 = 1.6;
 const LEVEL_LEAST: f64 = 0.5;
 const LEVEL_MOST: f64 = 0.8;
+/// Answers are prompt within this many unloaded times.
+const PROMPT: f64 = 1.3;
 /// A dispatch is overdue after this many of those spans.
 const SILENT: f64 = 1.5;
 /// The part of its response target that a req may wait in our queue.
@@ -196,6 +198,8 @@
     /// Seconds that done reqs took, and their number, over a longer while.
     took: Ring,
     counted: Ring,
+    recent: Ring,
+    recent_took: Ring,
     outcomes: Ring,
     failed: Ring,
     waiting: Vec<Waiting>,
@@ -232,6 +236,8 @@
             done: Ring::over(2 * S),
             took: Ring::over(20 * S),
             counted: Ring::over(20 * S),
+            recent: Ring::over(S),
+            recent_took: Ring::over(S),
             outcomes: Ring::over(5 * S),
             failed: Ring::over(5 * S),
             waiting: Vec::new(),
@@ -314,6 +320,13 @@
         }
     }
 
+    /// Whether answers come about as fast as with no load: then nothing queues, and the level may grow faster.
+    /// Guards against a level that stays low after a fault further down has passed.
+    fn prompt(&self, now: Nanos) -> bool {
+        let done = self.recent.sum(now);
+        done >= 5.0 && self.recent_took.sum(now) <= done * self.unloaded(now) * PROMPT
+    }
+
     /// What any srv may have in flight from us, however little it has done for us: our share of a few.
     fn floor(&self, now: Nanos) -> f64 {
         // A new instance has seen nothing done yet, and that says nothing of the srvs.
@@ -431,19 +444,20 @@
         let (lasting, moment) = (self.mean(now, |s| s.mean_out(now)), self.mean(now, |s| s.out.len() as f64));
         let reported = self.mean_report(now);
         let share = number(&self.facts, "cold_share", 1.0);
-        let (span, floor) = (self.span_allowed(now), self.floor(now));
-        let answering = self.srvs.values().filter(|srv| srv.usable(now) && !srv.silent(now, span));
+        let (narrow, floor) = (self.span_allowed(now), self.floor(now));
+        let span = if self.prompt(now) { narrow * 2.0 } else { narrow };
+        let answering = self.srvs.values().filter(|srv| srv.usable(now) && !srv.silent(now, narrow));
         let (level, out) = answering
-            .fold((0.0, 0), |(l, o), srv| (l + srv.level(now, span, floor), o + srv.counted(now, span)));
+            .fold((0.0, 0), |(l, o), srv| (l + srv.level(now, span, floor), o + srv.counted(now, narrow)));
         if again.is_none() && out as f64 >= f64::max(level, 1.0) {
             return Vec::new();
         }
         let room = |srv: &Srv| {
-            again.is_some() || (srv.counted(now, span) as f64) < srv.level(now, span, floor).max(1.0)
+            again.is_some() || (srv.counted(now, narrow) as f64) < srv.level(now, span, floor).max(1.0)
         };
         let fits = |strict: bool| -> Vec<(Name, f64)> {
             let sound = |srv: &Srv| {
-                srv.usable(now) && !srv.silent(now, span) && !srv.crowded(now, lasting, moment, reported)
+                srv.usable(now) && !srv.silent(now, narrow) && !srv.crowded(now, lasting, moment, reported)
             };
             let fit = self.srvs.iter().filter(|(name, srv)| open(name, srv) && room(srv));
             let fit = fit.filter(|(_, srv)| !strict || sound(srv));
@@ -534,6 +548,8 @@
                     self.done.add(now, 1.0);
                     self.took.add(now, seconds(took));
                     self.counted.add(now, 1.0);
+                    self.recent.add(now, 1.0);
+                    self.recent_took.add(now, seconds(took));
                     if let Some(set) = self.rule_sets.iter_mut().find(|set| set.name == req.rule_set) {
                         set.done.add(now, 1.0);
                         set.took.add(now, seconds(took));
