--- a/src/decide.rs
+++ b/src/decide.rs
@@ -445,7 +445,7 @@
         let reported = self.mean_report(now);
         let share = number(&self.facts, "cold_share", 1.0);
         let (narrow, floor) = (self.span_allowed(now), self.floor(now));
-        let span = if self.prompt(now) { narrow * 2.0 } else { narrow };
+        let span = if self.tier == 0 && self.prompt(now) { narrow * 1.5 } else { narrow };
         let answering = self.srvs.values().filter(|srv| srv.usable(now) && !srv.silent(now, narrow));
         let (level, out) = answering
             .fold((0.0, 0), |(l, o), srv| (l + srv.level(now, span, floor), o + srv.counted(now, narrow)));
