--- a/src/decide.rs
+++ b/src/decide.rs
@@ -27,7 +27,7 @@
 const LEVEL_TIMES: f64 = 1.6;
 const LEVEL_LEAST: f64 = 0.5;
 const LEVEL_MOST: f64 = 0.8;
-/// Answers are prompt within this many unloaded times.
+/// Answers in recovery come within this many unloaded times.
 const PROMPT: f64 = 1.3;
 /// A dispatch is overdue after this many of those spans.
 const SILENT: f64 = 1.5;
@@ -320,11 +320,12 @@
         }
     }
 
-    /// Whether answers come about as fast as with no load: then nothing queues, and the level may grow faster.
-    /// Guards against a level that stays low after a fault further down has passed.
-    fn prompt(&self, now: Nanos) -> bool {
-        let done = self.recent.sum(now);
-        done >= 5.0 && self.recent_took.sum(now) <= done * self.unloaded(now) * PROMPT
+    /// Whether we finish far less than at best of late though answers come about as fast as with no load. Then the
+    /// level is what holds us back, after a fault further down has passed, and it may be wider.
+    fn recovering(&self, now: Nanos) -> bool {
+        let (done, took) = (self.recent.sum(now), self.recent_took.sum(now));
+        let best = self.counted.live(now).fold(0.0, f64::max) / 2.0;
+        self.tier == 0 && done >= 3.0 && done < 0.5 * best && took <= done * self.unloaded(now) * PROMPT
     }
 
     /// What any srv may have in flight from us, however little it has done for us: our share of a few.
@@ -445,7 +446,7 @@
         let reported = self.mean_report(now);
         let share = number(&self.facts, "cold_share", 1.0);
         let (narrow, floor) = (self.span_allowed(now), self.floor(now));
-        let span = if self.tier == 0 && self.prompt(now) { narrow * 1.5 } else { narrow };
+        let span = if self.recovering(now) { narrow * 2.0 } else { narrow };
         let answering = self.srvs.values().filter(|srv| srv.usable(now) && !srv.silent(now, narrow));
         let (level, out) = answering
             .fold((0.0, 0), |(l, o), srv| (l + srv.level(now, span, floor), o + srv.counted(now, narrow)));
