--- a/adapter/src/lib.rs
+++ b/adapter/src/lib.rs
@@ -17,19 +17,14 @@
 pub fn serve(mut input: impl BufRead, mut output: impl Write) -> Result<(), String> {
     let mut lines = Lines { input: &mut input, number: 0, text: String::new() };
     let mut adapter = Adapter::default();
-    while lines.next()? {
-        if lines.text.is_empty() {
-            continue;
-        }
-        let mut reply = String::new();
-        adapter.batch(&mut lines, &mut reply).map_err(|why| format!("line {}: {why}", lines.number))?;
-        reply.push_str("end\n");
+    loop {
+        let reply = adapter.batch(&mut lines).map_err(|why| format!("line {}: {why}", lines.number))?;
+        let Some(reply) = reply else { return Ok(()) };
         output
             .write_all(reply.as_bytes())
             .and_then(|()| output.flush())
             .map_err(|e| format!("output: {e}"))?;
     }
-    Ok(())
 }
 
 struct Lines<'a, R> {
@@ -42,9 +37,9 @@
     fn next(&mut self) -> Result<bool, String> {
         self.text.clear();
         self.number += 1;
-        let got = self.input.read_line(&mut self.text).map_err(|e| format!("line {}: {e}", self.number))?;
+        let got = self.input.read_line(&mut self.text).map_err(|e| e.to_string())?;
         if got > 0 && !self.text.ends_with('\n') {
-            return Err(format!("line {}: cut off", self.number));
+            return Err("cut off".into());
         }
         while self.text.ends_with(['\n', '\r']) {
             self.text.pop();
@@ -60,7 +55,18 @@
 }
 
 impl Adapter {
-    fn batch<R: BufRead>(&mut self, lines: &mut Lines<R>, reply: &mut String) -> Result<(), String> {
+    /// Takes one batch and answers with the reply to it; none at the end of the input.
+    fn batch<R: BufRead>(&mut self, lines: &mut Lines<R>) -> Result<Option<String>, String> {
+        loop {
+            if !lines.next()? {
+                return Ok(None);
+            }
+            // The lines that set batches apart are empty.
+            if !lines.text.is_empty() {
+                break;
+            }
+        }
+        let mut reply = String::new();
         let head = Line::read(&lines.text)?;
         if head.name != "turn" {
             return Err(format!("expected turn, found {}", head.name));
@@ -78,18 +84,19 @@
             let line = Line::read(&text)?;
             if line.name == "pool" {
                 self.pool(&line, lines)?;
-            } else if let Some(number) = self.event(now, &line, reply)? {
+            } else if let Some(number) = self.event(now, &line, &mut reply)? {
                 touched.insert(number);
             }
             lines.text = text;
         }
         for number in touched {
-            self.with(number, reply, |host, _, out| {
+            self.with(number, &mut reply, |host, _, out| {
                 host.settle(now, out);
                 Ok(())
             })?;
         }
-        Ok(())
+        reply.push_str("end\n");
+        Ok(Some(reply))
     }
 
     fn pool<R: BufRead>(&mut self, line: &Line, lines: &mut Lines<R>) -> Result<(), String> {
--- /dev/null
+++ b/adapter/tests/wire.rs
@@ -0,0 +1,140 @@
+//! The adapter on the wire: what it answers, and what it makes of bad input.
+
+use expect_test::{Expect, expect};
+use ochreshed_adapter::serve;
+
+const FACTS: &str = r#"{"NInstances":1,"Tier":0,"Tiers":["one"],"Discovery":"ask","New":{"Key":1},"Limits":{"MaxDispatches":3},"RuleSets":[{"Name":"quote","Effect":"repeatable","ResponseTarget":1000.0,"TardyUtility":0.25,"Utility":3.0,"Window":5000.0}]}"#;
+
+fn start(rest: &str) -> String {
+    format!(
+        "turn\tAtTime=1000.25\nstart\tBalancer=3\tRngSeed=9\tProfileData={FACTS}\npool\tRef=0\tLines=2\n\
+         upstream\tCondition=up\tCapacityHint=1\tHall=perth\tUpstream=10.0.0.1:80\n\
+         upstream\tCondition=draining\tHall=perth\tUpstream=10.0.0.2:80\n\
+         fleet\tBalancer=3\tHow=Persisted\tSeqNo=1\tRef=0\n{rest}"
+    )
+}
+
+fn check(input: &str, expected: Expect) {
+    let mut out = Vec::new();
+    let end = serve(input.as_bytes(), &mut out);
+    let out = String::from_utf8(out).expect("text");
+    let timers = |line: &&str| !line.starts_with("wake_at");
+    let lines: Vec<&str> = out.lines().filter(timers).collect();
+    expected.assert_eq(&format!("{}\n{end:?}\n", lines.join("\n")));
+}
+
+#[test]
+fn a_req_is_sent_and_a_late_outcome_ignored() {
+    let more = "submit\tBalancer=3\tRequestId=7\tBudget=240.5\tKind=quote\nend\n\
+                turn\tAtTime=1018.75\n\
+                response\tBalancer=3\tRequestId=7\tCopy=0\tUpstream=10.0.0.1:80\tHow=Ok\tDuration=18.5\tClosed=1\n\
+                response\tBalancer=3\tRequestId=7\tCopy=0\tUpstream=10.0.0.1:80\tHow=Ok\tDuration=18.5\tClosed=1\n\
+                client_gone\tBalancer=3\tRequestId=7\nend\n";
+    check(
+        &start(more),
+        expect![[r#"
+        issue	Balancer=3	RequestId=7	Upstream=10.0.0.1:80	StopAt=1240.750000
+        end
+        end
+        Ok(())
+    "#]],
+    );
+}
+
+#[test]
+fn an_unset_closed_after_the_time_out_still_gets_an_answer() {
+    let more = "submit\tBalancer=3\tRequestId=7\tBudget=240.5\tKind=quote\nend\n\
+                turn\tAtTime=1240.75\n\
+                response\tBalancer=3\tRequestId=7\tCopy=0\tUpstream=10.0.0.1:80\tHow=TimedOut\tDuration=240.5\nend\n";
+    check(
+        &start(more),
+        expect![[r#"
+        issue	Balancer=3	RequestId=7	Upstream=10.0.0.1:80	StopAt=1240.750000
+        end
+        push_back	Balancer=3	RequestId=7	Pause=0.000000
+        end
+        Ok(())
+    "#]],
+    );
+}
+
+#[test]
+fn unknown_events_are_skipped_and_a_stop_may_be_followed_by_a_start() {
+    let more = "novel\tBalancer=3\tThing=1\npeer\tBalancer=3\tNeighbour=1\tBytes=-\nstop\tBalancer=3\n";
+    let again = start("end\n").split_once('\n').map(|(_, rest)| rest.to_string()).expect("lines");
+    check(
+        &start(&format!("{more}{again}")),
+        expect![[r#"
+        end
+        Ok(())
+    "#]],
+    );
+}
+
+#[test]
+fn settings_that_cant_be_read_break_that_instance_only() {
+    check(
+        "turn\tAtTime=1.5\nstart\tBalancer=1\tRngSeed=9\tProfileData={\"Tier\":\nend\n\
+         turn\tAtTime=2\nstart\tBalancer=1\tRngSeed=9\tProfileData={\"Tier\":\"x\"}\nend\n",
+        expect![[r#"
+            broken	Balancer=1	Message=settings: EOF while parsing a value at line 1 column 8
+            end
+            broken	Balancer=1	Message=settings: /Tier can't be read
+            end
+            Ok(())
+        "#]],
+    );
+}
+
+#[test]
+fn what_is_not_of_the_protocol_ends_the_adapter() {
+    check(
+        "turn\tAtTime=1\nsubmit\tBalancer=3\n",
+        expect![[r#"
+
+        Err("line 3: input ends within a batch")
+    "#]],
+    );
+    check(
+        "turn\tAtTime=1\nend",
+        expect![[r#"
+
+            Err("line 2: cut off")
+        "#]],
+    );
+    check(
+        "hello\n",
+        expect![[r#"
+
+        Err("line 1: expected turn, found hello")
+    "#]],
+    );
+    check(
+        "turn\tAtTime=soon\nend\n",
+        expect![[r#"
+
+        Err("line 1: AtTime is not a time")
+    "#]],
+    );
+    check(
+        "turn\tAtTime=1\nsubmit\tBalancer\nend\n",
+        expect![[r#"
+
+        Err("line 2: 'Balancer' is not name=value")
+    "#]],
+    );
+    check(
+        &start("response\tBalancer=3\tRequestId=7\tCopy=0\tHow=Odd\tDuration=1\nend\n"),
+        expect![[r#"
+
+        Err("line 7: How=Odd is no outcome")
+    "#]],
+    );
+    check(
+        "turn\tAtTime=1\npool\tRef=0\tLines=1\nend\n",
+        expect![[r#"
+
+        Err("line 3: expected upstream, found end")
+    "#]],
+    );
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -344,8 +344,12 @@
         if text(&self.facts, "utility_by") == "work" {
             return set.utility;
         }
-        let done = set.done.sum(now);
-        if done < 3.0 { set.utility } else { set.utility * done / set.took.sum(now).max(1e-3) }
+        // A rule set with few done yet goes by the time of all: its rank must be in the same measure as the others'.
+        let (done, took) = match set.done.sum(now) {
+            few if few < 3.0 => (self.counted.sum(now), self.took.sum(now)),
+            done => (done, set.took.sum(now)),
+        };
+        set.utility * done.max(1.0) / took.max(1e-3)
     }
 
     /// Counts a req for its customer and tells whether that customer is over its share.
--- /dev/null
+++ b/tests/traces.rs
@@ -0,0 +1,314 @@
+//! Short traces of decisions, kept to be read.
+
+mod helper;
+
+use expect_test::{Expect, expect};
+use helper::{Scene, facts};
+use ochreshed::How;
+
+fn check(scene: &mut Scene, expected: Expect) {
+    expected.assert_eq(&scene.trace);
+}
+
+#[test]
+fn turns_are_even_from_a_random_start() {
+    let mut scene = Scene::new(facts(0.0, 1.0), "a@x b@x c@y");
+    for id in 1..7 {
+        scene.done(id);
+    }
+    check(
+        &mut scene,
+        expect![[r#"
+        0 1: to b
+        100 2: to a
+        200 3: to c
+        300 4: to b
+        400 5: to a
+        500 6: to c
+    "#]],
+    );
+}
+
+#[test]
+fn a_middle_tiers_error_is_passed_up_and_the_last_tiers_is_sent_again() {
+    let mut middle = Scene::new(facts(1.0, 4.0), "a@x b@x");
+    middle.past(20).req(1, "read").pass(50).end(1, How::Error);
+    check(
+        &mut middle,
+        expect![[r#"
+        2000 1: to b
+        2050 1: Error
+        2050 1: deny
+    "#]],
+    );
+    let mut last = Scene::new(facts(2.0, 4.0), "a@x b@x");
+    last.past(20).req(1, "read").pass(50).end(1, How::Error);
+    check(
+        &mut last,
+        expect![[r#"
+        2000 1: to b
+        2050 1: Error
+        2050 1: to a
+    "#]],
+    );
+}
+
+#[test]
+fn a_refused_connection_is_owned_at_any_tier_and_safe_for_every_rule_set() {
+    let mut scene = Scene::new(facts(0.0, 1.0), "a@x b@x");
+    scene.past(20).req(1, "charge").pass(5).end(1, How::NoConnection).pass(50).end(1, How::Reset);
+    check(
+        &mut scene,
+        expect![[r#"
+        2000 1: to b
+        2005 1: NoConnection
+        2005 1: to a
+        2055 1: Reset
+        2055 1: abort
+    "#]],
+    );
+}
+
+#[test]
+fn sends_again_keep_within_a_tenth() {
+    let mut scene = Scene::new(facts(0.0, 1.0), "a@x b@x c@x d@x");
+    scene.past(10);
+    for id in 1..5 {
+        scene.req(id, "read").pass(10).end(id, How::Full).pass(100).end(id, How::Done);
+    }
+    check(
+        &mut scene,
+        expect![[r#"
+        1000 1: to a
+        1010 1: Full
+        1010 1: to c
+        1110 2: to c
+        1120 2: Full
+        1120 2: to d
+        1220 3: to b
+        1230 3: Full
+        1230 3: deny
+        1330 4: to a
+        1340 4: Full
+        1340 4: deny
+    "#]],
+    );
+}
+
+#[test]
+fn a_uniqued_req_that_may_have_run_goes_again_only_in_its_site_and_window() {
+    let mut scene = Scene::new(facts(2.0, 1.0), "a@x b@x c@y d@y");
+    scene.past(40);
+    for id in 1..4 {
+        scene.req(id, "move").pass(10).end(id, How::Reset).pass(100).end(id, How::Done);
+    }
+    scene.req(9, "move").pass(1_100).end(9, How::Reset);
+    check(
+        &mut scene,
+        expect![[r#"
+        4000 1: to d
+        4010 1: Reset
+        4010 1: to c
+        4110 2: to b
+        4120 2: Reset
+        4120 2: to a
+        4220 3: to a
+        4230 3: Reset
+        4230 3: to b
+        4330 9: to c
+        5430 9: Reset
+        5430 9: abort
+    "#]],
+    );
+}
+
+#[test]
+fn a_req_never_has_two_dispatches_out() {
+    let mut scene = Scene::new(facts(0.0, 1.0), "a@x b@x");
+    scene.req(1, "read").pass(10).place(1);
+    check(
+        &mut scene,
+        expect![[r#"
+        0 1: to b
+        10 1: later, in 2990 ms
+    "#]],
+    );
+}
+
+#[test]
+fn draining_and_gone_srvs_get_nothing_new() {
+    let mut scene = Scene::new(facts(0.0, 1.0), "a@x b@x c@x");
+    scene.list(false, "a@x!");
+    scene.done(1).done(2).done(3);
+    scene.list(true, "c@x");
+    scene.done(4).done(5);
+    check(
+        &mut scene,
+        expect![[r#"
+        0 1: to b
+        100 2: to c
+        200 3: to b
+        300 4: to c
+        400 5: to c
+    "#]],
+    );
+}
+
+#[test]
+fn a_cold_srv_gets_its_share_of_a_budget() {
+    let mut scene = Scene::new(facts(0.0, 1.0), "a@x b@x");
+    scene.past(40);
+    // The same id with a fresh start: it is cold again.
+    scene.list(false, "a@x*");
+    for id in 1..13 {
+        scene.done(id);
+    }
+    check(
+        &mut scene,
+        expect![[r#"
+        4000 1: to b
+        4100 2: to b
+        4200 3: to b
+        4300 4: to b
+        4400 5: to b
+        4500 6: to b
+        4600 7: to a
+        4700 8: to b
+        4800 9: to b
+        4900 10: to b
+        5000 11: to b
+        5100 12: to b
+    "#]],
+    );
+}
+
+#[test]
+fn a_srv_that_fails_alone_is_set_aside_and_returns() {
+    let mut scene = Scene::new(facts(1.0, 1.0), "a@x b@x c@x d@x");
+    scene.past(40);
+    for id in 1..9 {
+        scene.req(id, "charge").pass(50);
+        let how = if scene.went_to(&["b"]) { How::Error } else { How::Done };
+        scene.end(id, how).wait();
+    }
+    scene.pass(5_000).done(21).done(22).done(23).done(24);
+    check(
+        &mut scene,
+        expect![[r#"
+        4000 1: to d
+        4050 Watch
+        4050 2: to b
+        4100 2: Error
+        4100 2: abort
+        4100 3: to a
+        4150 4: to c
+        4200 5: to d
+        4250 6: to b
+        4300 6: Error
+        4300 6: abort
+        4300 log: aside b: 2 of its last 6 failed, 0.04 everywhere
+        4300 7: to a
+        4350 8: to c
+        9400 21: to a
+        9500 22: to c
+        9600 23: to d
+        9700 24: to a
+    "#]],
+    );
+}
+
+#[test]
+fn a_silent_site_is_set_aside_whole_and_what_it_owes_is_recalled() {
+    let mut scene = Scene::new(facts(2.0, 1.0), "a@x b@x c@x d@y e@y f@y");
+    scene.past(40).wait();
+    for id in 1..7 {
+        scene.req(id, "charge").pass(20);
+        if scene.went_to(&["d", "e", "f"]) {
+            scene.end(id, How::Done);
+        }
+    }
+    scene.pass(400).done(31).wait().done(32).done(33).done(34);
+    check(
+        &mut scene,
+        expect![[r#"
+        4000 Watch
+        4000 1: to c
+        4020 2: to e
+        4040 3: to d
+        4060 4: to f
+        4080 5: to b
+        4100 6: to a
+        4520 31: to e
+        4620 recall 6, dispatch 0
+        4620 log: aside site x: silent for 0.6 s, 3 owed
+        4620 recall 5, dispatch 0
+        4620 recall 1, dispatch 0
+        4620 32: to e
+        4720 33: to d
+        4820 34: to f
+    "#]],
+    );
+}
+
+#[test]
+fn over_the_level_utility_goes_first_and_a_long_wait_is_denied_at_once() {
+    let mut scene = Scene::new(facts(0.0, 4.0), "a@x");
+    scene.past(40);
+    for id in 1..9 {
+        scene.req(id, "read").pass(1);
+    }
+    scene.req(9, "charge").wait().pass(40).end(1, How::Done).wait().pass(200).place(7).wait();
+    check(
+        &mut scene,
+        expect![[r#"
+            4000 1: to a
+            4001 2: to a
+            4002 3: to a
+            4003 4: to a
+            4004 5: to a
+            4005 6: to a
+            4006 7: later, in 200 ms
+            4007 8: later, in 200 ms
+            4008 9: later, in 200 ms
+            4008 Watch
+            4008 log: holding: 6 in flight, 11 done a second
+            4008 8: deny
+            4048 9: to a
+            4248 7: deny
+            4248 log: open: 6 in flight, 10 done a second
+        "#]],
+    );
+}
+
+#[test]
+fn the_list_is_watched_and_asked_for_again_after_a_pause() {
+    let mut scene = Scene::new(facts(0.0, 1.0), "a@x");
+    scene.wait().pass(1_000).wait();
+    scene.balancer.after(1_001_000 * helper::MS, ochreshed::Outcome::ListFailed);
+    scene.wait().pass(2_000).wait();
+    check(
+        &mut scene,
+        expect![[r#"
+        1000 Watch
+        3000 Watch
+    "#]],
+    );
+}
+
+#[test]
+fn time_out_of_hand_is_answered_with_an_abort_where_it_may_have_run() {
+    let mut scene = Scene::new(facts(0.0, 1.0), "a@x b@x");
+    scene.req(1, "charge").pass(3_000).end(1, How::TimedOut);
+    scene.req(2, "read").pass(3_000).end(2, How::TimedOut);
+    check(
+        &mut scene,
+        expect![[r#"
+        0 1: to b
+        3000 1: TimedOut
+        3000 1: abort
+        3000 2: to a
+        6000 2: TimedOut
+        6000 2: deny
+    "#]],
+    );
+}
