--- a/src/decide.rs
+++ b/src/decide.rs
@@ -560,7 +560,7 @@
                         set.took.add(now, seconds(took));
                     }
                 }
-                self.judge(now, &name, how);
+                self.judge(now, &name, how, took);
                 if closed { Follow::Nothing } else { Follow::Place }
             }
             Outcome::Probe { srv, report, .. } => {
@@ -600,9 +600,9 @@
     }
 
     /// Judges a srv by its last few outcomes, against how the others do: what fails everywhere is not its fault.
-    fn judge(&mut self, now: Nanos, name: &Name, how: How) {
+    fn judge(&mut self, now: Nanos, name: &Name, how: How, took: Nanos) {
         let failure = match how {
-            How::Done => false,
+            How::Done => seconds(took) > self.span_allowed(now) * SILENT,
             How::Error | How::Reset | How::TimedOut | How::NoConnection => true,
             How::Full | How::Recalled | How::NotSent => return,
         };
@@ -614,8 +614,11 @@
         let aside = self.srvs.values().filter(|s| s.state == State::Up && !s.usable(now)).count();
         let up = self.srvs.values().filter(|s| s.state == State::Up).count();
         let Some(srv) = self.srvs.get_mut(name) else { return };
-        // No connection, or no answer, tells more than an error: it weighs double.
-        let times = if matches!(how, How::NoConnection | How::TimedOut) { 2 } else { 1 };
+        // No connection, or no answer, tells more than an error: it weighs double. So does a slow answer of the last
+        // tier, where nothing below can be its cause. Guards against a jammed srv that answers all, but late.
+        let slow = how == How::Done && self.tier + 1 >= self.tiers;
+        let times = if slow || matches!(how, How::NoConnection | How::TimedOut) { 2 } else { 1 };
+        let times = if failure { times } else { 1 };
         for _ in 0..times {
             srv.failures = (srv.failures << 1 | u32::from(failure)) & ((1 << FEW) - 1);
             srv.judged = (srv.judged + 1).min(FEW);
