--- a/src/decide.rs
+++ b/src/decide.rs
@@ -42,7 +42,7 @@
 /// A srv is crowded with this many times our mean in flight, and some, on the mean of a span.
 const CROWD: f64 = 1.5;
 const CROWD_SLACK: f64 = 0.2;
-const CROWD_SPAN: Nanos = 3 * S;
+const CROWD_SPAN: Nanos = 8 * S;
 /// What a cold srv may get over the even share, against bursts that are chance.
 const COLD_HEADROOM: f64 = 1.5;
 const COLD_FLOOR_PER_S: f64 = 0.25;
