--- a/src/decide.rs
+++ b/src/decide.rs
@@ -154,6 +154,8 @@
     held: Ring,
     done: Ring,
     known: Nanos,
+    /// The latest send that it has done.
+    overtaken: Nanos,
     /// When it last answered anything.
     heard: Nanos,
     turn: f64,
@@ -543,6 +545,7 @@
                     srv.held.add(now, seconds((now - at).min(CROWD_SPAN)));
                     if how == How::Done {
                         srv.done.add(now, 1.0);
+                        srv.overtaken = srv.overtaken.max(at);
                     }
                     if matches!(how, How::Done | How::Error | How::Full) {
                         srv.heard = now;
@@ -776,6 +779,7 @@
             held: Ring::over(CROWD_SPAN),
             done: Ring::over(4 * S),
             known: now,
+            overtaken: 0,
             heard: 0,
             turn,
             failures: 0,
@@ -820,12 +824,13 @@
         (self.done.rate(now, self.known) * span).max(floor)
     }
 
-    /// What counts against its level. Guards against a stop: a fault further down that holds one req at each srv
-    /// would leave no room anywhere until those time out, so at a silent srv what is overdue doesn't count. At one
-    /// that answers, if late, it is load.
+    /// What counts against its level. An overdue req doesn't where the srv is silent, nor where it has answered one
+    /// that was sent later: then it is stuck further down, and is no load here. Guards against a stop: a fault
+    /// further down that holds a few reqs at each srv would leave no room for the others until those time out.
     fn counted(&self, now: Nanos, span: f64) -> usize {
-        let all = !self.silent(now, span);
-        self.out.iter().filter(|out| all || seconds(now - out.at) <= SILENT * span).count()
+        let silent = self.silent(now, span);
+        let stuck = |out: &Out| seconds(now - out.at) > SILENT * span && (silent || out.at < self.overtaken);
+        self.out.iter().filter(|out| !stuck(out)).count()
     }
 
     /// Whether it owes an answer for longer than the span and has answered nothing since that was sent. Guards
