--- a/src/decide.rs
+++ b/src/decide.rs
@@ -453,14 +453,16 @@
         let share = number(&self.facts, "cold_share", 1.0);
         let (narrow, floor) = (self.span_allowed(now), self.floor(now));
         let span = if self.recovering(now) { narrow * 2.0 } else { narrow };
+        let below = self.tier + 1 < self.tiers;
         let answering = self.srvs.values().filter(|srv| srv.usable(now) && !srv.silent(now, narrow));
-        let (level, out) = answering
-            .fold((0.0, 0), |(l, o), srv| (l + srv.level(now, span, floor), o + srv.counted(now, narrow)));
+        let (level, out) = answering.fold((0.0, 0), |(l, o), srv| {
+            (l + srv.level(now, span, floor), o + srv.counted(now, narrow, below))
+        });
         if again.is_none() && out as f64 >= f64::max(level, 1.0) {
             return Vec::new();
         }
         let room = |srv: &Srv| {
-            again.is_some() || (srv.counted(now, narrow) as f64) < srv.level(now, span, floor).max(1.0)
+            again.is_some() || (srv.counted(now, narrow, below) as f64) < srv.level(now, span, floor).max(1.0)
         };
         let fits = |strict: bool| -> Vec<(Name, f64)> {
             let sound = |srv: &Srv| {
@@ -824,12 +826,15 @@
         (self.done.rate(now, self.known) * span).max(floor)
     }
 
-    /// What counts against its level. An overdue req doesn't where the srv is silent, nor where it has answered one
-    /// that was sent later: then it is stuck further down, and is no load here. Guards against a stop: a fault
+    /// What counts against its level. An overdue req doesn't where the srv is silent, nor, long overdue, where the
+    /// srv has answered one that was sent later: then it is stuck further `below`, and is no load here. Guards against a stop: a fault
     /// further down that holds a few reqs at each srv would leave no room for the others until those time out.
-    fn counted(&self, now: Nanos, span: f64) -> usize {
+    fn counted(&self, now: Nanos, span: f64, below: bool) -> usize {
         let silent = self.silent(now, span);
-        let stuck = |out: &Out| seconds(now - out.at) > SILENT * span && (silent || out.at < self.overtaken);
+        let stuck = |out: &Out| {
+            let late = seconds(now - out.at) / (SILENT * span);
+            (late > 1.0 && silent) || (below && late > 2.0 && out.at < self.overtaken)
+        };
         self.out.iter().filter(|out| !stuck(out)).count()
     }
 
