--- a/src/decide.rs
+++ b/src/decide.rs
@@ -24,8 +24,8 @@
 /// Sends again that a quiet instance may make in a ring's time all the same.
 const FLOOR: f64 = 1.0;
 /// The span that the level allows: this many unloaded times of a req, within these parts of the response target.
-const LEVEL_TIMES: f64 = 1.5;
-const LEVEL_LEAST: f64 = 0.45;
+const LEVEL_TIMES: f64 = 1.6;
+const LEVEL_LEAST: f64 = 0.5;
 const LEVEL_MOST: f64 = 0.8;
 /// Answers in recovery come within this many unloaded times.
 const PROMPT: f64 = 1.3;
@@ -463,7 +463,7 @@
         }
         let room = |srv: &Srv| {
             again.is_some()
-                || (srv.counted(now, narrow, below) as f64) < (srv.level(now, span, floor) * 1.5).max(1.0)
+                || (srv.counted(now, narrow, below) as f64) < srv.level(now, span, floor).max(1.0)
         };
         let fits = |strict: bool| -> Vec<(Name, f64)> {
             let sound = |srv: &Srv| {
