--- a/src/decide.rs
+++ b/src/decide.rs
@@ -462,8 +462,7 @@
             return Vec::new();
         }
         let room = |srv: &Srv| {
-            again.is_some()
-                || (srv.counted(now, narrow, below) as f64) < srv.level(now, span, floor).max(1.0)
+            again.is_some() || (srv.counted(now, narrow, below) as f64) < srv.level(now, span, floor).max(1.0)
         };
         let fits = |strict: bool| -> Vec<(Name, f64)> {
             let sound = |srv: &Srv| {
