--- a/src/decide.rs
+++ b/src/decide.rs
@@ -26,6 +26,9 @@
 /// The span that the level allows: this many unloaded times of a req, within these parts of the response target.
 const LEVEL_TIMES: f64 = 1.6;
 const LEVEL_LEAST: f64 = 0.5;
+/// In overload, when this part of what is asked for is denied, the two above shrink to this part of them.
+const OVERLOAD: f64 = 0.3;
+const LEVEL_OVERLOAD: f64 = 0.85;
 const LEVEL_MOST: f64 = 0.8;
 /// Answers in recovery come within this many unloaded times.
 const PROMPT: f64 = 1.3;
@@ -200,6 +203,8 @@
     /// Seconds that done reqs took, and their number, over a longer while.
     took: Ring,
     counted: Ring,
+    asked: Ring,
+    denied: Ring,
     recent: Ring,
     recent_took: Ring,
     outcomes: Ring,
@@ -238,6 +243,8 @@
             done: Ring::over(2 * S),
             took: Ring::over(20 * S),
             counted: Ring::over(20 * S),
+            asked: Ring::over(2 * S),
+            denied: Ring::over(2 * S),
             recent: Ring::over(S),
             recent_took: Ring::over(S),
             outcomes: Ring::over(5 * S),
@@ -274,6 +281,9 @@
         if now >= req.ends {
             return self.give_up_on(now, req, 0);
         }
+        if held.is_none() {
+            self.asked.add(now, 1.0);
+        }
         let over_share = held.is_none() && self.count_customer(now, &req.customer);
         if (called || self.waiting.is_empty())
             && let Some(srv) = self.pick(now, None)
@@ -297,6 +307,7 @@
         let at = self.waiting.partition_point(|w| w.rank >= waiting.rank);
         let wait = self.wait_at(now, at);
         if now + wait > waiting.until || (over_share && !self.waiting.is_empty()) {
+            self.denied.add(now, 1.0);
             return self.give_up_on(now, req, wait);
         }
         let ask_at = waiting.until;
@@ -318,7 +329,9 @@
         if self.tier > 0 {
             most
         } else {
-            (self.unloaded(now) * LEVEL_TIMES).clamp(target * LEVEL_LEAST, most)
+            let overload = self.denied.sum(now) > OVERLOAD * self.asked.sum(now);
+            let part = if overload { LEVEL_OVERLOAD } else { 1.0 };
+            (self.unloaded(now) * LEVEL_TIMES * part).clamp(target * LEVEL_LEAST * part, most)
         }
     }
 
