--- a/src/decide.rs
+++ b/src/decide.rs
@@ -24,11 +24,11 @@
 /// Sends again that a quiet instance may make in a ring's time all the same.
 const FLOOR: f64 = 1.0;
 /// The span that the level allows: this many unloaded times of a req, within these parts of the response target.
-const LEVEL_TIMES: f64 = 1.6;
-const LEVEL_LEAST: f64 = 0.5;
+const LEVEL_TIMES: f64 = 1.9;
+const LEVEL_LEAST: f64 = 0.6;
 /// In overload, when this part of what is asked for is denied, the two above shrink to this part of them.
 const OVERLOAD: f64 = 0.3;
-const LEVEL_OVERLOAD: f64 = 0.85;
+const LEVEL_OVERLOAD: f64 = 0.7;
 const LEVEL_MOST: f64 = 0.8;
 /// Answers in recovery come within this many unloaded times.
 const PROMPT: f64 = 1.3;
