--- a/src/decide.rs
+++ b/src/decide.rs
@@ -43,7 +43,7 @@
 /// Ramp of a srv that returns from being set aside.
 const RETURN_RAMP: Nanos = 3 * S;
 /// A srv is crowded with this many times our mean in flight, and some, on the mean of a span.
-const CROWD: f64 = 1.5;
+const CROWD: f64 = 1.25;
 const CROWD_SLACK: f64 = 0.2;
 const CROWD_SPAN: Nanos = 8 * S;
 /// What a cold srv may get over the even share, against bursts that are chance.
