--- a/src/decide.rs
+++ b/src/decide.rs
@@ -157,6 +157,8 @@
     held: Ring,
     done: Ring,
     known: Nanos,
+    /// Dispatches it lost since its site last answered: no connection, a reset, a time-out.
+    lost: usize,
     /// The latest send that it has done.
     overtaken: Nanos,
     /// When it last answered anything.
@@ -562,8 +564,14 @@
                         srv.done.add(now, 1.0);
                         srv.overtaken = srv.overtaken.max(at);
                     }
-                    if matches!(how, How::Done | How::Error | How::Full) {
-                        srv.heard = now;
+                    match how {
+                        How::Done | How::Error | How::Full => srv.heard = now,
+                        How::NoConnection | How::Reset | How::TimedOut => srv.lost += 1,
+                        How::Recalled | How::NotSent => {}
+                    }
+                    if srv.heard == now {
+                        let site = srv.site.clone();
+                        self.srvs.values_mut().filter(|srv| srv.site == site).for_each(|srv| srv.lost = 0);
                     }
                 }
                 self.note_report(now, &name, report);
@@ -629,8 +637,10 @@
             self.failed.add(now, 1.0);
         }
         let everywhere = self.failed.sum(now) / self.outcomes.sum(now).max(1.0);
-        let aside = self.srvs.values().filter(|s| s.state == State::Up && !s.usable(now)).count();
-        let up = self.srvs.values().filter(|s| s.state == State::Up).count();
+        let Some(site) = self.srvs.get(name).map(|srv| srv.site.clone()) else { return };
+        // Never more than half of a site, one by one; a whole site is another matter.
+        let in_site = self.srvs.values().filter(|srv| srv.site == site && srv.state == State::Up);
+        let (up, aside) = in_site.fold((0, 0), |(u, a), srv| (u + 1, a + usize::from(!srv.usable(now))));
         let Some(srv) = self.srvs.get_mut(name) else { return };
         // No connection, or no answer, tells more than an error: it weighs double. So does a slow answer of the last
         // tier, where nothing below can be its cause. Guards against a jammed srv that answers all, but late.
@@ -673,12 +683,14 @@
         for (site, last) in &heard {
             let others = heard.iter().filter(|(name, _)| *name != site).map(|(_, at)| *at).max().unwrap_or(0);
             let mut owed = Vec::new();
+            let mut lost = 0;
             for srv in self.srvs.values_mut().filter(|srv| srv.site == *site) {
                 let late =
                     |out: &&mut Out| *last <= out.at && out.at < others && seconds(now - out.at) > overdue;
                 owed.extend(srv.out.iter_mut().filter(late));
+                lost += srv.lost;
             }
-            if owed.len() < 2 {
+            if others <= *last || (owed.len() < 2 && owed.len() + lost < 3) {
                 continue;
             }
             let count = owed.len();
@@ -688,17 +700,16 @@
                     self.recalls.push_back((out.id, out.number));
                 }
             }
-            let in_site = |srv: &&mut Srv| srv.site == *site;
             if !self.srvs.values().any(|srv| srv.site == *site && srv.usable(now)) {
                 continue;
             }
             let until = now + ASIDE + self.chance.span(ASIDE_RANDOM);
-            self.srvs
-                .values_mut()
-                .filter(in_site)
-                .for_each(|srv| srv.aside_until = srv.aside_until.max(until));
+            for srv in self.srvs.values_mut().filter(|srv| srv.site == *site) {
+                (srv.aside_until, srv.lost) = (srv.aside_until.max(until), 0);
+            }
             let silent = seconds(now - last);
-            self.log.push_back(format!("aside site {site}: silent for {silent:.1} s, {count} owed"));
+            self.log
+                .push_back(format!("aside site {site}: silent for {silent:.1} s, {count} owed, {lost} lost"));
         }
     }
 
@@ -794,6 +805,7 @@
             held: Ring::over(CROWD_SPAN),
             done: Ring::over(4 * S),
             known: now,
+            lost: 0,
             overtaken: 0,
             heard: 0,
             turn,
