--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,16 +1,17 @@
 //! Every decision of ochreshed. An instance, `Balancer`, is made from its start time, its seed and a map of
-//! facts, and is then asked: `place` for where a req goes, `after` for what follows an outcome, `wait` for the
-//! chore to do next or how long until it is asked again. The values that go in and out are in `plain.rs`; the
-//! adapter keeps timers and reqs. The design and each departure from it are told in `docs/design.md`.
+//! facts, and is then asked: `place` for where a req goes, `after` for what follows an outcome, `wait` for
+//! the chore to do next or how long until it is asked again. The values that go in and out are in `plain.rs`;
+//! the adapter keeps timers and reqs. The design and each departure from it are told in `docs/design.md`.
 //!
-//! The design: a failure is sent again only by the balancer whose callee owns it, on another srv, within a tenth
-//! of our first sends; smooth weighted round robin that skips crowded srvs; a ramp for new and returning srvs.
-//! Beside it stand five mechanisms:
+//! The design: a failure is sent again only by the balancer whose callee owns it, on another srv, within a
+//! tenth of our first sends; smooth weighted round robin that skips crowded srvs; a ramp for new and
+//! returning srvs. Beside it stand six mechanisms:
 //! 1. Level: no more in flight at a srv than it finishes within a part of the response target.
-//! 2. Queue: reqs over the level wait a little, by utility; those whose wait would be too long are denied at once.
-//! 3. Health: a srv is judged by its last few outcomes, set aside, and returns after a fixed and a random time.
-//! 4. Cold budget: a cold srv gets from us no more than our share of what its least capacity takes.
-//! 5. Shares: a customer over its share goes last, and is denied while anyone waits.
+//! 2. Queue: reqs over the level wait a little, by utility; one that would wait too long is denied at once.
+//! 3. Health: a srv is judged by its last few outcomes, set aside, and returns after a partly random time.
+//! 4. Sites: a site that answers nothing while others do is set aside whole, and what it owes recalled.
+//! 5. Cold budget: a cold srv gets from us no more than our share of what its least capacity takes.
+//! 6. Shares: a customer over its share goes last, and is denied while anyone waits.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -23,7 +24,8 @@
 const TENTH: f64 = 0.1;
 /// Sends again that a quiet instance may make in a ring's time all the same.
 const FLOOR: f64 = 1.0;
-/// The span that the level allows: this many unloaded times of a req, within these parts of the response target.
+/// The span that the level allows: this many unloaded times of a req, within these parts of the response
+/// target.
 const LEVEL_TIMES: f64 = 1.9;
 const LEVEL_LEAST: f64 = 0.6;
 /// In overload, when this part of what is asked for is denied, the two above shrink to this part of them.
@@ -337,8 +339,8 @@
         }
     }
 
-    /// Whether we finish far less than at best of late though answers come about as fast as with no load. Then the
-    /// level is what holds us back, after a fault further down has passed, and it may be wider.
+    /// Whether we finish far less than at best of late though answers come about as fast as with no load.
+    /// Then the level is what holds us back, after a fault further down has passed, and it may be wider.
     fn recovering(&self, now: Nanos) -> bool {
         let (done, took) = (self.recent.sum(now), self.recent_took.sum(now));
         let best = self.counted.live(now).fold(0.0, f64::max) / 2.0;
@@ -351,7 +353,8 @@
         if now < self.born + 2 * S { 12.0 / self.instances } else { 4.0 / self.instances }
     }
 
-    /// The least mean time of a req in any bucket of the last while: about what it takes with no queue before it.
+    /// The least mean time of a req in any bucket of the last while: about what it takes with no queue before
+    /// it.
     fn unloaded(&self, now: Nanos) -> f64 {
         let buckets = self.took.live(now).zip(self.counted.live(now)).filter(|(_, count)| *count >= 10.0);
         buckets.map(|(took, count)| took / count).fold(f64::INFINITY, f64::min)
@@ -361,7 +364,8 @@
         if text(&self.facts, "utility_by") == "work" {
             return set.utility;
         }
-        // A rule set with few done yet goes by the time of all: its rank must be in the same measure as the others'.
+        // A rule set with few done yet goes by the time of all: its rank must be in the same measure as the
+        // others'.
         let (done, took) = match set.done.sum(now) {
             few if few < 3.0 => (self.counted.sum(now), self.took.sum(now)),
             done => (done, set.took.sum(now)),
@@ -426,7 +430,8 @@
         Place::Deny { come_back: come_back.min(most) }
     }
 
-    /// Smooth weighted round robin over the srvs that may take a req now; `again`: a req that goes another time.
+    /// Smooth weighted round robin over the srvs that may take a req now; `again`: a req that goes another
+    /// time.
     fn pick(&mut self, now: Nanos, again: Option<&Req>) -> Option<Name> {
         let fit: Vec<(Name, f64)> = self.candidates(now, again);
         let total: f64 = fit.iter().map(|(_, weight)| weight).sum();
@@ -488,7 +493,8 @@
             fit.map(|(name, srv)| (name.clone(), srv.weight * srv.ramp(now, cold, share))).collect()
         };
         let fit = fits(true);
-        // With every srv set aside or crowded, a doubtful one is better than none; the level holds all the same.
+        // With every srv set aside or crowded, a doubtful one is better than none; the level holds all the
+        // same.
         if fit.is_empty() { fits(false) } else { fit }
     }
 
@@ -625,7 +631,8 @@
         }
     }
 
-    /// Judges a srv by its last few outcomes, against how the others do: what fails everywhere is not its fault.
+    /// Judges a srv by its last few outcomes, against how the others do: what fails everywhere is not its
+    /// fault.
     fn judge(&mut self, now: Nanos, name: &Name, how: How, took: Nanos) {
         let failure = match how {
             How::Done => seconds(took) > self.span_allowed(now) * SILENT,
@@ -642,8 +649,9 @@
         let in_site = self.srvs.values().filter(|srv| srv.site == site && srv.state == State::Up);
         let (up, aside) = in_site.fold((0, 0), |(u, a), srv| (u + 1, a + usize::from(!srv.usable(now))));
         let Some(srv) = self.srvs.get_mut(name) else { return };
-        // No connection, or no answer, tells more than an error: it weighs double. So does a slow answer of the last
-        // tier, where nothing below can be its cause. Guards against a jammed srv that answers all, but late.
+        // No connection, or no answer, tells more than an error: it weighs double. So does a slow answer of
+        // the last tier, where nothing below can be its cause. Guards against a jammed srv that answers all,
+        // but late.
         let slow = how == How::Done && self.tier + 1 >= self.tiers;
         let times = if slow || matches!(how, How::NoConnection | How::TimedOut) { 2 } else { 1 };
         let times = if failure { times } else { 1 };
@@ -669,9 +677,10 @@
         }
     }
 
-    /// Sets a whole site aside that owes us answers and has given none since, while others did, and recalls what
-    /// it owes. Guards against a lost site: failures there are not independent, so a quiet instance would lose a
-    /// req to each of its srvs to learn that, and what is stuck there holds a slot of each caller above.
+    /// Sets a whole site aside that owes us answers and has given none since, while others did, and recalls
+    /// what it owes. Guards against a lost site: failures there are not independent, so a quiet instance
+    /// would lose a req to each of its srvs to learn that, and what is stuck there holds a slot of each
+    /// caller above.
     fn judge_sites(&mut self, now: Nanos) {
         let overdue = self.span_allowed(now) * SILENT;
         let may_recall = flag(&self.facts, "may_recall");
@@ -851,9 +860,10 @@
         (self.done.rate(now, self.known) * span).max(floor)
     }
 
-    /// What counts against its level. An overdue req doesn't where the srv is silent, nor, long overdue, where the
-    /// srv has answered one that was sent later: then it is stuck further `below`, and is no load here. Guards against a stop: a fault
-    /// further down that holds a few reqs at each srv would leave no room for the others until those time out.
+    /// What counts against its level. An overdue req doesn't where the srv is silent, nor, long overdue,
+    /// where the srv has answered one that was sent later: then it is stuck further `below`, and is no load
+    /// here. Guards against a stop: a fault further down that holds a few reqs at each srv would leave no
+    /// room for the others until those time out.
     fn counted(&self, now: Nanos, span: f64, below: bool) -> usize {
         let silent = self.silent(now, span);
         let stuck = |out: &Out| {
@@ -863,14 +873,14 @@
         self.out.iter().filter(|out| !stuck(out)).count()
     }
 
-    /// Whether it owes an answer for longer than the span and has answered nothing since that was sent. Guards
-    /// against srvs cut off without a sign: what is out there must not fill the level.
+    /// Whether it owes an answer for longer than the span and has answered nothing since that was sent.
+    /// Guards against srvs cut off without a sign: what is out there must not fill the level.
     fn silent(&self, now: Nanos, span: f64) -> bool {
         self.out.iter().any(|out| self.heard <= out.at && seconds(now - out.at) > SILENT * span)
     }
 
-    /// In flight on the mean of the last seconds. At a quiet instance the count of the moment is nearly always
-    /// none or one, even at a srv many times slower than the others.
+    /// In flight on the mean of the last seconds. At a quiet instance the count of the moment is nearly
+    /// always none or one, even at a srv many times slower than the others.
     fn mean_out(&self, now: Nanos) -> f64 {
         let out: f64 = self.out.iter().map(|out| seconds((now - out.at).min(CROWD_SPAN))).sum();
         (self.held.sum(now) + out) / seconds(CROWD_SPAN)
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -254,7 +254,7 @@
 fn a_cut_off_site_is_set_aside_after_three_lost_connections() {
     let mut scene = Scene::new(facts(1.0, 1.0), "a@x b@x c@x d@y e@y f@y");
     scene.past(100).wait();
-    for id in 1..5 {
+    for id in 1..10 {
         scene.req(id, "charge").pass(20);
         while scene.went_to(&["a", "b", "c"]) {
             scene.end(id, How::NoConnection).pass(20);
@@ -264,15 +264,25 @@
     check(
         &mut scene,
         expect![[r#"
-        10000 Watch
-        10000 1: to c
-        10020 1: NoConnection
-        10020 1: to e
-        10040 log: aside c: 2 of its last 6 failed, 0.02 everywhere
-        10040 2: to e
-        10060 3: to d
-        10080 4: to f
-    "#]],
+            10000 Watch
+            10000 1: to c
+            10020 1: NoConnection
+            10020 1: to e
+            10040 log: aside c: 2 of its last 6 failed, 0.02 everywhere
+            10040 2: to e
+            10060 3: to d
+            10080 4: to f
+            10100 5: to b
+            10120 5: NoConnection
+            10120 5: to a
+            10140 5: NoConnection
+            10140 5: to e
+            10160 log: aside site x: silent for 0.1 s, 0 owed, 3 lost
+            10160 6: to d
+            10180 7: to f
+            10200 8: to e
+            10220 9: to d
+        "#]],
     );
 }
 
