--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -77,12 +77,20 @@
     }
 
     pub fn req(&mut self, id: u64, rule_set: &str) -> &mut Scene {
+        self.take(id, rule_set, "")
+    }
+
+    pub fn of(&mut self, id: u64, customer: &str) -> &mut Scene {
+        self.take(id, "read", customer)
+    }
+
+    fn take(&mut self, id: u64, rule_set: &str, customer: &str) -> &mut Scene {
         self.reqs.insert(
             id,
             Req {
                 id,
                 rule_set: rule_set.into(),
-                customer: "".into(),
+                customer: customer.into(),
                 again: false,
                 taken: self.now,
                 ends: self.now + 3_000 * MS,
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -4,7 +4,7 @@
 
 use expect_test::{Expect, expect};
 use helper::{Scene, facts};
-use ochreshed::How;
+use ochreshed::{Facts, How, Value};
 
 fn check(scene: &mut Scene, expected: Expect) {
     expected.assert_eq(&scene.trace);
@@ -286,6 +286,90 @@
     );
 }
 
+#[test]
+fn a_slow_srv_loses_its_turns() {
+    let mut scene = Scene::new(facts(1.0, 8.0), "a@x b@x c@x");
+    scene.past(60);
+    for id in 1..13 {
+        scene.req(id, "charge");
+        let slow = scene.went_to(&["b"]);
+        scene.pass(if slow { 900 } else { 50 }).end(id, How::Done);
+    }
+    check(
+        &mut scene,
+        expect![[r#"
+        6000 1: to b
+        6900 2: to a
+        6950 3: to c
+        7000 4: to b
+        7900 5: to a
+        7950 6: to c
+        8000 7: to a
+        8050 8: to c
+        8100 9: to a
+        8150 10: to c
+        8200 11: to a
+        8250 12: to c
+    "#]],
+    );
+}
+
+#[test]
+fn a_silent_srv_leaves_room_for_the_others() {
+    let mut scene = Scene::new(facts(1.0, 8.0), "a@x b@x");
+    scene.past(40);
+    for id in 1..9 {
+        scene.req(id, "charge").pass(400);
+        if scene.went_to(&["b"]) {
+            scene.end(id, How::Done);
+        }
+    }
+    check(
+        &mut scene,
+        expect![[r#"
+        4000 1: to b
+        4400 2: to a
+        4800 3: to b
+        5200 4: to a
+        5600 5: to b
+        6000 6: to b
+        6400 7: to b
+        6800 8: to b
+    "#]],
+    );
+}
+
+#[test]
+fn a_customer_over_its_share_is_denied_while_anyone_waits() {
+    let mut facts = facts(0.0, 1.0);
+    let share = |name: &str, per_s| {
+        Facts::from([("name".into(), Value::Text(name.into())), ("share_per_s".into(), Value::Number(per_s))])
+    };
+    facts.insert("customers".into(), Value::List(vec![share("big", 0.5), share("small", 1e6)]));
+    let mut scene = Scene::new(facts, "a@x");
+    scene.past(40);
+    for id in 1..13 {
+        scene.of(id, if id % 2 == 0 { "big" } else { "small" });
+    }
+    check(
+        &mut scene,
+        expect![[r#"
+            4000 1: to a
+            4000 2: to a
+            4000 3: to a
+            4000 4: to a
+            4000 5: to a
+            4000 6: to a
+            4000 7: to a
+            4000 8: later, in 200 ms
+            4000 9: later, in 200 ms
+            4000 10: deny
+            4000 11: deny
+            4000 12: deny
+        "#]],
+    );
+}
+
 #[test]
 fn over_the_level_utility_goes_first_and_a_long_wait_is_denied_at_once() {
     let mut scene = Scene::new(facts(0.0, 4.0), "a@x");
