--- a/src/decide.rs
+++ b/src/decide.rs
@@ -217,7 +217,6 @@
     /// The held req that `wait` has just called up.
     called: Option<u64>,
     holding: bool,
-    subscribed: bool,
     watch_at: Option<Nanos>,
     watch_pause: Nanos,
     recalls: VecDeque<(u64, usize)>,
@@ -256,7 +255,6 @@
             waiting: Vec::new(),
             called: None,
             holding: false,
-            subscribed: false,
             watch_at,
             watch_pause: S,
             recalls: VecDeque::new(),
@@ -384,16 +382,19 @@
         customer.asked.rate(now, born) * instances > customer.share_per_s * 1.2
     }
 
+    fn last_tier(&self) -> bool {
+        self.tier + 1 >= self.tiers
+    }
+
     fn rule_set(&self, name: &str) -> Option<&RuleSet> {
         self.rule_sets.iter().find(|set| &*set.name == name)
     }
 
     /// Whether this req's failure is ours to send again, and its rule set and the tenth allow it.
     fn may_go_again(&self, now: Nanos, req: &Req) -> bool {
-        let last_tier = self.tier + 1 >= self.tiers;
         let owned = match req.dispatches.last().and_then(|d| d.how) {
             Some(How::NoConnection | How::Reset | How::Full) => true,
-            Some(How::Error | How::TimedOut) => last_tier,
+            Some(How::Error | How::TimedOut) => self.last_tier(),
             _ => false,
         };
         let most = number(&self.facts, "max_dispatches", 2.0) as usize;
@@ -468,12 +469,13 @@
                 && in_group(srv)
                 && (!srv.cold(now, cold) || srv.budget >= 1.0)
         };
-        let (lasting, moment) = (self.mean(now, |s| s.mean_out(now)), self.mean(now, |s| s.out.len() as f64));
-        let reported = self.mean_report(now);
+        let lasting = self.mean(now, |_| true, |srv| srv.mean_out(now));
+        let moment = self.mean(now, |_| true, |srv| srv.out.len() as f64);
+        let reported = self.mean(now, |srv| srv.fresh(now), |srv| srv.reported);
         let share = number(&self.facts, "cold_share", 1.0);
         let (narrow, floor) = (self.span_allowed(now), self.floor(now));
         let span = if self.recovering(now) { narrow * 2.0 } else { narrow };
-        let below = self.tier + 1 < self.tiers;
+        let below = !self.last_tier();
         let answering = self.srvs.values().filter(|srv| srv.usable(now) && !srv.silent(now, narrow));
         let (level, out) = answering.fold((0.0, 0), |(l, o), srv| {
             (l + srv.level(now, span, floor), o + srv.counted(now, narrow, below))
@@ -498,20 +500,13 @@
         if fit.is_empty() { fits(false) } else { fit }
     }
 
-    /// The sum of something over the usable srvs, for each unit of weight.
-    fn mean(&self, now: Nanos, of: impl Fn(&Srv) -> f64) -> f64 {
-        let usable = self.srvs.values().filter(|srv| srv.usable(now));
-        let (sum, weight) = usable.fold((0.0, 0.0), |(s, w), srv| (s + of(srv), w + srv.weight));
+    /// The sum of something over the usable srvs that fit, for each unit of their weight.
+    fn mean(&self, now: Nanos, fit: impl Fn(&Srv) -> bool, of: impl Fn(&Srv) -> f64) -> f64 {
+        let fit = self.srvs.values().filter(|srv| srv.usable(now) && fit(srv));
+        let (sum, weight) = fit.fold((0.0, 0.0), |(s, w), srv| (s + of(srv), w + srv.weight));
         if weight > 0.0 { sum / weight } else { 0.0 }
     }
 
-    /// What srvs report of their load, for each unit of weight.
-    fn mean_report(&self, now: Nanos) -> f64 {
-        let fresh = self.srvs.values().filter(|srv| srv.usable(now) && srv.fresh(now));
-        let (load, weight) = fresh.fold((0.0, 0.0), |(l, w), srv| (l + srv.reported, w + srv.weight));
-        if weight > 0.0 { load / weight } else { 0.0 }
-    }
-
     /// The fourth rule: a cold srv's budget grows by our share of what warm srvs of like size take from us,
     /// scaled to the least capacity it can have at its age.
     fn fill_budgets(&mut self, now: Nanos) {
@@ -525,7 +520,7 @@
         let per_weight = sent / weight.max(1e-9);
         for srv in self.srvs.values_mut().filter(|srv| srv.cold(now, cold)) {
             let rate = per_weight * srv.weight * srv.ramp(now, cold, share) * COLD_HEADROOM;
-            let grown = rate.max(COLD_FLOOR_PER_S) * (now - srv.budget_at.min(now)) as f64 / S as f64;
+            let grown = rate.max(COLD_FLOOR_PER_S) * seconds(now - srv.budget_at.min(now));
             srv.budget = (srv.budget + grown).min((rate / 2.0).max(1.0));
             srv.budget_at = now;
         }
@@ -605,7 +600,6 @@
             }
             Outcome::ListFailed => {
                 // The list is one service for all: ask again after a pause that grows and is partly random.
-                self.subscribed = false;
                 self.watch_at = Some(now + self.watch_pause / 2 + self.chance.span(self.watch_pause));
                 self.watch_pause = (self.watch_pause * 2).min(4 * S);
                 Follow::Nothing
@@ -648,13 +642,13 @@
         // Never more than half of a site, one by one; a whole site is another matter.
         let in_site = self.srvs.values().filter(|srv| srv.site == site && srv.state == State::Up);
         let (up, aside) = in_site.fold((0, 0), |(u, a), srv| (u + 1, a + usize::from(!srv.usable(now))));
+        let last_tier = self.last_tier();
         let Some(srv) = self.srvs.get_mut(name) else { return };
         // No connection, or no answer, tells more than an error: it weighs double. So does a slow answer of
         // the last tier, where nothing below can be its cause. Guards against a jammed srv that answers all,
         // but late.
-        let slow = how == How::Done && self.tier + 1 >= self.tiers;
-        let times = if slow || matches!(how, How::NoConnection | How::TimedOut) { 2 } else { 1 };
-        let times = if failure { times } else { 1 };
+        let heavy = matches!(how, How::NoConnection | How::TimedOut) || (how == How::Done && last_tier);
+        let times = if failure && heavy { 2 } else { 1 };
         for _ in 0..times {
             srv.failures = (srv.failures << 1 | u32::from(failure)) & ((1 << FEW) - 1);
             srv.judged = (srv.judged + 1).min(FEW);
@@ -717,14 +711,12 @@
                 (srv.aside_until, srv.lost) = (srv.aside_until.max(until), 0);
             }
             let silent = seconds(now - last);
-            self.log
-                .push_back(format!("aside site {site}: silent for {silent:.1} s, {count} owed, {lost} lost"));
+            self.say(format!("aside site {site}: silent for {silent:.1} s, {count} owed, {lost} lost"));
         }
     }
 
     fn follow_list(&mut self, now: Nanos, whole: bool, old: bool, entries: &[Listed]) {
         if !old {
-            self.subscribed = true;
             self.watch_pause = S;
         }
         if whole {
