--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,6 +28,8 @@
 /// target.
 const LEVEL_TIMES: f64 = 1.9;
 const LEVEL_LEAST: f64 = 0.6;
+/// What chance may put on top of a level, in standard deviations of a count.
+const CHANCE: f64 = 1.5;
 /// In overload, when this part of what is asked for is denied, the two above shrink to this part of them.
 const OVERLOAD: f64 = 0.3;
 const LEVEL_OVERLOAD: f64 = 0.7;
@@ -480,11 +482,12 @@
         let (level, out) = answering.fold((0.0, 0), |(l, o), srv| {
             (l + srv.level(now, span, floor), o + srv.counted(now, narrow, below))
         });
-        if again.is_none() && out as f64 >= f64::max(level, 1.0) {
+        if again.is_none() && out as f64 >= with_chance(level) {
             return Vec::new();
         }
         let room = |srv: &Srv| {
-            again.is_some() || (srv.counted(now, narrow, below) as f64) < srv.level(now, span, floor).max(1.0)
+            let level = with_chance(srv.level(now, span, floor));
+            again.is_some() || (srv.counted(now, narrow, below) as f64) < level
         };
         let fits = |strict: bool| -> Vec<(Name, f64)> {
             let sound = |srv: &Srv| {
@@ -917,6 +920,12 @@
     }
 }
 
+/// A level and what chance may put on top of it. Guards against false denies at a quiet instance: with a
+/// few reqs in flight on the mean, twice as many at a moment say nothing of the srvs.
+fn with_chance(level: f64) -> f64 {
+    (level + CHANCE * level.sqrt()).max(1.0)
+}
+
 /// The first dispatch that is not proved never to have run.
 fn may_have_run(req: &Req) -> Option<&Dispatch> {
     req.dispatches.iter().find(|d| !d.how.is_some_and(How::never_ran))
