--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,8 +28,6 @@
 /// target.
 const LEVEL_TIMES: f64 = 1.9;
 const LEVEL_LEAST: f64 = 0.6;
-/// What chance may put on top of a level, in standard deviations of a count.
-const CHANCE: f64 = 1.5;
 /// In overload, when this part of what is asked for is denied, the two above shrink to this part of them.
 const OVERLOAD: f64 = 0.3;
 const LEVEL_OVERLOAD: f64 = 0.7;
@@ -50,6 +48,11 @@
 const CROWD: f64 = 1.25;
 const CROWD_SLACK: f64 = 0.2;
 const CROWD_SPAN: Nanos = 8 * S;
+/// A quiet instance turns among the srvs that it can hear of once in this time, and not fewer than these,
+/// where each srv stays in the turns of this many instances.
+const HEAR: f64 = 2.0;
+const TURNS_LEAST: f64 = 8.0;
+const TURNED_BY: f64 = 10.0;
 /// What a cold srv may get over the even share, against bursts that are chance.
 const COLD_HEADROOM: f64 = 1.5;
 const COLD_FLOOR_PER_S: f64 = 0.25;
@@ -152,6 +155,8 @@
 
 struct Srv {
     weight: f64,
+    /// The part of its weight that is in our turns.
+    ours: f64,
     site: Name,
     cell: u64,
     state: State,
@@ -198,6 +203,10 @@
     tier: usize,
     tiers: usize,
     instances: f64,
+    me: f64,
+    /// The part of all weight that is in our turns.
+    part: f64,
+    turns_at: u64,
     chance: Chance,
     rule_sets: Vec<RuleSet>,
     customers: Vec<Customer>,
@@ -237,6 +246,9 @@
             tier: number(&facts, "tier", 0.0) as usize,
             tiers: number(&facts, "tiers", 1.0) as usize,
             instances: number(&facts, "instances", 1.0).max(1.0),
+            me: number(&facts, "me", 0.0),
+            part: 1.0,
+            turns_at: 0,
             facts,
             chance,
             rule_sets,
@@ -293,6 +305,11 @@
             && let Some(srv) = self.pick(now, None)
         {
             self.first.add(now, 1.0);
+            let turn = now / S;
+            if self.turns_at != turn {
+                self.turns_at = turn;
+                self.take_turns(now);
+            }
             return self.send(now, req, srv);
         }
         self.hold(now, req, held, over_share)
@@ -350,7 +367,8 @@
     /// What any srv may have in flight from us, however little it has done for us: our share of a few.
     fn floor(&self, now: Nanos) -> f64 {
         // A new instance has seen nothing done yet, and that says nothing of the srvs.
-        if now < self.born + 2 * S { 12.0 / self.instances } else { 4.0 / self.instances }
+        let turned_by = self.part * self.instances;
+        if now < self.born + 2 * S { 12.0 / turned_by } else { 4.0 / turned_by }
     }
 
     /// The least mean time of a req in any bucket of the last while: about what it takes with no queue before
@@ -467,27 +485,29 @@
         let cold = span(&self.facts, "cold", 0);
         let open = |name: &Name, srv: &Srv| {
             srv.state == State::Up
+                && (srv.ours > 0.0 || again.is_some())
                 && !tried(name)
                 && in_group(srv)
                 && (!srv.cold(now, cold) || srv.budget >= 1.0)
         };
-        let lasting = self.mean(now, |_| true, |srv| srv.mean_out(now));
-        let moment = self.mean(now, |_| true, |srv| srv.out.len() as f64);
-        let reported = self.mean(now, |srv| srv.fresh(now), |srv| srv.reported);
+        let lasting = self.mean(now, |srv| srv.ours, |srv| srv.mean_out(now));
+        let moment = self.mean(now, |srv| srv.ours, |srv| srv.out.len() as f64);
+        let reported =
+            self.mean(now, |srv| if srv.fresh(now) { srv.weight } else { 0.0 }, |srv| srv.reported);
         let share = number(&self.facts, "cold_share", 1.0);
         let (narrow, floor) = (self.span_allowed(now), self.floor(now));
         let span = if self.recovering(now) { narrow * 2.0 } else { narrow };
         let below = !self.last_tier();
-        let answering = self.srvs.values().filter(|srv| srv.usable(now) && !srv.silent(now, narrow));
+        let answering =
+            self.srvs.values().filter(|srv| srv.ours > 0.0 && srv.usable(now) && !srv.silent(now, narrow));
         let (level, out) = answering.fold((0.0, 0), |(l, o), srv| {
             (l + srv.level(now, span, floor), o + srv.counted(now, narrow, below))
         });
-        if again.is_none() && out as f64 >= with_chance(level) {
+        if again.is_none() && out as f64 >= f64::max(level, 1.0) {
             return Vec::new();
         }
         let room = |srv: &Srv| {
-            let level = with_chance(srv.level(now, span, floor));
-            again.is_some() || (srv.counted(now, narrow, below) as f64) < level
+            again.is_some() || (srv.counted(now, narrow, below) as f64) < srv.level(now, span, floor).max(1.0)
         };
         let fits = |strict: bool| -> Vec<(Name, f64)> {
             let sound = |srv: &Srv| {
@@ -495,7 +515,8 @@
             };
             let fit = self.srvs.iter().filter(|(name, srv)| open(name, srv) && room(srv));
             let fit = fit.filter(|(_, srv)| !strict || sound(srv));
-            fit.map(|(name, srv)| (name.clone(), srv.weight * srv.ramp(now, cold, share))).collect()
+            let weight = |srv: &Srv| if again.is_some() { srv.weight } else { srv.ours };
+            fit.map(|(name, srv)| (name.clone(), weight(srv) * srv.ramp(now, cold, share))).collect()
         };
         let fit = fits(true);
         // With every srv set aside or crowded, a doubtful one is better than none; the level holds all the
@@ -504,9 +525,9 @@
     }
 
     /// The sum of something over the usable srvs that fit, for each unit of their weight.
-    fn mean(&self, now: Nanos, fit: impl Fn(&Srv) -> bool, of: impl Fn(&Srv) -> f64) -> f64 {
-        let fit = self.srvs.values().filter(|srv| srv.usable(now) && fit(srv));
-        let (sum, weight) = fit.fold((0.0, 0.0), |(s, w), srv| (s + of(srv), w + srv.weight));
+    fn mean(&self, now: Nanos, weight: impl Fn(&Srv) -> f64, of: impl Fn(&Srv) -> f64) -> f64 {
+        let fit = self.srvs.values().filter(|srv| srv.usable(now) && weight(srv) > 0.0);
+        let (sum, weight) = fit.fold((0.0, 0.0), |(s, w), srv| (s + of(srv), w + weight(srv)));
         if weight > 0.0 { sum / weight } else { 0.0 }
     }
 
@@ -518,11 +539,11 @@
             return;
         }
         let up = self.srvs.values().filter(|srv| srv.usable(now));
-        let weight: f64 = up.map(|srv| srv.weight * srv.ramp(now, cold, share)).sum();
+        let weight: f64 = up.map(|srv| srv.ours * srv.ramp(now, cold, share)).sum();
         let sent = self.first.rate(now, self.born) + self.again.rate(now, self.born);
         let per_weight = sent / weight.max(1e-9);
         for srv in self.srvs.values_mut().filter(|srv| srv.cold(now, cold)) {
-            let rate = per_weight * srv.weight * srv.ramp(now, cold, share) * COLD_HEADROOM;
+            let rate = per_weight * srv.ours * srv.ramp(now, cold, share) * COLD_HEADROOM;
             let grown = rate.max(COLD_FLOOR_PER_S) * seconds(now - srv.budget_at.min(now));
             srv.budget = (srv.budget + grown).min((rate / 2.0).max(1.0));
             srv.budget_at = now;
@@ -750,6 +771,30 @@
             }
         }
         self.srvs.retain(|_, srv| srv.state != State::Gone || !srv.out.is_empty());
+        self.take_turns(now);
+    }
+
+    /// Which srvs are in our turns: a stretch of the list, by weight, that starts at our place among the
+    /// instances, so that all together turn evenly over all srvs though they share nothing. Where we send
+    /// enough to hear of each srv in time it is the whole list. Guards against choosing blindly: with
+    /// hundreds of instances each meets a given srv too seldom to know that it is crowded, slow or failing.
+    fn take_turns(&mut self, now: Nanos) {
+        let total: f64 = self.srvs.values().filter(|srv| srv.state == State::Up).map(|srv| srv.weight).sum();
+        let up = self.srvs.values().filter(|srv| srv.state == State::Up).count() as f64;
+        let wanted = (self.first.rate(now, self.born) * HEAR).max(TURNS_LEAST) / up.max(1.0);
+        let part = (wanted.max(TURNED_BY / self.instances) * self.instances).ceil() / self.instances;
+        self.part = if part > 0.5 { 1.0 } else { part };
+        let (from, length) = (self.me / self.instances % 1.0 * total, self.part * total);
+        let mut at = 0.0;
+        for srv in self.srvs.values_mut() {
+            srv.ours = 0.0;
+            if srv.state == State::Up {
+                let weight = srv.weight;
+                let shared = |a: f64, b: f64| (b.min(at + weight) - a.max(at)).max(0.0);
+                srv.ours = shared(from, from + length) + shared(from - total, from + length - total);
+                at += srv.weight;
+            }
+        }
     }
 
     /// A chore to do first, or when to ask again.
@@ -801,6 +846,7 @@
     fn new(now: Nanos, entry: &Listed, turn: f64, budget: f64) -> Srv {
         Srv {
             weight: entry.weight,
+            ours: entry.weight,
             site: entry.site.clone(),
             cell: entry.cell,
             state: entry.state,
@@ -883,8 +929,8 @@
 
     /// Far more in flight than our mean, lasting or at the moment, or reporting far more than others do.
     fn crowded(&self, now: Nanos, lasting: f64, moment: f64, reported: f64) -> bool {
-        self.mean_out(now) > CROWD * lasting * self.weight + CROWD_SLACK
-            || self.out.len() as f64 > CROWD * moment * self.weight + 1.0
+        self.mean_out(now) > CROWD * lasting * self.ours + CROWD_SLACK
+            || self.out.len() as f64 > CROWD * moment * self.ours + 1.0
             || (self.fresh(now) && self.reported > CROWD * reported * self.weight + 2.0)
     }
 }
@@ -920,12 +966,6 @@
     }
 }
 
-/// A level and what chance may put on top of it. Guards against false denies at a quiet instance: with a
-/// few reqs in flight on the mean, twice as many at a moment say nothing of the srvs.
-fn with_chance(level: f64) -> f64 {
-    (level + CHANCE * level.sqrt()).max(1.0)
-}
-
 /// The first dispatch that is not proved never to have run.
 fn may_have_run(req: &Req) -> Option<&Dispatch> {
     req.dispatches.iter().find(|d| !d.how.is_some_and(How::never_ran))
