--- a/src/decide.rs
+++ b/src/decide.rs
@@ -36,6 +36,8 @@
 const PROMPT: f64 = 1.3;
 /// A dispatch is overdue after this many of those spans.
 const SILENT: f64 = 1.5;
+/// Only a srv that owes us this many answers is silent: one that gets a req now and then may be slow only.
+const OWED: usize = 3;
 /// The part of its response target that a req may wait in our queue.
 const PATIENCE_PART: f64 = 0.2;
 /// Outcomes a srv is judged by, and how long it is set aside: a fixed time and a random part.
@@ -917,7 +919,10 @@
     /// Whether it owes an answer for longer than the span and has answered nothing since that was sent.
     /// Guards against srvs cut off without a sign: what is out there must not fill the level.
     fn silent(&self, now: Nanos, span: f64) -> bool {
-        self.out.iter().any(|out| self.heard <= out.at && seconds(now - out.at) > SILENT * span)
+        let owed = self.out.iter().filter(|out| self.heard <= out.at);
+        let overdue = |out: &Out| seconds(now - out.at) > SILENT * span;
+        let (count, late) = owed.fold((0, false), |(c, l), out| (c + 1, l || overdue(out)));
+        late && count >= OWED
     }
 
     /// In flight on the mean of the last seconds. At a quiet instance the count of the moment is nearly
