--- a/src/decide.rs
+++ b/src/decide.rs
@@ -520,8 +520,7 @@
             return Vec::new();
         }
         let room = |srv: &Srv| {
-            let level = with_chance(srv.level(now, span, floor), calm);
-            again.is_some() || (srv.counted(now, narrow, below) as f64) < level
+            again.is_some() || (srv.counted(now, narrow, below) as f64) < srv.level(now, span, floor).max(1.0)
         };
         let fits = |strict: bool| -> Vec<(Name, f64)> {
             let sound = |srv: &Srv| {
