--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,9 +28,6 @@
 /// target.
 const LEVEL_TIMES: f64 = 1.9;
 const LEVEL_LEAST: f64 = 0.6;
-/// What chance may put on top of a level while answers are quick, in standard deviations of a count.
-const CHANCE: f64 = 2.0;
-const CALM_GAIN: f64 = 4.0;
 /// In overload, when this part of what is asked for is denied, the two above shrink to this part of them.
 const OVERLOAD: f64 = 0.3;
 const LEVEL_OVERLOAD: f64 = 0.7;
@@ -267,8 +264,8 @@
             counted: Ring::over(20 * S),
             asked: Ring::over(2 * S),
             denied: Ring::over(2 * S),
-            recent: Ring::over(2 * S),
-            recent_took: Ring::over(2 * S),
+            recent: Ring::over(S),
+            recent_took: Ring::over(S),
             outcomes: Ring::over(5 * S),
             failed: Ring::over(5 * S),
             waiting: Vec::new(),
@@ -341,9 +338,11 @@
         Place::Later { ask_at }
     }
 
-    /// How long the req at this place of the queue is likely to wait.
+    /// How long the req at this place of the queue is likely to wait. At a quiet instance what is in flight
+    /// tells more than the few done of late. Guards against denies of calm reqs that come two at a time.
     fn wait_at(&self, now: Nanos, at: usize) -> Nanos {
-        let rate = self.done.rate(now, self.born).max(1.0);
+        let took = self.took.sum(now) / self.counted.sum(now).max(1.0);
+        let rate = self.done.rate(now, self.born).max(f64::from(self.in_flight) / took.max(1e-3)).max(1.0);
         ((at + 1) as f64 / rate * S as f64) as Nanos
     }
 
@@ -365,17 +364,10 @@
     /// Then the level is what holds us back, after a fault further down has passed, and it may be wider.
     fn recovering(&self, now: Nanos) -> bool {
         let (done, took) = (self.recent.sum(now), self.recent_took.sum(now));
-        let best = self.counted.live(now).fold(0.0, f64::max);
+        let best = self.counted.live(now).fold(0.0, f64::max) / 2.0;
         self.tier == 0 && done >= 3.0 && done < 0.5 * best && took <= done * self.unloaded(now) * PROMPT
     }
 
-    /// How many standard deviations of a count chance may put on top of a level: none when answers take as
-    /// long as the level allows, more the quicker they come.
-    fn calm(&self, now: Nanos, span: f64) -> f64 {
-        let took = self.recent_took.sum(now) / self.recent.sum(now).max(1.0);
-        (CALM_GAIN * (1.0 - took / span)).clamp(0.0, CHANCE)
-    }
-
     /// What any srv may have in flight from us, however little it has done for us: our share of a few.
     fn floor(&self, now: Nanos) -> f64 {
         // A new instance has seen nothing done yet, and that says nothing of the srvs.
@@ -510,13 +502,12 @@
         let (narrow, floor) = (self.span_allowed(now), self.floor(now));
         let span = if self.recovering(now) { narrow * 2.0 } else { narrow };
         let below = !self.last_tier();
-        let calm = self.calm(now, narrow);
         let answering =
             self.srvs.values().filter(|srv| srv.ours > 0.0 && srv.usable(now) && !srv.silent(now, narrow));
         let (level, out) = answering.fold((0.0, 0), |(l, o), srv| {
             (l + srv.level(now, span, floor), o + srv.counted(now, narrow, below))
         });
-        if again.is_none() && out as f64 >= with_chance(level, calm) {
+        if again.is_none() && out as f64 >= f64::max(level, 1.0) {
             return Vec::new();
         }
         let room = |srv: &Srv| {
@@ -982,12 +973,6 @@
     }
 }
 
-/// A level and what chance may put on top of it. Guards against false denies at a quiet instance: with a
-/// few reqs in flight on the mean, twice as many at a moment say nothing of the srvs.
-fn with_chance(level: f64, deviations: f64) -> f64 {
-    (level + deviations * level.sqrt()).max(1.0)
-}
-
 /// The first dispatch that is not proved never to have run.
 fn may_have_run(req: &Req) -> Option<&Dispatch> {
     req.dispatches.iter().find(|d| !d.how.is_some_and(How::never_ran))
