--- a/src/decide.rs
+++ b/src/decide.rs
@@ -36,8 +36,9 @@
 const PROMPT: f64 = 1.3;
 /// A dispatch is overdue after this many of those spans.
 const SILENT: f64 = 1.5;
-/// Only a srv that owes us this many answers is silent: one that gets a req now and then may be slow only.
-const OWED: usize = 3;
+/// A srv that owes us answers is silent when their times out, in overdue times, come to this: one that gets
+/// a req now and then may be slow only.
+const OWED: f64 = 3.0;
 /// The part of its response target that a req may wait in our queue.
 const PATIENCE_PART: f64 = 0.2;
 /// Outcomes a srv is judged by, and how long it is set aside: a fixed time and a random part.
@@ -922,9 +923,9 @@
     /// Guards against srvs cut off without a sign: what is out there must not fill the level.
     fn silent(&self, now: Nanos, span: f64) -> bool {
         let owed = self.out.iter().filter(|out| self.heard <= out.at);
-        let overdue = |out: &Out| seconds(now - out.at) > SILENT * span;
-        let (count, late) = owed.fold((0, false), |(c, l), out| (c + 1, l || overdue(out)));
-        late && count >= OWED
+        let late = owed.map(|out| seconds(now - out.at) / (SILENT * span));
+        let (sum, most) = late.fold((0.0, 0.0), |(sum, most), late| (sum + late, f64::max(most, late)));
+        most > 1.0 && sum >= OWED
     }
 
     /// In flight on the mean of the last seconds. At a quiet instance the count of the moment is nearly
