--- a/src/decide.rs
+++ b/src/decide.rs
@@ -514,19 +514,23 @@
         let room = |srv: &Srv| {
             again.is_some() || (srv.counted(now, narrow, below) as f64) < srv.level(now, span, floor).max(1.0)
         };
-        let fits = |strict: bool| -> Vec<(Name, f64)> {
-            let sound = |srv: &Srv| {
-                srv.usable(now) && !srv.silent(now, narrow) && !srv.crowded(now, lasting, moment, reported)
-            };
-            let fit = self.srvs.iter().filter(|(name, srv)| open(name, srv) && room(srv));
-            let fit = fit.filter(|(_, srv)| !strict || sound(srv));
-            let weight = |srv: &Srv| if again.is_some() { srv.weight } else { srv.ours };
+        let weight = |srv: &Srv| if again.is_some() { srv.weight } else { srv.ours };
+        let fits = |sound: &dyn Fn(&Srv) -> bool| -> Vec<(Name, f64)> {
+            let fit = self.srvs.iter().filter(|(name, srv)| open(name, srv) && room(srv) && sound(srv));
             fit.map(|(name, srv)| (name.clone(), weight(srv) * srv.ramp(now, cold, share))).collect()
         };
-        let fit = fits(true);
-        // With every srv set aside or crowded, a doubtful one is better than none; the level holds all the
-        // same.
-        if fit.is_empty() { fits(false) } else { fit }
+        let alive = |srv: &Srv| srv.usable(now) && !srv.silent(now, narrow);
+        let fit = fits(&|srv| alive(srv) && !srv.crowded(now, lasting, moment, reported));
+        // With every srv crowded, or every one set aside, a doubtful one is better than none; but while any is
+        // alive a full level means to wait. Guards against a cut between sites, where what the near srvs have
+        // no room for would go to the far ones and be lost.
+        if !fit.is_empty() {
+            fit
+        } else if self.srvs.iter().any(|(name, srv)| open(name, srv) && alive(srv)) {
+            fits(&alive)
+        } else {
+            fits(&|_| true)
+        }
     }
 
     /// The sum of something over the usable srvs that fit, for each unit of their weight.
