--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -104,6 +104,7 @@
                 Wait::Watch => self.say(out, "watch", "\tEnable=1"),
                 Wait::List => self.say(out, "query_all", ""),
                 Wait::Probe(srv) => self.say(out, "touch", &format!("\tUpstream={srv}")),
+                Wait::Close(srv) => self.say(out, "free_links", &format!("\tUpstream={srv}")),
                 Wait::Log(text) => self.say(out, "note_down", &format!("\tMessage={text}")),
                 Wait::Recall(id, number) => self.follow(now, id, Follow::Recall(number), out),
                 Wait::Place(id) => self.place(now, id, out),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -39,6 +39,8 @@
 /// A srv that owes us answers is silent when their times out, in overdue times, come to this: one that gets
 /// a req now and then may be slow only.
 const OWED: f64 = 3.0;
+/// With this many srvs that owe an answer for too long, idle connections may be dead.
+const STUCK: usize = 3;
 /// The part of its response target that a req may wait in our queue.
 const PATIENCE_PART: f64 = 0.2;
 /// Outcomes a srv is judged by, and how long it is set aside: a fixed time and a random part.
@@ -175,6 +177,8 @@
     overtaken: Nanos,
     /// When it last answered anything.
     heard: Nanos,
+    /// When we last closed our idle connections to it.
+    closed: Nanos,
     turn: f64,
     /// The last few outcomes, newest in the lowest bit (1: a failure), and how many there are.
     failures: u32,
@@ -234,6 +238,7 @@
     watch_at: Option<Nanos>,
     watch_pause: Nanos,
     recalls: VecDeque<(u64, usize)>,
+    closes: VecDeque<Name>,
     log: VecDeque<String>,
 }
 
@@ -275,6 +280,7 @@
             watch_at,
             watch_pause: S,
             recalls: VecDeque::new(),
+            closes: VecDeque::new(),
             log: VecDeque::new(),
         }
     }
@@ -514,23 +520,19 @@
         let room = |srv: &Srv| {
             again.is_some() || (srv.counted(now, narrow, below) as f64) < srv.level(now, span, floor).max(1.0)
         };
-        let weight = |srv: &Srv| if again.is_some() { srv.weight } else { srv.ours };
-        let fits = |sound: &dyn Fn(&Srv) -> bool| -> Vec<(Name, f64)> {
-            let fit = self.srvs.iter().filter(|(name, srv)| open(name, srv) && room(srv) && sound(srv));
+        let fits = |strict: bool| -> Vec<(Name, f64)> {
+            let sound = |srv: &Srv| {
+                srv.usable(now) && !srv.silent(now, narrow) && !srv.crowded(now, lasting, moment, reported)
+            };
+            let fit = self.srvs.iter().filter(|(name, srv)| open(name, srv) && room(srv));
+            let fit = fit.filter(|(_, srv)| !strict || sound(srv));
+            let weight = |srv: &Srv| if again.is_some() { srv.weight } else { srv.ours };
             fit.map(|(name, srv)| (name.clone(), weight(srv) * srv.ramp(now, cold, share))).collect()
         };
-        let alive = |srv: &Srv| srv.usable(now) && !srv.silent(now, narrow);
-        let fit = fits(&|srv| alive(srv) && !srv.crowded(now, lasting, moment, reported));
-        // With every srv crowded, or every one set aside, a doubtful one is better than none; but while any is
-        // alive a full level means to wait. Guards against a cut between sites, where what the near srvs have
-        // no room for would go to the far ones and be lost.
-        if !fit.is_empty() {
-            fit
-        } else if self.srvs.iter().any(|(name, srv)| open(name, srv) && alive(srv)) {
-            fits(&alive)
-        } else {
-            fits(&|_| true)
-        }
+        let fit = fits(true);
+        // With every srv set aside or crowded, a doubtful one is better than none; the level holds all the
+        // same.
+        if fit.is_empty() { fits(false) } else { fit }
     }
 
     /// The sum of something over the usable srvs that fit, for each unit of their weight.
@@ -748,6 +750,34 @@
         }
     }
 
+    /// Closes the idle connections to what has not been heard of since, once several srvs owe an answer for
+    /// too long. Guards against connections that died without a sign: the next dispatch on each is lost
+    /// until it times out, while a new connection to the same srv answers.
+    fn judge_connections(&mut self, now: Nanos) {
+        let overdue = self.span_allowed(now) * SILENT;
+        let stuck = |srv: &Srv| {
+            let owed = srv.out.iter().map(|out| out.at).filter(|at| srv.heard <= *at && srv.closed <= *at);
+            owed.min().filter(|at| srv.heard > 0 && seconds(now - at) > overdue)
+        };
+        let since: Vec<Nanos> = self.srvs.values().filter_map(stuck).collect();
+        if since.len() < STUCK {
+            return;
+        }
+        let since = since.into_iter().min().unwrap_or(now);
+        let mut count = 0;
+        for (name, srv) in &mut self.srvs {
+            if srv.heard > 0 && srv.heard <= since && srv.closed <= since {
+                srv.closed = now;
+                self.closes.push_back(name.clone());
+                count += 1;
+            }
+        }
+        self.say(format!(
+            "closing idle connections to {count} srvs, silent for {:.1} s",
+            seconds(now - since)
+        ));
+    }
+
     fn follow_list(&mut self, now: Nanos, whole: bool, old: bool, entries: &[Listed]) {
         if !old {
             self.watch_pause = S;
@@ -812,6 +842,10 @@
             return Wait::Log(line);
         }
         self.judge_sites(now);
+        self.judge_connections(now);
+        if let Some(name) = self.closes.pop_front() {
+            return Wait::Close(name);
+        }
         if let Some((id, number)) = self.recalls.pop_front() {
             return Wait::Recall(id, number);
         }
@@ -867,6 +901,7 @@
             lost: 0,
             overtaken: 0,
             heard: 0,
+            closed: 0,
             turn,
             failures: 0,
             judged: 0,
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -141,6 +141,8 @@
     List,
     Probe(Name),
     Log(String),
+    /// Shut the idle connections to this srv.
+    Close(Name),
     /// Stop waiting for a req's dispatch of this number.
     Recall(u64, usize),
     /// Ask `place` for this held req now.
