--- a/src/decide.rs
+++ b/src/decide.rs
@@ -225,6 +225,8 @@
     /// Seconds that done reqs took, and their number, over a longer while.
     took: Ring,
     counted: Ring,
+    took_long: Ring,
+    counted_long: Ring,
     asked: Ring,
     denied: Ring,
     recent: Ring,
@@ -268,6 +270,8 @@
             done: Ring::over(2 * S),
             took: Ring::over(20 * S),
             counted: Ring::over(20 * S),
+            took_long: Ring::over(80 * S),
+            counted_long: Ring::over(80 * S),
             asked: Ring::over(2 * S),
             denied: Ring::over(2 * S),
             recent: Ring::over(S),
@@ -385,8 +389,13 @@
     /// The least mean time of a req in any bucket of the last while: about what it takes with no queue before
     /// it.
     fn unloaded(&self, now: Nanos) -> f64 {
-        let buckets = self.took.live(now).zip(self.counted.live(now)).filter(|(_, count)| *count >= 10.0);
-        buckets.map(|(took, count)| took / count).fold(f64::INFINITY, f64::min)
+        let least = |took: &Ring, counted: &Ring| {
+            let buckets = took.live(now).zip(counted.live(now)).filter(|(_, count)| *count >= 10.0);
+            buckets.map(|(took, count)| took / count).fold(f64::INFINITY, f64::min)
+        };
+        // At a quiet instance only the long buckets hold enough to tell.
+        let fine = least(&self.took, &self.counted);
+        if fine.is_finite() { fine } else { least(&self.took_long, &self.counted_long) }
     }
 
     fn rank(&self, now: Nanos, set: &RuleSet) -> f64 {
@@ -615,6 +624,8 @@
                     self.done.add(now, 1.0);
                     self.took.add(now, seconds(took));
                     self.counted.add(now, 1.0);
+                    self.took_long.add(now, seconds(took));
+                    self.counted_long.add(now, 1.0);
                     self.recent.add(now, 1.0);
                     self.recent_took.add(now, seconds(took));
                     if let Some(set) = self.rule_sets.iter_mut().find(|set| set.name == req.rule_set) {
