--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,6 +28,10 @@
 /// target.
 const LEVEL_TIMES: f64 = 1.9;
 const LEVEL_LEAST: f64 = 0.6;
+/// What chance may put on top of the level, in standard deviations of a count, and the span over which what
+/// is in flight must stay below it.
+const CHANCE: f64 = 1.5;
+const FLIGHT_SPAN: Nanos = 1_500 * MS;
 /// In overload, when this part of what is asked for is denied, the two above shrink to this part of them.
 const OVERLOAD: f64 = 0.3;
 const LEVEL_OVERLOAD: f64 = 0.7;
@@ -219,14 +223,15 @@
     customers: Vec<Customer>,
     srvs: BTreeMap<Name, Srv>,
     in_flight: u32,
+    /// Seconds in flight, of all that was out in the last span, and up to when they are reckoned.
+    flight: Ring,
+    flight_at: Nanos,
     first: Ring,
     again: Ring,
     done: Ring,
     /// Seconds that done reqs took, and their number, over a longer while.
     took: Ring,
     counted: Ring,
-    took_long: Ring,
-    counted_long: Ring,
     asked: Ring,
     denied: Ring,
     recent: Ring,
@@ -265,13 +270,13 @@
             customers,
             srvs: BTreeMap::new(),
             in_flight: 0,
+            flight: Ring::over(FLIGHT_SPAN),
+            flight_at: now,
             first: Ring::over(10 * S),
             again: Ring::over(10 * S),
             done: Ring::over(2 * S),
             took: Ring::over(20 * S),
             counted: Ring::over(20 * S),
-            took_long: Ring::over(80 * S),
-            counted_long: Ring::over(80 * S),
             asked: Ring::over(2 * S),
             denied: Ring::over(2 * S),
             recent: Ring::over(S),
@@ -389,13 +394,8 @@
     /// The least mean time of a req in any bucket of the last while: about what it takes with no queue before
     /// it.
     fn unloaded(&self, now: Nanos) -> f64 {
-        let least = |took: &Ring, counted: &Ring| {
-            let buckets = took.live(now).zip(counted.live(now)).filter(|(_, count)| *count >= 10.0);
-            buckets.map(|(took, count)| took / count).fold(f64::INFINITY, f64::min)
-        };
-        // At a quiet instance only the long buckets hold enough to tell.
-        let fine = least(&self.took, &self.counted);
-        if fine.is_finite() { fine } else { least(&self.took_long, &self.counted_long) }
+        let buckets = self.took.live(now).zip(self.counted.live(now)).filter(|(_, count)| *count >= 10.0);
+        buckets.map(|(took, count)| took / count).fold(f64::INFINITY, f64::min)
     }
 
     fn rank(&self, now: Nanos, set: &RuleSet) -> f64 {
@@ -492,6 +492,7 @@
     fn candidates(&mut self, now: Nanos, again: Option<&Req>) -> Vec<(Name, f64)> {
         self.fill_budgets(now);
         self.judge_sites(now);
+        self.note_flight(now);
         let ran = again.and_then(may_have_run);
         let group = again
             .and_then(|req| self.rule_set(&req.rule_set))
@@ -523,7 +524,10 @@
         let (level, out) = answering.fold((0.0, 0), |(l, o), srv| {
             (l + srv.level(now, span, floor), o + srv.counted(now, narrow, below))
         });
-        if again.is_none() && out as f64 >= f64::max(level, 1.0) {
+        // At a quiet instance the count of the moment passes the level by chance; what lasts does not.
+        let (out, level) = (out as f64, f64::max(level, 1.0));
+        let lasting_out = self.flight.sum(now) / seconds(FLIGHT_SPAN);
+        if again.is_none() && out >= level && (lasting_out >= level || out >= level + CHANCE * level.sqrt()) {
             return Vec::new();
         }
         let room = |srv: &Srv| {
@@ -578,10 +582,17 @@
             let (site, cell) = (srv.site.clone(), srv.cell);
             req.dispatches.push(Dispatch { srv: name.clone(), site, cell, at: now, how: None });
         }
+        self.note_flight(now);
         self.in_flight += 1;
         Place::Send { srv: name, give_up }
     }
 
+    fn note_flight(&mut self, now: Nanos) {
+        let since = now - self.flight_at;
+        self.flight.add(now, f64::from(self.in_flight) * seconds(since.min(FLIGHT_SPAN)));
+        self.flight_at = now;
+    }
+
     /// Where an answer after the response target has no utility, the first tier stops waiting for it then.
     fn give_up_time(&self, req: &Req) -> Nanos {
         match self.rule_set(&req.rule_set) {
@@ -597,6 +608,7 @@
                 let Some(dispatch) = req.dispatches.get_mut(number) else { return Follow::Nothing };
                 dispatch.how = Some(how);
                 let (name, at) = (dispatch.srv.clone(), dispatch.at);
+                self.note_flight(now);
                 self.in_flight = self.in_flight.saturating_sub(1);
                 if let Some(srv) = self.srvs.get_mut(&name) {
                     if let Some(place) =
@@ -624,8 +636,6 @@
                     self.done.add(now, 1.0);
                     self.took.add(now, seconds(took));
                     self.counted.add(now, 1.0);
-                    self.took_long.add(now, seconds(took));
-                    self.counted_long.add(now, 1.0);
                     self.recent.add(now, 1.0);
                     self.recent_took.add(now, seconds(took));
                     if let Some(set) = self.rule_sets.iter_mut().find(|set| set.name == req.rule_set) {
