--- a/src/decide.rs
+++ b/src/decide.rs
@@ -370,12 +370,15 @@
         if self.tier > 0 {
             most
         } else {
-            let overload = self.denied.sum(now) > OVERLOAD * self.asked.sum(now);
-            let part = if overload { LEVEL_OVERLOAD } else { 1.0 };
+            let part = if self.overload(now) { LEVEL_OVERLOAD } else { 1.0 };
             (self.unloaded(now) * LEVEL_TIMES * part).clamp(target * LEVEL_LEAST * part, most)
         }
     }
 
+    fn overload(&self, now: Nanos) -> bool {
+        self.denied.sum(now) > OVERLOAD * self.asked.sum(now)
+    }
+
     /// Whether we finish far less than at best of late though answers come about as fast as with no load.
     /// Then the level is what holds us back, after a fault further down has passed, and it may be wider.
     fn recovering(&self, now: Nanos) -> bool {
@@ -527,7 +530,8 @@
         // At a quiet instance the count of the moment passes the level by chance; what lasts does not.
         let (out, level) = (out as f64, f64::max(level, 1.0));
         let lasting_out = self.flight.sum(now) / seconds(FLIGHT_SPAN);
-        if again.is_none() && out >= level && (lasting_out >= level || out >= level + CHANCE * level.sqrt()) {
+        let full = lasting_out >= level || out >= level + CHANCE * level.sqrt() || self.overload(now);
+        if again.is_none() && out >= level && full {
             return Vec::new();
         }
         let room = |srv: &Srv| {
