--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,10 +28,6 @@
 /// target.
 const LEVEL_TIMES: f64 = 1.9;
 const LEVEL_LEAST: f64 = 0.6;
-/// What chance may put on top of the level, in standard deviations of a count, and the span over which what
-/// is in flight must stay below it.
-const CHANCE: f64 = 1.5;
-const FLIGHT_SPAN: Nanos = 1_500 * MS;
 /// In overload, when this part of what is asked for is denied, the two above shrink to this part of them.
 const OVERLOAD: f64 = 0.3;
 const LEVEL_OVERLOAD: f64 = 0.7;
@@ -53,9 +49,8 @@
 const ASIDE_RANDOM: Nanos = 2 * S;
 /// Ramp of a srv that returns from being set aside.
 const RETURN_RAMP: Nanos = 3 * S;
-/// A srv is crowded with this many times our mean in flight, and some, on the mean of a span.
+/// A srv is crowded with this many times our mean in flight, and a req more, on the mean of a span.
 const CROWD: f64 = 1.25;
-const CROWD_SLACK: f64 = 0.2;
 const CROWD_SPAN: Nanos = 8 * S;
 /// A quiet instance turns among the srvs that it can hear of once in this time, and not fewer than these,
 /// where each srv stays in the turns of this many instances.
@@ -223,9 +218,6 @@
     customers: Vec<Customer>,
     srvs: BTreeMap<Name, Srv>,
     in_flight: u32,
-    /// Seconds in flight, of all that was out in the last span, and up to when they are reckoned.
-    flight: Ring,
-    flight_at: Nanos,
     first: Ring,
     again: Ring,
     done: Ring,
@@ -270,8 +262,6 @@
             customers,
             srvs: BTreeMap::new(),
             in_flight: 0,
-            flight: Ring::over(FLIGHT_SPAN),
-            flight_at: now,
             first: Ring::over(10 * S),
             again: Ring::over(10 * S),
             done: Ring::over(2 * S),
@@ -370,15 +360,12 @@
         if self.tier > 0 {
             most
         } else {
-            let part = if self.overload(now) { LEVEL_OVERLOAD } else { 1.0 };
+            let overload = self.denied.sum(now) > OVERLOAD * self.asked.sum(now);
+            let part = if overload { LEVEL_OVERLOAD } else { 1.0 };
             (self.unloaded(now) * LEVEL_TIMES * part).clamp(target * LEVEL_LEAST * part, most)
         }
     }
 
-    fn overload(&self, now: Nanos) -> bool {
-        self.denied.sum(now) > OVERLOAD * self.asked.sum(now)
-    }
-
     /// Whether we finish far less than at best of late though answers come about as fast as with no load.
     /// Then the level is what holds us back, after a fault further down has passed, and it may be wider.
     fn recovering(&self, now: Nanos) -> bool {
@@ -495,7 +482,6 @@
     fn candidates(&mut self, now: Nanos, again: Option<&Req>) -> Vec<(Name, f64)> {
         self.fill_budgets(now);
         self.judge_sites(now);
-        self.note_flight(now);
         let ran = again.and_then(may_have_run);
         let group = again
             .and_then(|req| self.rule_set(&req.rule_set))
@@ -527,11 +513,7 @@
         let (level, out) = answering.fold((0.0, 0), |(l, o), srv| {
             (l + srv.level(now, span, floor), o + srv.counted(now, narrow, below))
         });
-        // At a quiet instance the count of the moment passes the level by chance; what lasts does not.
-        let (out, level) = (out as f64, f64::max(level, 1.0));
-        let lasting_out = self.flight.sum(now) / seconds(FLIGHT_SPAN);
-        let full = lasting_out >= level || out >= level + CHANCE * level.sqrt() || self.overload(now);
-        if again.is_none() && out >= level && full {
+        if again.is_none() && out as f64 >= f64::max(level, 1.0) {
             return Vec::new();
         }
         let room = |srv: &Srv| {
@@ -539,7 +521,9 @@
         };
         let fits = |strict: bool| -> Vec<(Name, f64)> {
             let sound = |srv: &Srv| {
-                srv.usable(now) && !srv.silent(now, narrow) && !srv.crowded(now, lasting, moment, reported)
+                srv.usable(now)
+                    && !srv.silent(now, narrow)
+                    && !srv.crowded(now, narrow, lasting, moment, reported)
             };
             let fit = self.srvs.iter().filter(|(name, srv)| open(name, srv) && room(srv));
             let fit = fit.filter(|(_, srv)| !strict || sound(srv));
@@ -586,17 +570,10 @@
             let (site, cell) = (srv.site.clone(), srv.cell);
             req.dispatches.push(Dispatch { srv: name.clone(), site, cell, at: now, how: None });
         }
-        self.note_flight(now);
         self.in_flight += 1;
         Place::Send { srv: name, give_up }
     }
 
-    fn note_flight(&mut self, now: Nanos) {
-        let since = now - self.flight_at;
-        self.flight.add(now, f64::from(self.in_flight) * seconds(since.min(FLIGHT_SPAN)));
-        self.flight_at = now;
-    }
-
     /// Where an answer after the response target has no utility, the first tier stops waiting for it then.
     fn give_up_time(&self, req: &Req) -> Nanos {
         match self.rule_set(&req.rule_set) {
@@ -612,7 +589,6 @@
                 let Some(dispatch) = req.dispatches.get_mut(number) else { return Follow::Nothing };
                 dispatch.how = Some(how);
                 let (name, at) = (dispatch.srv.clone(), dispatch.at);
-                self.note_flight(now);
                 self.in_flight = self.in_flight.saturating_sub(1);
                 if let Some(srv) = self.srvs.get_mut(&name) {
                     if let Some(place) =
@@ -1000,8 +976,9 @@
     }
 
     /// Far more in flight than our mean, lasting or at the moment, or reporting far more than others do.
-    fn crowded(&self, now: Nanos, lasting: f64, moment: f64, reported: f64) -> bool {
-        self.mean_out(now) > CROWD * lasting * self.ours + CROWD_SLACK
+    /// One req that takes the span allowed is within chance; what a quiet instance has there is no more.
+    fn crowded(&self, now: Nanos, span: f64, lasting: f64, moment: f64, reported: f64) -> bool {
+        self.mean_out(now) > CROWD * lasting * self.ours + span / seconds(CROWD_SPAN)
             || self.out.len() as f64 > CROWD * moment * self.ours + 1.0
             || (self.fresh(now) && self.reported > CROWD * reported * self.weight + 2.0)
     }
