--- a/src/decide.rs
+++ b/src/decide.rs
@@ -54,8 +54,8 @@
 const CROWD_SPAN: Nanos = 8 * S;
 /// A quiet instance turns among the srvs that it can hear of once in this time, and not fewer than these,
 /// where each srv stays in the turns of this many instances.
-const HEAR: f64 = 2.0;
-const TURNS_LEAST: f64 = 8.0;
+const HEAR: f64 = 1.0;
+const TURNS_LEAST: f64 = 6.0;
 const TURNED_BY: f64 = 10.0;
 /// What a cold srv may get over the even share, against bursts that are chance.
 const COLD_HEADROOM: f64 = 1.5;
