--- a/src/decide.rs
+++ b/src/decide.rs
@@ -54,9 +54,9 @@
 const CROWD_SPAN: Nanos = 8 * S;
 /// A quiet instance turns among the srvs that it can hear of once in this time, and not fewer than these,
 /// where each srv stays in the turns of this many instances.
-const HEAR: f64 = 0.5;
-const TURNS_LEAST: f64 = 4.0;
-const TURNED_BY: f64 = 6.0;
+const HEAR: f64 = 0.25;
+const TURNS_LEAST: f64 = 5.0;
+const TURNED_BY: f64 = 4.0;
 /// What a cold srv may get over the even share, against bursts that are chance.
 const COLD_HEADROOM: f64 = 1.5;
 const COLD_FLOOR_PER_S: f64 = 0.25;
