--- a/src/decide.rs
+++ b/src/decide.rs
@@ -54,9 +54,9 @@
 const CROWD_SPAN: Nanos = 8 * S;
 /// A quiet instance turns among the srvs that it can hear of once in this time, and not fewer than these,
 /// where each srv stays in the turns of this many instances.
-const HEAR: f64 = 0.25;
-const TURNS_LEAST: f64 = 5.0;
-const TURNED_BY: f64 = 4.0;
+const HEAR: f64 = 0.5;
+const TURNS_LEAST: f64 = 4.0;
+const TURNED_BY: f64 = 6.0;
 /// What a cold srv may get over the even share, against bursts that are chance.
 const COLD_HEADROOM: f64 = 1.5;
 const COLD_FLOOR_PER_S: f64 = 0.25;
@@ -224,6 +224,8 @@
     /// Seconds that done reqs took, and their number, over a longer while.
     took: Ring,
     counted: Ring,
+    took_long: Ring,
+    counted_long: Ring,
     asked: Ring,
     denied: Ring,
     recent: Ring,
@@ -267,6 +269,8 @@
             done: Ring::over(2 * S),
             took: Ring::over(20 * S),
             counted: Ring::over(20 * S),
+            took_long: Ring::over(80 * S),
+            counted_long: Ring::over(80 * S),
             asked: Ring::over(2 * S),
             denied: Ring::over(2 * S),
             recent: Ring::over(S),
@@ -362,7 +366,9 @@
         } else {
             let overload = self.denied.sum(now) > OVERLOAD * self.asked.sum(now);
             let part = if overload { LEVEL_OVERLOAD } else { 1.0 };
-            (self.unloaded(now) * LEVEL_TIMES * part).clamp(target * LEVEL_LEAST * part, most)
+            // A quiet instance knows its unloaded time from long buckets only, and goes by it in overload.
+            let long = if overload { least(&self.took_long, &self.counted_long, now) } else { f64::INFINITY };
+            (self.unloaded(now).min(long) * LEVEL_TIMES * part).clamp(target * LEVEL_LEAST * part, most)
         }
     }
 
@@ -384,8 +390,7 @@
     /// The least mean time of a req in any bucket of the last while: about what it takes with no queue before
     /// it.
     fn unloaded(&self, now: Nanos) -> f64 {
-        let buckets = self.took.live(now).zip(self.counted.live(now)).filter(|(_, count)| *count >= 10.0);
-        buckets.map(|(took, count)| took / count).fold(f64::INFINITY, f64::min)
+        least(&self.took, &self.counted, now)
     }
 
     fn rank(&self, now: Nanos, set: &RuleSet) -> f64 {
@@ -616,6 +621,8 @@
                     self.done.add(now, 1.0);
                     self.took.add(now, seconds(took));
                     self.counted.add(now, 1.0);
+                    self.took_long.add(now, seconds(took));
+                    self.counted_long.add(now, 1.0);
                     self.recent.add(now, 1.0);
                     self.recent_took.add(now, seconds(took));
                     if let Some(set) = self.rule_sets.iter_mut().find(|set| set.name == req.rule_set) {
@@ -1015,6 +1022,12 @@
     }
 }
 
+/// The least mean of any bucket that holds enough to tell.
+fn least(took: &Ring, counted: &Ring, now: Nanos) -> f64 {
+    let buckets = took.live(now).zip(counted.live(now)).filter(|(_, count)| *count >= 10.0);
+    buckets.map(|(took, count)| took / count).fold(f64::INFINITY, f64::min)
+}
+
 /// The first dispatch that is not proved never to have run.
 fn may_have_run(req: &Req) -> Option<&Dispatch> {
     req.dispatches.iter().find(|d| !d.how.is_some_and(How::never_ran))
