--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,8 +32,6 @@
 const OVERLOAD: f64 = 0.3;
 const LEVEL_OVERLOAD: f64 = 0.7;
 const LEVEL_MOST: f64 = 0.8;
-/// Answers in recovery come within this many unloaded times.
-const PROMPT: f64 = 1.3;
 /// A dispatch is overdue after this many of those spans.
 const SILENT: f64 = 1.5;
 /// A srv that owes us answers is silent when their times out, in overdue times, come to this: one that gets
@@ -57,9 +55,10 @@
 const HEAR: f64 = 0.5;
 const TURNS_LEAST: f64 = 4.0;
 const TURNED_BY: f64 = 6.0;
-/// What a cold srv may get over the even share, against bursts that are chance.
+/// What a cold srv may get over the even share, against bursts that are chance, and at least a second from
+/// all that turn to it.
 const COLD_HEADROOM: f64 = 1.5;
-const COLD_FLOOR_PER_S: f64 = 0.25;
+const COLD_FLOOR_PER_S: f64 = 1.0;
 
 /// A multiply-with-carry generator.
 struct Chance(u64);
@@ -87,41 +86,64 @@
 
 const BUCKETS: usize = 10;
 
-/// Sums over the last buckets of time; a bucket is used again once its time has passed.
+/// Counts and sums over the last buckets of time; a bucket is used again once its time has passed.
 struct Ring {
     width: Nanos,
-    buckets: [(u64, f64); BUCKETS],
+    buckets: [Bucket; BUCKETS],
+}
+
+#[derive(Clone, Copy, Default)]
+struct Bucket {
+    turn: u64,
+    count: f64,
+    sum: f64,
 }
 
 impl Ring {
     fn over(span: Nanos) -> Ring {
-        Ring { width: span / BUCKETS as u64, buckets: [(0, 0.0); BUCKETS] }
+        Ring { width: span / BUCKETS as u64, buckets: [Bucket::default(); BUCKETS] }
     }
 
     fn add(&mut self, now: Nanos, value: f64) {
         let turn = now / self.width;
         let bucket = &mut self.buckets[(turn % BUCKETS as u64) as usize];
-        if bucket.0 != turn {
-            *bucket = (turn, 0.0);
+        if bucket.turn != turn {
+            *bucket = Bucket { turn, ..Bucket::default() };
         }
-        bucket.1 += value;
+        bucket.count += 1.0;
+        bucket.sum += value;
+    }
+
+    /// The buckets whose time has not passed.
+    fn live(&self, now: Nanos) -> impl Iterator<Item = &Bucket> {
+        let turn = now / self.width;
+        self.buckets.iter().filter(move |b| b.turn + BUCKETS as u64 > turn)
+    }
+
+    fn count(&self, now: Nanos) -> f64 {
+        self.live(now).map(|bucket| bucket.count).sum()
     }
 
     fn sum(&self, now: Nanos) -> f64 {
-        self.live(now).sum()
+        self.live(now).map(|bucket| bucket.sum).sum()
     }
 
-    /// The buckets' sums, none for a bucket whose time has passed.
-    fn live(&self, now: Nanos) -> impl Iterator<Item = f64> {
-        let turn = now / self.width;
-        self.buckets.iter().map(move |b| if b.0 + BUCKETS as u64 > turn { b.1 } else { 0.0 })
+    /// The mean of what was added, 0 of nothing.
+    fn mean(&self, now: Nanos) -> f64 {
+        self.sum(now) / self.count(now).max(1.0)
     }
 
-    /// The sum for each second; `born` keeps the time before the start from counting as idle.
+    /// The least mean of any bucket that holds enough to tell.
+    fn least(&self, now: Nanos) -> f64 {
+        let told = self.live(now).filter(|bucket| bucket.count >= 10.0);
+        told.map(|bucket| bucket.sum / bucket.count).fold(f64::INFINITY, f64::min)
+    }
+
+    /// The count for each second; `born` keeps the time before the start from counting as idle.
     fn rate(&self, now: Nanos, born: Nanos) -> f64 {
         let span = (BUCKETS as u64 - 1) * self.width + now % self.width;
         let span = span.min(now - born).max(self.width);
-        self.sum(now) * S as f64 / span as f64
+        self.count(now) * S as f64 / span as f64
     }
 }
 
@@ -134,7 +156,6 @@
     effect: Effect,
     group: Group,
     took: Ring,
-    done: Ring,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -172,8 +193,6 @@
     known: Nanos,
     /// Dispatches it lost since its site last answered: no connection, a reset, a time-out.
     lost: usize,
-    /// The latest send that it has done.
-    overtaken: Nanos,
     /// When it last answered anything.
     heard: Nanos,
     /// When we last closed our idle connections to it.
@@ -221,17 +240,12 @@
     first: Ring,
     again: Ring,
     done: Ring,
-    /// Seconds that done reqs took, and their number, over a longer while.
+    /// Seconds that done reqs took, over a while and a longer one.
     took: Ring,
-    counted: Ring,
     took_long: Ring,
-    counted_long: Ring,
     asked: Ring,
     denied: Ring,
-    recent: Ring,
-    recent_took: Ring,
     outcomes: Ring,
-    failed: Ring,
     waiting: Vec<Waiting>,
     /// The held req that `wait` has just called up.
     called: Option<u64>,
@@ -268,15 +282,10 @@
             again: Ring::over(10 * S),
             done: Ring::over(2 * S),
             took: Ring::over(20 * S),
-            counted: Ring::over(20 * S),
             took_long: Ring::over(80 * S),
-            counted_long: Ring::over(80 * S),
             asked: Ring::over(2 * S),
             denied: Ring::over(2 * S),
-            recent: Ring::over(S),
-            recent_took: Ring::over(S),
             outcomes: Ring::over(5 * S),
-            failed: Ring::over(5 * S),
             waiting: Vec::new(),
             called: None,
             holding: false,
@@ -351,8 +360,8 @@
     /// How long the req at this place of the queue is likely to wait. At a quiet instance what is in flight
     /// tells more than the few done of late. Guards against denies of calm reqs that come two at a time.
     fn wait_at(&self, now: Nanos, at: usize) -> Nanos {
-        let took = self.took.sum(now) / self.counted.sum(now).max(1.0);
-        let rate = self.done.rate(now, self.born).max(f64::from(self.in_flight) / took.max(1e-3)).max(1.0);
+        let out = f64::from(self.in_flight) / self.took.mean(now).max(1e-3);
+        let rate = self.done.rate(now, self.born).max(out).max(1.0);
         ((at + 1) as f64 / rate * S as f64) as Nanos
     }
 
@@ -364,22 +373,14 @@
         if self.tier > 0 {
             most
         } else {
-            let overload = self.denied.sum(now) > OVERLOAD * self.asked.sum(now);
+            let overload = self.denied.count(now) > OVERLOAD * self.asked.count(now);
             let part = if overload { LEVEL_OVERLOAD } else { 1.0 };
             // A quiet instance knows its unloaded time from long buckets only, and goes by it in overload.
-            let long = if overload { least(&self.took_long, &self.counted_long, now) } else { f64::INFINITY };
-            (self.unloaded(now).min(long) * LEVEL_TIMES * part).clamp(target * LEVEL_LEAST * part, most)
+            let long = if overload { self.took_long.least(now) } else { f64::INFINITY };
+            (self.took.least(now).min(long) * LEVEL_TIMES * part).clamp(target * LEVEL_LEAST * part, most)
         }
     }
 
-    /// Whether we finish far less than at best of late though answers come about as fast as with no load.
-    /// Then the level is what holds us back, after a fault further down has passed, and it may be wider.
-    fn recovering(&self, now: Nanos) -> bool {
-        let (done, took) = (self.recent.sum(now), self.recent_took.sum(now));
-        let best = self.counted.live(now).fold(0.0, f64::max) / 2.0;
-        self.tier == 0 && done >= 3.0 && done < 0.5 * best && took <= done * self.unloaded(now) * PROMPT
-    }
-
     /// What any srv may have in flight from us, however little it has done for us: our share of a few.
     fn floor(&self, now: Nanos) -> f64 {
         // A new instance has seen nothing done yet, and that says nothing of the srvs.
@@ -387,23 +388,14 @@
         if now < self.born + 2 * S { 12.0 / turned_by } else { 4.0 / turned_by }
     }
 
-    /// The least mean time of a req in any bucket of the last while: about what it takes with no queue before
-    /// it.
-    fn unloaded(&self, now: Nanos) -> f64 {
-        least(&self.took, &self.counted, now)
-    }
-
     fn rank(&self, now: Nanos, set: &RuleSet) -> f64 {
         if text(&self.facts, "utility_by") == "work" {
             return set.utility;
         }
         // A rule set with few done yet goes by the time of all: its rank must be in the same measure as the
         // others'.
-        let (done, took) = match set.done.sum(now) {
-            few if few < 3.0 => (self.counted.sum(now), self.took.sum(now)),
-            done => (done, set.took.sum(now)),
-        };
-        set.utility * done.max(1.0) / took.max(1e-3)
+        let took = if set.took.count(now) < 3.0 { &self.took } else { &set.took };
+        set.utility / took.mean(now).max(1e-3)
     }
 
     /// Counts a req for its customer and tells whether that customer is over its share.
@@ -436,7 +428,7 @@
         owned
             && req.dispatches.len() < most
             && now < req.ends
-            && self.again.sum(now) + 1.0 <= self.first.sum(now) * TENTH + FLOOR
+            && self.again.count(now) + 1.0 <= self.first.count(now) * TENTH + FLOOR
             && self.may_run_again(now, req)
     }
 
@@ -511,18 +503,15 @@
             self.mean(now, |srv| if srv.fresh(now) { srv.weight } else { 0.0 }, |srv| srv.reported);
         let share = number(&self.facts, "cold_share", 1.0);
         let (narrow, floor) = (self.span_allowed(now), self.floor(now));
-        let span = if self.recovering(now) { narrow * 2.0 } else { narrow };
-        let below = !self.last_tier();
         let answering =
             self.srvs.values().filter(|srv| srv.ours > 0.0 && srv.usable(now) && !srv.silent(now, narrow));
-        let (level, out) = answering.fold((0.0, 0), |(l, o), srv| {
-            (l + srv.level(now, span, floor), o + srv.counted(now, narrow, below))
-        });
+        let (level, out) = answering
+            .fold((0.0, 0), |(l, o), srv| (l + srv.level(now, narrow, floor), o + srv.counted(now, narrow)));
         if again.is_none() && out as f64 >= f64::max(level, 1.0) {
             return Vec::new();
         }
         let room = |srv: &Srv| {
-            again.is_some() || (srv.counted(now, narrow, below) as f64) < srv.level(now, span, floor).max(1.0)
+            again.is_some() || (srv.counted(now, narrow) as f64) < srv.level(now, narrow, floor).max(1.0)
         };
         let fits = |strict: bool| -> Vec<(Name, f64)> {
             let sound = |srv: &Srv| {
@@ -558,10 +547,10 @@
         let up = self.srvs.values().filter(|srv| srv.usable(now));
         let weight: f64 = up.map(|srv| srv.ours * srv.ramp(now, cold, share)).sum();
         let sent = self.first.rate(now, self.born) + self.again.rate(now, self.born);
-        let per_weight = sent / weight.max(1e-9);
+        let (per_weight, turned_by) = (sent / weight.max(1e-9), self.part * self.instances);
         for srv in self.srvs.values_mut().filter(|srv| srv.cold(now, cold)) {
             let rate = per_weight * srv.ours * srv.ramp(now, cold, share) * COLD_HEADROOM;
-            let grown = rate.max(COLD_FLOOR_PER_S) * seconds(now - srv.budget_at.min(now));
+            let grown = rate.max(COLD_FLOOR_PER_S / turned_by) * seconds(now - srv.budget_at.min(now));
             srv.budget = (srv.budget + grown).min((rate / 2.0).max(1.0));
             srv.budget_at = now;
         }
@@ -604,7 +593,6 @@
                     srv.held.add(now, seconds((now - at).min(CROWD_SPAN)));
                     if how == How::Done {
                         srv.done.add(now, 1.0);
-                        srv.overtaken = srv.overtaken.max(at);
                     }
                     match how {
                         How::Done | How::Error | How::Full => srv.heard = now,
@@ -620,13 +608,8 @@
                 if how == How::Done {
                     self.done.add(now, 1.0);
                     self.took.add(now, seconds(took));
-                    self.counted.add(now, 1.0);
                     self.took_long.add(now, seconds(took));
-                    self.counted_long.add(now, 1.0);
-                    self.recent.add(now, 1.0);
-                    self.recent_took.add(now, seconds(took));
                     if let Some(set) = self.rule_sets.iter_mut().find(|set| set.name == req.rule_set) {
-                        set.done.add(now, 1.0);
                         set.took.add(now, seconds(took));
                     }
                 }
@@ -676,11 +659,8 @@
             How::Error | How::Reset | How::TimedOut | How::NoConnection => true,
             How::Full | How::Recalled | How::NotSent => return,
         };
-        self.outcomes.add(now, 1.0);
-        if failure {
-            self.failed.add(now, 1.0);
-        }
-        let everywhere = self.failed.sum(now) / self.outcomes.sum(now).max(1.0);
+        self.outcomes.add(now, f64::from(u8::from(failure)));
+        let everywhere = self.outcomes.mean(now);
         let Some(site) = self.srvs.get(name).map(|srv| srv.site.clone()) else { return };
         // Never more than half of a site, one by one; a whole site is another matter.
         let in_site = self.srvs.values().filter(|srv| srv.site == site && srv.state == State::Up);
@@ -907,7 +887,6 @@
             done: Ring::over(4 * S),
             known: now,
             lost: 0,
-            overtaken: 0,
             heard: 0,
             closed: 0,
             turn,
@@ -953,17 +932,10 @@
         (self.done.rate(now, self.known) * span).max(floor)
     }
 
-    /// What counts against its level. An overdue req doesn't where the srv is silent, nor, long overdue,
-    /// where the srv has answered one that was sent later: then it is stuck further `below`, and is no load
-    /// here. Guards against a stop: a fault further down that holds a few reqs at each srv would leave no
-    /// room for the others until those time out.
-    fn counted(&self, now: Nanos, span: f64, below: bool) -> usize {
+    /// What counts against its level: not what is overdue where the srv is silent.
+    fn counted(&self, now: Nanos, span: f64) -> usize {
         let silent = self.silent(now, span);
-        let stuck = |out: &Out| {
-            let late = seconds(now - out.at) / (SILENT * span);
-            (late > 1.0 && silent) || (below && late > 2.0 && out.at < self.overtaken)
-        };
-        self.out.iter().filter(|out| !stuck(out)).count()
+        self.out.iter().filter(|out| !(silent && seconds(now - out.at) > SILENT * span)).count()
     }
 
     /// Whether it owes an answer for longer than the span and has answered nothing since that was sent.
@@ -1010,7 +982,6 @@
                 _ => Group::Cell,
             },
             took: Ring::over(20 * S),
-            done: Ring::over(20 * S),
         }
     }
 }
@@ -1022,37 +993,7 @@
     }
 }
 
-/// The least mean of any bucket that holds enough to tell.
-fn least(took: &Ring, counted: &Ring, now: Nanos) -> f64 {
-    let buckets = took.live(now).zip(counted.live(now)).filter(|(_, count)| *count >= 10.0);
-    buckets.map(|(took, count)| took / count).fold(f64::INFINITY, f64::min)
-}
-
 /// The first dispatch that is not proved never to have run.
 fn may_have_run(req: &Req) -> Option<&Dispatch> {
     req.dispatches.iter().find(|d| !d.how.is_some_and(How::never_ran))
 }
-
-fn seconds(span: Nanos) -> f64 {
-    span as f64 / S as f64
-}
-
-fn number(facts: &Facts, name: &str, otherwise: f64) -> f64 {
-    if let Some(Value::Number(value)) = facts.get(name) { *value } else { otherwise }
-}
-
-fn span(facts: &Facts, name: &str, otherwise: Nanos) -> Nanos {
-    if let Some(Value::Span(value)) = facts.get(name) { *value } else { otherwise }
-}
-
-fn text<'a>(facts: &'a Facts, name: &str) -> &'a str {
-    if let Some(Value::Text(value)) = facts.get(name) { value } else { "" }
-}
-
-fn flag(facts: &Facts, name: &str) -> bool {
-    matches!(facts.get(name), Some(Value::Flag(true)))
-}
-
-fn list<'a>(facts: &'a Facts, name: &str) -> &'a [Facts] {
-    if let Some(Value::List(items)) = facts.get(name) { items } else { &[] }
-}
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -150,3 +150,29 @@
     /// Nothing to do before then.
     Until(Nanos),
 }
+
+/// A span in seconds.
+pub fn seconds(span: Nanos) -> f64 {
+    span as f64 / 1e9
+}
+
+/// What the facts say under a name, or what stands in for it.
+pub fn number(facts: &Facts, name: &str, otherwise: f64) -> f64 {
+    if let Some(Value::Number(value)) = facts.get(name) { *value } else { otherwise }
+}
+
+pub fn span(facts: &Facts, name: &str, otherwise: Nanos) -> Nanos {
+    if let Some(Value::Span(value)) = facts.get(name) { *value } else { otherwise }
+}
+
+pub fn text<'a>(facts: &'a Facts, name: &str) -> &'a str {
+    if let Some(Value::Text(value)) = facts.get(name) { value } else { "" }
+}
+
+pub fn flag(facts: &Facts, name: &str) -> bool {
+    matches!(facts.get(name), Some(Value::Flag(true)))
+}
+
+pub fn list<'a>(facts: &'a Facts, name: &str) -> &'a [Facts] {
+    if let Some(Value::List(items)) = facts.get(name) { items } else { &[] }
+}
