--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,6 +32,8 @@
 const OVERLOAD: f64 = 0.3;
 const LEVEL_OVERLOAD: f64 = 0.7;
 const LEVEL_MOST: f64 = 0.8;
+/// Answers in recovery come within this many unloaded times.
+const PROMPT: f64 = 1.3;
 /// A dispatch is overdue after this many of those spans.
 const SILENT: f64 = 1.5;
 /// A srv that owes us answers is silent when their times out, in overdue times, come to this: one that gets
@@ -381,6 +383,16 @@
         }
     }
 
+    /// Whether we finish far less than at best of late though answers come about as fast as with no load.
+    /// Then the level is what holds us back, after a fault further down has passed, and it may be wider.
+    fn recovering(&self, now: Nanos) -> bool {
+        let best = self.took.live(now).map(|bucket| bucket.count).fold(0.0, f64::max);
+        let done = self.done.count(now);
+        self.tier == 0
+            && (6.0..0.5 * best).contains(&done)
+            && self.done.mean(now) <= self.took.least(now) * PROMPT
+    }
+
     /// What any srv may have in flight from us, however little it has done for us: our share of a few.
     fn floor(&self, now: Nanos) -> f64 {
         // A new instance has seen nothing done yet, and that says nothing of the srvs.
@@ -503,15 +515,16 @@
             self.mean(now, |srv| if srv.fresh(now) { srv.weight } else { 0.0 }, |srv| srv.reported);
         let share = number(&self.facts, "cold_share", 1.0);
         let (narrow, floor) = (self.span_allowed(now), self.floor(now));
+        let wide = if self.recovering(now) { narrow * 2.0 } else { narrow };
         let answering =
             self.srvs.values().filter(|srv| srv.ours > 0.0 && srv.usable(now) && !srv.silent(now, narrow));
         let (level, out) = answering
-            .fold((0.0, 0), |(l, o), srv| (l + srv.level(now, narrow, floor), o + srv.counted(now, narrow)));
+            .fold((0.0, 0), |(l, o), srv| (l + srv.level(now, wide, floor), o + srv.counted(now, narrow)));
         if again.is_none() && out as f64 >= f64::max(level, 1.0) {
             return Vec::new();
         }
         let room = |srv: &Srv| {
-            again.is_some() || (srv.counted(now, narrow) as f64) < srv.level(now, narrow, floor).max(1.0)
+            again.is_some() || (srv.counted(now, narrow) as f64) < srv.level(now, wide, floor).max(1.0)
         };
         let fits = |strict: bool| -> Vec<(Name, f64)> {
             let sound = |srv: &Srv| {
@@ -606,7 +619,7 @@
                 }
                 self.note_report(now, &name, report);
                 if how == How::Done {
-                    self.done.add(now, 1.0);
+                    self.done.add(now, seconds(took));
                     self.took.add(now, seconds(took));
                     self.took_long.add(now, seconds(took));
                     if let Some(set) = self.rule_sets.iter_mut().find(|set| set.name == req.rule_set) {
