--- a/src/decide.rs
+++ b/src/decide.rs
@@ -389,7 +389,7 @@
         let best = self.took.live(now).map(|bucket| bucket.count).fold(0.0, f64::max);
         let done = self.done.count(now);
         self.tier == 0
-            && (6.0..0.5 * best).contains(&done)
+            && (3.0..0.25 * best).contains(&done)
             && self.done.mean(now) <= self.took.least(now) * PROMPT
     }
 
