--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,6 +28,10 @@
 /// target.
 const LEVEL_TIMES: f64 = 1.9;
 const LEVEL_LEAST: f64 = 0.6;
+/// What chance may put on top of the level while answers come quicker than the span of overload, in standard
+/// deviations of a count.
+const CHANCE: f64 = 1.5;
+const CALM_GAIN: f64 = 4.0;
 /// In overload, when this part of what is asked for is denied, the two above shrink to this part of them.
 const OVERLOAD: f64 = 0.3;
 const LEVEL_OVERLOAD: f64 = 0.7;
@@ -369,13 +373,16 @@
 
     /// The span within which what is in flight at a srv should be done, in seconds.
     fn span_allowed(&self, now: Nanos) -> f64 {
+        self.span_when(now, self.overload(now))
+    }
+
+    fn span_when(&self, now: Nanos, overload: bool) -> f64 {
         let target = seconds(self.rule_sets.iter().map(|set| set.target).min().unwrap_or(S));
         let most =
             target * LEVEL_MOST * (self.tiers.saturating_sub(self.tier)).max(1) as f64 / self.tiers as f64;
         if self.tier > 0 {
             most
         } else {
-            let overload = self.denied.count(now) > OVERLOAD * self.asked.count(now);
             let part = if overload { LEVEL_OVERLOAD } else { 1.0 };
             // A quiet instance knows its unloaded time from long buckets only, and goes by it in overload.
             let long = if overload { self.took_long.least(now) } else { f64::INFINITY };
@@ -383,6 +390,19 @@
         }
     }
 
+    fn overload(&self, now: Nanos) -> bool {
+        self.denied.count(now) > OVERLOAD * self.asked.count(now)
+    }
+
+    /// The level of all srvs and, at the first tier on a calm day, what chance may put on top of it. Guards
+    /// against denies at a quiet instance that has one or two in flight on the mean and three by chance.
+    fn with_chance(&self, now: Nanos, level: f64) -> f64 {
+        let quick = 1.0 - self.done.mean(now) / self.span_when(now, true);
+        let calm = self.tier == 0 && !self.overload(now);
+        let deviations = if calm { (CALM_GAIN * quick).clamp(0.0, 1.0) * CHANCE } else { 0.0 };
+        (level + deviations * level.sqrt()).max(1.0)
+    }
+
     /// Whether we finish far less than at best of late though answers come about as fast as with no load.
     /// Then the level is what holds us back, after a fault further down has passed, and it may be wider.
     fn recovering(&self, now: Nanos) -> bool {
@@ -520,7 +540,7 @@
             self.srvs.values().filter(|srv| srv.ours > 0.0 && srv.usable(now) && !srv.silent(now, narrow));
         let (level, out) = answering
             .fold((0.0, 0), |(l, o), srv| (l + srv.level(now, wide, floor), o + srv.counted(now, narrow)));
-        if again.is_none() && out as f64 >= f64::max(level, 1.0) {
+        if again.is_none() && out as f64 >= self.with_chance(now, level) {
             return Vec::new();
         }
         let room = |srv: &Srv| {
