--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,9 +28,8 @@
 /// target.
 const LEVEL_TIMES: f64 = 1.9;
 const LEVEL_LEAST: f64 = 0.6;
-/// What chance may put on top of the level while answers come quicker than the span of overload, in standard
-/// deviations of a count.
-const CHANCE: f64 = 1.5;
+/// What a calm instance may have in flight whatever its level, and how fast that grows as answers get quicker.
+const CALM_LEAST: f64 = 3.0;
 const CALM_GAIN: f64 = 4.0;
 /// In overload, when this part of what is asked for is denied, the two above shrink to this part of them.
 const OVERLOAD: f64 = 0.3;
@@ -394,13 +393,13 @@
         self.denied.count(now) > OVERLOAD * self.asked.count(now)
     }
 
-    /// The level of all srvs and, at the first tier on a calm day, what chance may put on top of it. Guards
-    /// against denies at a quiet instance that has one or two in flight on the mean and three by chance.
-    fn with_chance(&self, now: Nanos, level: f64) -> f64 {
+    /// The least that we may have in flight: one, and some more at the first tier while answers come quicker
+    /// than the span of overload. Guards against denies at a quiet instance that has one in flight on the mean
+    /// and three by chance.
+    fn least_level(&self, now: Nanos) -> f64 {
         let quick = 1.0 - self.done.mean(now) / self.span_when(now, true);
         let calm = self.tier == 0 && !self.overload(now);
-        let deviations = if calm { (CALM_GAIN * quick).clamp(0.0, 1.0) * CHANCE } else { 0.0 };
-        (level + deviations * level.sqrt()).max(1.0)
+        if calm { (CALM_LEAST * CALM_GAIN * quick).clamp(1.0, CALM_LEAST) } else { 1.0 }
     }
 
     /// Whether we finish far less than at best of late though answers come about as fast as with no load.
@@ -540,7 +539,7 @@
             self.srvs.values().filter(|srv| srv.ours > 0.0 && srv.usable(now) && !srv.silent(now, narrow));
         let (level, out) = answering
             .fold((0.0, 0), |(l, o), srv| (l + srv.level(now, wide, floor), o + srv.counted(now, narrow)));
-        if again.is_none() && out as f64 >= self.with_chance(now, level) {
+        if again.is_none() && out as f64 >= level.max(self.least_level(now)) {
             return Vec::new();
         }
         let room = |srv: &Srv| {
