--- a/src/decide.rs
+++ b/src/decide.rs
@@ -537,9 +537,14 @@
         let wide = if self.recovering(now) { narrow * 2.0 } else { narrow };
         let answering =
             self.srvs.values().filter(|srv| srv.ours > 0.0 && srv.usable(now) && !srv.silent(now, narrow));
-        let (level, out) = answering
-            .fold((0.0, 0), |(l, o), srv| (l + srv.level(now, wide, floor), o + srv.counted(now, narrow)));
-        if again.is_none() && out as f64 >= level.max(self.least_level(now)) {
+        let (level, out, mean_out) = answering.fold((0.0, 0, 0.0), |(l, o, m), srv| {
+            (l + srv.level(now, wide, floor), o + srv.counted(now, narrow), m + srv.mean_out(now))
+        });
+        // A level of less than one req is kept over time. Guards against the one that each of many instances
+        // would have in flight whatever happens: together far more than the srvs can bear.
+        let least = self.least_level(now);
+        let full = out as f64 >= level.max(least) || (least <= 1.0 && mean_out > level.max(1e-3) && level < 1.0);
+        if again.is_none() && full {
             return Vec::new();
         }
         let room = |srv: &Srv| {
