--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,7 +34,7 @@
 const LEVEL_LEAST: f64 = 0.6;
 /// In overload, when this part of what is asked for is denied, the two above shrink to this part of them.
 const OVERLOAD: f64 = 0.3;
-const LEVEL_OVERLOAD: f64 = 0.7;
+const LEVEL_OVERLOAD: f64 = 0.5;
 const LEVEL_MOST: f64 = 0.8;
 /// What a calm instance may have in flight whatever its level, and how fast that grows with quicker answers.
 const CALM_LEAST: f64 = 3.0;
