--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,7 +34,7 @@
 const LEVEL_LEAST: f64 = 0.6;
 /// In overload, when this part of what is asked for is denied, the two above shrink to this part of them.
 const OVERLOAD: f64 = 0.3;
-const LEVEL_OVERLOAD: f64 = 0.5;
+const LEVEL_OVERLOAD: f64 = 0.7;
 const LEVEL_MOST: f64 = 0.8;
 /// What a calm instance may have in flight whatever its level, and how fast that grows with quicker answers.
 const CALM_LEAST: f64 = 3.0;
@@ -299,10 +299,16 @@
         if self.tier > 0 {
             most
         } else {
-            let part = if overload { LEVEL_OVERLOAD } else { 1.0 };
-            // A quiet instance knows its unloaded time from long buckets only, and goes by it in overload.
-            let long = if overload { self.took_long.least(now) } else { f64::INFINITY };
-            (self.took.least(now).min(long) * LEVEL_TIMES * part).clamp(target * LEVEL_LEAST * part, most)
+            let fine = self.took.least(now);
+            // A quiet instance knows its unloaded time from long buckets only, which hold load too, and its
+            // counts round up: in overload it shrinks the level twice. Guards against a first tier that many
+            // instances hold just at the limit, where its srvs turn slower and never rest.
+            let (unloaded, part) = match overload {
+                false => (fine, 1.0),
+                true if fine.is_finite() => (fine, LEVEL_OVERLOAD),
+                true => (self.took_long.least(now), LEVEL_OVERLOAD * LEVEL_OVERLOAD),
+            };
+            (unloaded * LEVEL_TIMES * part).clamp(target * LEVEL_LEAST * part, most)
         }
     }
 
