--- a/src/decide.rs
+++ b/src/decide.rs
@@ -299,16 +299,10 @@
         if self.tier > 0 {
             most
         } else {
-            let fine = self.took.least(now);
-            // A quiet instance knows its unloaded time from long buckets only, which hold load too, and its
-            // counts round up: in overload it shrinks the level twice. Guards against a first tier that many
-            // instances hold just at the limit, where its srvs turn slower and never rest.
-            let (unloaded, part) = match overload {
-                false => (fine, 1.0),
-                true if fine.is_finite() => (fine, LEVEL_OVERLOAD),
-                true => (self.took_long.least(now), LEVEL_OVERLOAD * LEVEL_OVERLOAD),
-            };
-            (unloaded * LEVEL_TIMES * part).clamp(target * LEVEL_LEAST * part, most)
+            let part = if overload { LEVEL_OVERLOAD } else { 1.0 };
+            // A quiet instance knows its unloaded time from long buckets only, and goes by it in overload.
+            let long = if overload { self.took_long.least(now) } else { f64::INFINITY };
+            (self.took.least(now).min(long) * LEVEL_TIMES * part).clamp(target * LEVEL_LEAST * part, most)
         }
     }
 
