--- a/src/decide.rs
+++ b/src/decide.rs
@@ -332,8 +332,13 @@
     /// What any srv may have in flight from us, however little it has done for us: our share of a few.
     fn floor(&self, now: Nanos) -> f64 {
         // A new instance has seen nothing done yet, and that says nothing of the srvs.
-        let turned_by = self.part * self.instances;
-        if now < self.born + 2 * S { 12.0 / turned_by } else { 4.0 / turned_by }
+        let few = if now < self.born + 2 * S { 12.0 } else { 4.0 };
+        few / self.turned_by()
+    }
+
+    /// How many instances turn to each srv.
+    fn turned_by(&self) -> f64 {
+        self.part * self.instances
     }
 
     fn rank(&self, now: Nanos, set: &RuleSet) -> f64 {
@@ -499,7 +504,7 @@
         let up = self.srvs.values().filter(|srv| srv.usable(now));
         let weight: f64 = up.map(|srv| srv.ours * srv.ramp(now, cold, share)).sum();
         let sent = self.first.rate(now, self.born) + self.again.rate(now, self.born);
-        let (per_weight, turned_by) = (sent / weight.max(1e-9), self.part * self.instances);
+        let (per_weight, turned_by) = (sent / weight.max(1e-9), self.turned_by());
         for srv in self.srvs.values_mut().filter(|srv| srv.cold(now, cold)) {
             let rate = per_weight * srv.ours * srv.ramp(now, cold, share) * COLD_HEADROOM;
             let grown = rate.max(COLD_FLOOR_PER_S / turned_by) * seconds(now - srv.budget_at.min(now));
