--- /dev/null
+++ b/balancer/src/decisions.rs
@@ -0,0 +1,287 @@
+//! The module's actor. It owns the module with the reqs in hand and tells peers and the list what the module
+//! decided. It must never decide anything itself, and never wait for a peer: what a mailbox can't take has
+//! not been sent.
+
+use std::collections::{BTreeMap, HashMap};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::{Request, Response};
+use ochreshed::{Balancer, How, Listed, Name, Nanos, Outcome, Req, text};
+use ochreshed_hands::{Act, End, Hands};
+use tokio::sync::mpsc::{self, OwnedPermit};
+use tokio::sync::oneshot;
+use tokio::time::sleep_until;
+use tower::Service;
+use tracing::info;
+
+use crate::clock::Clock;
+use crate::list::{self, Entry};
+use crate::peer::{self, Job};
+
+pub enum Mail {
+    Take {
+        req: Req,
+        message: Arc<Request<Bytes>>,
+        reply: oneshot::Sender<Answer>,
+    },
+    /// The client of this req has gone.
+    Left(u64),
+    Ended {
+        id: u64,
+        number: usize,
+        how: How,
+        at: Nanos,
+        answer: Option<Response<Bytes>>,
+    },
+    Probed {
+        srv: Name,
+        how: How,
+        took: Nanos,
+    },
+    List {
+        whole: bool,
+        old: bool,
+        entries: Vec<Entry>,
+    },
+    ListFailed,
+}
+
+/// The one final answer to a req.
+pub enum Answer {
+    Done(Response<Bytes>),
+    Deny { come_back: Nanos },
+    Abort,
+}
+
+/// A req for the module and the message to carry. Its id is given here.
+pub type Offer = (Req, Request<Bytes>);
+
+/// The decisions as a service, for whatever protocol stands before them.
+#[derive(Clone)]
+pub struct Decisions {
+    mail: mpsc::Sender<Mail>,
+    ids: Arc<AtomicU64>,
+}
+
+impl Decisions {
+    pub fn new(mail: mpsc::Sender<Mail>) -> Decisions {
+        Decisions { mail, ids: Arc::default() }
+    }
+}
+
+/// Tells the module that a client has gone, if its answer is dropped before it came. The place in the mailbox
+/// is kept from the start: this news must not get lost in a crowd.
+struct Leaver(Option<(OwnedPermit<Mail>, u64)>);
+
+impl Drop for Leaver {
+    fn drop(&mut self) {
+        if let Some((place, id)) = self.0.take() {
+            place.send(Mail::Left(id));
+        }
+    }
+}
+
+impl Service<Offer> for Decisions {
+    type Response = Answer;
+    type Error = &'static str;
+    type Future = Pin<Box<dyn Future<Output = Result<Answer, &'static str>> + Send>>;
+
+    fn poll_ready(&mut self, _: &mut Context) -> Poll<Result<(), &'static str>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, (mut req, message): Offer) -> Self::Future {
+        let (mail, id) = (self.mail.clone(), self.ids.fetch_add(1, Relaxed));
+        req.id = id;
+        Box::pin(async move {
+            const OVER: &str = "the module has ended";
+            let place = mail.clone().reserve_owned().await.map_err(|_| OVER)?;
+            let (reply, answer) = oneshot::channel();
+            let take = Mail::Take { req, message: Arc::new(message), reply };
+            mail.send(take).await.map_err(|_| OVER)?;
+            let mut leaver = Leaver(Some((place, id)));
+            let answer = answer.await.map_err(|_| OVER);
+            leaver.0 = None;
+            answer
+        })
+    }
+}
+
+/// What is kept of a req beside what the module needs.
+struct Taken {
+    message: Arc<Request<Bytes>>,
+    reply: Option<oneshot::Sender<Answer>>,
+    sent_at: Nanos,
+    recall: Option<oneshot::Sender<()>>,
+}
+
+pub struct Actor {
+    clock: Clock,
+    hands: Hands,
+    taken: HashMap<u64, Taken>,
+    peers: BTreeMap<Name, (std::net::SocketAddr, mpsc::Sender<peer::Mail>)>,
+    common: peer::Common,
+    list: mpsc::Sender<list::Mail>,
+}
+
+impl Actor {
+    pub fn new(balancer: Balancer, common: peer::Common, list: mpsc::Sender<list::Mail>) -> Actor {
+        let (clock, hands) = (common.clock, Hands::new(balancer));
+        Actor { clock, hands, taken: HashMap::new(), peers: BTreeMap::new(), common, list }
+    }
+
+    pub async fn run(mut self, mut mailbox: mpsc::Receiver<Mail>) {
+        loop {
+            let next = self.settle();
+            tokio::select! {
+                biased;
+                mail = mailbox.recv() => {
+                    let Some(mail) = mail else { return };
+                    self.open(mail);
+                    // What has come together is settled together.
+                    while let Ok(mail) = mailbox.try_recv() {
+                        self.open(mail);
+                    }
+                }
+                () = sleep_until(self.clock.instant(next)) => {}
+            }
+        }
+    }
+
+    fn open(&mut self, mail: Mail) {
+        let now = self.clock.now();
+        match mail {
+            Mail::Take { req, message, reply } => {
+                let taken = Taken { message, reply: Some(reply), sent_at: now, recall: None };
+                self.taken.insert(req.id, taken);
+                self.hands.take(now, req);
+            }
+            Mail::Left(id) => {
+                self.hands.left(now, id);
+                self.forget(id);
+            }
+            Mail::Ended { id, number, how, at, answer } => {
+                let Some(taken) = self.taken.get_mut(&id) else { return };
+                let took = at.saturating_sub(taken.sent_at);
+                taken.recall = None;
+                if let Some(answer) = answer {
+                    taken.answer(Answer::Done(answer));
+                }
+                let end = End { how, took, closed: how == How::Done, report: &[] };
+                self.hands.ended(now, id, number, end);
+                self.forget(id);
+            }
+            Mail::Probed { srv, how, took } => {
+                self.hands.news(now, Outcome::Probe { srv: &srv, how, took, report: &[] });
+            }
+            Mail::List { whole, old, entries } => self.follow_list(now, whole, old, entries),
+            Mail::ListFailed => self.hands.news(now, Outcome::ListFailed),
+        }
+    }
+
+    fn follow_list(&mut self, now: Nanos, whole: bool, old: bool, entries: Vec<Entry>) {
+        if whole {
+            self.peers.retain(|name, _| entries.iter().any(|(listed, _)| listed.srv == *name));
+        }
+        for (listed, address) in &entries {
+            if listed.state == ochreshed::State::Gone {
+                self.peers.remove(&listed.srv);
+            } else if self.peers.get(&listed.srv).is_none_or(|(at, _)| at != address) {
+                let mail = peer::start(listed.srv.clone(), *address, self.common.clone());
+                self.peers.insert(listed.srv.clone(), (*address, mail));
+            }
+        }
+        let entries: Vec<Listed> = entries.into_iter().map(|(listed, _)| listed).collect();
+        self.hands.news(now, Outcome::List { whole, old, entries: &entries });
+    }
+
+    /// Does what the module wants done; answers with the time it is asked again.
+    fn settle(&mut self) -> Nanos {
+        loop {
+            let now = self.clock.now();
+            let next = self.hands.settle(now);
+            let mut unsent = Vec::new();
+            for act in self.hands.acts() {
+                self.act(now, act, &mut unsent);
+            }
+            if unsent.is_empty() {
+                return next;
+            }
+            for (id, number) in unsent {
+                let end = End { how: How::NotSent, took: 0, closed: false, report: &[] };
+                self.hands.ended(now, id, number, end);
+            }
+        }
+    }
+
+    fn act(&mut self, now: Nanos, act: Act, unsent: &mut Vec<(u64, usize)>) {
+        match act {
+            Act::Send { id, number, srv, give_up } => {
+                if !self.send(now, id, number, &srv, give_up) {
+                    unsent.push((id, number));
+                }
+            }
+            Act::Recall { id, .. } => {
+                let recall = self.taken.get_mut(&id).and_then(|taken| taken.recall.take());
+                // One that has just ended needs no recall.
+                recall.map(|recall| recall.send(()));
+            }
+            Act::Deny { id, come_back } => self.answer(id, Answer::Deny { come_back }),
+            Act::Abort { id } => self.answer(id, Answer::Abort),
+            // With wishes enough in its mailbox the list is asked anyway.
+            Act::Watch => drop(self.list.try_send(list::Mail::Watch)),
+            Act::List => drop(self.list.try_send(list::Mail::Fetch)),
+            Act::Probe(srv) => self.tell(&srv, peer::Mail::Probe(now + 1_000_000_000)),
+            Act::Close(srv) => self.tell(&srv, peer::Mail::Shut),
+            Act::Log(line) => info!("{line}"),
+        }
+    }
+
+    fn send(&mut self, now: Nanos, id: u64, number: usize, srv: &Name, give_up: Nanos) -> bool {
+        let (Some(taken), Some((_, peer))) = (self.taken.get_mut(&id), self.peers.get(srv)) else {
+            return false;
+        };
+        let (recall, recalled) = oneshot::channel();
+        let job = Job { id, number, give_up, message: taken.message.clone(), recalled };
+        (taken.sent_at, taken.recall) = (now, Some(recall));
+        peer.try_send(peer::Mail::Send(job)).is_ok()
+    }
+
+    fn tell(&self, srv: &Name, mail: peer::Mail) {
+        if let Some((_, peer)) = self.peers.get(srv) {
+            // A peer with a full mailbox is told nothing more; both kinds of mail are only wishes.
+            let _ = peer.try_send(mail);
+        }
+    }
+
+    fn answer(&mut self, id: u64, answer: Answer) {
+        if let Some(taken) = self.taken.get_mut(&id) {
+            taken.answer(answer);
+        }
+        self.forget(id);
+    }
+
+    fn forget(&mut self, id: u64) {
+        if !self.hands.holds(id) {
+            self.taken.remove(&id);
+        }
+    }
+}
+
+impl Taken {
+    fn answer(&mut self, answer: Answer) {
+        if let Some(reply) = self.reply.take() {
+            // Nobody listens once the client has gone.
+            let _ = reply.send(answer);
+        }
+    }
+}
+
+/// Whether the list tells of changes only when asked; elsewhere a watch stands from the start.
+pub fn asks(facts: &ochreshed::Facts) -> bool {
+    text(facts, "list_mode") == "ask"
+}
--- /dev/null
+++ b/balancer/src/link.rs
@@ -0,0 +1,251 @@
+//! One HTTP/1.1 connection, as bytes and as an exchange. It owns the socket and counts what is written to it
+//! and when something was last read, and it drives hyper's connection itself. It must never send a req a
+//! second time by itself, nor call a req unsent once its last byte has gone to the socket.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, Connection, SendRequest};
+use hyper::header::{CONNECTION, HeaderMap, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use hyper::{Request, Response, Version};
+use hyper_util::rt::TokioIo;
+use ochreshed::Nanos;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+
+use crate::clock::Clock;
+
+/// A head, either way, holds no more than this.
+pub const MOST_HEAD: usize = 32 * 1024;
+
+/// What went over a socket, told by the socket itself.
+#[derive(Default)]
+pub struct Meter {
+    written: AtomicU64,
+    /// When the first byte since `restart` was read, 0 for none yet, and the last one.
+    first_read: AtomicU64,
+    last_read: AtomicU64,
+}
+
+impl Meter {
+    /// When the first byte was read since this was last asked.
+    pub fn take_first(&self) -> Option<Nanos> {
+        Some(self.first_read.swap(0, Relaxed)).filter(|at| *at > 0)
+    }
+
+    pub fn last_read(&self) -> Nanos {
+        self.last_read.load(Relaxed)
+    }
+}
+
+/// A socket with its meter.
+pub struct Wire {
+    stream: Arc<TcpStream>,
+    meter: Arc<Meter>,
+    clock: Clock,
+}
+
+impl Wire {
+    pub fn new(stream: Arc<TcpStream>, clock: Clock) -> (TokioIo<Wire>, Arc<Meter>) {
+        // Small messages wait for nothing; without this option they are only slower.
+        let _ = stream.set_nodelay(true);
+        let meter = Arc::<Meter>::default();
+        (TokioIo::new(Wire { stream, meter: meter.clone(), clock }), meter)
+    }
+
+    /// Repeats a call on the socket until it does something or would have to wait.
+    fn try_until<T>(
+        mut ready: impl FnMut() -> Poll<io::Result<()>>,
+        mut call: impl FnMut() -> io::Result<T>,
+    ) -> Poll<io::Result<T>> {
+        loop {
+            ready!(ready())?;
+            match call() {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                done => return Poll::Ready(done),
+            }
+        }
+    }
+
+    fn wrote(&self, done: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(count)) = &done {
+            self.meter.written.fetch_add(*count as u64, Relaxed);
+        }
+        done
+    }
+}
+
+impl AsyncRead for Wire {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        let stream = &self.stream;
+        let count = ready!(Wire::try_until(|| stream.poll_read_ready(cx), || stream.try_read_buf(buf)))?;
+        if count > 0 {
+            let now = self.clock.now();
+            self.meter.last_read.store(now, Relaxed);
+            let _ = self.meter.first_read.compare_exchange(0, now, Relaxed, Relaxed);
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Wire {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let stream = &self.stream;
+        self.wrote(Wire::try_until(|| stream.poll_write_ready(cx), || stream.try_write(bytes)))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context,
+        parts: &[io::IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        let stream = &self.stream;
+        self.wrote(Wire::try_until(|| stream.poll_write_ready(cx), || stream.try_write_vectored(parts)))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        Poll::Ready(socket2::SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
+    }
+}
+
+/// A connection that we opened.
+pub struct Link {
+    send: SendRequest<Full<Bytes>>,
+    /// Empty once it has ended.
+    connection: Option<Connection<TokioIo<Wire>, Full<Bytes>>>,
+    stream: Arc<TcpStream>,
+    meter: Arc<Meter>,
+    /// With this many bytes written, the req of the last exchange has gone whole.
+    whole_at: u64,
+    _permit: Option<OwnedSemaphorePermit>,
+}
+
+impl Link {
+    pub async fn open(
+        to: SocketAddr,
+        clock: Clock,
+        permit: Option<OwnedSemaphorePermit>,
+    ) -> io::Result<Link> {
+        let stream = Arc::new(TcpStream::connect(to).await?);
+        let (wire, meter) = Wire::new(stream.clone(), clock);
+        let handshake = http1::Builder::new().max_buf_size(MOST_HEAD).handshake(wire).await;
+        let (send, connection) = handshake.map_err(io::Error::other)?;
+        let (connection, whole_at) = (Some(connection), u64::MAX);
+        Ok(Link { send, connection, stream, meter, whole_at, _permit: permit })
+    }
+
+    /// Whether an idle connection may carry another req: it is open, and nothing unasked for lies unread on
+    /// it. Asks the system, not the runtime, which may not have come to the news yet.
+    pub fn sound(&mut self) -> bool {
+        let mut byte = [std::mem::MaybeUninit::uninit()];
+        let unread = socket2::SockRef::from(&*self.stream).peek(&mut byte);
+        unread.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock) && self.ready()
+    }
+
+    fn ready(&mut self) -> bool {
+        let Link { send, connection, .. } = self;
+        drive(connection, send.ready()).now_or_never().is_some_and(|ready| ready.is_ok())
+            && self.connection.is_some()
+    }
+
+    /// Whether any byte of the last exchange's req has been written, and whether the last one has. In doubt,
+    /// a req has gone whole.
+    pub fn began(&self) -> bool {
+        self.whole_at != u64::MAX && self.meter.written.load(Relaxed) > 0
+    }
+
+    pub fn sent_whole(&self) -> bool {
+        self.meter.written.load(Relaxed) >= self.whole_at
+    }
+
+    pub fn last_read(&self) -> Nanos {
+        self.meter.last_read()
+    }
+
+    /// One req and its whole answer. `again` when the connection may carry another one after it.
+    pub async fn exchange(
+        &mut self,
+        req: Request<Bytes>,
+        most_body: usize,
+    ) -> Result<(Response<Bytes>, bool), String> {
+        let length = least_length(&req);
+        self.meter.written.store(0, Relaxed);
+        self.whole_at = length;
+        let Link { send, connection, .. } = self;
+        let answer = async {
+            let (head, body) = send.send_request(req.map(Full::new)).await.map_err(plain)?.into_parts();
+            let body = Limited::new(body, most_body).collect().await.map_err(|e| e.to_string())?.to_bytes();
+            Ok::<_, String>(Response::from_parts(head, body))
+        };
+        let answer = drive(connection, answer).await?;
+        let again = answer.version() == Version::HTTP_11 && self.ready();
+        Ok((answer, again))
+    }
+}
+
+fn plain(error: hyper::Error) -> String {
+    error.to_string()
+}
+
+/// Runs something on a connection and the connection itself, in one task.
+async fn drive<T>(
+    connection: &mut Option<Connection<TokioIo<Wire>, Full<Bytes>>>,
+    work: impl Future<Output = T>,
+) -> T {
+    let mut work = pin!(work);
+    std::future::poll_fn(|cx| {
+        if let Poll::Ready(done) = work.as_mut().poll(cx) {
+            return Poll::Ready(done);
+        }
+        if connection.as_mut().is_some_and(|connection| connection.poll_unpin(cx).is_ready()) {
+            // Dropped, so that whatever still waits on it is told.
+            *connection = None;
+        }
+        work.as_mut().poll(cx)
+    })
+    .await
+}
+
+/// How many bytes the req is on the socket, as hyper writes it.
+fn least_length(req: &Request<Bytes>) -> u64 {
+    let path = req.uri().path_and_query().map_or(1, |path| path.as_str().len());
+    let line = req.method().as_str().len() + path + " ".len() + " HTTP/1.1\r\n".len();
+    let field = |(name, value): (&HeaderName, &hyper::header::HeaderValue)| {
+        name.as_str().len() + ": ".len() + value.len() + "\r\n".len()
+    };
+    let head = line + req.headers().iter().map(field).sum::<usize>() + "\r\n".len();
+    (head + req.body().len()) as u64
+}
+
+/// Takes out what concerns one connection only, and goes no further than that.
+pub fn drop_hop_fields(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    let hop = [CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
+    let rest = ["keep-alive", "proxy-connection"].map(HeaderName::from_static);
+    for name in hop.into_iter().chain(rest).chain(named) {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/balancer/src/list.rs
@@ -0,0 +1,166 @@
+//! The list's actor. It owns the one connection to discovery and keeps a watch on it once asked to. It must
+//! never decide when to ask again after a failure, nor hand on half of an answer: one that can't be read as a
+//! whole is a failed call.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use ochreshed::{Listed, State};
+use serde_json::Value as Json;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tracing::warn;
+
+use crate::clock::Clock;
+use crate::decisions;
+use crate::link::Link;
+
+/// How long a watch waits for news, and how much longer an answer may take before the call has failed.
+const WAIT: Duration = Duration::from_secs(20);
+const GRACE: Duration = Duration::from_secs(2);
+const MOST_LIST: usize = 4 << 20;
+const MAILBOX: usize = 4;
+
+pub enum Mail {
+    /// Watch for changes until a call fails.
+    Watch,
+    /// Ask for the whole list now.
+    Fetch,
+}
+
+/// An entry of the list, and where that srv is reached from here.
+pub type Entry = (Listed, SocketAddr);
+
+struct List {
+    discovery: SocketAddr,
+    clock: Clock,
+    decisions: mpsc::Sender<decisions::Mail>,
+    /// The version we have, as discovery wrote it.
+    generation: Option<String>,
+    link: Option<Link>,
+}
+
+pub fn start(
+    discovery: SocketAddr,
+    clock: Clock,
+    known: &Json,
+    decisions: mpsc::Sender<decisions::Mail>,
+) -> mpsc::Sender<Mail> {
+    let (mail, mailbox) = mpsc::channel(MAILBOX);
+    let list = List { discovery, clock, decisions, generation: generation(known), link: None };
+    tokio::spawn(list.run(mailbox));
+    mail
+}
+
+impl List {
+    async fn run(mut self, mut mailbox: mpsc::Receiver<Mail>) {
+        while let Some(mail) = mailbox.recv().await {
+            if matches!(mail, Mail::Fetch) {
+                self.generation = None;
+            }
+            while let Some(news) = self.call(&mut mailbox).await {
+                let failed = matches!(news, decisions::Mail::ListFailed);
+                if self.decisions.send(news).await.is_err() || failed {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// One call; a wish for the whole list cuts a watch short. Empty when nobody wants news any more.
+    async fn call(&mut self, mailbox: &mut mpsc::Receiver<Mail>) -> Option<decisions::Mail> {
+        let asked = loop {
+            let news = timeout(WAIT + GRACE, self.ask());
+            tokio::select! {
+                asked = news => break asked,
+                mail = mailbox.recv() => if matches!(mail?, Mail::Fetch) {
+                    self.generation = None;
+                },
+            }
+        };
+        let read = match asked {
+            Ok(Ok(answer)) => read(&answer).map(|news| (generation(&answer), news)),
+            Ok(Err(why)) => Err(why),
+            Err(_) => Err("no answer in time".into()),
+        };
+        Some(match read {
+            Ok((generation, (whole, entries))) => {
+                self.generation = generation;
+                decisions::Mail::List { whole, old: false, entries }
+            }
+            Err(why) => {
+                self.link = None;
+                warn!("list: {why}");
+                decisions::Mail::ListFailed
+            }
+        })
+    }
+
+    async fn ask(&mut self) -> Result<Json, String> {
+        let wait = WAIT.as_millis();
+        let path = match &self.generation {
+            Some(generation) => format!("/catalog/members?after={generation}&wait_ms={wait}"),
+            None => "/catalog/members".to_owned(),
+        };
+        let req = Request::get(path).header(HOST, self.discovery.to_string()).body(Bytes::new());
+        // Taken, so that a call cut short takes its connection with it.
+        let mut link = match self.link.take().and_then(|mut link| link.sound().then_some(link)) {
+            Some(link) => link,
+            None => {
+                let opening = timeout(GRACE, Link::open(self.discovery, self.clock, None));
+                opening.await.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?
+            }
+        };
+        let (answer, again) = link.exchange(req.map_err(|e| e.to_string())?, MOST_LIST).await?;
+        self.link = Some(link).filter(|_| again);
+        if answer.status() != StatusCode::OK {
+            return Err(format!("answered {}", answer.status()));
+        }
+        serde_json::from_slice(answer.body()).map_err(|e| e.to_string())
+    }
+}
+
+fn generation(answer: &Json) -> Option<String> {
+    Some(&answer["generation"]).filter(|generation| generation.is_u64()).map(Json::to_string)
+}
+
+/// Whether it is the whole list, and its entries. One that can't be reached from here is left out.
+pub fn read(answer: &Json) -> Result<(bool, Vec<Entry>), String> {
+    let entries = answer["instances"].as_array().ok_or("no instances in the answer")?;
+    let whole = answer["reset"].as_bool().ok_or("no reset in the answer")?;
+    generation(answer).ok_or("no generation in the answer")?;
+    let entries = entries.iter().map(entry).collect::<Result<Vec<_>, _>>()?;
+    Ok((whole, entries.into_iter().flatten().collect()))
+}
+
+fn entry(json: &Json) -> Result<Option<Entry>, String> {
+    let srv = json["instanceId"].as_str().ok_or("an entry without instanceId")?;
+    let state = match json["lifecycle"].as_str() {
+        Some("SERVING") => State::Up,
+        Some("DRAINING") => State::Draining,
+        Some("DELETED") => State::Gone,
+        _ => return Err(format!("{srv} has no lifecycle that is known")),
+    };
+    let address = json["hostPort"].as_str().and_then(|text| text.parse().ok());
+    let Some(address) = address.or((state == State::Gone).then_some(NOWHERE)) else {
+        warn!("list: {srv} has no address that can be reached");
+        return Ok(None);
+    };
+    let came_up = json["startedAtMs"].as_f64().filter(|ms| *ms > 0.0).map(|ms| (ms * 1e6) as u64);
+    let weight = json["weight"].as_f64().filter(|weight| weight.is_finite() && *weight > 0.0);
+    let listed = Listed {
+        srv: srv.into(),
+        state,
+        came_up,
+        weight: weight.unwrap_or(1.0),
+        site: json["zone"].as_str().unwrap_or_default().into(),
+        cell: json["cell"].as_u64().unwrap_or(0),
+    };
+    Ok(Some((listed, address)))
+}
+
+/// What is gone needs no address.
+const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
--- /dev/null
+++ b/balancer/src/main.rs
@@ -0,0 +1,99 @@
+//! The command line. It owns what is said to whoever starts the program, and must never serve on facts that
+//! were not read and checked first.
+
+mod clock;
+mod decisions;
+mod front;
+mod link;
+mod list;
+mod peer;
+mod phases;
+mod start;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use lexopt::prelude::*;
+use start::StartFacts;
+
+const HELP: &str = "\
+ochreshed, a load balancer for services that call services
+
+    ochreshed serve [--facts FILE]    serve until SIGTERM
+    ochreshed check [--facts FILE]    read the start facts, say what they amount to, and exit
+    ochreshed version
+    ochreshed help
+
+FILE holds the start facts as JSON; without it ROUTER_CONFIG names the file.
+";
+
+enum Command {
+    Serve(PathBuf),
+    Check(PathBuf),
+    Version,
+    Help,
+}
+
+fn main() -> ExitCode {
+    match command().and_then(run) {
+        Ok(code) => code,
+        Err(why) => {
+            eprintln!("ochreshed: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn command() -> Result<Command, String> {
+    let mut args = lexopt::Parser::from_env();
+    let (mut name, mut file) = (None, None);
+    while let Some(arg) = args.next().map_err(|e| e.to_string())? {
+        match arg {
+            Long("help") | Short('h') => return Ok(Command::Help),
+            Long("version") | Short('V') => return Ok(Command::Version),
+            Long("facts") => file = Some(args.value().map_err(|e| e.to_string())?.into()),
+            Value(word) if name.is_none() => name = Some(word),
+            other => return Err(format!("{}; see `ochreshed help`", other.unexpected())),
+        }
+    }
+    let file = || {
+        let told = || std::env::var_os("ROUTER_CONFIG").map(PathBuf::from);
+        file.or_else(told).ok_or("no --facts FILE, and ROUTER_CONFIG names none".to_owned())
+    };
+    match name.as_ref().and_then(|name| name.to_str()) {
+        Some("serve") => Ok(Command::Serve(file()?)),
+        Some("check") => Ok(Command::Check(file()?)),
+        Some("version") => Ok(Command::Version),
+        Some("help") | None => Ok(Command::Help),
+        Some(other) => Err(format!("there is no command {other}; see `ochreshed help`")),
+    }
+}
+
+fn run(command: Command) -> Result<ExitCode, String> {
+    match command {
+        Command::Serve(file) => serve(StartFacts::read(&file)?),
+        Command::Check(file) => {
+            let start = StartFacts::read(&file)?;
+            let (name, listen, discovery) = (start.name, start.listen, start.discovery);
+            println!("{name} listens on {listen} and asks {discovery} for the list");
+            println!("at most {} callers and {} connections to srvs", start.most_in, start.most_out);
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Version => {
+            println!("ochreshed {}", env!("CARGO_PKG_VERSION"));
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Help => {
+            print!("{HELP}");
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
+
+fn serve(start: StartFacts) -> Result<ExitCode, String> {
+    // Lines that nobody takes off are lost rather than waited for.
+    let (lines, _writer) = tracing_appender::non_blocking(std::io::stderr());
+    tracing_subscriber::fmt().with_writer(lines).with_ansi(false).with_target(false).init();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.map_err(|e| format!("no runtime: {e}"))?.block_on(phases::run(start))
+}
--- /dev/null
+++ b/balancer/src/phases.rs
@@ -0,0 +1,143 @@
+//! The program's life, from start to exit, as named states of one object. It owns the order in which things
+//! start and end, and must never skip a state or go back to one.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::time::Duration;
+
+use ochreshed::{Balancer, Nanos, list as facts_list, span};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::time::{sleep, timeout};
+use tracing::info;
+
+use crate::clock::Clock;
+use crate::decisions::{Actor, Decisions, Mail, asks};
+use crate::start::StartFacts;
+use crate::{front, list, peer};
+
+const S: Nanos = 1_000_000_000;
+/// After the wish to stop, callers still come for a while; the door closes once none has for `QUIET`.
+const DOOR_OPEN: Nanos = S * 7 / 10;
+const QUIET: Nanos = S * 4 / 10;
+const DOOR_MOST: Nanos = 3 * S / 2;
+/// What is taken is answered within its client timeout, and not waited for beyond this and a little more.
+const LONGEST: Nanos = 3 * S;
+const LITTLE: Nanos = S / 2;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Nothing is taken yet.
+    Starting,
+    Serving,
+    /// Asked to stop: no longer healthy, but whoever still comes is served.
+    Leaving,
+    /// The door is closed; what was taken is answered.
+    Closing,
+    Over,
+}
+
+/// The phase that the program is in, and what the change to the next one goes by.
+#[derive(Clone)]
+pub struct Life {
+    phase: watch::Sender<Phase>,
+    last_came: Arc<AtomicU64>,
+}
+
+impl Life {
+    fn new() -> Life {
+        Life { phase: watch::Sender::new(Phase::Starting), last_came: Arc::default() }
+    }
+
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Notes that a caller has come.
+    pub fn came(&self, now: Nanos) {
+        self.last_came.store(now, Relaxed);
+    }
+
+    pub async fn reached(&self, phase: Phase) {
+        // It holds a sender itself, so the channel stays open.
+        let _ = self.phase.subscribe().wait_for(|now| *now >= phase).await;
+    }
+
+    fn enter(&self, phase: Phase) {
+        debug_assert!(phase > self.phase());
+        self.phase.send_replace(phase);
+        info!("{phase:?}");
+    }
+
+    /// Returns when nobody comes any more.
+    async fn quiet(&self, clock: Clock) {
+        let asked = clock.now();
+        loop {
+            let until = (self.last_came.load(Relaxed) + QUIET).clamp(asked + DOOR_OPEN, asked + DOOR_MOST);
+            let now = clock.now();
+            if now >= until {
+                return;
+            }
+            sleep(Duration::from_nanos(until - now)).await;
+        }
+    }
+}
+
+/// Runs a balancer from start to exit.
+pub async fn run(start: StartFacts) -> Result<ExitCode, String> {
+    let (clock, life) = (Clock::new(), Life::new());
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
+    let listener = TcpListener::bind(start.listen).await;
+    let listener = listener.map_err(|e| format!("can't listen on {}: {e}", start.listen))?;
+
+    // Room for each caller's req and its leaving, and for what peers and the list tell.
+    let (mail, mailbox) = mpsc::channel(2 * start.most_in + start.most_out + 64);
+    let listed = list::start(start.discovery, clock, &start.known, mail.clone());
+    if !start.known.is_null() {
+        let (whole, entries) = list::read(&start.known).map_err(|why| format!("known: {why}"))?;
+        mail.try_send(Mail::List { whole, old: true, entries }).map_err(|e| e.to_string())?;
+    }
+    if !asks(&start.facts) {
+        listed.try_send(list::Mail::Watch).map_err(|e| e.to_string())?;
+    }
+    let longest = facts_list(&start.facts, "rule_sets").iter().map(|set| span(set, "client_timeout", S));
+    let longest = longest.max().unwrap_or(LONGEST).min(LONGEST);
+    let common = peer::Common {
+        clock,
+        decisions: mail.clone(),
+        sockets: Arc::new(Semaphore::new(start.most_out)),
+        connect_timeout: Duration::from_nanos(span(&start.facts, "connect_timeout", S)),
+        idle: span(&start.facts, "connection_idle", 10 * S),
+    };
+    info!("{} on {}", start.name, start.listen);
+    let balancer = Balancer::new(clock.now(), start.seed, start.facts);
+    let mut actor = tokio::spawn(Actor::new(balancer, common, listed).run(mailbox));
+    let door = front::Door::new(clock, life.clone(), Decisions::new(mail), start.most_in);
+    let mut door = tokio::spawn(door.keep(listener));
+
+    life.enter(Phase::Serving);
+    let ended = || Err("the module's actor has ended".to_owned());
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        _ = &mut actor => return ended(),
+        _ = &mut door => return Err("the door's keeper has ended".to_owned()),
+    }
+    life.enter(Phase::Leaving);
+    let asked = clock.now();
+    tokio::select! {
+        () = life.quiet(clock) => {}
+        _ = &mut actor => return ended(),
+    }
+    life.enter(Phase::Closing);
+    let left = (asked + longest + LITTLE).saturating_sub(clock.now());
+    tokio::select! {
+        _ = timeout(Duration::from_nanos(left), &mut door) => {}
+        _ = &mut actor => return ended(),
+    }
+    life.enter(Phase::Over);
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/balancer/src/start.rs
@@ -0,0 +1,64 @@
+//! The start facts: what the platform tells a balancer before it serves. It owns reading and checking them and
+//! must never fall back on a guess: what is missing or unreadable is a plain line and no start.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use ochreshed::Facts;
+use ochreshed_hands::facts;
+use serde_json::Value as Json;
+
+const KB: usize = 1024;
+
+/// A body, either way, holds no more than this.
+pub const MOST_BODY: usize = 64 * KB;
+/// Descriptors kept for what is neither a caller's connection nor a srv's.
+const SPARE_SOCKETS: usize = 32;
+/// What a caller's connection may cost in memory: its buffers, a req's body and an answer's.
+const PER_CALLER: usize = 3 * MOST_BODY + 48 * KB;
+
+pub struct StartFacts {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    /// Connections from callers, and to srvs.
+    pub most_in: usize,
+    pub most_out: usize,
+    /// The list as this balancer last had it, in discovery's form.
+    pub known: Json,
+    pub facts: Facts,
+}
+
+impl StartFacts {
+    pub fn read(path: &Path) -> Result<StartFacts, String> {
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        StartFacts::parse(&text).map_err(|why| format!("{}: {why}", path.display()))
+    }
+
+    fn parse(text: &str) -> Result<StartFacts, String> {
+        let mut json: Json = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        let text = |name: &str| json[name].as_str().ok_or(format!("{name} is missing or no text"));
+        let address = |name: &str| {
+            text(name)?.parse::<SocketAddr>().map_err(|_| format!("{name} is no address with a port"))
+        };
+        let limit = |name: &str| {
+            let found = json["limits"][name].as_u64().and_then(|n| usize::try_from(n).ok());
+            found.filter(|n| *n > 0).ok_or(format!("limits.{name} is missing or no whole number above 0"))
+        };
+        let sockets = limit("sockets")?;
+        let shared = sockets.checked_sub(SPARE_SOCKETS).filter(|n| *n >= 2);
+        let shared = shared.ok_or(format!("limits.sockets is under {}", SPARE_SOCKETS + 2))?;
+        let by_memory = limit("memory_mb")?.saturating_mul(KB * KB) / 2 / PER_CALLER;
+        Ok(StartFacts {
+            name: text("name")?.to_owned(),
+            listen: address("listen")?,
+            discovery: address("discovery")?,
+            seed: u64::from_str_radix(text("seed")?, 16).map_err(|_| "seed is no hexadecimal number")?,
+            most_in: (shared / 2).min(by_memory).max(1),
+            most_out: (shared / 2).min(by_memory).max(1),
+            facts: facts::from_json(&json["settings"])?,
+            known: json["known"].take(),
+        })
+    }
+}
--- a/adapter/src/facts.rs
+++ b/hands/src/facts.rs
@@ -1,4 +1,5 @@
-//! The wire's settings object to a plain map in the project's own words. What is not named here is skipped.
+//! The operators' settings object to a plain map in the project's own words. What is not named here is
+//! skipped.
 
 use ochreshed::{Facts, Value};
 use serde_json::Value as Json;
@@ -60,14 +61,18 @@
 
 pub fn read(text: &str) -> Result<Facts, String> {
     let json: Json = serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?;
+    from_json(&json)
+}
+
+pub fn from_json(json: &Json) -> Result<Facts, String> {
     if !json.is_object() {
         return Err("settings: not an object".into());
     }
-    let mut facts = pick(&json, TOP)?;
+    let mut facts = pick(json, TOP)?;
     let tiers = json.pointer("/Tiers").and_then(Json::as_array).map_or(1, |tiers| tiers.len());
     facts.insert("tiers".into(), Value::Number(tiers as f64));
-    facts.insert("rule_sets".into(), list(&json, "/RuleSets", RULE_SET)?);
-    facts.insert("customers".into(), list(&json, "/Tenants", CUSTOMER)?);
+    facts.insert("rule_sets".into(), list(json, "/RuleSets", RULE_SET)?);
+    facts.insert("customers".into(), list(json, "/Tenants", CUSTOMER)?);
     let fields = json.pointer("/Report/Fields").and_then(Json::as_array);
     let fields = fields.into_iter().flatten().enumerate().filter_map(|(at, f)| Some((at, f.as_str()?)));
     for (at, field) in fields {
