Denies reach the client: a req's reply is kept until the module's acts for it are done

Observed: a socket test with no srv up got 500 'the module has ended' where the module had said deny. At fault: decisions.rs, open(), which forgot a req that the module was done with before the deny or abort that stood in the acts was carried out, so the reply channel was dropped and the client told 'failed' and not 'denied'. Ruled out: a panic of the module's actor (it lived on). Also here, found by reading: what is read of a body no longer counts as the first byte of the next req; a caller that does not take its answer is not waited for. Tests: the program on sockets with stand-in srvs and discovery.

--- a/balancer/src/decisions.rs
+++ b/balancer/src/decisions.rs
@@ -2,7 +2,7 @@
 //! decided. It must never decide anything itself, and never wait for a peer: what a mailbox can't take has
 //! not been sent.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
@@ -123,6 +123,8 @@
     clock: Clock,
     hands: Hands,
     taken: HashMap<u64, Taken>,
+    /// Reqs that may be over.
+    touched: Vec<u64>,
     peers: BTreeMap<Name, (std::net::SocketAddr, mpsc::Sender<peer::Mail>)>,
     common: peer::Common,
     list: mpsc::Sender<list::Mail>,
@@ -131,7 +133,15 @@
 impl Actor {
     pub fn new(balancer: Balancer, common: peer::Common, list: mpsc::Sender<list::Mail>) -> Actor {
         let (clock, hands) = (common.clock, Hands::new(balancer));
-        Actor { clock, hands, taken: HashMap::new(), peers: BTreeMap::new(), common, list }
+        Actor {
+            clock,
+            hands,
+            taken: HashMap::new(),
+            touched: Vec::new(),
+            peers: BTreeMap::new(),
+            common,
+            list,
+        }
     }
 
     pub async fn run(mut self, mut mailbox: mpsc::Receiver<Mail>) {
@@ -162,7 +172,7 @@
             }
             Mail::Left(id) => {
                 self.hands.left(now, id);
-                self.forget(id);
+                self.touched.push(id);
             }
             Mail::Ended { id, number, how, at, answer } => {
                 let Some(taken) = self.taken.get_mut(&id) else { return };
@@ -173,7 +183,7 @@
                 }
                 let end = End { how, took, closed: how == How::Done, report: &[] };
                 self.hands.ended(now, id, number, end);
-                self.forget(id);
+                self.touched.push(id);
             }
             Mail::Probed { srv, how, took } => {
                 self.hands.news(now, Outcome::Probe { srv: &srv, how, took, report: &[] });
@@ -185,7 +195,8 @@
 
     fn follow_list(&mut self, now: Nanos, whole: bool, old: bool, entries: Vec<Entry>) {
         if whole {
-            self.peers.retain(|name, _| entries.iter().any(|(listed, _)| listed.srv == *name));
+            let listed: HashSet<&Name> = entries.iter().map(|(listed, _)| &listed.srv).collect();
+            self.peers.retain(|name, _| listed.contains(name));
         }
         for (listed, address) in &entries {
             if listed.state == ochreshed::State::Gone {
@@ -209,6 +220,7 @@
                 self.act(now, act, &mut unsent);
             }
             if unsent.is_empty() {
+                self.forget();
                 return next;
             }
             for (id, number) in unsent {
@@ -262,12 +274,16 @@
         if let Some(taken) = self.taken.get_mut(&id) {
             taken.answer(answer);
         }
-        self.forget(id);
+        self.touched.push(id);
     }
 
-    fn forget(&mut self, id: u64) {
-        if !self.hands.holds(id) {
-            self.taken.remove(&id);
+    /// Drops what is over, once all that the module wanted done for it has been. Guards against a deny that
+    /// finds its reply gone: the client would be told that its req may have run.
+    fn forget(&mut self) {
+        for id in self.touched.drain(..) {
+            if !self.hands.holds(id) {
+                self.taken.remove(&id);
+            }
         }
     }
 }
--- a/balancer/src/front.rs
+++ b/balancer/src/front.rs
@@ -15,7 +15,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioTimer;
 use hyper_util::service::TowerToHyperService;
 use ochreshed::{Nanos, Req, seconds};
@@ -110,6 +110,8 @@
         let visits = self.visits();
         let idle = visits.values().filter(|visit| visit.idle_since.load(Relaxed) > 0);
         if let Some(visit) = idle.min_by_key(|visit| visit.idle_since.load(Relaxed)) {
+            // Told once: the next time it is another's turn.
+            visit.idle_since.store(0, Relaxed);
             visit.leave.notify_one();
         }
     }
@@ -130,7 +132,8 @@
                 _ = connection.as_mut() => {}
                 () = visit.leave.notified() => {
                     connection.as_mut().graceful_shutdown();
-                    let _ = connection.await;
+                    // One that doesn't take its answer is not waited for.
+                    let _ = timeout(SLOW_BODY, connection).await;
                 }
             }
             visits.lock().unwrap_or_else(PoisonError::into_inner).remove(&number);
@@ -188,6 +191,8 @@
             return if serving { Ok(Response::default()) } else { Err(say(503, "not serving")) };
         }
         let mut offer = read(req, came).await?;
+        // Whatever is read from here on belongs to the next req.
+        self.meter.take_first();
         // A req is taken once its last byte has come.
         offer.0.taken = self.meter.last_read().max(came);
         Ok(match self.decisions.clone().oneshot(offer).await {
@@ -210,6 +215,9 @@
 async fn read(req: Request<Incoming>, came: Nanos) -> Result<Offer, Response<Full<Bytes>>> {
     let (mut head, body) = req.into_parts();
     let field = |name: &str| head.headers.get(name).map(|value| value.to_str().unwrap_or_default());
+    if head.method == Method::CONNECT {
+        return Err(close(say(405, "no tunnels")));
+    }
     if field("x-call-id").is_none() {
         return Err(close(say(400, "no X-Call-Id")));
     }
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -112,7 +112,8 @@
         connect_timeout: Duration::from_nanos(span(&start.facts, "connect_timeout", S)),
         idle: span(&start.facts, "connection_idle", 10 * S),
     };
-    info!("{} on {}", start.name, start.listen);
+    let address = listener.local_addr().map_err(|e| e.to_string())?;
+    info!("{} on {address}", start.name);
     let balancer = Balancer::new(clock.now(), start.seed, start.facts);
     let mut actor = tokio::spawn(Actor::new(balancer, common, listed).run(mailbox));
     let door = front::Door::new(clock, life.clone(), Decisions::new(mail), start.most_in);
--- a/balancer/src/start.rs
+++ b/balancer/src/start.rs
@@ -46,14 +46,15 @@
             let found = json["limits"][name].as_u64().and_then(|n| usize::try_from(n).ok());
             found.filter(|n| *n > 0).ok_or(format!("limits.{name} is missing or no whole number above 0"))
         };
+        let (name, listen, discovery) = (text("name")?.to_owned(), address("listen")?, address("discovery")?);
         let sockets = limit("sockets")?;
         let shared = sockets.checked_sub(SPARE_SOCKETS).filter(|n| *n >= 2);
         let shared = shared.ok_or(format!("limits.sockets is under {}", SPARE_SOCKETS + 2))?;
         let by_memory = limit("memory_mb")?.saturating_mul(KB * KB) / 2 / PER_CALLER;
         Ok(StartFacts {
-            name: text("name")?.to_owned(),
-            listen: address("listen")?,
-            discovery: address("discovery")?,
+            name,
+            listen,
+            discovery,
             seed: u64::from_str_radix(text("seed")?, 16).map_err(|_| "seed is no hexadecimal number")?,
             most_in: (shared / 2).min(by_memory).max(1),
             most_out: (shared / 2).min(by_memory).max(1),
--- /dev/null
+++ b/balancer/tests/sockets.rs
@@ -0,0 +1,448 @@
+//! The program on sockets. Each test starts it beside stand-in srvs and a stand-in discovery that the test
+//! itself plays, on ports that the system picks, and compares what passed with a short trace.
+
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+
+use expect_test::{Expect, expect};
+
+/// Nothing here takes as long as this unless it fails.
+const LONG: Duration = Duration::from_secs(10);
+
+const RULE_SETS: &str = r#"[
+    {"Name":"read","Effect":"repeatable","ResponseTarget":2000.0,"ClientTimeout":3000.0,"Utility":1.0,"TardyUtility":0.2},
+    {"Name":"move","Effect":"by_key","DedupScope":"zone","Window":5000.0,"ResponseTarget":2000.0,
+     "ClientTimeout":3000.0,"Utility":2.0,"TardyUtility":0.2},
+    {"Name":"pay","Effect":"once","ResponseTarget":2000.0,"ClientTimeout":3000.0,"Utility":3.0,"TardyUtility":0.2}]"#;
+
+struct Balancer {
+    process: Child,
+    log: Receiver<String>,
+    address: SocketAddr,
+    discovery: TcpListener,
+}
+
+fn facts_file(facts: &str) -> PathBuf {
+    static NUMBER: AtomicU32 = AtomicU32::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+    let name = format!("facts-{}-{number}.json", std::process::id());
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, facts).expect("a file of facts");
+    path
+}
+
+fn start(facts: &str) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ochreshed"));
+    command.arg("serve").arg("--facts").arg(facts_file(facts));
+    command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn().expect("the program")
+}
+
+/// Entries `name@zone`, all of them reached at one stand-in.
+fn entries(names: &str, srv: &TcpListener) -> String {
+    let address = srv.local_addr().expect("an address");
+    let entry = |name: &str| {
+        let (name, zone) = name.split_once('@').expect("name@zone");
+        format!(
+            r#"{{"instanceId":"{name}","hostPort":"{address}","zone":"{zone}","cell":1,"lifecycle":"SERVING",
+                "weight":1.0,"startedAtMs":0}}"#
+        )
+    };
+    names.split(' ').map(entry).collect::<Vec<_>>().join(",")
+}
+
+impl Balancer {
+    /// Before these srvs of the last of its tiers.
+    fn start(names: &str, srv: &TcpListener) -> Balancer {
+        let discovery = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let facts = format!(
+            r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{}","seed":"2a",
+                "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
+                "known":{{"generation":41,"reset":true,"instances":[{}]}},
+                "settings":{{"NInstances":1,"Me":0,"Tier":0,"Tiers":["one"],"Discovery":"ask",
+                "Limits":{{"MaxDispatches":3,"Cancelling":true,"ConnectTimeout":500.0,"ConnIdle":15000.0}},
+                "RuleSets":{RULE_SETS}}}}}"#,
+            discovery.local_addr().expect("an address"),
+            entries(names, srv),
+        );
+        let mut process = start(&facts);
+        let lines = BufReader::new(process.stderr.take().expect("its log")).lines();
+        let (said, log) = channel();
+        std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| said.send(line)));
+        let mut balancer = Balancer { process, log, address: SocketAddr::from(([0, 0, 0, 0], 0)), discovery };
+        let line = balancer.logged(" n1 on ");
+        balancer.address = line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("where it listens");
+        balancer
+    }
+
+    fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).expect("a connection");
+        stream.set_read_timeout(Some(LONG)).expect("a time-out");
+        stream
+    }
+
+    fn send(&self, message: &str) -> TcpStream {
+        let mut stream = self.connect();
+        stream.write_all(message.as_bytes()).expect("sent");
+        stream
+    }
+
+    fn terminate(&self) {
+        let pid = self.process.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill").success());
+    }
+
+    /// The next line of its log that holds this.
+    fn logged(&mut self, what: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(LONG).expect("another line");
+            if line.contains(what) {
+                return line;
+            }
+        }
+    }
+}
+
+impl Drop for Balancer {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+fn listen() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a port")
+}
+
+fn accept(listener: &TcpListener) -> TcpStream {
+    listener.set_nonblocking(true).expect("a listener");
+    let until = Instant::now() + LONG;
+    let stream = loop {
+        match listener.accept() {
+            Ok((stream, _)) => break stream,
+            Err(why) => assert!(Instant::now() < until, "nobody connects: {why}"),
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    };
+    stream.set_nonblocking(false).expect("a stream");
+    stream.set_read_timeout(Some(LONG)).expect("a time-out");
+    stream
+}
+
+/// One message whole, as text; empty when the connection ends before it begins.
+fn read(stream: &mut TcpStream) -> String {
+    let (mut message, mut byte) = (Vec::new(), [0]);
+    while !message.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte) {
+            Ok(0) => return String::from_utf8_lossy(&message).into(),
+            Ok(_) => message.push(byte[0]),
+            Err(why) => return format!("no more: {:?}", why.kind()),
+        }
+    }
+    let head = String::from_utf8_lossy(&message).into_owned();
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    let mut body = vec![0; length.map_or(0, |length| length.parse().expect("a length"))];
+    stream.read_exact(&mut body).expect("a body");
+    head + &String::from_utf8_lossy(&body)
+}
+
+fn answer(stream: &mut TcpStream, message: &str) {
+    stream.write_all(message.as_bytes()).expect("answered");
+}
+
+const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nx-mark: 7\r\n\r\ngood";
+const CUT: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ngo";
+const FULL: &str = "HTTP/1.1 503 Service Unavailable\r\nx-rejected: 1\r\ncontent-length: 0\r\n\r\n";
+
+fn req(method: &str, path: &str, budget: &str, body: &str) -> String {
+    let class = path.split('/').nth(1).unwrap_or_default();
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: service\r\nX-Call-Id: c0ffee\r\nX-Call-Class: {class}\r\n\
+         X-Budget: {budget}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+#[derive(Default)]
+struct Trace(String);
+
+impl Trace {
+    /// A message without what differs from run to run.
+    fn message(&mut self, who: &str, message: &str) {
+        let varies = |line: &&str| {
+            !["date:", "host:", "x-budget:"].iter().any(|name| line.to_lowercase().starts_with(name))
+        };
+        let lines: Vec<&str> = message.split("\r\n").filter(varies).filter(|line| !line.is_empty()).collect();
+        writeln!(self.0, "{who}: {}", lines.join(" | ").trim_end()).expect("a String takes it");
+    }
+
+    fn first_line(&mut self, who: &str, message: &str) {
+        self.message(who, message.lines().next().unwrap_or("nothing"));
+    }
+
+    fn check(&self, expected: Expect) {
+        expected.assert_eq(&self.0);
+    }
+}
+
+#[test]
+fn bytes_go_on_as_they_came_and_connections_are_used_again() {
+    let (srv, mut trace) = (listen(), Trace::default());
+    let balancer = Balancer::start("a@x", &srv);
+    let mut client = balancer.send("GET /_health HTTP/1.1\r\nHost: service\r\n\r\n");
+    trace.message("health", &read(&mut client));
+    let body = "{\"a\": 1}\u{fc}";
+    answer(&mut client, &req("POST", "/move/%2e%2F/x?b=%20&a=+", "2.5", body));
+    let mut at_srv = accept(&srv);
+    let came = read(&mut at_srv);
+    let budget = came.lines().find_map(|line| line.strip_prefix("x-budget: ")).expect("a budget");
+    assert!((2.0..2.5).contains(&budget.parse::<f64>().expect("seconds")), "{budget}");
+    trace.message("srv", &came);
+    answer(&mut at_srv, OK);
+    trace.message("client", &read(&mut client));
+    answer(&mut client, &req("GET", "/read", "2.5", ""));
+    trace.message("srv", &read(&mut at_srv));
+    answer(&mut at_srv, OK);
+    trace.first_line("client", &read(&mut client));
+    trace.check(expect![[r#"
+        health: HTTP/1.1 200 OK | content-length: 0
+        srv: POST /move/%2e%2F/x?b=%20&a=+ HTTP/1.1 | x-call-id: c0ffee | x-call-class: move | content-length: 10 | {"a": 1}ü
+        client: HTTP/1.1 200 OK | x-mark: 7 | content-length: 4 | good
+        srv: GET /read HTTP/1.1 | x-call-id: c0ffee | x-call-class: read | content-length: 0
+        client: HTTP/1.1 200 OK
+    "#]]);
+}
+
+#[test]
+fn a_full_srv_and_a_cut_answer_go_as_their_rule_set_allows() {
+    let (srv, mut trace) = (listen(), Trace::default());
+    // Turned away: never ran, so it goes to another srv. Cut short: it may have run, and goes again only where
+    // repeats are harmless.
+    for (path, first, again) in
+        [("/pay", FULL, true), ("/pay", CUT, false), ("/move", CUT, true), ("/read", "", true)]
+    {
+        let balancer = Balancer::start("a@x b@x", &srv);
+        let mut client = balancer.send(&req("POST", path, "2.5", "x"));
+        let mut at_srv = accept(&srv);
+        trace.first_line("srv", &read(&mut at_srv));
+        answer(&mut at_srv, first);
+        drop(at_srv);
+        if again {
+            let mut at_srv = accept(&srv);
+            trace.first_line("another", &read(&mut at_srv));
+            answer(&mut at_srv, OK);
+        }
+        trace.first_line("client", &read(&mut client));
+    }
+    trace.check(expect![[r#"
+        srv: POST /pay HTTP/1.1
+        another: POST /pay HTTP/1.1
+        client: HTTP/1.1 200 OK
+        srv: POST /pay HTTP/1.1
+        client: HTTP/1.1 502 Bad Gateway
+        srv: POST /move HTTP/1.1
+        another: POST /move HTTP/1.1
+        client: HTTP/1.1 200 OK
+        srv: POST /read HTTP/1.1
+        another: POST /read HTTP/1.1
+        client: HTTP/1.1 200 OK
+    "#]]);
+}
+
+#[test]
+fn a_connection_that_its_srv_has_closed_is_not_used_again() {
+    let (srv, mut trace) = (listen(), Trace::default());
+    let balancer = Balancer::start("a@x", &srv);
+    for _ in 0..3 {
+        let mut client = balancer.send(&req("POST", "/pay", "2.5", "x"));
+        let mut at_srv = accept(&srv);
+        trace.first_line("srv", &read(&mut at_srv));
+        answer(&mut at_srv, OK);
+        drop(at_srv);
+        trace.first_line("client", &read(&mut client));
+    }
+    trace.check(expect![[r#"
+        srv: POST /pay HTTP/1.1
+        client: HTTP/1.1 200 OK
+        srv: POST /pay HTTP/1.1
+        client: HTTP/1.1 200 OK
+        srv: POST /pay HTTP/1.1
+        client: HTTP/1.1 200 OK
+    "#]]);
+}
+
+#[test]
+fn what_nobody_waits_for_is_ended_at_the_srv() {
+    let (srv, mut trace) = (listen(), Trace::default());
+    let balancer = Balancer::start("a@x", &srv);
+    let client = balancer.send(&req("POST", "/pay", "2.9", "x"));
+    let mut at_srv = accept(&srv);
+    trace.first_line("srv", &read(&mut at_srv));
+    drop(client);
+    trace.first_line("srv after the client left", &read(&mut at_srv));
+    let (mut client, sent) = (balancer.send(&req("POST", "/pay", "0.3", "x")), Instant::now());
+    let mut at_srv = accept(&srv);
+    trace.first_line("srv", &read(&mut at_srv));
+    trace.first_line("client", &read(&mut client));
+    assert!(sent.elapsed() < Duration::from_millis(350), "answered after the client timeout");
+    trace.first_line("srv after the client timeout", &read(&mut at_srv));
+    trace.check(expect![[r#"
+        srv: POST /pay HTTP/1.1
+        srv after the client left: nothing
+        srv: POST /pay HTTP/1.1
+        client: HTTP/1.1 502 Bad Gateway
+        srv after the client timeout: nothing
+    "#]]);
+}
+
+#[test]
+fn no_connection_proves_that_a_req_never_ran() {
+    let (srv, mut trace) = (listen(), Trace::default());
+    let balancer = Balancer::start("a@x b@x", &srv);
+    drop(srv);
+    let mut client = balancer.send(&req("POST", "/pay", "2.5", "x"));
+    trace.message("client", &read(&mut client));
+    trace.check(expect![[r#"
+        client: HTTP/1.1 503 Service Unavailable | content-length: 26 | denied: safe to try again
+    "#]]);
+}
+
+#[test]
+fn bad_callers_cost_nobody_else() {
+    let (srv, mut trace) = (listen(), Trace::default());
+    let balancer = Balancer::start("a@x", &srv);
+    let slow = balancer.send("POST /pay HTTP/1.1\r\nHost:");
+    let slow_body = balancer.send(&req("POST", "/pay", "2.5", "x").replace("Length: 1", "Length: 9"));
+    for bad in [
+        "who are you\r\n\r\n".to_owned(),
+        req("POST", "/pay", "2.5", "x").replace("X-Call-Id", "X-Other"),
+        req("POST", "/pay", "soon", "x"),
+        req("POST", "/pay", "2.5", "x").replace("Length: 1", "Length: 65537"),
+        format!("GET /{} HTTP/1.1\r\n\r\n", "x".repeat(40_000)),
+    ] {
+        trace.first_line("bad caller", &read(&mut balancer.send(&bad)));
+    }
+    let mut client = balancer.send(&req("POST", "/pay", "2.5", "x"));
+    let mut at_srv = accept(&srv);
+    trace.first_line("srv", &read(&mut at_srv));
+    answer(&mut at_srv, OK);
+    trace.first_line("client", &read(&mut client));
+    drop((slow, slow_body));
+    trace.check(expect![[r#"
+        bad caller: HTTP/1.1 400 Bad Request
+        bad caller: HTTP/1.1 400 Bad Request
+        bad caller: HTTP/1.1 400 Bad Request
+        bad caller: HTTP/1.1 413 Payload Too Large
+        bad caller: HTTP/1.1 400 Bad Request
+        srv: POST /pay HTTP/1.1
+        client: HTTP/1.1 200 OK
+    "#]]);
+}
+
+#[test]
+fn the_list_is_watched_and_kept_when_it_fails() {
+    let (srv, other, mut trace) = (listen(), listen(), Trace::default());
+    let balancer = Balancer::start("a@x", &srv);
+    let list = |generation: u32, entries: &str| {
+        let body = format!(r#"{{"generation":{generation},"reset":true,"instances":[{entries}]}}"#);
+        format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+    };
+    let mut watch = accept(&balancer.discovery);
+    trace.first_line("discovery", &read(&mut watch));
+    answer(&mut watch, &list(43, &entries("b@x", &other)));
+    // The next watch comes on the same connection, once the news are told.
+    trace.first_line("discovery", &read(&mut watch));
+    let mut client = balancer.send(&req("GET", "/read", "2.5", ""));
+    let mut at_other = accept(&other);
+    trace.first_line("the srv listed now", &read(&mut at_other));
+    answer(&mut at_other, OK);
+    trace.first_line("client", &read(&mut client));
+    for bad in [&list(44, "{}"), ""] {
+        answer(&mut watch, bad);
+        drop(watch);
+        watch = accept(&balancer.discovery);
+        trace.first_line("discovery", &read(&mut watch));
+    }
+    answer(&mut client, &req("GET", "/read", "2.5", ""));
+    trace.first_line("the same srv", &read(&mut at_other));
+    trace.check(expect![[r#"
+        discovery: GET /catalog/members?after=41&wait_ms=20000 HTTP/1.1
+        discovery: GET /catalog/members?after=43&wait_ms=20000 HTTP/1.1
+        the srv listed now: GET /read HTTP/1.1
+        client: HTTP/1.1 200 OK
+        discovery: GET /catalog/members?after=43&wait_ms=20000 HTTP/1.1
+        discovery: GET /catalog/members?after=43&wait_ms=20000 HTTP/1.1
+        the same srv: GET /read HTTP/1.1
+    "#]]);
+}
+
+#[test]
+fn asked_to_stop_it_answers_all_and_ends_well() {
+    let (srv, mut trace) = (listen(), Trace::default());
+    let mut balancer = Balancer::start("a@x b@x", &srv);
+    let mut kept = balancer.send("GET /_health HTTP/1.1\r\nHost: service\r\n\r\n");
+    trace.first_line("health", &read(&mut kept));
+    let mut idle = balancer.send("GET /_health HTTP/1.1\r\nHost: service\r\n\r\n");
+    trace.first_line("health", &read(&mut idle));
+    let mut client = balancer.send(&req("POST", "/pay", "2.5", "x"));
+    let mut at_srv = accept(&srv);
+    trace.first_line("srv", &read(&mut at_srv));
+    balancer.terminate();
+    balancer.logged("Leaving");
+    let mut health = balancer.send("GET /_health HTTP/1.1\r\nHost: service\r\n\r\n");
+    trace.message("health", &read(&mut health));
+    answer(&mut kept, &req("POST", "/pay", "2.5", "x"));
+    let mut at_other = accept(&srv);
+    trace.first_line("srv, of a kept connection", &read(&mut at_other));
+    answer(&mut at_other, OK);
+    trace.message("client", &read(&mut kept));
+    balancer.logged("Closing");
+    trace.first_line("idle connection", &read(&mut idle));
+    answer(&mut at_srv, OK);
+    trace.first_line("client", &read(&mut client));
+    let status = balancer.process.wait().expect("its end");
+    writeln!(trace.0, "{status}").expect("a String takes it");
+    trace.check(expect![[r#"
+        health: HTTP/1.1 200 OK
+        health: HTTP/1.1 200 OK
+        srv: POST /pay HTTP/1.1
+        health: HTTP/1.1 503 Service Unavailable | connection: close | content-length: 12 | not serving
+        srv, of a kept connection: POST /pay HTTP/1.1
+        client: HTTP/1.1 200 OK | x-mark: 7 | connection: close | content-length: 4 | good
+        idle connection: nothing
+        client: HTTP/1.1 200 OK
+        exit status: 0
+    "#]]);
+}
+
+#[test]
+fn bad_start_facts_are_a_plain_line() {
+    let mut trace = String::new();
+    for facts in [
+        "{",
+        "{}",
+        r#"{"name":"n","listen":"here"}"#,
+        r#"{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"2a",
+            "limits":{"memory_mb":192,"sockets":12}}"#,
+        r#"{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"2a",
+            "limits":{"memory_mb":192,"sockets":1024},"settings":{"Tier":"first"}}"#,
+    ] {
+        let out = start(facts).wait_with_output().expect("its end");
+        let line = String::from_utf8_lossy(&out.stderr);
+        let said = line.rsplit(".json: ").next().unwrap_or_default().trim();
+        writeln!(trace, "{:?}: {said}", out.status.code()).expect("a String takes it");
+    }
+    expect![[r#"
+        Some(1): EOF while parsing an object at line 1 column 1
+        Some(1): name is missing or no text
+        Some(1): listen is no address with a port
+        Some(1): limits.sockets is under 34
+        Some(1): settings: /Tier can't be read
+    "#]]
+    .assert_eq(&trace);
+}
