--- a/src/decide.rs
+++ b/src/decide.rs
@@ -39,8 +39,12 @@
 /// What a calm instance may have in flight whatever its level, and how fast that grows with quicker answers.
 const CALM_LEAST: f64 = 3.0;
 const CALM_GAIN: f64 = 4.0;
-/// Answers in recovery come within this many unloaded times.
+/// Answers in recovery come within this many unloaded times, and less than this part of the best is done; for
+/// a while after a site was set aside, less than the other part.
 const PROMPT: f64 = 1.3;
+const RECOVERING: f64 = 0.25;
+const RECOVERING_LOST: f64 = 0.75;
+const AFTER_LOSS: Nanos = 10 * S;
 /// A dispatch is overdue after this many of those spans.
 const SILENT: f64 = 1.5;
 /// A srv that owes us answers is silent when their times out, in overdue times, come to this: one that gets
@@ -174,6 +178,8 @@
     holding: bool,
     watch_at: Option<Nanos>,
     watch_pause: Nanos,
+    /// When a whole site was last set aside.
+    site_lost: Option<Nanos>,
     recalls: VecDeque<(u64, usize)>,
     closes: VecDeque<Name>,
     log: VecDeque<String>,
@@ -213,6 +219,7 @@
             holding: false,
             watch_at,
             watch_pause: S,
+            site_lost: None,
             recalls: VecDeque::new(),
             closes: VecDeque::new(),
             log: VecDeque::new(),
@@ -323,9 +330,11 @@
     /// Then the level is what holds us back, after a fault further down has passed, and it may be wider.
     fn recovering(&self, now: Nanos) -> bool {
         let best = self.took.live(now).map(|bucket| bucket.count).fold(0.0, f64::max);
+        let lost = self.site_lost.is_some_and(|at| now < at + AFTER_LOSS);
+        let part = if lost { RECOVERING_LOST } else { RECOVERING };
         let done = self.done.count(now);
         self.tier == 0
-            && (3.0..0.25 * best).contains(&done)
+            && (3.0..part * best).contains(&done)
             && self.done.mean(now) <= self.took.least(now) * PROMPT
     }
 
@@ -690,6 +699,10 @@
             for srv in self.srvs.values_mut().filter(|srv| srv.site == *site) {
                 (srv.aside_until, srv.lost) = (srv.aside_until.max(until), 0);
             }
+            // In overload srvs are silent for want of time; then it tells nothing of a loss.
+            if !self.overload(now) {
+                self.site_lost = Some(now);
+            }
             let silent = seconds(now - last);
             self.say(format!("aside site {site}: silent for {silent:.1} s, {count} owed, {lost} lost"));
         }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -523,3 +523,38 @@
     "#]],
     );
 }
+
+#[test]
+fn after_a_lost_site_prompt_answers_widen_the_level_but_not_in_overload() {
+    let mut told = String::new();
+    for burst in [0, 30] {
+        let mut scene = Scene::new(facts(0.0, 4.0), "a@x b@x d@y e@y");
+        scene.past(200).wait();
+        for id in 1..5 {
+            scene.req(id, "read");
+        }
+        // Site x answers nothing, which shows right after the burst.
+        for id in 11..20 {
+            scene.pass(100).req(id, "read");
+            if scene.went_to(&["d", "e"]) {
+                scene.pass(100).end(id, How::Done);
+            }
+            if id == 15 {
+                for id in 100..100 + burst {
+                    scene.req(id, "read");
+                }
+            }
+            scene.wait();
+        }
+        for id in 61..71 {
+            scene.req(id, "read");
+        }
+        let denied = (61..71).filter(|id| scene.trace.contains(&format!(" {id}: deny"))).count();
+        let aside = scene.trace.lines().find(|line| line.contains("aside")).unwrap_or("none aside");
+        told += &format!("burst of {burst}: {aside}; {denied} of 10 denied\n");
+    }
+    expect![[r#"
+        burst of 0: 20900 log: aside site x: silent for 1.0 s, 2 owed, 0 lost; 0 of 10 denied
+        burst of 30: 20700 log: aside site x: silent for 0.8 s, 2 owed, 0 lost; 7 of 10 denied
+    "#]].assert_eq(&told);
+}
