--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -556,5 +556,6 @@
     expect![[r#"
         burst of 0: 20900 log: aside site x: silent for 1.0 s, 2 owed, 0 lost; 0 of 10 denied
         burst of 30: 20700 log: aside site x: silent for 0.8 s, 2 owed, 0 lost; 7 of 10 denied
-    "#]].assert_eq(&told);
+    "#]]
+    .assert_eq(&told);
 }
