--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -559,3 +559,29 @@
     "#]]
     .assert_eq(&told);
 }
+
+#[test]
+fn below_the_first_tier_a_silent_site_is_set_aside_sooner() {
+    let mut told = String::new();
+    for tier in [0.0, 1.0, 2.0] {
+        let mut scene = Scene::new(facts(tier, 1.0), "a@x b@x c@y d@y");
+        scene.past(40).wait().trace.clear();
+        for id in 1..5 {
+            scene.req(id, "read").pass(10);
+            if scene.went_to(&["c", "d"]) {
+                scene.end(id, How::Done);
+            }
+        }
+        while !scene.trace.contains("aside site") {
+            scene.pass(10).wait();
+        }
+        told += scene.trace.lines().find(|line| line.contains("aside site")).unwrap_or_default();
+        told += "\n";
+    }
+    expect![[r#"
+        4920 log: aside site x: silent for 1.0 s, 2 owed, 0 lost
+        4630 log: aside site x: silent for 0.7 s, 2 owed, 0 lost
+        4330 log: aside site x: silent for 0.4 s, 2 owed, 0 lost
+    "#]]
+    .assert_eq(&told);
+}
