--- a/src/decide.rs
+++ b/src/decide.rs
@@ -39,11 +39,12 @@
 /// What a calm instance may have in flight whatever its level, and how fast that grows with quicker answers.
 const CALM_LEAST: f64 = 3.0;
 const CALM_GAIN: f64 = 4.0;
-/// Answers in recovery come within this many unloaded times, and less than this part of the best is done; for
-/// a while after a site was set aside, less than the other part.
+/// Answers in recovery come within this many unloaded times, and what is done in 2 s lies between a count and
+/// a part of the best; the second pair goes for a while after a site was set aside. Its count guards against
+/// hundreds of quiet instances that all widen a level of one or two.
 const PROMPT: f64 = 1.3;
-const RECOVERING: f64 = 0.25;
-const RECOVERING_LOST: f64 = 0.75;
+const RECOVERING: (f64, f64) = (3.0, 0.25);
+const RECOVERING_LOST: (f64, f64) = (5.0, 0.75);
 const AFTER_LOSS: Nanos = 10 * S;
 /// A dispatch is overdue after this many of those spans.
 const SILENT: f64 = 1.5;
@@ -334,10 +335,10 @@
     fn recovering(&self, now: Nanos) -> bool {
         let best = self.took.live(now).map(|bucket| bucket.count).fold(0.0, f64::max);
         let lost = self.site_lost.is_some_and(|at| now < at + AFTER_LOSS);
-        let part = if lost { RECOVERING_LOST } else { RECOVERING };
+        let (least, part) = if lost { RECOVERING_LOST } else { RECOVERING };
         let done = self.done.count(now);
         self.tier == 0
-            && (3.0..part * best).contains(&done)
+            && (least..part * best).contains(&done)
             && self.done.mean(now) <= self.took.least(now) * PROMPT
     }
 
