Bodies that never end make room at the bound; an unknown lifecycle is taken for draining

One entry in a state we don't know made the whole list a failed call, for good. Tests: the bound on callers, running out of descriptors, slow bodies.

--- a/balancer/src/front.rs
+++ b/balancer/src/front.rs
@@ -51,9 +51,11 @@
 
 /// One caller's connection.
 struct Visit {
-    /// Since when it carries no req; 0 while it does.
+    /// Since when it carries no req that was taken; 0 while it does.
     idle_since: AtomicU64,
     leave: Notify,
+    /// A body that is still coming is not waited for.
+    hurry: Notify,
 }
 
 impl<S> Door<S>
@@ -113,11 +115,13 @@
             // Told once: the next time it is another's turn.
             visit.idle_since.store(0, Relaxed);
             visit.leave.notify_one();
+            visit.hurry.notify_one();
         }
     }
 
     fn guest(&self, number: u64, stream: TcpStream) -> impl Future<Output = ()> + use<S> {
-        let visit = Arc::new(Visit { idle_since: self.clock.now().into(), leave: Notify::new() });
+        let idle_since = self.clock.now().into();
+        let visit = Arc::new(Visit { idle_since, leave: Notify::new(), hurry: Notify::new() });
         self.visits().insert(number, visit.clone());
         let (wire, meter) = Wire::new(Arc::new(stream), self.clock);
         let (clock, life, decisions) = (self.clock, self.life.clone(), self.decisions.clone());
@@ -168,7 +172,6 @@
     fn call(&mut self, req: Request<Incoming>) -> Self::Future {
         let front = self.clone();
         Box::pin(async move {
-            front.visit.idle_since.store(0, Relaxed);
             let mut answer = front.answer(req).await.unwrap_or_else(|bad| bad);
             if front.life.phase() >= Phase::Leaving {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -190,7 +193,12 @@
             let serving = self.life.phase() == Phase::Serving;
             return if serving { Ok(Response::default()) } else { Err(say(503, "not serving")) };
         }
-        let mut offer = read(req, came).await?;
+        let mut offer = tokio::select! {
+            offer = read(req, came) => offer?,
+            // Guards against callers that fill the door with bodies that never end.
+            () = self.visit.hurry.notified() => return Err(close(say(408, "no room for slow bodies"))),
+        };
+        self.visit.idle_since.store(0, Relaxed);
         // Whatever is read from here on belongs to the next req.
         self.meter.take_first();
         // A req is taken once its last byte has come.
--- a/balancer/src/list.rs
+++ b/balancer/src/list.rs
@@ -142,7 +142,11 @@
         Some("SERVING") => State::Up,
         Some("DRAINING") => State::Draining,
         Some("DELETED") => State::Gone,
-        _ => return Err(format!("{srv} has no lifecycle that is known")),
+        // Whatever else it is, it is not up.
+        other => {
+            warn!("list: {srv} is {}, taken for draining", other.unwrap_or("in no state"));
+            State::Draining
+        }
     };
     let address = json["hostPort"].as_str().and_then(|text| text.parse().ok());
     let Some(address) = address.or((state == State::Gone).then_some(NOWHERE)) else {
--- a/balancer/tests/sockets.rs
+++ b/balancer/tests/sockets.rs
@@ -37,9 +37,11 @@
     path
 }
 
-fn start(facts: &str) -> Child {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_ochreshed"));
-    command.arg("serve").arg("--facts").arg(facts_file(facts));
+/// With so many descriptors at the most, whatever the facts say.
+fn start(facts: &str, descriptors: u32) -> Child {
+    let mut command = Command::new("sh");
+    command.arg("-c").arg(format!("ulimit -n {descriptors}; exec \"$0\" serve --facts \"$1\""));
+    command.arg(env!("CARGO_BIN_EXE_ochreshed")).arg(facts_file(facts));
     command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn().expect("the program")
 }
 
@@ -59,10 +61,15 @@
 impl Balancer {
     /// Before these srvs of the last of its tiers.
     fn start(names: &str, srv: &TcpListener) -> Balancer {
+        Balancer::within(1024, 1024, names, srv)
+    }
+
+    /// Told of so many sockets, and with so many descriptors.
+    fn within(sockets: u32, descriptors: u32, names: &str, srv: &TcpListener) -> Balancer {
         let discovery = TcpListener::bind("127.0.0.1:0").expect("a port");
         let facts = format!(
             r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{}","seed":"2a",
-                "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
+                "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
                 "known":{{"generation":41,"reset":true,"instances":[{}]}},
                 "settings":{{"NInstances":1,"Me":0,"Tier":0,"Tiers":["one"],"Discovery":"ask",
                 "Limits":{{"MaxDispatches":3,"Cancelling":true,"ConnectTimeout":500.0,"ConnIdle":15000.0}},
@@ -70,7 +77,7 @@
             discovery.local_addr().expect("an address"),
             entries(names, srv),
         );
-        let mut process = start(&facts);
+        let mut process = start(&facts, descriptors);
         let lines = BufReader::new(process.stderr.take().expect("its log")).lines();
         let (said, log) = channel();
         std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| said.send(line)));
@@ -344,6 +351,64 @@
     "#]]);
 }
 
+#[test]
+fn at_the_bound_the_longest_idle_caller_makes_room() {
+    let (srv, mut trace) = (listen(), Trace::default());
+    // Room for four callers.
+    let balancer = Balancer::within(40, 1024, "a@x", &srv);
+    let health = "GET /_health HTTP/1.1\r\nHost: service\r\n\r\n";
+    let mut callers: Vec<TcpStream> = (0..6)
+        .map(|_| {
+            let mut caller = balancer.send(health);
+            trace.first_line("caller", &read(&mut caller));
+            caller
+        })
+        .collect();
+    for caller in &mut callers[..3] {
+        trace.first_line("sent away", &read(caller));
+    }
+    answer(&mut callers[3], health);
+    trace.first_line("kept", &read(&mut callers[3]));
+    drop(callers);
+    let unfinished = req("POST", "/pay", "2.5", "x").replace("Length: 1", "Length: 9");
+    let slow: Vec<TcpStream> = (0..4).map(|_| balancer.send(&unfinished)).collect();
+    trace.first_line("caller", &read(&mut balancer.send(health)));
+    drop(slow);
+    trace.check(expect![[r#"
+        caller: HTTP/1.1 200 OK
+        caller: HTTP/1.1 200 OK
+        caller: HTTP/1.1 200 OK
+        caller: HTTP/1.1 200 OK
+        caller: HTTP/1.1 200 OK
+        caller: HTTP/1.1 200 OK
+        sent away: nothing
+        sent away: nothing
+        sent away: nothing
+        kept: HTTP/1.1 200 OK
+        caller: HTTP/1.1 200 OK
+    "#]]);
+}
+
+#[test]
+fn out_of_descriptors_it_serves_on() {
+    let (srv, mut trace) = (listen(), Trace::default());
+    let mut balancer = Balancer::within(1024, 24, "a@x", &srv);
+    let health = "GET /_health HTTP/1.1\r\nHost: service\r\n\r\n";
+    let mut first = balancer.send(health);
+    trace.first_line("first", &read(&mut first));
+    let crowd: Vec<TcpStream> = (0..30).map(|_| balancer.connect()).collect();
+    balancer.logged("accept: ");
+    answer(&mut first, health);
+    trace.first_line("first, in the crowd", &read(&mut first));
+    drop(crowd);
+    trace.first_line("after it", &read(&mut balancer.send(health)));
+    trace.check(expect![[r#"
+        first: HTTP/1.1 200 OK
+        first, in the crowd: HTTP/1.1 200 OK
+        after it: HTTP/1.1 200 OK
+    "#]]);
+}
+
 #[test]
 fn the_list_is_watched_and_kept_when_it_fails() {
     let (srv, other, mut trace) = (listen(), listen(), Trace::default());
@@ -432,7 +497,7 @@
         r#"{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"2a",
             "limits":{"memory_mb":192,"sockets":1024},"settings":{"Tier":"first"}}"#,
     ] {
-        let out = start(facts).wait_with_output().expect("its end");
+        let out = start(facts, 1024).wait_with_output().expect("its end");
         let line = String::from_utf8_lossy(&out.stderr);
         let said = line.rsplit(".json: ").next().unwrap_or_default().trim();
         writeln!(trace, "{:?}: {said}", out.status.code()).expect("a String takes it");
