An answer that is there counts before the time-out; nothing is sent for a req that is over

Found by reading peer.rs, carry_out(): after a pause of the whole process the timer was asked before the socket, so an answer that lay there was a time-out, and its connection closed. The order is turned round, and dispatch() sends nothing once its time is up, which the timer saw to before. Test: the program is stopped while its answer comes.

--- a/balancer/src/link.rs
+++ b/balancer/src/link.rs
@@ -31,7 +31,7 @@
 #[derive(Default)]
 pub struct Meter {
     written: AtomicU64,
-    /// When the first byte since `restart` was read, 0 for none yet, and the last one.
+    /// When the first byte since it was last taken was read, 0 for none yet, and the last one.
     first_read: AtomicU64,
     last_read: AtomicU64,
 }
--- a/balancer/src/peer.rs
+++ b/balancer/src/peer.rs
@@ -117,8 +117,8 @@
         let result = tokio::select! {
             biased;
             Ok(()) = &mut recalled => Err(How::Recalled),
-            () = sleep_until(self.common.clock.instant(give_up)) => Err(How::TimedOut),
             result = self.dispatch(&mut link, &message, give_up) => result,
+            () = sleep_until(self.common.clock.instant(give_up)) => Err(How::TimedOut),
         };
         let (how, answer, again) = match result {
             Ok((answer, again)) => {
@@ -154,6 +154,10 @@
                 None => link.insert(self.open().await?),
             };
             let left = give_up.saturating_sub(self.common.clock.now());
+            if left == 0 {
+                // Guards against a pause of the whole process: nothing is sent for a req that is over.
+                return Err(How::NotSent);
+            }
             match on.exchange(self.address_to(message, left), MOST_BODY).await {
                 Ok(answer) => return Ok(answer),
                 Err(_) if on.sent_whole() => return Err(How::Reset),
--- a/balancer/tests/sockets.rs
+++ b/balancer/tests/sockets.rs
@@ -99,9 +99,9 @@
         stream
     }
 
-    fn terminate(&self) {
+    fn signal(&self, name: &str) {
         let pid = self.process.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill").success());
+        assert!(Command::new("kill").args([name, &pid]).status().expect("kill").success());
     }
 
     /// The next line of its log that holds this.
@@ -307,6 +307,28 @@
     "#]]);
 }
 
+#[test]
+fn an_answer_that_came_while_the_program_stood_still_counts() {
+    let (srv, mut trace) = (listen(), Trace::default());
+    let balancer = Balancer::start("a@x", &srv);
+    let mut client = balancer.send(&req("POST", "/pay", "0.4", "x"));
+    let mut at_srv = accept(&srv);
+    trace.first_line("srv", &read(&mut at_srv));
+    balancer.signal("-STOP");
+    answer(&mut at_srv, OK);
+    // Past the time when it would give up.
+    std::thread::sleep(Duration::from_millis(500));
+    balancer.signal("-CONT");
+    trace.first_line("client", &read(&mut client));
+    answer(&mut client, &req("POST", "/pay", "2.5", "x"));
+    trace.first_line("srv, on the same connection", &read(&mut at_srv));
+    trace.check(expect![[r#"
+        srv: POST /pay HTTP/1.1
+        client: HTTP/1.1 502 Bad Gateway
+        srv, on the same connection: no more: ConnectionReset
+    "#]]);
+}
+
 #[test]
 fn no_connection_proves_that_a_req_never_ran() {
     let (srv, mut trace) = (listen(), Trace::default());
@@ -457,7 +479,7 @@
     let mut client = balancer.send(&req("POST", "/pay", "2.5", "x"));
     let mut at_srv = accept(&srv);
     trace.first_line("srv", &read(&mut at_srv));
-    balancer.terminate();
+    balancer.signal("-TERM");
     balancer.logged("Leaving");
     let mut health = balancer.send("GET /_health HTTP/1.1\r\nHost: service\r\n\r\n");
     trace.message("health", &read(&mut health));
