--- a/src/decide.rs
+++ b/src/decide.rs
@@ -48,9 +48,9 @@
 const AFTER_LOSS: Nanos = 10 * S;
 /// A dispatch is overdue after this many of those spans.
 const SILENT: f64 = 1.5;
-/// Below the first tier a whole site is overdue after this part of that time: until it is, what is stuck
-/// there holds slots and levels at each tier above.
-const SILENT_BELOW: f64 = 0.75;
+/// A whole site is overdue after this part of that time: until it is, what is stuck there holds slots and
+/// levels at each tier above. Not so at the first tier in overload, where srvs are late for want of time.
+const SILENT_SITE: f64 = 0.75;
 /// A srv that owes us answers is silent when their times out, in overdue times, come to this: one that gets
 /// a req now and then may be slow only.
 const OWED: f64 = 3.0;
@@ -669,8 +669,8 @@
     /// would lose a req to each of its srvs to learn that, and what is stuck there holds a slot of each
     /// caller above.
     fn judge_sites(&mut self, now: Nanos) {
-        let below = if self.tier > 0 { SILENT_BELOW } else { 1.0 };
-        let overdue = self.span_allowed(now) * SILENT * below;
+        let part = if self.tier == 0 && self.overload(now) { 1.0 } else { SILENT_SITE };
+        let overdue = self.span_allowed(now) * SILENT * part;
         let may_recall = flag(&self.facts, "may_recall");
         let mut heard: BTreeMap<Name, Nanos> = BTreeMap::new();
         for srv in self.srvs.values() {
