Idle connections to srvs leave the last quarter of the bound free; a reused one starts unsent

Found by reading: 32 idle connections a srv could fill the bound on connections, and reqs would be denied while they stood there (peer.rs, run()). A kept connection still counted its last req as sent whole, so a recall before the first byte of the next one was 'may have run' where it never did (link.rs, exchange()). Test: near the bound.

--- a/balancer/src/link.rs
+++ b/balancer/src/link.rs
@@ -195,6 +195,8 @@
             Ok::<_, String>(Response::from_parts(head, body))
         };
         let answer = drive(connection, answer).await?;
+        // What was counted is this exchange's; the next req has not begun.
+        self.whole_at = u64::MAX;
         let again = answer.version() == Version::HTTP_11 && self.ready();
         Ok((answer, again))
     }
--- a/balancer/src/peer.rs
+++ b/balancer/src/peer.rs
@@ -51,6 +51,9 @@
     pub clock: Clock,
     pub decisions: mpsc::Sender<decisions::Mail>,
     pub sockets: Arc<Semaphore>,
+    /// With no more than these left, connections are closed rather than kept idle. Guards against reqs denied
+    /// for want of a connection while others stand idle.
+    pub spare: usize,
     pub connect_timeout: Duration,
     /// How long an idle connection may stand at the srv's side.
     pub idle: Nanos,
@@ -86,6 +89,7 @@
                 },
                 Some(link) = out.next(), if !out.is_empty() => if let Some(link) = link
                     && idle.len() < MOST_IDLE
+                    && self.common.sockets.available_permits() > self.common.spare
                 {
                     idle.push(link);
                 },
--- a/balancer/tests/sockets.rs
+++ b/balancer/tests/sockets.rs
@@ -411,6 +411,36 @@
     "#]]);
 }
 
+#[test]
+fn near_the_bound_connections_are_not_kept_idle() {
+    let (srv, mut trace) = (listen(), Trace::default());
+    // Room for four connections to srvs, the last of which is never kept idle.
+    let balancer = Balancer::within(40, 1024, "a@x", &srv);
+    let message = req("GET", "/read", "2.5", "");
+    let mut out: Vec<(TcpStream, TcpStream)> = (0..3)
+        .map(|_| {
+            let client = balancer.send(&message);
+            let mut at_srv = accept(&srv);
+            read(&mut at_srv);
+            (client, at_srv)
+        })
+        .collect();
+    for (client, at_srv) in &mut out {
+        answer(at_srv, OK);
+        trace.first_line("client", &read(client));
+    }
+    trace.first_line("first at the srv", &read(&mut out[0].1));
+    answer(&mut out[0].0, &message);
+    trace.first_line("last at the srv", &read(&mut out[2].1));
+    trace.check(expect![[r#"
+        client: HTTP/1.1 200 OK
+        client: HTTP/1.1 200 OK
+        client: HTTP/1.1 200 OK
+        first at the srv: nothing
+        last at the srv: GET /read HTTP/1.1
+    "#]]);
+}
+
 #[test]
 fn out_of_descriptors_it_serves_on() {
     let (srv, mut trace) = (listen(), Trace::default());
