Tidied: the list's version read once, one bound worked out once, overload reckoned once

Behaviour as it was. A list's version was taken out of the same answer twice, by read() and beside it; read() hands it on now, at the start too. most_in and most_out were the same sum written twice. judge_sites() reckoned overload twice. The lock on callers' connections was written out twice.

--- a/balancer/src/decisions.rs
+++ b/balancer/src/decisions.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use hyper::{Request, Response};
-use ochreshed::{Balancer, How, Listed, Name, Nanos, Outcome, Req, text};
+use ochreshed::{Balancer, How, Listed, Name, Nanos, Outcome, Req};
 use ochreshed_hands::{Act, End, Hands};
 use tokio::sync::mpsc::{self, OwnedPermit};
 use tokio::sync::oneshot;
@@ -296,8 +296,3 @@
         }
     }
 }
-
-/// Whether the list tells of changes only when asked; elsewhere a watch stands from the start.
-pub fn asks(facts: &ochreshed::Facts) -> bool {
-    text(facts, "list_mode") == "ask"
-}
--- a/balancer/src/front.rs
+++ b/balancer/src/front.rs
@@ -6,7 +6,7 @@
 use std::convert::Infallible;
 use std::pin::{Pin, pin};
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -46,9 +46,12 @@
     life: Life,
     decisions: S,
     most: usize,
-    visits: Arc<Mutex<HashMap<u64, Arc<Visit>>>>,
+    visits: Arc<Visits>,
 }
 
+/// Those that are in, by the number they came with.
+type Visits = Mutex<HashMap<u64, Arc<Visit>>>;
+
 /// One caller's connection.
 struct Visit {
     /// Since when it carries no req that was taken; 0 while it does.
@@ -97,19 +100,15 @@
             }
         }
         drop(listener);
-        for visit in self.visits().values() {
+        for visit in held(&self.visits).values() {
             visit.leave.notify_one();
         }
         while guests.join_next().await.is_some() {}
     }
 
-    fn visits(&self) -> std::sync::MutexGuard<'_, HashMap<u64, Arc<Visit>>> {
-        self.visits.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Sends the connection away that has carried no req for the longest time.
     fn free_one(&self) {
-        let visits = self.visits();
+        let visits = held(&self.visits);
         let idle = visits.values().filter(|visit| visit.idle_since.load(Relaxed) > 0);
         if let Some(visit) = idle.min_by_key(|visit| visit.idle_since.load(Relaxed)) {
             // Told once: the next time it is another's turn.
@@ -122,7 +121,7 @@
     fn guest(&self, number: u64, stream: TcpStream) -> impl Future<Output = ()> + use<S> {
         let idle_since = self.clock.now().into();
         let visit = Arc::new(Visit { idle_since, leave: Notify::new(), hurry: Notify::new() });
-        self.visits().insert(number, visit.clone());
+        held(&self.visits).insert(number, visit.clone());
         let (wire, meter) = Wire::new(Arc::new(stream), self.clock);
         let (clock, life, decisions) = (self.clock, self.life.clone(), self.decisions.clone());
         let front = Front { clock, life, decisions, meter, visit: visit.clone() };
@@ -140,11 +139,15 @@
                     let _ = timeout(SLOW_BODY, connection).await;
                 }
             }
-            visits.lock().unwrap_or_else(PoisonError::into_inner).remove(&number);
+            held(&visits).remove(&number);
         }
     }
 }
 
+fn held(visits: &Visits) -> MutexGuard<'_, HashMap<u64, Arc<Visit>>> {
+    visits.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// What answers the reqs of one connection.
 #[derive(Clone)]
 struct Front<S> {
@@ -254,7 +257,6 @@
     let framed = head.headers.contains_key(CONTENT_LENGTH) || !bytes.is_empty();
     drop_hop_fields(&mut head.headers);
     head.headers.remove(EXPECT);
-    head.headers.remove(CONTENT_LENGTH);
     if framed {
         head.headers.insert(CONTENT_LENGTH, bytes.len().into());
     }
--- a/balancer/src/link.rs
+++ b/balancer/src/link.rs
@@ -185,12 +185,12 @@
         req: Request<Bytes>,
         most_body: usize,
     ) -> Result<(Response<Bytes>, bool), String> {
-        let length = least_length(&req);
         self.meter.written.store(0, Relaxed);
-        self.whole_at = length;
+        self.whole_at = least_length(&req);
         let Link { send, connection, .. } = self;
         let answer = async {
-            let (head, body) = send.send_request(req.map(Full::new)).await.map_err(plain)?.into_parts();
+            let (head, body) =
+                send.send_request(req.map(Full::new)).await.map_err(|e| e.to_string())?.into_parts();
             let body = Limited::new(body, most_body).collect().await.map_err(|e| e.to_string())?.to_bytes();
             Ok::<_, String>(Response::from_parts(head, body))
         };
@@ -202,10 +202,6 @@
     }
 }
 
-fn plain(error: hyper::Error) -> String {
-    error.to_string()
-}
-
 /// Runs something on a connection and the connection itself, in one task.
 async fn drive<T>(
     connection: &mut Option<Connection<TokioIo<Wire>, Full<Bytes>>>,
--- a/balancer/src/list.rs
+++ b/balancer/src/list.rs
@@ -46,11 +46,11 @@
 pub fn start(
     discovery: SocketAddr,
     clock: Clock,
-    known: &Json,
+    generation: Option<String>,
     decisions: mpsc::Sender<decisions::Mail>,
 ) -> mpsc::Sender<Mail> {
     let (mail, mailbox) = mpsc::channel(MAILBOX);
-    let list = List { discovery, clock, decisions, generation: generation(known), link: None };
+    let list = List { discovery, clock, decisions, generation, link: None };
     tokio::spawn(list.run(mailbox));
     mail
 }
@@ -82,13 +82,13 @@
             }
         };
         let read = match asked {
-            Ok(Ok(answer)) => read(&answer).map(|news| (generation(&answer), news)),
+            Ok(Ok(answer)) => read(&answer),
             Ok(Err(why)) => Err(why),
             Err(_) => Err("no answer in time".into()),
         };
         Some(match read {
-            Ok((generation, (whole, entries))) => {
-                self.generation = generation;
+            Ok((generation, whole, entries)) => {
+                self.generation = Some(generation);
                 decisions::Mail::List { whole, old: false, entries }
             }
             Err(why) => {
@@ -123,17 +123,14 @@
     }
 }
 
-fn generation(answer: &Json) -> Option<String> {
-    Some(&answer["generation"]).filter(|generation| generation.is_u64()).map(Json::to_string)
-}
-
-/// Whether it is the whole list, and its entries. One that can't be reached from here is left out.
-pub fn read(answer: &Json) -> Result<(bool, Vec<Entry>), String> {
+/// Its version, whether it is the whole list, and its entries. One that can't be reached from here is left out.
+pub fn read(answer: &Json) -> Result<(String, bool, Vec<Entry>), String> {
     let entries = answer["instances"].as_array().ok_or("no instances in the answer")?;
     let whole = answer["reset"].as_bool().ok_or("no reset in the answer")?;
-    generation(answer).ok_or("no generation in the answer")?;
+    let generation = Some(&answer["generation"]).filter(|generation| generation.is_u64());
+    let generation = generation.ok_or("no generation in the answer")?.to_string();
     let entries = entries.iter().map(entry).collect::<Result<Vec<_>, _>>()?;
-    Ok((whole, entries.into_iter().flatten().collect()))
+    Ok((generation, whole, entries.into_iter().flatten().collect()))
 }
 
 fn entry(json: &Json) -> Result<Option<Entry>, String> {
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::time::Duration;
 
-use ochreshed::{Balancer, Nanos, list as facts_list, span};
+use ochreshed::{Balancer, Nanos, list as facts_list, span, text};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
@@ -14,7 +14,7 @@
 use tracing::info;
 
 use crate::clock::Clock;
-use crate::decisions::{Actor, Decisions, Mail, asks};
+use crate::decisions::{Actor, Decisions, Mail};
 use crate::start::StartFacts;
 use crate::{front, list, peer};
 
@@ -95,12 +95,15 @@
 
     // Room for each caller's req and its leaving, and for what peers and the list tell.
     let (mail, mailbox) = mpsc::channel(2 * start.most_in + start.most_out + 64);
-    let listed = list::start(start.discovery, clock, &start.known, mail.clone());
+    let mut known = None;
     if !start.known.is_null() {
-        let (whole, entries) = list::read(&start.known).map_err(|why| format!("known: {why}"))?;
+        let (generation, whole, entries) = list::read(&start.known).map_err(|why| format!("known: {why}"))?;
         mail.try_send(Mail::List { whole, old: true, entries }).map_err(|e| e.to_string())?;
+        known = Some(generation);
     }
-    if !asks(&start.facts) {
+    let listed = list::start(start.discovery, clock, known, mail.clone());
+    // Where the list doesn't wait to be asked by the module, a watch stands from the start.
+    if text(&start.facts, "list_mode") != "ask" {
         listed.try_send(list::Mail::Watch).map_err(|e| e.to_string())?;
     }
     let longest = facts_list(&start.facts, "rule_sets").iter().map(|set| span(set, "client_timeout", S));
--- a/balancer/src/start.rs
+++ b/balancer/src/start.rs
@@ -51,13 +51,14 @@
         let shared = sockets.checked_sub(SPARE_SOCKETS).filter(|n| *n >= 2);
         let shared = shared.ok_or(format!("limits.sockets is under {}", SPARE_SOCKETS + 2))?;
         let by_memory = limit("memory_mb")?.saturating_mul(KB * KB) / 2 / PER_CALLER;
+        let most = (shared / 2).min(by_memory).max(1);
         Ok(StartFacts {
             name,
             listen,
             discovery,
             seed: u64::from_str_radix(text("seed")?, 16).map_err(|_| "seed is no hexadecimal number")?,
-            most_in: (shared / 2).min(by_memory).max(1),
-            most_out: (shared / 2).min(by_memory).max(1),
+            most_in: most,
+            most_out: most,
             facts: facts::from_json(&json["settings"])?,
             known: json["known"].take(),
         })
--- a/balancer/tests/sockets.rs
+++ b/balancer/tests/sockets.rs
@@ -162,6 +162,7 @@
     stream.write_all(message.as_bytes()).expect("answered");
 }
 
+const HEALTH: &str = "GET /_health HTTP/1.1\r\nHost: service\r\n\r\n";
 const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nx-mark: 7\r\n\r\ngood";
 const CUT: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ngo";
 const FULL: &str = "HTTP/1.1 503 Service Unavailable\r\nx-rejected: 1\r\ncontent-length: 0\r\n\r\n";
@@ -192,6 +193,13 @@
         self.message(who, message.lines().next().unwrap_or("nothing"));
     }
 
+    /// A new connection, and the first line that comes on it.
+    fn accepted(&mut self, who: &str, listener: &TcpListener) -> TcpStream {
+        let mut stream = accept(listener);
+        self.first_line(who, &read(&mut stream));
+        stream
+    }
+
     fn check(&self, expected: Expect) {
         expected.assert_eq(&self.0);
     }
@@ -201,7 +209,7 @@
 fn bytes_go_on_as_they_came_and_connections_are_used_again() {
     let (srv, mut trace) = (listen(), Trace::default());
     let balancer = Balancer::start("a@x", &srv);
-    let mut client = balancer.send("GET /_health HTTP/1.1\r\nHost: service\r\n\r\n");
+    let mut client = balancer.send(HEALTH);
     trace.message("health", &read(&mut client));
     let body = "{\"a\": 1}\u{fc}";
     answer(&mut client, &req("POST", "/move/%2e%2F/x?b=%20&a=+", "2.5", body));
@@ -235,13 +243,11 @@
     {
         let balancer = Balancer::start("a@x b@x", &srv);
         let mut client = balancer.send(&req("POST", path, "2.5", "x"));
-        let mut at_srv = accept(&srv);
-        trace.first_line("srv", &read(&mut at_srv));
+        let mut at_srv = trace.accepted("srv", &srv);
         answer(&mut at_srv, first);
         drop(at_srv);
         if again {
-            let mut at_srv = accept(&srv);
-            trace.first_line("another", &read(&mut at_srv));
+            let mut at_srv = trace.accepted("another", &srv);
             answer(&mut at_srv, OK);
         }
         trace.first_line("client", &read(&mut client));
@@ -267,8 +273,7 @@
     let balancer = Balancer::start("a@x", &srv);
     for _ in 0..3 {
         let mut client = balancer.send(&req("POST", "/pay", "2.5", "x"));
-        let mut at_srv = accept(&srv);
-        trace.first_line("srv", &read(&mut at_srv));
+        let mut at_srv = trace.accepted("srv", &srv);
         answer(&mut at_srv, OK);
         drop(at_srv);
         trace.first_line("client", &read(&mut client));
@@ -288,13 +293,11 @@
     let (srv, mut trace) = (listen(), Trace::default());
     let balancer = Balancer::start("a@x", &srv);
     let client = balancer.send(&req("POST", "/pay", "2.9", "x"));
-    let mut at_srv = accept(&srv);
-    trace.first_line("srv", &read(&mut at_srv));
+    let mut at_srv = trace.accepted("srv", &srv);
     drop(client);
     trace.first_line("srv after the client left", &read(&mut at_srv));
     let (mut client, sent) = (balancer.send(&req("POST", "/pay", "0.3", "x")), Instant::now());
-    let mut at_srv = accept(&srv);
-    trace.first_line("srv", &read(&mut at_srv));
+    let mut at_srv = trace.accepted("srv", &srv);
     trace.first_line("client", &read(&mut client));
     assert!(sent.elapsed() < Duration::from_millis(350), "answered after the client timeout");
     trace.first_line("srv after the client timeout", &read(&mut at_srv));
@@ -312,8 +315,7 @@
     let (srv, mut trace) = (listen(), Trace::default());
     let balancer = Balancer::start("a@x", &srv);
     let mut client = balancer.send(&req("POST", "/pay", "0.4", "x"));
-    let mut at_srv = accept(&srv);
-    trace.first_line("srv", &read(&mut at_srv));
+    let mut at_srv = trace.accepted("srv", &srv);
     balancer.signal("-STOP");
     answer(&mut at_srv, OK);
     // Past the time when it would give up.
@@ -357,8 +359,7 @@
         trace.first_line("bad caller", &read(&mut balancer.send(&bad)));
     }
     let mut client = balancer.send(&req("POST", "/pay", "2.5", "x"));
-    let mut at_srv = accept(&srv);
-    trace.first_line("srv", &read(&mut at_srv));
+    let mut at_srv = trace.accepted("srv", &srv);
     answer(&mut at_srv, OK);
     trace.first_line("client", &read(&mut client));
     drop((slow, slow_body));
@@ -378,10 +379,9 @@
     let (srv, mut trace) = (listen(), Trace::default());
     // Room for four callers.
     let balancer = Balancer::within(40, 1024, "a@x", &srv);
-    let health = "GET /_health HTTP/1.1\r\nHost: service\r\n\r\n";
     let mut callers: Vec<TcpStream> = (0..6)
         .map(|_| {
-            let mut caller = balancer.send(health);
+            let mut caller = balancer.send(HEALTH);
             trace.first_line("caller", &read(&mut caller));
             caller
         })
@@ -389,12 +389,12 @@
     for caller in &mut callers[..3] {
         trace.first_line("sent away", &read(caller));
     }
-    answer(&mut callers[3], health);
+    answer(&mut callers[3], HEALTH);
     trace.first_line("kept", &read(&mut callers[3]));
     drop(callers);
     let unfinished = req("POST", "/pay", "2.5", "x").replace("Length: 1", "Length: 9");
     let slow: Vec<TcpStream> = (0..4).map(|_| balancer.send(&unfinished)).collect();
-    trace.first_line("caller", &read(&mut balancer.send(health)));
+    trace.first_line("caller", &read(&mut balancer.send(HEALTH)));
     drop(slow);
     trace.check(expect![[r#"
         caller: HTTP/1.1 200 OK
@@ -445,15 +445,14 @@
 fn out_of_descriptors_it_serves_on() {
     let (srv, mut trace) = (listen(), Trace::default());
     let mut balancer = Balancer::within(1024, 24, "a@x", &srv);
-    let health = "GET /_health HTTP/1.1\r\nHost: service\r\n\r\n";
-    let mut first = balancer.send(health);
+    let mut first = balancer.send(HEALTH);
     trace.first_line("first", &read(&mut first));
     let crowd: Vec<TcpStream> = (0..30).map(|_| balancer.connect()).collect();
     balancer.logged("accept: ");
-    answer(&mut first, health);
+    answer(&mut first, HEALTH);
     trace.first_line("first, in the crowd", &read(&mut first));
     drop(crowd);
-    trace.first_line("after it", &read(&mut balancer.send(health)));
+    trace.first_line("after it", &read(&mut balancer.send(HEALTH)));
     trace.check(expect![[r#"
         first: HTTP/1.1 200 OK
         first, in the crowd: HTTP/1.1 200 OK
@@ -475,8 +474,7 @@
     // The next watch comes on the same connection, once the news are told.
     trace.first_line("discovery", &read(&mut watch));
     let mut client = balancer.send(&req("GET", "/read", "2.5", ""));
-    let mut at_other = accept(&other);
-    trace.first_line("the srv listed now", &read(&mut at_other));
+    let mut at_other = trace.accepted("the srv listed now", &other);
     answer(&mut at_other, OK);
     trace.first_line("client", &read(&mut client));
     for bad in [&list(44, "{}"), ""] {
@@ -502,20 +500,18 @@
 fn asked_to_stop_it_answers_all_and_ends_well() {
     let (srv, mut trace) = (listen(), Trace::default());
     let mut balancer = Balancer::start("a@x b@x", &srv);
-    let mut kept = balancer.send("GET /_health HTTP/1.1\r\nHost: service\r\n\r\n");
+    let mut kept = balancer.send(HEALTH);
     trace.first_line("health", &read(&mut kept));
-    let mut idle = balancer.send("GET /_health HTTP/1.1\r\nHost: service\r\n\r\n");
+    let mut idle = balancer.send(HEALTH);
     trace.first_line("health", &read(&mut idle));
     let mut client = balancer.send(&req("POST", "/pay", "2.5", "x"));
-    let mut at_srv = accept(&srv);
-    trace.first_line("srv", &read(&mut at_srv));
+    let mut at_srv = trace.accepted("srv", &srv);
     balancer.signal("-TERM");
     balancer.logged("Leaving");
-    let mut health = balancer.send("GET /_health HTTP/1.1\r\nHost: service\r\n\r\n");
+    let mut health = balancer.send(HEALTH);
     trace.message("health", &read(&mut health));
     answer(&mut kept, &req("POST", "/pay", "2.5", "x"));
-    let mut at_other = accept(&srv);
-    trace.first_line("srv, of a kept connection", &read(&mut at_other));
+    let mut at_other = trace.accepted("srv, of a kept connection", &srv);
     answer(&mut at_other, OK);
     trace.message("client", &read(&mut kept));
     balancer.logged("Closing");
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -669,8 +669,9 @@
     /// would lose a req to each of its srvs to learn that, and what is stuck there holds a slot of each
     /// caller above.
     fn judge_sites(&mut self, now: Nanos) {
-        let part = if self.tier == 0 && self.overload(now) { 1.0 } else { SILENT_SITE };
-        let overdue = self.span_allowed(now) * SILENT * part;
+        let overload = self.overload(now);
+        let part = if self.tier == 0 && overload { 1.0 } else { SILENT_SITE };
+        let overdue = self.span_when(now, overload) * SILENT * part;
         let may_recall = flag(&self.facts, "may_recall");
         let mut heard: BTreeMap<Name, Nanos> = BTreeMap::new();
         for srv in self.srvs.values() {
