SIGHUP reads the facts again and moves the list to the new discovery

Cause: phases.rs caught SIGTERM and SIGINT only, so SIGHUP's default ended the process. Now the file is read again off the thread; a new discovery address goes to the list's actor, which cuts the watch and asks for the whole list there; reqs and peers live on; a file that can't be read is one log line.

--- a/balancer/src/list.rs
+++ b/balancer/src/list.rs
@@ -29,6 +29,8 @@
     Watch,
     /// Ask for the whole list now.
     Fetch,
+    /// Discovery answers at this address from now on.
+    Move(SocketAddr),
 }
 
 /// An entry of the list, and where that srv is reached from here.
@@ -58,9 +60,7 @@
 impl List {
     async fn run(mut self, mut mailbox: mpsc::Receiver<Mail>) {
         while let Some(mail) = mailbox.recv().await {
-            if matches!(mail, Mail::Fetch) {
-                self.generation = None;
-            }
+            self.heed(mail);
             while let Some(news) = self.call(&mut mailbox).await {
                 let failed = matches!(news, decisions::Mail::ListFailed);
                 if self.decisions.send(news).await.is_err() || failed {
@@ -70,15 +70,33 @@
         }
     }
 
-    /// One call; a wish for the whole list cuts a watch short. Empty when nobody wants news any more.
+    fn heed(&mut self, wish: Mail) {
+        match wish {
+            Mail::Watch => return,
+            Mail::Fetch => {}
+            Mail::Move(discovery) => (self.discovery, self.link) = (discovery, None),
+        }
+        // Also after a move: another discovery may count its versions in another way.
+        self.generation = None;
+    }
+
+    /// One call; any wish but to watch cuts it short. Empty when nobody wants news any more.
     async fn call(&mut self, mailbox: &mut mpsc::Receiver<Mail>) -> Option<decisions::Mail> {
         let asked = loop {
-            let news = timeout(WAIT + GRACE, self.ask());
-            tokio::select! {
-                asked = news => break asked,
-                mail = mailbox.recv() => if matches!(mail?, Mail::Fetch) {
-                    self.generation = None;
-                },
+            let mut news = Box::pin(timeout(WAIT + GRACE, self.ask()));
+            let wish = loop {
+                tokio::select! {
+                    asked = &mut news => break Err(asked),
+                    wish = mailbox.recv() => match wish? {
+                        Mail::Watch => {}
+                        wish => break Ok(wish),
+                    },
+                }
+            };
+            drop(news);
+            match wish {
+                Ok(wish) => self.heed(wish),
+                Err(asked) => break asked,
             }
         };
         let read = match asked {
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -1,6 +1,8 @@
 //! The program's life, from start to exit, as named states of one object. It owns the order in which things
 //! start and end, and must never skip a state or go back to one.
 
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
@@ -8,10 +10,11 @@
 
 use ochreshed::{Balancer, Nanos, list as facts_list, span, text};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::task::spawn_blocking;
 use tokio::time::{sleep, timeout};
-use tracing::info;
+use tracing::{info, warn};
 
 use crate::clock::Clock;
 use crate::decisions::{Actor, Decisions, Mail};
@@ -90,6 +93,7 @@
     let (clock, life) = (Clock::new(), Life::new());
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
+    let hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
     let listener = TcpListener::bind(start.listen).await;
     let listener = listener.map_err(|e| format!("can't listen on {}: {e}", start.listen))?;
 
@@ -116,6 +120,7 @@
         connect_timeout: Duration::from_nanos(span(&start.facts, "connect_timeout", S)),
         idle: span(&start.facts, "connection_idle", 10 * S),
     };
+    tokio::spawn(read_again(hangup, start.file, start.discovery, listed.clone()));
     let address = listener.local_addr().map_err(|e| e.to_string())?;
     info!("{} on {address}", start.name);
     let balancer = Balancer::new(clock.now(), start.seed, start.facts);
@@ -146,3 +151,28 @@
     life.enter(Phase::Over);
     Ok(ExitCode::SUCCESS)
 }
+
+/// On each SIGHUP the facts are read again, and the list moves to where discovery answers now; all else that they
+/// say holds from the start. Guards against SIGHUP's own way, which ends the program.
+async fn read_again(
+    mut hangup: Signal,
+    file: PathBuf,
+    mut discovery: SocketAddr,
+    list: mpsc::Sender<list::Mail>,
+) {
+    while hangup.recv().await.is_some() {
+        let file = file.clone();
+        let read = spawn_blocking(move || StartFacts::read(&file)).await;
+        match read.map_err(|e| e.to_string()).and_then(|read| read) {
+            Ok(facts) if facts.discovery == discovery => info!("facts read again: nothing has moved"),
+            Ok(facts) => {
+                info!("facts read again: discovery moves from {discovery} to {}", facts.discovery);
+                discovery = facts.discovery;
+                if list.send(list::Mail::Move(discovery)).await.is_err() {
+                    return;
+                }
+            }
+            Err(why) => warn!("facts stay as they were: {why}"),
+        }
+    }
+}
--- a/balancer/src/start.rs
+++ b/balancer/src/start.rs
@@ -2,7 +2,7 @@
 //! must never fall back on a guess: what is missing or unreadable is a plain line and no start.
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use ochreshed::Facts;
 use ochreshed_hands::facts;
@@ -18,6 +18,8 @@
 const PER_CALLER: usize = 3 * MOST_BODY + 48 * KB;
 
 pub struct StartFacts {
+    /// The file they were read from.
+    pub file: PathBuf,
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
@@ -33,10 +35,10 @@
 impl StartFacts {
     pub fn read(path: &Path) -> Result<StartFacts, String> {
         let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-        StartFacts::parse(&text).map_err(|why| format!("{}: {why}", path.display()))
+        StartFacts::parse(path, &text).map_err(|why| format!("{}: {why}", path.display()))
     }
 
-    fn parse(text: &str) -> Result<StartFacts, String> {
+    fn parse(path: &Path, text: &str) -> Result<StartFacts, String> {
         let mut json: Json = serde_json::from_str(text).map_err(|e| e.to_string())?;
         let text = |name: &str| json[name].as_str().ok_or(format!("{name} is missing or no text"));
         let address = |name: &str| {
@@ -53,6 +55,7 @@
         let by_memory = limit("memory_mb")?.saturating_mul(KB * KB) / 2 / PER_CALLER;
         let most = (shared / 2).min(by_memory).max(1);
         Ok(StartFacts {
+            file: path.to_owned(),
             name,
             listen,
             discovery,
--- a/balancer/tests/sockets.rs
+++ b/balancer/tests/sockets.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, channel};
@@ -23,6 +23,7 @@
 
 struct Balancer {
     process: Child,
+    facts: PathBuf,
     log: Receiver<String>,
     address: SocketAddr,
     discovery: TcpListener,
@@ -38,10 +39,10 @@
 }
 
 /// With so many descriptors at the most, whatever the facts say.
-fn start(facts: &str, descriptors: u32) -> Child {
+fn start(facts: &Path, descriptors: u32) -> Child {
     let mut command = Command::new("sh");
     command.arg("-c").arg(format!("ulimit -n {descriptors}; exec \"$0\" serve --facts \"$1\""));
-    command.arg(env!("CARGO_BIN_EXE_ochreshed")).arg(facts_file(facts));
+    command.arg(env!("CARGO_BIN_EXE_ochreshed")).arg(facts);
     command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn().expect("the program")
 }
 
@@ -77,11 +78,13 @@
             discovery.local_addr().expect("an address"),
             entries(names, srv),
         );
+        let facts = facts_file(&facts);
         let mut process = start(&facts, descriptors);
         let lines = BufReader::new(process.stderr.take().expect("its log")).lines();
         let (said, log) = channel();
         std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| said.send(line)));
-        let mut balancer = Balancer { process, log, address: SocketAddr::from(([0, 0, 0, 0], 0)), discovery };
+        let address = SocketAddr::from(([0, 0, 0, 0], 0));
+        let mut balancer = Balancer { process, facts, log, address, discovery };
         let line = balancer.logged(" n1 on ");
         balancer.address = line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("where it listens");
         balancer
@@ -162,6 +165,12 @@
     stream.write_all(message.as_bytes()).expect("answered");
 }
 
+/// Discovery's whole list.
+fn list(generation: u32, entries: &str) -> String {
+    let body = format!(r#"{{"generation":{generation},"reset":true,"instances":[{entries}]}}"#);
+    format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+}
+
 const HEALTH: &str = "GET /_health HTTP/1.1\r\nHost: service\r\n\r\n";
 const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nx-mark: 7\r\n\r\ngood";
 const CUT: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ngo";
@@ -464,10 +473,6 @@
 fn the_list_is_watched_and_kept_when_it_fails() {
     let (srv, other, mut trace) = (listen(), listen(), Trace::default());
     let balancer = Balancer::start("a@x", &srv);
-    let list = |generation: u32, entries: &str| {
-        let body = format!(r#"{{"generation":{generation},"reset":true,"instances":[{entries}]}}"#);
-        format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len())
-    };
     let mut watch = accept(&balancer.discovery);
     trace.first_line("discovery", &read(&mut watch));
     answer(&mut watch, &list(43, &entries("b@x", &other)));
@@ -496,6 +501,41 @@
     "#]]);
 }
 
+#[test]
+fn sighup_moves_the_list_and_nothing_else() {
+    let (srv, other, moved, mut trace) = (listen(), listen(), listen(), Trace::default());
+    let mut balancer = Balancer::start("a@x", &srv);
+    let mut watch = accept(&balancer.discovery);
+    trace.first_line("discovery", &read(&mut watch));
+    let mut client = balancer.send(&req("POST", "/pay", "2.5", "x"));
+    let mut at_srv = trace.accepted("srv", &srv);
+    let facts = std::fs::read_to_string(&balancer.facts).expect("its facts");
+    std::fs::write(&balancer.facts, "{").expect("a bad file");
+    balancer.signal("-HUP");
+    balancer.logged("facts stay as they were");
+    let address = |of: &TcpListener| of.local_addr().expect("an address").to_string();
+    std::fs::write(&balancer.facts, facts.replace(&address(&balancer.discovery), &address(&moved)))
+        .expect("a good file");
+    balancer.signal("-HUP");
+    let mut new_watch = trace.accepted("discovery, moved", &moved);
+    trace.first_line("discovery, as it was", &read(&mut watch));
+    answer(&mut new_watch, &list(7, &entries("b@x", &other)));
+    trace.first_line("discovery, moved", &read(&mut new_watch));
+    answer(&mut at_srv, OK);
+    trace.first_line("client", &read(&mut client));
+    answer(&mut client, &req("POST", "/pay", "2.5", "x"));
+    drop(trace.accepted("the srv listed there", &other));
+    trace.check(expect![[r#"
+        discovery: GET /catalog/members?after=41&wait_ms=20000 HTTP/1.1
+        srv: POST /pay HTTP/1.1
+        discovery, moved: GET /catalog/members HTTP/1.1
+        discovery, as it was: nothing
+        discovery, moved: GET /catalog/members?after=7&wait_ms=20000 HTTP/1.1
+        client: HTTP/1.1 200 OK
+        the srv listed there: POST /pay HTTP/1.1
+    "#]]);
+}
+
 #[test]
 fn asked_to_stop_it_answers_all_and_ends_well() {
     let (srv, mut trace) = (listen(), Trace::default());
@@ -545,7 +585,7 @@
         r#"{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"2a",
             "limits":{"memory_mb":192,"sockets":1024},"settings":{"Tier":"first"}}"#,
     ] {
-        let out = start(facts, 1024).wait_with_output().expect("its end");
+        let out = start(&facts_file(facts), 1024).wait_with_output().expect("its end");
         let line = String::from_utf8_lossy(&out.stderr);
         let said = line.rsplit(".json: ").next().unwrap_or_default().trim();
         writeln!(trace, "{:?}: {said}", out.status.code()).expect("a String takes it");
