Bad callers get an error at the door within 2.5 s, and nothing of theirs goes on

Now each is a 4xx and the end of its connection: an unknown class, a budget that is none, more than one req at a time (also all that shows of a length that is too short), an id that is open, a length beside a transfer encoding (hyper drops the length, so the socket's own count tells it). A first req has 2.5 s from its connection's start. Bodies in hand share a quarter of the memory, so the bound on connections no longer pays for a body each. An ending connection is read on for 0.5 s.

--- a/balancer/src/front.rs
+++ b/balancer/src/front.rs
@@ -2,10 +2,12 @@
 //! writing its answer, and the bound on connections. It must never decide on a req, change what goes on, or
 //! let one caller's connection cost another its own.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
+use std::io;
+use std::net::Shutdown;
 use std::pin::{Pin, pin};
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -13,49 +15,85 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING,
+};
 use hyper::server::conn::http1;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::TokioTimer;
 use hyper_util::service::TowerToHyperService;
-use ochreshed::{Nanos, Req, seconds};
+use ochreshed::{Name, Nanos, Req, seconds};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout};
 use tower::{Service, ServiceExt};
 use tracing::warn;
 
 use crate::clock::Clock;
 use crate::decisions::{Answer, Offer};
-use crate::link::{MOST_HEAD, Meter, Wire, drop_hop_fields};
+use crate::link::{MOST_HEAD, Meter, Wire, drop_hop_fields, unread};
 use crate::peer::BUDGET;
 use crate::phases::{Life, Phase};
 use crate::start::MOST_BODY;
 
-/// How long a caller may take over a head, also the first after a pause, and over a body.
-const SLOW_HEAD: Duration = Duration::from_secs(30);
-const SLOW_BODY: Duration = Duration::from_secs(10);
+/// How long a caller may take over a req, the first one from its connection's start, and stand without one.
+const SLOW: Nanos = 2_500_000_000;
+const KEPT: Nanos = 10_000_000_000;
+/// How often that is looked at.
+const LOOK: Nanos = 1_000_000_000;
+/// How long a caller that was told to leave may take over its answer.
+const LEAVING: Duration = Duration::from_secs(10);
+/// How long, and how much, is still read from a caller whose connection is ending.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_MOST: usize = 4 << 20;
+const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 /// What an answer may need on its way back to the client.
 const WAY_BACK: Nanos = 5_000_000;
+/// No client waits longer than a day, in seconds.
+const MOST_BUDGET: f64 = 86_400.0;
 /// How long to wait when no descriptor is left for a new connection.
 const NO_SOCKET: Duration = Duration::from_millis(50);
 
+/// What is let in: so many callers, bodies of so many bytes in all, reqs of these rule sets.
+#[derive(Clone)]
+pub struct Bounds {
+    pub callers: usize,
+    pub bodies: Arc<Semaphore>,
+    pub rule_sets: Arc<[Name]>,
+}
+
 pub struct Door<S> {
     clock: Clock,
     life: Life,
     decisions: S,
-    most: usize,
+    bounds: Bounds,
     visits: Arc<Visits>,
+    open: Arc<OpenIds>,
 }
 
 /// Those that are in, by the number they came with.
 type Visits = Mutex<HashMap<u64, Arc<Visit>>>;
 
+/// What a caller did wrong, as a status and a line. Its connection ends with that: what else stands on it can't
+/// be told apart.
+struct Bad(u16, &'static str);
+
+/// The ids of the reqs that are open.
+type OpenIds = Mutex<HashSet<HeaderValue>>;
+
 /// One caller's connection.
 struct Visit {
+    came: Nanos,
     /// Since when it carries no req that was taken; 0 while it does.
     idle_since: AtomicU64,
+    /// It has carried a req that was taken.
+    known: AtomicBool,
+    /// When it ends for want of a req, if nothing of one has come; and whether a whole head ever has.
+    until: AtomicU64,
+    asked: AtomicBool,
+    /// It was told what it did wrong.
+    told: AtomicBool,
     leave: Notify,
     /// A body that is still coming is not waited for.
     hurry: Notify,
@@ -67,8 +105,8 @@
     S::Future: Send,
     S::Error: std::fmt::Display + Send,
 {
-    pub fn new(clock: Clock, life: Life, decisions: S, most: usize) -> Door<S> {
-        Door { clock, life, decisions, most, visits: Arc::default() }
+    pub fn new(clock: Clock, life: Life, decisions: S, bounds: Bounds) -> Door<S> {
+        Door { clock, life, decisions, bounds, visits: Arc::default(), open: Arc::default() }
     }
 
     /// Lets callers in until the door closes, and returns once the last has gone.
@@ -81,12 +119,12 @@
                 tokio::select! {
                     () = &mut closed => break,
                     Some(_) = guests.join_next(), if !guests.is_empty() => {}
-                    came = listener.accept(), if guests.len() < self.most => match came {
+                    came = listener.accept(), if guests.len() < self.bounds.callers => match came {
                         Ok((stream, _)) => {
                             number += 1;
                             self.life.came(self.clock.now());
                             guests.spawn(self.guest(number, stream));
-                            if guests.len() == self.most {
+                            if guests.len() == self.bounds.callers {
                                 self.free_one();
                             }
                         }
@@ -106,11 +144,13 @@
         while guests.join_next().await.is_some() {}
     }
 
-    /// Sends the connection away that has carried no req for the longest time.
+    /// Sends the connection away that has carried no req for the longest time, those first that never did.
+    /// Guards against crowds of callers that connect and stay: they must not push out the usual ones.
     fn free_one(&self) {
         let visits = held(&self.visits);
         let idle = visits.values().filter(|visit| visit.idle_since.load(Relaxed) > 0);
-        if let Some(visit) = idle.min_by_key(|visit| visit.idle_since.load(Relaxed)) {
+        let key = |visit: &&Arc<Visit>| (visit.known.load(Relaxed), visit.idle_since.load(Relaxed));
+        if let Some(visit) = idle.min_by_key(key) {
             // Told once: the next time it is another's turn.
             visit.idle_since.store(0, Relaxed);
             visit.leave.notify_one();
@@ -119,31 +159,105 @@
     }
 
     fn guest(&self, number: u64, stream: TcpStream) -> impl Future<Output = ()> + use<S> {
-        let idle_since = self.clock.now().into();
-        let visit = Arc::new(Visit { idle_since, leave: Notify::new(), hurry: Notify::new() });
+        let came = self.clock.now();
+        let visit = Arc::new(Visit {
+            came,
+            idle_since: came.into(),
+            known: AtomicBool::new(false),
+            until: (came + SLOW).into(),
+            asked: AtomicBool::new(false),
+            told: AtomicBool::new(false),
+            leave: Notify::new(),
+            hurry: Notify::new(),
+        });
         held(&self.visits).insert(number, visit.clone());
-        let (wire, meter) = Wire::new(Arc::new(stream), self.clock);
-        let (clock, life, decisions) = (self.clock, self.life.clone(), self.decisions.clone());
-        let front = Front { clock, life, decisions, meter, visit: visit.clone() };
-        let visits = self.visits.clone();
+        let stream = Arc::new(stream);
+        let (wire, meter) = Wire::new(stream.clone(), self.clock);
+        let (clock, visits) = (self.clock, self.visits.clone());
+        let front = Front {
+            clock,
+            life: self.life.clone(),
+            decisions: self.decisions.clone(),
+            bounds: self.bounds.clone(),
+            open: self.open.clone(),
+            stream: stream.clone(),
+            meter: meter.clone(),
+            visit: visit.clone(),
+        };
         async move {
             let mut builder = http1::Builder::new();
-            builder.timer(TokioTimer::new()).header_read_timeout(SLOW_HEAD).max_buf_size(MOST_HEAD);
-            let mut connection = pin!(builder.serve_connection(wire, TowerToHyperService::new(front)));
-            // How a caller's connection ends concerns nobody else.
-            tokio::select! {
-                _ = connection.as_mut() => {}
-                () = visit.leave.notified() => {
-                    connection.as_mut().graceful_shutdown();
-                    // One that doesn't take its answer is not waited for.
-                    let _ = timeout(SLOW_BODY, connection).await;
+            // How long a head may take is looked at below: hyper's own timer starts anew with each pause.
+            builder.header_read_timeout(None).max_buf_size(MOST_HEAD);
+            {
+                let mut connection = pin!(builder.serve_connection(wire, TowerToHyperService::new(front)));
+                // How a caller's connection ends concerns nobody else.
+                tokio::select! {
+                    _ = connection.as_mut() => {}
+                    () = visit.leave.notified() => {
+                        connection.as_mut().graceful_shutdown();
+                        // One that doesn't take its answer is not waited for.
+                        let _ = timeout(LEAVING, connection).await;
+                    }
+                    () = visit.overdue(clock, &meter) => {
+                        // Nothing else has been written to one that never sent a whole head.
+                        if !visit.asked.load(Relaxed) && meter.first_read() > 0 {
+                            let _ = stream.try_write(TOO_SLOW);
+                        }
+                    }
                 }
             }
+            if visit.told.load(Relaxed) || unread(&stream).is_ok_and(|count| count > 0) {
+                let _ = timeout(LINGER, linger(&stream)).await;
+            }
             held(&visits).remove(&number);
         }
     }
 }
 
+impl Visit {
+    /// Returns when the caller has had its time: for its first req, for one that has begun, or without one.
+    /// Guards against callers that say nothing, or half of something, and stay.
+    async fn overdue(&self, clock: Clock, meter: &Meter) {
+        loop {
+            let until = self.until.load(Relaxed);
+            let begun = Some(meter.first_read()).filter(|at| *at > 0 && until != Nanos::MAX);
+            let until = begun.map_or(until, |at| until.min(at + SLOW));
+            let now = clock.now();
+            if now >= until {
+                return;
+            }
+            sleep_until(clock.instant(until.min(now + LOOK))).await;
+        }
+    }
+}
+
+/// Reads on, for a while, what nobody wants. Guards against a reset that takes the last answer back: that is
+/// what closing with unread bytes comes to.
+async fn linger(stream: &TcpStream) {
+    let _ = SockRef::from(stream).shutdown(Shutdown::Write);
+    let (mut waste, mut left) = (vec![0; 16 * 1024], LINGER_MOST);
+    while left > 0 && stream.readable().await.is_ok() {
+        match stream.try_read(&mut waste) {
+            Ok(0) => return,
+            Ok(count) => left = left.saturating_sub(count),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(_) => return,
+        }
+    }
+}
+
+/// An id that is open as long as this lives.
+struct OpenId {
+    open: Arc<OpenIds>,
+    id: HeaderValue,
+}
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.id);
+    }
+}
+
 fn held(visits: &Visits) -> MutexGuard<'_, HashMap<u64, Arc<Visit>>> {
     visits.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -154,6 +268,9 @@
     clock: Clock,
     life: Life,
     decisions: S,
+    bounds: Bounds,
+    open: Arc<OpenIds>,
+    stream: Arc<TcpStream>,
     meter: Arc<Meter>,
     visit: Arc<Visit>,
 }
@@ -175,11 +292,18 @@
     fn call(&mut self, req: Request<Incoming>) -> Self::Future {
         let front = self.clone();
         Box::pin(async move {
-            let mut answer = front.answer(req).await.unwrap_or_else(|bad| bad);
+            front.visit.until.store(Nanos::MAX, Relaxed);
+            let mut answer = front.answer(req).await.unwrap_or_else(|Bad(status, line)| {
+                front.visit.told.store(true, Relaxed);
+                close(say(status, line))
+            });
             if front.life.phase() >= Phase::Leaving {
-                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                answer = close(answer);
             }
-            front.visit.idle_since.store(front.clock.now(), Relaxed);
+            let now = front.clock.now();
+            front.visit.idle_since.store(now, Relaxed);
+            front.visit.until.store(now + KEPT, Relaxed);
+            front.meter.next_message();
             Ok(answer)
         })
     }
@@ -190,23 +314,39 @@
     S: Service<Offer, Response = Answer> + Clone,
     S::Error: std::fmt::Display,
 {
-    async fn answer(&self, req: Request<Incoming>) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
+    async fn answer(&self, req: Request<Incoming>) -> Result<Response<Full<Bytes>>, Bad> {
+        let first = !self.visit.asked.swap(true, Relaxed);
         let came = self.meter.take_first().unwrap_or_else(|| self.clock.now());
         if req.uri().path() == "/_health" {
+            self.alone(0)?;
             let serving = self.life.phase() == Phase::Serving;
-            return if serving { Ok(Response::default()) } else { Err(say(503, "not serving")) };
+            return Ok(if serving { Response::default() } else { say(503, "not serving") });
+        }
+        if req.headers().contains_key(TRANSFER_ENCODING) && self.meter.length_named() {
+            // Guards against a req that another one hides in: hyper drops the length that would show it.
+            return Err(Bad(400, "both a length and a transfer encoding"));
         }
-        let mut offer = tokio::select! {
-            offer = read(req, came) => offer?,
+        let framed = !req.headers().contains_key(TRANSFER_ENCODING);
+        let until = if first { self.visit.came } else { came } + SLOW;
+        let (mut offer, _room) = tokio::select! {
+            biased;
+            offer = self.read(req, came) => offer?,
             // Guards against callers that fill the door with bodies that never end.
-            () = self.visit.hurry.notified() => return Err(close(say(408, "no room for slow bodies"))),
+            () = self.visit.hurry.notified() => return Err(Bad(408, "no room for slow bodies")),
+            () = sleep_until(self.clock.instant(until)) => return Err(Bad(408, "body too slow")),
         };
+        let body = offer.1.body().len() as u64;
+        if framed {
+            self.alone(body)?;
+        }
+        let _open = self.open_id(offer.1.headers())?;
         self.visit.idle_since.store(0, Relaxed);
+        self.visit.known.store(true, Relaxed);
         // Whatever is read from here on belongs to the next req.
         self.meter.take_first();
         // A req is taken once its last byte has come.
         offer.0.taken = self.meter.last_read().max(came);
-        Ok(match self.decisions.clone().oneshot(offer).await {
+        let answer = match self.decisions.clone().oneshot(offer).await {
             Ok(Answer::Done(answer)) => done(answer),
             Ok(Answer::Deny { come_back }) => {
                 let mut answer = say(503, "denied: safe to try again");
@@ -218,55 +358,81 @@
             }
             Ok(Answer::Abort) => say(502, "aborted: it may have run"),
             Err(why) => say(500, &why.to_string()),
-        })
+        };
+        // Nothing has looked at what came behind it, or can tell where a chunked req ended.
+        let alone = framed && self.meter.behind_head() <= body;
+        Ok(if alone { answer } else { close(answer) })
     }
 }
 
-/// Takes what the decisions need out of a req; the rest goes on as it came.
-async fn read(req: Request<Incoming>, came: Nanos) -> Result<Offer, Response<Full<Bytes>>> {
-    let (mut head, body) = req.into_parts();
-    let field = |name: &str| head.headers.get(name).map(|value| value.to_str().unwrap_or_default());
-    if head.method == Method::CONNECT {
-        return Err(close(say(405, "no tunnels")));
-    }
-    if field("x-call-id").is_none() {
-        return Err(close(say(400, "no X-Call-Id")));
+impl<S> Front<S> {
+    /// Callers send one req at a time. Guards against wrong lengths, of which this is all that shows, and against
+    /// reqs sent by the hundred: none of them goes on.
+    fn alone(&self, body: u64) -> Result<(), Bad> {
+        let more = self.meter.behind_head() > body || unread(&self.stream).is_ok_and(|count| count > 0);
+        if more { Err(Bad(400, "more than one req at a time")) } else { Ok(()) }
     }
-    let budget = field(BUDGET.as_str()).and_then(|text| text.trim().parse::<f64>().ok());
-    let budget = budget.filter(|budget| budget.is_finite());
-    let budget = budget.ok_or_else(|| close(say(400, "no X-Budget that can be read")))?;
-    let first = head.uri.path().split('/').nth(1).unwrap_or_default();
-    let ours = Req {
-        id: 0,
-        rule_set: field("x-call-class").unwrap_or(first).into(),
-        customer: "".into(),
-        again: field("x-again") == Some("1"),
-        taken: came,
-        ends: came + ((budget.clamp(0.0, 86_400.0) * 1e9) as Nanos).saturating_sub(WAY_BACK),
-        dispatches: Vec::new(),
-    };
-    if body.size_hint().lower() > MOST_BODY as u64 {
-        return Err(close(say(413, "body too large")));
-    }
-    let bytes = match timeout(SLOW_BODY, Limited::new(body, MOST_BODY).collect()).await {
-        Ok(Ok(bytes)) => bytes.to_bytes(),
-        Ok(Err(why)) if why.is::<LengthLimitError>() => return Err(close(say(413, "body too large"))),
-        Ok(Err(_)) => return Err(close(say(400, "body cut short"))),
-        Err(_) => return Err(close(say(408, "body too slow"))),
-    };
-    let framed = head.headers.contains_key(CONTENT_LENGTH) || !bytes.is_empty();
-    drop_hop_fields(&mut head.headers);
-    head.headers.remove(EXPECT);
-    if framed {
-        head.headers.insert(CONTENT_LENGTH, bytes.len().into());
+
+    /// Guards against a second run beside one that is out: an id is a srv's only means to know a req.
+    fn open_id(&self, headers: &HeaderMap) -> Result<Option<OpenId>, Bad> {
+        let Some(id) = headers.get("x-call-id").cloned() else { return Ok(None) };
+        let open = self.open.clone();
+        if !open.lock().unwrap_or_else(PoisonError::into_inner).insert(id.clone()) {
+            return Err(Bad(409, "a req with this X-Call-Id is open"));
+        }
+        Ok(Some(OpenId { open, id }))
     }
-    let mut message = Request::new(bytes);
-    *message.method_mut() = head.method;
-    if let Some(path) = head.uri.path_and_query() {
-        *message.uri_mut() = path.clone().into();
+
+    /// Takes what the decisions need out of a req; the rest goes on as it came. With it, the room it holds.
+    async fn read(&self, req: Request<Incoming>, came: Nanos) -> Result<(Offer, OwnedSemaphorePermit), Bad> {
+        let (mut head, body) = req.into_parts();
+        let field = |name: &str| head.headers.get(name).map(|value| value.to_str().unwrap_or_default());
+        if head.method == Method::CONNECT {
+            return Err(Bad(405, "no tunnels"));
+        }
+        if field("x-call-id").is_none() {
+            return Err(Bad(400, "no X-Call-Id"));
+        }
+        let budget = field(BUDGET.as_str()).and_then(|text| text.trim().parse::<f64>().ok());
+        let budget = budget.filter(|budget| *budget > 0.0 && *budget <= MOST_BUDGET);
+        let budget = budget.ok_or(Bad(400, "no X-Budget that can be read"))?;
+        let first = head.uri.path().split('/').nth(1).unwrap_or_default();
+        let rule_set = field("x-call-class").unwrap_or(first);
+        let known = self.bounds.rule_sets.iter().find(|known| &***known == rule_set).cloned();
+        let ours = Req {
+            id: 0,
+            rule_set: known.ok_or(Bad(400, "no such class"))?,
+            customer: "".into(),
+            again: field("x-again") == Some("1"),
+            taken: came,
+            ends: came + ((budget * 1e9) as Nanos).saturating_sub(WAY_BACK),
+            dispatches: Vec::new(),
+        };
+        if body.size_hint().lower() > MOST_BODY as u64 {
+            return Err(Bad(413, "body too large"));
+        }
+        let most = body.size_hint().upper().unwrap_or(MOST_BODY as u64) as u32;
+        let room = self.bounds.bodies.clone().acquire_many_owned(most).await;
+        let room = room.map_err(|_| Bad(500, "the door is closed"))?;
+        let bytes = match Limited::new(body, MOST_BODY).collect().await {
+            Ok(bytes) => bytes.to_bytes(),
+            Err(why) if why.is::<LengthLimitError>() => return Err(Bad(413, "body too large")),
+            Err(_) => return Err(Bad(400, "body cut short")),
+        };
+        let framed = head.headers.contains_key(CONTENT_LENGTH) || !bytes.is_empty();
+        drop_hop_fields(&mut head.headers);
+        head.headers.remove(EXPECT);
+        if framed {
+            head.headers.insert(CONTENT_LENGTH, bytes.len().into());
+        }
+        let mut message = Request::new(bytes);
+        *message.method_mut() = head.method;
+        if let Some(path) = head.uri.path_and_query() {
+            *message.uri_mut() = path.clone().into();
+        }
+        *message.headers_mut() = head.headers;
+        Ok(((ours, message), room))
     }
-    *message.headers_mut() = head.headers;
-    Ok((ours, message))
 }
 
 /// A srv's answer as it goes on: its body and its own fields.
@@ -285,7 +451,7 @@
     answer
 }
 
-/// Ends the connection with this answer: what else stands on it can't be told apart.
+/// Ends the connection with this answer.
 fn close(mut answer: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
     let headers: &mut HeaderMap = answer.headers_mut();
     headers.insert(CONNECTION, HeaderValue::from_static("close"));
--- a/balancer/src/link.rs
+++ b/balancer/src/link.rs
@@ -6,8 +6,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
@@ -34,6 +34,43 @@
     /// When the first byte since it was last taken was read, 0 for none yet, and the last one.
     first_read: AtomicU64,
     last_read: AtomicU64,
+    heard: Mutex<Heard>,
+}
+
+/// What hyper does not tell of the message that is coming in: a length that it dropped in favour of a transfer
+/// encoding, and how much came behind the head.
+#[derive(Default)]
+struct Heard {
+    /// Bytes of the current line, and whether they all are the wanted name's.
+    line: usize,
+    named: bool,
+    begun: bool,
+    ended: bool,
+    length: bool,
+    behind: u64,
+}
+
+impl Heard {
+    fn hear(&mut self, bytes: &[u8]) {
+        const NAME: &[u8] = b"content-length:";
+        for (at, byte) in bytes.iter().enumerate() {
+            if self.ended {
+                self.behind += (bytes.len() - at) as u64;
+                return;
+            }
+            match byte {
+                b'\r' => {}
+                // Blank lines ahead of a head are no part of it.
+                b'\n' => (self.line, self.ended) = (0, self.begun && self.line == 0),
+                byte => {
+                    self.named = (self.line == 0 || self.named)
+                        && NAME.get(self.line) == Some(&byte.to_ascii_lowercase());
+                    (self.line, self.begun) = (self.line + 1, true);
+                    self.length |= self.named && self.line == NAME.len();
+                }
+            }
+        }
+    }
 }
 
 impl Meter {
@@ -42,9 +79,38 @@
         Some(self.first_read.swap(0, Relaxed)).filter(|at| *at > 0)
     }
 
+    /// When the first byte was read since this was last taken, 0 for none.
+    pub fn first_read(&self) -> Nanos {
+        self.first_read.load(Relaxed)
+    }
+
     pub fn last_read(&self) -> Nanos {
         self.last_read.load(Relaxed)
     }
+
+    /// What is read from here on is the next message.
+    pub fn next_message(&self) {
+        *self.heard() = Heard::default();
+    }
+
+    /// Whether the head names a length, and how many bytes have come behind it.
+    pub fn length_named(&self) -> bool {
+        self.heard().length
+    }
+
+    pub fn behind_head(&self) -> u64 {
+        self.heard().behind
+    }
+
+    fn heard(&self) -> MutexGuard<'_, Heard> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// How many bytes lie unread on a socket, up to one; 0 at its end. Asks the system, not the runtime, which may
+/// not have come to the news yet.
+pub fn unread(stream: &TcpStream) -> io::Result<usize> {
+    socket2::SockRef::from(stream).peek(&mut [std::mem::MaybeUninit::uninit()])
 }
 
 /// A socket with its meter.
@@ -87,8 +153,10 @@
 impl AsyncRead for Wire {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let stream = &self.stream;
+        let before = buf.filled().len();
         let count = ready!(Wire::try_until(|| stream.poll_read_ready(cx), || stream.try_read_buf(buf)))?;
         if count > 0 {
+            self.meter.heard().hear(&buf.filled()[before..]);
             let now = self.clock.now();
             self.meter.last_read.store(now, Relaxed);
             let _ = self.meter.first_read.compare_exchange(0, now, Relaxed, Relaxed);
@@ -152,11 +220,9 @@
     }
 
     /// Whether an idle connection may carry another req: it is open, and nothing unasked for lies unread on
-    /// it. Asks the system, not the runtime, which may not have come to the news yet.
+    /// it.
     pub fn sound(&mut self) -> bool {
-        let mut byte = [std::mem::MaybeUninit::uninit()];
-        let unread = socket2::SockRef::from(&*self.stream).peek(&mut byte);
-        unread.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock) && self.ready()
+        unread(&self.stream).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock) && self.ready()
     }
 
     fn ready(&mut self) -> bool {
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -123,9 +123,14 @@
     tokio::spawn(read_again(hangup, start.file, start.discovery, listed.clone()));
     let address = listener.local_addr().map_err(|e| e.to_string())?;
     info!("{} on {address}", start.name);
+    let bounds = front::Bounds {
+        callers: start.most_in,
+        bodies: Arc::new(Semaphore::new(start.most_bodies)),
+        rule_sets: facts_list(&start.facts, "rule_sets").iter().map(|set| text(set, "name").into()).collect(),
+    };
     let balancer = Balancer::new(clock.now(), start.seed, start.facts);
     let mut actor = tokio::spawn(Actor::new(balancer, common, listed).run(mailbox));
-    let door = front::Door::new(clock, life.clone(), Decisions::new(mail), start.most_in);
+    let door = front::Door::new(clock, life.clone(), Decisions::new(mail), bounds);
     let mut door = tokio::spawn(door.keep(listener));
 
     life.enter(Phase::Serving);
--- a/balancer/src/start.rs
+++ b/balancer/src/start.rs
@@ -14,8 +14,8 @@
 pub const MOST_BODY: usize = 64 * KB;
 /// Descriptors kept for what is neither a caller's connection nor a srv's.
 const SPARE_SOCKETS: usize = 32;
-/// What a caller's connection may cost in memory: its buffers, a req's body and an answer's.
-const PER_CALLER: usize = 3 * MOST_BODY + 48 * KB;
+/// What a caller's connection costs in memory beside a body: its buffers, and a head that is coming.
+const PER_CALLER: usize = 24 * KB;
 
 pub struct StartFacts {
     /// The file they were read from.
@@ -27,6 +27,8 @@
     /// Connections from callers, and to srvs.
     pub most_in: usize,
     pub most_out: usize,
+    /// Bytes of reqs' bodies in hand, all together.
+    pub most_bodies: usize,
     /// The list as this balancer last had it, in discovery's form.
     pub known: Json,
     pub facts: Facts,
@@ -52,16 +54,18 @@
         let sockets = limit("sockets")?;
         let shared = sockets.checked_sub(SPARE_SOCKETS).filter(|n| *n >= 2);
         let shared = shared.ok_or(format!("limits.sockets is under {}", SPARE_SOCKETS + 2))?;
-        let by_memory = limit("memory_mb")?.saturating_mul(KB * KB) / 2 / PER_CALLER;
-        let most = (shared / 2).min(by_memory).max(1);
+        // A quarter each for callers, for reqs' bodies and for answers; the last is the program's own.
+        let quarter = limit("memory_mb")?.saturating_mul(KB * KB) / 4;
+        let most = |each: usize| (shared / 2).min(quarter / each).max(1);
         Ok(StartFacts {
             file: path.to_owned(),
             name,
             listen,
             discovery,
             seed: u64::from_str_radix(text("seed")?, 16).map_err(|_| "seed is no hexadecimal number")?,
-            most_in: most,
-            most_out: most,
+            most_in: most(PER_CALLER),
+            most_out: most(MOST_BODY),
+            most_bodies: quarter.clamp(MOST_BODY, 1 << 30),
             facts: facts::from_json(&json["settings"])?,
             known: json["known"].take(),
         })
--- a/balancer/tests/sockets.rs
+++ b/balancer/tests/sockets.rs
@@ -356,30 +356,66 @@
 fn bad_callers_cost_nobody_else() {
     let (srv, mut trace) = (listen(), Trace::default());
     let balancer = Balancer::start("a@x", &srv);
-    let slow = balancer.send("POST /pay HTTP/1.1\r\nHost:");
-    let slow_body = balancer.send(&req("POST", "/pay", "2.5", "x").replace("Length: 1", "Length: 9"));
+    let (mut mute, came) = (balancer.connect(), Instant::now());
+    let mut slow = balancer.send("POST /pay HTTP/1.1\r\nHost:");
+    let good = req("POST", "/pay", "2.5", "x");
+    let mut slow_body = balancer.send(&good.replace("Length: 1", "Length: 9"));
+    let hidden = req("POST", "/pay", "2.5", &format!("0\r\n\r\n{good}"));
     for bad in [
         "who are you\r\n\r\n".to_owned(),
-        req("POST", "/pay", "2.5", "x").replace("X-Call-Id", "X-Other"),
-        req("POST", "/pay", "soon", "x"),
-        req("POST", "/pay", "2.5", "x").replace("Length: 1", "Length: 65537"),
+        good.replace("X-Call-Id", "X-Other"),
+        good.replace("2.5", "soon"),
+        good.replace("2.5", "-5"),
+        good.replace("2.5", "1e23"),
+        good.replace("/pay", "/pays").replace("Class: pay", "Class: pays"),
+        good.replace("Length: 1", "Length: ten"),
+        good.replace("Length: 1", "Length: 65537"),
+        format!("{good}y"),
+        good.repeat(300),
+        HEALTH.repeat(2),
+        hidden.replacen("Content-Length", "Transfer-Encoding: chunked\r\ncontent-length", 1),
         format!("GET /{} HTTP/1.1\r\n\r\n", "x".repeat(60_000)),
     ] {
-        trace.first_line("bad caller", &read(&mut balancer.send(&bad)));
+        let said = read(&mut balancer.send(&bad));
+        let line = said.split("\r\n\r\n").nth(1).unwrap_or_default().trim();
+        trace.first_line("bad caller", &format!("{}, {line}", said.lines().next().unwrap_or("nothing")));
     }
-    let mut client = balancer.send(&req("POST", "/pay", "2.5", "x"));
+    let mut client = balancer.send(&good);
     let mut at_srv = trace.accepted("srv", &srv);
+    trace.first_line("an id that is open", &read(&mut balancer.send(&good)));
     answer(&mut at_srv, OK);
     trace.first_line("client", &read(&mut client));
-    drop((slow, slow_body));
+    for (who, caller) in [("mute", &mut mute), ("slow head", &mut slow), ("slow body", &mut slow_body)] {
+        trace.first_line(who, &read(caller));
+    }
+    assert!(came.elapsed() < Duration::from_secs(3), "callers that say too little were kept");
+    // The error comes whole, though what was sent is never wanted.
+    let mut large = balancer.send(&good.replace("Length: 1", "Length: 60000000"));
+    large.write_all(&vec![b'x'; 3 << 20]).expect("sent");
+    trace.first_line("large", &read(&mut large));
+    trace.first_line("large, then", &read(&mut large));
     trace.check(expect![[r#"
-        bad caller: HTTP/1.1 400 Bad Request
-        bad caller: HTTP/1.1 400 Bad Request
-        bad caller: HTTP/1.1 400 Bad Request
-        bad caller: HTTP/1.1 413 Payload Too Large
-        bad caller: HTTP/1.1 431 Request Header Fields Too Large
+        bad caller: HTTP/1.1 400 Bad Request,
+        bad caller: HTTP/1.1 400 Bad Request, no X-Call-Id
+        bad caller: HTTP/1.1 400 Bad Request, no X-Budget that can be read
+        bad caller: HTTP/1.1 400 Bad Request, no X-Budget that can be read
+        bad caller: HTTP/1.1 400 Bad Request, no X-Budget that can be read
+        bad caller: HTTP/1.1 400 Bad Request, no such class
+        bad caller: HTTP/1.1 400 Bad Request,
+        bad caller: HTTP/1.1 413 Payload Too Large, body too large
+        bad caller: HTTP/1.1 400 Bad Request, more than one req at a time
+        bad caller: HTTP/1.1 400 Bad Request, more than one req at a time
+        bad caller: HTTP/1.1 400 Bad Request, more than one req at a time
+        bad caller: HTTP/1.1 400 Bad Request, both a length and a transfer encoding
+        bad caller: HTTP/1.1 431 Request Header Fields Too Large,
         srv: POST /pay HTTP/1.1
+        an id that is open: HTTP/1.1 409 Conflict
         client: HTTP/1.1 200 OK
+        mute: nothing
+        slow head: HTTP/1.1 408 Request Timeout
+        slow body: HTTP/1.1 408 Request Timeout
+        large: HTTP/1.1 413 Payload Too Large
+        large, then: nothing
     "#]]);
 }
 
@@ -427,8 +463,8 @@
     let balancer = Balancer::within(40, 1024, "a@x", &srv);
     let message = req("GET", "/read", "2.5", "");
     let mut out: Vec<(TcpStream, TcpStream)> = (0..3)
-        .map(|_| {
-            let client = balancer.send(&message);
+        .map(|number| {
+            let client = balancer.send(&message.replace("c0ffee", &number.to_string()));
             let mut at_srv = accept(&srv);
             read(&mut at_srv);
             (client, at_srv)
@@ -550,7 +586,7 @@
     balancer.logged("Leaving");
     let mut health = balancer.send(HEALTH);
     trace.message("health", &read(&mut health));
-    answer(&mut kept, &req("POST", "/pay", "2.5", "x"));
+    answer(&mut kept, &req("POST", "/pay", "2.5", "x").replace("c0ffee", "c0c0a"));
     let mut at_other = trace.accepted("srv, of a kept connection", &srv);
     answer(&mut at_other, OK);
     trace.message("client", &read(&mut kept));
