A uniqued req goes again to the srv that reset it where its group has no other

Cause: decide.rs, candidates: `tried` leaves out the srv of the reset, `in_group` all others, and that tier has one srv a site.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -455,12 +455,15 @@
             (Some(ran), Group::Site) => srv.site == ran.site,
             (Some(ran), Group::Cell) => srv.cell == ran.cell,
         };
-        let tried = |name: &Name| again.is_some_and(|req| req.dispatches.iter().any(|d| d.srv == *name));
+        let tried = |name: &Name, same: bool| {
+            let at = |d: &Dispatch| d.srv == *name && !(same && d.how == Some(How::Reset));
+            again.is_some_and(|req| req.dispatches.iter().any(at))
+        };
         let cold = span(&self.facts, "cold", 0);
-        let open = |name: &Name, srv: &Srv| {
+        let open = |name: &Name, srv: &Srv, same: bool| {
             srv.state == State::Up
                 && (srv.ours > 0.0 || again.is_some())
-                && !tried(name)
+                && !tried(name, same)
                 && in_group(srv)
                 && (!srv.cold(now, cold) || srv.budget >= 1.0)
         };
@@ -483,21 +486,23 @@
         let room = |srv: &Srv| {
             again.is_some() || (srv.counted(now, narrow) as f64) < srv.level(now, wide, floor).max(1.0)
         };
-        let fits = |strict: bool| -> Vec<(Name, f64)> {
+        let fits = |strict: bool, same: bool| -> Vec<(Name, f64)> {
             let sound = |srv: &Srv| {
                 srv.usable(now)
                     && !srv.silent(now, narrow)
                     && !srv.crowded(now, narrow, lasting, moment, reported)
             };
-            let fit = self.srvs.iter().filter(|(name, srv)| open(name, srv) && room(srv));
+            let fit = self.srvs.iter().filter(|(name, srv)| open(name, srv, same) && room(srv));
             let fit = fit.filter(|(_, srv)| !strict || sound(srv));
             let weight = |srv: &Srv| if again.is_some() { srv.weight } else { srv.ours };
             fit.map(|(name, srv)| (name.clone(), weight(srv) * srv.ramp(now, cold, share))).collect()
         };
-        let fit = fits(true);
         // With every srv set aside or crowded, a doubtful one is better than none; the level holds all the
-        // same.
-        if fit.is_empty() { fits(false) } else { fit }
+        // same. Last, where only its group knows a repeat, a sound srv that reset it. Guards against a group
+        // of one srv, where an answer once spoilt could not be had again.
+        let (fit, bound) = (fits(true, false), ran.is_some() && group != Group::All);
+        let fit = if fit.is_empty() { fits(false, false) } else { fit };
+        if fit.is_empty() && bound { fits(true, true) } else { fit }
     }
 
     /// The sum of something over the usable srvs that fit, for each unit of their weight.
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -124,6 +124,31 @@
     );
 }
 
+#[test]
+fn a_srv_alone_in_its_group_may_be_sent_again_what_it_reset() {
+    let mut scene = Scene::new(facts(0.0, 1.0), "a@x b@y");
+    scene.past(40);
+    scene.req(1, "move").pass(10).end(1, How::NoConnection).pass(10).end(1, How::Reset);
+    scene.pass(10).end(1, How::Reset).pass(10).end(1, How::Done);
+    scene.req(2, "move").pass(10).end(2, How::TimedOut);
+    scene.req(3, "charge").pass(10).end(3, How::Reset);
+    check(&mut scene, expect![[r#"
+        4000 1: to b
+        4010 1: NoConnection
+        4010 1: to a
+        4020 1: Reset
+        4020 1: to a
+        4030 1: Reset
+        4030 1: to a
+        4040 2: to a
+        4050 2: TimedOut
+        4050 2: abort
+        4050 3: to b
+        4060 3: Reset
+        4060 3: abort
+    "#]]);
+}
+
 #[test]
 fn a_req_never_has_two_dispatches_out() {
     let mut scene = Scene::new(facts(0.0, 1.0), "a@x b@x");
