--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -132,7 +132,9 @@
     scene.pass(10).end(1, How::Reset).pass(10).end(1, How::Done);
     scene.req(2, "move").pass(10).end(2, How::TimedOut);
     scene.req(3, "charge").pass(10).end(3, How::Reset);
-    check(&mut scene, expect![[r#"
+    check(
+        &mut scene,
+        expect![[r#"
         4000 1: to b
         4010 1: NoConnection
         4010 1: to a
@@ -146,7 +148,8 @@
         4050 3: to b
         4060 3: Reset
         4060 3: abort
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
