Answers over 64 KiB go on, within a bound they share; one that stops is a reset after 1 s

Cause: peer.rs gave link.exchange 64 KiB as the most. Answers may now hold 1 MiB; what is over 64 KiB shares an eighth of the memory and waits for room in it. An answer that stops on an open connection is told as a reset after 1 s instead of a time-out at the end. Tests: spoilt answers one by one, large ones, extra bytes.

--- a/balancer/src/link.rs
+++ b/balancer/src/link.rs
@@ -9,10 +9,12 @@
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::FutureExt;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{CONNECTION, HeaderMap, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use hyper::{Request, Response, Version};
@@ -20,12 +22,16 @@
 use ochreshed::Nanos;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
 
 use crate::clock::Clock;
+use crate::start::MOST_BODY;
 
 /// A head, either way, holds no more than this.
 pub const MOST_HEAD: usize = 32 * 1024;
+/// An answer that has begun and of which nothing comes for so long has stopped.
+const STALL: Duration = Duration::from_secs(1);
 
 /// What went over a socket, told by the socket itself.
 #[derive(Default)]
@@ -245,11 +251,13 @@
         self.meter.last_read()
     }
 
-    /// One req and its whole answer. `again` when the connection may carry another one after it.
+    /// One req and its whole answer. `again` when the connection may carry another one after it. What the answer
+    /// holds beyond `MOST_BODY`, up to `most`, takes its place in `room` for as long as it lives.
     pub async fn exchange(
         &mut self,
         req: Request<Bytes>,
-        most_body: usize,
+        most: usize,
+        room: &Arc<Semaphore>,
     ) -> Result<(Response<Bytes>, bool), String> {
         self.meter.written.store(0, Relaxed);
         self.whole_at = least_length(&req);
@@ -257,8 +265,7 @@
         let answer = async {
             let (head, body) =
                 send.send_request(req.map(Full::new)).await.map_err(|e| e.to_string())?.into_parts();
-            let body = Limited::new(body, most_body).collect().await.map_err(|e| e.to_string())?.to_bytes();
-            Ok::<_, String>(Response::from_parts(head, body))
+            Ok::<_, String>(Response::from_parts(head, whole(body, most, room).await?))
         };
         let answer = drive(connection, answer).await?;
         // What was counted is this exchange's; the next req has not begun.
@@ -268,6 +275,40 @@
     }
 }
 
+/// All of an answer's body. Guards against one that is said to be endless, and against one that stops half way on
+/// a connection that stays open: nothing more will come, and its req may still be sent again.
+async fn whole(mut body: Incoming, most: usize, room: &Arc<Semaphore>) -> Result<Bytes, String> {
+    let length = body.size_hint().exact().map_or(most, |length| length.min(usize::MAX as u64) as usize);
+    if length > most && body.size_hint().exact().is_some() {
+        return Err(format!("an answer of {length} bytes"));
+    }
+    let (mut bytes, mut held) = (Vec::with_capacity(length.min(MOST_BODY)), None);
+    while let Some(frame) = timeout(STALL, body.frame()).await.map_err(|_| "the answer stopped")? {
+        let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() else { continue };
+        if bytes.len() + data.len() > most {
+            return Err(format!("an answer of more than {most} bytes"));
+        }
+        if bytes.len() + data.len() > MOST_BODY && held.is_none() {
+            let places = length.min(u32::MAX as usize) as u32;
+            held = Some(room.clone().acquire_many_owned(places).await.map_err(|e| e.to_string())?);
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(Bytes::from_owner(Body { bytes, _held: held }))
+}
+
+/// A body, and its place among the large ones.
+struct Body {
+    bytes: Vec<u8>,
+    _held: Option<OwnedSemaphorePermit>,
+}
+
+impl AsRef<[u8]> for Body {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// Runs something on a connection and the connection itself, in one task.
 async fn drive<T>(
     connection: &mut Option<Connection<TokioIo<Wire>, Full<Bytes>>>,
--- a/balancer/src/list.rs
+++ b/balancer/src/list.rs
@@ -3,6 +3,7 @@
 //! whole is a failed call.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,7 +11,7 @@
 use hyper::{Request, StatusCode};
 use ochreshed::{Listed, State};
 use serde_json::Value as Json;
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 use tokio::time::timeout;
 use tracing::warn;
 
@@ -43,6 +44,8 @@
     /// The version we have, as discovery wrote it.
     generation: Option<String>,
     link: Option<Link>,
+    /// There is but one list at a time.
+    room: Arc<Semaphore>,
 }
 
 pub fn start(
@@ -52,7 +55,8 @@
     decisions: mpsc::Sender<decisions::Mail>,
 ) -> mpsc::Sender<Mail> {
     let (mail, mailbox) = mpsc::channel(MAILBOX);
-    let list = List { discovery, clock, decisions, generation, link: None };
+    let room = Arc::new(Semaphore::new(MOST_LIST));
+    let list = List { discovery, clock, decisions, generation, link: None, room };
     tokio::spawn(list.run(mailbox));
     mail
 }
@@ -132,7 +136,7 @@
                 opening.await.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?
             }
         };
-        let (answer, again) = link.exchange(req.map_err(|e| e.to_string())?, MOST_LIST).await?;
+        let (answer, again) = link.exchange(req.map_err(|e| e.to_string())?, MOST_LIST, &self.room).await?;
         self.link = Some(link).filter(|_| again);
         if answer.status() != StatusCode::OK {
             return Err(format!("answered {}", answer.status()));
--- a/balancer/src/peer.rs
+++ b/balancer/src/peer.rs
@@ -20,7 +20,7 @@
 use crate::clock::Clock;
 use crate::decisions;
 use crate::link::Link;
-use crate::start::MOST_BODY;
+use crate::start::{MOST_ANSWER, MOST_BODY};
 
 pub const BUDGET: HeaderName = HeaderName::from_static("x-budget");
 const MAILBOX: usize = 512;
@@ -51,6 +51,8 @@
     pub clock: Clock,
     pub decisions: mpsc::Sender<decisions::Mail>,
     pub sockets: Arc<Semaphore>,
+    /// Bytes of large answers.
+    pub large: Arc<Semaphore>,
     /// With no more than these left, connections are closed rather than kept idle. Guards against reqs denied
     /// for want of a connection while others stand idle.
     pub spare: usize,
@@ -172,7 +174,7 @@
                 // Guards against a pause of the whole process: nothing is sent for a req that is over.
                 return Err(How::NotSent);
             }
-            match on.exchange(self.address_to(message, left), MOST_BODY).await {
+            match on.exchange(self.address_to(message, left), MOST_ANSWER, &self.common.large).await {
                 Ok(answer) => return Ok(answer),
                 Err(_) if on.sent_whole() => return Err(How::Reset),
                 Err(_) if reused && !on.began() => (*link, reused) = (None, false),
@@ -186,7 +188,7 @@
         let asked = async {
             let mut link = self.open().await?;
             let ping = Request::get("/ping").header(HOST, self.address.to_string()).body(Bytes::new());
-            let answer = link.exchange(ping.map_err(|_| How::NotSent)?, MOST_BODY).await;
+            let answer = link.exchange(ping.map_err(|_| How::NotSent)?, MOST_BODY, &self.common.large).await;
             Ok((answer.map_err(|_| How::Reset)?.0, link))
         };
         let asked = tokio::time::timeout_at(self.common.clock.instant(give_up), asked).await;
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -116,6 +116,7 @@
         clock,
         decisions: mail.clone(),
         sockets: Arc::new(Semaphore::new(start.most_out)),
+        large: Arc::new(Semaphore::new(start.most_bodies)),
         spare: start.most_out / 4,
         connect_timeout: Duration::from_nanos(span(&start.facts, "connect_timeout", S)),
         idle: span(&start.facts, "connection_idle", 10 * S),
--- a/balancer/src/start.rs
+++ b/balancer/src/start.rs
@@ -10,8 +10,9 @@
 
 const KB: usize = 1024;
 
-/// A body, either way, holds no more than this.
+/// A req's body holds no more than this, and no more than `MOST_ANSWER` its answer's, which is seldom larger.
 pub const MOST_BODY: usize = 64 * KB;
+pub const MOST_ANSWER: usize = 1024 * KB;
 /// Descriptors kept for what is neither a caller's connection nor a srv's.
 const SPARE_SOCKETS: usize = 32;
 /// What a caller's connection costs in memory beside a body: its buffers, and a head that is coming.
@@ -27,7 +28,7 @@
     /// Connections from callers, and to srvs.
     pub most_in: usize,
     pub most_out: usize,
-    /// Bytes of reqs' bodies in hand, all together.
+    /// Bytes of reqs' bodies in hand, all together, and of answers over `MOST_BODY`.
     pub most_bodies: usize,
     /// The list as this balancer last had it, in discovery's form.
     pub known: Json,
@@ -54,7 +55,8 @@
         let sockets = limit("sockets")?;
         let shared = sockets.checked_sub(SPARE_SOCKETS).filter(|n| *n >= 2);
         let shared = shared.ok_or(format!("limits.sockets is under {}", SPARE_SOCKETS + 2))?;
-        // A quarter each for callers, for reqs' bodies and for answers; the last is the program's own.
+        // A quarter each for callers and for answers, an eighth each for reqs' bodies and for large answers; the
+        // last is the program's own.
         let quarter = limit("memory_mb")?.saturating_mul(KB * KB) / 4;
         let most = |each: usize| (shared / 2).min(quarter / each).max(1);
         Ok(StartFacts {
@@ -65,7 +67,7 @@
             seed: u64::from_str_radix(text("seed")?, 16).map_err(|_| "seed is no hexadecimal number")?,
             most_in: most(PER_CALLER),
             most_out: most(MOST_BODY),
-            most_bodies: quarter.clamp(MOST_BODY, 1 << 30),
+            most_bodies: (quarter / 2).clamp(MOST_ANSWER, 1 << 30),
             facts: facts::from_json(&json["settings"])?,
             known: json["known"].take(),
         })
--- a/balancer/tests/sockets.rs
+++ b/balancer/tests/sockets.rs
@@ -276,6 +276,60 @@
     "#]]);
 }
 
+#[test]
+fn a_spoilt_answer_may_have_run_and_more_than_an_answer_ends_its_connection() {
+    let mut trace = Trace::default();
+    let large = format!("HTTP/1.1 200 OK\r\ncontent-length: 300000\r\n\r\n{}", "x".repeat(300_000));
+    for (what, said) in [
+        ("noise", "\x01\x02 noise\r\n\r\n"),
+        ("two lengths", "HTTP/1.1 200 OK\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\ngood"),
+        ("endless", "HTTP/1.1 200 OK\r\ncontent-length: 3000000000\r\n\r\ngood"),
+        ("bad chunk", "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\ngood"),
+        ("stops half way", CUT),
+        ("large", &large),
+        ("1xx ahead", &format!("HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n{OK}")),
+        ("bad report", &OK.replace("x-mark: 7", "x-load-report: {\"")),
+        ("a copy behind", &OK.repeat(2)),
+        ("noise behind", &format!("{OK}\x01\x02")),
+    ] {
+        let srv = listen();
+        let balancer = Balancer::start("a@x", &srv);
+        let mut client = balancer.send(&req("POST", "/pay", "2.5", "x"));
+        let mut at_srv = accept(&srv);
+        read(&mut at_srv);
+        answer(&mut at_srv, said);
+        let answered = read(&mut client);
+        answer(&mut client, &req("POST", "/pay", "2.5", "x"));
+        let next = read(&mut at_srv);
+        let (status, next) = (answered.lines().next(), next.lines().next());
+        let line = format!(
+            "{} bytes, {}, next: {}",
+            answered.len(),
+            status.expect("an answer"),
+            next.unwrap_or("none")
+        );
+        trace.first_line(what, &line);
+        if next.is_none() {
+            at_srv = accept(&srv);
+            read(&mut at_srv);
+        }
+        answer(&mut at_srv, OK);
+        assert!(read(&mut client).ends_with("good"), "the next one has its own answer");
+    }
+    trace.check(expect![[r#"
+        noise: 110 bytes, HTTP/1.1 502 Bad Gateway, next: none
+        two lengths: 110 bytes, HTTP/1.1 502 Bad Gateway, next: none
+        endless: 110 bytes, HTTP/1.1 502 Bad Gateway, next: none
+        bad chunk: 110 bytes, HTTP/1.1 502 Bad Gateway, next: none
+        stops half way: 110 bytes, HTTP/1.1 502 Bad Gateway, next: none
+        large: 300080 bytes, HTTP/1.1 200 OK, next: POST /pay HTTP/1.1
+        1xx ahead: 90 bytes, HTTP/1.1 200 OK, next: POST /pay HTTP/1.1
+        bad report: 98 bytes, HTTP/1.1 200 OK, next: POST /pay HTTP/1.1
+        a copy behind: 90 bytes, HTTP/1.1 200 OK, next: none
+        noise behind: 90 bytes, HTTP/1.1 200 OK, next: none
+    "#]]);
+}
+
 #[test]
 fn a_connection_that_its_srv_has_closed_is_not_used_again() {
     let (srv, mut trace) = (listen(), Trace::default());
