Outside overload the level is not held below the best of late while answers are prompt

Checked: srvs had room (no reject, prompt answers); no site was lost. Cause: decide.rs, level: what is done a second leaves out the 12 to 20% that clients leave, and what is denied.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -46,6 +46,8 @@
 const RECOVERING: (f64, f64) = (3.0, 0.25);
 const RECOVERING_LOST: (f64, f64) = (5.0, 0.75);
 const AFTER_LOSS: Nanos = 10 * S;
+/// Steady: so many done in 2 s at least, for the same reason, and asked for at most this part of the best.
+const STEADY: (f64, f64) = (5.0, 1.2);
 /// A dispatch is overdue after this many of those spans.
 const SILENT: f64 = 1.5;
 /// A whole site is overdue after this part of that time: until it is, what is stuck there holds slots and
@@ -328,16 +330,21 @@
         if calm { (CALM_LEAST * CALM_GAIN * quick).clamp(1.0, CALM_LEAST) } else { 1.0 }
     }
 
-    /// Whether we finish far less than at best of late though answers come about as fast as with no load.
-    /// Then the level is what holds us back, after a fault further down has passed, and it may be wider.
-    fn recovering(&self, now: Nanos) -> bool {
+    /// How much wider the level is while answers come about as fast as with no load: twice where we finish far
+    /// less than at best, after a fault further down has passed; up to the best where no more is asked for.
+    /// Guards against a level that sinks with what clients left, and then denies what the srvs could do.
+    fn widening(&self, now: Nanos) -> f64 {
         let best = self.took.live(now).map(|bucket| bucket.count).fold(0.0, f64::max);
         let lost = self.site_lost.is_some_and(|at| now < at + AFTER_LOSS);
         let (least, part) = if lost { RECOVERING_LOST } else { RECOVERING };
-        let done = self.done.count(now);
-        self.tier == 0
-            && (least..part * best).contains(&done)
-            && self.done.mean(now) <= self.took.least(now) * PROMPT
+        let (done, asked) = (self.done.count(now), self.asked.count(now));
+        let prompt = self.done.mean(now) <= self.took.least(now) * PROMPT;
+        let steady = done >= STEADY.0 && asked <= STEADY.1 * best && !self.overload(now);
+        match self.tier == 0 && prompt {
+            true if (least..part * best).contains(&done) => 2.0,
+            true if steady => (best / done).clamp(1.0, 2.0),
+            _ => 1.0,
+        }
     }
 
     /// What any srv may have in flight from us, however little it has done for us: our share of a few.
@@ -477,7 +484,7 @@
             self.mean(now, |srv| if srv.fresh(now) { srv.weight } else { 0.0 }, |srv| srv.reported);
         let share = number(&self.facts, "cold_share", 1.0);
         let (narrow, floor) = (self.span_allowed(now), self.floor(now));
-        let wide = if self.recovering(now) { narrow * 2.0 } else { narrow };
+        let wide = narrow * self.widening(now);
         let answering =
             self.srvs.values().filter(|srv| srv.ours > 0.0 && srv.usable(now) && !srv.silent(now, narrow));
         let (level, out) = answering
@@ -631,8 +638,8 @@
     }
 
     /// Judges a srv by its last few outcomes, against how the others do: what fails everywhere is not its
-    /// fault. Errors of one rule set, while others do well there, keep only that one away. Guards against a
-    /// srv that fails a rule set whole: the others' reqs would lose it too, or hide it.
+    /// fault. Errors of one rule set, while another does well there, keep only that one away: else the other
+    /// would lose the srv too, or hide it.
     fn judge(&mut self, now: Nanos, name: &Name, set: usize, how: How, took: Nanos) {
         let failure = match how {
             How::Done => seconds(took) > self.span_allowed(now) * SILENT,
@@ -643,7 +650,6 @@
         let everywhere = self.outcomes.mean(now);
         let last_tier = self.last_tier();
         let Some(srv) = self.srvs.get_mut(name) else { return };
-        let site = srv.site.clone();
         if set > 0 && matches!(how, How::Done | How::Error) {
             srv.health[set].note(how == How::Error, 1);
         }
@@ -651,12 +657,11 @@
         let at = if how == How::Error && srv.health.iter().enumerate().any(well) { set } else { 0 };
         if at == 0 {
             // No connection, or no answer, tells more than an error: it weighs double. So does a slow answer
-            // of the last tier, where nothing below can be its cause. Guards against a jammed srv that
-            // answers all, but late.
+            // of the last tier, whose cause can't lie below. Guards against a jammed srv that is only late.
             let heavy = matches!(how, How::NoConnection | How::TimedOut) || (how == How::Done && last_tier);
             srv.health[0].note(failure, if failure && heavy { 2 } else { 1 });
         }
-        let Health { judged, aside_until, .. } = srv.health[at];
+        let (Health { judged, aside_until, .. }, site) = (srv.health[at], srv.site.clone());
         let (failed, allowed) = (srv.health[at].failed(), f64::from(judged) * (2.0 * everywhere + 0.2));
         // Never more than half of a site, one by one; a whole site is another matter. A srv alone in its site,
         // or kept from a rule set, is one of the whole list.
@@ -673,10 +678,9 @@
         {
             let aside_until = now + ASIDE + self.chance.span(ASIDE_RANDOM);
             let of = if at > 0 { format!(" of {}", self.rule_sets[at - 1].name) } else { String::new() };
-            if let Some(srv) = self.srvs.get_mut(name) {
-                // It returns on trial: one more failure sets it aside again.
-                srv.health[at] = Health { outcomes: 1, judged: 3, aside_until };
-            }
+            // It returns on trial: one more failure sets it aside again.
+            let trial = Health { outcomes: 1, judged: 3, aside_until };
+            self.srvs.entry(name.clone()).and_modify(|srv| srv.health[at] = trial);
             self.say(format!(
                 "aside {name}: {failed} of its last {judged}{of} failed, {everywhere:.2} everywhere"
             ));
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -624,8 +624,30 @@
         told += &format!("burst of {burst}: {aside}; {denied} of 10 denied\n");
     }
     expect![[r#"
-        burst of 0: 20700 log: aside site x: silent for 0.8 s, 2 owed, 0 lost; 0 of 10 denied
-        burst of 30: 20700 log: aside site x: silent for 0.8 s, 2 owed, 0 lost; 7 of 10 denied
+        burst of 0: 20800 log: aside site x: silent for 0.8 s, 2 owed, 0 lost; 0 of 10 denied
+        burst of 30: 20800 log: aside site x: silent for 0.8 s, 2 owed, 0 lost; 3 of 10 denied
+    "#]]
+    .assert_eq(&told);
+}
+
+#[test]
+fn the_level_does_not_sink_with_what_clients_left() {
+    let mut told = String::new();
+    for left in [0, 2] {
+        let mut scene = Scene::new(facts(0.0, 4.0), "a@x b@x d@y e@y");
+        for id in 1..321 {
+            let how = if id > 160 && id % 3 < left { How::Recalled } else { How::Done };
+            scene.req(id, "read").pass(25).end(id, how);
+        }
+        for id in 401..417 {
+            scene.req(id, "read");
+        }
+        let sent = (401..417).filter(|id| scene.trace.contains(&format!(" {id}: to"))).count();
+        told += &format!("{left} of 3 left by their clients: {sent} of 16 sent at once\n");
+    }
+    expect![[r#"
+        0 of 3 left by their clients: 16 of 16 sent at once
+        2 of 3 left by their clients: 16 of 16 sent at once
     "#]]
     .assert_eq(&told);
 }
