Non-replayable reqs keep off reused connections while those break

Checked: the idle times of those are spread evenly over all that the srvs keep (0.05 s to 0.65 s), so a shorter idle limit would not tell them; a closed connection is never reused (peek). peer.rs now remembers how reused connections fare, at all srvs together.

--- a/balancer/src/decisions.rs
+++ b/balancer/src/decisions.rs
@@ -114,6 +114,7 @@
 /// What is kept of a req beside what the module needs.
 struct Taken {
     message: Arc<Request<Bytes>>,
+    once: bool,
     reply: Option<oneshot::Sender<Answer>>,
     sent_at: Nanos,
     recall: Option<oneshot::Sender<()>>,
@@ -122,6 +123,8 @@
 pub struct Actor {
     clock: Clock,
     hands: Hands,
+    /// The rule sets whose reqs must not run twice.
+    once: HashSet<Name>,
     taken: HashMap<u64, Taken>,
     /// Reqs that may be over.
     touched: Vec<u64>,
@@ -131,11 +134,17 @@
 }
 
 impl Actor {
-    pub fn new(balancer: Balancer, common: peer::Common, list: mpsc::Sender<list::Mail>) -> Actor {
+    pub fn new(
+        balancer: Balancer,
+        once: HashSet<Name>,
+        common: peer::Common,
+        list: mpsc::Sender<list::Mail>,
+    ) -> Actor {
         let (clock, hands) = (common.clock, Hands::new(balancer));
         Actor {
             clock,
             hands,
+            once,
             taken: HashMap::new(),
             touched: Vec::new(),
             peers: BTreeMap::new(),
@@ -166,7 +175,8 @@
         let now = self.clock.now();
         match mail {
             Mail::Take { req, message, reply } => {
-                let taken = Taken { message, reply: Some(reply), sent_at: now, recall: None };
+                let once = self.once.contains(&req.rule_set);
+                let taken = Taken { message, once, reply: Some(reply), sent_at: now, recall: None };
                 self.taken.insert(req.id, taken);
                 self.hands.take(now, req);
             }
@@ -258,7 +268,8 @@
             return false;
         };
         let (recall, recalled) = oneshot::channel();
-        let job = Job { id, number, give_up, message: taken.message.clone(), recalled };
+        let (message, once) = (taken.message.clone(), taken.once);
+        let job = Job { id, number, give_up, message, once, recalled };
         (taken.sent_at, taken.recall) = (now, Some(recall));
         peer.try_send(peer::Mail::Send(job)).is_ok()
     }
--- a/balancer/src/peer.rs
+++ b/balancer/src/peer.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -42,15 +43,38 @@
     pub number: usize,
     pub give_up: Nanos,
     pub message: Arc<Request<Bytes>>,
+    /// It must not run twice.
+    pub once: bool,
     pub recalled: oneshot::Receiver<()>,
 }
 
+/// How reused connections fare at all srvs together: the part of them that broke before any answer, slowly
+/// forgotten. Guards against srvs, or what sits before them, that drop kept connections without a sign.
+#[derive(Default)]
+pub struct Reuse(AtomicU32);
+
+impl Reuse {
+    const ALL: u32 = 1 << 20;
+    const MEMORY: u32 = 32;
+
+    fn note(&self, broke: bool) {
+        let was = self.0.load(Relaxed);
+        self.0.store(was - was / Reuse::MEMORY + u32::from(broke) * (Reuse::ALL / Reuse::MEMORY), Relaxed);
+    }
+
+    /// More than one in 32 of late: too many for what must not run twice, which can't be sent again.
+    fn risky(&self) -> bool {
+        self.0.load(Relaxed) > Reuse::ALL / 32
+    }
+}
+
 /// What all peers of a balancer have in common.
 #[derive(Clone)]
 pub struct Common {
     pub clock: Clock,
     pub decisions: mpsc::Sender<decisions::Mail>,
     pub sockets: Arc<Semaphore>,
+    pub reuse: Arc<Reuse>,
     /// Bytes of large answers.
     pub large: Arc<Semaphore>,
     /// With no more than these left, connections are closed rather than kept idle. Guards against reqs denied
@@ -84,7 +108,11 @@
             let wake = self.common.clock.instant(oldest.unwrap_or(Nanos::MAX));
             tokio::select! {
                 mail = mailbox.recv(), if open => match mail {
-                    Some(Mail::Send(job)) => out.push(self.carry_out(job, self.reusable(&mut idle)).boxed()),
+                    Some(Mail::Send(job)) => {
+                        let fresh = job.once && self.common.reuse.risky();
+                        let reused = if fresh { None } else { self.reusable(&mut idle) };
+                        out.push(self.carry_out(job, reused).boxed());
+                    }
                     Some(Mail::Probe(give_up)) => out.push(self.probe(give_up).boxed()),
                     Some(Mail::Shut) => idle.clear(),
                     None => open = false,
@@ -120,7 +148,7 @@
     }
 
     async fn carry_out(&self, job: Job, reused: Option<Link>) -> Option<Link> {
-        let Job { id, number, give_up, message, mut recalled } = job;
+        let Job { id, number, give_up, message, mut recalled, .. } = job;
         let mut link = reused;
         let result = {
             let mut work = pin!(self.dispatch(&mut link, &message, give_up));
@@ -174,7 +202,12 @@
                 // Guards against a pause of the whole process: nothing is sent for a req that is over.
                 return Err(How::NotSent);
             }
-            match on.exchange(self.address_to(message, left), MOST_ANSWER, &self.common.large).await {
+            let asked = self.common.clock.now();
+            let answer = on.exchange(self.address_to(message, left), MOST_ANSWER, &self.common.large).await;
+            if reused {
+                self.common.reuse.note(answer.is_err() && on.sent_whole() && on.last_read() < asked);
+            }
+            match answer {
                 Ok(answer) => return Ok(answer),
                 Err(_) if on.sent_whole() => return Err(How::Reset),
                 Err(_) if reused && !on.began() => (*link, reused) = (None, false),
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::time::Duration;
 
-use ochreshed::{Balancer, Nanos, list as facts_list, span, text};
+use ochreshed::{Balancer, Facts, Nanos, list as facts_list, span, text};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
@@ -116,6 +116,7 @@
         clock,
         decisions: mail.clone(),
         sockets: Arc::new(Semaphore::new(start.most_out)),
+        reuse: Arc::default(),
         large: Arc::new(Semaphore::new(start.most_bodies)),
         spare: start.most_out / 4,
         connect_timeout: Duration::from_nanos(span(&start.facts, "connect_timeout", S)),
@@ -129,8 +130,11 @@
         bodies: Arc::new(Semaphore::new(start.most_bodies)),
         rule_sets: facts_list(&start.facts, "rule_sets").iter().map(|set| text(set, "name").into()).collect(),
     };
+    let once = |set: &&Facts| text(set, "effect") == "non-replayable";
+    let once = facts_list(&start.facts, "rule_sets").iter().filter(once).map(|set| text(set, "name").into());
+    let once = once.collect();
     let balancer = Balancer::new(clock.now(), start.seed, start.facts);
-    let mut actor = tokio::spawn(Actor::new(balancer, common, listed).run(mailbox));
+    let mut actor = tokio::spawn(Actor::new(balancer, once, common, listed).run(mailbox));
     let door = front::Door::new(clock, life.clone(), Decisions::new(mail), bounds);
     let mut door = tokio::spawn(door.keep(listener));
 
--- a/balancer/tests/sockets.rs
+++ b/balancer/tests/sockets.rs
@@ -351,6 +351,45 @@
     "#]]);
 }
 
+#[test]
+fn what_must_not_run_twice_keeps_off_reused_connections_while_they_break() {
+    let (srv, mut trace) = (listen(), Trace::default());
+    let balancer = Balancer::start("a@x", &srv);
+    let mut client = balancer.connect();
+    for _ in 0..2 {
+        answer(&mut client, &req("POST", "/pay", "2.5", "x"));
+        let mut at_srv = accept(&srv);
+        read(&mut at_srv);
+        answer(&mut at_srv, OK);
+        read(&mut client);
+        answer(&mut client, &req("POST", "/pay", "2.5", "x"));
+        trace.first_line("kept", &read(&mut at_srv));
+        drop(at_srv);
+        trace.first_line("client", &read(&mut client));
+    }
+    answer(&mut client, &req("GET", "/read", "2.5", ""));
+    let mut kept = trace.accepted("new", &srv);
+    answer(&mut kept, OK);
+    trace.first_line("client", &read(&mut client));
+    answer(&mut client, &req("POST", "/pay", "2.5", "x"));
+    let mut new = trace.accepted("new", &srv);
+    answer(&mut new, OK);
+    trace.first_line("client", &read(&mut client));
+    answer(&mut client, &req("GET", "/read", "2.5", ""));
+    trace.first_line("kept", &read(&mut new));
+    trace.check(expect![[r#"
+        kept: POST /pay HTTP/1.1
+        client: HTTP/1.1 502 Bad Gateway
+        kept: POST /pay HTTP/1.1
+        client: HTTP/1.1 502 Bad Gateway
+        new: GET /read HTTP/1.1
+        client: HTTP/1.1 200 OK
+        new: POST /pay HTTP/1.1
+        client: HTTP/1.1 200 OK
+        kept: GET /read HTTP/1.1
+    "#]]);
+}
+
 #[test]
 fn what_nobody_waits_for_is_ended_at_the_srv() {
     let (srv, mut trace) = (listen(), Trace::default());
