A srv that turns all away several times in a row is set aside

Checked: the srvs drain and the list tells 2 s and more later; each refusal is sent again in the tenth, which 25% refusals use up. Cause: decide.rs, judge left How::Full out, and a srv that refuses at once is never crowded, so it draws ever more. From the second in a row it counts as a failure now. Also: a site never heard of is silent since our start, in the log.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -124,6 +124,8 @@
     known: Nanos,
     /// Dispatches it lost since its site last answered: no connection, a reset, a time-out.
     lost: usize,
+    /// How often in a row it said that it was full, or draining.
+    turned_away: u32,
     /// When it last answered anything.
     heard: Nanos,
     /// When we last closed our idle connections to it.
@@ -411,7 +413,7 @@
 
     /// The second rule: another run only where it can't be a second effect.
     fn may_run_again(&self, now: Nanos, req: &Req) -> bool {
-        let Some(ran) = may_have_run(req) else { return true };
+        let Some(ran) = req.may_have_run() else { return true };
         match self.rule_set(&req.rule_set) {
             Some(set) if set.effect == Effect::Uniqued => now + MS < ran.at + set.window,
             Some(set) => set.effect == Effect::Replayable,
@@ -424,7 +426,7 @@
         let all = self
             .rule_set(&req.rule_set)
             .is_some_and(|s| s.effect != Effect::Uniqued || s.group == Group::All);
-        if may_have_run(req).is_some() && !(all && self.may_run_again(now, req)) {
+        if req.may_have_run().is_some() && !(all && self.may_run_again(now, req)) {
             return Place::Abort;
         }
         if !flag(&self.facts, "come_back_passed") {
@@ -456,7 +458,7 @@
     fn candidates(&mut self, now: Nanos, set: usize, again: Option<&Req>) -> Vec<(Name, f64)> {
         self.fill_budgets(now);
         self.judge_sites(now);
-        let ran = again.and_then(may_have_run);
+        let ran = again.and_then(Req::may_have_run);
         let group = again
             .and_then(|req| self.rule_set(&req.rule_set))
             .map_or(Group::All, |set| if set.effect == Effect::Uniqued { set.group } else { Group::All });
@@ -581,7 +583,8 @@
                         srv.done.add(now, 1.0);
                     }
                     match how {
-                        How::Done | How::Error | How::Full => srv.heard = now,
+                        How::Done | How::Error => (srv.heard, srv.turned_away) = (now, 0),
+                        How::Full => (srv.heard, srv.turned_away) = (now, srv.turned_away + 1),
                         How::NoConnection | How::Reset | How::TimedOut => srv.lost += 1,
                         How::Recalled | How::NotSent => {}
                     }
@@ -644,6 +647,8 @@
         let failure = match how {
             How::Done => seconds(took) > self.span_allowed(now) * SILENT,
             How::Error | How::Reset | How::TimedOut | How::NoConnection => true,
+            // Guards against a srv that drains before we are told: it is never crowded, and draws ever more.
+            How::Full if self.srvs.get(name).is_some_and(|srv| srv.turned_away > 1) => true,
             How::Full | How::Recalled | How::NotSent => return,
         };
         self.outcomes.add(now, f64::from(u8::from(failure)));
@@ -732,7 +737,7 @@
             if !self.overload(now) {
                 self.site_lost = Some(now);
             }
-            let silent = seconds(now - last);
+            let silent = seconds(now - last.max(&self.born));
             self.say(format!("aside site {site}: silent for {silent:.1} s, {count} owed, {lost} lost"));
         }
     }
@@ -889,6 +894,7 @@
             done: Ring::over(4 * S),
             known: now,
             lost: 0,
+            turned_away: 0,
             heard: 0,
             closed: 0,
             turn,
@@ -992,8 +998,3 @@
         Customer { name: text(facts, "name").into(), share_per_s, asked: Ring::over(4 * S) }
     }
 }
-
-/// The first dispatch that is not proved never to have run.
-fn may_have_run(req: &Req) -> Option<&Dispatch> {
-    req.dispatches.iter().find(|d| !d.how.is_some_and(How::never_ran))
-}
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -65,6 +65,13 @@
     pub dispatches: Vec<Dispatch>,
 }
 
+impl Req {
+    /// The first dispatch that is not proved never to have run.
+    pub fn may_have_run(&self) -> Option<&Dispatch> {
+        self.dispatches.iter().find(|d| !d.how.is_some_and(How::never_ran))
+    }
+}
+
 /// Where a req goes now.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Place {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -289,6 +289,46 @@
     );
 }
 
+#[test]
+fn a_srv_that_turns_all_away_is_set_aside() {
+    let mut scene = Scene::new(facts(0.0, 1.0), "a@w b@x c@y d@z");
+    scene.past(40);
+    for id in 1..14 {
+        scene.req(id, "charge").pass(10);
+        let how = if scene.went_to(&["b"]) { How::Full } else { How::Done };
+        scene.end(id, how).pass(40).wait();
+        if how == How::Full {
+            scene.end(id, How::Done);
+        }
+    }
+    check(
+        &mut scene,
+        expect![[r#"
+        4000 1: to d
+        4050 Watch
+        4050 2: to b
+        4060 2: Full
+        4060 2: to a
+        4100 3: to c
+        4150 4: to a
+        4200 5: to d
+        4250 6: to c
+        4300 7: to b
+        4310 7: Full
+        4310 7: to a
+        4350 8: to d
+        4400 9: to c
+        4450 10: to b
+        4460 10: Full
+        4460 10: to a
+        4500 log: aside b: 2 of its last 6 failed, 0.04 everywhere
+        4500 11: to d
+        4550 12: to c
+        4600 13: to a
+    "#]],
+    );
+}
+
 #[test]
 fn a_silent_site_is_set_aside_whole_and_what_it_owes_is_recalled() {
     let mut scene = Scene::new(facts(2.0, 1.0), "a@x b@x c@x d@y e@y f@y");
