--- a/balancer/src/main.rs
+++ b/balancer/src/main.rs
@@ -19,7 +19,7 @@
 const HELP: &str = "\
 ochreshed, a load balancer for services that call services
 
-    ochreshed serve [--facts FILE]    serve until SIGTERM
+    ochreshed serve [--facts FILE]    serve until SIGTERM; SIGHUP reads FILE again for where discovery answers
     ochreshed check [--facts FILE]    read the start facts, say what they amount to, and exit
     ochreshed version
     ochreshed help
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -332,8 +332,8 @@
         if calm { (CALM_LEAST * CALM_GAIN * quick).clamp(1.0, CALM_LEAST) } else { 1.0 }
     }
 
-    /// How much wider the level is while answers come about as fast as with no load: twice where we finish far
-    /// less than at best, after a fault further down has passed; up to the best where no more is asked for.
+    /// How much wider the level is while answers come about as fast as with no load: twice where we finish
+    /// far less than at best, after a fault further down has passed; up to the best where no more is asked for.
     /// Guards against a level that sinks with what clients left, and then denies what the srvs could do.
     fn widening(&self, now: Nanos) -> f64 {
         let best = self.took.live(now).map(|bucket| bucket.count).fold(0.0, f64::max);
@@ -668,8 +668,8 @@
         }
         let (Health { judged, aside_until, .. }, site) = (srv.health[at], srv.site.clone());
         let (failed, allowed) = (srv.health[at].failed(), f64::from(judged) * (2.0 * everywhere + 0.2));
-        // Never more than half of a site, one by one; a whole site is another matter. A srv alone in its site,
-        // or kept from a rule set, is one of the whole list.
+        // Never more than half of a site, one by one; a whole site is another matter. A srv alone in its
+        // site, or kept from a rule set, is one of the whole list.
         let ups = || self.srvs.values().filter(|srv| srv.state == State::Up);
         let wide = at > 0 || ups().filter(|srv| srv.site == site).count() < 2;
         let peers = ups().filter(|srv| wide || srv.site == site);
