--- a/src/decide.rs
+++ b/src/decide.rs
@@ -333,7 +333,7 @@
     }
 
     /// How much wider the level is while answers come about as fast as with no load: twice where we finish
-    /// far less than at best, after a fault further down has passed; up to the best where no more is asked for.
+    /// far less than at best, after a fault further down has passed; up to the best where no more is asked.
     /// Guards against a level that sinks with what clients left, and then denies what the srvs could do.
     fn widening(&self, now: Nanos) -> f64 {
         let best = self.took.live(now).map(|bucket| bucket.count).fold(0.0, f64::max);
