--- a/src/decide.rs
+++ b/src/decide.rs
@@ -60,7 +60,8 @@
 const STUCK: usize = 3;
 /// The part of its response target that a req may wait in our queue.
 const PATIENCE_PART: f64 = 0.2;
-/// How long a srv is set aside: a fixed time and a random part.
+/// Outcomes that show a srv does well in a rule set; how long it is set aside: a fixed and a random part.
+const TOLD: u32 = 4;
 const ASIDE: Nanos = 3 * S;
 const ASIDE_RANDOM: Nanos = 2 * S;
 /// Ramp of a srv that returns from being set aside.
@@ -652,13 +653,12 @@
             How::Full | How::Recalled | How::NotSent => return,
         };
         self.outcomes.add(now, f64::from(u8::from(failure)));
-        let everywhere = self.outcomes.mean(now);
-        let last_tier = self.last_tier();
+        let (everywhere, last_tier) = (self.outcomes.mean(now), self.last_tier());
         let Some(srv) = self.srvs.get_mut(name) else { return };
         if set > 0 && matches!(how, How::Done | How::Error) {
             srv.health[set].note(how == How::Error, 1);
         }
-        let well = |(at, health): (usize, &Health)| at > 0 && health.judged > 0 && health.failed() == 0;
+        let well = |(at, health): (usize, &Health)| at > 0 && health.judged >= TOLD && health.failed() == 0;
         let at = if how == How::Error && srv.health.iter().enumerate().any(well) { set } else { 0 };
         if at == 0 {
             // No connection, or no answer, tells more than an error: it weighs double. So does a slow answer
