--- a/balancer/src/front.rs
+++ b/balancer/src/front.rs
@@ -8,7 +8,7 @@
 use std::net::Shutdown;
 use std::pin::{Pin, pin};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -32,7 +32,7 @@
 
 use crate::clock::Clock;
 use crate::decisions::{Answer, Offer};
-use crate::link::{MOST_HEAD, Meter, Wire, drop_hop_fields, unread};
+use crate::link::{MOST_HEAD, Meter, Wire, drop_hop_fields, held, unread};
 use crate::peer::BUDGET;
 use crate::phases::{Life, Phase};
 use crate::start::MOST_BODY;
@@ -254,14 +254,10 @@
 
 impl Drop for OpenId {
     fn drop(&mut self) {
-        self.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.id);
+        held(&self.open).remove(&self.id);
     }
 }
 
-fn held(visits: &Visits) -> MutexGuard<'_, HashMap<u64, Arc<Visit>>> {
-    visits.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// What answers the reqs of one connection.
 #[derive(Clone)]
 struct Front<S> {
@@ -322,11 +318,11 @@
             let serving = self.life.phase() == Phase::Serving;
             return Ok(if serving { Response::default() } else { say(503, "not serving") });
         }
-        if req.headers().contains_key(TRANSFER_ENCODING) && self.meter.length_named() {
+        let framed = !req.headers().contains_key(TRANSFER_ENCODING);
+        if !framed && self.meter.length_named() {
             // Guards against a req that another one hides in: hyper drops the length that would show it.
             return Err(Bad(400, "both a length and a transfer encoding"));
         }
-        let framed = !req.headers().contains_key(TRANSFER_ENCODING);
         let until = if first { self.visit.came } else { came } + SLOW;
         let (mut offer, _room) = tokio::select! {
             biased;
@@ -383,7 +379,7 @@
     fn open_id(&self, headers: &HeaderMap) -> Result<Option<OpenId>, Bad> {
         let Some(id) = headers.get("x-call-id").cloned() else { return Ok(None) };
         let open = self.open.clone();
-        if !open.lock().unwrap_or_else(PoisonError::into_inner).insert(id.clone()) {
+        if !held(&open).insert(id.clone()) {
             return Err(Bad(409, "a req with this X-Call-Id is open"));
         }
         Ok(Some(OpenId { open, id }))
--- a/balancer/src/link.rs
+++ b/balancer/src/link.rs
@@ -109,10 +109,15 @@
     }
 
     fn heard(&self) -> MutexGuard<'_, Heard> {
-        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+        held(&self.heard)
     }
 }
 
+/// What a lock guards, also after a panic elsewhere.
+pub fn held<T>(lock: &Mutex<T>) -> MutexGuard<'_, T> {
+    lock.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// How many bytes lie unread on a socket, up to one; 0 at its end. Asks the system, not the runtime, which may
 /// not have come to the news yet.
 pub fn unread(stream: &TcpStream) -> io::Result<usize> {
