--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,7 +1,9 @@
 //! Every decision of ochreshed. An instance, `Balancer`, is made from its start time, its seed and a map of
 //! facts, and is then asked: `place` for where a req goes, `after` for what follows an outcome, `wait` for
 //! the chore to do next or how long until it is asked again. The values that go in and out are in `plain.rs`;
-//! the adapter keeps timers and reqs. The design and each departure from it are told in `docs/design.md`.
+//! the adapter keeps timers and reqs. The design and each departure from it are told in `docs/design.md`,
+//! what a decision costs and how old its sums may be in `docs/scale.md`. `decide/pick.rs` holds the turns,
+//! `decide/judge.rs` health and silence, `decide/srv.rs` what a srv's own figures mean.
 //!
 //! The design: a failure is sent again only by the balancer whose callee owns it, on another srv, within a
 //! tenth of our first sends; smooth weighted round robin that skips crowded srvs; a ramp for new and
@@ -15,13 +17,21 @@
 //! 5. Cold budget: a cold srv gets from us no more than our share of what its least capacity takes.
 //! 6. Shares: a customer over its share goes last, and is denied while anyone waits.
 
-use std::collections::{BTreeMap, VecDeque};
+mod judge;
+mod pick;
+mod srv;
 
-use crate::measure::{Chance, Health, Ring};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+
+use crate::fleet::{Fleet, Sent};
+use crate::measure::{Chance, Ring};
 use crate::plain::*;
+use crate::queue::{Queue, Waiting};
+use crate::told::{Customer, Effect, Group, RuleSet, Told};
 
 const MS: Nanos = 1_000_000;
-const S: Nanos = 1_000 * MS;
+pub(crate) const S: Nanos = 1_000 * MS;
+pub(crate) use srv::CROWD_SPAN;
 
 /// Owned failures are sent again within this part of our first sends, over the budget's ring.
 const TENTH: f64 = 0.1;
@@ -50,113 +60,10 @@
 const STEADY: (f64, f64) = (5.0, 1.2);
 /// A dispatch is overdue after this many of those spans.
 const SILENT: f64 = 1.5;
-/// A whole site is overdue after this part of that time: until it is, what is stuck there holds slots and
-/// levels at each tier above. Not so at the first tier in overload, where srvs are late for want of time.
-const SILENT_SITE: f64 = 0.75;
-/// A srv that owes us answers is silent when their times out, in overdue times, come to this: one that gets
-/// a req now and then may be slow only.
-const OWED: f64 = 3.0;
-/// With this many srvs that owe an answer for too long, idle connections may be dead: one may be slow.
-const STUCK: usize = 3;
 /// The part of its response target that a req may wait in our queue.
 const PATIENCE_PART: f64 = 0.2;
-/// Outcomes that show a srv does well in a rule set; how long it is set aside: a fixed and a random part.
-const TOLD: u32 = 4;
-const ASIDE: Nanos = 3 * S;
-const ASIDE_RANDOM: Nanos = 2 * S;
-/// Ramp of a srv that returns from being set aside.
-const RETURN_RAMP: Nanos = 3 * S;
-/// A srv is crowded with this many times our mean in flight, and a req more, on the mean of a span.
-const CROWD: f64 = 1.25;
-const CROWD_SPAN: Nanos = 8 * S;
-/// A quiet instance turns among the srvs that it can hear of once in this time, and not fewer than these,
-/// where each srv stays in the turns of this many instances.
-const HEAR: f64 = 0.5;
-const TURNS_LEAST: f64 = 4.0;
-const TURNED_BY: f64 = 6.0;
-/// What a cold srv may get over the even share, against bursts that are chance, and at least a second from
-/// all that turn to it.
-const COLD_HEADROOM: f64 = 1.5;
-const COLD_FLOOR_PER_S: f64 = 1.0;
-
-struct RuleSet {
-    name: Name,
-    target: Nanos,
-    window: Nanos,
-    utility: f64,
-    late_utility: f64,
-    effect: Effect,
-    group: Group,
-    took: Ring,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Effect {
-    Replayable,
-    Uniqued,
-    NonReplayable,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Group {
-    All,
-    Site,
-    Cell,
-}
-
-struct Customer {
-    name: Name,
-    share_per_s: f64,
-    asked: Ring,
-}
-
-struct Srv {
-    weight: f64,
-    /// The part of its weight that is in our turns.
-    ours: f64,
-    site: Name,
-    cell: u64,
-    state: State,
-    came_up: Option<Nanos>,
-    /// The dispatches that are out, and the time that ended ones were out.
-    out: Vec<Out>,
-    held: Ring,
-    done: Ring,
-    known: Nanos,
-    /// Dispatches it lost since its site last answered: no connection, a reset, a time-out.
-    lost: usize,
-    /// How often in a row it said that it was full, or draining.
-    turned_away: u32,
-    /// When it last answered anything.
-    heard: Nanos,
-    /// When we last closed our idle connections to it.
-    closed: Nanos,
-    turn: f64,
-    /// How it does in all, and behind that in each rule set, where errors are its own.
-    health: Vec<Health>,
-    /// What a cold srv may still get of its budget, and when that was last reckoned.
-    budget: f64,
-    budget_at: Nanos,
-    reported: f64,
-    reported_at: Nanos,
-}
-
-struct Out {
-    at: Nanos,
-    id: u64,
-    number: usize,
-    recalled: bool,
-}
-
-struct Waiting {
-    id: u64,
-    set: usize,
-    rank: f64,
-    until: Nanos,
-}
-
 pub struct Balancer {
-    facts: Facts,
+    told: Told,
     born: Nanos,
     tier: usize,
     tiers: usize,
@@ -167,8 +74,18 @@
     turns_at: u64,
     chance: Chance,
     rule_sets: Vec<RuleSet>,
-    customers: Vec<Customer>,
-    srvs: BTreeMap<Name, Srv>,
+    customers: HashMap<Name, Customer>,
+    fleet: Fleet,
+    /// Those that lose their turn to the one just found, and whether they were doubtful.
+    lost: Vec<(u32, bool)>,
+    /// What the list beyond our turns is owed of what is sent again.
+    rest_owed: f64,
+    /// When late dispatches were last looked at, and how many.
+    swept_at: Nanos,
+    swept: usize,
+    /// What cold srvs' budgets grow by, and when that was last reckoned.
+    sent: Sent,
+    sent_at: Nanos,
     in_flight: u32,
     first: Ring,
     again: Ring,
@@ -179,7 +96,7 @@
     asked: Ring,
     denied: Ring,
     outcomes: Ring,
-    waiting: Vec<Waiting>,
+    waiting: Queue,
     /// The held req that `wait` has just called up.
     called: Option<u64>,
     holding: bool,
@@ -197,6 +114,7 @@
         let mut chance = Chance::new(seed);
         let rule_sets = list(&facts, "rule_sets").iter().map(RuleSet::new).collect();
         let customers = list(&facts, "customers").iter().map(Customer::new).collect();
+        let told = Told::new(&facts);
         // All instances may have started in one step: the list is one service for all of them.
         let watch_at = (text(&facts, "list_mode") == "ask").then(|| now + chance.span(S));
         Balancer {
@@ -207,11 +125,17 @@
             me: number(&facts, "me", 0.0),
             part: 1.0,
             turns_at: 0,
-            facts,
+            fleet: Fleet::new(now, told.cold, told.cold_share),
+            told,
             chance,
             rule_sets,
             customers,
-            srvs: BTreeMap::new(),
+            lost: Vec::new(),
+            rest_owed: 0.0,
+            swept_at: 0,
+            swept: 0,
+            sent: Sent::default(),
+            sent_at: now,
             in_flight: 0,
             first: Ring::over(10 * S),
             again: Ring::over(10 * S),
@@ -221,7 +145,7 @@
             asked: Ring::over(2 * S),
             denied: Ring::over(2 * S),
             outcomes: Ring::over(5 * S),
-            waiting: Vec::new(),
+            waiting: Queue::default(),
             called: None,
             holding: false,
             watch_at,
@@ -236,7 +160,7 @@
     /// Where this req goes now.
     pub fn place(&mut self, now: Nanos, req: &mut Req) -> Place {
         let called = self.called.take() == Some(req.id);
-        let held = self.waiting.iter().position(|w| w.id == req.id).map(|at| self.waiting.remove(at));
+        let held = self.waiting.take(req.id);
         if let Some(last) = req.dispatches.last() {
             if last.how.is_none() {
                 // Never two dispatches of one req at once.
@@ -265,7 +189,7 @@
             let turn = now / S;
             if self.turns_at != turn {
                 self.turns_at = turn;
-                self.take_turns(now);
+                self.take_turns(now, false);
             }
             return self.send(now, req, srv);
         }
@@ -278,18 +202,18 @@
         let mut rank = set.map_or(1.0, |set| self.rank(now, set));
         let patience = set.map_or(S, |set| (set.target as f64 * PATIENCE_PART) as Nanos);
         if over_share {
-            rank *= number(&self.facts, "excess_utility", 1.0);
+            rank *= self.told.excess_utility;
         }
         let (set, until) = (self.health_at(&req.rule_set), (req.taken + patience).min(req.ends));
         let waiting = held.unwrap_or(Waiting { id: req.id, set, rank, until });
-        let at = self.waiting.partition_point(|w| w.rank >= waiting.rank);
+        let at = self.waiting.place(waiting.rank);
         let wait = self.wait_at(now, at);
         if now + wait > waiting.until || (over_share && !self.waiting.is_empty()) {
             self.denied.add(now, 1.0);
             return self.give_up_on(now, req, wait);
         }
         let ask_at = waiting.until;
-        self.waiting.insert(at, waiting);
+        self.waiting.insert(waiting);
         Place::Later { ask_at }
     }
 
@@ -357,13 +281,8 @@
         few / self.turned_by()
     }
 
-    /// How many instances turn to each srv.
-    fn turned_by(&self) -> f64 {
-        self.part * self.instances
-    }
-
     fn rank(&self, now: Nanos, set: &RuleSet) -> f64 {
-        if text(&self.facts, "utility_by") == "work" {
+        if self.told.utility_by_work {
             return set.utility;
         }
         // A rule set with few done yet goes by the time of all: its rank must be in the same measure as the
@@ -378,7 +297,7 @@
             return false;
         }
         let (born, instances) = (self.born, self.instances);
-        let Some(customer) = self.customers.iter_mut().find(|c| &*c.name == name) else { return false };
+        let Some(customer) = self.customers.get_mut(name) else { return false };
         customer.asked.add(now, 1.0);
         customer.asked.rate(now, born) * instances > customer.share_per_s * 1.2
     }
@@ -403,9 +322,8 @@
             Some(How::Error | How::TimedOut) => self.last_tier(),
             _ => false,
         };
-        let most = number(&self.facts, "max_dispatches", 2.0) as usize;
         owned
-            && req.dispatches.len() < most
+            && req.dispatches.len() < self.told.max_dispatches
             && now < req.ends
             && self.again.count(now) + 1.0
                 <= self.first.count(now) * TENTH + (FLOOR / self.instances).min(1.0)
@@ -430,131 +348,11 @@
         if req.may_have_run().is_some() && !(all && self.may_run_again(now, req)) {
             return Place::Abort;
         }
-        if !flag(&self.facts, "come_back_passed") {
+        if !self.told.come_back_passed {
             return Place::Deny { come_back: 0 };
         }
-        let most = span(&self.facts, "max_come_back", S);
         let come_back = wait + self.chance.span(S / 2);
-        Place::Deny { come_back: come_back.min(most) }
-    }
-
-    /// Smooth weighted round robin over the srvs that may take this req now.
-    fn pick(&mut self, now: Nanos, req: &Req) -> Option<Name> {
-        let again = Some(req).filter(|req| !req.dispatches.is_empty());
-        let fit: Vec<(Name, f64)> = self.candidates(now, self.health_at(&req.rule_set), again);
-        let total: f64 = fit.iter().map(|(_, weight)| weight).sum();
-        let mut best: Option<(Name, f64)> = None;
-        for (name, weight) in fit {
-            let srv = self.srvs.get_mut(&name)?;
-            srv.turn += weight;
-            if best.as_ref().is_none_or(|(_, turn)| srv.turn > *turn) {
-                best = Some((name, srv.turn));
-            }
-        }
-        let (name, _) = best?;
-        self.srvs.get_mut(&name)?.turn -= total;
-        Some(name)
-    }
-
-    fn candidates(&mut self, now: Nanos, set: usize, again: Option<&Req>) -> Vec<(Name, f64)> {
-        self.fill_budgets(now);
-        self.judge_sites(now);
-        let ran = again.and_then(Req::may_have_run);
-        let group = again
-            .and_then(|req| self.rule_set(&req.rule_set))
-            .map_or(Group::All, |set| if set.effect == Effect::Uniqued { set.group } else { Group::All });
-        let in_group = |srv: &Srv| match (ran, group) {
-            (None, _) | (_, Group::All) => true,
-            (Some(ran), Group::Site) => srv.site == ran.site,
-            (Some(ran), Group::Cell) => srv.cell == ran.cell,
-        };
-        let tried = |name: &Name, same: bool| {
-            let at = |d: &Dispatch| d.srv == *name && !(same && d.how == Some(How::Reset));
-            again.is_some_and(|req| req.dispatches.iter().any(at))
-        };
-        let cold = span(&self.facts, "cold", 0);
-        let open = |name: &Name, srv: &Srv, same: bool| {
-            srv.state == State::Up
-                && (srv.ours > 0.0 || again.is_some())
-                && (set == 0 || srv.health[set].aside_until <= now)
-                && !tried(name, same)
-                && in_group(srv)
-                && (!srv.cold(now, cold) || srv.budget >= 1.0)
-        };
-        let lasting = self.mean(now, |srv| srv.ours, |srv| srv.mean_out(now));
-        let moment = self.mean(now, |srv| srv.ours, |srv| srv.out.len() as f64);
-        let reported =
-            self.mean(now, |srv| if srv.fresh(now) { srv.weight } else { 0.0 }, |srv| srv.reported);
-        let share = number(&self.facts, "cold_share", 1.0);
-        let (narrow, floor) = (self.span_allowed(now), self.floor(now));
-        let wide = narrow * self.widening(now);
-        let answering =
-            self.srvs.values().filter(|srv| srv.ours > 0.0 && srv.usable(now) && !srv.silent(now, narrow));
-        let (level, out) = answering
-            .fold((0.0, 0), |(l, o), srv| (l + srv.level(now, wide, floor), o + srv.counted(now, narrow)));
-        // In overload a part of a req is none: rounded up, hundreds of instances go over by one each.
-        let level = if self.overload(now) { level.floor() } else { level };
-        if again.is_none() && out as f64 >= level.max(self.least_level(now)) {
-            return Vec::new();
-        }
-        let room = |srv: &Srv| {
-            again.is_some() || (srv.counted(now, narrow) as f64) < srv.level(now, wide, floor).max(1.0)
-        };
-        let fits = |strict: bool, same: bool| -> Vec<(Name, f64)> {
-            let sound = |srv: &Srv| {
-                srv.usable(now)
-                    && !srv.silent(now, narrow)
-                    && !srv.crowded(now, narrow, lasting, moment, reported)
-            };
-            let fit = self.srvs.iter().filter(|(name, srv)| open(name, srv, same) && room(srv));
-            let fit = fit.filter(|(_, srv)| !strict || sound(srv));
-            let weight = |srv: &Srv| if again.is_some() { srv.weight } else { srv.ours };
-            fit.map(|(name, srv)| (name.clone(), weight(srv) * srv.ramp(now, cold, share))).collect()
-        };
-        // With every srv set aside or crowded, a doubtful one is better than none; the level holds all the
-        // same. Last, where only its group knows a repeat, a sound srv that reset it. Guards against a group
-        // of one srv, where an answer once spoilt could not be had again.
-        let (fit, bound) = (fits(true, false), ran.is_some() && group != Group::All);
-        let fit = if fit.is_empty() { fits(false, false) } else { fit };
-        if fit.is_empty() && bound { fits(true, true) } else { fit }
-    }
-
-    /// The sum of something over the usable srvs that fit, for each unit of their weight.
-    fn mean(&self, now: Nanos, weight: impl Fn(&Srv) -> f64, of: impl Fn(&Srv) -> f64) -> f64 {
-        let fit = self.srvs.values().filter(|srv| srv.usable(now) && weight(srv) > 0.0);
-        let (sum, weight) = fit.fold((0.0, 0.0), |(s, w), srv| (s + of(srv), w + weight(srv)));
-        if weight > 0.0 { sum / weight } else { 0.0 }
-    }
-
-    /// The fourth rule: a cold srv's budget grows by our share of what warm srvs of like size take from us,
-    /// scaled to the least capacity it can have at its age.
-    fn fill_budgets(&mut self, now: Nanos) {
-        let (cold, share) = (span(&self.facts, "cold", 0), number(&self.facts, "cold_share", 1.0));
-        if !self.srvs.values().any(|srv| srv.state == State::Up && srv.cold(now, cold)) {
-            return;
-        }
-        let up = self.srvs.values().filter(|srv| srv.usable(now));
-        let weight: f64 = up.map(|srv| srv.ours * srv.ramp(now, cold, share)).sum();
-        let sent = self.first.rate(now, self.born) + self.again.rate(now, self.born);
-        let (per_weight, turned_by) = (sent / weight.max(1e-9), self.turned_by());
-        for srv in self.srvs.values_mut().filter(|srv| srv.cold(now, cold)) {
-            let rate = per_weight * srv.ours * srv.ramp(now, cold, share) * COLD_HEADROOM;
-            let grown = rate.max(COLD_FLOOR_PER_S / turned_by) * seconds(now - srv.budget_at.min(now));
-            srv.budget = (srv.budget + grown).min((rate / 2.0).max(1.0));
-            srv.budget_at = now;
-        }
-    }
-
-    fn send(&mut self, now: Nanos, req: &mut Req, name: Name) -> Place {
-        let give_up = self.give_up_time(req);
-        if let Some(srv) = self.srvs.get_mut(&name) {
-            srv.out.push(Out { at: now, id: req.id, number: req.dispatches.len(), recalled: false });
-            srv.budget -= 1.0;
-            let (site, cell) = (srv.site.clone(), srv.cell);
-            req.dispatches.push(Dispatch { srv: name.clone(), site, cell, at: now, how: None });
-        }
-        self.in_flight += 1;
-        Place::Send { srv: name, give_up }
+        Place::Deny { come_back: come_back.min(self.told.max_come_back) }
     }
 
     /// Where an answer after the response target has no utility, the first tier stops waiting for it then.
@@ -567,34 +365,33 @@
 
     /// What follows an outcome; news of the list enters here too.
     pub fn after(&mut self, now: Nanos, outcome: Outcome) -> Follow {
+        self.fleet.advance(now);
         match outcome {
             Outcome::Dispatch { req, number, how, took, closed, report } => {
                 let Some(dispatch) = req.dispatches.get_mut(number) else { return Follow::Nothing };
                 dispatch.how = Some(how);
-                let (name, at) = (dispatch.srv.clone(), dispatch.at);
+                let name = dispatch.srv.clone();
                 self.in_flight = self.in_flight.saturating_sub(1);
-                if let Some(srv) = self.srvs.get_mut(&name) {
-                    if let Some(place) =
-                        srv.out.iter().position(|out| out.id == req.id && out.number == number)
-                    {
-                        srv.out.swap_remove(place);
-                    }
-                    srv.held.add(now, seconds((now - at).min(CROWD_SPAN)));
-                    if how == How::Done {
-                        srv.done.add(now, 1.0);
-                    }
+                let who = self.fleet.find(&name);
+                if let Some(who) = who {
+                    self.fleet.ended(now, who, req.id, number, how == How::Done);
+                    let srv = self.fleet.get_mut(who);
                     match how {
                         How::Done | How::Error => (srv.heard, srv.turned_away) = (now, 0),
                         How::Full => (srv.heard, srv.turned_away) = (now, srv.turned_away + 1),
-                        How::NoConnection | How::Reset | How::TimedOut => srv.lost += 1,
+                        How::NoConnection | How::Reset | How::TimedOut => self.fleet.lose(who),
                         How::Recalled | How::NotSent => {}
                     }
-                    if srv.heard == now {
-                        let site = srv.site.clone();
-                        self.srvs.values_mut().filter(|srv| srv.site == site).for_each(|srv| srv.lost = 0);
+                    if matches!(how, How::Done | How::Error | How::Full) {
+                        let site = self.fleet.site(who);
+                        site.heard = now;
+                        site.heal();
+                    }
+                    if self.fleet.get(who).silent {
+                        self.note_silence(now, self.span_allowed(now), who);
                     }
+                    self.note_report(now, who, report);
                 }
-                self.note_report(now, &name, report);
                 if how == How::Done {
                     self.done.add(now, seconds(took));
                     self.took.add(now, seconds(took));
@@ -603,11 +400,13 @@
                         set.took.add(now, seconds(took));
                     }
                 }
-                self.judge(now, &name, self.health_at(&req.rule_set), how, took);
+                self.judge(now, who, self.health_at(&req.rule_set), how, took);
                 if closed { Follow::Nothing } else { Follow::Place }
             }
             Outcome::Probe { srv, report, .. } => {
-                self.note_report(now, srv, report);
+                if let Some(who) = self.fleet.find(srv) {
+                    self.note_report(now, who, report);
+                }
                 Follow::Nothing
             }
             Outcome::List { whole, old, entries } => {
@@ -621,212 +420,45 @@
                 Follow::Nothing
             }
             Outcome::Left { req } => {
-                self.waiting.retain(|w| w.id != req.id);
+                self.waiting.take(req.id);
                 let out = req.dispatches.iter().position(|d| d.how.is_none());
                 match out {
-                    Some(number) if flag(&self.facts, "may_recall") => Follow::Recall(number),
+                    Some(number) if self.told.may_recall => Follow::Recall(number),
                     _ => Follow::Nothing,
                 }
             }
         }
     }
 
-    fn note_report(&mut self, now: Nanos, name: &str, report: &[f64]) {
-        let at = ["report_in_flight", "report_queue"].iter().find_map(|field| self.facts.get(*field));
-        let Some(Value::Number(at)) = at else { return };
-        let value = report.get(*at as usize).copied().filter(|v| v.is_finite());
-        if let (Some(value), Some(srv)) = (value, self.srvs.get_mut(name)) {
-            srv.reported = value;
-            srv.reported_at = now;
-        }
-    }
-
-    /// Judges a srv by its last few outcomes, against how the others do: what fails everywhere is not its
-    /// fault. Errors of one rule set, while another does well there, keep only that one away: else the other
-    /// would lose the srv too, or hide it.
-    fn judge(&mut self, now: Nanos, name: &Name, set: usize, how: How, took: Nanos) {
-        let failure = match how {
-            How::Done => seconds(took) > self.span_allowed(now) * SILENT,
-            How::Error | How::Reset | How::TimedOut | How::NoConnection => true,
-            // Guards against a srv that drains before we are told: it is never crowded, and draws ever more.
-            How::Full if self.srvs.get(name).is_some_and(|srv| srv.turned_away > 1) => true,
-            How::Full | How::Recalled | How::NotSent => return,
-        };
-        self.outcomes.add(now, f64::from(u8::from(failure)));
-        let (everywhere, last_tier) = (self.outcomes.mean(now), self.last_tier());
-        let Some(srv) = self.srvs.get_mut(name) else { return };
-        if set > 0 && matches!(how, How::Done | How::Error) {
-            srv.health[set].note(how == How::Error, 1);
-        }
-        let well = |(at, health): (usize, &Health)| at > 0 && health.judged >= TOLD && health.failed() == 0;
-        let at = if how == How::Error && srv.health.iter().enumerate().any(well) { set } else { 0 };
-        if at == 0 {
-            // No connection, or no answer, tells more than an error: it weighs double. So does a slow answer
-            // of the last tier, whose cause can't lie below. Guards against a jammed srv that is only late.
-            let heavy = matches!(how, How::NoConnection | How::TimedOut) || (how == How::Done && last_tier);
-            srv.health[0].note(failure, if failure && heavy { 2 } else { 1 });
-        }
-        let (Health { judged, aside_until, .. }, site) = (srv.health[at], srv.site.clone());
-        let (failed, allowed) = (srv.health[at].failed(), f64::from(judged) * (2.0 * everywhere + 0.2));
-        // Never more than half of a site, one by one; a whole site is another matter. A srv alone in its
-        // site, or kept from a rule set, is one of the whole list.
-        let ups = || self.srvs.values().filter(|srv| srv.state == State::Up);
-        let wide = at > 0 || ups().filter(|srv| srv.site == site).count() < 2;
-        let peers = ups().filter(|srv| wide || srv.site == site);
-        let out = |srv: &Srv| !srv.usable(now) || srv.health[at].aside_until > now;
-        let (up, aside) = peers.fold((0, 0), |(u, a), srv| (u + 1, a + usize::from(out(srv))));
-        if failure
-            && aside_until <= now
-            && failed >= 2
-            && f64::from(failed) > allowed
-            && 2 * (aside + 1) <= up
-        {
-            let aside_until = now + ASIDE + self.chance.span(ASIDE_RANDOM);
-            let of = if at > 0 { format!(" of {}", self.rule_sets[at - 1].name) } else { String::new() };
-            // It returns on trial: one more failure sets it aside again.
-            let trial = Health { outcomes: 1, judged: 3, aside_until };
-            self.srvs.entry(name.clone()).and_modify(|srv| srv.health[at] = trial);
-            self.say(format!(
-                "aside {name}: {failed} of its last {judged}{of} failed, {everywhere:.2} everywhere"
-            ));
-        }
-    }
-
-    /// Sets a whole site aside that owes us answers and has given none since, while others did, and recalls
-    /// what it owes. Guards against a lost site: failures there are not independent, so a quiet instance
-    /// would lose a req to each of its srvs to learn that, and what is stuck there holds a slot of each
-    /// caller above.
-    fn judge_sites(&mut self, now: Nanos) {
-        let overload = self.overload(now);
-        let part = if self.tier == 0 && overload { 1.0 } else { SILENT_SITE };
-        let overdue = self.span_when(now, overload) * SILENT * part;
-        let may_recall = flag(&self.facts, "may_recall");
-        let mut heard: BTreeMap<Name, Nanos> = BTreeMap::new();
-        for srv in self.srvs.values() {
-            let at = heard.entry(srv.site.clone()).or_default();
-            *at = srv.heard.max(*at);
-        }
-        for (site, last) in &heard {
-            let others = heard.iter().filter(|(name, _)| *name != site).map(|(_, at)| *at).max().unwrap_or(0);
-            let mut owed = Vec::new();
-            let mut lost = 0;
-            for srv in self.srvs.values_mut().filter(|srv| srv.site == *site) {
-                let late =
-                    |out: &&mut Out| *last <= out.at && out.at < others && seconds(now - out.at) > overdue;
-                owed.extend(srv.out.iter_mut().filter(late));
-                lost += srv.lost;
-            }
-            if others <= *last || (owed.len() < 2 && owed.len() + lost < 3) {
-                continue;
-            }
-            let count = owed.len();
-            for out in owed.into_iter().filter(|out| !out.recalled) {
-                out.recalled = true;
-                if may_recall {
-                    self.recalls.push_back((out.id, out.number));
-                }
-            }
-            if !self.srvs.values().any(|srv| srv.site == *site && srv.usable(now)) {
-                continue;
-            }
-            let until = now + ASIDE + self.chance.span(ASIDE_RANDOM);
-            for srv in self.srvs.values_mut().filter(|srv| srv.site == *site) {
-                (srv.health[0].aside_until, srv.lost) = (srv.health[0].aside_until.max(until), 0);
-            }
-            // In overload srvs are silent for want of time; then it tells nothing of a loss.
-            if !self.overload(now) {
-                self.site_lost = Some(now);
-            }
-            let silent = seconds(now - last.max(&self.born));
-            self.say(format!("aside site {site}: silent for {silent:.1} s, {count} owed, {lost} lost"));
-        }
-    }
-
-    /// Closes the idle connections to what has not been heard of since, once several srvs owe an answer for
-    /// too long. Guards against connections that died without a sign: the next dispatch on each is lost
-    /// until it times out, while a new connection to the same srv answers.
-    fn judge_connections(&mut self, now: Nanos) {
-        let overdue = self.span_allowed(now) * SILENT;
-        let stuck = |srv: &Srv| {
-            let owed = srv.out.iter().map(|out| out.at).filter(|at| srv.heard <= *at && srv.closed <= *at);
-            owed.min().filter(|at| srv.heard > 0 && seconds(now - at) > overdue)
-        };
-        let since: Vec<Nanos> = self.srvs.values().filter_map(stuck).collect();
-        if since.len() < STUCK {
-            return;
-        }
-        let since = since.into_iter().min().unwrap_or(now);
-        let mut count = 0;
-        for (name, srv) in &mut self.srvs {
-            if srv.heard > 0 && srv.heard <= since && srv.closed <= since {
-                srv.closed = now;
-                self.closes.push_back(name.clone());
-                count += 1;
-            }
-        }
-        self.say(format!(
-            "closing idle connections to {count} srvs, silent for {:.1} s",
-            seconds(now - since)
-        ));
-    }
-
     fn follow_list(&mut self, now: Nanos, whole: bool, old: bool, entries: &[Listed]) {
         if !old {
             self.watch_pause = S;
         }
         if whole {
-            for (name, srv) in &mut self.srvs {
-                if !entries.iter().any(|entry| entry.srv == *name) {
-                    srv.state = State::Gone;
-                }
+            let listed: HashSet<&str> = entries.iter().map(|entry| &*entry.srv).collect();
+            let gone = |who: &u32| !listed.contains(&*self.fleet.get(*who).name);
+            for who in self.fleet.known().filter(gone).collect::<Vec<_>>() {
+                self.fleet.go(now, who);
             }
         }
+        self.count_sent(now);
         for entry in entries {
-            match self.srvs.get_mut(&entry.srv) {
-                Some(srv) => {
-                    if srv.came_up != entry.came_up && entry.state == State::Up {
-                        // A fresh process under the same id: nothing known of the old one holds.
-                        srv.health.fill(Health::default());
-                        (srv.budget, srv.budget_at) = (self.chance.part(), now);
-                    }
-                    srv.state = entry.state;
-                    srv.came_up = entry.came_up;
-                    srv.weight = entry.weight;
-                }
+            let (who, fresh) = match self.fleet.find(&entry.srv) {
+                Some(who) => (who, self.fleet.heed(now, who, entry)),
+                // A random start of its turn, so that instances don't walk the list in step.
                 None => {
-                    // A random start of its turn, so that instances don't walk the list in step.
-                    let turn = self.chance.part() * entry.weight;
-                    let budget = self.chance.part();
-                    let srv = Srv::new(now, entry, self.rule_sets.len(), turn, budget);
-                    self.srvs.insert(entry.srv.clone(), srv);
+                    let part = 1.0 - self.chance.part();
+                    (self.fleet.add(now, entry, part, self.rule_sets.len()), true)
                 }
+            };
+            if fresh {
+                let (budget, from) = (self.chance.part(), self.sent.sum);
+                let srv = self.fleet.get_mut(who);
+                (srv.budget, srv.budget_at, srv.budget_from) = (budget, now, from);
             }
         }
-        self.srvs.retain(|_, srv| srv.state != State::Gone || !srv.out.is_empty());
-        self.take_turns(now);
-    }
-
-    /// Which srvs are in our turns: a stretch of the list, by weight, that starts at our place among the
-    /// instances, so that all together turn evenly over all srvs though they share nothing. Where we send
-    /// enough to hear of each srv in time it is the whole list. Guards against choosing blindly: with
-    /// hundreds of instances each meets a given srv too seldom to know that it is crowded, slow or failing.
-    fn take_turns(&mut self, now: Nanos) {
-        let total: f64 = self.srvs.values().filter(|srv| srv.state == State::Up).map(|srv| srv.weight).sum();
-        let up = self.srvs.values().filter(|srv| srv.state == State::Up).count() as f64;
-        let wanted = (self.first.rate(now, self.born) * HEAR).max(TURNS_LEAST) / up.max(1.0);
-        let part = (wanted.max(TURNED_BY / self.instances) * self.instances).ceil() / self.instances;
-        self.part = if part > 0.5 { 1.0 } else { part };
-        let (from, length) = (self.me / self.instances % 1.0 * total, self.part * total);
-        let mut at = 0.0;
-        for srv in self.srvs.values_mut() {
-            srv.ours = 0.0;
-            if srv.state == State::Up {
-                let weight = srv.weight;
-                let shared = |a: f64, b: f64| (b.min(at + weight) - a.max(at)).max(0.0);
-                srv.ours = shared(from, from + length) + shared(from - total, from + length - total);
-                at += srv.weight;
-            }
-        }
+        self.fleet.forget(now);
+        self.take_turns(now, true);
     }
 
     /// A chore to do first, or when to ask again.
@@ -834,8 +466,8 @@
         if let Some(line) = self.log.pop_front() {
             return Wait::Log(line);
         }
-        self.judge_sites(now);
-        self.judge_connections(now);
+        self.fleet.advance(now);
+        self.sweep(now);
         if let Some(name) = self.closes.pop_front() {
             return Wait::Close(name);
         }
@@ -853,14 +485,14 @@
             let mode = if holding { "holding" } else { "open" };
             return Wait::Log(format!("{mode}: {out} in flight, {rate:.0} done a second"));
         }
-        let first = self.waiting.first().map(|first| (first.id, first.set));
+        let first = self.waiting.front().map(|first| (first.id, first.set));
         if let Some((first, set)) = first
-            && !self.candidates(now, set, None).is_empty()
+            && self.any_fit(now, set)
         {
             self.called = Some(first);
             return Wait::Place(first);
         }
-        if let Some(last) = self.waiting.last()
+        if let Some(last) = self.waiting.back()
             && now + self.wait_at(now, self.waiting.len() - 1) > last.until
         {
             // Those that came with more utility have pushed it out: it is told now, not when its time is up.
@@ -879,122 +511,3 @@
         self.log.push_back(line);
     }
 }
-
-impl Srv {
-    fn new(now: Nanos, entry: &Listed, sets: usize, turn: f64, budget: f64) -> Srv {
-        Srv {
-            weight: entry.weight,
-            ours: entry.weight,
-            site: entry.site.clone(),
-            cell: entry.cell,
-            state: entry.state,
-            came_up: entry.came_up,
-            out: Vec::new(),
-            held: Ring::over(CROWD_SPAN),
-            done: Ring::over(4 * S),
-            known: now,
-            lost: 0,
-            turned_away: 0,
-            heard: 0,
-            closed: 0,
-            turn,
-            health: vec![Health::default(); sets + 1],
-            budget,
-            budget_at: now,
-            reported: 0.0,
-            reported_at: 0,
-        }
-    }
-
-    fn usable(&self, now: Nanos) -> bool {
-        self.state == State::Up && self.health[0].aside_until <= now
-    }
-
-    fn cold(&self, now: Nanos, cold: Nanos) -> bool {
-        self.came_up.is_some_and(|at| now < at + cold)
-    }
-
-    fn fresh(&self, now: Nanos) -> bool {
-        self.reported_at > 0 && now < self.reported_at + 3 * S
-    }
-
-    /// The part of its weight that a new or returning srv counts with.
-    fn ramp(&self, now: Nanos, cold: Nanos, share: f64) -> f64 {
-        let warm = match self.came_up {
-            Some(at) if now < at + cold => {
-                share + (1.0 - share) * now.saturating_sub(at) as f64 / cold as f64
-            }
-            _ => 1.0,
-        };
-        let back = now.saturating_sub(self.health[0].aside_until);
-        let returned = if back < RETURN_RAMP { 0.2 + 0.8 * back as f64 / RETURN_RAMP as f64 } else { 1.0 };
-        warm * returned
-    }
-
-    /// What it may have in flight from us. By Little's law, what it finishes in a span is what it may have in
-    /// flight for answers within that span. Reckoned for each srv: a few that are slow must not fill a level
-    /// that the healthy ones need. Guards against srvs held crowded, which turn slower and stay so.
-    fn level(&self, now: Nanos, span: f64, floor: f64) -> f64 {
-        (self.done.rate(now, self.known) * span).max(floor)
-    }
-
-    /// What counts against its level: not what is overdue where the srv is silent.
-    fn counted(&self, now: Nanos, span: f64) -> usize {
-        let silent = self.silent(now, span);
-        self.out.iter().filter(|out| !(silent && seconds(now - out.at) > SILENT * span)).count()
-    }
-
-    /// Whether it owes an answer for longer than the span and has answered nothing since that was sent.
-    /// Guards against srvs cut off without a sign: what is out there must not fill the level.
-    fn silent(&self, now: Nanos, span: f64) -> bool {
-        let owed = self.out.iter().filter(|out| self.heard <= out.at);
-        let late = owed.map(|out| seconds(now - out.at) / (SILENT * span));
-        let (sum, most) = late.fold((0.0, 0.0), |(sum, most), late| (sum + late, f64::max(most, late)));
-        most > 1.0 && sum >= OWED
-    }
-
-    /// In flight on the mean of the last seconds. At a quiet instance the count of the moment is nearly
-    /// always none or one, even at a srv many times slower than the others.
-    fn mean_out(&self, now: Nanos) -> f64 {
-        let out: f64 = self.out.iter().map(|out| seconds((now - out.at).min(CROWD_SPAN))).sum();
-        (self.held.sum(now) + out) / seconds(CROWD_SPAN)
-    }
-
-    /// Far more in flight than our mean, lasting or at the moment, or reporting far more than others do.
-    /// One req that takes the span allowed is within chance; what a quiet instance has there is no more.
-    fn crowded(&self, now: Nanos, span: f64, lasting: f64, moment: f64, reported: f64) -> bool {
-        self.mean_out(now) > CROWD * lasting * self.ours + span / seconds(CROWD_SPAN)
-            || self.out.len() as f64 > CROWD * moment * self.ours + 1.0
-            || (self.fresh(now) && self.reported > CROWD * reported * self.weight + 2.0)
-    }
-}
-
-impl RuleSet {
-    fn new(facts: &Facts) -> RuleSet {
-        RuleSet {
-            name: text(facts, "name").into(),
-            target: span(facts, "response_target", S),
-            window: span(facts, "window", 0),
-            utility: number(facts, "utility", 1.0),
-            late_utility: number(facts, "late_utility", 0.0),
-            effect: match text(facts, "effect") {
-                "replayable" => Effect::Replayable,
-                "uniqued" => Effect::Uniqued,
-                _ => Effect::NonReplayable,
-            },
-            group: match text(facts, "group") {
-                "all" => Group::All,
-                "site" => Group::Site,
-                _ => Group::Cell,
-            },
-            took: Ring::over(20 * S),
-        }
-    }
-}
-
-impl Customer {
-    fn new(facts: &Facts) -> Customer {
-        let share_per_s = number(facts, "share_per_s", f64::INFINITY);
-        Customer { name: text(facts, "name").into(), share_per_s, asked: Ring::over(4 * S) }
-    }
-}
--- /dev/null
+++ b/src/decide/judge.rs
@@ -0,0 +1,218 @@
+//! What is set aside, and for how long: srvs by their last few outcomes, sites that fall silent whole. It
+//! owns health and silence and must never pick. Outcomes are judged as they come; what grows late by time
+//! alone is looked for in a sweep over the late dispatches, not over the list.
+
+use super::*;
+use crate::measure::Health;
+
+/// How old what the last sweep saw may be, where more dispatches than these were late. What it looks for is
+/// late by hundreds of milliseconds.
+const SWEEP: Nanos = 5 * MS;
+const MANY: usize = 128;
+/// A whole site is overdue after this part of that time: until it is, what is stuck there holds slots and
+/// levels at each tier above. Not so at the first tier in overload, where srvs are late for want of time.
+const SILENT_SITE: f64 = 0.75;
+/// With this many srvs that owe an answer for too long, idle connections may be dead: one may be slow.
+const STUCK: usize = 3;
+/// Outcomes that show a srv does well in a rule set; how long it is set aside: a fixed and a random part.
+const TOLD: u32 = 4;
+const ASIDE: Nanos = 3 * S;
+const ASIDE_RANDOM: Nanos = 2 * S;
+
+impl Balancer {
+    pub(super) fn note_report(&mut self, now: Nanos, who: u32, report: &[f64]) {
+        let value = self.told.report_at.and_then(|at| report.get(at)).copied();
+        if let Some(value) = value.filter(|value| value.is_finite()) {
+            self.fleet.report(now, who, value);
+        }
+    }
+
+    /// Judges a srv by its last few outcomes, against how the others do: what fails everywhere is not its
+    /// fault. Errors of one rule set, while another does well there, keep only that one away: else the other
+    /// would lose the srv too, or hide it.
+    pub(super) fn judge(&mut self, now: Nanos, who: Option<u32>, set: usize, how: How, took: Nanos) {
+        let failure = match how {
+            How::Done => seconds(took) > self.span_allowed(now) * SILENT,
+            How::Error | How::Reset | How::TimedOut | How::NoConnection => true,
+            // Guards against a srv that drains before we are told: it is never crowded, and draws ever more.
+            How::Full if who.is_some_and(|who| self.fleet.get(who).turned_away > 1) => true,
+            How::Full | How::Recalled | How::NotSent => return,
+        };
+        self.outcomes.add(now, f64::from(u8::from(failure)));
+        let (everywhere, last_tier) = (self.outcomes.mean(now), self.last_tier());
+        let Some(who) = who else { return };
+        let srv = self.fleet.get_mut(who);
+        if set > 0 && matches!(how, How::Done | How::Error) {
+            srv.health[set].note(how == How::Error, 1);
+        }
+        let well = |(at, health): (usize, &Health)| at > 0 && health.judged >= TOLD && health.failed() == 0;
+        let at = if how == How::Error && srv.health.iter().enumerate().any(well) { set } else { 0 };
+        if at == 0 {
+            // No connection, or no answer, tells more than an error: it weighs double. So does a slow answer
+            // of the last tier, whose cause can't lie below. Guards against a jammed srv that is only late.
+            let heavy = matches!(how, How::NoConnection | How::TimedOut) || (how == How::Done && last_tier);
+            srv.health[0].note(failure, if failure && heavy { 2 } else { 1 });
+        }
+        let Health { judged, aside_until, .. } = srv.health[at];
+        let (failed, allowed) = (srv.health[at].failed(), f64::from(judged) * (2.0 * everywhere + 0.2));
+        if failure
+            && aside_until <= now
+            && failed >= 2
+            && f64::from(failed) > allowed
+            && self.few_aside(now, who, at)
+        {
+            let aside_until = now + ASIDE + self.chance.span(ASIDE_RANDOM);
+            let of = if at > 0 { format!(" of {}", self.rule_sets[at - 1].name) } else { String::new() };
+            // It returns on trial: one more failure sets it aside again.
+            self.fleet.get_mut(who).health[at] = Health { outcomes: 1, judged: 3, aside_until };
+            if at == 0 {
+                self.fleet.set_aside(now, who, aside_until);
+            }
+            let name = &self.fleet.get(who).name;
+            self.say(format!(
+                "aside {name}: {failed} of its last {judged}{of} failed, {everywhere:.2} everywhere"
+            ));
+        }
+    }
+
+    /// Never more than half of a site, one by one; a whole site is another matter. A srv alone in its site,
+    /// or kept from a rule set, is one of the whole list.
+    fn few_aside(&self, now: Nanos, who: u32, at: usize) -> bool {
+        let site = &self.fleet.sites[self.fleet.get(who).site as usize];
+        let (up, aside) = if at > 0 {
+            let ups = self.fleet.known().map(|who| self.fleet.get(who)).filter(|srv| srv.state == State::Up);
+            ups.fold((0, 0), |(up, aside), srv| {
+                (up + 1, aside + usize::from(srv.aside || srv.health[at].aside_until > now))
+            })
+        } else if site.up < 2 {
+            let usable: usize = self.fleet.sites.iter().map(|site| site.usable).sum();
+            (self.fleet.up, self.fleet.up - usable)
+        } else {
+            (site.up, site.up - site.usable)
+        };
+        2 * (aside + 1) <= up
+    }
+
+    /// Looks at what is late by now.
+    pub(super) fn sweep(&mut self, now: Nanos) {
+        if self.swept > MANY && now < self.swept_at + SWEEP {
+            return;
+        }
+        let overload = self.overload(now);
+        let overdue = self.span_when(now, overload) * SILENT;
+        let part = if self.tier == 0 && overload { 1.0 } else { SILENT_SITE };
+        let late: Vec<(u32, u32, Nanos)> = {
+            let late = self.fleet.flight.iter();
+            let late = late.take_while(|(_, out)| seconds(now - out.at) > overdue * part);
+            late.map(|(place, out)| (place, out.srv, out.at)).collect()
+        };
+        let lost = self.fleet.sites.iter().any(|site| site.lost >= 3);
+        if late.is_empty() && !lost && self.fleet.silent.is_empty() {
+            return;
+        }
+        (self.swept_at, self.swept) = (now, late.len());
+        self.judge_sites(now, &late);
+        self.judge_silence(now, overdue / SILENT, &late);
+        self.judge_connections(now, overdue, &late);
+    }
+
+    /// Keeps count of the srvs that owe us answers for too long.
+    fn judge_silence(&mut self, now: Nanos, span: f64, late: &[(u32, u32, Nanos)]) {
+        let was = std::mem::take(&mut self.fleet.silent);
+        for who in was.into_iter().chain(late.iter().map(|(_, who, _)| *who)) {
+            self.note_silence(now, span, who);
+        }
+    }
+
+    pub(super) fn note_silence(&mut self, now: Nanos, span: f64, who: u32) {
+        let srv = self.fleet.get(who);
+        let silent = srv.owes(now, span);
+        if silent != srv.silent {
+            self.fleet.change(who, |srv| srv.silent = silent);
+        }
+        match (silent, self.fleet.silent.iter().position(|silent| *silent == who)) {
+            (true, None) => self.fleet.silent.push(who),
+            (false, Some(at)) => drop(self.fleet.silent.swap_remove(at)),
+            _ => {}
+        }
+    }
+
+    /// Sets a whole site aside that owes us answers and has given none since, while others did, and recalls
+    /// what it owes. Guards against a lost site: failures there are not independent, so a quiet instance
+    /// would lose a req to each of its srvs to learn that, and what is stuck there holds a slot of each
+    /// caller above.
+    fn judge_sites(&mut self, now: Nanos, late: &[(u32, u32, Nanos)]) {
+        let mut owed = vec![Vec::new(); self.fleet.sites.len()];
+        for (place, who, at) in late {
+            owed[self.fleet.get(*who).site as usize].push((*place, *at));
+        }
+        for (number, mut owed) in owed.into_iter().enumerate() {
+            let site = &self.fleet.sites[number];
+            let (last, lost, name) = (site.heard, site.lost, site.name.clone());
+            if owed.is_empty() && lost < 3 {
+                continue;
+            }
+            let others = self.fleet.sites.iter().enumerate().filter(|(at, _)| *at != number);
+            let others = others.map(|(_, site)| site.heard).max().unwrap_or(0);
+            owed.retain(|(_, at)| last <= *at && *at < others);
+            if others <= last || (owed.len() < 2 && owed.len() + lost < 3) {
+                continue;
+            }
+            let count = owed.len();
+            for (place, _) in owed {
+                let out = self.fleet.flight.get_mut(place);
+                if !std::mem::replace(&mut out.recalled, true) && self.told.may_recall {
+                    self.recalls.push_back((out.id, out.number));
+                }
+            }
+            let site = &mut self.fleet.sites[number];
+            if site.usable == 0 {
+                continue;
+            }
+            site.heal();
+            let until = now + ASIDE + self.chance.span(ASIDE_RANDOM);
+            for who in site.members.clone() {
+                let health = &mut self.fleet.get_mut(who).health[0];
+                health.aside_until = health.aside_until.max(until);
+                let until = health.aside_until;
+                self.fleet.set_aside(now, who, until);
+            }
+            // In overload srvs are silent for want of time; then it tells nothing of a loss.
+            if !self.overload(now) {
+                self.site_lost = Some(now);
+            }
+            let silent = seconds(now - last.max(self.born));
+            self.say(format!("aside site {name}: silent for {silent:.1} s, {count} owed, {lost} lost"));
+        }
+    }
+
+    /// Closes the idle connections to what has not been heard of since, once several srvs owe an answer for
+    /// too long. Guards against connections that died without a sign: the next dispatch on each is lost
+    /// until it times out, while a new connection to the same srv answers.
+    fn judge_connections(&mut self, now: Nanos, overdue: f64, late: &[(u32, u32, Nanos)]) {
+        let mut stuck = BTreeMap::new();
+        for (_, who, at) in late {
+            let srv = self.fleet.get(*who);
+            if srv.heard > 0 && srv.heard <= *at && srv.closed <= *at && seconds(now - at) > overdue {
+                // The oldest comes first.
+                stuck.entry(*who).or_insert(*at);
+            }
+        }
+        if stuck.len() < STUCK {
+            return;
+        }
+        let since = stuck.into_values().min().unwrap_or(now);
+        let stale = |who: &u32| {
+            let srv = self.fleet.get(*who);
+            srv.heard > 0 && srv.heard <= since && srv.closed <= since
+        };
+        let closed: Vec<u32> = self.fleet.known().filter(stale).collect();
+        for who in &closed {
+            let srv = self.fleet.get_mut(*who);
+            srv.closed = now;
+            self.closes.push_back(srv.name.clone());
+        }
+        let (count, silent) = (closed.len(), seconds(now - since));
+        self.say(format!("closing idle connections to {count} srvs, silent for {silent:.1} s"));
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,15 @@
-//! ochreshed decides where a balancer sends each req. Every decision is made in [`decide`]; the
-//! plain values that go in and out of it are in [`plain`]; `measure` holds what it measures with.
-//! Nothing here knows a wire or a clock.
+//! ochreshed decides where a balancer sends each req. Every decision is made in [`decide`]; the plain values
+//! that go in and out of it are in [`plain`]; `measure`, `fleet`, `flight`, `order` and `queue` hold what it
+//! measures and counts with, `told` what it was told. Nothing here knows a wire or a clock.
 
 pub mod decide;
+mod fleet;
+mod flight;
 mod measure;
+mod order;
 pub mod plain;
+mod queue;
+mod told;
 
 pub use decide::Balancer;
 pub use plain::*;
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -1,5 +1,7 @@
 //! What the module measures with: chance, and counts and sums over time. Nothing here decides.
 
+use std::collections::BTreeMap;
+
 use crate::plain::Nanos;
 
 /// A multiply-with-carry generator.
@@ -26,7 +28,7 @@
     }
 }
 
-const BUCKETS: usize = 10;
+pub const BUCKETS: usize = 10;
 
 /// Counts and sums over the last buckets of time; a bucket is used again once its time has passed.
 pub struct Ring {
@@ -83,17 +85,99 @@
 
     /// The count for each second; `born` keeps the time before the start from counting as idle.
     pub fn rate(&self, now: Nanos, born: Nanos) -> f64 {
+        self.rate_of(self.count(now), now, born)
+    }
+}
+
+impl Ring {
+    /// Adds, or takes away again, all that another one of the same width holds.
+    pub fn merge(&mut self, other: &Ring, sign: f64) {
+        for (at, theirs) in other.buckets.iter().enumerate() {
+            let ours = &mut self.buckets[at];
+            if theirs.turn > ours.turn && sign > 0.0 {
+                *ours = Bucket { turn: theirs.turn, ..Bucket::default() };
+            }
+            if theirs.turn == ours.turn {
+                ours.count += sign * theirs.count;
+                ours.sum += sign * theirs.sum;
+            }
+        }
+    }
+
+    /// What so many are each second; see `rate`.
+    pub fn rate_of(&self, count: f64, now: Nanos, born: Nanos) -> f64 {
+        count * 1e9 / self.reach(now, born) as f64
+    }
+
+    /// The number of the bucket that this time falls into.
+    pub fn turn(&self, now: Nanos) -> u64 {
+        now / self.width
+    }
+
+    /// The span that the live buckets cover.
+    fn reach(&self, now: Nanos, born: Nanos) -> Nanos {
         let span = (BUCKETS as u64 - 1) * self.width + now % self.width;
-        let span = span.min(now - born).max(self.width);
-        self.count(now) * 1e9 / span as f64
+        span.min(now - born).max(self.width)
+    }
+}
+
+/// How many have each count, and from that the sum over all of the count's worth, or of a least worth where
+/// that is more. The sum costs what the least worth has moved by, not the number of those counted.
+#[derive(Default)]
+pub struct Counts {
+    of: BTreeMap<u32, u32>,
+    /// Counts from here on are worth more than the least.
+    from: u32,
+    below: u64,
+    above: u64,
+}
+
+impl Counts {
+    pub fn add(&mut self, count: u32) {
+        *self.of.entry(count).or_default() += 1;
+        if count < self.from { self.below += 1 } else { self.above += u64::from(count) }
+    }
+
+    pub fn remove(&mut self, count: u32) {
+        if let Some(number) = self.of.get_mut(&count) {
+            *number -= 1;
+            if *number == 0 {
+                self.of.remove(&count);
+            }
+            if count < self.from { self.below -= 1 } else { self.above -= u64::from(count) }
+        }
+    }
+
+    pub fn take_in(&mut self, other: Counts) {
+        for (count, number) in other.of {
+            (0..number).for_each(|_| self.add(count));
+        }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.of.is_empty()
+    }
+
+    pub fn sum(&mut self, worth: impl Fn(f64) -> f64, least: f64) -> f64 {
+        let from = (least / worth(1.0)).ceil().min(f64::from(u32::MAX)) as u32;
+        let span = if from > self.from { self.from..from } else { from..self.from };
+        let moved = self.of.range(span).map(|(count, number)| (u64::from(*number), u64::from(*count)));
+        let (number, sum) = moved.fold((0, 0), |(n, s), (number, count)| (n + number, s + number * count));
+        if from > self.from {
+            (self.below, self.above) = (self.below + number, self.above - sum);
+        } else {
+            (self.below, self.above) = (self.below - number, self.above + sum);
+        }
+        self.from = from;
+        self.below as f64 * least + worth(self.above as f64)
     }
 }
 
 /// Outcomes that are remembered.
 const FEW: u32 = 6;
 
-/// The last few outcomes of a srv, newest in the lowest bit (1: a failure), how many there are, and until when it
-/// is set aside for them.
+/// The last few outcomes of a srv, newest in the lowest bit (1: a failure), how many there are, and until
+/// when it is set aside for them.
 #[derive(Clone, Copy, Default)]
 pub struct Health {
     pub outcomes: u32,
--- /dev/null
+++ b/src/told.rs
@@ -0,0 +1,100 @@
+//! What an instance is told at its start, read from the facts once and for all, and what is counted for each
+//! rule set and customer of theirs. It owns these readings and their defaults, and decides nothing.
+
+use crate::decide::S;
+use crate::measure::Ring;
+use crate::plain::*;
+
+/// What the facts tell once and for all.
+pub struct Told {
+    pub max_dispatches: usize,
+    pub may_recall: bool,
+    pub come_back_passed: bool,
+    pub max_come_back: Nanos,
+    pub excess_utility: f64,
+    pub utility_by_work: bool,
+    pub cold: Nanos,
+    pub cold_share: f64,
+    /// How many connections to srvs it may hold.
+    pub connections: f64,
+    /// Where a load report tells what is in flight or queued.
+    pub report_at: Option<usize>,
+}
+
+pub struct RuleSet {
+    pub name: Name,
+    pub target: Nanos,
+    pub window: Nanos,
+    pub utility: f64,
+    pub late_utility: f64,
+    pub effect: Effect,
+    pub group: Group,
+    pub took: Ring,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+pub enum Effect {
+    Replayable,
+    Uniqued,
+    NonReplayable,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+pub enum Group {
+    All,
+    Site,
+    Cell,
+}
+
+pub struct Customer {
+    pub share_per_s: f64,
+    pub asked: Ring,
+}
+
+impl Told {
+    pub fn new(facts: &Facts) -> Told {
+        let report_at = ["report_in_flight", "report_queue"].iter().find_map(|field| facts.get(*field));
+        Told {
+            max_dispatches: number(facts, "max_dispatches", 2.0) as usize,
+            may_recall: flag(facts, "may_recall"),
+            come_back_passed: flag(facts, "come_back_passed"),
+            max_come_back: span(facts, "max_come_back", S),
+            excess_utility: number(facts, "excess_utility", 1.0),
+            utility_by_work: text(facts, "utility_by") == "work",
+            cold: span(facts, "cold", 0),
+            cold_share: number(facts, "cold_share", 1.0),
+            connections: number(facts, "connections", f64::INFINITY),
+            report_at: if let Some(Value::Number(at)) = report_at { Some(*at as usize) } else { None },
+        }
+    }
+}
+
+impl RuleSet {
+    pub fn new(facts: &Facts) -> RuleSet {
+        RuleSet {
+            name: text(facts, "name").into(),
+            target: span(facts, "response_target", S),
+            window: span(facts, "window", 0),
+            utility: number(facts, "utility", 1.0),
+            late_utility: number(facts, "late_utility", 0.0),
+            effect: match text(facts, "effect") {
+                "replayable" => Effect::Replayable,
+                "uniqued" => Effect::Uniqued,
+                _ => Effect::NonReplayable,
+            },
+            group: match text(facts, "group") {
+                "all" => Group::All,
+                "site" => Group::Site,
+                _ => Group::Cell,
+            },
+            took: Ring::over(20 * S),
+        }
+    }
+}
+
+impl Customer {
+    pub fn new(facts: &Facts) -> (Name, Customer) {
+        let share_per_s = number(facts, "share_per_s", f64::INFINITY);
+        (text(facts, "name").into(), Customer { share_per_s, asked: Ring::over(4 * S) })
+    }
+}
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -1,5 +1,7 @@
 //! A scene: one instance, the reqs in its hands, and a short trace of what it decided.
 
+#![allow(dead_code)]
+
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
