Benches of a req's cost by the length of the list; ramps and silence are summed srv by srv

Need: figures for the module at large lists, and two costs that they showed: ramps were summed up anew with each srv set aside, silent srvs were looked for in a list.

Change: benches through the hands with divan; a ramp's part of the sum is kept with its srv, newcomers are weighed once, silent srvs stand in a set.

--- /dev/null
+++ b/hands/benches/req.rs
@@ -0,0 +1,160 @@
+//! What one req costs through the hands (taken, settled, ended, settled) by the length of the list and what else is
+//! going on, and what news of the list cost. Time is simulated: 2,000 reqs a second that take 50 ms each, unless a
+//! bench says otherwise.
+
+use std::cell::RefCell;
+
+use divan::{Bencher, counter::ItemsCount};
+use ochreshed::*;
+use ochreshed_hands::{Act, End, Hands};
+
+const MS: Nanos = 1_000_000;
+const SIZES: &[u64] = &[10, 100, 1_000, 10_000];
+
+fn main() {
+    divan::main();
+}
+
+fn listed(number: u64, came_up: Option<Nanos>) -> Listed {
+    let site = format!("x{}", number % 5).into();
+    let srv = format!("s{number:05}").into();
+    Listed { srv, state: State::Up, came_up, weight: 1.0, site, cell: number % 50 }
+}
+
+/// An instance with reqs on their way through it.
+struct Road {
+    hands: Hands,
+    now: Nanos,
+    id: u64,
+    gap: Nanos,
+    takes: Nanos,
+    /// Dispatches that are out, in the order they end.
+    out: std::collections::VecDeque<(Nanos, u64, usize)>,
+    fails: u64,
+    size: u64,
+}
+
+impl Road {
+    fn new(size: u64, cold: bool) -> Road {
+        let now = 1_000_000 * MS;
+        let set = Facts::from([
+            ("name".into(), Value::Text("read".into())),
+            ("effect".into(), Value::Text("replayable".into())),
+            ("response_target".into(), Value::Span(1_000 * MS)),
+        ]);
+        let facts = Facts::from([
+            ("tier".into(), Value::Number(0.0)),
+            ("cold".into(), Value::Span(1_000_000 * MS)),
+            ("cold_share".into(), Value::Number(0.2)),
+            ("rule_sets".into(), Value::List(vec![set])),
+        ]);
+        let mut hands = Hands::new(Balancer::new(now, 7, facts));
+        let came_up = |number: u64| (cold && number.is_multiple_of(3)).then_some(now);
+        let entries: Vec<Listed> = (0..size).map(|number| listed(number, came_up(number))).collect();
+        hands.news(now, Outcome::List { whole: true, old: false, entries: &entries });
+        let out = Default::default();
+        Road { hands, now, id: 0, gap: MS / 2, takes: 50 * MS, out, fails: u64::MAX, size }
+    }
+
+    /// Lets 20 s of reqs pass, so that sums and levels stand.
+    fn warm(mut self) -> Road {
+        (0..20_000_000_000 / self.gap).for_each(|_| self.req());
+        self
+    }
+
+    fn req(&mut self) {
+        self.now += self.gap;
+        while let Some((at, id, number)) = self.out.front().copied().filter(|(at, ..)| *at <= self.now) {
+            self.out.pop_front();
+            self.end(at, id, number);
+        }
+        self.id += 1;
+        let (rule_set, customer) = ("read".into(), "".into());
+        let (id, taken, ends) = (self.id, self.now, self.now + 3_000 * MS);
+        let dispatches = Vec::new();
+        self.hands.take(self.now, Req { id, rule_set, customer, again: false, taken, ends, dispatches });
+        self.settle();
+    }
+
+    fn end(&mut self, at: Nanos, id: u64, number: usize) {
+        let fails = id.is_multiple_of(self.fails);
+        let how = if fails { How::NoConnection } else { How::Done };
+        let end = End { how, took: self.takes, closed: !fails, report: &[] };
+        self.hands.ended(at.max(self.now - self.gap), id, number, end);
+        self.settle();
+    }
+
+    fn settle(&mut self) {
+        self.hands.settle(self.now);
+        for act in self.hands.acts() {
+            if let Act::Send { id, number, .. } = act {
+                self.out.push_back((self.now + self.takes, id, number));
+            }
+        }
+    }
+}
+
+fn bench(bencher: Bencher, road: Road) {
+    let road = RefCell::new(road.warm());
+    bencher.counter(ItemsCount::new(1u32)).bench_local(|| road.borrow_mut().req());
+}
+
+#[divan::bench(args = SIZES, sample_count = 200, sample_size = 200)]
+fn calm(bencher: Bencher, size: u64) {
+    bench(bencher, Road::new(size, false));
+}
+
+/// So many are in flight at once.
+#[divan::bench(args = [1, 100, 1_000], consts = [10, 10_000], sample_count = 200, sample_size = 200)]
+fn in_flight<const SIZE: u64>(bencher: Bencher, number: u64) {
+    let mut road = Road::new(SIZE, false);
+    road.gap = road.takes / number;
+    bench(bencher, road);
+}
+
+/// One req in ten fails, on which its srv is judged and often set aside.
+#[divan::bench(args = SIZES, sample_count = 200, sample_size = 200)]
+fn a_tenth_fails(bencher: Bencher, size: u64) {
+    let mut road = Road::new(size, false);
+    road.fails = 10;
+    bench(bencher, road);
+}
+
+/// One srv in ten is set aside again and again, the others are not.
+#[divan::bench(args = SIZES, sample_count = 200, sample_size = 200)]
+fn a_third_is_cold(bencher: Bencher, size: u64) {
+    bench(bencher, Road::new(size, true));
+}
+
+/// Answers come so late that reqs are held and denied.
+#[divan::bench(args = SIZES, sample_count = 200, sample_size = 200)]
+fn overload(bencher: Bencher, size: u64) {
+    let mut road = Road::new(size, false);
+    road.takes = 900 * MS;
+    // More than the levels of so many let in.
+    road.gap = (MS * 100 / size).clamp(MS / 50, MS);
+    bench(bencher, road);
+}
+
+#[divan::bench(args = SIZES, sample_count = 100, sample_size = 20)]
+fn one_entry_of_the_list_changes(bencher: Bencher, size: u64) {
+    let road = RefCell::new(Road::new(size, false).warm());
+    let number = RefCell::new(0);
+    bencher.bench_local(|| {
+        let (mut road, mut number) = (road.borrow_mut(), number.borrow_mut());
+        *number += 1;
+        let mut entry = listed(*number * 7919 % road.size, None);
+        entry.state = if *number % 2 == 0 { State::Up } else { State::Draining };
+        let now = road.now;
+        road.hands.news(now, Outcome::List { whole: false, old: false, entries: &[entry] });
+    });
+}
+
+#[divan::bench(args = SIZES, sample_count = 20, sample_size = 1)]
+fn a_whole_list_is_applied(bencher: Bencher, size: u64) {
+    let entries: Vec<Listed> = (0..size).map(|number| listed(number, None)).collect();
+    bencher.with_inputs(|| Road::new(0, false)).bench_local_values(|mut road| {
+        road.hands.news(road.now, Outcome::List { whole: true, old: false, entries: &entries });
+        road
+    });
+}
--- a/src/decide/judge.rs
+++ b/src/decide/judge.rs
@@ -118,8 +118,9 @@
 
     /// Keeps count of the srvs that owe us answers for too long.
     fn judge_silence(&mut self, now: Nanos, span: f64, late: &[(u32, u32, Nanos)]) {
-        let was = std::mem::take(&mut self.fleet.silent);
-        for who in was.into_iter().chain(late.iter().map(|(_, who, _)| *who)) {
+        let mut all = self.fleet.silent.clone();
+        all.extend(late.iter().map(|(_, who, _)| *who));
+        for who in all {
             self.note_silence(now, span, who);
         }
     }
@@ -130,11 +131,11 @@
         if silent != srv.silent {
             self.fleet.change(who, |srv| srv.silent = silent);
         }
-        match (silent, self.fleet.silent.iter().position(|silent| *silent == who)) {
-            (true, None) => self.fleet.silent.push(who),
-            (false, Some(at)) => drop(self.fleet.silent.swap_remove(at)),
-            _ => {}
-        }
+        if silent {
+            self.fleet.silent.insert(who)
+        } else {
+            self.fleet.silent.remove(&who)
+        };
     }
 
     /// Sets a whole site aside that owes us answers and has given none since, while others did, and recalls
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -62,6 +62,8 @@
     pub rest: Turn,
     /// The ramp that its weight in the orders goes by.
     ramped: f64,
+    /// What its ramp takes off our weight, as that was last summed up.
+    off: f64,
     /// As the sums have it.
     pub aside: bool,
     pub silent: bool,
@@ -115,8 +117,10 @@
     cold: Nanos,
     cold_share: f64,
     due: BTreeSet<(Nanos, Due, u32)>,
-    pub silent: Vec<u32>,
+    pub silent: BTreeSet<u32>,
     gone: BTreeSet<u32>,
+    /// Those that have no place in the turns yet.
+    newcomers: Vec<u32>,
     ramping: BTreeSet<u32>,
     ramped_at: Nanos,
     pub any_cold: bool,
@@ -187,8 +191,9 @@
             cold,
             cold_share,
             due: BTreeSet::new(),
-            silent: Vec::new(),
+            silent: BTreeSet::new(),
             gone: BTreeSet::new(),
+            newcomers: Vec::new(),
             ramping: BTreeSet::new(),
             ramped_at: 0,
             any_cold: false,
@@ -240,12 +245,12 @@
 
     /// Changes what sums depend on.
     pub fn change(&mut self, who: u32, change: impl FnOnce(&mut Srv)) {
-        if self.ramping.contains(&who) {
-            // Guards against a sum of ramps over srvs that don't count any more.
-            self.ramped_at = 0;
-        }
         self.count(who, -1);
         change(&mut self.srvs[who as usize]);
+        if self.srvs[who as usize].off > 0.0 {
+            // Guards against a sum of ramps over srvs that don't count any more.
+            self.ramp(self.now, who);
+        }
         self.count(who, 1);
     }
 
@@ -353,8 +358,7 @@
         }
     }
 
-    /// Sums the ramps up again, unless that was done a moment ago and nothing of them has changed but by
-    /// time.
+    /// Sums the ramps up again, unless that was done a moment ago.
     pub fn renew(&mut self, now: Nanos) {
         let ramps = !self.ramping.is_empty() || self.any_cold || self.ramped_off > 0.0;
         if !ramps || now < self.ramped_at + RENEW {
@@ -363,18 +367,25 @@
         self.ramped_at = now;
         (self.any_cold, self.ramped_off) = (false, 0.0);
         for who in self.ramping.iter().copied().collect::<Vec<_>>() {
+            self.srvs[who as usize].off = 0.0;
+            self.ramp(now, who);
             let srv = &self.srvs[who as usize];
             let ramp = srv.ramp(now, self.cold, self.cold_share);
-            self.any_cold |= srv.state == State::Up && srv.cold(now, self.cold);
-            if srv.usable() {
-                self.ramped_off += srv.ours * (1.0 - ramp);
-            }
             if ramp >= 1.0 || ramp > srv.ramped * GROWN {
                 self.weigh(now, who);
             }
         }
     }
 
+    /// Counts anew what a ramp takes off a srv's weight.
+    fn ramp(&mut self, now: Nanos, who: u32) {
+        let srv = &mut self.srvs[who as usize];
+        let ramp = srv.ramp(now, self.cold, self.cold_share);
+        let off = if srv.turning() { srv.ours * (1.0 - ramp) } else { 0.0 };
+        self.ramped_off += off - std::mem::replace(&mut srv.off, off);
+        self.any_cold |= srv.state == State::Up && srv.cold(now, self.cold);
+    }
+
     /// Gives a srv its weight in the orders of turns.
     pub fn weigh(&mut self, now: Nanos, who: u32) {
         let srv = &mut self.srvs[who as usize];
@@ -384,12 +395,11 @@
         let rest = if up && srv.ours <= 0.0 { srv.weight * ramp } else { 0.0 };
         self.rest.weigh(who, &mut srv.rest, rest, srv.part);
         if up && ramp < 1.0 {
-            if self.ramping.insert(who) {
-                self.ramped_at = 0;
-            }
+            self.ramping.insert(who)
         } else {
-            self.ramping.remove(&who);
-        }
+            self.ramping.remove(&who)
+        };
+        self.ramp(now, who);
     }
 
     /// Takes a turn, after those that lost theirs to it.
@@ -550,6 +560,7 @@
             turn: Turn::OUT,
             rest: Turn::OUT,
             ramped: 1.0,
+            off: 0.0,
             aside: false,
             silent: false,
             fresh: false,
@@ -564,7 +575,7 @@
         self.cells.entry(entry.cell).or_default().push(who);
         self.count(who, 1);
         self.place(who);
-        self.weigh(now, who);
+        self.newcomers.push(who);
         if entry.state == State::Gone {
             self.gone.insert(who);
         }
@@ -605,7 +616,7 @@
                     self.cells.remove(&cell);
                 }
             }
-            self.silent.retain(|silent| *silent != who);
+            self.silent.remove(&who);
             self.numbers.remove(&name);
             self.free.push(who);
             over.insert(who);
@@ -620,16 +631,17 @@
         self.by_name.iter().map(|place| place.who)
     }
 
-    /// Puts this part of all weight in our turns, from that part on.
+    /// Puts this part of all weight in our turns, from that part on; newcomers get their place in them.
     pub fn stretch(&mut self, now: Nanos, from: f64, part: f64) {
-        let total: f64 = self.by_name.iter().map(|place| place.weight).sum();
+        let whole = part >= 1.0;
+        let total: f64 = if whole { 0.0 } else { self.by_name.iter().map(|place| place.weight).sum() };
         let (from, length) = (from * total, part * total);
         let (mut at, mut changed) = (0.0, Vec::new());
         for place in &mut self.by_name {
             let weight = place.weight;
             let shared = |a: f64, b: f64| (b.min(at + weight) - a.max(at)).max(0.0);
-            let some = shared(from, from + length) + shared(from - total, from + length - total);
-            let ours = if part >= 1.0 { weight } else { some };
+            let part = || shared(from, from + length) + shared(from - total, from + length - total);
+            let ours = if whole { weight } else { part() };
             at += weight;
             if ours != place.ours {
                 place.ours = ours;
@@ -640,6 +652,11 @@
             self.change(who, |srv| srv.ours = ours);
             self.weigh(now, who);
         }
+        for who in std::mem::take(&mut self.newcomers) {
+            if self.get(who).ours <= 0.0 {
+                self.weigh(now, who);
+            }
+        }
         let srvs = &mut self.srvs;
         self.turns.rebase(srvs.iter_mut().enumerate().map(|(who, srv)| (who as u32, &mut srv.turn)));
         self.rest.rebase(srvs.iter_mut().enumerate().map(|(who, srv)| (who as u32, &mut srv.rest)));
