--- a/balancer/src/decisions.rs
+++ b/balancer/src/decisions.rs
@@ -2,7 +2,8 @@
 //! decided. It must never decide anything itself, and never wait for a peer: what a mailbox can't take has
 //! not been sent.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
@@ -12,6 +13,7 @@
 use hyper::{Request, Response};
 use ochreshed::{Balancer, How, Listed, Name, Nanos, Outcome, Req};
 use ochreshed_hands::{Act, End, Hands};
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::mpsc::{self, OwnedPermit};
 use tokio::sync::oneshot;
 use tokio::time::sleep_until;
@@ -120,6 +122,13 @@
     recall: Option<oneshot::Sender<()>>,
 }
 
+/// Where a srv is reached, and the mailbox of its peer once something has been sent there. Peers of srvs that
+/// are out of use end by themselves, so a long list costs what is in use of it.
+struct Peer {
+    address: SocketAddr,
+    mail: Option<mpsc::Sender<peer::Mail>>,
+}
+
 pub struct Actor {
     clock: Clock,
     hands: Hands,
@@ -128,7 +137,7 @@
     taken: HashMap<u64, Taken>,
     /// Reqs that may be over.
     touched: Vec<u64>,
-    peers: BTreeMap<Name, (std::net::SocketAddr, mpsc::Sender<peer::Mail>)>,
+    peers: HashMap<Name, Peer>,
     common: peer::Common,
     list: mpsc::Sender<list::Mail>,
 }
@@ -147,7 +156,7 @@
             once,
             taken: HashMap::new(),
             touched: Vec::new(),
-            peers: BTreeMap::new(),
+            peers: HashMap::new(),
             common,
             list,
         }
@@ -211,9 +220,8 @@
         for (listed, address) in &entries {
             if listed.state == ochreshed::State::Gone {
                 self.peers.remove(&listed.srv);
-            } else if self.peers.get(&listed.srv).is_none_or(|(at, _)| at != address) {
-                let mail = peer::start(listed.srv.clone(), *address, self.common.clone());
-                self.peers.insert(listed.srv.clone(), (*address, mail));
+            } else if self.peers.get(&listed.srv).is_none_or(|peer| peer.address != *address) {
+                self.peers.insert(listed.srv.clone(), Peer { address: *address, mail: None });
             }
         }
         let entries: Vec<Listed> = entries.into_iter().map(|(listed, _)| listed).collect();
@@ -257,27 +265,40 @@
             // With wishes enough in its mailbox the list is asked anyway.
             Act::Watch => drop(self.list.try_send(list::Mail::Watch)),
             Act::List => drop(self.list.try_send(list::Mail::Fetch)),
-            Act::Probe(srv) => self.tell(&srv, peer::Mail::Probe(now + 1_000_000_000)),
-            Act::Close(srv) => self.tell(&srv, peer::Mail::Shut),
+            Act::Probe(srv) => drop(self.post(&srv, peer::Mail::Probe(now + 1_000_000_000))),
+            Act::Close(srv) => self.shut(&srv),
             Act::Log(line) => info!("{line}"),
         }
     }
 
     fn send(&mut self, now: Nanos, id: u64, number: usize, srv: &Name, give_up: Nanos) -> bool {
-        let (Some(taken), Some((_, peer))) = (self.taken.get_mut(&id), self.peers.get(srv)) else {
-            return false;
-        };
+        let Some(taken) = self.taken.get_mut(&id) else { return false };
         let (recall, recalled) = oneshot::channel();
         let (message, once) = (taken.message.clone(), taken.once);
         let job = Job { id, number, give_up, message, once, recalled };
         (taken.sent_at, taken.recall) = (now, Some(recall));
-        peer.try_send(peer::Mail::Send(job)).is_ok()
+        self.post(srv, peer::Mail::Send(job))
+    }
+
+    /// Sends mail to a srv's peer, which is started if there is none: the first time, and where the last one has
+    /// ended for want of use.
+    fn post(&mut self, srv: &Name, mut mail: peer::Mail) -> bool {
+        let Some(peer) = self.peers.get_mut(srv) else { return false };
+        if let Some(mailbox) = &peer.mail {
+            match mailbox.try_send(mail) {
+                Ok(()) => return true,
+                Err(TrySendError::Full(_)) => return false,
+                Err(TrySendError::Closed(back)) => mail = back,
+            }
+        }
+        let mailbox = peer.mail.insert(peer::start(srv.clone(), peer.address, self.common.clone()));
+        mailbox.try_send(mail).is_ok()
     }
 
-    fn tell(&self, srv: &Name, mail: peer::Mail) {
-        if let Some((_, peer)) = self.peers.get(srv) {
-            // A peer with a full mailbox is told nothing more; both kinds of mail are only wishes.
-            let _ = peer.try_send(mail);
+    fn shut(&self, srv: &Name) {
+        if let Some(Peer { mail: Some(mailbox), .. }) = self.peers.get(srv) {
+            // One with a full mailbox is not told: it is but a wish.
+            let _ = mailbox.try_send(peer::Mail::Shut);
         }
     }
 
--- a/balancer/src/list.rs
+++ b/balancer/src/list.rs
@@ -12,6 +12,7 @@
 use ochreshed::{Listed, State};
 use serde_json::Value as Json;
 use tokio::sync::{Semaphore, mpsc};
+use tokio::task::spawn_blocking;
 use tokio::time::timeout;
 use tracing::warn;
 
@@ -24,6 +25,8 @@
 const GRACE: Duration = Duration::from_secs(2);
 const MOST_LIST: usize = 4 << 20;
 const MAILBOX: usize = 4;
+/// An answer of up to so many bytes is read at once.
+const SHORT: usize = 64 << 10;
 
 pub enum Mail {
     /// Watch for changes until a call fails.
@@ -34,6 +37,9 @@
     Move(SocketAddr),
 }
 
+/// An answer's version, whether it is the whole list, and its entries.
+pub type News = (String, bool, Vec<Entry>);
+
 /// An entry of the list, and where that srv is reached from here.
 pub type Entry = (Listed, SocketAddr);
 
@@ -104,7 +110,7 @@
             }
         };
         let read = match asked {
-            Ok(Ok(answer)) => read(&answer),
+            Ok(Ok(answer)) => parse(answer).await,
             Ok(Err(why)) => Err(why),
             Err(_) => Err("no answer in time".into()),
         };
@@ -121,7 +127,7 @@
         })
     }
 
-    async fn ask(&mut self) -> Result<Json, String> {
+    async fn ask(&mut self) -> Result<Bytes, String> {
         let wait = WAIT.as_millis();
         let path = match &self.generation {
             Some(generation) => format!("/catalog/members?after={generation}&wait_ms={wait}"),
@@ -141,12 +147,20 @@
         if answer.status() != StatusCode::OK {
             return Err(format!("answered {}", answer.status()));
         }
-        serde_json::from_slice(answer.body()).map_err(|e| e.to_string())
+        Ok(answer.into_body())
     }
 }
 
+/// Reads an answer. A long one is read beside the thread that reqs go through: a list of 10,000 srvs takes tens of
+/// milliseconds.
+async fn parse(answer: Bytes) -> Result<News, String> {
+    let short = answer.len() <= SHORT;
+    let parse = move || read(&serde_json::from_slice(&answer).map_err(|e| e.to_string())?);
+    if short { parse() } else { spawn_blocking(parse).await.map_err(|e| e.to_string())? }
+}
+
 /// Its version, whether it is the whole list, and its entries. One that can't be reached from here is left out.
-pub fn read(answer: &Json) -> Result<(String, bool, Vec<Entry>), String> {
+pub fn read(answer: &Json) -> Result<News, String> {
     let entries = answer["instances"].as_array().ok_or("no instances in the answer")?;
     let whole = answer["reset"].as_bool().ok_or("no reset in the answer")?;
     let generation = Some(&answer["generation"]).filter(|generation| generation.is_u64());
--- a/balancer/src/peer.rs
+++ b/balancer/src/peer.rs
@@ -16,7 +16,7 @@
 use ochreshed::{How, Name, Nanos, seconds};
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::task::yield_now;
-use tokio::time::{sleep_until, timeout};
+use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::clock::Clock;
 use crate::decisions;
@@ -28,6 +28,8 @@
 /// An idle connection is left alone this long before its limit, and kept no more than so many.
 const IDLE_MARGIN: Nanos = 1_000_000_000;
 const MOST_IDLE: usize = 32;
+/// A peer ends once it has carried nothing for so long and holds no connection.
+const UNUSED: Duration = Duration::from_secs(30);
 
 pub enum Mail {
     Send(Job),
@@ -106,6 +108,7 @@
             // The oldest stands first.
             let oldest = idle.first().map(|link| self.leave_at(link));
             let wake = self.common.clock.instant(oldest.unwrap_or(Nanos::MAX));
+            let unused = open && out.is_empty() && idle.is_empty();
             tokio::select! {
                 mail = mailbox.recv(), if open => match mail {
                     Some(Mail::Send(job)) => {
@@ -123,6 +126,8 @@
                 {
                     idle.push(link);
                 },
+                // What has come by then is still carried out: the mailbox is read to its end.
+                () = sleep(UNUSED), if unused => mailbox.close(),
                 () = sleep_until(wake), if oldest.is_some() => {
                     let now = self.common.clock.now();
                     idle.retain(|link| self.leave_at(link) > now);
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::time::Duration;
 
-use ochreshed::{Balancer, Facts, Nanos, list as facts_list, span, text};
+use ochreshed::{Balancer, Facts, Nanos, Value, list as facts_list, span, text};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
@@ -141,7 +141,9 @@
     let once = |set: &&Facts| text(set, "effect") == "non-replayable";
     let once = facts_list(&start.facts, "rule_sets").iter().filter(once).map(|set| text(set, "name").into());
     let once = once.collect();
-    let balancer = Balancer::new(clock.now(), start.seed, start.facts);
+    let mut facts = start.facts;
+    facts.insert("connections".into(), Value::Number(start.most_out as f64));
+    let balancer = Balancer::new(clock.now(), start.seed, facts);
     let mut actor = tokio::spawn(Actor::new(balancer, once, common, listed).run(mailbox));
     let door = front::Door::new(clock, life.clone(), Decisions::new(mail), bounds);
     let mut door = tokio::spawn(door.keep(listener));
