--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 FACTS ?= facts.json
 
-.PHONY: build test lint run
+.PHONY: build test lint run bench
 
 build:
 	cargo build --release
@@ -14,3 +14,8 @@
 
 run: build
 	target/release/ochreshed serve --facts $(FACTS)
+
+# Minutes long, with nothing beside it; no part of CI.
+bench:
+	cargo bench -p ochreshed-hands --bench req
+	cargo bench -p ochreshed-balancer --bench sockets
--- a/balancer/benches/sockets.rs
+++ b/balancer/benches/sockets.rs
@@ -1,7 +1,7 @@
 //! What one balancer does on loopback sockets by the length of its list: reqs a second for 64 callers, the part of
 //! them that opened a new connection, and its memory. Stand-in srvs answer at once. Run it with nothing beside it:
-//! `cargo bench -p ochreshed-balancer --bench sockets [BINARY]`; another BINARY, such as an earlier version's, is
-//! measured in place of this one.
+//! `cargo bench -p ochreshed-balancer --bench sockets [BINARY] [SRVS]`; another BINARY, such as an earlier
+//! version's, is measured in place of this one; with SRVS only lists of that length.
 
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader};
@@ -167,7 +167,9 @@
 }
 
 fn main() {
-    let binary = std::env::args().skip(1).find(|arg| !arg.starts_with("--"));
+    let told = || std::env::args().skip(1).filter(|arg| !arg.starts_with("--"));
+    let only: Option<u64> = told().find_map(|arg| arg.parse().ok());
+    let binary = told().find(|arg| arg.parse::<u64>().is_err());
     let binary = binary.unwrap_or_else(|| env!("CARGO_BIN_EXE_ochreshed").into());
     println!("| srvs | instances | sockets | reqs/s | not done | new connections a req | memory, MB |");
     println!("| --- | --- | --- | --- | --- | --- | --- |");
@@ -178,7 +180,11 @@
         (1_000, 24, 1_024, 192),
         (1_000, 100, 256, 64),
         (1_000, 1, 4_096, 512),
+        (10_000, 1_200, 256, 64),
     ] {
+        if only.is_some_and(|only| only != number) {
+            continue;
+        }
         let srvs = srvs(number);
         let balancer = Balancer::start(&binary, &srvs, instances, sockets, memory);
         let counts =
--- a/balancer/src/decisions.rs
+++ b/balancer/src/decisions.rs
@@ -328,3 +328,62 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use ochreshed::Facts;
+    use tokio::sync::Semaphore;
+
+    use super::*;
+
+    fn actor() -> Actor {
+        let (decisions, _) = mpsc::channel(8);
+        let (list, _) = mpsc::channel(8);
+        let common = peer::Common {
+            clock: Clock::new(),
+            decisions,
+            sockets: Arc::new(Semaphore::new(8)),
+            reuse: Arc::default(),
+            large: Arc::new(Semaphore::new(8)),
+            spare: 2,
+            connect_timeout: Duration::from_millis(100),
+            idle: 1_000_000_000,
+        };
+        Actor::new(Balancer::new(1, 1, Facts::new()), HashSet::new(), common, list)
+    }
+
+    fn listed(number: u64) -> Entry {
+        let srv = format!("s{number}").into();
+        let (state, came_up, site) = (ochreshed::State::Up, None, "x".into());
+        let listed = Listed { srv, state, came_up, weight: 1.0, site, cell: 0 };
+        (listed, SocketAddr::from(([127, 0, 0, 1], 9)))
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_peer_stands_while_it_is_used_and_is_followed_by_another() {
+        let mut actor = actor();
+        actor.follow_list(2, true, false, (0..100).map(listed).collect());
+        assert!(actor.peers.values().all(|peer| peer.mail.is_none()), "a peer that nobody uses");
+        let (srv, probe) = ("s7".into(), || peer::Mail::Probe(3));
+        assert!(actor.post(&srv, probe()));
+        let first = actor.peers["s7"].mail.clone().expect("a peer");
+        tokio::time::sleep(Duration::from_secs(29)).await;
+        assert!(!first.is_closed());
+        assert!(
+            actor.post(&srv, probe())
+                && actor.peers["s7"].mail.as_ref().is_some_and(|m| m.same_channel(&first))
+        );
+        tokio::time::sleep(Duration::from_secs(29)).await;
+        assert!(!first.is_closed());
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        assert!(first.is_closed());
+        assert!(actor.post(&srv, probe()));
+        assert!(
+            actor.peers["s7"].mail.as_ref().is_some_and(|mail| !mail.is_closed()),
+            "mail to one that has ended"
+        );
+        assert_eq!(actor.peers.values().filter(|peer| peer.mail.is_some()).count(), 1);
+    }
+}
