--- a/emulator/src/chance.rs
+++ b/emulator/src/chance.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 
 use crate::Nanos;
+use crate::scenario::span;
 
 pub struct Stream(ChaCha8Rng);
 
@@ -48,15 +49,34 @@
 #[serde(tag = "kind", rename_all = "kebab-case", deny_unknown_fields)]
 pub enum Span {
     /// Always the same.
-    Fixed { mean: Nanos },
+    Fixed {
+        #[serde(deserialize_with = "span")]
+        mean: Nanos,
+    },
     /// Evenly between two.
-    Even { least: Nanos, most: Nanos },
+    Even {
+        #[serde(deserialize_with = "span")]
+        least: Nanos,
+        #[serde(deserialize_with = "span")]
+        most: Nanos,
+    },
     /// Without memory.
-    Exponential { mean: Nanos },
+    Exponential {
+        #[serde(deserialize_with = "span")]
+        mean: Nanos,
+    },
     /// Its logarithm is normal with this deviation: a long tail.
-    LogNormal { mean: Nanos, sigma: f64 },
+    LogNormal {
+        #[serde(deserialize_with = "span")]
+        mean: Nanos,
+        sigma: f64,
+    },
     /// A tail by a power, above 1; cut off at a thousand means. The lower, the heavier.
-    Pareto { mean: Nanos, power: f64 },
+    Pareto {
+        #[serde(deserialize_with = "span")]
+        mean: Nanos,
+        power: f64,
+    },
 }
 
 impl Span {
--- /dev/null
+++ b/emulator/src/main.rs
@@ -0,0 +1,118 @@
+//! The command line of rehearsals. It owns what is said to whoever runs it; every figure it prints is called simulated.
+
+use std::process::ExitCode;
+
+use lexopt::prelude::*;
+use ochreshed_emulator::chooser::Policy;
+use ochreshed_emulator::scenario::Scenario;
+use ochreshed_emulator::world::{Result as Day, play};
+use rayon::prelude::*;
+
+const HELP: &str = "\
+ochreshed-rehearse, days in simulated time
+
+    ochreshed-rehearse check FILE                     read a scenario, say what is wrong with it
+    ochreshed-rehearse run FILE [--seed N] [--policy P]
+    ochreshed-rehearse compare FILE --policies P,P.. [--seeds N]
+
+P is module, random, round-robin, least or two; +3 behind a baseline gives it three naive retries.
+";
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(code) => code,
+        Err(why) => {
+            eprintln!("ochreshed-rehearse: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn policy(text: &str) -> Result<Policy, String> {
+    Policy::parse(text).ok_or(format!("there is no policy {text}; see `ochreshed-rehearse help`"))
+}
+
+fn run() -> Result<ExitCode, String> {
+    let (mut words, mut seed, mut seeds, mut policies) = (Vec::new(), 1, 10, vec![Policy::Module]);
+    let mut names = vec!["module".to_owned()];
+    let mut args = lexopt::Parser::from_env();
+    let told = |e: lexopt::Error| e.to_string();
+    while let Some(arg) = args.next().map_err(told)? {
+        match arg {
+            Long("seed") => seed = args.value().and_then(|v| v.parse()).map_err(told)?,
+            Long("seeds") => seeds = args.value().and_then(|v| v.parse()).map_err(told)?,
+            Long("policy") | Long("policies") => {
+                let text = args.value().and_then(|v| v.string()).map_err(told)?;
+                names = text.split(',').map(str::to_owned).collect();
+                policies = names.iter().map(|name| policy(name)).collect::<Result<_, _>>()?;
+            }
+            Value(word) => words.push(word.to_string_lossy().into_owned()),
+            other => return Err(other.unexpected().to_string()),
+        }
+    }
+    let [command, file] = &words[..] else {
+        print!("{HELP}");
+        return Ok(ExitCode::SUCCESS);
+    };
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))?;
+    let scenario = Scenario::parse(&text).map_err(|why| format!("{file}:\n{why}"))?;
+    match command.as_str() {
+        "check" => println!("{file}: {} tiers, {} rule sets", scenario.tiers.len(), scenario.rule_sets.len()),
+        "run" => return Ok(show(&play(&scenario, policies[0], seed))),
+        "compare" => compare(&scenario, &names, &policies, seeds),
+        other => return Err(format!("there is no command {other}")),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn show(day: &Day) -> ExitCode {
+    println!(
+        "simulated: {} asked, {} in time, {} late; {} events",
+        day.asked, day.in_time, day.late, day.events
+    );
+    println!("score {:.4}, worst 10 s {:.4}, worst rule set {:.4}", day.score, day.worst_10s, day.worst_set);
+    println!("sends a req by tier {:.3?}", day.sends);
+    day.breaches.iter().take(10).for_each(|breach| println!("BROKEN {breach}"));
+    if day.breaches.is_empty() {
+        println!("rules kept");
+        return ExitCode::SUCCESS;
+    }
+    println!("rules broken {} times", day.breaches.len());
+    ExitCode::from(2)
+}
+
+/// Each policy on the same seeds, with the 95% interval of its difference to the first one, seed by seed.
+fn compare(scenario: &Scenario, names: &[String], policies: &[Policy], seeds: u64) {
+    println!(
+        "simulated, {seeds} seeds\n| policy | score | worst 10 s | sends by tier | against {} | broken |",
+        names[0]
+    );
+    println!("| --- | --- | --- | --- | --- | --- |");
+    let days = |policy: Policy| -> Vec<Day> {
+        (1..=seeds).into_par_iter().map(|seed| play(scenario, policy, seed)).collect()
+    };
+    let mut first: Vec<f64> = Vec::new();
+    for (name, policy) in names.iter().zip(policies) {
+        let days = days(*policy);
+        let number = days.len() as f64;
+        let mean = |of: &dyn Fn(&Day) -> f64| days.iter().map(of).sum::<f64>() / number;
+        let scores: Vec<f64> = days.iter().map(|day| day.score).collect();
+        if first.is_empty() {
+            first.clone_from(&scores);
+        }
+        let differences: Vec<f64> = scores.iter().zip(&first).map(|(score, first)| score - first).collect();
+        let difference = differences.iter().sum::<f64>() / number;
+        let spread =
+            differences.iter().map(|d| (d - difference).powi(2)).sum::<f64>() / (number - 1.0).max(1.0);
+        let sends: Vec<String> =
+            (0..scenario.tiers.len()).map(|tier| format!("{:.2}", mean(&|day| day.sends[tier]))).collect();
+        let broken: usize = days.iter().map(|day| day.breaches.len()).sum();
+        println!(
+            "| {name} | {:.3} | {:.3} | {} | {difference:+.3} ± {:.3} | {broken} |",
+            mean(&|day| day.score),
+            mean(&|day| day.worst_10s),
+            sends.join(" "),
+            1.96 * (spread / number).sqrt()
+        );
+    }
+}
--- a/emulator/src/station.rs
+++ b/emulator/src/station.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 
 use crate::Nanos;
+use crate::scenario::span;
 
 /// What a srv is made of.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -30,6 +31,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Cold {
     pub share: f64,
+    #[serde(deserialize_with = "span")]
     pub lasts: Nanos,
 }
 
@@ -39,8 +41,10 @@
 pub struct Fatigue {
     /// Crowded: at least so many wait.
     pub waiting: usize,
+    #[serde(deserialize_with = "span")]
     pub after: Nanos,
     pub share: f64,
+    #[serde(deserialize_with = "span")]
     pub rest: Nanos,
 }
 
--- /dev/null
+++ b/emulator/src/world.rs
@@ -0,0 +1,605 @@
+//! A day: clients, balancers, srvs, the network and the list between them, and troubles by time. It owns what is true
+//! of each; an instance is told only what would reach it, when it would. The same scenario, policy and seed give the
+//! same day. All figures are simulated.
+//!
+//! Kept simple on purpose: a srv of a middle tier gives its slot up while it waits for the tier below, and answers its
+//! caller with an error where that call was denied or aborted.
+
+use std::collections::BTreeMap;
+
+use ochreshed::{How, Listed, Name, Req, State};
+use ochreshed_hands::Act;
+
+use crate::audit::{Answer, Audit, Breach, Key};
+use crate::chance::Stream;
+use crate::chooser::{Chooser, Policy, Seat};
+use crate::scenario::{RuleSet, Scenario, Trouble, What};
+use crate::station::{Offer, Station};
+use crate::time::Events;
+use crate::{MS, Nanos, S};
+
+const START: Nanos = 1_000 * S;
+/// What a client's req needs at least of its time to be sent at all.
+const LITTLE: Nanos = MS;
+
+enum Event {
+    Client,
+    /// A client tries, for the first time or again.
+    Try {
+        call: usize,
+        try_number: u32,
+    },
+    Left(Key),
+    Wake(usize),
+    Reach {
+        key: Key,
+        number: usize,
+        srv: usize,
+    },
+    GiveUp {
+        key: Key,
+        number: usize,
+    },
+    WorkEnd {
+        job: u64,
+        ends: Nanos,
+    },
+    Back {
+        key: Key,
+        number: usize,
+        how: How,
+    },
+    News {
+        instance: usize,
+        entry: Listed,
+    },
+    Trouble(usize, bool),
+    Drain(usize),
+    Replace(usize),
+    Unpause(usize),
+    Books,
+}
+
+struct Instance {
+    chooser: Box<dyn Chooser>,
+    tier: usize,
+    site: usize,
+    wake: Nanos,
+}
+
+struct Srv {
+    name: Name,
+    tier: usize,
+    site: usize,
+    station: Station,
+    /// Its process: jobs of an earlier one are lost.
+    started: Nanos,
+    cold_until: Nanos,
+    draining: bool,
+    failing_fast: bool,
+    /// The instance it calls the next tier through.
+    below: Option<usize>,
+}
+
+struct Call {
+    set: usize,
+    born: Nanos,
+}
+
+/// Who waits for a req's answer: a client's call, or a job at a srv.
+#[derive(Clone, Copy)]
+enum Caller {
+    Client { call: usize, try_number: u32 },
+    Job { key: Key, number: usize, srv: usize },
+}
+
+struct Under {
+    caller: Caller,
+    set: usize,
+    ends: Nanos,
+    /// The dispatch that is out: its number, srv and time.
+    out: Option<(usize, usize, Nanos)>,
+}
+
+struct Job {
+    key: Key,
+    number: usize,
+    srv: usize,
+    ends: Nanos,
+}
+
+/// What a day came to.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Result {
+    pub asked: u64,
+    pub in_time: u64,
+    pub late: u64,
+    /// Utility answered within the target over utility asked: in all, in the worst 10 s, in the worst rule set.
+    pub score: f64,
+    pub worst_10s: f64,
+    pub worst_set: f64,
+    /// Sends for each req that its tier was asked for, by tier.
+    pub sends: Vec<f64>,
+    pub events: u64,
+    pub breaches: Vec<String>,
+}
+
+pub struct World<'a> {
+    scenario: &'a Scenario,
+    policy: Policy,
+    events: Events<Event>,
+    instances: Vec<Instance>,
+    srvs: Vec<Srv>,
+    names: BTreeMap<Name, usize>,
+    calls: Vec<Call>,
+    under: BTreeMap<Key, Under>,
+    jobs: BTreeMap<u64, Job>,
+    lost: Vec<(usize, usize)>,
+    audit: Audit,
+    next_id: u64,
+    arrivals: Stream,
+    work: Stream,
+    net: Stream,
+    fate: Stream,
+    seed: u64,
+    taken: Vec<u64>,
+    sent: Vec<u64>,
+    /// Utility asked and answered in time by 10 s, and by rule set.
+    by_time: BTreeMap<u64, (f64, f64)>,
+    by_set: Vec<(f64, f64)>,
+    result: Result,
+}
+
+/// Plays a day.
+pub fn play(scenario: &Scenario, policy: Policy, seed: u64) -> Result {
+    World::new(scenario, policy, seed).run()
+}
+
+impl<'a> World<'a> {
+    fn new(scenario: &'a Scenario, policy: Policy, seed: u64) -> World<'a> {
+        let mut world = World {
+            scenario,
+            policy,
+            events: Events::new(START),
+            instances: Vec::new(),
+            srvs: Vec::new(),
+            names: BTreeMap::new(),
+            calls: Vec::new(),
+            under: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            lost: Vec::new(),
+            audit: Audit::default(),
+            next_id: 0,
+            arrivals: Stream::new(seed, "arrivals"),
+            work: Stream::new(seed, "work"),
+            net: Stream::new(seed, "net"),
+            fate: Stream::new(seed, "fate"),
+            seed,
+            taken: vec![0; scenario.tiers.len()],
+            sent: vec![0; scenario.tiers.len()],
+            by_time: BTreeMap::new(),
+            by_set: vec![(0.0, 0.0); scenario.rule_sets.len()],
+            result: Result::default(),
+        };
+        for me in 0..scenario.clients.instances {
+            let seat = Seat { tier: 0, me, instances: scenario.clients.instances };
+            world.instance(seat, me % scenario.tiers[0].sites);
+        }
+        for (at, tier) in scenario.tiers.iter().enumerate() {
+            for number in 0..tier.srvs {
+                let site = number % tier.sites;
+                let name: Name = format!("{}-{number:04}", tier.name).into();
+                let seat = Seat { tier: at + 1, me: number, instances: tier.srvs };
+                let below = (at + 1 < scenario.tiers.len()).then(|| world.instance(seat, site));
+                world.names.insert(name.clone(), world.srvs.len());
+                world.srvs.push(Srv {
+                    name,
+                    tier: at,
+                    site,
+                    // Those that stand at the start are warm.
+                    station: Station::new(tier.build(), 0),
+                    started: START,
+                    cold_until: 0,
+                    draining: false,
+                    failing_fast: false,
+                    below,
+                });
+            }
+        }
+        for instance in 0..world.instances.len() {
+            let tier = world.instances[instance].tier;
+            let of = world.srvs.iter().filter(|srv| srv.tier == tier);
+            let entries: Vec<Listed> = of.map(|srv| world.entry(srv, State::Up, None)).collect();
+            world.instances[instance].chooser.list(START, &entries);
+        }
+        world
+    }
+
+    fn instance(&mut self, seat: Seat, site: usize) -> usize {
+        let number = self.instances.len();
+        let seed = self.seed.wrapping_mul(1_000_003).wrapping_add(number as u64);
+        let chooser = self.policy.start(START, seed, self.scenario, seat);
+        self.instances.push(Instance { chooser, tier: seat.tier, site, wake: Nanos::MAX });
+        number
+    }
+
+    fn entry(&self, srv: &Srv, state: State, came_up: Option<Nanos>) -> Listed {
+        let site = format!("site-{}", srv.site).into();
+        Listed { srv: srv.name.clone(), state, came_up, weight: 1.0, site, cell: srv.site as u64 }
+    }
+
+    fn run(mut self) -> Result {
+        let ends = START + self.scenario.lasts;
+        let longest = self.scenario.rule_sets.iter().map(|set| set.client_timeout).max().unwrap_or(S);
+        let last = ends + longest * u64::from(1 + self.scenario.clients.tries_again) + 2 * S;
+        self.events.at(START, Event::Client);
+        self.events.at(START + S, Event::Books);
+        for (number, trouble) in self.scenario.troubles.iter().enumerate() {
+            self.events.at(START + trouble.at, Event::Trouble(number, true));
+            self.events.at(START + trouble.at + trouble.lasts, Event::Trouble(number, false));
+        }
+        while let Some(event) = self.events.next(last) {
+            self.result.events += 1;
+            self.happen(event, ends);
+        }
+        self.audit.close(last + S, true);
+        self.finish()
+    }
+
+    fn happen(&mut self, event: Event, ends: Nanos) {
+        let now = self.events.now();
+        match event {
+            Event::Client => {
+                if now < ends {
+                    self.client(now);
+                    if let Some(gap) = self.arrivals.gap(self.scenario.clients.per_s) {
+                        self.events.after(gap, Event::Client);
+                    }
+                }
+            }
+            Event::Try { call, try_number } => self.attempt(now, call, try_number),
+            Event::Left(key) => {
+                if self.under.contains_key(&key) {
+                    self.instances[key.0].chooser.left(now, key.1);
+                    self.under.remove(&key);
+                    self.settle(key.0);
+                }
+            }
+            Event::Wake(instance) => {
+                if self.instances[instance].wake <= now {
+                    self.instances[instance].wake = Nanos::MAX;
+                    self.settle(instance);
+                }
+            }
+            Event::Reach { key, number, srv } => self.reach(now, key, number, srv),
+            Event::GiveUp { key, number } => self.back(now, key, number, How::TimedOut),
+            Event::WorkEnd { job, ends } => {
+                if self.jobs.get(&job).is_some_and(|job| job.ends == ends) {
+                    self.work_ends(now, job);
+                }
+            }
+            Event::Back { key, number, how } => self.back(now, key, number, how),
+            Event::News { instance, entry } => {
+                self.audit.told(now, instance, &entry.srv, entry.state != State::Up);
+                self.instances[instance].chooser.list(now, &[entry]);
+                self.settle(instance);
+            }
+            Event::Trouble(number, begins) => self.trouble(now, number, begins),
+            Event::Drain(srv) => {
+                self.srvs[srv].draining = true;
+                self.tell(srv, State::Draining, None);
+            }
+            Event::Replace(srv) => self.replace(now, srv),
+            Event::Unpause(srv) => {
+                let started = self.srvs[srv].station.fill(now);
+                self.started(now, started);
+            }
+            Event::Books => {
+                self.audit.close(now, false);
+                if now < ends {
+                    self.events.after(S, Event::Books);
+                }
+            }
+        }
+    }
+
+    fn set(&self, set: usize) -> &'a RuleSet {
+        &self.scenario.rule_sets[set]
+    }
+
+    fn client(&mut self, now: Nanos) {
+        let all: f64 = self.scenario.rule_sets.iter().map(|set| set.part).sum();
+        let mut left = self.arrivals.part() * all;
+        let set = self.scenario.rule_sets.iter().position(|set| {
+            left -= set.part;
+            left < 0.0
+        });
+        let set = set.unwrap_or(0);
+        let utility = self.set(set).utility;
+        self.result.asked += 1;
+        self.by_time.entry((now - START) / (10 * S)).or_default().0 += utility;
+        self.by_set[set].0 += utility;
+        self.calls.push(Call { set, born: now });
+        self.attempt(now, self.calls.len() - 1, 0);
+    }
+
+    fn attempt(&mut self, now: Nanos, call: usize, try_number: u32) {
+        let instance = self.arrivals.below(self.scenario.clients.instances);
+        let set = self.calls[call].set;
+        let ends = now + self.set(set).client_timeout;
+        self.take(now, instance, set, ends, Caller::Client { call, try_number });
+    }
+
+    fn take(&mut self, now: Nanos, instance: usize, set: usize, ends: Nanos, caller: Caller) {
+        self.next_id += 1;
+        let (key, rule_set) = ((instance, self.next_id), self.set(set));
+        self.taken[self.instances[instance].tier] += 1;
+        self.audit.taken(now, key, ends, rule_set.effect, rule_set.window);
+        self.under.insert(key, Under { caller, set, ends, out: None });
+        self.events.at(ends + MS, Event::Left(key));
+        let req = Req {
+            id: key.1,
+            rule_set: rule_set.name.as_str().into(),
+            customer: "".into(),
+            again: matches!(caller, Caller::Client { try_number, .. } if try_number > 0),
+            taken: now,
+            ends,
+            dispatches: Vec::new(),
+        };
+        self.instances[instance].chooser.take(now, req);
+        self.settle(instance);
+    }
+
+    /// Has an instance do what is due, and carries it out.
+    fn settle(&mut self, instance: usize) {
+        let now = self.events.now();
+        let next = self.instances[instance].chooser.settle(now).max(now + 1);
+        if next < self.instances[instance].wake && next < Nanos::MAX {
+            self.instances[instance].wake = next;
+            self.events.at(next, Event::Wake(instance));
+        }
+        for act in self.instances[instance].chooser.acts() {
+            match act {
+                Act::Send { id, number, srv, give_up } => {
+                    self.send(now, (instance, id), number, &srv, give_up)
+                }
+                Act::Recall { id, number } => self.back(now, (instance, id), number, How::Recalled),
+                Act::Deny { id, .. } => self.answer(now, (instance, id), Answer::Denied),
+                Act::Abort { id } => self.answer(now, (instance, id), Answer::Aborted),
+                Act::Watch | Act::List | Act::Probe(_) | Act::Close(_) | Act::Log(_) => {}
+            }
+        }
+    }
+
+    fn cut(&self, site: usize, srv: usize) -> bool {
+        let (tier, other) = (self.srvs[srv].tier, self.srvs[srv].site);
+        site != other && self.lost.contains(&(tier, other))
+    }
+
+    fn delay(&mut self, site: usize, srv: usize) -> Nanos {
+        let network = &self.scenario.network;
+        let way = if site == self.srvs[srv].site { &network.within } else { &network.between };
+        way.draw(&mut self.net)
+    }
+
+    fn send(&mut self, now: Nanos, key: Key, number: usize, name: &Name, give_up: Nanos) {
+        let Some(srv) = self.names.get(name).copied() else { return };
+        self.audit.dispatched(now, key, number, name);
+        let Some(under) = self.under.get_mut(&key) else { return };
+        under.out = Some((number, srv, now));
+        self.sent[self.instances[key.0].tier] += 1;
+        self.events.at(give_up, Event::GiveUp { key, number });
+        let site = self.instances[key.0].site;
+        if !self.cut(site, srv) {
+            let delay = self.delay(site, srv);
+            self.events.after(delay, Event::Reach { key, number, srv });
+        }
+    }
+
+    fn reach(&mut self, now: Nanos, key: Key, number: usize, srv: usize) {
+        let Some(under) = self.under.get(&key).filter(|under| under.out.is_some_and(|out| out.0 == number))
+        else {
+            // Given up on the way.
+            return;
+        };
+        let (set, tier) = (under.set, &self.scenario.tiers[self.srvs[srv].tier]);
+        let work = tier.work.draw(&mut self.work);
+        if self.srvs[srv].failing_fast {
+            self.audit.ran(now, key, &self.srvs[srv].name);
+            return self.reply(srv, key, number, How::Error);
+        }
+        if now < self.srvs[srv].cold_until {
+            let speed = self.srvs[srv].station.speed(now);
+            let (name, can) = (self.srvs[srv].name.clone(), tier.slots as f64 * speed);
+            self.audit.cold(now, key, &name, work as f64 / 1e9, can);
+        }
+        let _ = set;
+        self.next_id += 1;
+        let job = self.next_id;
+        match self.srvs[srv].station.offer(now, job, work) {
+            Offer::Full => self.reply(srv, key, number, How::Full),
+            Offer::Waits => drop(self.jobs.insert(job, Job { key, number, srv, ends: 0 })),
+            Offer::Starts { ends } => {
+                self.jobs.insert(job, Job { key, number, srv, ends: 0 });
+                self.started(now, vec![(job, ends)]);
+            }
+        }
+    }
+
+    /// Jobs have started, or end at another time than they did.
+    fn started(&mut self, now: Nanos, jobs: Vec<(u64, Nanos)>) {
+        for (number, ends) in jobs {
+            let Some(job) = self.jobs.get_mut(&number) else { continue };
+            let first = job.ends == 0;
+            job.ends = ends;
+            let (key, srv) = (job.key, job.srv);
+            if first {
+                let name = self.srvs[srv].name.clone();
+                self.audit.ran(now, key, &name);
+            }
+            self.events.at(ends, Event::WorkEnd { job: number, ends });
+        }
+    }
+
+    fn work_ends(&mut self, now: Nanos, number: u64) {
+        let Some(Job { key, number: dispatch, srv, .. }) = self.jobs.remove(&number) else { return };
+        let started = self.srvs[srv].station.ended(now, number);
+        self.started(now, started);
+        let failing = self.scenario.tiers[self.srvs[srv].tier].failing;
+        if self.fate.happens(failing) {
+            return self.reply(srv, key, dispatch, How::Error);
+        }
+        // The call below goes on even where the caller has given up: it can't be told from here.
+        match (self.srvs[srv].below, self.under.get(&key).map(|under| (under.set, under.ends))) {
+            (Some(below), Some((set, ends))) if now + LITTLE < ends => {
+                self.take(now, below, set, ends - LITTLE, Caller::Job { key, number: dispatch, srv });
+            }
+            (Some(_), _) => self.reply(srv, key, dispatch, How::Error),
+            (None, _) => self.reply(srv, key, dispatch, How::Done),
+        }
+    }
+
+    fn reply(&mut self, srv: usize, key: Key, number: usize, how: How) {
+        let site = self.instances[key.0].site;
+        if !self.cut(site, srv) {
+            let delay = self.delay(site, srv);
+            self.events.after(delay, Event::Back { key, number, how });
+        }
+    }
+
+    /// A dispatch is over for its instance.
+    fn back(&mut self, now: Nanos, key: Key, number: usize, how: How) {
+        let Some(under) = self.under.get_mut(&key) else { return };
+        let Some((_, srv, sent)) = under.out.take_if(|out| out.0 == number) else { return };
+        self.audit.ended(now, key, number, &format!("{how:?}"));
+        if !matches!(how, How::Done | How::Error | How::Full) {
+            self.abandon(now, srv, key, number);
+        }
+        if how == How::Done {
+            self.answer(now, key, Answer::Done);
+        }
+        self.instances[key.0].chooser.ended(now, key.1, number, how, now - sent);
+        self.settle(key.0);
+    }
+
+    /// The connection is closed: a srv notices that for what still waits.
+    fn abandon(&mut self, now: Nanos, srv: usize, key: Key, number: usize) {
+        let waits = |job: &Job| job.srv == srv && (job.key, job.number, job.ends) == (key, number, 0);
+        if let Some(job) = self.jobs.iter().find(|(_, job)| waits(job)).map(|(job, _)| *job) {
+            self.jobs.remove(&job);
+            let (_, started) = self.srvs[srv].station.take_back(now, job);
+            self.started(now, started);
+        }
+    }
+
+    fn answer(&mut self, now: Nanos, key: Key, answer: Answer) {
+        self.audit.answered(now, key, answer);
+        let Some(Under { caller, set, .. }) = self.under.remove(&key) else { return };
+        match caller {
+            Caller::Client { call, try_number } => match answer {
+                Answer::Done => self.served(now, call),
+                Answer::Denied if try_number < self.scenario.clients.tries_again => {
+                    let pause = self.scenario.clients.pause;
+                    self.events.after(pause, Event::Try { call, try_number: try_number + 1 });
+                }
+                _ => {}
+            },
+            Caller::Job { key, number, srv } => {
+                let how = if answer == Answer::Done { How::Done } else { How::Error };
+                self.reply(srv, key, number, how);
+            }
+        }
+        let _ = set;
+    }
+
+    fn served(&mut self, now: Nanos, call: usize) {
+        let Call { set, born } = self.calls[call];
+        if now - born > self.set(set).response_target {
+            self.result.late += 1;
+            return;
+        }
+        self.result.in_time += 1;
+        let utility = self.set(set).utility;
+        self.by_time.entry((born - START) / (10 * S)).or_default().1 += utility;
+        self.by_set[set].1 += utility;
+    }
+
+    fn tell(&mut self, srv: usize, state: State, came_up: Option<Nanos>) {
+        let tier = self.srvs[srv].tier;
+        for instance in 0..self.instances.len() {
+            if self.instances[instance].tier == tier {
+                let entry = self.entry(&self.srvs[srv], state, came_up);
+                let delay = self.scenario.list.delay.draw(&mut self.net);
+                self.events.after(delay, Event::News { instance, entry });
+            }
+        }
+    }
+
+    fn trouble(&mut self, now: Nanos, number: usize, begins: bool) {
+        let Trouble { what, tier, site, srvs, lasts, .. } = &self.scenario.troubles[number];
+        let Some(tier) = self.scenario.tiers.iter().position(|known| known.name == *tier) else { return };
+        let of: Vec<usize> = (0..self.srvs.len()).filter(|srv| self.srvs[*srv].tier == tier).collect();
+        match what {
+            What::SiteLost if begins => self.lost.push((tier, *site)),
+            What::SiteLost => self.lost.retain(|lost| *lost != (tier, *site)),
+            What::FastErrors => of.iter().take(*srvs).for_each(|srv| self.srvs[*srv].failing_fast = begins),
+            What::Pause if begins => {
+                for srv in of.into_iter().take(*srvs) {
+                    let moved = self.srvs[srv].station.pause(now, now + lasts);
+                    self.started(now, moved);
+                    self.events.after(*lasts, Event::Unpause(srv));
+                }
+            }
+            What::Deploy if begins => {
+                let all = of.len() as u64;
+                for (at, srv) in of.into_iter().enumerate() {
+                    let from = lasts / all * at as u64;
+                    self.events.after(from, Event::Drain(srv));
+                    self.events.after(from + 4 * S, Event::Replace(srv));
+                }
+            }
+            What::Pause | What::Deploy => {}
+        }
+    }
+
+    /// A srv's process ends with all that it holds, and another one takes its place.
+    fn replace(&mut self, now: Nanos, srv: usize) {
+        let tier = &self.scenario.tiers[self.srvs[srv].tier];
+        let held: Vec<u64> =
+            self.jobs.iter().filter(|(_, job)| job.srv == srv).map(|(job, _)| *job).collect();
+        for job in held {
+            if let Some(job) = self.jobs.remove(&job) {
+                self.reply(srv, job.key, job.number, How::Reset);
+            }
+        }
+        let srv_ = &mut self.srvs[srv];
+        (srv_.station, srv_.started, srv_.draining) = (Station::new(tier.build(), now), now, false);
+        srv_.cold_until = now + tier.cold.map_or(0, |cold| cold.lasts);
+        self.tell(srv, State::Up, Some(now));
+    }
+
+    fn finish(mut self) -> Result {
+        let part = |(asked, met): (f64, f64)| if asked > 0.0 { met / asked } else { 1.0 };
+        let all = self.by_set.iter().fold((0.0, 0.0), |a, b| (a.0 + b.0, a.1 + b.1));
+        self.result.score = part(all);
+        self.result.worst_10s = self.by_time.values().map(|both| part(*both)).fold(1.0, f64::min);
+        self.result.worst_set = self.by_set.iter().map(|both| part(*both)).fold(1.0, f64::min);
+        self.result.sends = self
+            .sent
+            .iter()
+            .zip(&self.taken)
+            .map(|(sent, taken)| *sent as f64 / (*taken).max(1) as f64)
+            .collect();
+        let line = |breach: &Breach| {
+            let Breach { rule, at, key, what } = breach;
+            format!(
+                "rule {rule} at {:.3} s, req {} of instance {}: {what}",
+                (at - START) as f64 / 1e9,
+                key.1,
+                key.0
+            )
+        };
+        self.result.breaches = self.audit.breaches.iter().map(line).collect();
+        self.result
+    }
+}
--- /dev/null
+++ b/emulator/tests/days.rs
@@ -0,0 +1,140 @@
+//! Whole days: the same seed gives the same day, the module keeps the rules on each rehearsal, the auditor sees each
+//! rule when it is broken on purpose, and retries multiply as arithmetic says they must.
+
+use ochreshed_emulator::chooser::Policy;
+use ochreshed_emulator::scenario::Scenario;
+use ochreshed_emulator::world::play;
+
+const REHEARSALS: [&str; 6] = [
+    include_str!("../../rehearsals/calm.toml"),
+    include_str!("../../rehearsals/deploy.toml"),
+    include_str!("../../rehearsals/fast-errors.toml"),
+    include_str!("../../rehearsals/lost-site.toml"),
+    include_str!("../../rehearsals/retry-storm.toml"),
+    include_str!("../../rehearsals/tired.toml"),
+];
+
+fn read(text: &str) -> Scenario {
+    Scenario::parse(text).unwrap_or_else(|why| panic!("{why}"))
+}
+
+#[test]
+fn the_module_keeps_the_rules_on_each_rehearsal() {
+    for text in REHEARSALS {
+        let day = play(&read(text), Policy::Module, 3);
+        assert!(day.breaches.is_empty(), "{}: {:?}", text.lines().next().unwrap_or_default(), day.breaches);
+        assert!(day.sends.iter().all(|sends| *sends <= 1.1), "{:?} sends a req", day.sends);
+    }
+}
+
+#[test]
+fn a_seed_gives_one_day_on_any_thread_and_another_seed_another() {
+    let scenario = read(REHEARSALS[3]);
+    let first = play(&scenario, Policy::Module, 5);
+    let again = std::thread::scope(|scope| {
+        let beside = [5, 6].map(|seed| {
+            scope.spawn({
+                let scenario = &scenario;
+                move || play(scenario, Policy::Module, seed)
+            })
+        });
+        beside.map(|day| day.join().expect("a day"))
+    });
+    assert_eq!(first, again[0]);
+    assert_ne!(first, again[1]);
+}
+
+/// One tier, where much fails and every srv is replaced.
+const ROUGH: &str = r#"
+lasts = "25s"
+clients = { per_s = 100.0, instances = 3 }
+network = { within = { kind = "fixed", mean = "1ms" }, between = { kind = "fixed", mean = "2ms" } }
+list = { delay = { kind = "fixed", mean = "300ms" } }
+[[rule_sets]]
+name = "read"
+effect = "replayable"
+part = 1.0
+response_target = "1s"
+client_timeout = "3s"
+[[rule_sets]]
+name = "post"
+effect = "non-replayable"
+part = 1.0
+response_target = "1s"
+client_timeout = "3s"
+[[tiers]]
+name = "only"
+srvs = 6
+slots = 8
+room = 400
+work = { kind = "exponential", mean = "150ms" }
+cold = { share = 0.1, lasts = "20s" }
+failing = 0.1
+[[troubles]]
+what = "deploy"
+tier = "only"
+at = "3s"
+lasts = "15s"
+"#;
+
+#[test]
+fn the_auditor_sees_each_rule_broken_and_by_its_number() {
+    let scenario = read(ROUGH);
+    let kept = play(&scenario, Policy::Module, 1);
+    assert!(kept.breaches.is_empty(), "{:?}", kept.breaches);
+    for rule in 1..=4u8 {
+        let day = play(&scenario, Policy::Breaks(rule), 1);
+        let of = format!("rule {rule} ");
+        assert!(day.breaches.iter().any(|breach| breach.starts_with(&of)), "rule {rule} is not seen broken");
+        let story = day.breaches.iter().find(|breach| breach.starts_with(&of)).expect("seen");
+        assert!(story.contains("taken"), "no life of the req: {story}");
+        // Heaping all on one srv also makes answers late; the others break what they break and nothing else.
+        let other = day.breaches.iter().find(|breach| !breach.starts_with(&of));
+        assert!(rule == 4 || other.is_none(), "rule {rule}: {other:?}");
+    }
+}
+
+#[test]
+fn naive_retries_multiply_by_tier_and_the_module_s_do_not() {
+    let tier = |name: &str, failing: f64| {
+        format!(
+            "[[tiers]]\nname = \"{name}\"\nsrvs = 8\nslots = 200\nroom = 200\nfailing = {failing:.1}\n\
+             work = {{ kind = \"fixed\", mean = \"2ms\" }}\n"
+        )
+    };
+    let text = format!(
+        "lasts = \"10s\"\nclients = {{ per_s = 100.0, instances = 4 }}\n\
+         network = {{ within = {{ kind = \"fixed\", mean = \"1ms\" }}, between = {{ kind = \"fixed\", mean = \"1ms\" }} }}\n\
+         list = {{ delay = {{ kind = \"fixed\", mean = \"100ms\" }} }}\n\
+         [[rule_sets]]\nname = \"read\"\neffect = \"replayable\"\npart = 1.0\nresponse_target = \"2s\"\n\
+         client_timeout = \"9s\"\n{}{}{}",
+        tier("a", 0.0),
+        tier("b", 0.0),
+        tier("c", 1.0)
+    );
+    let scenario = read(&text);
+    let naive = play(&scenario, Policy::Random { tries: 4 }, 1);
+    // Four sends at each of three tiers: 64 at the last for each req of a client.
+    assert!(naive.sends.iter().all(|sends| (sends - 4.0).abs() < 0.01), "{:?}", naive.sends);
+    let module = play(&scenario, Policy::Module, 1);
+    // A tenth, and one in 10 s at each of the eight balancers before the last tier.
+    assert!(module.sends.iter().all(|sends| *sends <= 1.1 + 16.0 / 1_000.0), "{:?}", module.sends);
+    assert!(naive.breaches.is_empty() && module.breaches.is_empty());
+}
+
+#[test]
+fn a_file_that_is_wrong_is_told_where() {
+    let wrong = |from: &str, to: &str| Scenario::parse(&ROUGH.replace(from, to)).expect_err("it is wrong");
+    let unknown = wrong("slots = 8", "slotts = 8");
+    assert!(
+        unknown.contains("slotts") && unknown.contains("line 21") && unknown.contains("slots"),
+        "{unknown}"
+    );
+    let unit = wrong("\"150ms\"", "\"150\"");
+    assert!(unit.contains("line 23") && unit.contains("no span"), "{unit}");
+    let both = wrong("tier = \"only\"", "tier = \"none\"").replace("failing", "");
+    assert!(both.contains("no tier none"), "{both}");
+    let two =
+        Scenario::parse(&ROUGH.replace("failing = 0.1", "failing = 1.5").replace("part = 1.0", "part = 0.0"));
+    assert_eq!(two.expect_err("three errors").lines().count(), 3);
+}
