--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -5,16 +5,18 @@
 use lexopt::prelude::*;
 use ochreshed_emulator::chooser::Policy;
 use ochreshed_emulator::scenario::Scenario;
-use ochreshed_emulator::world::{Result as Day, play};
+use ochreshed_emulator::world::{Result as Day, play, trace};
 use rayon::prelude::*;
 
 const HELP: &str = "\
 ochreshed-rehearse, days in simulated time
 
     ochreshed-rehearse check FILE                     read a scenario, say what is wrong with it
-    ochreshed-rehearse run FILE [--seed N] [--policy P]
+    ochreshed-rehearse run FILE [--seed N] [--policy P] [--trace ID]
     ochreshed-rehearse compare FILE --policies P,P.. [--seeds N]
+    ochreshed-rehearse sweep FILE --set PATH=V,V.. [--policy P] [--seeds N]
 
+--trace prints the life of the req with that number. PATH is such as clients.per_s or tiers.1.slots.
 P is module, random, round-robin, least or two; +3 behind a baseline gives it three naive retries.
 ";
 
@@ -35,12 +37,15 @@
 fn run() -> Result<ExitCode, String> {
     let (mut words, mut seed, mut seeds, mut policies) = (Vec::new(), 1, 10, vec![Policy::Module]);
     let mut names = vec!["module".to_owned()];
+    let (mut traced, mut set) = (None, String::new());
     let mut args = lexopt::Parser::from_env();
     let told = |e: lexopt::Error| e.to_string();
     while let Some(arg) = args.next().map_err(told)? {
         match arg {
             Long("seed") => seed = args.value().and_then(|v| v.parse()).map_err(told)?,
             Long("seeds") => seeds = args.value().and_then(|v| v.parse()).map_err(told)?,
+            Long("trace") => traced = Some(args.value().and_then(|v| v.parse()).map_err(told)?),
+            Long("set") => set = args.value().and_then(|v| v.string()).map_err(told)?,
             Long("policy") | Long("policies") => {
                 let text = args.value().and_then(|v| v.string()).map_err(told)?;
                 names = text.split(',').map(str::to_owned).collect();
@@ -58,6 +63,21 @@
     let scenario = Scenario::parse(&text).map_err(|why| format!("{file}:\n{why}"))?;
     match command.as_str() {
         "check" => println!("{file}: {} tiers, {} rule sets", scenario.tiers.len(), scenario.rule_sets.len()),
+        "run" if traced.is_some() => {
+            let lines = trace(&scenario, policies[0], seed, traced.unwrap_or_default());
+            if lines.is_empty() {
+                return Err("no req of that day has that number".into());
+            }
+            println!("simulated, req {}:\n{}", traced.unwrap_or_default(), lines.join("\n"));
+        }
+        "sweep" => {
+            let (path, values) = set.split_once('=').ok_or("--set PATH=V,V.. is missing")?;
+            for value in values.split(',') {
+                let scenario = Scenario::parse(&Scenario::with(&text, path, value)?)?;
+                println!("\n{path} = {value}");
+                compare(&scenario, &names, &policies, seeds);
+            }
+        }
         "run" => return Ok(show(&play(&scenario, policies[0], seed))),
         "compare" => compare(&scenario, &names, &policies, seeds),
         other => return Err(format!("there is no command {other}")),
--- a/emulator/src/scenario.rs
+++ b/emulator/src/scenario.rs
@@ -107,9 +107,15 @@
     /// The site that is lost.
     #[serde(default)]
     pub site: usize,
-    /// How many srvs are struck, from the first on.
+    /// How many srvs, or balancers, are struck, from the first on.
     #[serde(default)]
     pub srvs: usize,
+    /// How many times as much work, or as many clients.
+    #[serde(default = "one")]
+    pub times: f64,
+    /// The part of the answers that is lost.
+    #[serde(default)]
+    pub part: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
@@ -123,6 +129,17 @@
     Pause,
     /// Srvs are replaced one after the other, evenly over the time: drained, ended, started cold.
     Deploy,
+    /// All jobs of the tier take so many times as long, at every site.
+    Slow,
+    /// A part of the answers is cut off by a reset: the req ran.
+    Resets,
+    /// News of the list stay out until it is over.
+    ListDown,
+    /// So many balancers before the tier end with all they hold, one after the other over the time, and come back at
+    /// once with the list as it stood at the day's start.
+    Crash,
+    /// So many times as many clients; the tier is the first.
+    Burst,
 }
 
 fn one() -> f64 {
@@ -171,6 +188,25 @@
         if errors.is_empty() { Ok(scenario) } else { Err(errors.join("\n")) }
     }
 
+    /// The text with another value at a path such as `clients.per_s` or `tiers.1.slots`.
+    pub fn with(text: &str, path: &str, value: &str) -> Result<String, String> {
+        let mut table: toml::Value = toml::from_str(text).map_err(|e| e.to_string())?;
+        let mut at = &mut table;
+        for step in path.split('.') {
+            let next = match (step.parse::<usize>(), at) {
+                (Ok(number), toml::Value::Array(items)) => items.get_mut(number),
+                (_, toml::Value::Table(table)) => table.get_mut(step),
+                _ => None,
+            };
+            at = next.ok_or(format!("{path}: there is no {step}"))?;
+        }
+        // A number or a flag as it stands; whatever else it is, it is text.
+        let read =
+            toml::from_str::<toml::Table>(&format!("v = {value}")).ok().and_then(|mut t| t.remove("v"));
+        *at = read.unwrap_or_else(|| toml::Value::String(value.into()));
+        toml::to_string(&table).map_err(|e| e.to_string())
+    }
+
     fn errors(&self) -> Vec<String> {
         let mut errors = Vec::new();
         let mut must = |right: bool, what: String| {
@@ -204,6 +240,8 @@
             );
             let site = tier.is_none_or(|tier| trouble.site < tier.sites);
             must(site, format!("trouble in {}: there is no site {}", trouble.tier, trouble.site));
+            must(trouble.times > 0.0, format!("trouble in {}: times is over 0", trouble.tier));
+            must((0.0..=1.0).contains(&trouble.part), format!("trouble in {}: part is a part", trouble.tier));
         }
         errors
     }
