--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -92,6 +92,12 @@
     );
     println!("score {:.4}, worst 10 s {:.4}, worst rule set {:.4}", day.score, day.worst_10s, day.worst_set);
     println!("sends a req by tier {:.3?}", day.sends);
+    let recovery =
+        day.recovery.iter().map(|after| after.map_or("not seen".into(), |after| format!("{after} s")));
+    let recovery: Vec<String> = recovery.collect();
+    if !recovery.is_empty() {
+        println!("as before, so long after each trouble: {}", recovery.join(", "));
+    }
     day.breaches.iter().take(10).for_each(|breach| println!("BROKEN {breach}"));
     if day.breaches.is_empty() {
         println!("rules kept");
--- a/emulator/src/world.rs
+++ b/emulator/src/world.rs
@@ -121,6 +121,9 @@
     pub worst_set: f64,
     /// Sends for each req that its tier was asked for, by tier.
     pub sends: Vec<f64>,
+    /// Seconds from each trouble's end until three seconds in a row were about as good as before its begin; none
+    /// where that was not seen.
+    pub recovery: Vec<Option<u64>>,
     pub events: u64,
     pub breaches: Vec<String>,
 }
@@ -150,8 +153,8 @@
     seed: u64,
     taken: Vec<u64>,
     sent: Vec<u64>,
-    /// Utility asked and answered in time by 10 s, and by rule set.
-    by_time: BTreeMap<u64, (f64, f64)>,
+    /// Utility asked and answered in time by the second it was asked in, and by rule set.
+    by_time: Vec<(f64, f64)>,
     by_set: Vec<(f64, f64)>,
     result: Result,
 }
@@ -195,7 +198,7 @@
             seed,
             taken: vec![0; scenario.tiers.len()],
             sent: vec![0; scenario.tiers.len()],
-            by_time: BTreeMap::new(),
+            by_time: vec![(0.0, 0.0); (scenario.lasts / S) as usize + 1],
             by_set: vec![(0.0, 0.0); scenario.rule_sets.len()],
             result: Result::default(),
         };
@@ -365,7 +368,7 @@
         let set = set.unwrap_or(0);
         let utility = self.set(set).utility;
         self.result.asked += 1;
-        self.by_time.entry((now - START) / (10 * S)).or_default().0 += utility;
+        self.by_time[((now - START) / S) as usize].0 += utility;
         self.by_set[set].0 += utility;
         self.calls.push(Call { set, born: now });
         self.attempt(now, self.calls.len() - 1, 0);
@@ -572,7 +575,7 @@
         }
         self.result.in_time += 1;
         let utility = self.set(set).utility;
-        self.by_time.entry((born - START) / (10 * S)).or_default().1 += utility;
+        self.by_time[((born - START) / S) as usize].1 += utility;
         self.by_set[set].1 += utility;
     }
 
@@ -644,7 +647,17 @@
         let part = |(asked, met): (f64, f64)| if asked > 0.0 { met / asked } else { 1.0 };
         let all = self.by_set.iter().fold((0.0, 0.0), |a, b| (a.0 + b.0, a.1 + b.1));
         self.result.score = part(all);
-        self.result.worst_10s = self.by_time.values().map(|both| part(*both)).fold(1.0, f64::min);
+        let sum = |of: &[(f64, f64)]| of.iter().fold((0.0, 0.0), |a, b| (a.0 + b.0, a.1 + b.1));
+        let seconds = &self.by_time[..self.by_time.len() - 1];
+        self.result.worst_10s = seconds.windows(10).map(|ten| part(sum(ten))).fold(1.0, f64::min);
+        let recovery = |trouble: &Trouble| {
+            let (from, to) = ((trouble.at / S) as usize, ((trouble.at + trouble.lasts) / S) as usize);
+            let before = part(sum(seconds.get(..from)?));
+            let after = seconds.get(to..)?;
+            let good = |three: &[(f64, f64)]| three.iter().all(|second| part(*second) >= 0.97 * before);
+            after.windows(3).position(good).map(|seconds| seconds as u64)
+        };
+        self.result.recovery = self.scenario.troubles.iter().map(recovery).collect();
         self.result.worst_set = self.by_set.iter().map(|both| part(*both)).fold(1.0, f64::min);
         self.result.sends = self
             .sent
--- a/emulator/tests/days.rs
+++ b/emulator/tests/days.rs
@@ -146,6 +146,13 @@
         let day = day(trouble);
         assert!(day.score < most && day.breaches.is_empty(), "{trouble}: {day:?}");
     }
+    // One that stands still for a while works its queue off first; a crash leaves nothing to work off.
+    let recovery = |trouble| day(trouble).recovery[0];
+    let (paused, crashed) = (
+        recovery("[[troubles]]\nwhat = \"pause\"\nsrvs = 6\nIT"),
+        recovery("[[troubles]]\nwhat = \"crash\"\nsrvs = 3\nIT"),
+    );
+    assert!(crashed == Some(0) && paused != Some(0), "{crashed:?} {paused:?}");
     // While the list is down nobody hears that srvs are replaced, and who was not told breaks no rule.
     let deploy = "[[troubles]]\nwhat = \"deploy\"\nIT\n";
     let (told, untold) = (day(deploy), day(&format!("{deploy}[[troubles]]\nwhat = \"list-down\"\nIT")));
