--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -12,7 +12,7 @@
 ochreshed-rehearse, days in simulated time
 
     ochreshed-rehearse check FILE                     read a scenario, say what is wrong with it
-    ochreshed-rehearse run FILE [--seed N] [--policy P] [--trace ID]
+    ochreshed-rehearse run FILE [--seed N] [--policy P] [--trace ID] [--json]
     ochreshed-rehearse compare FILE --policies P,P.. [--seeds N]
     ochreshed-rehearse sweep FILE --set PATH=V,V.. [--policy P] [--seeds N]
 
@@ -37,7 +37,7 @@
 fn run() -> Result<ExitCode, String> {
     let (mut words, mut seed, mut seeds, mut policies) = (Vec::new(), 1, 10, vec![Policy::Module]);
     let mut names = vec!["module".to_owned()];
-    let (mut traced, mut set) = (None, String::new());
+    let (mut traced, mut set, mut json) = (None, String::new(), false);
     let mut args = lexopt::Parser::from_env();
     let told = |e: lexopt::Error| e.to_string();
     while let Some(arg) = args.next().map_err(told)? {
@@ -45,6 +45,7 @@
             Long("seed") => seed = args.value().and_then(|v| v.parse()).map_err(told)?,
             Long("seeds") => seeds = args.value().and_then(|v| v.parse()).map_err(told)?,
             Long("trace") => traced = Some(args.value().and_then(|v| v.parse()).map_err(told)?),
+            Long("json") => json = true,
             Long("set") => set = args.value().and_then(|v| v.string()).map_err(told)?,
             Long("policy") | Long("policies") => {
                 let text = args.value().and_then(|v| v.string()).map_err(told)?;
@@ -78,6 +79,11 @@
                 compare(&scenario, &names, &policies, seeds);
             }
         }
+        "run" if json => {
+            let day = play(&scenario, policies[0], seed);
+            println!("{}", serde_json::to_string_pretty(&day).map_err(|e| e.to_string())?);
+            return Ok(if day.breaches.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(2) });
+        }
         "run" => return Ok(show(&play(&scenario, policies[0], seed))),
         "compare" => compare(&scenario, &names, &policies, seeds),
         other => return Err(format!("there is no command {other}")),
--- a/emulator/src/world.rs
+++ b/emulator/src/world.rs
@@ -110,7 +110,7 @@
 }
 
 /// What a day came to.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize)]
 pub struct Result {
     pub asked: u64,
     pub in_time: u64,
