A uniqued req whose whole group has left the list goes nowhere else

Change: a group may be empty and binds all the same; a retry in a short list looks at those in turn, not at all that are still known; a sum that nothing read and a scratch field are gone.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -62,6 +62,7 @@
 const SILENT: f64 = 1.5;
 /// The part of its response target that a req may wait in our queue.
 const PATIENCE_PART: f64 = 0.2;
+
 pub struct Balancer {
     told: Told,
     born: Nanos,
@@ -76,8 +77,6 @@
     rule_sets: Vec<RuleSet>,
     customers: HashMap<Name, Customer>,
     fleet: Fleet,
-    /// Those that lose their turn to the one just found, and whether they were doubtful.
-    lost: Vec<(u32, bool)>,
     /// What the list beyond our turns is owed of what is sent again.
     rest_owed: f64,
     /// When late dispatches were last looked at, and how many.
@@ -130,7 +129,6 @@
             chance,
             rule_sets,
             customers,
-            lost: Vec::new(),
             rest_owed: 0.0,
             swept_at: 0,
             swept: 0,
--- a/src/decide/pick.rs
+++ b/src/decide/pick.rs
@@ -47,8 +47,7 @@
         let again = Some(req).filter(|req| !req.dispatches.is_empty());
         let set = self.health_at(&req.rule_set);
         let view = self.view(now, again.is_some())?;
-        let few = self.few(now, again);
-        if !few.is_empty() {
+        if let Some(few) = self.few(now, again) {
             return self.turn_among(&view, set, again, &few);
         }
         // What is sent again goes among the whole list: our turns and the rest, as often as their weight
@@ -57,7 +56,7 @@
         self.rest_owed += if rest { 1.0 - self.part } else { 0.0 };
         let rest_first = rest && self.rest_owed >= 1.0;
         self.rest_owed -= if rest_first { 1.0 } else { 0.0 };
-        let mut lost = std::mem::take(&mut self.lost);
+        let mut lost = Vec::new();
         let (mut sound, mut doubtful) = self.next_of(&view, set, again, rest_first, &mut lost);
         if sound.is_none() && rest {
             let (other, last) = self.next_of(&view, set, again, !rest_first, &mut lost);
@@ -69,43 +68,36 @@
         if let Some(who) = who {
             self.fleet.take(now, who, &lost);
         }
-        lost.clear();
-        self.lost = lost;
         who
     }
 
     /// Whether any srv could take a first send now.
     pub(super) fn any_fit(&mut self, now: Nanos, set: usize) -> bool {
         let Some(view) = self.view(now, false) else { return false };
-        let few = self.few(now, None);
-        if few.is_empty() {
+        let Some(few) = self.few(now, None) else {
             let (sound, doubtful) = self.next_of(&view, set, None, false, &mut Vec::new());
             return sound.or(doubtful).is_some();
-        }
+        };
         few.iter().any(|who| matches!(self.look(&view, *who, set, None), Fit::Sound | Fit::Doubtful))
     }
 
-    /// The srvs that a turn is among, where they are few or the req is bound to a group of them; else none.
-    fn few(&mut self, now: Nanos, again: Option<&Req>) -> Vec<u32> {
-        let few = self.those_few(again);
+    /// The srvs that a turn is among, where they are few or the req is bound to a group of them, be it empty.
+    fn few(&mut self, now: Nanos, again: Option<&Req>) -> Option<Vec<u32>> {
+        let few = self.those_few(again)?;
         if self.fleet.any_cold {
             few.iter().for_each(|who| self.fill(now, *who));
         }
-        few
+        Some(few)
     }
 
-    fn those_few(&self, again: Option<&Req>) -> Vec<u32> {
+    fn those_few(&self, again: Option<&Req>) -> Option<Vec<u32>> {
+        let Fleet { turns, rest, .. } = &self.fleet;
         if let Some((req, members)) = again.and_then(|req| Some((req, self.group(req)?))) {
             let from = req.id as usize % members.len().max(1);
-            return members.iter().cycle().skip(from).take(members.len().min(LOOKS)).copied().collect();
-        }
-        if again.is_some() && self.fleet.up <= FEW {
-            return self.fleet.known().collect();
-        }
-        if self.fleet.turns.len() <= FEW && (again.is_none() || self.fleet.rest.is_empty()) {
-            return self.fleet.turns.iter().collect();
+            return Some(members.iter().cycle().skip(from).take(members.len().min(LOOKS)).copied().collect());
         }
-        Vec::new()
+        let all = if again.is_some() { rest.len() } else { 0 } + turns.len();
+        (all <= FEW).then(|| turns.iter().chain(rest.iter().filter(|_| again.is_some())).collect())
     }
 
     /// The turn among these: each that fits gains its weight, the foremost goes and gives what all gained.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -130,7 +130,6 @@
     touched: [Vec<u32>; BUCKETS],
     turn: u64,
     pub up: usize,
-    up_weight: i128,
     /// Over the usable srvs in our turns: weight, what is out, and how long.
     weight: i128,
     out: i64,
@@ -201,7 +200,6 @@
             touched: Default::default(),
             turn: pace.turn(now),
             up: 0,
-            up_weight: 0,
             weight: 0,
             out: 0,
             held: Ring::over(CROWD_SPAN),
@@ -262,7 +260,6 @@
         if srv.state == State::Up {
             (site.up, self.up) =
                 (site.up.wrapping_add_signed(sign as isize), self.up.wrapping_add_signed(sign as isize));
-            self.up_weight += wide * fixed(srv.weight);
         }
         if srv.usable() {
             site.usable = site.usable.wrapping_add_signed(sign as isize);
@@ -907,8 +904,8 @@
         fleet.forget(now);
         now += 10 * S;
         fleet.advance(now);
-        let empty = (fleet.up, fleet.weight, fleet.up_weight, fleet.out, fleet.young, fleet.capped);
-        assert_eq!(empty, (0, 0, 0, 0, 0, 0));
+        let empty = (fleet.up, fleet.weight, fleet.out, fleet.young, fleet.capped);
+        assert_eq!(empty, (0, 0, 0, 0, 0));
         assert!(fleet.due.is_empty() && fleet.numbers.is_empty() && fleet.turns.is_empty());
     }
 }
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -87,9 +87,7 @@
     pub fn rate(&self, now: Nanos, born: Nanos) -> f64 {
         self.rate_of(self.count(now), now, born)
     }
-}
 
-impl Ring {
     /// Adds, or takes away again, all that another one of the same width holds.
     pub fn merge(&mut self, other: &Ring, sign: f64) {
         for (at, theirs) in other.buckets.iter().enumerate() {
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -115,6 +115,11 @@
 
     /// Ends a req's last dispatch, and places it again where that follows.
     pub fn end(&mut self, id: u64, how: How) -> &mut Scene {
+        if self.fail(id, how) == Follow::Place { self.place(id) } else { self }
+    }
+
+    /// Ends a req's last dispatch and leaves what follows to be done.
+    pub fn fail(&mut self, id: u64, how: How) -> Follow {
         let req = self.reqs.get_mut(&id).expect("a req in hand");
         let number = req.dispatches.len() - 1;
         let took = self.now - req.dispatches[number].at;
@@ -124,7 +129,7 @@
         if !closed {
             self.say(&format!("{id}: {how:?}"));
         }
-        if follow == Follow::Place { self.place(id) } else { self }
+        follow
     }
 
     /// Sends a req, and ends it well 100 ms later.
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -557,6 +557,28 @@
     );
 }
 
+#[test]
+fn a_uniqued_req_whose_group_has_left_goes_nowhere_else() {
+    let mut scene = Scene::new(facts(0.0, 1.0), "a@x b@y c@y");
+    scene.past(20);
+    let mut id = 1;
+    while !scene.req(id, "move").went_to(&["a"]) {
+        scene.end(id, How::Done);
+        id += 1;
+    }
+    scene.trace.clear();
+    scene.fail(id, How::Reset);
+    scene.list(true, "b@y c@y");
+    scene.place(id);
+    check(
+        &mut scene,
+        expect![[r#"
+        2000 3: Reset
+        2000 3: abort
+    "#]],
+    );
+}
+
 #[test]
 fn quiet_instances_turn_among_few_srvs_and_evenly_together() {
     let list = "a@x b@x c@x d@x e@x f@x g@x h@x i@y j@y k@y l@y m@y n@y o@y p@y";
