No outcome walks the list to see how many srvs are kept from a rule set

Cause: an error in one rule set walked all srvs to count those kept from it; idle connections were judged, and all srvs walked, before a req was placed, and a trace had been changed for it.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -111,7 +111,7 @@
 impl Balancer {
     pub fn new(now: Nanos, seed: u64, facts: Facts) -> Balancer {
         let mut chance = Chance::new(seed);
-        let rule_sets = list(&facts, "rule_sets").iter().map(RuleSet::new).collect();
+        let rule_sets: Vec<RuleSet> = list(&facts, "rule_sets").iter().map(RuleSet::new).collect();
         let customers = list(&facts, "customers").iter().map(Customer::new).collect();
         let told = Told::new(&facts);
         // All instances may have started in one step: the list is one service for all of them.
@@ -124,7 +124,7 @@
             me: number(&facts, "me", 0.0),
             part: 1.0,
             turns_at: 0,
-            fleet: Fleet::new(now, told.cold, told.cold_share),
+            fleet: Fleet::new(now, rule_sets.len(), told.cold, told.cold_share),
             told,
             chance,
             rule_sets,
@@ -446,7 +446,7 @@
                 // A random start of its turn, so that instances don't walk the list in step.
                 None => {
                     let part = 1.0 - self.chance.part();
-                    (self.fleet.add(now, entry, part, self.rule_sets.len()), true)
+                    (self.fleet.add(now, entry, part), true)
                 }
             };
             if fresh {
@@ -465,7 +465,7 @@
             return Wait::Log(line);
         }
         self.fleet.advance(now);
-        self.sweep(now);
+        self.sweep(now, true);
         if let Some(name) = self.closes.pop_front() {
             return Wait::Close(name);
         }
--- a/src/decide/judge.rs
+++ b/src/decide/judge.rs
@@ -59,7 +59,7 @@
             && aside_until <= now
             && failed >= 2
             && f64::from(failed) > allowed
-            && self.few_aside(now, who, at)
+            && self.few_aside(who, at)
         {
             let aside_until = now + ASIDE + self.chance.span(ASIDE_RANDOM);
             let of = if at > 0 { format!(" of {}", self.rule_sets[at - 1].name) } else { String::new() };
@@ -67,6 +67,8 @@
             self.fleet.get_mut(who).health[at] = Health { outcomes: 1, judged: 3, aside_until };
             if at == 0 {
                 self.fleet.set_aside(now, who, aside_until);
+            } else {
+                self.fleet.keep_from(who, at, aside_until);
             }
             let name = &self.fleet.get(who).name;
             self.say(format!(
@@ -77,24 +79,21 @@
 
     /// Never more than half of a site, one by one; a whole site is another matter. A srv alone in its site,
     /// or kept from a rule set, is one of the whole list.
-    fn few_aside(&self, now: Nanos, who: u32, at: usize) -> bool {
+    fn few_aside(&self, who: u32, at: usize) -> bool {
         let site = &self.fleet.sites[self.fleet.get(who).site as usize];
-        let (up, aside) = if at > 0 {
-            let ups = self.fleet.known().map(|who| self.fleet.get(who)).filter(|srv| srv.state == State::Up);
-            ups.fold((0, 0), |(up, aside), srv| {
-                (up + 1, aside + usize::from(srv.aside || srv.health[at].aside_until > now))
-            })
+        let (up, usable) = if at > 0 {
+            (self.fleet.up, self.fleet.usable - self.fleet.kept[at])
         } else if site.up < 2 {
-            let usable: usize = self.fleet.sites.iter().map(|site| site.usable).sum();
-            (self.fleet.up, self.fleet.up - usable)
+            (self.fleet.up, self.fleet.usable)
         } else {
-            (site.up, site.up - site.usable)
+            (site.up, site.usable)
         };
+        let aside = up - usable;
         2 * (aside + 1) <= up
     }
 
-    /// Looks at what is late by now.
-    pub(super) fn sweep(&mut self, now: Nanos) {
+    /// Looks at what is late by now; at idle connections among the chores only, for many may have to be closed.
+    pub(super) fn sweep(&mut self, now: Nanos, chores: bool) {
         if self.swept > MANY && now < self.swept_at + SWEEP {
             return;
         }
@@ -113,7 +112,9 @@
         (self.swept_at, self.swept) = (now, late.len());
         self.judge_sites(now, &late);
         self.judge_silence(now, overdue / SILENT, &late);
-        self.judge_connections(now, overdue, &late);
+        if chores {
+            self.judge_connections(now, overdue, &late);
+        }
     }
 
     /// Keeps count of the srvs that owe us answers for too long.
--- a/src/decide/pick.rs
+++ b/src/decide/pick.rs
@@ -206,7 +206,7 @@
     /// What srvs are held against now; none for a first send while the level is reached.
     fn view(&mut self, now: Nanos, again: bool) -> Option<View> {
         self.fleet.advance(now);
-        self.sweep(now);
+        self.sweep(now, false);
         self.count_sent(now);
         let narrow = self.span_allowed(now);
         let (wide, floor) = (narrow * self.widening(now), self.floor(now));
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -68,6 +68,8 @@
     pub aside: bool,
     pub silent: bool,
     pub fresh: bool,
+    /// The rule sets that it is kept from.
+    kept: Vec<usize>,
 }
 
 pub struct Site {
@@ -94,6 +96,8 @@
 enum Due {
     Back,
     Stale,
+    /// It is kept from a rule set no longer.
+    Free(usize),
 }
 
 /// A srv's place in the list by name, with its weight while it is up.
@@ -130,6 +134,9 @@
     touched: [Vec<u32>; BUCKETS],
     turn: u64,
     pub up: usize,
+    pub usable: usize,
+    /// How many usable ones are kept from each rule set; the first place stands for none.
+    pub kept: Vec<usize>,
     /// Over the usable srvs in our turns: weight, what is out, and how long.
     weight: i128,
     out: i64,
@@ -175,7 +182,7 @@
 }
 
 impl Fleet {
-    pub fn new(now: Nanos, cold: Nanos, cold_share: f64) -> Fleet {
+    pub fn new(now: Nanos, sets: usize, cold: Nanos, cold_share: f64) -> Fleet {
         let pace = Ring::over(DONE_SPAN);
         Fleet {
             srvs: Vec::new(),
@@ -200,6 +207,8 @@
             touched: Default::default(),
             turn: pace.turn(now),
             up: 0,
+            usable: 0,
+            kept: vec![0; sets + 1],
             weight: 0,
             out: 0,
             held: Ring::over(CROWD_SPAN),
@@ -257,12 +266,15 @@
         let srv = &self.srvs[who as usize];
         let (wide, part) = (i128::from(sign), sign as f64);
         let site = &mut self.sites[srv.site as usize];
+        let one = |count: &mut usize| *count = count.wrapping_add_signed(sign as isize);
         if srv.state == State::Up {
-            (site.up, self.up) =
-                (site.up.wrapping_add_signed(sign as isize), self.up.wrapping_add_signed(sign as isize));
+            one(&mut site.up);
+            one(&mut self.up);
         }
         if srv.usable() {
-            site.usable = site.usable.wrapping_add_signed(sign as isize);
+            one(&mut site.usable);
+            one(&mut self.usable);
+            srv.kept.iter().for_each(|set| one(&mut self.kept[*set]));
             if srv.fresh {
                 self.reported += part * srv.reported;
                 self.reported_weight += wide * fixed(srv.weight);
@@ -313,6 +325,9 @@
                     self.change(who, |srv| srv.aside = false);
                     self.weigh(now, who);
                 }
+                Due::Free(set) if srv.health[set].aside_until <= now => {
+                    self.change(who, |srv| srv.kept.retain(|kept| *kept != set));
+                }
                 Due::Stale if srv.fresh && stale_at <= now => self.change(who, |srv| srv.fresh = false),
                 Due::Stale if srv.fresh => drop(self.due.insert((stale_at, what, who))),
                 _ => {}
@@ -474,6 +489,15 @@
         self.change(who, |srv| srv.aside = until > now);
     }
 
+    /// Keeps it from a rule set until then.
+    pub fn keep_from(&mut self, who: u32, set: usize, until: Nanos) {
+        self.due.insert((until, Due::Free(set), who));
+        self.change(who, |srv| {
+            srv.kept.retain(|kept| *kept != set);
+            srv.kept.push(set);
+        });
+    }
+
     /// Heeds what the list says of a known srv; answers whether its process is a fresh one.
     pub fn heed(&mut self, now: Nanos, who: u32, entry: &Listed) -> bool {
         let srv = self.get(who);
@@ -485,6 +509,7 @@
                     // Nothing known of the old process holds.
                     srv.health.fill(Health::default());
                     srv.aside = false;
+                    srv.kept.clear();
                 }
             });
             self.place(who);
@@ -505,7 +530,7 @@
     }
 
     /// Takes in a srv, which starts at this part of its first turn.
-    pub fn add(&mut self, now: Nanos, entry: &Listed, part: f64, sets: usize) -> u32 {
+    pub fn add(&mut self, now: Nanos, entry: &Listed, part: f64) -> u32 {
         let at = self.sites.iter().position(|site| site.name == entry.site).unwrap_or_else(|| {
             let site = Site {
                 name: entry.site.clone(),
@@ -546,7 +571,7 @@
             closed: 0,
             touched: 0,
             lost: (0, 0),
-            health: vec![Health::default(); sets + 1],
+            health: vec![Health::default(); self.kept.len()],
             budget: 0.0,
             budget_at: now,
             budget_from: 0.0,
@@ -561,6 +586,7 @@
             aside: false,
             silent: false,
             fresh: false,
+            kept: Vec::new(),
         };
         let who = self.free.pop().unwrap_or(self.srvs.len() as u32);
         match self.srvs.get_mut(who as usize) {
@@ -726,6 +752,7 @@
         Send(u8),
         End(u8, bool),
         Aside(u8, u16),
+        Keep(u8, u8, u16),
         Report(u8, u8),
         Silent(u8, bool),
         Stretch(u8, u8),
@@ -738,6 +765,7 @@
             (0..12u8).prop_map(Event::Send),
             (0..12u8, any::<bool>()).prop_map(|(n, done)| Event::End(n, done)),
             (0..12u8, 0..6_000u16).prop_map(|(n, ms)| Event::Aside(n, ms)),
+            (0..12u8, 1..3u8, 0..6_000u16).prop_map(|(n, set, ms)| Event::Keep(n, set, ms)),
             (0..12u8, 0..9u8).prop_map(|(n, value)| Event::Report(n, value)),
             (0..12u8, any::<bool>()).prop_map(|(n, silent)| Event::Silent(n, silent)),
             (0..10u8, 1..11u8).prop_map(|(from, part)| Event::Stretch(from, part)),
@@ -765,7 +793,7 @@
                 let entry = entry(number, state, weight, cold.then_some(*now));
                 match who(fleet, number) {
                     Some(who) => drop(fleet.heed(*now, who, &entry)),
-                    None => drop(fleet.add(*now, &entry, 0.5, 2)),
+                    None => drop(fleet.add(*now, &entry, 0.5)),
                 }
                 fleet.forget(*now);
                 fleet.stretch(*now, 0.3, 0.4);
@@ -794,6 +822,13 @@
                     fleet.set_aside(*now, who, until);
                 }
             }
+            Event::Keep(number, set, ms) => {
+                if let Some(who) = who(fleet, number) {
+                    let until = *now + u64::from(ms) * MS;
+                    fleet.get_mut(who).health[usize::from(set)].aside_until = until;
+                    fleet.keep_from(who, usize::from(set), until);
+                }
+            }
             Event::Report(number, value) => {
                 if let Some(who) = who(fleet, number) {
                     fleet.report(*now, who, f64::from(value));
@@ -841,6 +876,11 @@
         prop_assert_eq!(fleet.answering_out, out);
         let rates = answering().all(|srv| f64::from(srv.count) == srv.done.count(now));
         prop_assert!(rates, "what is done counts on after its time");
+        for set in 1..3 {
+            let kept = srvs().filter(|srv| srv.usable() && srv.health[set].aside_until > now).count();
+            prop_assert_eq!(fleet.kept[set], kept, "kept from set {}", set);
+        }
+        prop_assert_eq!(fleet.usable, srvs().filter(|srv| srv.usable()).count());
         for site in &fleet.sites {
             let of = |srv: &&Srv| fleet.sites[srv.site as usize].name == site.name;
             prop_assert_eq!(site.up, srvs().filter(of).filter(|srv| srv.state == State::Up).count());
@@ -857,7 +897,7 @@
         #[test]
         fn sums_are_what_they_sum_up_whatever_happens(events in events()) {
             let (mut now, mut id) = (1_000 * S, 0);
-            let mut fleet = Fleet::new(now, 20 * S, 0.2);
+            let mut fleet = Fleet::new(now, 2, 20 * S, 0.2);
             for event in events {
                 happen(&mut fleet, &mut now, &mut id, event);
                 check(&mut fleet, now)?;
@@ -868,7 +908,7 @@
     #[test]
     fn srvs_that_come_and_go_all_day_leave_nothing_behind() {
         let mut now = 1_000 * S;
-        let mut fleet = Fleet::new(now, 20 * S, 0.2);
+        let mut fleet = Fleet::new(now, 2, 20 * S, 0.2);
         let listed = |number: u32, state| Listed {
             srv: format!("s{number}").into(),
             state,
@@ -878,12 +918,12 @@
             cell: u64::from(number / 100),
         };
         for number in 0..2_000 {
-            fleet.add(now, &listed(number, State::Up), 0.5, 3);
+            fleet.add(now, &listed(number, State::Up), 0.5);
         }
         for number in 0..10_000u32 {
             now += 10 * MS;
             fleet.advance(now);
-            fleet.add(now, &listed(number + 2_000, State::Up), 0.5, 3);
+            fleet.add(now, &listed(number + 2_000, State::Up), 0.5);
             let who = fleet.find(&format!("s{number}")).expect("listed");
             fleet.sent(now, who, u64::from(number), 0);
             fleet.report(now, who, 1.0);
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -358,9 +358,9 @@
         4100 6: to a
         4620 31: to c
         4670 32: to e
-        4720 log: closing idle connections to 3 srvs, silent for 0.6 s
         4720 Close("a")
         4720 log: aside site x: silent for 0.7 s, 3 owed, 0 lost
+        4720 log: closing idle connections to 3 srvs, silent for 0.7 s
         4720 Close("b")
         4720 Close("c")
         4720 recall 1, dispatch 0
