Emulator: a dispatch whose client has left ends for its instance

Cause: it stayed out for ever at the instance, which then reckoned with it; seldom, since a req's own time ends before its client's.

Change: it is closed and told as recalled. One type for times, the program's own.

--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -1,7 +1,8 @@
 //! A world in simulated time in which the decisions can be rehearsed. It is built up from its parts: [`time`] has the
 //! events in their order, [`chance`] what is drawn, [`station`] a srv as a queue with its slots, its warm-up, its
 //! fatigue and its pauses, [`scenario`] the file that describes a day, [`chooser`] the module behind its hands and the
-//! baselines it is held against, [`world`] the day itself, [`audit`] the four rules seen from outside. Nothing in it does I/O or reads a clock: the same seed gives the same run.
+//! baselines it is held against, [`world`] the day itself, [`audit`] the four rules seen from outside. Nothing in it does
+//! I/O or reads a clock: the same seed gives the same run.
 //!
 //! Figures from here are simulated, and are called so wherever they are shown.
 
@@ -13,8 +14,7 @@
 pub mod time;
 pub mod world;
 
-/// A point in time or a span, in whole nanoseconds.
-pub type Nanos = u64;
+pub use ochreshed::Nanos;
 
 pub const MS: Nanos = 1_000_000;
 pub const S: Nanos = 1_000 * MS;
--- a/emulator/src/world.rs
+++ b/emulator/src/world.rs
@@ -311,8 +311,12 @@
             Event::Left(key) => {
                 if self.under.contains_key(&key) {
                     self.instances[key.0].chooser.left(now, key.1);
-                    self.under.remove(&key);
                     self.settle(key.0);
+                    // What is out is closed, and the instance hears so: else it would count as out for ever.
+                    if let Some((number, ..)) = self.under.get(&key).and_then(|under| under.out) {
+                        self.back(now, key, number, How::Recalled);
+                    }
+                    self.under.remove(&key);
                 }
             }
             Event::Wake(instance) => {
