--- a/balancer/src/decisions.rs
+++ b/balancer/src/decisions.rs
@@ -361,6 +361,22 @@
         (listed, SocketAddr::from(([127, 0, 0, 1], 9)))
     }
 
+    #[tokio::test]
+    async fn a_new_id_at_an_old_address_and_an_old_id_at_a_new_one_have_peers_of_their_own() {
+        let mut actor = actor();
+        let at = |number: u64, port: u16| (listed(number).0, SocketAddr::from(([127, 0, 0, 1], port)));
+        actor.follow_list(2, true, false, vec![at(1, 9), at(2, 10)]);
+        let probe = || peer::Mail::Probe(3);
+        assert!(actor.post(&"s1".into(), probe()) && actor.post(&"s2".into(), probe()));
+        let first = actor.peers["s2"].mail.clone().expect("a peer");
+        // s1 has gone and s3 stands where it stood; s2 has moved.
+        actor.follow_list(3, true, false, vec![at(3, 9), at(2, 11)]);
+        assert!(!actor.post(&"s1".into(), probe()), "mail to one that has gone");
+        assert!(actor.post(&"s3".into(), probe()) && actor.post(&"s2".into(), probe()));
+        let second = actor.peers["s2"].mail.clone().expect("a peer");
+        assert!(!second.same_channel(&first), "the peer of the address before");
+    }
+
     #[tokio::test(start_paused = true)]
     async fn a_peer_stands_while_it_is_used_and_is_followed_by_another() {
         let mut actor = actor();
--- a/balancer/src/list.rs
+++ b/balancer/src/list.rs
@@ -201,3 +201,37 @@
 
 /// What is gone needs no address.
 const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
+
+#[cfg(test)]
+mod tests {
+    use std::fmt::Write;
+
+    use super::*;
+
+    fn answer(srvs: usize, last: &str) -> Bytes {
+        let mut text = String::from(r#"{"generation":7,"reset":true,"instances":["#);
+        for number in 0..srvs {
+            write!(text, r#"{{"instanceId":"s{number}","hostPort":"127.0.0.1:9","lifecycle":"SERVING"}},"#)
+                .expect("a String takes it");
+        }
+        text += last;
+        Bytes::from(text + "]}")
+    }
+
+    #[tokio::test]
+    async fn a_long_list_is_read_as_a_short_one_is() {
+        let last = r#"{"instanceId":"last","hostPort":"127.0.0.1:9","lifecycle":"DRAINING"}"#;
+        for srvs in [1, 5_000] {
+            let answer = answer(srvs, last);
+            assert_eq!(answer.len() > SHORT, srvs > 1);
+            let (generation, whole, entries) = parse(answer).await.expect("a list");
+            assert_eq!((&*generation, whole, entries.len()), ("7", true, srvs + 1));
+            assert_eq!(entries[srvs].0.state, State::Draining);
+        }
+        for srvs in [1, 5_000] {
+            let why = parse(answer(srvs, r#"{"hostPort":"127.0.0.1:9"}"#)).await.err();
+            assert_eq!(why.as_deref(), Some("an entry without instanceId"));
+            assert!(parse(answer(srvs, "{")).await.is_err());
+        }
+    }
+}
