--- a/balancer/src/list.rs
+++ b/balancer/src/list.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
-use ochreshed::{Listed, State};
+use ochreshed::{Facts, Listed, State, number};
 use serde_json::Value as Json;
 use tokio::sync::{Semaphore, mpsc};
 use tokio::task::spawn_blocking;
@@ -20,9 +20,14 @@
 use crate::decisions;
 use crate::link::Link;
 
-/// How long a watch waits for news, and how much longer an answer may take before the call has failed.
-const WAIT: Duration = Duration::from_secs(20);
-const GRACE: Duration = Duration::from_secs(2);
+/// How long a watch waits for news: so that all instances together, at all tiers, call so often a second, within
+/// these bounds. A watch goes on with the next call, which costs discovery less than one begun again.
+const CALLS_PER_S: f64 = 50.0;
+const WAIT_LEAST: f64 = 1.0;
+const WAIT_MOST: f64 = 20.0;
+/// How much longer an answer may take before the call has failed; 2 s after its wait what there is to tell counts
+/// as told.
+const GRACE: Duration = Duration::from_millis(1_500);
 const MOST_LIST: usize = 4 << 20;
 const MAILBOX: usize = 4;
 /// An answer of up to so many bytes is read at once.
@@ -46,6 +51,8 @@
 struct List {
     discovery: SocketAddr,
     clock: Clock,
+    /// How long a watch waits for news.
+    wait: Duration,
     decisions: mpsc::Sender<decisions::Mail>,
     /// The version we have, as discovery wrote it.
     generation: Option<String>,
@@ -54,15 +61,23 @@
     room: Arc<Semaphore>,
 }
 
+/// How long a watch waits in a fleet of so many instances. Guards against a watch that has fallen silent: nothing
+/// tells it from one without news until its wait is over, and what it missed is learned too late.
+pub fn wait(facts: &Facts) -> Duration {
+    let all = number(facts, "instances", 1.0) * number(facts, "tiers", 1.0);
+    Duration::from_secs_f64((all / CALLS_PER_S).clamp(WAIT_LEAST, WAIT_MOST))
+}
+
 pub fn start(
     discovery: SocketAddr,
     clock: Clock,
+    wait: Duration,
     generation: Option<String>,
     decisions: mpsc::Sender<decisions::Mail>,
 ) -> mpsc::Sender<Mail> {
     let (mail, mailbox) = mpsc::channel(MAILBOX);
     let room = Arc::new(Semaphore::new(MOST_LIST));
-    let list = List { discovery, clock, decisions, generation, link: None, room };
+    let list = List { discovery, clock, wait, decisions, generation, link: None, room };
     tokio::spawn(list.run(mailbox));
     mail
 }
@@ -93,7 +108,7 @@
     /// One call; any wish but to watch cuts it short. Empty when nobody wants news any more.
     async fn call(&mut self, mailbox: &mut mpsc::Receiver<Mail>) -> Option<decisions::Mail> {
         let asked = loop {
-            let mut news = Box::pin(timeout(WAIT + GRACE, self.ask()));
+            let mut news = Box::pin(timeout(self.wait + GRACE, self.ask()));
             let wish = loop {
                 tokio::select! {
                     asked = &mut news => break Err(asked),
@@ -128,7 +143,7 @@
     }
 
     async fn ask(&mut self) -> Result<Bytes, String> {
-        let wait = WAIT.as_millis();
+        let wait = self.wait.as_millis();
         let path = match &self.generation {
             Some(generation) => format!("/catalog/members?after={generation}&wait_ms={wait}"),
             None => "/catalog/members".to_owned(),
@@ -206,8 +221,58 @@
 mod tests {
     use std::fmt::Write;
 
+    use ochreshed::Value;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::{TcpListener, TcpStream};
+
     use super::*;
 
+    /// The next call that comes to a stand-in for discovery, and the connection it came on.
+    async fn call(discovery: &TcpListener) -> (String, TcpStream) {
+        let (mut caller, _) = discovery.accept().await.expect("a caller");
+        let mut call = Vec::new();
+        while !call.ends_with(b"\r\n\r\n") {
+            call.push(caller.read_u8().await.expect("a whole head"));
+        }
+        (String::from_utf8_lossy(&call).lines().next().unwrap_or_default().to_owned(), caller)
+    }
+
+    fn fleet(instances: f64) -> Facts {
+        [("instances", instances), ("tiers", 3.0)].map(|(name, n)| (name.into(), Value::Number(n))).into()
+    }
+
+    #[tokio::test]
+    async fn a_watch_that_falls_silent_is_given_up_and_begun_again_from_what_is_known() {
+        let discovery = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let at = discovery.local_addr().expect("an address");
+        let (decisions, mut told) = mpsc::channel(4);
+        let list = start(at, Clock::new(), wait(&fleet(10.0)), Some("4".into()), decisions);
+        list.send(Mail::Watch).await.expect("a list");
+        let (first, _silent) = call(&discovery).await;
+        // The wait of 20 s that a lone balancer could afford would be told too late.
+        let failed =
+            timeout(Duration::from_secs(6), told.recv()).await.expect("still waiting for a silent watch");
+        assert!(matches!(failed, Some(decisions::Mail::ListFailed)));
+        list.send(Mail::Watch).await.expect("a list");
+        let (second, mut caller) = call(&discovery).await;
+        assert_eq!((first.as_str(), &first), ("GET /catalog/members?after=4&wait_ms=1000 HTTP/1.1", &second));
+        let news = answer(1, r#"{"instanceId":"t","hostPort":"127.0.0.1:9","lifecycle":"DRAINING"}"#);
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", news.len());
+        caller.write_all(&[head.as_bytes(), &news].concat()).await.expect("sent");
+        assert!(
+            matches!(told.recv().await, Some(decisions::Mail::List { old: false, entries, .. }) if entries.len() == 2)
+        );
+    }
+
+    #[test]
+    fn a_fleet_of_any_size_calls_for_lists_at_a_bounded_rate() {
+        for instances in [1.0, 10.0, 17.0, 100.0, 300.0] {
+            let calls = 3.0 * instances / wait(&fleet(instances)).as_secs_f64();
+            assert!(calls <= CALLS_PER_S + 1e-6, "{calls} calls a second by {instances} instances");
+        }
+        assert_eq!(wait(&fleet(10_000.0)).as_secs(), 20);
+    }
+
     fn answer(srvs: usize, last: &str) -> Bytes {
         let mut text = String::from(r#"{"generation":7,"reset":true,"instances":["#);
         for number in 0..srvs {
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -113,7 +113,7 @@
         mail.try_send(Mail::List { whole, old: true, entries }).map_err(|e| e.to_string())?;
         known = Some(generation);
     }
-    let listed = list::start(start.discovery, clock, known, mail.clone());
+    let listed = list::start(start.discovery, clock, list::wait(&start.facts), known, mail.clone());
     // Where the list doesn't wait to be asked by the module, a watch stands from the start.
     if text(&start.facts, "list_mode") != "ask" {
         listed.try_send(list::Mail::Watch).map_err(|e| e.to_string())?;
--- a/balancer/tests/sockets.rs
+++ b/balancer/tests/sockets.rs
@@ -620,12 +620,12 @@
     answer(&mut client, &req("GET", "/read", "2.5", ""));
     trace.first_line("the same srv", &read(&mut at_other));
     trace.check(expect![[r#"
-        discovery: GET /catalog/members?after=41&wait_ms=20000 HTTP/1.1
-        discovery: GET /catalog/members?after=43&wait_ms=20000 HTTP/1.1
+        discovery: GET /catalog/members?after=41&wait_ms=1000 HTTP/1.1
+        discovery: GET /catalog/members?after=43&wait_ms=1000 HTTP/1.1
         the srv listed now: GET /read HTTP/1.1
         client: HTTP/1.1 200 OK
-        discovery: GET /catalog/members?after=43&wait_ms=20000 HTTP/1.1
-        discovery: GET /catalog/members?after=43&wait_ms=20000 HTTP/1.1
+        discovery: GET /catalog/members?after=43&wait_ms=1000 HTTP/1.1
+        discovery: GET /catalog/members?after=43&wait_ms=1000 HTTP/1.1
         the same srv: GET /read HTTP/1.1
     "#]]);
 }
@@ -655,11 +655,11 @@
     answer(&mut client, &req("POST", "/pay", "2.5", "x"));
     drop(trace.accepted("the srv listed there", &other));
     trace.check(expect![[r#"
-        discovery: GET /catalog/members?after=41&wait_ms=20000 HTTP/1.1
+        discovery: GET /catalog/members?after=41&wait_ms=1000 HTTP/1.1
         srv: POST /pay HTTP/1.1
-        discovery, moved: GET /catalog/members?after=41&wait_ms=20000 HTTP/1.1
+        discovery, moved: GET /catalog/members?after=41&wait_ms=1000 HTTP/1.1
         discovery, as it was: nothing
-        discovery, moved: GET /catalog/members?after=47&wait_ms=20000 HTTP/1.1
+        discovery, moved: GET /catalog/members?after=47&wait_ms=1000 HTTP/1.1
         client: HTTP/1.1 200 OK
         the srv listed there: POST /pay HTTP/1.1
     "#]]);
