--- a/src/decide/days.rs
+++ b/src/decide/days.rs
@@ -122,6 +122,12 @@
         let narrow = balancer.span_allowed(now);
         let (wide, floor) = (narrow * balancer.widening(now), balancer.floor(now));
         let level = |srv: &Srv| srv.level(balancer.fleet.done_rate(now, srv), wide, floor);
+        let calm = balancer.calm(now);
+        let room = |srv: &Srv| {
+            let warm = !srv.cold(now, balancer.told.cold);
+            let chance = if warm { calm * pick::by_chance(level(srv), balancer.turned_by()) } else { 0.0 };
+            (level(srv) + chance).max(1.0)
+        };
         let mean = |weight: &dyn Fn(&Srv) -> f64, of: &dyn Fn(&Srv) -> f64| {
             let fit = srvs.iter().filter(|srv| srv.usable() && weight(srv) > 0.0);
             let (sum, all) = fit.fold((0.0, 0.0), |(s, w), srv| (s + of(srv), w + weight(srv)));
@@ -136,7 +142,8 @@
         if !again {
             let answers = |srv: &&&Srv| srv.ours > 0.0 && srv.usable() && !srv.owes(now, narrow);
             let most: f64 = srvs.iter().filter(answers).map(|srv| level(srv)).sum();
-            let most = if balancer.overload(now) { (most + 1e-9).floor() } else { most };
+            let chance = calm * pick::by_chance(most, balancer.instances);
+            let most = if balancer.overload(now) { (most + 1e-9).floor() } else { most + chance };
             let most = most.max(balancer.least_level(now));
             let out = srvs.iter().filter(answers).map(|srv| srv.out.len()).sum::<usize>() as f64;
             walk.tie = (out - most).abs() < 1e-6;
@@ -160,7 +167,7 @@
                 && if again { srv.weight > 0.0 } else { srv.ours > 0.0 }
                 && (set == 0 || srv.health[set].aside_until <= now)
                 && (!srv.cold(now, balancer.told.cold) || balancer.budget(now, srv) >= 1.0);
-            let room = again || (srv.counted(now, narrow) as f64) < level(srv).max(1.0);
+            let room = again || (srv.counted(now, narrow) as f64) < room(srv);
             if !open || !bound || !room || tried.any(|d| d.how != Some(How::Reset)) {
                 continue;
             }
--- a/src/decide/pick.rs
+++ b/src/decide/pick.rs
@@ -18,6 +18,11 @@
 /// The part of its connections that an instance keeps for its turns: the others carry what is sent again, and
 /// reqs that come to one srv at once.
 const KEPT_WARM: f64 = 0.5;
+/// Deviations that a level leaves room for, at most this part of it: hundreds of instances with a level of one or
+/// two would go over by half. None of it is left when answers take this many unloaded times.
+const CHANCE: f64 = 1.5;
+const CHANCE_MOST: f64 = 0.3;
+const SLOW: f64 = 1.6;
 /// What a cold srv gets at least a second from all that turn to it.
 const COLD_FLOOR_PER_S: f64 = 1.0;
 
@@ -27,9 +32,17 @@
     narrow: f64,
     wide: f64,
     floor: f64,
+    calm: f64,
     means: Means,
 }
 
+/// What may be in flight by chance over a level that so many instances share alike: what this one deviates by,
+/// less its part of what all together do. Guards against denies at instances whose level is a few reqs, which
+/// bursts pass that even out at the srvs.
+pub(super) fn by_chance(level: f64, instances: f64) -> f64 {
+    (CHANCE * level.sqrt()).min(CHANCE_MOST * level) * (1.0 - 1.0 / instances.max(1.0).sqrt())
+}
+
 /// How a srv fits a req: sound, a doubtful one that is better than none, sound but tried before, not fit, or
 /// not one that this req may go to. The better one is less.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -175,10 +188,13 @@
         if tried.any(|d| d.how != Some(How::Reset)) {
             return Fit::NotThis;
         }
-        let warm = !srv.cold(now, self.told.cold) || self.budget(now, srv) >= 1.0;
-        let open = srv.state == State::Up && (set == 0 || srv.health[set].aside_until <= now) && warm;
+        let warm = !srv.cold(now, self.told.cold);
+        let ready = warm || self.budget(now, srv) >= 1.0;
+        let open = srv.state == State::Up && (set == 0 || srv.health[set].aside_until <= now) && ready;
         let room = || {
             let level = srv.level(self.fleet.done_rate(now, srv), view.wide, view.floor);
+            let chance = if warm { view.calm * by_chance(level, self.turned_by()) } else { 0.0 };
+            let level = level + chance;
             again.is_some() || (srv.counted(now, view.narrow) as f64) < level.max(1.0)
         };
         if !open || !room() {
@@ -210,15 +226,25 @@
         self.count_sent(now);
         let narrow = self.span_allowed(now);
         let (wide, floor) = (narrow * self.widening(now), self.floor(now));
+        let calm = self.calm(now);
         if !again {
             let level = self.fleet.level(now, wide, floor);
             // In overload a part of a req is none: rounded up, hundreds of instances go over by one each.
-            let level = if self.overload(now) { level.floor() } else { level };
+            let chance = calm * by_chance(level, self.instances);
+            let level = if self.overload(now) { level.floor() } else { level + chance };
             if self.fleet.answering_out as f64 >= level.max(self.least_level(now)) {
                 return None;
             }
         }
-        Some(View { now, narrow, wide, floor, means: self.fleet.means(now) })
+        Some(View { now, narrow, wide, floor, calm, means: self.fleet.means(now) })
+    }
+
+    /// How much of the room for chance is left: none in overload or when answers are slow.
+    pub(super) fn calm(&self, now: Nanos) -> f64 {
+        if self.tier > 0 || self.overload(now) {
+            return 0.0;
+        }
+        ((SLOW - self.done.mean(now) / self.took.least(now)) / (SLOW - PROMPT)).clamp(0.0, 1.0)
     }
 
     /// Counts what warm srvs have taken from us for each unit of weight, while cold ones have budgets by it.
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,165 @@
+//! Many instances side by side before the same srvs, in simulated time: what each does that is harmless alone is
+//! summed up over all of them.
+
+mod helper;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use helper::{MS, facts};
+use ochreshed::*;
+
+const S: Nanos = 1_000 * MS;
+const START: Nanos = 1_000 * S;
+
+/// What happens at an instance: a new req, the end of a dispatch, or the time it asked to be woken at.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Req,
+    End(u64),
+    Ask(u64),
+}
+
+/// Instances that share nothing, and srvs that all answer alike, but for the bad ones, which err at once every other
+/// time.
+struct Many {
+    balancers: Vec<Balancer>,
+    bad: fn(&str, Nanos) -> bool,
+    now: Nanos,
+    mix: u64,
+    due: BTreeSet<(Nanos, usize, Due)>,
+    reqs: BTreeMap<u64, Req>,
+    /// Answers, denies and errors, and what was out at the fullest srv.
+    ends: BTreeMap<&'static str, u64>,
+    /// Sends to bad srvs by the second.
+    wasted: BTreeMap<Nanos, u64>,
+    out: BTreeMap<Name, u64>,
+    fullest: u64,
+}
+
+impl Many {
+    fn new(instances: usize, srvs: u64, bad: fn(&str, Nanos) -> bool) -> Many {
+        let entries: Vec<Listed> = (0..srvs)
+            .map(|number| Listed {
+                srv: format!("s{number:02}").into(),
+                state: State::Up,
+                came_up: None,
+                weight: 1.0,
+                site: format!("x{}", number % 4).into(),
+                cell: number % 4,
+            })
+            .collect();
+        let balancers = (0..instances).map(|me| {
+            let mut facts = facts(0.0, instances as f64);
+            facts.insert("me".into(), Value::Number(me as f64));
+            let mut balancer = Balancer::new(START, me as u64 * 7_919 + 3, facts);
+            balancer.after(START, Outcome::List { whole: true, old: false, entries: &entries });
+            balancer
+        });
+        Many {
+            balancers: balancers.collect(),
+            bad,
+            now: START,
+            mix: 1,
+            due: (0..instances).map(|me| (START, me, Due::Req)).collect(),
+            reqs: BTreeMap::new(),
+            ends: BTreeMap::new(),
+            wasted: BTreeMap::new(),
+            out: BTreeMap::new(),
+            fullest: 0,
+        }
+    }
+
+    fn part(&mut self) -> f64 {
+        self.mix = self.mix.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.mix >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn count(&mut self, how: &'static str) {
+        *self.ends.entry(how).or_default() += 1;
+    }
+
+    fn place(&mut self, me: usize, id: u64) {
+        let Some(mut req) = self.reqs.remove(&id) else { return };
+        match self.balancers[me].place(self.now, &mut req) {
+            Place::Send { srv, .. } => {
+                let out = self.out.entry(srv.clone()).or_default();
+                *out += 1;
+                self.fullest = self.fullest.max(*out);
+                let bad = (self.bad)(&srv, self.now) && self.part() < 0.5;
+                if bad {
+                    *self.wasted.entry((self.now - START) / S).or_default() += 1;
+                }
+                let chance = (1.0 - self.part()).ln().max(-6.0);
+                let took = if bad { 5 * MS } else { 200 * MS - (chance * 250.0 * MS as f64) as u64 };
+                self.due.insert((self.now + took, me, Due::End(id)));
+                self.reqs.insert(id, req);
+            }
+            Place::Later { ask_at } => {
+                self.due.insert((ask_at.max(self.now + 1), me, Due::Ask(id)));
+                self.reqs.insert(id, req);
+            }
+            Place::Deny { .. } => self.count("denied"),
+            Place::Abort => self.count("aborted"),
+        }
+    }
+
+    /// Plays so many reqs a second at each instance, by chance, for so long.
+    fn run(&mut self, each_s: f64, span: Nanos) {
+        let until = self.now + span;
+        while let Some((at, me, what)) = self.due.first().copied().filter(|(at, ..)| *at < until) {
+            self.due.remove(&(at, me, what));
+            self.now = at;
+            match what {
+                Due::Req => {
+                    // In one second of four reqs come almost four times as often, at each instance in its own.
+                    let burst = (at / S + me as u64).is_multiple_of(4);
+                    let rate = each_s * if burst { 2.2 } else { 0.6 };
+                    let gap = -(1.0 - self.part()).ln() / rate;
+                    self.due.insert((at + (gap * S as f64) as u64 + 1, me, Due::Req));
+                    let (id, rule_set) = (self.mix >> 12, "charge".into());
+                    let (taken, ends) = (at, at + 3 * S);
+                    let (customer, dispatches) = ("".into(), Vec::new());
+                    self.reqs
+                        .insert(id, Req { id, rule_set, customer, again: false, taken, ends, dispatches });
+                    self.place(me, id);
+                }
+                Due::End(id) => {
+                    let mut req = self.reqs.remove(&id).expect("a req that is out");
+                    let last = req.dispatches.last().expect("a dispatch");
+                    let (srv, took) = (last.srv.clone(), at - last.at);
+                    *self.out.get_mut(&srv).expect("one that is out") -= 1;
+                    let how = if took < 100 * MS { How::Error } else { How::Done };
+                    let (req, number) = (&mut req, 0);
+                    let outcome =
+                        Outcome::Dispatch { req, number, how, took, closed: how == How::Done, report: &[] };
+                    self.balancers[me].after(at, outcome);
+                    self.count(if how == How::Done { "done" } else { "failed" });
+                }
+                Due::Ask(id) => self.place(me, id),
+            }
+            loop {
+                match self.balancers[me].wait(at) {
+                    Wait::Place(id) => self.place(me, id),
+                    Wait::Until(_) => break,
+                    _ => {}
+                }
+            }
+        }
+        self.now = until;
+    }
+
+    fn ended(&self, how: &str) -> u64 {
+        self.ends.get(how).copied().unwrap_or(0)
+    }
+}
+
+#[test]
+fn calm_instances_that_see_few_reqs_deny_none_of_their_bursts() {
+    // At each of 17 instances 5 are out on the mean and twice as many in a burst of its own; at each of 16 srvs 5,
+    // and little more.
+    let mut many = Many::new(17, 16, |srv, _| matches!(srv, "s03" | "s10"));
+    many.run(12.0, 30 * S);
+    let (done, denied) = (many.ended("done"), many.ended("denied"));
+    assert!(done > 5_000 && denied * 1_000 < done, "{denied} denied, {done} done");
+    assert!(many.fullest <= 12, "{} at one srv", many.fullest);
+}
