--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -23,6 +23,7 @@
 /// time.
 struct Many {
     balancers: Vec<Balancer>,
+    srvs: u64,
     bad: fn(&str, Nanos) -> bool,
     now: Nanos,
     mix: u64,
@@ -30,42 +31,49 @@
     reqs: BTreeMap<u64, Req>,
     /// Answers, denies and errors, and what was out at the fullest srv.
     ends: BTreeMap<&'static str, u64>,
-    /// Sends to bad srvs by the second.
-    wasted: BTreeMap<Nanos, u64>,
     out: BTreeMap<Name, u64>,
     fullest: u64,
+    /// Sends by the second and the srv.
+    sends: BTreeMap<u64, BTreeMap<Name, u64>>,
 }
 
 impl Many {
     fn new(instances: usize, srvs: u64, bad: fn(&str, Nanos) -> bool) -> Many {
-        let entries: Vec<Listed> = (0..srvs)
-            .map(|number| Listed {
-                srv: format!("s{number:02}").into(),
-                state: State::Up,
-                came_up: None,
-                weight: 1.0,
-                site: format!("x{}", number % 4).into(),
-                cell: number % 4,
-            })
-            .collect();
         let balancers = (0..instances).map(|me| {
             let mut facts = facts(0.0, instances as f64);
             facts.insert("me".into(), Value::Number(me as f64));
-            let mut balancer = Balancer::new(START, me as u64 * 7_919 + 3, facts);
-            balancer.after(START, Outcome::List { whole: true, old: false, entries: &entries });
-            balancer
+            Balancer::new(START, me as u64 * 7_919 + 3, facts)
         });
-        Many {
+        let mut many = Many {
             balancers: balancers.collect(),
+            srvs,
             bad,
             now: START,
             mix: 1,
             due: (0..instances).map(|me| (START, me, Due::Req)).collect(),
             reqs: BTreeMap::new(),
             ends: BTreeMap::new(),
-            wasted: BTreeMap::new(),
             out: BTreeMap::new(),
             fullest: 0,
+            sends: BTreeMap::new(),
+        };
+        many.list(&|_| None);
+        many
+    }
+
+    /// The whole list, told to all at once, with when each srv came up.
+    fn list(&mut self, came_up: &dyn Fn(u64) -> Option<Nanos>) {
+        let listed = |number: u64| Listed {
+            srv: format!("s{number:02}").into(),
+            state: State::Up,
+            came_up: came_up(number),
+            weight: 1.0,
+            site: format!("x{}", number % 4).into(),
+            cell: number % 4,
+        };
+        let entries: Vec<Listed> = (0..self.srvs).map(listed).collect();
+        for balancer in &mut self.balancers {
+            balancer.after(self.now, Outcome::List { whole: true, old: false, entries: &entries });
         }
     }
 
@@ -86,9 +94,7 @@
                 *out += 1;
                 self.fullest = self.fullest.max(*out);
                 let bad = (self.bad)(&srv, self.now) && self.part() < 0.5;
-                if bad {
-                    *self.wasted.entry((self.now - START) / S).or_default() += 1;
-                }
+                *self.sends.entry(self.now / S).or_default().entry(srv.clone()).or_default() += 1;
                 let chance = (1.0 - self.part()).ln().max(-6.0);
                 let took = if bad { 5 * MS } else { 200 * MS - (chance * 250.0 * MS as f64) as u64 };
                 self.due.insert((self.now + took, me, Due::End(id)));
@@ -163,3 +169,57 @@
     assert!(done > 5_000 && denied * 1_000 < done, "{denied} denied, {done} done");
     assert!(many.fullest <= 12, "{} at one srv", many.fullest);
 }
+
+#[test]
+fn while_discovery_is_down_a_hundred_instances_call_it_apart_and_seldom() {
+    let mut many = Many::new(100, 16, |_, _| false);
+    let mut calls: Vec<(Nanos, usize)> = Vec::new();
+    let mut at = vec![START; 100];
+    for (me, at) in at.iter_mut().enumerate() {
+        while *at < START + 30 * S {
+            match many.balancers[me].wait(*at) {
+                Wait::Watch => {
+                    calls.push((*at, me));
+                    many.balancers[me].after(*at, Outcome::ListFailed);
+                }
+                Wait::Until(next) => *at = next.max(*at + 1),
+                _ => {}
+            }
+        }
+    }
+    let most = |from: Nanos, span: Nanos| {
+        let mut spans = BTreeMap::new();
+        for (at, _) in calls.iter().filter(|(at, _)| *at >= START + from) {
+            *spans.entry(at / span).or_insert(0) += 1;
+        }
+        spans.into_values().max().unwrap_or(0)
+    };
+    assert!(most(0, 100 * MS) <= 25, "{} calls in a tenth of a second", most(0, 100 * MS));
+    assert!(most(8 * S, S) <= 40, "{} calls in a second", most(8 * S, S));
+    let asked: BTreeSet<usize> =
+        calls.iter().filter(|(at, _)| *at > START + 23 * S).map(|(_, me)| *me).collect();
+    assert_eq!(asked.len(), 100, "all ask on");
+}
+
+#[test]
+fn a_site_that_is_back_cold_gets_its_budget_from_all_instances_together() {
+    let mut many = Many::new(100, 16, |_, _| false);
+    many.run(4.0, 10 * S);
+    let back = many.now;
+    many.list(&|number| (number % 4 == 0).then_some(back));
+    many.sends.clear();
+    many.run(4.0, 6 * S);
+    // Warm ones take 25 a second; the least capacity at this age is 0.2 of that and 0.04 more each second.
+    for (second, sends) in (0..6).map(|second| (second, &many.sends[&(back / S + second)])) {
+        let (cold, warm): (Vec<_>, Vec<_>) =
+            sends.iter().partition(|(srv, _)| srv[1..].parse::<u64>().unwrap_or(0) % 4 == 0);
+        let warm = warm.iter().map(|(_, sent)| **sent).sum::<u64>() as f64 / 12.0;
+        let least = 0.2 + 0.04 * (second + 1) as f64;
+        for (srv, sent) in cold {
+            assert!(
+                (*sent as f64) < 1.6 * least * warm + 4.0,
+                "{srv}: {sent} in second {second}, warm ones {warm:.0}"
+            );
+        }
+    }
+}
