--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -223,3 +223,21 @@
         }
     }
 }
+
+#[test]
+fn an_empty_list_ends_all_sends_and_the_one_that_follows_begins_them_again() {
+    let mut many = Many::new(10, 16, |_, _| false);
+    many.run(4.0, 5 * S);
+    assert_eq!(many.ended("denied"), 0);
+    many.srvs = 0;
+    many.list(&|_| None);
+    many.sends.clear();
+    many.run(4.0, 2 * S);
+    assert!(many.sends.is_empty() && many.ended("denied") > 40, "{:?}, {:?}", many.sends, many.ends);
+    // Six in ten of what was listed before are others now.
+    many.srvs = 6;
+    many.list(&|_| None);
+    many.run(4.0, 4 * S);
+    let sent: BTreeSet<&Name> = many.sends.values().flat_map(BTreeMap::keys).collect();
+    assert_eq!(sent.len(), 6, "{sent:?}");
+}
