--- a/balancer/src/decisions.rs
+++ b/balancer/src/decisions.rs
@@ -21,6 +21,7 @@
 use tracing::info;
 
 use crate::clock::Clock;
+use crate::figures::Figures;
 use crate::list::{self, Entry};
 use crate::peer::{self, Job};
 
@@ -140,6 +141,7 @@
     peers: HashMap<Name, Peer>,
     common: peer::Common,
     list: mpsc::Sender<list::Mail>,
+    figures: Arc<Figures>,
 }
 
 impl Actor {
@@ -148,6 +150,7 @@
         once: HashSet<Name>,
         common: peer::Common,
         list: mpsc::Sender<list::Mail>,
+        figures: Arc<Figures>,
     ) -> Actor {
         let (clock, hands) = (common.clock, Hands::new(balancer));
         Actor {
@@ -159,6 +162,7 @@
             peers: HashMap::new(),
             common,
             list,
+            figures,
         }
     }
 
@@ -239,6 +243,7 @@
             }
             if unsent.is_empty() {
                 self.forget();
+                self.figures.stand(self.hands.standing());
                 return next;
             }
             for (id, number) in unsent {
@@ -350,8 +355,9 @@
             spare: 2,
             connect_timeout: Duration::from_millis(100),
             idle: 1_000_000_000,
+            figures: Figures::new([]),
         };
-        Actor::new(Balancer::new(1, 1, Facts::new()), HashSet::new(), common, list)
+        Actor::new(Balancer::new(1, 1, Facts::new()), HashSet::new(), common, list, Figures::new([]))
     }
 
     fn listed(number: u64) -> Entry {
--- a/balancer/src/front.rs
+++ b/balancer/src/front.rs
@@ -32,6 +32,7 @@
 
 use crate::clock::Clock;
 use crate::decisions::{Answer, Offer};
+use crate::figures::{Ended, Figures};
 use crate::link::{MOST_HEAD, Meter, Wire, drop_hop_fields, held, unread};
 use crate::peer::BUDGET;
 use crate::phases::{Life, Phase};
@@ -40,6 +41,8 @@
 /// How long a caller may take over a req, the first one from its connection's start, and stand without one.
 const SLOW: Nanos = 2_500_000_000;
 const KEPT: Nanos = 10_000_000_000;
+/// How long after clients are sent away connections without a req still stand.
+const AWAY: Duration = Duration::from_millis(1_500);
 /// How often that is looked at.
 const LOOK: Nanos = 1_000_000_000;
 /// How long a caller that was told to leave may take over its answer.
@@ -61,6 +64,7 @@
     pub callers: usize,
     pub bodies: Arc<Semaphore>,
     pub rule_sets: Arc<[Name]>,
+    pub figures: Arc<Figures>,
 }
 
 pub struct Door<S> {
@@ -115,9 +119,11 @@
         let mut number = 0;
         {
             let mut closed = pin!(self.life.reached(Phase::Closing));
+            let mut sent_away = pin!(self.send_away());
             loop {
                 tokio::select! {
                     () = &mut closed => break,
+                    () = &mut sent_away => {}
                     Some(_) = guests.join_next(), if !guests.is_empty() => {}
                     came = listener.accept(), if guests.len() < self.bounds.callers => match came {
                         Ok((stream, _)) => {
@@ -144,6 +150,21 @@
         while guests.join_next().await.is_some() {}
     }
 
+    /// While clients are sent away each answer ends its connection; those on which no req comes in the meantime are
+    /// ended after a while. Guards against clients that find nobody: the front still sends some for a moment, and
+    /// a connection that has stood without a req for so long is hardly about to carry one.
+    async fn send_away(&self) {
+        let mut away = self.life.aways();
+        while away.wait_for(|away| *away).await.is_ok() {
+            let stays = timeout(AWAY, away.wait_for(|away| !away)).await.is_err();
+            if stays {
+                held(&self.visits).values().for_each(|visit| visit.leave.notify_one());
+                let _ = away.wait_for(|away| !away).await;
+            }
+        }
+        std::future::pending().await
+    }
+
     /// Sends the connection away that has carried no req for the longest time, those first that never did.
     /// Guards against crowds of callers that connect and stay: they must not push out the usual ones.
     fn free_one(&self) {
@@ -172,7 +193,7 @@
         });
         held(&self.visits).insert(number, visit.clone());
         let stream = Arc::new(stream);
-        let (wire, meter) = Wire::new(stream.clone(), self.clock);
+        let (wire, meter) = Wire::new(stream.clone(), self.clock, None);
         let (clock, visits) = (self.clock, self.visits.clone());
         let front = Front {
             clock,
@@ -293,7 +314,7 @@
                 front.visit.told.store(true, Relaxed);
                 close(say(status, line))
             });
-            if front.life.phase() >= Phase::Closing {
+            if front.life.phase() >= Phase::Closing || front.life.away() {
                 answer = close(answer);
             }
             let now = front.clock.now();
@@ -315,7 +336,7 @@
         let came = self.meter.take_first().unwrap_or_else(|| self.clock.now());
         if req.uri().path() == "/_health" {
             self.alone(0)?;
-            let serving = self.life.phase() == Phase::Serving;
+            let serving = self.life.phase() == Phase::Serving && !self.life.away();
             return Ok(if serving { Response::default() } else { say(503, "not serving") });
         }
         let framed = !req.headers().contains_key(TRANSFER_ENCODING);
@@ -336,6 +357,7 @@
             self.alone(body)?;
         }
         let _open = self.open_id(offer.1.headers())?;
+        let mut hand = self.bounds.figures.take(&offer.0.rule_set);
         self.visit.idle_since.store(0, Relaxed);
         self.visit.known.store(true, Relaxed);
         // Whatever is read from here on belongs to the next req.
@@ -349,8 +371,12 @@
             () = self.life.reached(Phase::Ending) => Ok(Answer::Abort),
         };
         let answer = match answer {
-            Ok(Answer::Done(answer)) => done(answer),
+            Ok(Answer::Done(answer)) => {
+                hand.ends(Ended::Success);
+                done(answer)
+            }
             Ok(Answer::Deny { come_back }) => {
+                hand.ends(Ended::Overload);
                 let mut answer = say(503, "denied: safe to try again");
                 if come_back > 0 {
                     let value = HeaderValue::try_from(format!("{:.3}", seconds(come_back)));
--- a/balancer/src/link.rs
+++ b/balancer/src/link.rs
@@ -26,6 +26,7 @@
 use tokio::time::timeout;
 
 use crate::clock::Clock;
+use crate::figures::Figures;
 use crate::start::MOST_BODY;
 
 /// A head, either way, holds no more than this.
@@ -37,6 +38,8 @@
 #[derive(Default)]
 pub struct Meter {
     written: AtomicU64,
+    /// With this many written the message has gone whole, which is still to be counted; 0 for none.
+    count_at: AtomicU64,
     /// When the first byte since it was last taken was read, 0 for none yet, and the last one.
     first_read: AtomicU64,
     last_read: AtomicU64,
@@ -129,14 +132,20 @@
     stream: Arc<TcpStream>,
     meter: Arc<Meter>,
     clock: Clock,
+    /// Where a dispatch that has been written whole is counted.
+    figures: Option<Arc<Figures>>,
 }
 
 impl Wire {
-    pub fn new(stream: Arc<TcpStream>, clock: Clock) -> (TokioIo<Wire>, Arc<Meter>) {
+    pub fn new(
+        stream: Arc<TcpStream>,
+        clock: Clock,
+        figures: Option<Arc<Figures>>,
+    ) -> (TokioIo<Wire>, Arc<Meter>) {
         // Small messages wait for nothing; without this option they are only slower.
         let _ = stream.set_nodelay(true);
         let meter = Arc::<Meter>::default();
-        (TokioIo::new(Wire { stream, meter: meter.clone(), clock }), meter)
+        (TokioIo::new(Wire { stream, meter: meter.clone(), clock, figures }), meter)
     }
 
     /// Repeats a call on the socket until it does something or would have to wait.
@@ -155,7 +164,12 @@
 
     fn wrote(&self, done: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(count)) = &done {
-            self.meter.written.fetch_add(*count as u64, Relaxed);
+            let written = self.meter.written.fetch_add(*count as u64, Relaxed) + *count as u64;
+            let whole = self.meter.count_at.load(Relaxed);
+            if whole > 0 && written >= whole {
+                self.meter.count_at.store(0, Relaxed);
+                self.figures.iter().for_each(|figures| figures.dispatched());
+            }
         }
         done
     }
@@ -221,9 +235,10 @@
         to: SocketAddr,
         clock: Clock,
         permit: Option<OwnedSemaphorePermit>,
+        figures: Option<Arc<Figures>>,
     ) -> io::Result<Link> {
         let stream = Arc::new(TcpStream::connect(to).await?);
-        let (wire, meter) = Wire::new(stream.clone(), clock);
+        let (wire, meter) = Wire::new(stream.clone(), clock, figures);
         let handshake = http1::Builder::new().max_buf_size(MOST_HEAD).handshake(wire).await;
         let (send, connection) = handshake.map_err(io::Error::other)?;
         let (connection, whole_at) = (Some(connection), u64::MAX);
@@ -266,6 +281,7 @@
     ) -> Result<(Response<Bytes>, bool), String> {
         self.meter.written.store(0, Relaxed);
         self.whole_at = least_length(&req);
+        self.meter.count_at.store(self.whole_at, Relaxed);
         let Link { send, connection, .. } = self;
         let answer = async {
             let (head, body) =
--- a/balancer/src/list.rs
+++ b/balancer/src/list.rs
@@ -153,7 +153,7 @@
         let mut link = match self.link.take().and_then(|mut link| link.sound().then_some(link)) {
             Some(link) => link,
             None => {
-                let opening = timeout(GRACE, Link::open(self.discovery, self.clock, None));
+                let opening = timeout(GRACE, Link::open(self.discovery, self.clock, None, None));
                 opening.await.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?
             }
         };
--- a/balancer/src/main.rs
+++ b/balancer/src/main.rs
@@ -3,9 +3,11 @@
 
 mod clock;
 mod decisions;
+mod figures;
 mod front;
 mod link;
 mod list;
+mod operator;
 mod peer;
 mod phases;
 mod start;
--- a/balancer/src/peer.rs
+++ b/balancer/src/peer.rs
@@ -20,6 +20,7 @@
 
 use crate::clock::Clock;
 use crate::decisions;
+use crate::figures::Figures;
 use crate::link::Link;
 use crate::start::{MOST_ANSWER, MOST_BODY};
 
@@ -79,6 +80,7 @@
     pub reuse: Arc<Reuse>,
     /// Bytes of large answers.
     pub large: Arc<Semaphore>,
+    pub figures: Arc<Figures>,
     /// With no more than these left, connections are closed rather than kept idle. Guards against reqs denied
     /// for want of a connection while others stand idle.
     pub spare: usize,
@@ -245,7 +247,8 @@
     async fn open(&self) -> Result<Link, How> {
         // At the bound no connection is opened: it is ours, not the srv's.
         let permit = self.common.sockets.clone().try_acquire_owned().map_err(|_| How::NotSent)?;
-        let opening = Link::open(self.address, self.common.clock, Some(permit));
+        let figures = Some(self.common.figures.clone());
+        let opening = Link::open(self.address, self.common.clock, Some(permit), figures);
         match timeout(self.common.connect_timeout, opening).await {
             Ok(Ok(link)) => Ok(link),
             Ok(Err(_)) | Err(_) => Err(How::NoConnection),
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::time::Duration;
 
-use ochreshed::{Balancer, Facts, Nanos, Value, list as facts_list, span, text};
+use ochreshed::{Balancer, Facts, Name, Nanos, Value, list as facts_list, span, text};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
@@ -18,8 +18,9 @@
 
 use crate::clock::Clock;
 use crate::decisions::{Actor, Decisions, Mail};
+use crate::figures::Figures;
 use crate::start::StartFacts;
-use crate::{front, list, peer};
+use crate::{front, list, operator, peer};
 
 const S: Nanos = 1_000_000_000;
 /// After the wish to stop, callers still come for a while, and those that are in go on asking. The door stays open
@@ -54,18 +55,43 @@
 #[derive(Clone)]
 pub struct Life {
     phase: watch::Sender<Phase>,
+    /// Clients are sent away: a state beside the phases, entered and left any number of times while it serves.
+    away: watch::Sender<bool>,
     last_came: Arc<AtomicU64>,
 }
 
 impl Life {
     fn new() -> Life {
-        Life { phase: watch::Sender::new(Phase::Starting), last_came: Arc::default() }
+        Life {
+            phase: watch::Sender::new(Phase::Starting),
+            away: watch::Sender::new(false),
+            last_came: Arc::default(),
+        }
     }
 
     pub fn phase(&self) -> Phase {
         *self.phase.borrow()
     }
 
+    pub fn away(&self) -> bool {
+        *self.away.borrow()
+    }
+
+    /// Sends clients away, or welcomes them again; not before it serves, nor once it was asked to stop.
+    pub fn send_away(&self, away: bool) -> bool {
+        let serving = self.phase() == Phase::Serving;
+        let changes = |now: &mut bool| std::mem::replace(now, away) != away;
+        if serving && self.away.send_if_modified(changes) {
+            info!("{}", if away { "clients are sent away" } else { "clients are welcome again" });
+        }
+        serving
+    }
+
+    /// Follows whether clients are sent away.
+    pub fn aways(&self) -> watch::Receiver<bool> {
+        self.away.subscribe()
+    }
+
     /// Notes that a caller has come.
     pub fn came(&self, now: Nanos) {
         self.last_came.store(now, Relaxed);
@@ -120,7 +146,11 @@
     }
     let longest = facts_list(&start.facts, "rule_sets").iter().map(|set| span(set, "client_timeout", S));
     let longest = longest.max().unwrap_or(LONGEST).min(LONGEST);
+    let rule_sets: Arc<[Name]> =
+        facts_list(&start.facts, "rule_sets").iter().map(|set| text(set, "name").into()).collect();
+    let figures = Figures::new(rule_sets.iter().cloned());
     let common = peer::Common {
+        figures: figures.clone(),
         clock,
         decisions: mail.clone(),
         sockets: Arc::new(Semaphore::new(start.most_out)),
@@ -131,12 +161,15 @@
         idle: span(&start.facts, "connection_idle", 10 * S),
     };
     tokio::spawn(read_again(hangup, start.file, start.discovery, listed.clone()));
+    let desk = operator::Desk { life: life.clone(), figures: figures.clone() };
+    let desk = start.operator.map(|address| Ok::<_, String>((operator::bind(address)?, desk))).transpose()?;
     let address = listener.local_addr().map_err(|e| e.to_string())?;
     info!("{} on {address}", start.name);
     let bounds = front::Bounds {
         callers: start.most_in,
         bodies: Arc::new(Semaphore::new(start.most_bodies)),
-        rule_sets: facts_list(&start.facts, "rule_sets").iter().map(|set| text(set, "name").into()).collect(),
+        rule_sets,
+        figures: figures.clone(),
     };
     let once = |set: &&Facts| text(set, "effect") == "non-replayable";
     let once = facts_list(&start.facts, "rule_sets").iter().filter(once).map(|set| text(set, "name").into());
@@ -144,11 +177,17 @@
     let mut facts = start.facts;
     facts.insert("connections".into(), Value::Number(start.most_out as f64));
     let balancer = Balancer::new(clock.now(), start.seed, facts);
-    let mut actor = tokio::spawn(Actor::new(balancer, once, common, listed).run(mailbox));
+    let mut actor = tokio::spawn(Actor::new(balancer, once, common, listed, figures).run(mailbox));
     let door = front::Door::new(clock, life.clone(), Decisions::new(mail), bounds);
     let mut door = tokio::spawn(door.keep(listener));
 
     life.enter(Phase::Serving);
+    if let Some((listener, desk)) = desk {
+        if let Ok(address) = listener.local_addr() {
+            info!("{} answers operators on {address}", start.name);
+        }
+        operator::open(listener, desk)?;
+    }
     let ended = || Err("the module's actor has ended".to_owned());
     tokio::select! {
         _ = terminate.recv() => {}
--- a/balancer/src/start.rs
+++ b/balancer/src/start.rs
@@ -24,6 +24,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators are answered, if anywhere.
+    pub operator: Option<SocketAddr>,
     pub seed: u64,
     /// Connections from callers, and to srvs.
     pub most_in: usize,
@@ -38,7 +40,12 @@
 impl StartFacts {
     pub fn read(path: &Path) -> Result<StartFacts, String> {
         let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-        StartFacts::parse(path, &text).map_err(|why| format!("{}: {why}", path.display()))
+        let mut facts = StartFacts::parse(path, &text).map_err(|why| format!("{}: {why}", path.display()))?;
+        if let Some(address) = std::env::var("ROUTER_OPERATOR").ok().filter(|text| !text.is_empty()) {
+            let address = address.parse().map_err(|_| "ROUTER_OPERATOR is no address with a port")?;
+            facts.operator = Some(address);
+        }
+        Ok(facts)
     }
 
     fn parse(path: &Path, text: &str) -> Result<StartFacts, String> {
@@ -52,6 +59,10 @@
             found.filter(|n| *n > 0).ok_or(format!("limits.{name} is missing or no whole number above 0"))
         };
         let (name, listen, discovery) = (text("name")?.to_owned(), address("listen")?, address("discovery")?);
+        let operator = match &json["operator"] {
+            Json::Null => None,
+            _ => Some(address("operator")?),
+        };
         let sockets = limit("sockets")?;
         let shared = sockets.checked_sub(SPARE_SOCKETS).filter(|n| *n >= 2);
         let shared = shared.ok_or(format!("limits.sockets is under {}", SPARE_SOCKETS + 2))?;
@@ -64,6 +75,7 @@
             name,
             listen,
             discovery,
+            operator,
             seed: u64::from_str_radix(text("seed")?, 16).map_err(|_| "seed is no hexadecimal number")?,
             most_in: most(PER_CALLER),
             most_out: most(MOST_BODY),
--- a/hands/src/lib.rs
+++ b/hands/src/lib.rs
@@ -123,6 +123,11 @@
         self.due.first().map_or(until, |(at, _)| until.min(*at))
     }
 
+    /// How many srvs are listed, and how many of them are avoided now.
+    pub fn standing(&self) -> (usize, usize) {
+        self.balancer.standing()
+    }
+
     /// What is to be done since this was last called.
     pub fn acts(&mut self) -> Vec<Act> {
         std::mem::take(&mut self.acts)
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -507,6 +507,11 @@
         Wait::Until(self.watch_at.unwrap_or(Nanos::MAX).min(poll))
     }
 
+    /// How many srvs the list names, and how many of those get nothing from us now.
+    pub fn standing(&self) -> (usize, usize) {
+        self.fleet.standing()
+    }
+
     fn say(&mut self, line: String) {
         self.log.push_back(line);
     }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -649,6 +649,13 @@
         }
     }
 
+    /// How many are listed, and how many of them are avoided: draining, or set aside. Those that are gone but owe
+    /// an answer are not listed.
+    pub fn standing(&self) -> (usize, usize) {
+        let listed = self.numbers.len() - self.gone.len().min(self.numbers.len());
+        (listed, listed - self.usable.min(listed))
+    }
+
     /// The known srvs, in the order of their names.
     pub fn known(&self) -> impl Iterator<Item = u32> {
         self.by_name.iter().map(|place| place.who)
