--- a/balancer/src/decisions.rs
+++ b/balancer/src/decisions.rs
@@ -142,6 +142,8 @@
     common: peer::Common,
     list: mpsc::Sender<list::Mail>,
     figures: Arc<Figures>,
+    /// Told once, when the first list comes that is not the one from before the start.
+    fresh: Option<oneshot::Sender<()>>,
 }
 
 impl Actor {
@@ -151,6 +153,7 @@
         common: peer::Common,
         list: mpsc::Sender<list::Mail>,
         figures: Arc<Figures>,
+        fresh: oneshot::Sender<()>,
     ) -> Actor {
         let (clock, hands) = (common.clock, Hands::new(balancer));
         Actor {
@@ -163,6 +166,7 @@
             common,
             list,
             figures,
+            fresh: Some(fresh),
         }
     }
 
@@ -228,6 +232,10 @@
                 self.peers.insert(listed.srv.clone(), Peer { address: *address, mail: None });
             }
         }
+        if !old && let Some(fresh) = self.fresh.take() {
+            // Nobody waits for it at an ordinary start.
+            let _ = fresh.send(());
+        }
         let entries: Vec<Listed> = entries.into_iter().map(|(listed, _)| listed).collect();
         self.hands.news(now, Outcome::List { whole, old, entries: &entries });
     }
@@ -357,7 +365,14 @@
             idle: 1_000_000_000,
             figures: Figures::new([]),
         };
-        Actor::new(Balancer::new(1, 1, Facts::new()), HashSet::new(), common, list, Figures::new([]))
+        Actor::new(
+            Balancer::new(1, 1, Facts::new()),
+            HashSet::new(),
+            common,
+            list,
+            Figures::new([]),
+            oneshot::channel().0,
+        )
     }
 
     fn listed(number: u64) -> Entry {
--- a/balancer/src/front.rs
+++ b/balancer/src/front.rs
@@ -7,7 +7,7 @@
 use std::io;
 use std::net::Shutdown;
 use std::pin::{Pin, pin};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -61,7 +61,7 @@
 /// What is let in: so many callers, bodies of so many bytes in all, reqs of these rule sets.
 #[derive(Clone)]
 pub struct Bounds {
-    pub callers: usize,
+    pub callers: Arc<AtomicUsize>,
     pub bodies: Arc<Semaphore>,
     pub rule_sets: Arc<[Name]>,
     pub figures: Arc<Figures>,
@@ -113,24 +113,26 @@
         Door { clock, life, decisions, bounds, visits: Arc::default(), open: Arc::default() }
     }
 
-    /// Lets callers in until the door closes, and returns once the last has gone.
+    /// Lets callers in until the door closes or another process has taken over, and returns once the last has gone.
     pub async fn keep(self, listener: TcpListener) {
         let mut guests = JoinSet::new();
         let mut number = 0;
         {
             let mut closed = pin!(self.life.reached(Phase::Closing));
+            let mut handed = pin!(self.handed());
             let mut sent_away = pin!(self.send_away());
             loop {
                 tokio::select! {
                     () = &mut closed => break,
+                    () = &mut handed => break,
                     () = &mut sent_away => {}
                     Some(_) = guests.join_next(), if !guests.is_empty() => {}
-                    came = listener.accept(), if guests.len() < self.bounds.callers => match came {
+                    came = listener.accept(), if guests.len() < self.callers() => match came {
                         Ok((stream, _)) => {
                             number += 1;
                             self.life.came(self.clock.now());
                             guests.spawn(self.guest(number, stream));
-                            if guests.len() == self.bounds.callers {
+                            if guests.len() >= self.callers() {
                                 self.free_one();
                             }
                         }
@@ -143,7 +145,34 @@
                 }
             }
         }
-        drop(listener);
+        // Whoever waits in the queue would be reset. The system is asked, not the runtime, which may not have come to
+        // the news yet.
+        match listener.into_std() {
+            Ok(listener) if self.life.handed() => {
+                while let Ok((stream, _)) = listener.accept() {
+                    let _ = stream.set_nonblocking(true);
+                    if let Ok(stream) = TcpStream::from_std(stream) {
+                        number += 1;
+                        guests.spawn(self.guest(number, stream));
+                    }
+                }
+            }
+            _ => {}
+        }
+        if self.life.handed() {
+            let mut closed = pin!(self.life.reached(Phase::Closing));
+            for _ in self.callers()..guests.len() {
+                self.free_one();
+            }
+            loop {
+                tokio::select! {
+                    () = &mut closed => break,
+                    last = guests.join_next() => if last.is_none() {
+                        return;
+                    }
+                }
+            }
+        }
         for visit in held(&self.visits).values() {
             visit.leave.notify_one();
         }
@@ -165,6 +194,18 @@
         std::future::pending().await
     }
 
+    /// Returns once another process has taken over the address.
+    async fn handed(&self) {
+        self.life.reached(Phase::Leaving).await;
+        if !self.life.handed() {
+            std::future::pending().await
+        }
+    }
+
+    fn callers(&self) -> usize {
+        self.bounds.callers.load(Relaxed)
+    }
+
     /// Sends the connection away that has carried no req for the longest time, those first that never did.
     /// Guards against crowds of callers that connect and stay: they must not push out the usual ones.
     fn free_one(&self) {
@@ -314,7 +355,7 @@
                 front.visit.told.store(true, Relaxed);
                 close(say(status, line))
             });
-            if front.life.phase() >= Phase::Closing || front.life.away() {
+            if front.life.closes() {
                 answer = close(answer);
             }
             let now = front.clock.now();
@@ -336,8 +377,7 @@
         let came = self.meter.take_first().unwrap_or_else(|| self.clock.now());
         if req.uri().path() == "/_health" {
             self.alone(0)?;
-            let serving = self.life.phase() == Phase::Serving && !self.life.away();
-            return Ok(if serving { Response::default() } else { say(503, "not serving") });
+            return Ok(if self.life.healthy() { Response::default() } else { say(503, "not serving") });
         }
         let framed = !req.headers().contains_key(TRANSFER_ENCODING);
         if !framed && self.meter.length_named() {
--- a/balancer/src/main.rs
+++ b/balancer/src/main.rs
@@ -11,6 +11,7 @@
 mod peer;
 mod phases;
 mod start;
+mod twin;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -5,13 +5,13 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::time::Duration;
 
 use ochreshed::{Balancer, Facts, Name, Nanos, Value, list as facts_list, span, text};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 use tokio::task::spawn_blocking;
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
@@ -20,6 +20,7 @@
 use crate::decisions::{Actor, Decisions, Mail};
 use crate::figures::Figures;
 use crate::start::StartFacts;
+use crate::twin::Twin;
 use crate::{front, list, operator, peer};
 
 const S: Nanos = 1_000_000_000;
@@ -36,6 +37,10 @@
 const LONGEST: Nanos = 3 * S;
 const LAST_ANSWERS: Nanos = S * 3 / 10;
 const LITTLE: Nanos = S / 2;
+/// How long a process that starts beside another waits for a first fresh list, and how often it looks for the
+/// other's end.
+const FIRST_LIST: Duration = Duration::from_secs(3);
+const LOOK: Duration = Duration::from_millis(250);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -58,6 +63,8 @@
     /// Clients are sent away: a state beside the phases, entered and left any number of times while it serves.
     away: watch::Sender<bool>,
     last_came: Arc<AtomicU64>,
+    /// Another process has taken over the address: no new connection is let in here.
+    handed: Arc<AtomicBool>,
 }
 
 impl Life {
@@ -66,6 +73,7 @@
             phase: watch::Sender::new(Phase::Starting),
             away: watch::Sender::new(false),
             last_came: Arc::default(),
+            handed: Arc::default(),
         }
     }
 
@@ -73,6 +81,21 @@
         *self.phase.borrow()
     }
 
+    /// Whether another process serves the clients' address now.
+    pub fn handed(&self) -> bool {
+        self.handed.load(Relaxed)
+    }
+
+    /// Whether an answer ends its connection.
+    pub fn closes(&self) -> bool {
+        self.phase() >= Phase::Closing || self.handed() || self.away()
+    }
+
+    /// Whether the clients' address is served: by another process, once that has taken it over.
+    pub fn healthy(&self) -> bool {
+        self.handed() || self.phase() == Phase::Serving && !self.away()
+    }
+
     pub fn away(&self) -> bool {
         *self.away.borrow()
     }
@@ -128,9 +151,13 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
     let hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
-    let listener = TcpListener::bind(start.listen).await;
-    let listener = listener.map_err(|e| format!("can't listen on {}: {e}", start.listen))?;
-
+    let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
+    let twin = Arc::new(Twin::enter(folder.as_deref(), start.listen));
+    let others = twin.others();
+    let holds = Holds::new(&start, 1 + others);
+    if others > 0 {
+        info!("{others} beside this one at {}: until they end, a part of the limits each", start.listen);
+    }
     // Room for each caller's req and its leaving, and for what peers and the list tell.
     let (mail, mailbox) = mpsc::channel(2 * start.most_in + start.most_out + 64);
     let mut known = None;
@@ -141,7 +168,9 @@
     }
     let listed = list::start(start.discovery, clock, list::wait(&start.facts), known, mail.clone());
     // Where the list doesn't wait to be asked by the module, a watch stands from the start.
-    if text(&start.facts, "list_mode") != "ask" {
+    if others > 0 {
+        listed.try_send(list::Mail::Fetch).map_err(|e| e.to_string())?;
+    } else if text(&start.facts, "list_mode") != "ask" {
         listed.try_send(list::Mail::Watch).map_err(|e| e.to_string())?;
     }
     let longest = facts_list(&start.facts, "rule_sets").iter().map(|set| span(set, "client_timeout", S));
@@ -153,21 +182,24 @@
         figures: figures.clone(),
         clock,
         decisions: mail.clone(),
-        sockets: Arc::new(Semaphore::new(start.most_out)),
+        sockets: holds.sockets.clone(),
         reuse: Arc::default(),
-        large: Arc::new(Semaphore::new(start.most_bodies)),
+        large: holds.large.clone(),
         spare: start.most_out / 4,
         connect_timeout: Duration::from_nanos(span(&start.facts, "connect_timeout", S)),
         idle: span(&start.facts, "connection_idle", 10 * S),
     };
     tokio::spawn(read_again(hangup, start.file, start.discovery, listed.clone()));
     let desk = operator::Desk { life: life.clone(), figures: figures.clone() };
-    let desk = start.operator.map(|address| Ok::<_, String>((operator::bind(address)?, desk))).transpose()?;
-    let address = listener.local_addr().map_err(|e| e.to_string())?;
-    info!("{} on {address}", start.name);
+    if let Some(address) = start.operator {
+        let door = operator::bind(address)?;
+        let address = door.local_addr().map_err(|e| e.to_string())?;
+        operator::open(door, desk)?;
+        info!("{} answers operators on {address}", start.name);
+    }
     let bounds = front::Bounds {
-        callers: start.most_in,
-        bodies: Arc::new(Semaphore::new(start.most_bodies)),
+        callers: holds.callers.clone(),
+        bodies: holds.bodies.clone(),
         rule_sets,
         figures: figures.clone(),
     };
@@ -177,16 +209,25 @@
     let mut facts = start.facts;
     facts.insert("connections".into(), Value::Number(start.most_out as f64));
     let balancer = Balancer::new(clock.now(), start.seed, facts);
-    let mut actor = tokio::spawn(Actor::new(balancer, once, common, listed, figures).run(mailbox));
+    let (fresh, news) = oneshot::channel();
+    let actor = Actor::new(balancer, once, common, listed, figures, fresh);
+    let mut actor = tokio::spawn(actor.run(mailbox));
+    if others > 0 {
+        // What it was told of the list may be old, and nobody waits for it yet.
+        let _ = timeout(FIRST_LIST, news).await;
+    }
+    let listener = twin.listen(start.listen).and_then(|listener| {
+        let address = listener.local_addr()?;
+        Ok((TcpListener::from_std(listener)?, address))
+    });
+    let (listener, address) = listener.map_err(|e| format!("can't listen on {}: {e}", start.listen))?;
+    info!("{} on {address}", start.name);
     let door = front::Door::new(clock, life.clone(), Decisions::new(mail), bounds);
     let mut door = tokio::spawn(door.keep(listener));
 
     life.enter(Phase::Serving);
-    if let Some((listener, desk)) = desk {
-        if let Ok(address) = listener.local_addr() {
-            info!("{} answers operators on {address}", start.name);
-        }
-        operator::open(listener, desk)?;
+    if others > 0 {
+        tokio::spawn(holds.clone().widen(twin.clone()));
     }
     let ended = || Err("the module's actor has ended".to_owned());
     tokio::select! {
@@ -195,10 +236,19 @@
         _ = &mut actor => return ended(),
         _ = &mut door => return Err("the door's keeper has ended".to_owned()),
     }
+    if twin.others() > 0 {
+        info!("another process has taken over: nobody new is let in here");
+        life.handed.store(true, Relaxed);
+        holds.halve();
+    }
     life.enter(Phase::Leaving);
     let asked = clock.now();
     tokio::select! {
         () = life.quiet(clock, longest) => {}
+        _ = &mut door, if life.handed() => {
+            life.enter(Phase::Over);
+            return Ok(ExitCode::SUCCESS);
+        }
         _ = &mut actor => return ended(),
     }
     for (phase, until) in [(Phase::Closing, LAST_ANSWERS), (Phase::Ending, LITTLE)] {
@@ -216,6 +266,64 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// What this process may hold of the limits. While there are two processes at the address, each holds a part of what
+/// one may hold alone.
+#[derive(Clone)]
+struct Holds {
+    most_in: usize,
+    most_out: usize,
+    most_bodies: usize,
+    part: usize,
+    callers: Arc<AtomicUsize>,
+    sockets: Arc<Semaphore>,
+    bodies: Arc<Semaphore>,
+    large: Arc<Semaphore>,
+}
+
+impl Holds {
+    fn new(start: &StartFacts, part: usize) -> Holds {
+        let &StartFacts { most_in, most_out, most_bodies, .. } = start;
+        let room = |all: usize| Arc::new(Semaphore::new(all.div_ceil(part)));
+        let callers = Arc::new(most_in.div_ceil(part).into());
+        let (sockets, bodies, large) = (room(most_out), room(most_bodies), room(most_bodies));
+        Holds { most_in, most_out, most_bodies, part, callers, sockets, bodies, large }
+    }
+
+    /// What it holds beyond its part goes back as it is let go.
+    fn halve(&self) {
+        self.callers.store(self.most_in.div_ceil(2), Relaxed);
+        for (room, all) in [
+            (&self.sockets, self.most_out),
+            (&self.bodies, self.most_bodies),
+            (&self.large, self.most_bodies),
+        ] {
+            let (room, half) = (room.clone(), (all / 2) as u32);
+            tokio::spawn(async move {
+                // Nobody closes it.
+                if let Ok(held) = room.acquire_many_owned(half).await {
+                    held.forget();
+                }
+            });
+        }
+    }
+
+    /// Takes all again once nobody else is left.
+    async fn widen(self, twin: Arc<Twin>) {
+        while twin.others() > 0 {
+            sleep(LOOK).await;
+        }
+        self.callers.store(self.most_in, Relaxed);
+        for (room, all) in [
+            (&self.sockets, self.most_out),
+            (&self.bodies, self.most_bodies),
+            (&self.large, self.most_bodies),
+        ] {
+            room.add_permits(all - all.div_ceil(self.part));
+        }
+        info!("alone at its address: all of the limits again");
+    }
+}
+
 /// On each SIGHUP the facts are read again, and the list moves to where discovery answers now; all else that they
 /// say holds from the start. Guards against SIGHUP's own way, which ends the program.
 async fn read_again(
--- a/balancer/tests/helper/mod.rs
+++ b/balancer/tests/helper/mod.rs
@@ -9,11 +9,13 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 
 use expect_test::Expect;
+use socket2::{Domain, Socket, Type};
 
 /// Nothing here takes as long as this unless it fails.
 pub const LONG: Duration = Duration::from_secs(10);
@@ -35,6 +37,17 @@
     /// Its `$TMPDIR`.
     pub folder: PathBuf,
     pub descriptors: u32,
+    /// Keeps its port from others.
+    port: Arc<Socket>,
+}
+
+/// A port that the system picks, and what keeps it for balancers: bound, but listening to nobody.
+fn port() -> (Arc<Socket>, SocketAddr) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_reuse_address(true).and_then(|()| socket.set_reuse_port(true)).expect("options");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    let address = socket.local_addr().ok().and_then(|address| address.as_socket()).expect("an address");
+    (Arc::new(socket), address)
 }
 
 pub fn facts_file(facts: &str) -> PathBuf {
@@ -101,8 +114,9 @@
     pub fn given(given: Given, names: &str, srv: &TcpListener) -> Balancer {
         let discovery = TcpListener::bind("127.0.0.1:0").expect("a port");
         let Given { sockets, descriptors, memory_mb, operator } = given;
+        let (port, listen) = port();
         let facts = format!(
-            r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{}","seed":"2a",{}
+            r#"{{"name":"n1","listen":"{listen}","discovery":"{}","seed":"2a",{}
                 "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},
                 "known":{{"generation":41,"reset":true,"instances":[{}]}},
                 "settings":{{"NInstances":1,"Me":0,"Tier":0,"Tiers":["one"],"Discovery":"ask",
@@ -115,7 +129,7 @@
         let facts = facts_file(&facts);
         let folder = facts.with_extension("tmp");
         std::fs::create_dir_all(&folder).expect("a folder");
-        Balancer::run(facts, folder, descriptors, discovery, operator)
+        Balancer::run(facts, folder, descriptors, discovery, operator, port)
     }
 
     fn run(
@@ -124,6 +138,7 @@
         descriptors: u32,
         discovery: TcpListener,
         operator: bool,
+        port: Arc<Socket>,
     ) -> Balancer {
         let mut process = command(&facts, descriptors).env("TMPDIR", &folder).spawn().expect("the program");
         let lines = BufReader::new(process.stderr.take().expect("its log")).lines();
@@ -131,15 +146,22 @@
         std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| said.send(line)));
         let address = SocketAddr::from(([0, 0, 0, 0], 0));
         let mut balancer =
-            Balancer { process, facts, folder, log, address, discovery, operator: None, descriptors };
+            Balancer { process, facts, folder, log, address, discovery, operator: None, descriptors, port };
         let place = |line: String| line.rsplit(' ').next().and_then(|a| a.parse().ok());
-        balancer.address = place(balancer.logged(" n1 on ")).expect("where it listens");
         if operator {
             balancer.operator = place(balancer.logged("operators on "));
         }
+        balancer.address = place(balancer.logged(" n1 on ")).expect("where it listens");
         balancer
     }
 
+    /// One more process of the same balancer, at the same address and with the same folder.
+    pub fn beside(&self) -> Balancer {
+        let discovery = self.discovery.try_clone().expect("a listener");
+        let (facts, folder, operator) = (self.facts.clone(), self.folder.clone(), self.operator.is_some());
+        Balancer::run(facts, folder, self.descriptors, discovery, operator, self.port.clone())
+    }
+
     /// The first line of an operator's call, and its body.
     pub fn ask(&self, call: &str) -> (String, String) {
         let mut stream = TcpStream::connect(self.operator.expect("a door")).expect("a connection");
@@ -242,6 +264,20 @@
     stream.write_all(message.as_bytes()).expect("answered");
 }
 
+/// A stand-in that answers everything that comes, on each connection, with this.
+pub fn answering(listener: &TcpListener, message: impl Into<String>) {
+    let (listener, message) = (listener.try_clone().expect("a listener"), message.into());
+    listener.set_nonblocking(false).expect("a listener");
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, message) = (stream.expect("a stream"), message.clone());
+            std::thread::spawn(move || {
+                while !read(&mut stream).is_empty() && stream.write_all(message.as_bytes()).is_ok() {}
+            });
+        }
+    });
+}
+
 /// Discovery's whole list.
 pub fn list(generation: u32, entries: &str) -> String {
     let body = format!(r#"{{"generation":{generation},"reset":true,"instances":[{entries}]}}"#);
