--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -26,6 +26,7 @@
             again: line.flag("AgainByClient"),
             taken: now,
             ends: now + line.time("Budget")?,
+            coming: false,
             dispatches: Vec::new(),
         };
         self.hands.take(now, req);
--- a/balancer/src/decisions.rs
+++ b/balancer/src/decisions.rs
@@ -9,8 +9,7 @@
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::task::{Context, Poll};
 
-use bytes::Bytes;
-use hyper::{Request, Response};
+use hyper::Response;
 use ochreshed::{Balancer, How, Listed, Name, Nanos, Outcome, Req};
 use ochreshed_hands::{Act, End, Hands};
 use tokio::sync::mpsc::error::TrySendError;
@@ -20,6 +19,7 @@
 use tower::Service;
 use tracing::info;
 
+use crate::body::{Message, Reply};
 use crate::clock::Clock;
 use crate::figures::Figures;
 use crate::list::{self, Entry};
@@ -28,17 +28,24 @@
 pub enum Mail {
     Take {
         req: Req,
-        message: Arc<Request<Bytes>>,
+        message: Arc<Message>,
         reply: oneshot::Sender<Answer>,
     },
     /// The client of this req has gone.
     Left(u64),
+    /// The last byte of a long req has gone to the srv.
+    Written {
+        id: u64,
+        number: usize,
+    },
     Ended {
         id: u64,
         number: usize,
         how: How,
         at: Nanos,
-        answer: Option<Response<Bytes>>,
+        /// How long its body took to come, if that was waited for.
+        waited: Nanos,
+        answer: Option<Response<Reply>>,
     },
     Probed {
         srv: Name,
@@ -55,13 +62,13 @@
 
 /// The one final answer to a req.
 pub enum Answer {
-    Done(Response<Bytes>),
+    Done(Response<Reply>),
     Deny { come_back: Nanos },
     Abort,
 }
 
 /// A req for the module and the message to carry. Its id is given here.
-pub type Offer = (Req, Request<Bytes>);
+pub type Offer = (Req, Message);
 
 /// The decisions as a service, for whatever protocol stands before them.
 #[derive(Clone)]
@@ -116,7 +123,7 @@
 
 /// What is kept of a req beside what the module needs.
 struct Taken {
-    message: Arc<Request<Bytes>>,
+    message: Arc<Message>,
     once: bool,
     reply: Option<oneshot::Sender<Answer>>,
     sent_at: Nanos,
@@ -201,9 +208,10 @@
                 self.hands.left(now, id);
                 self.touched.push(id);
             }
-            Mail::Ended { id, number, how, at, answer } => {
+            Mail::Written { id, number } => self.hands.written(now, id, number),
+            Mail::Ended { id, number, how, at, waited, answer } => {
                 let Some(taken) = self.taken.get_mut(&id) else { return };
-                let took = at.saturating_sub(taken.sent_at);
+                let took = at.saturating_sub(taken.sent_at + waited);
                 taken.recall = None;
                 if let Some(answer) = answer {
                     taken.answer(Answer::Done(answer));
--- a/balancer/src/figures.rs
+++ b/balancer/src/figures.rs
@@ -3,7 +3,7 @@
 
 use std::fmt::Write;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed};
+use std::sync::atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering::Relaxed};
 
 use ochreshed::Name;
 
@@ -48,10 +48,18 @@
     }
 
     /// Counts a req in, until what is answered is dropped.
+    #[cfg(test)]
     pub fn take(self: &Arc<Figures>, rule_set: &str) -> InHand {
-        self.in_hand.fetch_add(1, Relaxed);
+        let hand = self.expect(rule_set);
+        hand.coming.begin();
+        hand
+    }
+
+    /// A req whose last byte is still to come: it is in hand from then on.
+    pub fn expect(self: &Arc<Figures>, rule_set: &str) -> InHand {
         let at = self.replies.iter().position(|replies| &*replies.rule_set == rule_set);
-        InHand { figures: self.clone(), at, how: Ended::Error }
+        let coming = Coming { figures: self.clone(), state: AtomicU8::new(WAITED_FOR) };
+        InHand { coming: Arc::new(coming), at, how: Ended::Error }
     }
 
     /// A dispatch has been written whole.
@@ -93,14 +101,41 @@
     name.chars().map(|c| if keep(c) { c } else { '_' }).collect()
 }
 
+const WAITED_FOR: u8 = 0;
+const IN_HAND: u8 = 1;
+const OVER: u8 = 2;
+
+/// A req that is to be in hand once its last byte has come.
+pub struct Coming {
+    figures: Arc<Figures>,
+    state: AtomicU8,
+}
+
+impl Coming {
+    pub fn whole(&self) -> bool {
+        self.state.load(Relaxed) != WAITED_FOR
+    }
+
+    /// Its last byte has come.
+    pub fn begin(&self) {
+        if self.state.compare_exchange(WAITED_FOR, IN_HAND, Relaxed, Relaxed).is_ok() {
+            self.figures.in_hand.fetch_add(1, Relaxed);
+        }
+    }
+}
+
 /// A req in hand. Dropped, it is counted out: as failed if nobody said how it ended, as when its client has gone.
 pub struct InHand {
-    figures: Arc<Figures>,
+    coming: Arc<Coming>,
     at: Option<usize>,
     how: Ended,
 }
 
 impl InHand {
+    pub fn coming(&self) -> Arc<Coming> {
+        self.coming.clone()
+    }
+
     pub fn ends(&mut self, how: Ended) {
         self.how = how;
     }
@@ -108,12 +143,15 @@
 
 impl Drop for InHand {
     fn drop(&mut self) {
-        let at = self.at.and_then(|at| self.figures.replies.get(at));
+        let figures = &self.coming.figures;
+        let at = self.at.and_then(|at| figures.replies.get(at));
         let place = ENDS.iter().position(|(how, _)| *how == self.how);
         if let Some(count) = at.zip(place).and_then(|(replies, place)| replies.ended.get(place)) {
             count.fetch_add(1, Relaxed);
         }
-        self.figures.in_hand.fetch_sub(1, Relaxed);
+        if self.coming.state.swap(OVER, Relaxed) == IN_HAND {
+            figures.in_hand.fetch_sub(1, Relaxed);
+        }
     }
 }
 
--- a/balancer/src/front.rs
+++ b/balancer/src/front.rs
@@ -9,12 +9,12 @@
 use std::pin::{Pin, pin};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING,
 };
@@ -30,13 +30,14 @@
 use tower::{Service, ServiceExt};
 use tracing::warn;
 
+use crate::body::{Long, Message, Pieces, Reply};
 use crate::clock::Clock;
 use crate::decisions::{Answer, Offer};
-use crate::figures::{Ended, Figures};
+use crate::figures::{Ended, Figures, InHand};
 use crate::link::{MOST_HEAD, Meter, Wire, drop_hop_fields, held, unread};
 use crate::peer::BUDGET;
 use crate::phases::{Life, Phase};
-use crate::start::MOST_BODY;
+use crate::start::{MOST_BODY, MOST_LONG, PER_LONG};
 
 /// How long a caller may take over a req, the first one from its connection's start, and stand without one.
 const SLOW: Nanos = 2_500_000_000;
@@ -50,6 +51,9 @@
 /// How long, and how much, is still read from a caller whose connection is ending.
 const LINGER: Duration = Duration::from_millis(500);
 const LINGER_MOST: usize = 4 << 20;
+const LINGER_LONG: Duration = Duration::from_secs(3);
+/// A body that comes at this rate, in bytes a second, is slow and not silent.
+const LEAST_RATE: u64 = 32 * 1024;
 const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 /// What an answer may need on its way back to the client.
 const WAY_BACK: Nanos = 5_000_000;
@@ -96,8 +100,12 @@
     /// When it ends for want of a req, if nothing of one has come; and whether a whole head ever has.
     until: AtomicU64,
     asked: AtomicBool,
-    /// It was told what it did wrong.
+    /// It was told what it did wrong, or answered before its body's end.
     told: AtomicBool,
+    early: AtomicBool,
+    /// How much of a body has come, and whether a long answer was cut.
+    got: AtomicU64,
+    cut: AtomicBool,
     leave: Notify,
     /// A body that is still coming is not waited for.
     hurry: Notify,
@@ -229,6 +237,9 @@
             until: (came + SLOW).into(),
             asked: AtomicBool::new(false),
             told: AtomicBool::new(false),
+            early: AtomicBool::new(false),
+            got: AtomicU64::new(0),
+            cut: AtomicBool::new(false),
             leave: Notify::new(),
             hurry: Notify::new(),
         });
@@ -257,8 +268,10 @@
                     _ = connection.as_mut() => {}
                     () = visit.leave.notified() => {
                         connection.as_mut().graceful_shutdown();
-                        // One that doesn't take its answer is not waited for.
-                        let _ = timeout(LEAVING, connection).await;
+                        // One that doesn't take its answer is not waited for; a long one stands still at its own cost.
+                        while timeout(LEAVING, connection.as_mut()).await.is_err()
+                            && visit.idle_since.load(Relaxed) == 0
+                        {}
                     }
                     () = visit.overdue(clock, &meter) => {
                         // Nothing else has been written to one that never sent a whole head.
@@ -268,8 +281,13 @@
                     }
                 }
             }
-            if visit.told.load(Relaxed) || unread(&stream).is_ok_and(|count| count > 0) {
-                let _ = timeout(LINGER, linger(&stream)).await;
+            if visit.cut.load(Relaxed) {
+                // Guards against an answer without a length that looks whole.
+                let _ = SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+            } else if visit.early.load(Relaxed) {
+                let _ = timeout(LINGER_LONG, linger(&stream, MOST_LONG as usize)).await;
+            } else if visit.told.load(Relaxed) || unread(&stream).is_ok_and(|count| count > 0) {
+                let _ = timeout(LINGER, linger(&stream, LINGER_MOST)).await;
             }
             held(&visits).remove(&number);
         }
@@ -295,9 +313,9 @@
 
 /// Reads on, for a while, what nobody wants. Guards against a reset that takes the last answer back: that is
 /// what closing with unread bytes comes to.
-async fn linger(stream: &TcpStream) {
+async fn linger(stream: &TcpStream, mut left: usize) {
     let _ = SockRef::from(stream).shutdown(Shutdown::Write);
-    let (mut waste, mut left) = (vec![0; 16 * 1024], LINGER_MOST);
+    let mut waste = vec![0; 16 * 1024];
     while left > 0 && stream.readable().await.is_ok() {
         match stream.try_read(&mut waste) {
             Ok(0) => return,
@@ -339,7 +357,7 @@
     S::Future: Send,
     S::Error: std::fmt::Display + Send,
 {
-    type Response = Response<Full<Bytes>>;
+    type Response = Response<Out>;
     type Error = Infallible;
     type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Infallible>> + Send>>;
 
@@ -358,26 +376,99 @@
             if front.life.closes() {
                 answer = close(answer);
             }
-            let now = front.clock.now();
-            front.visit.idle_since.store(now, Relaxed);
-            front.visit.until.store(now + KEPT, Relaxed);
-            front.meter.next_message();
+            let turn = Turn { clock: front.clock, meter: front.meter, visit: front.visit };
+            if let Out::Long(passing) = answer.body_mut() {
+                passing.turn = Some(turn);
+            }
             Ok(answer)
         })
     }
 }
 
+/// A req's turn on its connection, which ends when its answer has gone.
+struct Turn {
+    clock: Clock,
+    meter: Arc<Meter>,
+    visit: Arc<Visit>,
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        let now = self.clock.now();
+        self.visit.idle_since.store(now, Relaxed);
+        self.visit.until.store(now + KEPT, Relaxed);
+        // The rest of a long body was read behind its head: no next req has begun with that.
+        self.meter.take_first();
+        self.meter.next_message();
+    }
+}
+
+/// An answer's body on its way to a caller.
+pub enum Out {
+    Whole(Full<Bytes>),
+    Long(Passing),
+}
+
+/// A long answer that goes on as it comes, and what ends with it.
+pub struct Passing {
+    pieces: Pieces,
+    hand: InHand,
+    _open: Option<OpenId>,
+    visit: Arc<Visit>,
+    turn: Option<Turn>,
+}
+
+impl Body for Out {
+    type Data = Bytes;
+    type Error = &'static str;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context,
+    ) -> Poll<Option<Result<Frame<Bytes>, &'static str>>> {
+        match self.get_mut() {
+            Out::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
+            Out::Long(passing) => {
+                let piece = ready!(passing.pieces.poll(cx));
+                match &piece {
+                    None => passing.hand.ends(Ended::Success),
+                    Some(Err(_)) => passing.visit.cut.store(true, Relaxed),
+                    // Whoever was told the length does not ask for the end.
+                    Some(Ok(_)) if passing.pieces.whole() => passing.hand.ends(Ended::Success),
+                    Some(Ok(_)) => {}
+                }
+                Poll::Ready(piece.map(|piece| piece.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Out::Whole(body) if body.is_end_stream())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Out::Whole(body) => body.size_hint(),
+            Out::Long(passing) => passing.pieces.length.map_or_else(SizeHint::default, SizeHint::with_exact),
+        }
+    }
+}
+
 impl<S> Front<S>
 where
     S: Service<Offer, Response = Answer> + Clone,
     S::Error: std::fmt::Display,
 {
-    async fn answer(&self, req: Request<Incoming>) -> Result<Response<Full<Bytes>>, Bad> {
+    async fn answer(&self, req: Request<Incoming>) -> Result<Response<Out>, Bad> {
         let first = !self.visit.asked.swap(true, Relaxed);
         let came = self.meter.take_first().unwrap_or_else(|| self.clock.now());
         if req.uri().path() == "/_health" {
             self.alone(0)?;
-            return Ok(if self.life.healthy() { Response::default() } else { say(503, "not serving") });
+            return Ok(if self.life.healthy() {
+                Response::new(Out::Whole(Full::default()))
+            } else {
+                say(503, "not serving")
+            });
         }
         let framed = !req.headers().contains_key(TRANSFER_ENCODING);
         if !framed && self.meter.length_named() {
@@ -385,19 +476,24 @@
             return Err(Bad(400, "both a length and a transfer encoding"));
         }
         let until = if first { self.visit.came } else { came } + SLOW;
-        let (mut offer, _room) = tokio::select! {
+        let (mut offer, mut hand, _room) = tokio::select! {
             biased;
             offer = self.read(req, came) => offer?,
             // Guards against callers that fill the door with bodies that never end.
             () = self.visit.hurry.notified() => return Err(Bad(408, "no room for slow bodies")),
-            () = sleep_until(self.clock.instant(until)) => return Err(Bad(408, "body too slow")),
+            () = self.too_slow(until) => return Err(Bad(408, "body too slow")),
         };
-        let body = offer.1.body().len() as u64;
-        if framed {
+        let (body, long) = (offer.1.first.len() as u64, offer.1.long.is_some());
+        if framed && !long {
             self.alone(body)?;
         }
-        let _open = self.open_id(offer.1.headers())?;
-        let mut hand = self.bounds.figures.take(&offer.0.rule_set);
+        let open = self.open_id(offer.1.head.headers())?;
+        if long {
+            // Until it has come whole, an answer leaves some of it unread.
+            self.visit.early.store(true, Relaxed);
+        } else {
+            hand.coming().begin();
+        }
         self.visit.idle_since.store(0, Relaxed);
         self.visit.known.store(true, Relaxed);
         // Whatever is read from here on belongs to the next req.
@@ -410,10 +506,21 @@
             // Guards against a req that the program's end would leave without an answer.
             () = self.life.reached(Phase::Ending) => Ok(Answer::Abort),
         };
+        self.visit.early.store(long && !hand.coming().whole(), Relaxed);
         let answer = match answer {
             Ok(Answer::Done(answer)) => {
-                hand.ends(Ended::Success);
-                done(answer)
+                let (head, body) = done(answer).into_parts();
+                let body = match body {
+                    Reply::Whole(bytes) => {
+                        hand.ends(Ended::Success);
+                        Out::Whole(Full::new(bytes))
+                    }
+                    Reply::Long(pieces) => {
+                        let (visit, turn) = (self.visit.clone(), None);
+                        Out::Long(Passing { pieces, hand, _open: open, visit, turn })
+                    }
+                };
+                Response::from_parts(head, body)
             }
             Ok(Answer::Deny { come_back }) => {
                 hand.ends(Ended::Overload);
@@ -428,7 +535,7 @@
             Err(why) => say(500, &why.to_string()),
         };
         // Nothing has looked at what came behind it, or can tell where a chunked req ended.
-        let alone = framed && self.meter.behind_head() <= body;
+        let alone = framed && !long && self.meter.behind_head() <= body;
         Ok(if alone { answer } else { close(answer) })
     }
 }
@@ -452,8 +559,12 @@
     }
 
     /// Takes what the decisions need out of a req; the rest goes on as it came. With it, the room it holds.
-    async fn read(&self, req: Request<Incoming>, came: Nanos) -> Result<(Offer, OwnedSemaphorePermit), Bad> {
-        let (mut head, body) = req.into_parts();
+    async fn read(
+        &self,
+        req: Request<Incoming>,
+        came: Nanos,
+    ) -> Result<(Offer, InHand, OwnedSemaphorePermit), Bad> {
+        let (mut head, mut body) = req.into_parts();
         let field = |name: &str| head.headers.get(name).map(|value| value.to_str().unwrap_or_default());
         if head.method == Method::CONNECT {
             return Err(Bad(405, "no tunnels"));
@@ -467,60 +578,96 @@
         let first = head.uri.path().split('/').nth(1).unwrap_or_default();
         let rule_set = field("x-call-class").unwrap_or(first);
         let known = self.bounds.rule_sets.iter().find(|known| &***known == rule_set).cloned();
-        let ours = Req {
+        let mut ours = Req {
             id: 0,
             rule_set: known.ok_or(Bad(400, "no such class"))?,
             customer: "".into(),
             again: field("x-again") == Some("1"),
             taken: came,
             ends: came + ((budget * 1e9) as Nanos).saturating_sub(WAY_BACK),
+            coming: false,
             dispatches: Vec::new(),
         };
-        if body.size_hint().lower() > MOST_BODY as u64 {
+        if body.size_hint().lower() > MOST_LONG {
             return Err(Bad(413, "body too large"));
         }
-        let most = body.size_hint().upper().unwrap_or(MOST_BODY as u64) as u32;
+        let length = body.size_hint().exact();
+        let most =
+            length.filter(|length| *length <= MOST_BODY as u64).map_or(PER_LONG, |length| length as u32);
         let room = self.bounds.bodies.clone().acquire_many_owned(most).await;
         let room = room.map_err(|_| Bad(500, "the door is closed"))?;
-        let bytes = match Limited::new(body, MOST_BODY).collect().await {
-            Ok(bytes) => bytes.to_bytes(),
-            Err(why) if why.is::<LengthLimitError>() => return Err(Bad(413, "body too large")),
-            Err(_) => return Err(Bad(400, "body cut short")),
-        };
-        let framed = head.headers.contains_key(CONTENT_LENGTH) || !bytes.is_empty();
+        let hand = self.bounds.figures.expect(&ours.rule_set);
+        let (first, whole) = self.first(&mut body).await?;
+        let long = (!whole).then(|| Long::new(body, self.clock, hand.coming()));
+        let length = if whole { Some(first.len() as u64) } else { length };
+        if long.is_some() {
+            // Its time runs from its last byte, which is still to come.
+            ours.coming = true;
+            ours.ends += self.clock.now().saturating_sub(came);
+        }
+        let framed = head.headers.contains_key(CONTENT_LENGTH) || !first.is_empty();
         drop_hop_fields(&mut head.headers);
         head.headers.remove(EXPECT);
-        if framed {
-            head.headers.insert(CONTENT_LENGTH, bytes.len().into());
+        head.headers.remove(CONTENT_LENGTH);
+        if let Some(length) = length.filter(|_| framed) {
+            head.headers.insert(CONTENT_LENGTH, length.into());
         }
-        let mut message = Request::new(bytes);
+        let mut message = Request::new(());
         *message.method_mut() = head.method;
         if let Some(path) = head.uri.path_and_query() {
             *message.uri_mut() = path.clone().into();
         }
         *message.headers_mut() = head.headers;
-        Ok(((ours, message), room))
+        Ok(((ours, Message { head: message, first, length, long }), hand, room))
+    }
+
+    /// A body, or the first part of a long one, and whether that is all of it.
+    async fn first(&self, body: &mut Incoming) -> Result<(Bytes, bool), Bad> {
+        self.visit.got.store(0, Relaxed);
+        let mut bytes = BytesMut::new();
+        while bytes.len() <= MOST_BODY {
+            let Some(frame) = body.frame().await else { return Ok((bytes.freeze(), true)) };
+            if let Ok(data) = frame.map_err(|_| Bad(400, "body cut short"))?.into_data() {
+                self.visit.got.fetch_add(data.len() as u64, Relaxed);
+                bytes.extend_from_slice(&data);
+            }
+            if body.is_end_stream() {
+                return Ok((bytes.freeze(), true));
+            }
+        }
+        Ok((bytes.freeze(), false))
+    }
+
+    /// Returns when a body is too slow: it has until then, and longer for what has come of it.
+    async fn too_slow(&self, until: Nanos) {
+        loop {
+            let until = until + self.visit.got.load(Relaxed) * 1_000_000_000 / LEAST_RATE;
+            if self.clock.now() >= until {
+                return;
+            }
+            sleep_until(self.clock.instant(until)).await;
+        }
     }
 }
 
 /// A srv's answer as it goes on: its body and its own fields.
-fn done(answer: Response<Bytes>) -> Response<Full<Bytes>> {
+fn done(answer: Response<Reply>) -> Response<Reply> {
     let (mut head, body) = answer.into_parts();
     drop_hop_fields(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
-    let mut answer = Response::new(Full::new(body));
+    let mut answer = Response::new(body);
     *answer.headers_mut() = head.headers;
     answer
 }
 
-fn say(status: u16, line: &str) -> Response<Full<Bytes>> {
-    let mut answer = Response::new(Full::from(format!("{line}\n")));
+fn say(status: u16, line: &str) -> Response<Out> {
+    let mut answer = Response::new(Out::Whole(Full::from(format!("{line}\n"))));
     *answer.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     answer
 }
 
 /// Ends the connection with this answer.
-fn close(mut answer: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+fn close(mut answer: Response<Out>) -> Response<Out> {
     let headers: &mut HeaderMap = answer.headers_mut();
     headers.insert(CONNECTION, HeaderValue::from_static("close"));
     answer
--- a/balancer/src/link.rs
+++ b/balancer/src/link.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use futures_util::FutureExt;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{CONNECTION, HeaderMap, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
@@ -23,16 +23,21 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
+use crate::body::{Load, Message};
 use crate::clock::Clock;
 use crate::figures::Figures;
-use crate::start::MOST_BODY;
+use crate::start::{MOST_BODY, MOST_LONG};
 
 /// A head, either way, holds no more than this.
 pub const MOST_HEAD: usize = 32 * 1024;
-/// An answer that has begun and of which nothing comes for so long has stopped.
+/// More than any req has bytes: none was told.
+const UNMEASURED: u64 = u64::MAX - 1;
+/// An answer that has begun and of which nothing comes for so long has stopped, if all of it is waited for.
 const STALL: Duration = Duration::from_secs(1);
+/// How long the first part of an answer whose length nobody told is held back: it may turn out short.
+const HOLD: Duration = Duration::from_millis(1_200);
 
 /// What went over a socket, told by the socket itself.
 #[derive(Default)]
@@ -220,13 +225,16 @@
 
 /// A connection that we opened.
 pub struct Link {
-    send: SendRequest<Full<Bytes>>,
+    send: SendRequest<Load>,
     /// Empty once it has ended.
-    connection: Option<Connection<TokioIo<Wire>, Full<Bytes>>>,
+    connection: Option<Connection<TokioIo<Wire>, Load>>,
     stream: Arc<TcpStream>,
     meter: Arc<Meter>,
     /// With this many bytes written, the req of the last exchange has gone whole.
     whole_at: u64,
+    /// The req whose body's length nobody told: it has gone whole once its last byte has come.
+    unmeasured: Option<Arc<Message>>,
+    figures: Option<Arc<Figures>>,
     _permit: Option<OwnedSemaphorePermit>,
 }
 
@@ -238,11 +246,11 @@
         figures: Option<Arc<Figures>>,
     ) -> io::Result<Link> {
         let stream = Arc::new(TcpStream::connect(to).await?);
-        let (wire, meter) = Wire::new(stream.clone(), clock, figures);
+        let (wire, meter) = Wire::new(stream.clone(), clock, figures.clone());
         let handshake = http1::Builder::new().max_buf_size(MOST_HEAD).handshake(wire).await;
         let (send, connection) = handshake.map_err(io::Error::other)?;
         let (connection, whole_at) = (Some(connection), u64::MAX);
-        Ok(Link { send, connection, stream, meter, whole_at, _permit: permit })
+        Ok(Link { send, connection, stream, meter, whole_at, unmeasured: None, figures, _permit: permit })
     }
 
     /// Whether an idle connection may carry another req: it is open, and nothing unasked for lies unread on
@@ -264,38 +272,105 @@
     }
 
     pub fn sent_whole(&self) -> bool {
-        self.meter.written.load(Relaxed) >= self.whole_at
+        let ended = |message: &Arc<Message>| message.long.as_ref().is_some_and(|long| long.ended().is_some());
+        self.meter.written.load(Relaxed) >= self.whole_at || self.unmeasured.as_ref().is_some_and(ended)
     }
 
     pub fn last_read(&self) -> Nanos {
         self.meter.last_read()
     }
 
-    /// One req and its whole answer. `again` when the connection may carry another one after it. What the answer
-    /// holds beyond `MOST_BODY`, up to `most`, takes its place in `room` for as long as it lives.
+    /// Sends one req, and returns the head of its answer. Nothing of the body has to come for that; whoever goes on
+    /// reading does it here, for nobody else drives the connection.
+    pub async fn begin(
+        &mut self,
+        req: Request<Load>,
+        message: Option<&Arc<Message>>,
+    ) -> Result<Response<Incoming>, String> {
+        self.meter.written.store(0, Relaxed);
+        let length = message.map_or(Some(0), |message| message.length);
+        self.whole_at = length.map_or(UNMEASURED, |length| least_length(&req, length));
+        self.unmeasured = message.filter(|_| length.is_none()).cloned();
+        self.meter.count_at.store(length.map_or(0, |_| self.whole_at), Relaxed);
+        let Link { send, connection, .. } = self;
+        let answer = drive(connection, send.send_request(req)).await;
+        if self.unmeasured.is_some() && self.sent_whole() {
+            self.figures.iter().for_each(|figures| figures.dispatched());
+        }
+        answer.map_err(|e| e.to_string())
+    }
+
+    /// Ends an exchange all of whose answer has come: whether the connection may carry another one.
+    pub fn end(&mut self, version: Version) -> bool {
+        // What was counted is this exchange's; the next req has not begun.
+        self.whole_at = u64::MAX;
+        version == Version::HTTP_11 && self.ready()
+    }
+
+    /// One req without a body and its whole answer. `again` when the connection may carry another one after it. What
+    /// the answer holds beyond `MOST_BODY`, up to `most`, takes its place in `room` for as long as it lives.
     pub async fn exchange(
         &mut self,
-        req: Request<Bytes>,
+        req: Request<()>,
         most: usize,
         room: &Arc<Semaphore>,
     ) -> Result<(Response<Bytes>, bool), String> {
-        self.meter.written.store(0, Relaxed);
-        self.whole_at = least_length(&req);
-        self.meter.count_at.store(self.whole_at, Relaxed);
-        let Link { send, connection, .. } = self;
-        let answer = async {
-            let (head, body) =
-                send.send_request(req.map(Full::new)).await.map_err(|e| e.to_string())?.into_parts();
-            Ok::<_, String>(Response::from_parts(head, whole(body, most, room).await?))
+        let (head, body) = self.begin(req.map(|()| Load::empty()), None).await?.into_parts();
+        let body = drive(&mut self.connection, whole(body, most, room)).await?;
+        let again = self.end(head.version);
+        Ok((Response::from_parts(head, body), again))
+    }
+
+    /// The next piece of an answer's body; nothing at its end.
+    pub async fn piece(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, String> {
+        let piece = async {
+            while let Some(frame) = body.frame().await {
+                if let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() {
+                    return Ok(Some(data));
+                }
+            }
+            Ok(None)
         };
-        let answer = drive(connection, answer).await?;
-        // What was counted is this exchange's; the next req has not begun.
-        self.whole_at = u64::MAX;
-        let again = answer.version() == Version::HTTP_11 && self.ready();
-        Ok((answer, again))
+        drive(&mut self.connection, piece).await
+    }
+
+    /// All of an answer's body, or the first part of one that is long.
+    pub async fn take(&mut self, mut body: Incoming) -> Result<Body, String> {
+        let length = body.size_hint().exact();
+        match length {
+            Some(length) if length > MOST_LONG => return Err(format!("an answer of {length} bytes")),
+            Some(length) if length > MOST_BODY as u64 => {
+                return Ok(Body::Long(Bytes::new(), Some(length), body));
+            }
+            _ => {}
+        }
+        let mut bytes = Vec::new();
+        let held_back = Instant::now() + HOLD;
+        loop {
+            let stopped = Instant::now() + STALL;
+            let until = if length.is_none() { held_back } else { stopped };
+            match timeout_at(until, self.piece(&mut body)).await {
+                Ok(piece) => match piece? {
+                    Some(data) => bytes.extend_from_slice(&data),
+                    None => return Ok(Body::Whole(bytes.into())),
+                },
+                Err(_) if length.is_none() => return Ok(Body::Long(bytes.into(), None, body)),
+                Err(_) => return Err("the answer stopped".into()),
+            }
+            if bytes.len() > MOST_BODY {
+                return Ok(Body::Long(bytes.into(), None, body));
+            }
+        }
     }
 }
 
+/// What has come of an answer's body: all of it, or the first part of a long one, its length if it was told, and
+/// the rest.
+pub enum Body {
+    Whole(Bytes),
+    Long(Bytes, Option<u64>, Incoming),
+}
+
 /// All of an answer's body. Guards against one that is said to be endless, and against one that stops half way on
 /// a connection that stays open: nothing more will come, and its req may still be sent again.
 async fn whole(mut body: Incoming, most: usize, room: &Arc<Semaphore>) -> Result<Bytes, String> {
@@ -315,16 +390,16 @@
         }
         bytes.extend_from_slice(&data);
     }
-    Ok(Bytes::from_owner(Body { bytes, _held: held }))
+    Ok(Bytes::from_owner(Held { bytes, _held: held }))
 }
 
 /// A body, and its place among the large ones.
-struct Body {
+struct Held {
     bytes: Vec<u8>,
     _held: Option<OwnedSemaphorePermit>,
 }
 
-impl AsRef<[u8]> for Body {
+impl AsRef<[u8]> for Held {
     fn as_ref(&self) -> &[u8] {
         &self.bytes
     }
@@ -332,7 +407,7 @@
 
 /// Runs something on a connection and the connection itself, in one task.
 async fn drive<T>(
-    connection: &mut Option<Connection<TokioIo<Wire>, Full<Bytes>>>,
+    connection: &mut Option<Connection<TokioIo<Wire>, Load>>,
     work: impl Future<Output = T>,
 ) -> T {
     let mut work = pin!(work);
@@ -350,14 +425,14 @@
 }
 
 /// How many bytes the req is on the socket, as hyper writes it.
-fn least_length(req: &Request<Bytes>) -> u64 {
+fn least_length<T>(req: &Request<T>, body: u64) -> u64 {
     let path = req.uri().path_and_query().map_or(1, |path| path.as_str().len());
     let line = req.method().as_str().len() + path + " ".len() + " HTTP/1.1\r\n".len();
     let field = |(name, value): (&HeaderName, &hyper::header::HeaderValue)| {
         name.as_str().len() + ": ".len() + value.len() + "\r\n".len()
     };
     let head = line + req.headers().iter().map(field).sum::<usize>() + "\r\n".len();
-    (head + req.body().len()) as u64
+    head as u64 + body
 }
 
 /// Takes out what concerns one connection only, and goes no further than that.
--- a/balancer/src/list.rs
+++ b/balancer/src/list.rs
@@ -148,7 +148,7 @@
             Some(generation) => format!("/catalog/members?after={generation}&wait_ms={wait}"),
             None => "/catalog/members".to_owned(),
         };
-        let req = Request::get(path).header(HOST, self.discovery.to_string()).body(Bytes::new());
+        let req = Request::get(path).header(HOST, self.discovery.to_string()).body(());
         // Taken, so that a call cut short takes its connection with it.
         let mut link = match self.link.take().and_then(|mut link| link.sound().then_some(link)) {
             Some(link) => link,
--- a/balancer/src/peer.rs
+++ b/balancer/src/peer.rs
@@ -11,24 +11,29 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::stream::{FuturesUnordered, StreamExt};
+use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderName, HeaderValue};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use ochreshed::{How, Name, Nanos, seconds};
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, timeout};
 
+use crate::body::{self, Message, Pass, Pieces, Reply};
 use crate::clock::Clock;
 use crate::decisions;
 use crate::figures::Figures;
-use crate::link::Link;
-use crate::start::{MOST_ANSWER, MOST_BODY};
+use crate::link::{Body, Link};
+use crate::start::{MOST_BODY, PER_LONG};
 
 pub const BUDGET: HeaderName = HeaderName::from_static("x-budget");
 const MAILBOX: usize = 512;
 /// An idle connection is left alone this long before its limit, and kept no more than so many.
 const IDLE_MARGIN: Nanos = 1_000_000_000;
 const MOST_IDLE: usize = 32;
+/// A long answer of which nothing comes for so long, or of which its client takes nothing, is given up.
+const SRV_STANDS: Duration = Duration::from_secs(5);
+const CLIENT_STANDS: Duration = Duration::from_secs(10);
 /// A peer ends once it has carried nothing for so long and holds no connection.
 const UNUSED: Duration = Duration::from_secs(30);
 
@@ -45,7 +50,7 @@
     pub id: u64,
     pub number: usize,
     pub give_up: Nanos,
-    pub message: Arc<Request<Bytes>>,
+    pub message: Arc<Message>,
     /// It must not run twice.
     pub once: bool,
     pub recalled: oneshot::Receiver<()>,
@@ -78,7 +83,7 @@
     pub decisions: mpsc::Sender<decisions::Mail>,
     pub sockets: Arc<Semaphore>,
     pub reuse: Arc<Reuse>,
-    /// Bytes of large answers.
+    /// Bytes of long answers.
     pub large: Arc<Semaphore>,
     pub figures: Arc<Figures>,
     /// With no more than these left, connections are closed rather than kept idle. Guards against reqs denied
@@ -156,6 +161,7 @@
 
     async fn carry_out(&self, job: Job, reused: Option<Link>) -> Option<Link> {
         let Job { id, number, give_up, message, mut recalled, .. } = job;
+        let (clock, begun) = (self.common.clock, self.common.clock.now());
         let mut link = reused;
         let result = {
             let mut work = pin!(self.dispatch(&mut link, &message, give_up));
@@ -163,7 +169,7 @@
                 biased;
                 Ok(()) = &mut recalled => Err(How::Recalled),
                 result = &mut work => result,
-                () = sleep_until(self.common.clock.instant(give_up)) => {
+                () = self.due((id, number), &message, begun, give_up) => {
                     // Guards against a pause of the whole process, after which timers come before the news of
                     // sockets: an answer that is there counts.
                     yield_now().await;
@@ -171,23 +177,81 @@
                 }
             }
         };
-        let (how, answer, again) = match result {
-            Ok((answer, again)) => {
-                let (how, answer) = judge(answer);
-                (how, answer, again)
+        let long = message.long.as_ref();
+        let waited = long.and_then(|long| long.ended()).map_or(0, |at| at.saturating_sub(begun));
+        let ended = |how, at, answer| decisions::Mail::Ended { id, number, how, at, waited, answer };
+        let (how, got) = match result {
+            Ok(got) => {
+                let how = judge(&got.answer);
+                (how, Some(got).filter(|_| how == How::Done))
             }
-            // Recalled or timed out before it was written whole: it is proved never to have run.
-            Err(How::Recalled | How::TimedOut) if !sent_whole(&link) => (How::NotSent, None, false),
-            Err(how) => (how, None, false),
+            // Given up or broken before it was written whole: it is proved never to have run. If its client did not
+            // send all of it, that is no fault of the srv.
+            Err(How::Recalled | How::TimedOut) if !sent_whole(&link) => (How::NotSent, None),
+            Err(How::NoConnection) if long.is_some_and(|long| long.broke()) => (How::NotSent, None),
+            Err(how) => (how, None),
         };
-        let at = match &link {
-            Some(link) if again => link.last_read(),
-            _ => self.common.clock.now(),
-        };
-        // Closed before the end is told, so that no second copy can be out beside this one.
-        let link = link.filter(|_| again);
-        let _ = self.common.decisions.send(decisions::Mail::Ended { id, number, how, at, answer }).await;
-        link
+        match got {
+            Some(Got { answer, rest: Some((length, rest, _room)), .. }) => {
+                let version = answer.version();
+                let (pass, pieces) = {
+                    let (head, first) = answer.into_parts();
+                    let (pass, pieces) = Pieces::new(first, length);
+                    (pass, Response::from_parts(head, Reply::Long(pieces)))
+                };
+                // Done with its first bytes: the rest has no client timeout.
+                let _ = self.common.decisions.send(ended(how, clock.now(), Some(pieces))).await;
+                self.pass_on(link, version, (length, rest), pass).await
+            }
+            got => {
+                let again = got.as_ref().is_some_and(|got| got.again);
+                let at = match &link {
+                    Some(link) if again => link.last_read(),
+                    _ => clock.now(),
+                };
+                // Closed before the end is told, so that no second copy can be out beside this one.
+                let link = link.filter(|_| again);
+                let answer = got.map(|got| got.answer.map(Reply::Whole));
+                let _ = self.common.decisions.send(ended(how, at, answer)).await;
+                link
+            }
+        }
+    }
+
+    /// Returns at the time by which a dispatch must have its answer: for a long body, as much later as that took.
+    async fn due(&self, (id, number): (u64, usize), message: &Message, begun: Nanos, give_up: Nanos) {
+        let mut late = 0;
+        if let Some(long) = &message.long {
+            let Some(at) = long.end().await else { return };
+            late = at.saturating_sub(begun);
+            let _ = self.common.decisions.send(decisions::Mail::Written { id, number }).await;
+        }
+        sleep_until(self.common.clock.instant(give_up.saturating_add(late))).await;
+    }
+
+    /// Passes on the rest of a long answer, as fast as its client takes it. Guards against either side that stands
+    /// still; the client sees that the answer is cut.
+    async fn pass_on(
+        &self,
+        link: Option<Link>,
+        version: Version,
+        (length, mut rest): (Option<u64>, Incoming),
+        pass: Pass,
+    ) -> Option<Link> {
+        let (mut link, mut left) = (link?, length.unwrap_or(u64::MAX));
+        loop {
+            let piece = tokio::select! {
+                piece = timeout(SRV_STANDS, link.piece(&mut rest)) => piece.ok()?.ok()?,
+                // One whose length was told listens no more once it has all.
+                () = pass.closed(), if left > 0 => return None,
+            };
+            let Some(piece) = piece else {
+                let _ = pass.send_timeout(None, CLIENT_STANDS).await;
+                return link.end(version).then_some(link);
+            };
+            left = left.saturating_sub(piece.len() as u64);
+            pass.send_timeout(Some(piece), CLIENT_STANDS).await.ok()?;
+        }
     }
 
     /// Sends the req once. A reused connection that turns out dead before the first byte of it was written
@@ -195,9 +259,9 @@
     async fn dispatch(
         &self,
         link: &mut Option<Link>,
-        message: &Request<Bytes>,
+        message: &Arc<Message>,
         give_up: Nanos,
-    ) -> Result<(Response<Bytes>, bool), How> {
+    ) -> Result<Got, How> {
         let mut reused = link.is_some();
         loop {
             let on = match link {
@@ -210,7 +274,9 @@
                 return Err(How::NotSent);
             }
             let asked = self.common.clock.now();
-            let answer = on.exchange(self.address_to(message, left), MOST_ANSWER, &self.common.large).await;
+            // A long body of which a part has gone to another srv can't be sent whole any more.
+            let req = self.address_to(message, left).ok_or(How::NotSent)?;
+            let answer = self.exchange(on, req, message).await;
             if reused {
                 self.common.reuse.note(answer.is_err() && on.sent_whole() && on.last_read() < asked);
             }
@@ -223,11 +289,35 @@
         }
     }
 
+    async fn exchange(
+        &self,
+        on: &mut Link,
+        req: Request<body::Load>,
+        message: &Arc<Message>,
+    ) -> Result<Got, String> {
+        let (head, body) = on.begin(req, Some(message)).await?.into_parts();
+        // An answer that came before all of the req was written ends its connection.
+        let sent = on.sent_whole();
+        match on.take(body).await? {
+            Body::Whole(bytes) => {
+                let again = on.end(head.version) && sent;
+                Ok(Got { answer: Response::from_parts(head, bytes), again, rest: None })
+            }
+            Body::Long(first, length, rest) => {
+                // What goes on of it takes its place among all that do.
+                let room = self.common.large.clone().acquire_many_owned(PER_LONG).await;
+                let room = room.map_err(|e| e.to_string())?;
+                let answer = Response::from_parts(head, first);
+                Ok(Got { answer, again: false, rest: Some((length, rest, room)) })
+            }
+        }
+    }
+
     async fn probe(&self, give_up: Nanos) -> Option<Link> {
         let at = self.common.clock.now();
         let asked = async {
             let mut link = self.open().await?;
-            let ping = Request::get("/ping").header(HOST, self.address.to_string()).body(Bytes::new());
+            let ping = Request::get("/ping").header(HOST, self.address.to_string()).body(());
             let answer = link.exchange(ping.map_err(|_| How::NotSent)?, MOST_BODY, &self.common.large).await;
             Ok((answer.map_err(|_| How::Reset)?.0, link))
         };
@@ -256,14 +346,23 @@
     }
 
     /// The req as it goes to this srv: the bytes that came, and the time that is left.
-    fn address_to(&self, message: &Request<Bytes>, left: Nanos) -> Request<Bytes> {
-        let mut req = message.clone();
+    fn address_to(&self, message: &Arc<Message>, left: Nanos) -> Option<Request<body::Load>> {
+        let load = message.load()?;
+        let mut req = message.head.clone().map(|()| load);
         req.headers_mut().insert(HOST, text(self.address.to_string()));
         req.headers_mut().insert(BUDGET, text(format!("{:.6}", seconds(left))));
-        req
+        Some(req)
     }
 }
 
+/// What came of a dispatch: the answer, or the head and the first part of a long one; its length, its rest, and its
+/// place in memory.
+struct Got {
+    answer: Response<Bytes>,
+    again: bool,
+    rest: Option<(Option<u64>, Incoming, OwnedSemaphorePermit)>,
+}
+
 fn text(value: String) -> HeaderValue {
     // Digits, dots and the like are always a header's value.
     HeaderValue::try_from(value).unwrap_or_else(|_| HeaderValue::from_static(""))
@@ -273,12 +372,12 @@
     link.as_ref().is_some_and(Link::sent_whole)
 }
 
-/// What a whole answer says of its dispatch, and the answer itself if it is one for the client.
-fn judge(answer: Response<Bytes>) -> (How, Option<Response<Bytes>>) {
+/// What an answer says of its dispatch.
+fn judge(answer: &Response<Bytes>) -> How {
     let turned_away = answer.headers().get("x-rejected").is_some_and(|value| value == "1");
     match answer.status() {
-        StatusCode::OK => (How::Done, Some(answer)),
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => (How::Full, None),
-        _ => (How::Error, None),
+        StatusCode::OK => How::Done,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => How::Full,
+        _ => How::Error,
     }
 }
--- a/balancer/src/start.rs
+++ b/balancer/src/start.rs
@@ -10,9 +10,11 @@
 
 const KB: usize = 1024;
 
-/// A req's body holds no more than this, and no more than `MOST_ANSWER` its answer's, which is seldom larger.
+/// A body of up to so many bytes is kept whole. A longer one, up to the most, is passed on as it comes and takes so
+/// much of the memory for bodies.
 pub const MOST_BODY: usize = 64 * KB;
-pub const MOST_ANSWER: usize = 1024 * KB;
+pub const MOST_LONG: u64 = 32 << 20;
+pub const PER_LONG: u32 = 192 * KB as u32;
 /// Descriptors kept for what is neither a caller's connection nor a srv's.
 const SPARE_SOCKETS: usize = 32;
 /// What a caller's connection costs in memory beside a body: its buffers, and a head that is coming.
@@ -30,7 +32,7 @@
     /// Connections from callers, and to srvs.
     pub most_in: usize,
     pub most_out: usize,
-    /// Bytes of reqs' bodies in hand, all together, and of answers over `MOST_BODY`.
+    /// Bytes of reqs' bodies in hand, all together, and of long answers.
     pub most_bodies: usize,
     /// The list as this balancer last had it, in discovery's form.
     pub known: Json,
@@ -79,7 +81,7 @@
             seed: u64::from_str_radix(text("seed")?, 16).map_err(|_| "seed is no hexadecimal number")?,
             most_in: most(PER_CALLER),
             most_out: most(MOST_BODY),
-            most_bodies: (quarter / 2).clamp(MOST_ANSWER, 1 << 30),
+            most_bodies: (quarter / 2).clamp(1024 * KB, 1 << 30),
             facts: facts::from_json(&json["settings"])?,
             known: json["known"].take(),
         })
--- a/emulator/src/world.rs
+++ b/emulator/src/world.rs
@@ -399,6 +399,7 @@
             again: matches!(caller, Caller::Client { try_number, .. } if try_number > 0),
             taken: now,
             ends,
+            coming: false,
             dispatches: Vec::new(),
         };
         self.instances[instance].chooser.take(now, req);
--- a/hands/src/lib.rs
+++ b/hands/src/lib.rs
@@ -73,6 +73,13 @@
         self.place(now, id);
     }
 
+    /// The last byte of a dispatch of a req that was still coming has been written.
+    pub fn written(&mut self, now: Nanos, id: u64, number: usize) {
+        if let Some(held) = self.reqs.get(&id) {
+            self.balancer.after(now, Outcome::Written { req: &held.req, number });
+        }
+    }
+
     /// A dispatch has ended.
     pub fn ended(&mut self, now: Nanos, id: u64, number: usize, end: End) {
         let End { how, took, closed, report } = end;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -403,6 +403,13 @@
                 self.judge(now, who, self.health_at(&req.rule_set), how, took);
                 if closed { Follow::Nothing } else { Follow::Place }
             }
+            Outcome::Written { req, number } => {
+                let out = req.dispatches.get(number).filter(|dispatch| dispatch.how.is_none());
+                if let Some(who) = out.and_then(|dispatch| self.fleet.find(&dispatch.srv)) {
+                    self.fleet.sent(now, who, req.id, number);
+                }
+                Follow::Nothing
+            }
             Outcome::Probe { srv, report, .. } => {
                 if let Some(who) = self.fleet.find(srv) {
                     self.note_report(now, who, report);
--- a/src/decide/days.rs
+++ b/src/decide/days.rs
@@ -368,7 +368,16 @@
                 let ends = self.now + 3 * S;
                 let (rule_set, customer) = (rule_set.into(), "".into());
                 let dispatches = Vec::new();
-                let req = Req { id, rule_set, customer, again: false, taken: self.now, ends, dispatches };
+                let req = Req {
+                    id,
+                    rule_set,
+                    customer,
+                    again: false,
+                    taken: self.now,
+                    ends,
+                    coming: false,
+                    dispatches,
+                };
                 self.reqs.insert(id, req);
                 self.place(id);
                 let gap = -self.chance.part().max(1e-9).ln() / self.day.rate as f64;
--- a/src/decide/pick.rs
+++ b/src/decide/pick.rs
@@ -266,7 +266,10 @@
             self.fill(now, who);
             self.fleet.get_mut(who).budget -= 1.0;
         }
-        self.fleet.sent(now, who, req.id, req.dispatches.len());
+        // A body that is still coming may take seconds, and its srv has not begun.
+        if !req.coming {
+            self.fleet.sent(now, who, req.id, req.dispatches.len());
+        }
         let srv = self.fleet.get(who);
         let site = self.fleet.sites[srv.site as usize].name.clone();
         req.dispatches.push(Dispatch { srv: srv.name.clone(), site, cell: srv.cell, at: now, how: None });
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -62,6 +62,8 @@
     pub taken: Nanos,
     /// When the client stops waiting for this try.
     pub ends: Nanos,
+    /// Its last byte is still to come, and `Outcome::Written` tells when that has gone to the srv.
+    pub coming: bool,
     pub dispatches: Vec<Dispatch>,
 }
 
@@ -111,6 +113,11 @@
         closed: bool,
         report: &'a [f64],
     },
+    /// The last byte of a dispatch of a req that was still coming has been written: only now its srv begins.
+    Written {
+        req: &'a Req,
+        number: usize,
+    },
     Probe {
         srv: &'a str,
         how: How,
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -96,6 +96,7 @@
                 again: false,
                 taken: self.now,
                 ends: self.now + 3_000 * MS,
+                coming: false,
                 dispatches: Vec::new(),
             },
         );
--- a/tests/standing.rs
+++ b/tests/standing.rs
@@ -1,6 +1,6 @@
 //! What a balancer says of its list: how many srvs are listed, and how many of those it avoids.
 
-use ochreshed::{Balancer, Facts, Listed, Outcome, State};
+use ochreshed::{Balancer, Facts, Listed, Outcome, Place, Req, State};
 
 fn entry(number: u64, state: State) -> Listed {
     let srv = format!("s{number}").into();
@@ -21,3 +21,34 @@
     balancer.after(4, Outcome::List { whole: true, old: false, entries: &whole[2..4] });
     assert_eq!(balancer.standing(), (2, 0));
 }
+
+/// Guards against long bodies that are still coming and fill the level: their srv has not begun, and everything else
+/// would be denied.
+#[test]
+fn a_req_that_is_still_coming_counts_at_its_srv_from_its_last_byte() {
+    let calm = |coming: bool| {
+        let mut balancer = Balancer::new(1, 1, Facts::new());
+        let whole: Vec<Listed> = (0..2).map(|number| entry(number, State::Up)).collect();
+        balancer.after(2, Outcome::List { whole: true, old: false, entries: &whole });
+        let mut placed = 0;
+        for id in 0..200 {
+            let mut req = Req {
+                id,
+                rule_set: "a".into(),
+                customer: "".into(),
+                again: false,
+                taken: 10,
+                ends: 3_000_000_000,
+                coming,
+                dispatches: Vec::new(),
+            };
+            placed += usize::from(matches!(balancer.place(10 + id, &mut req), Place::Send { .. }));
+            if coming && id == 100 {
+                balancer.after(11 + id, Outcome::Written { req: &req, number: 0 });
+            }
+        }
+        placed
+    };
+    assert!(calm(false) < 100, "the level bounds nothing");
+    assert_eq!(calm(true), 200);
+}
