--- a/src/decide.rs
+++ b/src/decide.rs
@@ -60,6 +60,8 @@
 const AFTER_LOSS: Nanos = 10 * S;
 /// Steady: so many done in 2 s at least, for the same reason, and asked for at most this part of the best.
 const STEADY: (f64, f64) = (5.0, 1.2);
+/// Nobody asked for so long: what was done meanwhile says nothing of the srvs.
+const IDLE: Nanos = 3 * S;
 /// A dispatch is overdue after this many of those spans.
 const SILENT: f64 = 1.5;
 /// The part of its response target that a req may wait in our queue.
@@ -68,6 +70,9 @@
 pub struct Balancer {
     told: Told,
     born: Nanos,
+    /// When it was last asked, and since when without such a pause.
+    asked_at: Nanos,
+    back: Nanos,
     tier: usize,
     tiers: usize,
     instances: f64,
@@ -120,6 +125,8 @@
         let watch_at = (text(&facts, "list_mode") == "ask").then(|| now + chance.span(S));
         Balancer {
             born: now,
+            asked_at: now,
+            back: now,
             tier: number(&facts, "tier", 0.0) as usize,
             tiers: number(&facts, "tiers", 1.0) as usize,
             instances: number(&facts, "instances", 1.0).max(1.0),
@@ -180,6 +187,12 @@
         }
         if held.is_none() {
             self.asked.add(now, 1.0);
+            // Guards against levels that sank while clients were sent away, and deny them when they return.
+            let pause = now.saturating_sub(std::mem::replace(&mut self.asked_at, now));
+            if pause > IDLE {
+                self.back = now;
+                self.fleet.pause(now, pause);
+            }
         }
         let over_share = held.is_none() && self.count_customer(now, &req.customer);
         if (called || self.waiting.is_empty())
@@ -276,8 +289,8 @@
 
     /// What any srv may have in flight from us, however little it has done for us: our share of a few.
     fn floor(&self, now: Nanos) -> f64 {
-        // A new instance has seen nothing done yet, and that says nothing of the srvs.
-        let few = if now < self.born + 2 * S { 12.0 } else { 4.0 };
+        // A new instance, or one that nobody asked, has seen nothing done, and that says nothing of the srvs.
+        let few = if now < self.back + 2 * S { 12.0 } else { 4.0 };
         few / self.turned_by()
     }
 
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -149,6 +149,8 @@
     known_long: Counts,
     known_short: Vec<(Nanos, Counts)>,
     pace: Ring,
+    /// From when on what was done counts, as if a pause had not been.
+    paced_from: Nanos,
     now: Nanos,
     reported: f64,
     reported_weight: i128,
@@ -219,6 +221,7 @@
             known_long: Counts::default(),
             known_short: Vec::new(),
             pace,
+            paced_from: 0,
             now,
             reported: 0.0,
             reported_weight: 0,
@@ -710,15 +713,21 @@
     /// that is more.
     pub fn level(&mut self, now: Nanos, span: f64, floor: f64) -> f64 {
         let pace = &self.pace;
-        let worth = |known: Nanos| move |count: f64| pace.rate_of(count, now, known) * span;
+        let from = self.paced_from;
+        let worth = |known: Nanos| move |count: f64| pace.rate_of(count, now, known.max(from)) * span;
         let long = self.known_long.sum(worth(0), floor);
         let short = self.known_short.iter_mut().map(|(known, counts)| counts.sum(worth(*known), floor));
         long + short.sum::<f64>()
     }
 
+    /// Takes a pause without reqs out of the time in which srvs did what they did.
+    pub fn pause(&mut self, now: Nanos, pause: Nanos) {
+        self.paced_from = now - DONE_SPAN.saturating_sub(pause).min(now);
+    }
+
     /// What is done at a srv each second.
     pub fn done_rate(&self, now: Nanos, srv: &Srv) -> f64 {
-        self.pace.rate_of(f64::from(srv.count), now, srv.known)
+        self.pace.rate_of(f64::from(srv.count), now, srv.known.max(self.paced_from))
     }
 
     /// The weight in our turns, less what ramps take off it.
--- a/tests/standing.rs
+++ b/tests/standing.rs
@@ -1,6 +1,6 @@
 //! What a balancer says of its list: how many srvs are listed, and how many of those it avoids.
 
-use ochreshed::{Balancer, Facts, Listed, Outcome, Place, Req, State};
+use ochreshed::{Balancer, Facts, How, Listed, Outcome, Place, Req, State, Value};
 
 fn entry(number: u64, state: State) -> Listed {
     let srv = format!("s{number}").into();
@@ -52,3 +52,48 @@
     assert!(calm(false) < 100, "the level bounds nothing");
     assert_eq!(calm(true), 200);
 }
+
+/// Guards against levels that sink while clients are sent away: what is done in that time says nothing of the srvs,
+/// and all clients come back at once.
+#[test]
+fn after_a_pause_without_reqs_it_takes_what_it_took_before() {
+    const MS: u64 = 1_000_000;
+    let facts = Facts::from([("instances".to_owned(), Value::Number(2.0))]);
+    let mut balancer = Balancer::new(1, 1, facts);
+    let whole: Vec<Listed> = (0..8).map(|number| entry(number, State::Up)).collect();
+    balancer.after(2, Outcome::List { whole: true, old: false, entries: &whole });
+    let (mut id, mut denied) = (0, [0, 0]);
+    let mut out: Vec<(u64, Req)> = Vec::new();
+    // 60 a second, each done after 400 ms: for 8 s, and again after a pause of 4.5 s.
+    for (part, from) in [(0, 0), (1, 12_500)] {
+        for now in (from..from + 8_000).map(|ms| ms * MS + 10) {
+            for (_, mut req) in out.extract_if(.., |(due, _)| *due <= now) {
+                let (how, took) = (How::Done, 400 * MS);
+                let end =
+                    Outcome::Dispatch { req: &mut req, number: 0, how, took, closed: true, report: &[] };
+                balancer.after(now, end);
+            }
+            if (now / MS) % 50 >= 3 {
+                continue;
+            }
+            id += 1;
+            let (rule_set, customer) = ("a".into(), "".into());
+            let (taken, ends, dispatches) = (now, now + 3_000 * MS, Vec::new());
+            let mut req =
+                Req { id, rule_set, customer, again: false, taken, ends, coming: false, dispatches };
+            match balancer.place(now, &mut req) {
+                Place::Send { .. } => out.push((now + 400 * MS, req)),
+                _ => denied[part] += 1,
+            }
+        }
+        // What is out is done before the pause.
+        for (due, mut req) in out.drain(..) {
+            let (how, took) = (How::Done, 400 * MS);
+            balancer.after(
+                due,
+                Outcome::Dispatch { req: &mut req, number: 0, how, took, closed: true, report: &[] },
+            );
+        }
+    }
+    assert_eq!(denied, [0, 0]);
+}
