--- a/balancer/src/front.rs
+++ b/balancer/src/front.rs
@@ -107,6 +107,9 @@
     got: AtomicU64,
     cut: AtomicBool,
     leave: Notify,
+    /// Its place is needed now.
+    go: Notify,
+    meter: Arc<Meter>,
     /// A body that is still coming is not waited for.
     hurry: Notify,
 }
@@ -156,7 +159,7 @@
         // Whoever waits in the queue would be reset. The system is asked, not the runtime, which may not have come to
         // the news yet.
         match listener.into_std() {
-            Ok(listener) if self.life.handed() => {
+            Ok(listener) => {
                 while let Ok((stream, _)) = listener.accept() {
                     let _ = stream.set_nonblocking(true);
                     if let Ok(stream) = TcpStream::from_std(stream) {
@@ -165,7 +168,7 @@
                     }
                 }
             }
-            _ => {}
+            Err(why) => warn!("accept: {why}"),
         }
         if self.life.handed() {
             let mut closed = pin!(self.life.reached(Phase::Closing));
@@ -214,22 +217,27 @@
         self.bounds.callers.load(Relaxed)
     }
 
-    /// Sends the connection away that has carried no req for the longest time, those first that never did.
-    /// Guards against crowds of callers that connect and stay: they must not push out the usual ones.
+    /// Ends the connection without a req on which nothing has moved for the longest time. Guards against crowds that
+    /// connect, ask once or send a part of a req, and stay: they must not keep out those who come, nor push out one
+    /// that is slow but goes on.
     fn free_one(&self) {
         let visits = held(&self.visits);
         let idle = visits.values().filter(|visit| visit.idle_since.load(Relaxed) > 0);
-        let key = |visit: &&Arc<Visit>| (visit.known.load(Relaxed), visit.idle_since.load(Relaxed));
-        if let Some(visit) = idle.min_by_key(key) {
+        if let Some(visit) = idle.min_by_key(|visit| visit.moved()) {
             // Told once: the next time it is another's turn.
             visit.idle_since.store(0, Relaxed);
-            visit.leave.notify_one();
-            visit.hurry.notify_one();
+            if visit.until.load(Relaxed) == Nanos::MAX {
+                visit.hurry.notify_one();
+            } else {
+                visit.go.notify_one();
+            }
         }
     }
 
     fn guest(&self, number: u64, stream: TcpStream) -> impl Future<Output = ()> + use<S> {
         let came = self.clock.now();
+        let stream = Arc::new(stream);
+        let (wire, meter) = Wire::new(stream.clone(), self.clock, None);
         let visit = Arc::new(Visit {
             came,
             idle_since: came.into(),
@@ -241,11 +249,11 @@
             got: AtomicU64::new(0),
             cut: AtomicBool::new(false),
             leave: Notify::new(),
+            go: Notify::new(),
+            meter: meter.clone(),
             hurry: Notify::new(),
         });
         held(&self.visits).insert(number, visit.clone());
-        let stream = Arc::new(stream);
-        let (wire, meter) = Wire::new(stream.clone(), self.clock, None);
         let (clock, visits) = (self.clock, self.visits.clone());
         let front = Front {
             clock,
@@ -273,6 +281,11 @@
                             && visit.idle_since.load(Relaxed) == 0
                         {}
                     }
+                    () = visit.pushed_out(&stream) => {
+                        if !visit.asked.load(Relaxed) && meter.first_read() > 0 {
+                            let _ = stream.try_write(TOO_SLOW);
+                        }
+                    }
                     () = visit.overdue(clock, &meter) => {
                         // Nothing else has been written to one that never sent a whole head.
                         if !visit.asked.load(Relaxed) && meter.first_read() > 0 {
@@ -295,6 +308,22 @@
 }
 
 impl Visit {
+    /// When it last got on: came, sent some bytes, or had an answer.
+    fn moved(&self) -> Nanos {
+        self.came.max(self.meter.last_read()).max(self.idle_since.load(Relaxed))
+    }
+
+    /// Returns when its place is needed, unless a req has just come on it.
+    async fn pushed_out(&self, stream: &TcpStream) {
+        loop {
+            self.go.notified().await;
+            let coming = self.known.load(Relaxed) && unread(stream).is_ok_and(|count| count > 0);
+            if !coming {
+                return;
+            }
+        }
+    }
+
     /// Returns when the caller has had its time: for its first req, for one that has begun, or without one.
     /// Guards against callers that say nothing, or half of something, and stay.
     async fn overdue(&self, clock: Clock, meter: &Meter) {
