--- a/balancer/src/front.rs
+++ b/balancer/src/front.rs
@@ -46,6 +46,8 @@
 const AWAY: Duration = Duration::from_millis(1_500);
 /// How often that is looked at.
 const LOOK: Nanos = 1_000_000_000;
+/// How long, once the door has closed, half a req is waited for.
+const UNFINISHED: Duration = Duration::from_millis(300);
 /// How long a caller that was told to leave may take over its answer.
 const LEAVING: Duration = Duration::from_secs(10);
 /// How long, and how much, is still read from a caller whose connection is ending.
@@ -187,6 +189,13 @@
         for visit in held(&self.visits).values() {
             visit.leave.notify_one();
         }
+        let last = async { while guests.join_next().await.is_some() {} };
+        if timeout(UNFINISHED, last).await.is_err() {
+            // Guards against callers who never finish a req and so hold back the end, and the next start with it.
+            let visits = held(&self.visits);
+            let unfinished = visits.values().filter(|visit| visit.idle_since.load(Relaxed) > 0);
+            unfinished.for_each(|visit| visit.go.notify_one());
+        }
         while guests.join_next().await.is_some() {}
     }
 
@@ -277,9 +286,15 @@
                     () = visit.leave.notified() => {
                         connection.as_mut().graceful_shutdown();
                         // One that doesn't take its answer is not waited for; a long one stands still at its own cost.
-                        while timeout(LEAVING, connection.as_mut()).await.is_err()
-                            && visit.idle_since.load(Relaxed) == 0
-                        {}
+                        let leaves = async {
+                            while timeout(LEAVING, connection.as_mut()).await.is_err()
+                                && visit.idle_since.load(Relaxed) == 0
+                            {}
+                        };
+                        tokio::select! {
+                            () = leaves => {}
+                            () = visit.pushed_out(&stream) => {}
+                        }
                     }
                     () = visit.pushed_out(&stream) => {
                         if !visit.asked.load(Relaxed) && meter.first_read() > 0 {
