--- a/balancer/src/body.rs
+++ b/balancer/src/body.rs
@@ -129,10 +129,6 @@
 }
 
 impl Rest {
-    fn long(&self) -> Option<&Long> {
-        self.message.long.as_ref()
-    }
-
     fn poll(&mut self, cx: &mut Context) -> Poll<Option<Result<Bytes, &'static str>>> {
         let Rest { body, message, silent, waits } = self;
         let (Some(body), Some(long)) = (body, &message.long) else { return Poll::Ready(None) };
@@ -180,7 +176,7 @@
 impl Drop for Rest {
     fn drop(&mut self) {
         let body = self.body.take();
-        if let Some(long) = self.long()
+        if let Some(long) = &self.message.long
             && long.passed.load(Relaxed) == 0
             && long.ended().is_none()
             && !long.broke()
--- a/balancer/src/decisions.rs
+++ b/balancer/src/decisions.rs
@@ -21,7 +21,6 @@
 
 use crate::body::{Message, Reply};
 use crate::clock::Clock;
-use crate::figures::Figures;
 use crate::list::{self, Entry};
 use crate::peer::{self, Job};
 
@@ -33,7 +32,7 @@
     },
     /// The client of this req has gone.
     Left(u64),
-    /// The last byte of a long req has gone to the srv.
+    /// The last byte of a long req has come, and goes to the srv.
     Written {
         id: u64,
         number: usize,
@@ -148,7 +147,6 @@
     peers: HashMap<Name, Peer>,
     common: peer::Common,
     list: mpsc::Sender<list::Mail>,
-    figures: Arc<Figures>,
     /// Told once, when the first list comes that is not the one from before the start.
     fresh: Option<oneshot::Sender<()>>,
 }
@@ -159,7 +157,6 @@
         once: HashSet<Name>,
         common: peer::Common,
         list: mpsc::Sender<list::Mail>,
-        figures: Arc<Figures>,
         fresh: oneshot::Sender<()>,
     ) -> Actor {
         let (clock, hands) = (common.clock, Hands::new(balancer));
@@ -172,7 +169,6 @@
             peers: HashMap::new(),
             common,
             list,
-            figures,
             fresh: Some(fresh),
         }
     }
@@ -259,7 +255,7 @@
             }
             if unsent.is_empty() {
                 self.forget();
-                self.figures.stand(self.hands.standing());
+                self.common.figures.stand(self.hands.standing());
                 return next;
             }
             for (id, number) in unsent {
@@ -358,6 +354,7 @@
     use tokio::sync::Semaphore;
 
     use super::*;
+    use crate::figures::Figures;
 
     fn actor() -> Actor {
         let (decisions, _) = mpsc::channel(8);
@@ -373,14 +370,7 @@
             idle: 1_000_000_000,
             figures: Figures::new([]),
         };
-        Actor::new(
-            Balancer::new(1, 1, Facts::new()),
-            HashSet::new(),
-            common,
-            list,
-            Figures::new([]),
-            oneshot::channel().0,
-        )
+        Actor::new(Balancer::new(1, 1, Facts::new()), HashSet::new(), common, list, oneshot::channel().0)
     }
 
     fn listed(number: u64) -> Entry {
--- a/balancer/src/front.rs
+++ b/balancer/src/front.rs
@@ -301,7 +301,7 @@
                             let _ = stream.try_write(TOO_SLOW);
                         }
                     }
-                    () = visit.overdue(clock, &meter) => {
+                    () = visit.overdue(clock) => {
                         // Nothing else has been written to one that never sent a whole head.
                         if !visit.asked.load(Relaxed) && meter.first_read() > 0 {
                             let _ = stream.try_write(TOO_SLOW);
@@ -341,10 +341,10 @@
 
     /// Returns when the caller has had its time: for its first req, for one that has begun, or without one.
     /// Guards against callers that say nothing, or half of something, and stay.
-    async fn overdue(&self, clock: Clock, meter: &Meter) {
+    async fn overdue(&self, clock: Clock) {
         loop {
             let until = self.until.load(Relaxed);
-            let begun = Some(meter.first_read()).filter(|at| *at > 0 && until != Nanos::MAX);
+            let begun = Some(self.meter.first_read()).filter(|at| *at > 0 && until != Nanos::MAX);
             let until = begun.map_or(until, |at| until.min(at + SLOW));
             let now = clock.now();
             if now >= until {
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -210,7 +210,7 @@
     facts.insert("connections".into(), Value::Number(start.most_out as f64));
     let balancer = Balancer::new(clock.now(), start.seed, facts);
     let (fresh, news) = oneshot::channel();
-    let actor = Actor::new(balancer, once, common, listed, figures, fresh);
+    let actor = Actor::new(balancer, once, common, listed, fresh);
     let mut actor = tokio::spawn(actor.run(mailbox));
     if others > 0 {
         // What it was told of the list may be old, and nobody waits for it yet.
@@ -226,9 +226,7 @@
     let mut door = tokio::spawn(door.keep(listener));
 
     life.enter(Phase::Serving);
-    if others > 0 {
-        tokio::spawn(holds.clone().widen(twin.clone()));
-    }
+    let widening = (others > 0).then(|| tokio::spawn(holds.clone().widen(twin.clone())));
     let ended = || Err("the module's actor has ended".to_owned());
     tokio::select! {
         _ = terminate.recv() => {}
@@ -239,16 +237,17 @@
     if twin.others() > 0 {
         info!("another process has taken over: nobody new is let in here");
         life.handed.store(true, Relaxed);
-        holds.halve();
+        // One that still holds a part only, for it never was alone, has no more to give back.
+        match widening.filter(|widening| !widening.is_finished()) {
+            Some(widening) => widening.abort(),
+            None => holds.halve(),
+        }
     }
     life.enter(Phase::Leaving);
     let asked = clock.now();
     tokio::select! {
         () = life.quiet(clock, longest) => {}
-        _ = &mut door, if life.handed() => {
-            life.enter(Phase::Over);
-            return Ok(ExitCode::SUCCESS);
-        }
+        _ = &mut door, if life.handed() => {}
         _ = &mut actor => return ended(),
     }
     for (phase, until) in [(Phase::Closing, LAST_ANSWERS), (Phase::Ending, LITTLE)] {
@@ -309,7 +308,12 @@
 
     /// Takes all again once nobody else is left.
     async fn widen(self, twin: Arc<Twin>) {
-        while twin.others() > 0 {
+        loop {
+            let twin = twin.clone();
+            // The files are looked at beside the thread that reqs go through.
+            if spawn_blocking(move || twin.others()).await.is_ok_and(|others| others == 0) {
+                break;
+            }
             sleep(LOOK).await;
         }
         self.callers.store(self.most_in, Relaxed);
--- a/balancer/tests/operator.rs
+++ b/balancer/tests/operator.rs
@@ -76,8 +76,9 @@
         assert!(asked.elapsed().as_millis() < 1_000, "too late");
     }
     // The oldest went first.
-    unfinished[0].set_read_timeout(Some(LONG)).expect("a time-out");
-    assert!(matches!(unfinished[0].read(&mut [0]), Ok(0) | Err(_)));
+    unfinished[0].set_read_timeout(Some(std::time::Duration::from_secs(2))).expect("a time-out");
+    let end = unfinished[0].read(&mut [0]).map_err(|why| why.kind());
+    assert!(matches!(end, Ok(0) | Err(std::io::ErrorKind::ConnectionReset)), "still there: {end:?}");
 }
 
 /// Guards against figures that miss a way in which a req or a dispatch ends.
--- a/hands/src/lib.rs
+++ b/hands/src/lib.rs
@@ -73,7 +73,7 @@
         self.place(now, id);
     }
 
-    /// The last byte of a dispatch of a req that was still coming has been written.
+    /// The last byte of a req that was still coming is on its way to the srv of this dispatch.
     pub fn written(&mut self, now: Nanos, id: u64, number: usize) {
         if let Some(held) = self.reqs.get(&id) {
             self.balancer.after(now, Outcome::Written { req: &held.req, number });
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -62,7 +62,7 @@
     pub taken: Nanos,
     /// When the client stops waiting for this try.
     pub ends: Nanos,
-    /// Its last byte is still to come, and `Outcome::Written` tells when that has gone to the srv.
+    /// Its last byte is still to come, and `Outcome::Written` tells when it does, on its way to the srv.
     pub coming: bool,
     pub dispatches: Vec<Dispatch>,
 }
@@ -113,7 +113,7 @@
         closed: bool,
         report: &'a [f64],
     },
-    /// The last byte of a dispatch of a req that was still coming has been written: only now its srv begins.
+    /// The last byte of a req that was still coming is on its way to the srv of this dispatch: only now that begins.
     Written {
         req: &'a Req,
         number: usize,
