--- a/src/decide/judge.rs
+++ b/src/decide/judge.rs
@@ -133,11 +133,8 @@
         if silent != srv.silent {
             self.fleet.change(who, |srv| srv.silent = silent);
         }
-        if silent {
-            self.fleet.silent.insert(who)
-        } else {
-            self.fleet.silent.remove(&who)
-        };
+        let known = &mut self.fleet.silent;
+        let _changed = if silent { known.insert(who) } else { known.remove(&who) };
     }
 
     /// Sets a whole site aside that owes us answers and has given none since, while others did, and recalls
