--- a/emulator/src/scenario.rs
+++ b/emulator/src/scenario.rs
@@ -1,7 +1,7 @@
 //! The file that describes a day: fleet, traffic, and troubles by time. It owns its reading and its checks, and must
 //! never let a day begin on what it does not understand: unknown fields are refused, with line and column.
 
-use serde::{Deserialize, Deserializer, de};
+use serde::{Deserialize, Deserializer, Serialize, de};
 
 use crate::Nanos;
 use crate::chance::Span;
@@ -118,7 +118,7 @@
     pub part: f64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum What {
     /// Nothing goes to a site, and nothing comes from it.
@@ -207,7 +207,8 @@
         toml::to_string(&table).map_err(|e| e.to_string())
     }
 
-    fn errors(&self) -> Vec<String> {
+    /// What of it can't be, each with its place.
+    pub fn errors(&self) -> Vec<String> {
         let mut errors = Vec::new();
         let mut must = |right: bool, what: String| {
             if !right {
