--- a/drill/src/audit.rs
+++ b/drill/src/audit.rs
@@ -482,3 +482,46 @@
     lines.sort();
     lines.into_iter().map(|(_, line)| line).collect()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a second use of an id that takes the answer, or the runs, of the first one.
+    #[test]
+    fn ids_that_come_again_are_lives_of_their_own() {
+        let asked = |at| {
+            let (id, call, set, balancer, budget) = (7, 0, 0, 0, S);
+            (at, Event::Asked { id, call, set, balancer, again: false, budget, intended: at })
+        };
+        let sent = |at, connection| {
+            let (id, balancer, srv) = (7, 0, 1);
+            (at, Event::Sent { id, balancer, srv, connection, first: at })
+        };
+        let entries = [
+            asked(10),
+            sent(11, 1),
+            (12, Event::Ran { id: 7, srv: 1 }),
+            (13, Event::Back { connection: 1, status: 200, rejected: false }),
+            (14, Event::Answered { id: 7, answer: Answer::Done }),
+            // The connection's end, long after what was sent on it.
+            (15, Event::Ended { connection: 1 }),
+            asked(20),
+            sent(21, 2),
+            // Crossed its connection's end, and sent once more.
+            asked(30),
+            sent(31, 3),
+            (32, Event::Whole { connection: 3 }),
+            (33, Event::Answered { id: 7, answer: Answer::Denied }),
+        ];
+        let lives = lives(&entries);
+        let of = |life: &Life| (life.answered.clone(), life.crossed, life.runs.len(), life.dispatches.len());
+        let answered = |at, answer| Some((at, answer));
+        assert_eq!(of(&lives[0]), (answered(14, Answer::Done), false, 1, 1));
+        assert_eq!(of(&lives[1]), (None, true, 0, 1));
+        assert_eq!(of(&lives[2]), (answered(33, Answer::Denied), false, 0, 1));
+        let dispatch = &lives[0].dispatches[0];
+        assert!(dispatch.not_run(11) && dispatch.over() == Some(13) && dispatch.ended.is_none());
+        assert!(!lives[2].dispatches[0].not_run(32));
+    }
+}
--- a/drill/src/figures.rs
+++ b/drill/src/figures.rs
@@ -33,6 +33,14 @@
     }
 }
 
+/// What a balancer's processes took: the most of memory and descriptors, and the mean share of a core.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Took {
+    pub memory_kb: u64,
+    pub descriptors: u64,
+    pub cpu_share: f64,
+}
+
 #[derive(Clone, Debug, Serialize)]
 pub struct FaultSeen {
     pub what: String,
@@ -66,7 +74,10 @@
     pub by_zone: BTreeMap<String, Served>,
     pub by_region: BTreeMap<String, Served>,
     pub by_rule_set: BTreeMap<String, Served>,
+    /// The same by half second.
     pub zone_by_half_s: BTreeMap<String, Vec<Served>>,
+    pub region_by_half_s: BTreeMap<String, Vec<Served>>,
+    pub rule_set_by_half_s: BTreeMap<String, Vec<Served>>,
     /// Times of calls that were done, from when they were meant to be made, in ms.
     pub p50_ms: f64,
     pub p99_ms: f64,
@@ -88,7 +99,8 @@
     /// From a process's start to its being ready, of those started by the script.
     pub ready_ms_mean: f64,
     pub ready_ms_most: f64,
-    /// Over the processes: the most of each, and the processor's share on the mean.
+    /// What each balancer's processes took, and over all of them.
+    pub processes: Vec<Took>,
     pub memory_kb_most: u64,
     pub descriptors_most: u64,
     pub cpu_share_mean: f64,
@@ -141,23 +153,23 @@
             let done = last.answered.as_ref().filter(|(_, answer)| *answer == Answer::Done);
             let took = done.map(|(at, _)| at.saturating_sub(first.intended));
             let served = took.is_some_and(|took| took <= set.response_target);
-            let note = |of: &mut Served| {
+            let note = move |of: &mut Served| {
                 of.asked += 1;
                 of.in_target += u64::from(served);
             };
             let half = (first.intended.saturating_sub(play.from) / HALF) as usize;
-            if let Some(half) = self.by_half_s.get_mut(half) {
-                note(half);
-            }
-            let name = &parties.zones[zone];
-            let of_zone =
-                self.zone_by_half_s.entry(name.clone()).or_insert_with(|| vec![Served::default(); halves]);
-            if let Some(half) = of_zone.get_mut(half) {
-                note(half);
+            self.by_half_s.get_mut(half).into_iter().for_each(note);
+            let of = [
+                (&parties.zones[zone][..], &mut self.by_zone, &mut self.zone_by_half_s),
+                (parties.region(zone), &mut self.by_region, &mut self.region_by_half_s),
+                (&set.name, &mut self.by_rule_set, &mut self.rule_set_by_half_s),
+            ];
+            for (name, all, by_half_s) in of {
+                note(all.entry(name.to_owned()).or_default());
+                let by_half_s =
+                    by_half_s.entry(name.to_owned()).or_insert_with(|| vec![Served::default(); halves]);
+                by_half_s.get_mut(half).into_iter().for_each(note);
             }
-            note(self.by_zone.entry(name.clone()).or_default());
-            note(self.by_region.entry(parties.region(zone).to_owned()).or_default());
-            note(self.by_rule_set.entry(set.name.clone()).or_default());
             self.calls += 1;
             self.in_target += u64::from(served);
             if let Some(took) = took {
@@ -281,19 +293,20 @@
     }
 
     fn usage(&mut self, play: &Play) {
-        let mut shares = Vec::new();
         for samples in &play.usage {
-            self.memory_kb_most =
-                samples.iter().map(|usage| usage.memory_kb).fold(self.memory_kb_most, u64::max);
-            self.descriptors_most =
-                samples.iter().map(|usage| usage.descriptors).fold(self.descriptors_most, u64::max);
             // A new process counts anew; a tick is a hundredth of a second, a sample is taken each second.
             let used = samples.windows(2).map(|two| two[1].cpu_ticks.saturating_sub(two[0].cpu_ticks));
-            let share = used.sum::<u64>() as f64 / 100.0 / (samples.len().saturating_sub(1)).max(1) as f64;
-            shares.push(share);
+            self.processes.push(Took {
+                memory_kb: samples.iter().map(|usage| usage.memory_kb).max().unwrap_or(0),
+                descriptors: samples.iter().map(|usage| usage.descriptors).max().unwrap_or(0),
+                cpu_share: used.sum::<u64>() as f64 / 100.0 / (samples.len().saturating_sub(1)).max(1) as f64,
+            });
         }
-        self.cpu_share_most = shares.iter().copied().fold(0.0, f64::max);
-        self.cpu_share_mean = shares.iter().sum::<f64>() / shares.len().max(1) as f64;
+        let all = &self.processes;
+        self.memory_kb_most = all.iter().map(|took| took.memory_kb).max().unwrap_or(0);
+        self.descriptors_most = all.iter().map(|took| took.descriptors).max().unwrap_or(0);
+        self.cpu_share_most = all.iter().map(|took| took.cpu_share).fold(0.0, f64::max);
+        self.cpu_share_mean = all.iter().map(|took| took.cpu_share).sum::<f64>() / all.len().max(1) as f64;
     }
 }
 
--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -256,7 +256,19 @@
             }
             let options = Options { seed: *seed, binary: binary.to_path_buf(), ..told.options.clone() };
             let played = one(file, drill, &options)?;
-            broken[number] += played.report.verdict.breaches.len();
+            let breaches = &played.report.verdict.breaches;
+            broken[number] += breaches.len();
+            for breach in breaches.iter().take(3) {
+                eprintln!(
+                    "{}, seed {seed}: rule {} at {:.3} s, req {}: {}",
+                    binary.display(),
+                    breach.rule,
+                    breach.at_s,
+                    breach.id,
+                    breach.what
+                );
+                breach.life.iter().for_each(|line| eprintln!("    {line}"));
+            }
             figures.push(played.report.figures);
         }
     }
--- a/drill/src/srv.rs
+++ b/drill/src/srv.rs
@@ -43,6 +43,8 @@
 
 struct Inner {
     station: Station,
+    /// The station's time, which never goes back.
+    clock: Nanos,
     waiting: HashMap<u64, oneshot::Sender<Nanos>>,
     /// Later ends of jobs under way.
     moved: HashMap<u64, Nanos>,
@@ -71,6 +73,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let inner = Inner {
             station: Station::new(tier.build(), 0),
+            clock: 0,
             waiting: HashMap::new(),
             moved: HashMap::new(),
             next: 0,
@@ -156,16 +159,16 @@
 
     /// Stands still until then.
     pub fn pause(&self, until: Nanos) {
-        let now = self.log.now();
         let mut inner = held(&self.inner);
+        let now = inner.now(self.log.now());
         let moved = inner.station.pause(now, until);
         inner.moved.extend(moved);
     }
 
     /// To be called when a pause is over.
     pub fn go_on(&self) {
-        let now = self.log.now();
         let mut inner = held(&self.inner);
+        let now = inner.now(self.log.now());
         let started = inner.station.fill(now);
         inner.tell(started);
     }
@@ -189,8 +192,8 @@
         let turned_away = || Some(answer(503, "x-rejected: 1\r\n", ""));
         let until = Instant::now() + Duration::from_secs_f64(budget.clamp(0.0, 600.0));
         let (job, mut ends) = {
-            let now = self.log.now();
             let mut inner = held(&self.inner);
+            let now = inner.now(self.log.now());
             let work = (self.tier.work.draw(&mut inner.chance) as f64 * inner.times) as Nanos;
             let can = inner.station.speed(now) * self.tier.slots as f64;
             let cold = now < inner.cold_until;
@@ -225,8 +228,8 @@
             ends = match started {
                 Some(ends) => Ok(ends),
                 None => {
-                    let now = self.log.now();
                     let mut inner = held(&self.inner);
+                    let now = inner.now(self.log.now());
                     // It may have started just now: then it runs.
                     if inner.waiting.remove(&job).is_some() {
                         let (_, started) = inner.station.take_back(now, job);
@@ -242,13 +245,14 @@
             self.log.note(Event::Ran { id, srv: self.number });
         }
         // A pause moves the end while it sleeps.
-        let mut next = ends.ok();
+        let (mut next, mut ended) = (ends.ok(), 0);
         while let Some(ends) = next {
             sleep_until(self.log.instant(ends).into()).await;
-            next = held(&self.inner).moved.remove(&job);
+            (next, ended) = (held(&self.inner).moved.remove(&job), ends);
         }
-        let now = self.log.now();
         let mut inner = held(&self.inner);
+        // Its slot is free from when it was to end: what a timer is late by must not cost the srv work.
+        let now = inner.now(ended);
         let started = inner.station.ended(now, job);
         inner.tell(started);
         let (resets, failing) = (inner.resets, inner.failing);
@@ -261,6 +265,11 @@
 }
 
 impl Inner {
+    fn now(&mut self, now: Nanos) -> Nanos {
+        self.clock = self.clock.max(now);
+        self.clock
+    }
+
     /// Those that wait are told that they start, and when they end.
     fn tell(&mut self, started: Vec<(u64, Nanos)>) {
         for (job, ends) in started {
