--- a/balancer/src/decisions.rs
+++ b/balancer/src/decisions.rs
@@ -5,13 +5,14 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 
 use hyper::Response;
 use ochreshed::{Balancer, How, Listed, Name, Nanos, Outcome, Req};
 use ochreshed_hands::{Act, End, Hands};
+use ochreshed_replica::rows::{Counts, MOST_SRVS};
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::mpsc::{self, OwnedPermit};
 use tokio::sync::oneshot;
@@ -59,8 +60,17 @@
         entries: Vec<Entry>,
     },
     ListFailed,
+    /// What others of the fleet have seen at a srv.
+    Others {
+        srv: Name,
+        how: How,
+        times: u16,
+    },
 }
 
+/// What dispatches came to here, by srv, for the others; gathered only where instances speak.
+pub type Evidence = Arc<Mutex<HashMap<Name, Counts>>>;
+
 /// The one final answer to a req.
 pub enum Answer {
     Done(Response<Reply>),
@@ -129,6 +139,26 @@
     reply: Option<oneshot::Sender<Answer>>,
     sent_at: Nanos,
     recall: Option<oneshot::Sender<()>>,
+    /// Where its last dispatch went, where that is gathered.
+    srv: Option<Name>,
+}
+
+/// Adds an outcome to what the others are told.
+fn note(evidence: &Evidence, srv: Name, how: How, left: bool) {
+    let mut all = evidence.lock().unwrap_or_else(PoisonError::into_inner);
+    if all.len() >= MOST_SRVS && !all.contains_key(&srv) {
+        return;
+    }
+    let counts = all.entry(srv).or_default();
+    let count = match how {
+        How::Done => &mut counts.done,
+        How::Error => &mut counts.failed,
+        How::NoConnection | How::Reset | How::TimedOut => &mut counts.lost,
+        // Given up because its site answers nobody here.
+        How::Recalled if !left => &mut counts.lost,
+        How::Recalled | How::Full | How::NotSent => return,
+    };
+    *count = count.saturating_add(1);
 }
 
 /// Where a srv is reached, and the mailbox of its peer once something has been sent there. Peers of srvs that
@@ -151,6 +181,7 @@
     list: mpsc::Sender<list::Mail>,
     /// Told once, when the first list comes that is not the one from before the start.
     fresh: Option<oneshot::Sender<()>>,
+    evidence: Option<Evidence>,
 }
 
 impl Actor {
@@ -160,6 +191,7 @@
         common: peer::Common,
         list: mpsc::Sender<list::Mail>,
         fresh: oneshot::Sender<()>,
+        evidence: Option<Evidence>,
     ) -> Actor {
         let (clock, hands) = (common.clock, Hands::new(balancer));
         Actor {
@@ -172,6 +204,7 @@
             common,
             list,
             fresh: Some(fresh),
+            evidence,
         }
     }
 
@@ -198,7 +231,8 @@
         match mail {
             Mail::Take { req, message, reply } => {
                 let once = self.once.contains(&req.rule_set);
-                let taken = Taken { message, once, reply: Some(reply), sent_at: now, recall: None };
+                let taken =
+                    Taken { message, once, reply: Some(reply), sent_at: now, recall: None, srv: None };
                 self.taken.insert(req.id, taken);
                 self.hands.take(now, req);
             }
@@ -211,6 +245,11 @@
                 let Some(taken) = self.taken.get_mut(&id) else { return };
                 let took = at.saturating_sub(taken.sent_at + waited);
                 taken.recall = None;
+                if let (Some(evidence), Some(srv)) = (&self.evidence, taken.srv.take()) {
+                    // One that its client left says nothing of the srv.
+                    let left = taken.reply.as_ref().is_none_or(oneshot::Sender::is_closed);
+                    note(evidence, srv, how, left);
+                }
                 if let Some(answer) = answer {
                     taken.answer(Answer::Done(answer));
                 }
@@ -223,6 +262,11 @@
             }
             Mail::List { whole, old, entries, .. } => self.follow_list(now, whole, old, entries),
             Mail::ListFailed => self.hands.news(now, Outcome::ListFailed),
+            Mail::Others { srv, how, times } => {
+                for _ in 0..times {
+                    self.hands.news(now, Outcome::Others { srv: &srv, how });
+                }
+            }
         }
     }
 
@@ -296,6 +340,7 @@
         let (message, once) = (taken.message.clone(), taken.once);
         let job = Job { id, number, give_up, message, once, recalled };
         (taken.sent_at, taken.recall) = (now, Some(recall));
+        taken.srv = self.evidence.as_ref().map(|_| srv.clone());
         self.post(srv, peer::Mail::Send(job))
     }
 
@@ -372,7 +417,14 @@
             idle: 1_000_000_000,
             figures: Figures::new([]),
         };
-        Actor::new(Balancer::new(1, 1, Facts::new()), HashSet::new(), common, list, oneshot::channel().0)
+        Actor::new(
+            Balancer::new(1, 1, Facts::new()),
+            HashSet::new(),
+            common,
+            list,
+            oneshot::channel().0,
+            None,
+        )
     }
 
     fn listed(number: u64) -> Entry {
--- a/balancer/src/fleet.rs
+++ b/balancer/src/fleet.rs
@@ -6,11 +6,13 @@
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::PoisonError;
 use std::time::Duration;
 
-use ochreshed::{Listed, Name, Nanos, State};
+use ochreshed::{How, Listed, Name, Nanos, State};
 use ochreshed_membership::swim::{Config, Output, Swim, To};
 use ochreshed_membership::wire::{self, FIRST_OTHER, From, MOST, Message, What};
+use ochreshed_replica::rows::{Counts, Row};
 use ochreshed_replica::store::{Digest, Store, read};
 use ochreshed_replica::words;
 use serde::Deserialize;
@@ -20,7 +22,7 @@
 use tracing::{info, warn};
 
 use crate::clock::Clock;
-use crate::decisions::Mail;
+use crate::decisions::{Evidence, Mail};
 use crate::list::Entry;
 
 const MS: Nanos = 1_000_000;
@@ -42,6 +44,12 @@
 const SAY_EVERY: Nanos = 60 * S;
 const SHOW_EVERY: Nanos = S / 2;
 const MAILBOX: usize = 64;
+/// What was counted is told so often, where anything was lost; older than this it is told to no module. So many srvs in a
+/// row, so that two rows fit a message; and each counts so often at the most, as a srv is judged by its last few outcomes.
+const COUNT_EVERY: Nanos = 100 * MS;
+const OLD: Nanos = S;
+const TOLD_SRVS: usize = 12;
+const TIMES: u16 = 3;
 
 /// The operator's own file.
 #[derive(Clone, Debug, Deserialize)]
@@ -94,7 +102,7 @@
 
 /// What the actor counts, for its page.
 #[derive(Default)]
-struct Counts {
+struct Traffic {
     sent: u64,
     sent_bytes: u64,
     received: u64,
@@ -122,14 +130,23 @@
     show_at: Nanos,
     say_at: Nanos,
     said: u64,
-    counts: Counts,
+    counts: Traffic,
     page: watch::Sender<String>,
+    evidence: Evidence,
+    zone: String,
+    /// When the next row is written, and when the last one was.
+    count_at: Nanos,
+    counted_at: Nanos,
+    /// The number of each writer's last row that the module was told of.
+    heard: BTreeMap<String, (u64, u64)>,
 }
 
 /// What the rest of the program holds of it: where the list's news goes, and the page for operators.
 pub struct Door {
     pub news: mpsc::Sender<Mail>,
     pub page: watch::Receiver<String>,
+    /// Where the module's actor puts what the others are to be told.
+    pub evidence: Evidence,
 }
 
 /// Starts it before the module's actor: what the list tells goes through it, changed by nothing but what others heard of
@@ -151,6 +168,7 @@
     let swim = Swim::new(Config::default(), name, file.listen, zone, start, seeds, now);
     let (news, mailbox) = mpsc::channel(MAILBOX);
     let (page, shown) = watch::channel(String::new());
+    let evidence = Evidence::default();
     info!("{name} speaks with fleet {} on {}", file.fleet, file.listen);
     let fleet = Fleet {
         number: file.number(),
@@ -167,11 +185,16 @@
         show_at: now,
         say_at: now,
         said: 0,
-        counts: Counts::default(),
+        counts: Traffic::default(),
         page,
+        evidence: evidence.clone(),
+        zone: zone.to_owned(),
+        count_at: now,
+        counted_at: now,
+        heard: BTreeMap::new(),
     };
     tokio::spawn(fleet.run(mailbox));
-    Ok(Door { news, page: shown })
+    Ok(Door { news, page: shown, evidence })
 }
 
 fn unix_nanos() -> u64 {
@@ -202,10 +225,11 @@
     }
 
     fn next(&self) -> Nanos {
+        let count = self.count_at;
         let spread = if self.store.has_news() { self.spread_at } else { Nanos::MAX };
         // A while that the clock can tell, also where nothing is due.
         let far = self.clock.now() + 60 * S;
-        self.swim.next().min(spread).min(self.digest_at).min(self.show_at).min(far)
+        self.swim.next().min(spread).min(count).min(self.digest_at).min(self.show_at).min(far)
     }
 
     /// The list's own news goes on, but for what others have heard of later lists.
@@ -296,6 +320,7 @@
                         };
                         let changed = self.store.hear(now, items, lives);
                         self.tell(changed).await;
+                        self.tell_counts(now).await;
                     }
                     Err(why) => self.wrong(now, from, why.into()),
                 },
@@ -329,6 +354,9 @@
         if self.swim.next() <= now {
             self.swim.tick(now);
         }
+        if self.count_at <= now {
+            self.count(now);
+        }
         if self.store.has_news() && self.spread_at <= now {
             self.spread_at = now + SPREAD_EVERY;
             let times = self.times();
@@ -365,6 +393,54 @@
         }
     }
 
+    /// Writes what was counted here since the last row; where nothing was lost there is nothing to tell.
+    fn count(&mut self, now: Nanos) {
+        self.count_at = now + COUNT_EVERY;
+        let counted = std::mem::take(&mut *self.evidence.lock().unwrap_or_else(PoisonError::into_inner));
+        let window = now.saturating_sub(std::mem::replace(&mut self.counted_at, now));
+        self.store.forget(now, OLD, |writer| self.swim.members().contains_key(writer));
+        if counted.values().all(|counts| counts.lost == 0) {
+            return;
+        }
+        let asked = counted.values().map(|counts| u32::from(counts.done) + u32::from(counts.lost)).sum();
+        let mut srvs: Vec<(String, Counts)> =
+            counted.into_iter().map(|(srv, counts)| (srv.to_string(), counts)).collect();
+        // Where something was lost comes first, if not all fit.
+        srvs.sort_by_key(|(srv, counts)| (std::cmp::Reverse(counts.lost), srv.clone()));
+        srvs.truncate(TOLD_SRVS);
+        self.store.count(now, Row { start: 0, number: 0, zone: self.zone.clone(), window, asked, srvs });
+    }
+
+    /// Tells the module what others in its zone have counted: once each row, and never what is too old. Others are another
+    /// matter: what is cut off from them may be well from here.
+    async fn tell_counts(&mut self, now: Nanos) {
+        let mut told: BTreeMap<String, Counts> = BTreeMap::new();
+        let own = self.swim.name().to_owned();
+        for (writer, held) in self.store.rows().iter().filter(|(writer, _)| **writer != own) {
+            let number = (held.row.start, held.row.number);
+            let fresh = now.saturating_sub(held.written) <= OLD && held.row.zone == self.zone;
+            if !fresh || self.heard.insert(writer.clone(), number) == Some(number) {
+                continue;
+            }
+            for (srv, counts) in &held.row.srvs {
+                let sum = told.entry(srv.clone()).or_default();
+                sum.done = sum.done.saturating_add(counts.done);
+                sum.lost = sum.lost.saturating_add(counts.lost);
+            }
+        }
+        let swim = &self.swim;
+        self.heard.retain(|writer, _| swim.members().contains_key(writer));
+        for (srv, counts) in told {
+            for (how, count) in [(How::Done, counts.done), (How::Reset, counts.lost)] {
+                if count > 0 && self.known.contains_key(srv.as_str()) {
+                    let others = Mail::Others { srv: srv.as_str().into(), how, times: count.min(TIMES) };
+                    // With the module's actor gone the program ends.
+                    let _ = self.decisions.send(others).await;
+                }
+            }
+        }
+    }
+
     /// How often news is passed on: by the logarithm of the fleet's size.
     fn times(&self) -> u32 {
         let size = (self.swim.members().len() + 2) as f64;
@@ -409,7 +485,7 @@
     /// The page for operators: members, what is held and how much, what was wrong.
     fn show(&self, now: Nanos) -> String {
         let mut page = String::new();
-        let Counts { sent, sent_bytes, received, received_bytes, wrong, told_early } = &self.counts;
+        let Traffic { sent, sent_bytes, received, received_bytes, wrong, told_early } = &self.counts;
         let (mine, words) = (self.swim.mine(), self.store.words());
         // Writing to a String does not fail.
         let _ = writeln!(
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -206,7 +206,7 @@
         idle: span(&start.facts, "connection_idle", 10 * S),
     };
     tokio::spawn(read_again(hangup, start.file, start.discovery, listed.clone()));
-    let fleet = fleet.map(|fleet| fleet.page);
+    let (fleet, evidence) = fleet.map(|fleet| (fleet.page, fleet.evidence)).unzip();
     let desk = operator::Desk { life: life.clone(), figures: figures.clone(), fleet };
     if let Some(address) = start.operator {
         let door = operator::bind(address)?;
@@ -228,7 +228,7 @@
     facts.insert("connections".into(), Value::Number(start.most_out as f64));
     let balancer = Balancer::new(clock.now(), start.seed, facts);
     let (fresh, news) = oneshot::channel();
-    let actor = Actor::new(balancer, once, common, listed, fresh);
+    let actor = Actor::new(balancer, once, common, listed, fresh, evidence);
     let mut actor = tokio::spawn(actor.run(mailbox));
     if others > 0 {
         // What it was told of the list may be old, and nobody waits for it yet.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -433,9 +433,13 @@
                 Follow::Nothing
             }
             Outcome::Probe { srv, report, .. } => {
-                if let Some(who) = self.fleet.find(srv) {
-                    self.note_report(now, who, report);
-                }
+                self.fleet.find(srv).into_iter().for_each(|who| self.note_report(now, who, report));
+                Follow::Nothing
+            }
+            Outcome::Others { srv, how } => {
+                let who = self.fleet.find(srv);
+                who.filter(|_| how != How::Done).into_iter().for_each(|who| self.fleet.lose(who));
+                self.judge(now, who, 0, how, 0);
                 Follow::Nothing
             }
             Outcome::List { whole, old, entries } => {
@@ -451,10 +455,7 @@
             Outcome::Left { req } => {
                 self.waiting.take(req.id);
                 let out = req.dispatches.iter().position(|d| d.how.is_none());
-                match out {
-                    Some(number) if self.told.may_recall => Follow::Recall(number),
-                    _ => Follow::Nothing,
-                }
+                out.filter(|_| self.told.may_recall).map_or(Follow::Nothing, Follow::Recall)
             }
         }
     }
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -132,6 +132,11 @@
         took: Nanos,
         report: &'a [f64],
     },
+    /// What another instance has seen of a dispatch of its own, where instances share that: it counts as one of ours.
+    Others {
+        srv: &'a str,
+        how: How,
+    },
     /// News of the list: the whole of it, or the changed entries only.
     List {
         whole: bool,
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -128,6 +128,12 @@
         self.reqs.get(&id).is_some_and(|req| !req.dispatches.is_empty())
     }
 
+    /// Another instance has seen this.
+    pub fn others(&mut self, srv: &str, how: How) -> &mut Scene {
+        self.balancer.after(self.now, Outcome::Others { srv, how });
+        self
+    }
+
     /// Whether a dispatch of it is out.
     pub fn holds_out(&self, id: u64) -> bool {
         self.reqs
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -452,6 +452,26 @@
     assert!((MS..=100 * MS).contains(&longest), "{} ms after answers that take 100 ms", longest / MS);
 }
 
+/// Guards against quiet instances that learn each alone, and late, what others have seen.
+#[test]
+fn what_others_lost_counts_as_an_outcome_of_ones_own() {
+    let mut scene = Scene::new(facts(0.0, 60.0), "a@x b@x c@x d@y e@y f@y");
+    scene.past(20).wait().trace.clear();
+    scene.others("a", How::Done).others("a", How::Reset).wait();
+    assert_eq!(scene.trace, "", "one loss is chance, for others as for us");
+    scene.others("a", How::Reset).wait();
+    scene.others("d", How::Reset).others("e", How::Reset).others("f", How::Reset);
+    // The other site answers since.
+    scene.past(4).wait();
+    scene.others("nobody", How::Reset).wait();
+    check(
+        &mut scene,
+        expect![[r#"
+        2400 log: aside site y: silent for 2.0 s, 0 owed, 3 lost
+    "#]],
+    );
+}
+
 #[test]
 fn a_slow_srv_loses_its_turns() {
     let mut scene = Scene::new(facts(1.0, 8.0), "a@x b@x c@x");
