--- a/balancer/src/fleet.rs
+++ b/balancer/src/fleet.rs
@@ -24,6 +24,7 @@
 use crate::clock::Clock;
 use crate::decisions::{Evidence, Mail};
 use crate::list::Entry;
+use crate::phases::{Life, Phase};
 
 const MS: Nanos = 1_000_000;
 const S: Nanos = 1_000 * MS;
@@ -156,7 +157,7 @@
     name: &str,
     zone: &str,
     seed: u64,
-    clock: Clock,
+    (clock, life): (Clock, Life),
     decisions: mpsc::Sender<Mail>,
 ) -> Result<Door, String> {
     let socket = UdpSocket::bind(file.listen).await;
@@ -193,7 +194,7 @@
         counted_at: now,
         heard: BTreeMap::new(),
     };
-    tokio::spawn(fleet.run(mailbox));
+    tokio::spawn(fleet.run(mailbox, life));
     Ok(Door { news, page: shown, evidence })
 }
 
@@ -203,8 +204,8 @@
 }
 
 impl Fleet {
-    async fn run(mut self, mut mailbox: mpsc::Receiver<Mail>) {
-        let mut bytes = vec![0; MOST + 1];
+    async fn run(mut self, mut mailbox: mpsc::Receiver<Mail>, life: Life) {
+        let (mut bytes, mut left) = (vec![0; MOST + 1], false);
         loop {
             let next = self.next();
             tokio::select! {
@@ -218,6 +219,11 @@
                 received = self.socket.recv_from(&mut bytes) => if let Ok((count, from)) = received {
                     self.receive(from, &bytes[..count]).await;
                 },
+                // One that is to end says so: it is no loss to the others. It still hears what drains.
+                () = life.reached(Phase::Leaving), if !left => {
+                    self.swim.leave(self.clock.now());
+                    left = true;
+                }
                 () = sleep_until(self.clock.instant(next)) => {}
             }
             self.tick();
@@ -509,6 +515,13 @@
         for (why, count) in wrong {
             let _ = writeln!(page, "could not be read: {count} {why}");
         }
+        let _ = writeln!(
+            page,
+            "member {} {:?} here, incarnation {}",
+            self.swim.name(),
+            mine.state,
+            mine.incarnation
+        );
         for (name, member) in self.swim.members() {
             let (word, since) = (&member.word, (now.saturating_sub(member.since)) / S);
             let _ = writeln!(
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -171,7 +171,7 @@
         None => None,
         Some(file) => {
             let (name, zone) = (&start.name, text(&start.facts, "site"));
-            Some(fleet::start(file, name, zone, start.seed, clock, mail.clone()).await?)
+            Some(fleet::start(file, name, zone, start.seed, (clock, life.clone()), mail.clone()).await?)
         }
     };
     // Where instances speak with each other, news of the list goes by the actor that does.
