--- a/drill/src/play.rs
+++ b/drill/src/play.rs
@@ -846,7 +846,7 @@
             std::fs::write(&path, file)?;
             words.extend(["--fleet".to_owned(), path.display().to_string()]);
         }
-        process.start(binary, &facts, &words)?;
+        process.start(binary, &facts, self.drill.live.sockets, &words)?;
         // What it starts with it has been told.
         self.log.note(Event::Process { balancer, how: Process::Started });
         if let Some(up) = self.known(balancer, back.list).map(|list| self.discovery.up(balancer, &list)) {
--- a/drill/tests/drills.rs
+++ b/drill/tests/drills.rs
@@ -258,6 +258,28 @@
     assert!(played.play.fleet_bytes > 1_000, "they do not speak");
 }
 
+#[test]
+fn another_build_runs_where_the_file_says_and_speaks_with_the_rest() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let copy = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("another-build");
+    std::fs::copy(program(), &copy).expect("a copy");
+    let mut drill = drill(6, 60.0, "3s", "");
+    drill.live.other = Some(ochreshed_drill::party::Who::parse("balancers:1, balancers:4").expect("two"));
+    let options =
+        Options { seed: 1, binary: program(), other: Some(copy.clone()), fleet: true, ..Options::default() };
+    let (most, stop) = (std::cell::Cell::new(0), AtomicBool::new(false));
+    let look = |_: f64| {
+        let running = std::fs::read_dir("/proc").expect("processes").filter_map(Result::ok);
+        let of_copy = running
+            .filter(|process| std::fs::read_link(process.path().join("exe")).is_ok_and(|exe| exe == copy));
+        most.set(most.get().max(of_copy.count()));
+    };
+    let played = run("another build", &drill, &options, &stop, &look).expect("played");
+    assert!(played.report.verdict.breaches.is_empty(), "{}", played.report.text());
+    assert_eq!(most.get(), 2);
+    assert!(played.play.fleet_bytes > 1_000, "they do not speak");
+}
+
 #[test]
 fn a_drill_cut_short_ends_with_all_its_processes_and_its_folder() {
     let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -40,8 +40,7 @@
 /// Sends again that a quiet instance may make in a ring's time all the same, one at most: its part of these.
 /// Guards against floors that sum up to more than a tenth over hundreds of instances.
 const FLOOR: f64 = 10.0;
-/// The span that the level allows: this many unloaded times of a req, within these parts of the response
-/// target.
+/// The span that the level allows: so many unloaded times of a req, within these parts of the target.
 const LEVEL_TIMES: f64 = 1.9;
 const LEVEL_LEAST: f64 = 0.6;
 /// In overload (this part of what is asked for is denied) the two above shrink to this part of them.
--- a/src/decide/pick.rs
+++ b/src/decide/pick.rs
@@ -65,8 +65,7 @@
         if let Some(few) = self.few(now, again) {
             return self.turn_among(&view, set, again, &few);
         }
-        // What is sent again goes among the whole list: our turns and the rest, as often as their weight
-        // says.
+        // What is sent again goes among all: our turns and the rest, as often as their weight says.
         let rest = again.is_some() && !self.fleet.rest.is_empty();
         self.rest_owed += if rest { 1.0 - self.part } else { 0.0 };
         let rest_first = rest && self.rest_owed >= 1.0;
@@ -142,8 +141,7 @@
         Some(who)
     }
 
-    /// The next sound one of an order, or the next doubtful one; and those passed, with whether they were
-    /// doubtful.
+    /// The next sound one of an order, or the next doubtful one; and those passed, and which were doubtful.
     fn next_of(
         &self,
         view: &View,
