--- a/drill/src/play.rs
+++ b/drill/src/play.rs
@@ -185,6 +185,8 @@
     births: Vec<u32>,
     discovery: Discovery,
     links: HashMap<(Party, Party), Link>,
+    /// Discovery is always there: when it is down it says so.
+    always: watch::Sender<bool>,
     /// Where each balancer listens for others and reaches them, if they speak.
     fleet: Vec<(SocketAddr, Vec<SocketAddr>)>,
     /// Where each balancer reaches discovery, and each zone's clients each balancer.
@@ -243,6 +245,7 @@
             births: vec![0; parties.srvs],
             discovery,
             links: HashMap::new(),
+            always: watch::Sender::new(true),
             fleet: Vec::new(),
             to_discovery: Vec::new(),
             to_balancers: Vec::new(),
@@ -289,13 +292,9 @@
             to_srvs.push(ways);
             let link = self.link(Party::Balancer(balancer), Party::Discovery);
             let address = self.discovery.serve(balancer).await?;
-            // It is always there; when it is down it says so.
             let watcher = watch_news(log.clone(), self.discovery.clone(), balancer);
-            let always = watch::Sender::new(true);
-            let relay = Relay::start(address, link, always.subscribe(), watcher)?;
+            let relay = Relay::start(address, link, self.always.subscribe(), watcher)?;
             self.to_discovery.push(relay.address);
-            // The relay ends with its sender: this one lasts as long as the process.
-            std::mem::forget(always);
         }
         self.discovery.set_ways(to_srvs);
         for zone in 0..self.parties.zones.len() {
@@ -467,7 +466,7 @@
                 None => self.trouble(now, number, true).await,
             },
             Step::End(number) => match self.drill.faults.get(number) {
-                Some(fault) => self.end(now, number, &fault.what.clone()).await,
+                Some(fault) => self.end(number, &fault.what.clone()).await,
                 None => self.trouble(now, number, false).await,
             },
             Step::Kill { balancer, signal, back } => self.kill(now, balancer, signal, back),
@@ -597,7 +596,7 @@
         }
     }
 
-    async fn end(&mut self, now: Nanos, number: usize, what: &What) {
+    async fn end(&mut self, number: usize, what: &What) {
         self.note_fault(number, false, what.name());
         let struck = self.struck.remove(&number).unwrap_or_default();
         match what {
@@ -629,9 +628,7 @@
             | What::Roll { .. }
             | What::CrashLoop { .. }
             | What::Stop { .. }
-            | What::Duty { .. } => {
-                let _ = now;
-            }
+            | What::Duty { .. } => {}
         }
     }
 
