--- a/balancer/src/fleet.rs
+++ b/balancer/src/fleet.rs
@@ -367,9 +367,11 @@
             self.spread_at = now + SPREAD_EVERY;
             let times = self.times();
             for _ in 0..FANOUT {
-                let items = self.store.delta(now, MOST - 200, times);
-                let Some(name) = self.swim.any().filter(|_| !items.is_empty()) else { break };
-                self.send_more(&name, vec![(ITEMS, items)]);
+                let Some(name) = self.swim.any() else { break };
+                let items = self.delta(now, &name, MOST - 200, times);
+                if !items.is_empty() {
+                    self.send_more(&name, vec![(ITEMS, items)]);
+                }
             }
         }
         if self.digest_at <= now {
@@ -453,6 +455,11 @@
         (4.0 * size.log10()).ceil().max(1.0) as u32
     }
 
+    fn delta(&mut self, now: Nanos, name: &str, room: usize, times: u32) -> Vec<u8> {
+        let zone = self.swim.members().get(name).map_or("", |member| &member.word.zone);
+        self.store.delta(now, zone, room, times)
+    }
+
     fn send_more(&mut self, name: &str, more: Vec<(u16, Vec<u8>)>) {
         let from = From { name: self.swim.name().to_owned(), start: self.swim.mine().start };
         let message = Message { from, what: What::Gossip, words: Vec::new(), more };
@@ -461,10 +468,12 @@
 
     /// What the membership sends takes news of the replica along.
     fn send(&mut self, to: To, mut message: Message, now: Nanos) {
-        if matches!(to, To::Member(_)) && self.store.has_news() {
+        if let To::Member(name) = &to
+            && self.store.has_news()
+        {
             let room = MOST.saturating_sub(wire::write(self.number, &message).len() + PART);
             let times = self.times();
-            let items = self.store.delta(now, room, times);
+            let items = self.delta(now, name, room, times);
             if !items.is_empty() {
                 message.more.push((ITEMS, items));
             }
--- a/replica/src/store.rs
+++ b/replica/src/store.rs
@@ -154,8 +154,9 @@
         !self.news.is_empty()
     }
 
-    /// News to pass on, as bytes that fit: what was passed on least comes first, and goes after so many times.
-    pub fn delta(&mut self, now: Nanos, room: usize, times: u32) -> Vec<u8> {
+    /// News to pass on to a member of that zone, as bytes that fit: what was passed on least comes first, and goes after so
+    /// many times. Rows stay within their zone, where alone they count.
+    pub fn delta(&mut self, now: Nanos, zone: &str, room: usize, times: u32) -> Vec<u8> {
         let mut order: Vec<(u32, Key)> = self.news.iter().map(|(key, sent)| (*sent, key.clone())).collect();
         order.sort();
         let mut bytes = Vec::new();
@@ -164,7 +165,8 @@
                 self.news.remove(&key);
                 continue;
             };
-            if !write(&mut bytes, &item, room) {
+            let elsewhere = matches!(&item, Item::Row { row, .. } if row.zone != zone);
+            if elsewhere || !write(&mut bytes, &item, room) {
                 continue;
             }
             if sent + 1 >= times {
@@ -279,7 +281,7 @@
     }
 
     fn pass(from: &mut Store, to: &mut Store) -> Vec<String> {
-        let items = read(&from.delta(0, 1_000, 3)).expect("items");
+        let items = read(&from.delta(0, "a", 1_000, 3)).expect("items");
         to.hear(0, items, |_| Some(1))
     }
 
@@ -353,9 +355,10 @@
             srvs: vec![("s".into(), counts)],
         };
         one.count(100, row.clone());
-        let items = read(&one.delta(150, 1_000, 3)).expect("items");
+        assert!(one.delta(150, "b", 1_000, 3).is_empty(), "it leaves its zone");
+        let items = read(&one.delta(150, "a", 1_000, 3)).expect("items");
         other.hear(1_000, items, |_| Some(1));
-        let items = read(&other.delta(1_010, 1_000, 3)).expect("items");
+        let items = read(&other.delta(1_010, "a", 1_000, 3)).expect("items");
         third.hear(5_000, items.clone(), |_| Some(1));
         // 50 at the first, 10 at the second.
         assert_eq!(third.rows().get("n1").map(|held| held.written), Some(4_940));
@@ -372,7 +375,7 @@
         let mut one = store("n1");
         one.listed(1, true, &list("a"));
         let mut bytes = vec![99, 2, 0, 1, 1];
-        bytes.extend(one.delta(0, 1_000, 3));
+        bytes.extend(one.delta(0, "a", 1_000, 3));
         assert_eq!(read(&bytes).map(|items| items.len()), Ok(1));
         assert!(read(&bytes[..bytes.len() - 1]).is_err());
     }
