Replica: a process started after discovery lost its state enters the new count

Seen on reading the change again: an instance first told version 5 of the new count stamped its news (0, 5), under the others' (1, 3), for as long as it lived; a drain told to it alone was refused as old. Cause: Counting::heard kept the epoch for later falls only (stamp.rs). Change: news of a later epoch and no version before ours puts ours into it; one with the old count (41 against 6) stays until discovery tells it less. A test fails without it.

--- a/replica/src/stamp.rs
+++ b/replica/src/stamp.rs
@@ -33,9 +33,13 @@
         self.own
     }
 
-    /// Another instance has passed on news of this stamp.
+    /// Another instance has passed on news of this stamp. Of a later epoch, and no version before ours: ours is of that count
+    /// too. Guards against a process that started after discovery had lost its state: it never sees a version fall.
     pub fn heard(&mut self, stamp: Stamp) {
         self.epoch = self.epoch.max(stamp.epoch);
+        if stamp.epoch > self.own.epoch && stamp.version >= self.own.version {
+            self.own.epoch = stamp.epoch;
+        }
     }
 
     pub fn own(&self) -> Stamp {
@@ -60,4 +64,21 @@
         assert_eq!(late.told(4), Stamp { epoch: 1, version: 4 });
         assert!(late.own() > b.own() && b.own() > Stamp { epoch: 0, version: 41 });
     }
+
+    /// Guards against a restarted process whose news the others take for older than what they hold, for ever.
+    #[test]
+    fn one_that_starts_after_the_count_began_anew_enters_its_epoch() {
+        let mut started = Counting::default();
+        assert_eq!(started.told(5), Stamp { epoch: 0, version: 5 });
+        started.heard(Stamp { epoch: 1, version: 6 });
+        assert_eq!(started.told(7), Stamp { epoch: 1, version: 7 });
+        // One that still has the old count stays in it until discovery itself tells it a smaller version.
+        let mut old = Counting::default();
+        old.told(41);
+        old.heard(Stamp { epoch: 1, version: 6 });
+        assert_eq!(
+            (old.own(), old.told(8)),
+            (Stamp { epoch: 0, version: 41 }, Stamp { epoch: 1, version: 8 })
+        );
+    }
 }
