--- a/balancer/src/figures.rs
+++ b/balancer/src/figures.rs
@@ -73,6 +73,13 @@
         self.avoided.store(avoided, Relaxed);
     }
 
+    /// How many reqs have ended, and how many of them not well for their clients.
+    pub fn ends(&self) -> (u64, u64) {
+        let sum = |at: usize| self.replies.iter().map(|replies| replies.ended[at].load(Relaxed)).sum::<u64>();
+        let lost = sum(1) + sum(2);
+        (sum(0) + lost, lost)
+    }
+
     /// A line for each figure: its name, a colon, its value, and whether it is a count or a gauge. Further ones come last.
     pub fn page(&self, further: &[(&str, u64, &str)]) -> String {
         let mut page = String::new();
--- a/balancer/src/fleet.rs
+++ b/balancer/src/fleet.rs
@@ -4,11 +4,12 @@
 //! (`serve --fleet`).
 
 pub mod file;
+pub mod keep;
 mod meeting;
 pub mod page;
 
 use std::net::SocketAddr;
-use std::sync::PoisonError;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 use ochreshed::{How, Nanos};
@@ -16,6 +17,9 @@
 use ochreshed_gossip::peer::{Output, Peer, Settings};
 use ochreshed_membership::swim::{Config, To};
 use ochreshed_membership::wire::MOST;
+use ochreshed_recovery::begin::{self, First, Given, Source};
+use ochreshed_recovery::snapshot::{self, Snapshot};
+use ochreshed_recovery::start::{self, Knows, Start};
 use ochreshed_replica::rows::Counts;
 use ochreshed_replica::words;
 use tokio::net::{TcpListener, UdpSocket};
@@ -26,8 +30,11 @@
 
 use crate::clock::Clock;
 use crate::decisions::{Evidence, Mail};
+use crate::figures::Figures;
+use crate::list::Entry;
 use crate::phases::{Life, Phase};
 use file::FleetFile;
+use keep::Keep;
 
 const S: Nanos = 1_000_000_000;
 /// A line a minute about what could not be read.
@@ -36,15 +43,26 @@
 /// What the module's actor has counted is taken over so often.
 const COUNT_EVERY: Nanos = S / 10;
 const MAILBOX: usize = 64;
+/// A snapshot follows what has changed by so much, and a part of it by chance: those that hear the same don't write
+/// together.
+const KEEP_AFTER: Nanos = S / 10;
 /// The process that this one takes over from has the port a little longer.
 const BIND_EVERY: Duration = Duration::from_millis(100);
 
+/// How old the start facts' list is taken to be: they don't say.
+const OLD_UNKNOWN: Nanos = 600 * S;
+
 /// What the rest of the program holds of it: where the list's news goes, and pages for operators.
 pub struct Door {
     pub news: mpsc::Sender<Mail>,
     pub pages: Pages,
     /// Where the module's actor puts what the others are to be told.
     pub evidence: Evidence,
+    /// The list to begin with, and where it is from.
+    pub first: (Source, Vec<Entry>),
+    /// Others have told what they know; and how long a start may wait for that.
+    pub confirmed: watch::Receiver<bool>,
+    pub wait: Duration,
 }
 
 /// The page of what is held, and figures.
@@ -92,6 +110,26 @@
     said: u64,
     pages: watch::Sender<Shown>,
     evidence: Evidence,
+    keep: Option<Keep>,
+    /// When the next snapshot is due, if anything has changed since the last; and its number.
+    keep_at: Option<Nanos>,
+    kept: u64,
+    spread: Nanos,
+    start: Start,
+    figures: Arc<Figures>,
+    /// Reqs that had ended when that was looked at last, and those of them that were lost.
+    ends: (u64, u64),
+    confirmed: watch::Sender<bool>,
+}
+
+/// What the program knows when it starts.
+pub struct Began {
+    pub seed: u64,
+    /// Other processes at the clients' address.
+    pub others: usize,
+    /// The list in the start facts, with discovery's version.
+    pub given: Option<(u64, Vec<Entry>)>,
+    pub figures: Arc<Figures>,
 }
 
 /// Starts it before the module's actor: what the list tells goes through it, changed by nothing but what others heard of
@@ -100,10 +138,11 @@
     file: FleetFile,
     name: &str,
     zone: &str,
-    (seed, others): (u64, usize),
+    began: Began,
     (clock, life): (Clock, Life),
     decisions: mpsc::Sender<Mail>,
 ) -> Result<Door, String> {
+    let Began { seed, others, given, figures } = began;
     let (desk, meetings) = mpsc::channel(MAILBOX);
     let sockets = match open(file.listen, &desk).await {
         Ok(sockets) => Some(sockets),
@@ -114,6 +153,25 @@
         Err(e) => return Err(format!("can't speak with the fleet on {}: {e}", file.listen)),
     };
     let now = clock.now();
+    let keep = file.snapshots.as_deref().map(Keep::new);
+    let unix = unix_nanos();
+    let snapshot = keep.as_ref().and_then(|keep| keep.read(&file.fleet, name, unix));
+    let age = snapshot.as_ref().map(|snapshot| unix.saturating_sub(snapshot.written));
+    let version = given.as_ref().map(|(version, _)| *version);
+    let given = given.map(|(version, entries)| Given { version, entries });
+    let first: First<SocketAddr> = begin::first(given, snapshot.as_ref(), age.unwrap_or(0));
+    if let Some(age) = age {
+        let First { source, entries, gone, drain } = &first;
+        info!(
+            "snapshot {} s old: begins with {} srvs by {source:?}, {gone} left out as gone, {drain} avoided",
+            age / S,
+            entries.len()
+        );
+    }
+    let wait = start::wait(
+        Some(age.unwrap_or(OLD_UNKNOWN)).filter(|_| !first.entries.is_empty()),
+        !file.seeds.is_empty(),
+    );
     let settings = Settings {
         fleet: file.fleet.clone(),
         name: name.into(),
@@ -125,9 +183,26 @@
         membership: Config::default(),
     };
     let (news, mailbox) = mpsc::channel(MAILBOX);
-    let (peer, counts) = (Peer::new(settings, now), page::Counts::default());
-    let first = (page::show(&peer, &file.fleet, counts, now), page::figures(&peer, counts));
-    let (pages, shown) = watch::channel(first);
+    let spread = settings.start % KEEP_AFTER;
+    let (mut peer, counts) = (Peer::new(settings, now), page::Counts::default());
+    if let Some(snapshot) = &snapshot {
+        // What the facts' list is newer in is settled by it.
+        let newer =
+            version.is_some_and(|version| version > snapshot.stamp.version) && first.source == Source::Facts;
+        peer.recall(snapshot.stamp, &snapshot.words, snapshot.floor);
+        if newer {
+            let said: Vec<(String, words::State)> = first
+                .entries
+                .iter()
+                .map(|(listed, _)| (listed.srv.to_string(), to_word(listed.state)))
+                .collect();
+            peer.listed(version.unwrap_or_default(), true, &said);
+        }
+    }
+    let start = Start::new(now, !first.entries.is_empty());
+    let (confirmed, told) = watch::channel(false);
+    let page = (page::show(&peer, &file.fleet, counts, now), page::figures(&peer, counts, &start));
+    let (pages, shown) = watch::channel(page);
     let evidence = Evidence::default();
     info!("{name} speaks with fleet {} on {}", file.fleet, file.listen);
     let fleet = Fleet {
@@ -145,11 +220,28 @@
         said: 0,
         pages,
         evidence: evidence.clone(),
+        keep,
+        keep_at: None,
+        kept: snapshot.map_or(0, |snapshot| snapshot.number),
+        spread,
+        start,
+        figures,
+        ends: (0, 0),
+        confirmed,
     };
     tokio::spawn(fleet.run(mailbox, meetings, life));
-    Ok(Door { news, pages: Pages(shown), evidence })
+    let wait = Duration::from_nanos(wait);
+    Ok(Door {
+        news,
+        pages: Pages(shown),
+        evidence,
+        first: (first.source, first.entries),
+        confirmed: told,
+        wait,
+    })
 }
 
+/// On the machine's clock, since 1970.
 fn unix_nanos() -> u64 {
     let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     since.map_or(0, |since| since.as_nanos() as u64)
@@ -177,7 +269,8 @@
         mut meetings: mpsc::Receiver<meeting::Mail>,
         life: Life,
     ) {
-        let (mut bytes, mut left, mut bind_at) = (vec![0; MOST + 1], false, Instant::now());
+        let (mut bytes, mut serves, mut left) = (vec![0; MOST + 1], false, false);
+        let mut bind_at = Instant::now();
         loop {
             let next = self.next();
             tokio::select! {
@@ -194,6 +287,10 @@
                 mail = meetings.recv() => if let Some(mail) = mail {
                     self.meet(mail);
                 },
+                () = life.reached(Phase::Serving), if !serves => {
+                    self.start.ready(self.clock.now());
+                    serves = true;
+                }
                 // One that is to end says so: it is no loss to the others. It still hears what drains.
                 () = life.reached(Phase::Leaving), if !left => {
                     self.peer.leave(self.clock.now());
@@ -218,13 +315,70 @@
 
     fn next(&self) -> Nanos {
         // Nothing is due later than that, and a clock can tell it.
-        self.peer.next().min(self.show_at).min(self.count_at)
+        self.peer.next().min(self.show_at).min(self.count_at).min(self.keep_at.unwrap_or(Nanos::MAX))
+    }
+
+    /// Something is known that the last snapshot does not hold.
+    fn changed(&mut self, now: Nanos) {
+        if self.keep.is_some() && self.keep_at.is_none() {
+            self.keep_at = Some(now + KEEP_AFTER + self.spread);
+        }
+    }
+
+    fn write(&mut self, now: Nanos) {
+        let store = self.peer.store();
+        let worse = store.words().iter().filter(|(_, word)| word.state != words::State::Serves);
+        let snapshot = Snapshot {
+            fleet: self.file.fleet.clone(),
+            instance: self.peer.swim().name().to_owned(),
+            number: self.kept + 1,
+            written: unix_nanos(),
+            stamp: store.own(),
+            list: self.known.list().map(|(listed, address)| snapshot::Entry::of(listed, *address)).collect(),
+            words: worse.map(|(srv, word)| (srv.clone(), *word)).collect(),
+            floor: store.words().floor(),
+        };
+        let Some(keep) = &mut self.keep else { return };
+        if keep.write(snapshot) {
+            (self.kept, self.keep_at) = (self.kept + 1, None);
+        } else {
+            // Another one is being written, or another process writes here still.
+            self.keep_at = Some(now + S);
+        }
+    }
+
+    /// How far the start has come.
+    fn look(&mut self, now: Nanos) {
+        if self.peer.confirmed() {
+            self.start.told(now, Knows::Others);
+            self.confirmed.send_if_modified(|told| !std::mem::replace(told, true));
+        }
+        let (ended, lost) = self.figures.ends();
+        self.start.ended(now, ended - self.ends.0, lost - self.ends.1);
+        self.ends = (ended, lost);
+        if let Some(told) = self.start.look(now) {
+            let ms = |span: Nanos| span / 1_000_000;
+            let some = |span: Option<Nanos>| span.map_or("never".into(), |span| format!("{} ms", ms(span)));
+            info!(
+                "full service {} ms after the start: began by {}, ready {} ms, told by others {}, by discovery {}",
+                ms(told.full),
+                told.began_by.name(),
+                ms(told.ready),
+                some(told.others),
+                some(told.discovery)
+            );
+        }
     }
 
     /// The list's own news goes on, but for what others have heard of later lists.
     fn note(&mut self, mail: Mail) -> Mail {
         let Mail::List { whole, old, version, mut entries } = mail else { return mail };
+        let now = self.clock.now();
         if !old {
+            self.start.told(now, Knows::Discovery);
+            if whole || !entries.is_empty() {
+                self.changed(now);
+            }
             let said: Vec<(String, words::State)> =
                 entries.iter().map(|(listed, _)| (listed.srv.to_string(), to_word(listed.state))).collect();
             self.peer.listed(version, whole, &said);
@@ -266,8 +420,12 @@
 
     async fn tick(&mut self) {
         let now = self.clock.now();
+        if self.keep_at.is_some_and(|at| at <= now) {
+            self.write(now);
+        }
         if self.count_at <= now {
             self.count_at = now + COUNT_EVERY;
+            self.look(now);
             let counted = std::mem::take(&mut *self.evidence.lock().unwrap_or_else(PoisonError::into_inner));
             for ((srv, set), counts) in counted {
                 self.peer.count(now, &srv, &set, counts);
@@ -283,7 +441,7 @@
             self.show_at = now + SHOW_EVERY;
             self.counts.overruled = self.known.overruled() as u64;
             let page = page::show(&self.peer, &self.file.fleet, self.counts, now);
-            self.pages.send_replace((page, page::figures(&self.peer, self.counts)));
+            self.pages.send_replace((page, page::figures(&self.peer, self.counts, &self.start)));
         }
     }
 
@@ -296,6 +454,7 @@
                 }
             }
             Output::Changed(srvs) => {
+                self.changed(now);
                 let news = self.known.changed(self.peer.store().words(), srvs.iter().map(String::as_str));
                 if let Some((first, _)) = news.first() {
                     self.counts.told_early += news.len() as u64;
--- a/balancer/src/fleet/file.rs
+++ b/balancer/src/fleet/file.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::ops::Range;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
@@ -12,7 +12,7 @@
 const MOST_NAME: usize = 64;
 const MOST_SEEDS: usize = 100;
 /// Lines there are.
-const LINES: [&str; 4] = ["fleet", "listen", "seeds", "reach"];
+const LINES: [&str; 5] = ["fleet", "listen", "seeds", "reach", "snapshots"];
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FleetFile {
@@ -24,6 +24,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Where an instance is reached from here, by its name, if not where it listens.
     pub reach: BTreeMap<String, SocketAddr>,
+    /// The folder for snapshots of what this instance knows; none are written without.
+    pub snapshots: Option<PathBuf>,
 }
 
 impl FleetFile {
@@ -44,7 +46,8 @@
     fn parse(text: &str) -> Result<FleetFile, Vec<String>> {
         let table = DeTable::parse(text).map_err(|e| vec![e.to_string().trim_end().replace('\n', " ")])?;
         let mut wrong = Wrong { text, lines: Vec::new() };
-        let (mut fleet, mut listen, mut seeds, mut reach) = (None, None, Vec::new(), BTreeMap::new());
+        let (mut fleet, mut listen, mut seeds, mut reach, mut snapshots) =
+            (None, None, Vec::new(), BTreeMap::new(), None);
         for (key, value) in table.get_ref() {
             match (key.get_ref().as_ref(), value.get_ref()) {
                 ("fleet", DeValue::String(name)) if named(name) => fleet = Some(name.to_string()),
@@ -76,6 +79,10 @@
                     }
                 }
                 ("reach", _) => wrong.at(value.span(), "reach: a table of names and addresses".into()),
+                ("snapshots", DeValue::String(folder)) if !folder.is_empty() => {
+                    snapshots = Some(PathBuf::from(folder.as_ref()));
+                }
+                ("snapshots", _) => wrong.at(value.span(), "snapshots: a folder".into()),
                 (other, _) => wrong.at(key.span(), format!("there is no {other}{}", nearest(other))),
             }
         }
@@ -84,7 +91,7 @@
         }
         match (fleet, listen) {
             (Some(fleet), Some(listen)) if wrong.lines.is_empty() => {
-                Ok(FleetFile { fleet, listen, seeds, reach })
+                Ok(FleetFile { fleet, listen, seeds, reach, snapshots })
             }
             _ => Err(wrong.said()),
         }
@@ -127,25 +134,10 @@
 
 /// The line that was probably meant.
 fn nearest(name: &str) -> String {
-    let near = LINES.iter().map(|line| (distance(name, line), line)).min();
+    let near = LINES.iter().map(|line| (strsim::levenshtein(name, line), line)).min();
     near.filter(|(distance, _)| *distance <= 3).map_or(String::new(), |(_, line)| format!("; {line} is near"))
 }
 
-/// Levenshtein's.
-fn distance(one: &str, other: &str) -> usize {
-    let other: Vec<char> = other.chars().collect();
-    let mut row: Vec<usize> = (0..=other.len()).collect();
-    for (at, c) in one.chars().enumerate() {
-        let mut before = std::mem::replace(&mut row[0], at + 1);
-        for (column, d) in other.iter().enumerate() {
-            let changed = before + usize::from(c != *d);
-            before = row[column + 1];
-            row[column + 1] = changed.min(before + 1).min(row[column] + 1);
-        }
-    }
-    row[other.len()]
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/balancer/src/fleet/page.rs
+++ b/balancer/src/fleet/page.rs
@@ -8,6 +8,7 @@
 
 use ochreshed_gossip::peer::Peer;
 use ochreshed_gossip::{Nanos, S};
+use ochreshed_recovery::start::Start;
 use ochreshed_replica::words;
 
 /// Srvs that drain or are gone are shown up to so many.
@@ -68,7 +69,7 @@
 }
 
 /// The same in numbers: a name, a value, and whether it is a count or a gauge.
-pub fn figures(peer: &Peer, counts: Counts) -> Vec<(&'static str, u64, &'static str)> {
+pub fn figures(peer: &Peer, counts: Counts, start: &Start) -> Vec<(&'static str, u64, &'static str)> {
     let (swim, words, traffic) = (peer.swim(), peer.store().words(), peer.traffic());
     let worse = words.iter().filter(|(_, word)| word.state != words::State::Serves).count();
     vec![
@@ -84,6 +85,9 @@
         ("fleet.sent_bytes", traffic.sent_bytes, "c"),
         ("fleet.received_bytes", traffic.received_bytes, "c"),
         ("fleet.unreadable", traffic.wrong.values().sum(), "c"),
+        ("start.knows", start.knows() as u64, "g"),
+        // 0 until it is reached.
+        ("start.full_service_ms", start.full().unwrap_or(0) / 1_000_000, "g"),
     ]
 }
 
--- a/balancer/src/main.rs
+++ b/balancer/src/main.rs
@@ -33,6 +33,8 @@
     ochreshed fleet --at ADDRESS [--at ADDRESS]
                                       what the instance whose operators' door is there holds of its fleet; of two, where
                                       they differ
+    ochreshed snapshot show|verify FILE
+                                      what a snapshot holds, or whether it is whole
     ochreshed check [--facts FILE]    read the start facts, say what they amount to, and exit
     ochreshed version
     ochreshed help
@@ -44,6 +46,8 @@
     Serve(PathBuf, Option<PathBuf>),
     Check(PathBuf),
     Fleet(Vec<SocketAddr>),
+    /// Whether to show what it holds.
+    Snapshot(PathBuf, bool),
     Version,
     Help,
 }
@@ -61,6 +65,7 @@
 fn command() -> Result<Command, String> {
     let mut args = lexopt::Parser::from_env();
     let (mut name, mut file, mut fleet, mut at) = (None, None, None, Vec::new());
+    let mut words = Vec::new();
     while let Some(arg) = args.next().map_err(|e| e.to_string())? {
         match arg {
             Long("help") | Short('h') => return Ok(Command::Help),
@@ -69,6 +74,9 @@
             Long("fleet") => fleet = Some(PathBuf::from(args.value().map_err(|e| e.to_string())?)),
             Long("at") => at.push(args.value().and_then(|at| at.parse()).map_err(|e| e.to_string())?),
             Value(word) if name.is_none() => name = Some(word),
+            Value(word) if name.as_ref().is_some_and(|name| name == "snapshot") && words.len() < 2 => {
+                words.push(word)
+            }
             other => return Err(format!("{}; see `ochreshed help`", other.unexpected())),
         }
     }
@@ -80,6 +88,12 @@
         Some("serve") => Ok(Command::Serve(file()?, fleet)),
         Some("fleet") if at.is_empty() => Err("fleet wants --at ADDRESS, an operators' door".into()),
         Some("fleet") => Ok(Command::Fleet(at)),
+        Some("snapshot") => match &words[..] {
+            [what, file] if what == "show" || what == "verify" => {
+                Ok(Command::Snapshot(PathBuf::from(file), what == "show"))
+            }
+            _ => Err("snapshot wants show or verify, and a file".into()),
+        },
         Some("check") => Ok(Command::Check(file()?)),
         Some("version") => Ok(Command::Version),
         Some("help") | None => Ok(Command::Help),
@@ -108,6 +122,10 @@
             }
             Ok(ExitCode::SUCCESS)
         }
+        Command::Snapshot(file, show) => {
+            println!("{}", fleet::keep::inspect(&file, show)?);
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Check(file) => {
             let start = StartFacts::read(&file)?;
             let (name, listen, discovery) = (start.name, start.listen, start.discovery);
--- a/balancer/src/phases.rs
+++ b/balancer/src/phases.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use ochreshed::{Balancer, Facts, Name, Nanos, Value, list as facts_list, span, text};
+use ochreshed_recovery::begin::Source;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
@@ -161,23 +162,40 @@
     }
     // Room for each caller's req and its leaving, and for what peers and the list tell.
     let (mail, mailbox) = mpsc::channel(2 * start.most_in + start.most_out + 64);
-    let (mut known, mut first) = (None, None);
+    let (mut known, mut given) = (None, None);
     if !start.known.is_null() {
         let (generation, whole, entries) = list::read(&start.known).map_err(|why| format!("known: {why}"))?;
-        first = Some(Mail::List { whole, old: true, version: 0, entries });
+        // It was read as a number.
+        given = Some((generation.parse().unwrap_or(0), whole, entries));
         known = Some(generation);
     }
-    let fleet = match fleet {
+    let rule_sets: Arc<[Name]> =
+        facts_list(&start.facts, "rule_sets").iter().map(|set| text(set, "name").into()).collect();
+    let figures = Figures::new(rule_sets.iter().cloned());
+    let mut fleet = match fleet {
         None => None,
         Some(file) => {
             let (name, zone) = (&start.name, text(&start.facts, "site"));
-            let started = (start.seed, others);
-            Some(fleet::start(file, name, zone, started, (clock, life.clone()), mail.clone()).await?)
+            let given = given.take().map(|(version, _, entries)| (version, entries));
+            let began = fleet::Began { seed: start.seed, others, given, figures: figures.clone() };
+            Some(fleet::start(file, name, zone, began, (clock, life.clone()), mail.clone()).await?)
         }
     };
     // Where instances speak with each other, news of the list goes by the actor that does.
     let news = fleet.as_ref().map_or(&mail, |fleet| &fleet.news).clone();
-    if let Some(first) = first {
+    let first = match &mut fleet {
+        Some(fleet) => {
+            if fleet.first.0 == Source::Snapshot {
+                // Changes since the facts' list say nothing of one that is of another count: the whole is asked for.
+                known = None;
+            }
+            let entries = std::mem::take(&mut fleet.first.1);
+            (fleet.first.0 != Source::Nothing).then_some((true, entries))
+        }
+        None => given.map(|(_, whole, entries)| (whole, entries)),
+    };
+    if let Some((whole, entries)) = first {
+        let first = Mail::List { whole, old: true, version: 0, entries };
         news.try_send(first).map_err(|e| e.to_string())?;
     }
     let listed = list::start(start.discovery, clock, list::wait(&start.facts), known, news);
@@ -192,9 +210,6 @@
     }
     let longest = facts_list(&start.facts, "rule_sets").iter().map(|set| span(set, "client_timeout", S));
     let longest = longest.max().unwrap_or(LONGEST).min(LONGEST);
-    let rule_sets: Arc<[Name]> =
-        facts_list(&start.facts, "rule_sets").iter().map(|set| text(set, "name").into()).collect();
-    let figures = Figures::new(rule_sets.iter().cloned());
     let common = peer::Common {
         figures: figures.clone(),
         clock,
@@ -207,6 +222,7 @@
         idle: span(&start.facts, "connection_idle", 10 * S),
     };
     tokio::spawn(read_again(hangup, start.file, start.discovery, listed.clone()));
+    let told = fleet.as_ref().map(|fleet| (fleet.confirmed.clone(), fleet.wait));
     let (fleet, evidence) = fleet.map(|fleet| (fleet.pages, fleet.evidence)).unzip();
     let desk = operator::Desk { life: life.clone(), figures: figures.clone(), fleet };
     if let Some(address) = start.operator {
@@ -235,6 +251,10 @@
         // What it was told of the list may be old, and nobody waits for it yet.
         let _ = timeout(FIRST_LIST, news).await;
     }
+    if let Some((mut told, wait)) = told {
+        // Others may know what the list is too old for; no longer than that is worth.
+        let _ = timeout(wait, told.wait_for(|told| *told)).await;
+    }
     let listener = twin.listen(start.listen).and_then(|listener| {
         let address = listener.local_addr()?;
         Ok((TcpListener::from_std(listener)?, address))
--- a/balancer/tests/helper/mod.rs
+++ b/balancer/tests/helper/mod.rs
@@ -32,6 +32,8 @@
     /// Its operator's own file of a fleet.
     pub fleet: Option<PathBuf>,
     pub log: Receiver<String>,
+    /// Lines that were taken off it on the way to others.
+    pub passed: Vec<String>,
     pub address: SocketAddr,
     pub discovery: TcpListener,
     /// Where it answers operators; nowhere unless the facts say so.
@@ -180,6 +182,7 @@
             fleet,
             folder,
             log,
+            passed: Vec::new(),
             address,
             discovery,
             operator: None,
@@ -259,6 +262,7 @@
             if line.contains(what) {
                 return line;
             }
+            self.passed.push(line);
         }
     }
 }
--- a/drill/src/figures.rs
+++ b/drill/src/figures.rs
@@ -2,7 +2,7 @@
 //! connections, calls, what processes took. It owns these definitions, and must never count a call by when it was answered:
 //! all go by when it was meant to be made.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use hdrhistogram::Histogram;
 use ochreshed_emulator::{MS, Nanos, S};
@@ -88,6 +88,8 @@
     pub near: f64,
     /// Sends that a srv turned away: full, or draining unknown to the sender.
     pub turned_away: u64,
+    /// Sends that a srv answered with an error of its own, or not at all.
+    pub failed_sends: u64,
     pub peak_over_mean: f64,
     pub peak_at_s: f64,
     pub peak_by_s: Vec<f64>,
@@ -98,6 +100,11 @@
     pub list_calls_by_s: Vec<u64>,
     /// What a balancer sent to the others, where they speak.
     pub fleet_bytes_per_s: f64,
+    /// Drains and departures that a balancer was told of by discovery; how long after the first was told 99% of the
+    /// balancers had sent their last to that srv; and all sends more than a second after it.
+    pub departures: u64,
+    pub heeded_by_99_s: f64,
+    pub unheeded_sends: u64,
     pub missing: u64,
     pub lost_with_faults: u64,
     /// From a process's start to its being ready, of those started by the script.
@@ -137,11 +144,63 @@
     figures.recovery(play);
     figures.sends(play, lives);
     figures.events(play);
+    figures.heeded(play);
     figures.usage(play);
     figures
 }
 
+/// A srv that one balancer was told of as draining or gone: since when, who was told, and what each sent last since.
+struct Departure {
+    since: Nanos,
+    told: BTreeSet<usize>,
+    last: BTreeMap<usize, Nanos>,
+}
+
 impl Figures {
+    /// What one balancer has heard all are to heed: that is seen by their sends alone.
+    fn heeded(&mut self, play: &Play) {
+        let mut up: BTreeMap<usize, &Vec<Option<u64>>> = BTreeMap::new();
+        let (mut open, mut over) = (BTreeMap::<usize, Departure>::new(), Vec::new());
+        for (at, event) in &play.entries {
+            match event {
+                Event::Told { balancer, up: now } => {
+                    let before = up.insert(*balancer, now);
+                    for (srv, started) in now.iter().enumerate() {
+                        let was = before.and_then(|before| before.get(srv).copied().flatten());
+                        if was.is_some() && started.is_none() {
+                            let new =
+                                || Departure { since: *at, told: BTreeSet::new(), last: BTreeMap::new() };
+                            open.entry(srv).or_insert_with(new).told.insert(*balancer);
+                        } else if started.is_some()
+                            && open.get(&srv).is_some_and(|left| left.told.contains(balancer))
+                        {
+                            over.extend(open.remove(&srv));
+                        }
+                    }
+                }
+                Event::Sent { balancer, srv, .. } => {
+                    if let Some(left) = open.get_mut(srv) {
+                        let after = at.saturating_sub(left.since);
+                        left.last.insert(*balancer, after);
+                        self.unheeded_sends += u64::from(after > S);
+                    }
+                }
+                _ => {}
+            }
+        }
+        over.extend(open.into_values());
+        self.departures = over.len() as u64;
+        let last = |left: &Departure| {
+            let of =
+                (0..play.parties.balancers).map(|balancer| left.last.get(&balancer).copied().unwrap_or(0));
+            of.collect::<Vec<_>>()
+        };
+        let mut all: Vec<Nanos> = over.iter().flat_map(last).collect();
+        all.sort_unstable();
+        let at = (all.len() as f64 * 0.99).ceil() as usize;
+        self.heeded_by_99_s = all.get(at.saturating_sub(1)).map_or(0.0, |last| *last as f64 / 1e9);
+    }
+
     fn services(&mut self, drill: &Drill, play: &Play, lives: &[Life]) {
         let mut calls: HashMap<u64, Call> = HashMap::new();
         for life in lives {
@@ -245,6 +304,8 @@
             for dispatch in &life.dispatches {
                 self.sends += 1;
                 self.turned_away += u64::from(matches!(dispatch.back, Some((_, _, true))));
+                let failed = dispatch.back.is_none_or(|(_, status, rejected)| status >= 500 && !rejected);
+                self.failed_sends += u64::from(failed);
                 near += u64::from(play.parties.zone(dispatch.balancer) == play.parties.zone(dispatch.srv));
                 let second = (dispatch.first.saturating_sub(play.from) / S) as usize;
                 if let Some(second) = by_s.get_mut(second) {
--- a/drill/src/file.rs
+++ b/drill/src/file.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 
+use ochreshed_emulator::fleet::Fleet;
 use ochreshed_emulator::scenario::{Clients, Discovery, Network, RuleSet, Scenario, Tier, Trouble, span};
 use ochreshed_emulator::{MS, Nanos, S};
 use serde::Deserialize;
@@ -54,6 +55,8 @@
     pub call_timeout: Nanos,
     /// The balancers speak with each other (`serve --fleet`).
     pub fleet: bool,
+    /// They keep snapshots of what they know.
+    pub snapshots: bool,
     /// Balancers that run the other build, where one is given.
     pub other: Option<Who>,
     /// The limits in the facts.
@@ -78,6 +81,7 @@
             calls_per_s: 200.0,
             call_timeout: S,
             fleet: false,
+            snapshots: false,
             other: None,
             memory_mb: 64,
             sockets: 512,
@@ -325,7 +329,8 @@
 
     fn shared(&self) -> Scenario {
         let Drill { lasts, clients, network, list, rule_sets, tiers, troubles, .. } = self.clone();
-        Scenario { lasts, clients, network, list, rule_sets, tiers, troubles }
+        let fleet = self.live.fleet.then(|| Fleet { delay: network.between.clone(), loss: 0.0 });
+        Scenario { lasts, clients, network, list, fleet, rule_sets, tiers, troubles }
     }
 
     fn errors(&self) -> Vec<String> {
--- a/drill/src/link.rs
+++ b/drill/src/link.rs
@@ -471,13 +471,15 @@
             sleep(Duration::from_secs_f64(bytes.len() as f64 / per_s)).await;
         }
         let most = reset.map_or(bytes.len(), |after| after.saturating_sub(gone).min(bytes.len()));
+        // Noted first: who gets it may act on it before this task has its next turn, and a req sent again at once would
+        // look as if it had been sent before the answer came.
+        if to == To::Back {
+            framer.follow(&bytes[..most], |seen| watcher(number, Passed::Back(seen)));
+        }
         if out.write_all(&bytes[..most]).await.is_err() {
             return End::Reset;
         }
         gone += most;
-        if to == To::Back {
-            framer.follow(&bytes[..most], |seen| watcher(number, Passed::Back(seen)));
-        }
         if reset.is_some_and(|after| gone >= after) {
             return End::Reset;
         }
--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -28,6 +28,7 @@
     --other PATH       another build of it, for `live.other`
     --settings FILE    JSON, laid over the operators' settings in the facts, key by key
     --fleet WHICH      the balancers speak with each other: both, or of two builds compared a or b only
+    --snapshots WHICH  they keep snapshots: likewise
     --serve WORDS      further words for `ochreshed serve`, parted by spaces; {n} is the balancer's number
     --keep FOLDER      where processes' facts and logs are left; removed at the end unless told
     --set PATH=VALUE   another value in the file, such as clients.per_s=500 or clients.instances=60
@@ -62,6 +63,7 @@
     trace: Option<u64>,
     lost: usize,
     fleet: String,
+    snapshots: String,
     a: Option<PathBuf>,
     b: Option<PathBuf>,
     set: Vec<String>,
@@ -86,6 +88,7 @@
             Long("other") => told.options.other = Some(args.value().map_err(said)?.into()),
             Long("lost") => told.lost = args.value().and_then(|v| v.parse()).map_err(said)?,
             Long("keep") => told.options.folder = Some(args.value().map_err(said)?.into()),
+            Long("snapshots") => told.snapshots = args.value().and_then(|v| v.string()).map_err(said)?,
             Long("fleet") => told.fleet = args.value().and_then(|v| v.string()).map_err(said)?,
             Long("set") => told.set.push(args.value().and_then(|v| v.string()).map_err(said)?),
             Long("serve") => {
@@ -107,10 +110,14 @@
             other => return Err(format!("{}; see `ochreshed-drill help`", other.unexpected())),
         }
     }
+    if !["", "a", "b", "both"].contains(&&*told.snapshots) {
+        return Err(format!("--snapshots {}: both, a or b", told.snapshots));
+    }
     if !["", "a", "b", "both"].contains(&&*told.fleet) {
         return Err(format!("--fleet {}: both, a or b", told.fleet));
     }
     told.options.fleet = told.fleet == "both";
+    told.options.snapshots = told.snapshots == "both";
     Ok(told)
 }
 
@@ -249,6 +256,9 @@
     ("most at one srv over mean", |f| f.peak_over_mean, 2),
     ("sends a req", |f| f.sends_a_req, 3),
     ("turned away", |f| f.turned_away as f64, 0),
+    ("sends that failed", |f| f.failed_sends as f64, 0),
+    ("departures heeded by 99%, s", |f| f.heeded_by_99_s, 2),
+    ("sends a second after them", |f| f.unheeded_sends as f64, 0),
     ("bytes a second to others", |f| f.fleet_bytes_per_s, 0),
     ("share of a core", |f| f.cpu_share_mean, 4),
     ("near", |f| f.near, 2),
@@ -271,8 +281,14 @@
                 return Err("cut short".into());
             }
             let fleet = told.options.fleet || told.fleet == ["a", "b"][number];
-            let options =
-                Options { seed: *seed, binary: binary.to_path_buf(), fleet, ..told.options.clone() };
+            let snapshots = told.options.snapshots || told.snapshots == ["a", "b"][number];
+            let options = Options {
+                seed: *seed,
+                binary: binary.to_path_buf(),
+                fleet,
+                snapshots,
+                ..told.options.clone()
+            };
             let played = one(file, drill, &options)?;
             let breaches = &played.report.verdict.breaches;
             broken[number] += breaches.len();
--- a/drill/src/play.rs
+++ b/drill/src/play.rs
@@ -54,6 +54,8 @@
     pub broken: Broken,
     /// The balancers speak with each other, whatever the file says.
     pub fleet: bool,
+    /// The balancers keep snapshots in their stored folders.
+    pub snapshots: bool,
 }
 
 /// What was seen of a drill.
@@ -262,7 +264,7 @@
             parties,
         };
         stage.lay_links().await?;
-        if drill.live.fleet || options.fleet {
+        if drill.live.fleet || options.fleet || drill.live.snapshots || options.snapshots {
             stage.lay_fleet().await?;
         }
         Ok(stage)
@@ -339,11 +341,19 @@
     /// The operator's own file of a balancer, if they speak.
     fn fleet_file(&self, balancer: usize) -> Option<String> {
         let (listen, ways) = self.fleet.get(balancer)?;
-        let others = || ways.iter().enumerate().filter(|(other, _)| *other != balancer);
+        let (speaks, keeps) = (
+            self.drill.live.fleet || self.options.fleet,
+            self.drill.live.snapshots || self.options.snapshots,
+        );
+        let others = || ways.iter().enumerate().filter(|(other, _)| speaks && *other != balancer);
         let seeds: Vec<String> = others().take(3).map(|(_, way)| format!("\"{way}\"")).collect();
         let reach: String = others().map(|(other, way)| format!("n{other} = \"{way}\"\n")).collect();
         let seeds = seeds.join(", ");
-        Some(format!("fleet = \"drill\"\nlisten = \"{listen}\"\nseeds = [{seeds}]\n[reach]\n{reach}"))
+        let stored = self.balancers[balancer].folder.join("stored");
+        let snapshots = if keeps { format!("snapshots = \"{}\"\n", stored.display()) } else { String::new() };
+        Some(format!(
+            "fleet = \"drill\"\nlisten = \"{listen}\"\nseeds = [{seeds}]\n{snapshots}[reach]\n{reach}"
+        ))
     }
 
     async fn play(&mut self, stop: &AtomicBool, progress: &dyn Fn(f64)) -> Result<Play, String> {
@@ -654,6 +664,14 @@
                     self.at(now + trouble.lasts, Step::Unpause(srv));
                 }
             }
+            Trouble::FleetCut if begins => {
+                let cut = trouble.srvs.min(self.parties.balancers);
+                let side = |of: std::ops::Range<usize>| of.map(Party::Balancer).collect();
+                let (from, to) = (side(0..cut), side(cut..self.parties.balancers));
+                self.change_links(number, &from, &to, Way::Both, LinkEffect::Cut);
+            }
+            Trouble::FleetCut => self.heal_links(number),
+            Trouble::Drain => (0..srvs).for_each(|srv| self.drain(srv, begins, None)),
             Trouble::Slow => {
                 let times = if begins { trouble.times } else { 1.0 };
                 self.srvs.iter().for_each(|srv| srv.slow(times));
--- a/drill/src/report.rs
+++ b/drill/src/report.rs
@@ -51,7 +51,8 @@
              {:.3} sends a req, {} turned away, {:.2} near, most at one srv {:.2} times the mean (at {:.0} s)\n\
              {} connections to srvs, {} calls to discovery; processes ready after {:.0} ms, {:.0} ms at the most\n\
              a process: {} KB and {} descriptors at the most, {:.1}% of a core (most {:.1}%); the drill's own lag {:.0} ms\n\
-             the balancers sent each other {:.0} bytes a second each; {} reqs lost with what was killed, stopped or cut; {} final answers missing\n",
+             the balancers sent each other {:.0} bytes a second each; {} reqs lost with what was killed, stopped or cut; {} final answers missing\n\
+             {} sends failed; {} drains and departures, heeded by 99% of the balancers {:.2} s after the first was told, {} sends more than 1 s after it\n",
             f.service_before,
             f.p50_ms,
             f.p99_ms,
@@ -74,6 +75,10 @@
             f.fleet_bytes_per_s,
             f.lost_with_faults,
             f.missing,
+            f.failed_sends,
+            f.departures,
+            f.heeded_by_99_s,
+            f.unheeded_sends,
         );
         for breach in self.verdict.breaches.iter().take(10) {
             let (rule, at, id, what) = (breach.rule, breach.at_s, &breach.id, &breach.what);
--- a/drill/tests/drills.rs
+++ b/drill/tests/drills.rs
@@ -59,8 +59,12 @@
 }
 
 fn played_with(name: &str, drill: &Drill, fleet: bool) -> Played {
+    played_by(name, drill, Options { fleet, ..Options::default() })
+}
+
+fn played_by(name: &str, drill: &Drill, options: Options) -> Played {
     let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
-    let options = Options { seed: 1, binary: program(), fleet, ..Options::default() };
+    let options = Options { seed: 1, binary: program(), ..options };
     let played = run(name, drill, &options, &AtomicBool::new(false), &|_| {}).expect("played");
     let text = played.report.text();
     assert!(played.report.verdict.breaches.is_empty(), "{text}");
@@ -258,6 +262,126 @@
     assert!(played.play.fleet_bytes > 1_000, "they do not speak");
 }
 
+#[test]
+fn halves_of_a_fleet_that_hear_of_other_drains_agree_once_their_cut_is_healed() {
+    let halves = r#"
+        [[faults]]
+        at = "500ms"
+        lasts = "3s"
+        what = "link"
+        from = "balancers:0-2"
+        to = "balancers:3-5"
+        how = "cut"
+        [[faults]]
+        at = "1500ms"
+        lasts = "9s"
+        what = "drain"
+        who = "srvs:1"
+        told = "balancers:1"
+        [[faults]]
+        at = "1500ms"
+        lasts = "9s"
+        what = "drain"
+        who = "srvs:5"
+        told = "balancers:4""#;
+    let played = played_with("halves", &drill(6, 90.0, "9s", halves), true);
+    assert!(turned_away_after(&played, 2_500_000_000) > 0, "it passed the cut");
+    // Healed 3.5 s after the begin; each half hears of the other one's drain.
+    assert_eq!(turned_away_after(&played, 6_500_000_000), 0);
+}
+
+/// Three srvs drain, all are told; then discovery is down, and these processes are killed and start with the list as it
+/// stood before.
+fn killed_after_drains(who: &str, stored: &str) -> Drill {
+    let faults = format!(
+        r#"
+        [[faults]]
+        at = "500ms"
+        lasts = "9s"
+        what = "drain"
+        who = "srvs:0-2"
+        [[faults]]
+        at = "2s"
+        lasts = "5s"
+        what = "discovery"
+        how = "down"
+        [[faults]]
+        at = "2200ms"
+        what = "kill"
+        who = "{who}"
+        back = "50ms"
+        stored = "{stored}""#
+    );
+    drill(6, 90.0, "6s", &faults)
+}
+
+#[test]
+fn after_all_were_killed_nothing_goes_to_what_a_snapshot_knew_to_drain() {
+    let drill = killed_after_drains("balancers", "kept");
+    let snapshots = Options { snapshots: true, ..Options::default() };
+    let (without, with) = (played("no snapshots", &drill), played_by("snapshots", &drill, snapshots));
+    assert!(turned_away_after(&without, 2_200_000_000) > 0, "the old list does no harm here");
+    assert_eq!(turned_away_after(&with, 2_200_000_000), 0);
+    assert_eq!(processes(&with, &Process::Ready), 12);
+}
+
+#[test]
+fn those_that_restart_hear_from_the_survivors_what_drains() {
+    let drill = killed_after_drains("balancers:0-3", "lost");
+    let played = played_with("survivors", &drill, true);
+    // Discovery is down until 7 s.
+    assert_eq!(turned_away_after(&played, 4_200_000_000), 0);
+}
+
+#[test]
+fn snapshots_that_are_damaged_or_anothers_are_one_line_and_a_start_without() {
+    for (stored, said) in [("damaged", "checksum is another"), ("foreign", "of fleet drill")] {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("snapshots-{stored}"));
+        let options = Options { snapshots: true, folder: Some(folder.clone()), ..Options::default() };
+        let played = played_by(stored, &killed_after_drains("balancers:0-5", stored), options);
+        assert_eq!(processes(&played, &Process::Ready), 12);
+        let mut lines = 0;
+        for process in std::fs::read_dir(&folder).expect("folders").flatten() {
+            let log = std::fs::read_to_string(process.path().join("log")).unwrap_or_default();
+            lines +=
+                log.lines().filter(|line| line.contains(said) && line.contains("goes on without")).count();
+        }
+        std::fs::remove_dir_all(&folder).expect("removed");
+        assert_eq!(lines, 6, "{stored}");
+    }
+}
+
+#[test]
+fn a_second_mass_restart_in_the_middle_of_the_first_and_a_crash_loop_keep_the_rules() {
+    let faults = r#"
+        [[faults]]
+        at = "1s"
+        what = "kill"
+        who = "balancers"
+        back = "50ms"
+        [[faults]]
+        at = "1300ms"
+        what = "kill"
+        who = "balancers:0-3"
+        back = "20ms"
+        [[faults]]
+        at = "1s"
+        lasts = "4s"
+        what = "crash-loop"
+        who = "balancers:5"
+        every = "700ms"
+        [[faults]]
+        at = "1200ms"
+        lasts = "2s"
+        what = "discovery"
+        how = "slow"
+        by = "800ms""#;
+    let options = Options { fleet: true, snapshots: true, ..Options::default() };
+    let played = played_by("again", &drill(6, 90.0, "7s", faults), options);
+    assert!(processes(&played, &Process::Killed) >= 6 + 4 + 3);
+    assert_eq!(played.report.figures.by_half_s.last().map(|half| half.asked > 0), Some(true));
+}
+
 #[test]
 fn another_build_runs_where_the_file_says_and_speaks_with_the_rest() {
     let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
--- a/emulator/src/chooser.rs
+++ b/emulator/src/chooser.rs
@@ -117,6 +117,8 @@
     fn ended(&mut self, now: Nanos, id: u64, number: usize, how: How, took: Nanos);
     fn left(&mut self, now: Nanos, id: u64);
     fn list(&mut self, now: Nanos, entries: &[Listed]);
+    /// What another instance has seen, so often.
+    fn others(&mut self, now: Nanos, srv: &str, rule_set: &str, how: How, times: u16);
     /// Does what is due; answers with when it is to be asked again.
     fn settle(&mut self, now: Nanos) -> Nanos;
     fn acts(&mut self) -> Vec<Act>;
@@ -139,6 +141,10 @@
         self.news(now, Outcome::List { whole: false, old: false, entries });
     }
 
+    fn others(&mut self, now: Nanos, srv: &str, rule_set: &str, how: How, times: u16) {
+        (0..times).for_each(|_| self.news(now, Outcome::Others { srv, rule_set, how }));
+    }
+
     fn settle(&mut self, now: Nanos) -> Nanos {
         Hands::settle(self, now)
     }
@@ -264,6 +270,9 @@
         }
     }
 
+    /// A baseline learns by itself.
+    fn others(&mut self, _: Nanos, _: &str, _: &str, _: How, _: u16) {}
+
     fn settle(&mut self, _: Nanos) -> Nanos {
         Nanos::MAX
     }
--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -104,6 +104,16 @@
     if !recovery.is_empty() {
         println!("as before, so long after each trouble: {}", recovery.join(", "));
     }
+    let heeded = &day.heeded;
+    if heeded.news > 0 {
+        println!(
+            "{} drains and departures, heeded by half of the balancers {:.2} s after the first, by 99% {:.2} s, by all {:.2} s",
+            heeded.news, heeded.half_s, heeded.most_s, heeded.all_s
+        );
+    }
+    if day.fleet_bytes_per_s > 0.0 {
+        println!("{:.0} bytes a second from each balancer to others", day.fleet_bytes_per_s);
+    }
     day.breaches.iter().take(10).for_each(|breach| println!("BROKEN {breach}"));
     if day.breaches.is_empty() {
         println!("rules kept");
@@ -116,10 +126,10 @@
 /// Each policy on the same seeds, with the 95% interval of its difference to the first one, seed by seed.
 fn compare(scenario: &Scenario, names: &[String], policies: &[Policy], seeds: u64) {
     println!(
-        "simulated, {seeds} seeds\n| policy | score | worst 10 s | sends by tier | against {} | broken |",
+        "simulated, {seeds} seeds\n| policy | score | worst 10 s | sends by tier | against {} | broken | heeded by 99%, s | by all, s | bytes a second |",
         names[0]
     );
-    println!("| --- | --- | --- | --- | --- | --- |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     let days = |policy: Policy| -> Vec<Day> {
         (1..=seeds).into_par_iter().map(|seed| play(scenario, policy, seed)).collect()
     };
@@ -140,11 +150,14 @@
             (0..scenario.tiers.len()).map(|tier| format!("{:.2}", mean(&|day| day.sends[tier]))).collect();
         let broken: usize = days.iter().map(|day| day.breaches.len()).sum();
         println!(
-            "| {name} | {:.3} | {:.3} | {} | {difference:+.3} ± {:.3} | {broken} |",
+            "| {name} | {:.3} | {:.3} | {} | {difference:+.3} ± {:.3} | {broken} | {:.2} | {:.2} | {:.0} |",
             mean(&|day| day.score),
             mean(&|day| day.worst_10s),
             sends.join(" "),
-            1.96 * (spread / number).sqrt()
+            1.96 * (spread / number).sqrt(),
+            mean(&|day| day.heeded.most_s),
+            mean(&|day| day.heeded.all_s),
+            mean(&|day| day.fleet_bytes_per_s)
         );
     }
 }
--- a/emulator/src/scenario.rs
+++ b/emulator/src/scenario.rs
@@ -5,6 +5,7 @@
 
 use crate::Nanos;
 use crate::chance::Span;
+use crate::fleet::Fleet;
 use crate::station::{Build, Cold, Fatigue};
 
 #[derive(Clone, Debug, Deserialize)]
@@ -16,6 +17,8 @@
     pub clients: Clients,
     pub network: Network,
     pub list: Discovery,
+    /// The balancers before the first tier speak with each other.
+    pub fleet: Option<Fleet>,
     pub rule_sets: Vec<RuleSet>,
     /// The first is the clients' own; each calls the next.
     pub tiers: Vec<Tier>,
@@ -140,6 +143,10 @@
     Crash,
     /// So many times as many clients; the tier is the first.
     Burst,
+    /// So many balancers before the first tier and the others don't hear each other.
+    FleetCut,
+    /// Srvs drain for so long, and serve again: told to all, each in its time.
+    Drain,
 }
 
 fn one() -> f64 {
@@ -219,6 +226,12 @@
         must((0.0..1e6).contains(&self.clients.per_s), "clients.per_s: from 0 up to a million".into());
         must((1..=1_000).contains(&self.clients.instances), "clients.instances: from 1 to 1,000".into());
         must((1..=3).contains(&self.tiers.len()), "tiers: one to three".into());
+        if let Some(fleet) = &self.fleet {
+            must((0.0..1.0).contains(&fleet.loss), "fleet.loss: a part under 1".into());
+            if let Err(why) = fleet.delay.check() {
+                must(false, format!("fleet.delay: {why}"));
+            }
+        }
         must(!self.rule_sets.is_empty(), "rule_sets: at least one".into());
         for set in &self.rule_sets {
             let right = set.part > 0.0 && set.client_timeout > 0 && set.response_target <= set.client_timeout;
--- a/emulator/src/world.rs
+++ b/emulator/src/world.rs
@@ -9,10 +9,12 @@
 
 use ochreshed::{How, Listed, Name, Req, State};
 use ochreshed_hands::Act;
+use ochreshed_replica::rows::Counts;
 
 use crate::audit::{Answer, Audit, Breach, Key};
 use crate::chance::Stream;
 use crate::chooser::{Chooser, Policy, Seat};
+use crate::fleet::{Due, Effect, Heeded, HeededAfter, Net};
 use crate::scenario::{RuleSet, Scenario, Trouble, What};
 use crate::station::{Offer, Station};
 use crate::time::Events;
@@ -51,8 +53,10 @@
     },
     News {
         instance: usize,
+        version: u64,
         entry: Listed,
     },
+    Fleet(Due),
     Trouble(usize, bool),
     Drain(usize),
     Replace(usize),
@@ -124,6 +128,10 @@
     /// Seconds from each trouble's end until three seconds in a row were about as good as before its begin; none
     /// where that was not seen.
     pub recovery: Vec<Option<u64>>,
+    /// How long news of drains and departures took among the balancers before the first tier.
+    pub heeded: HeededAfter,
+    /// Bytes a second that a balancer sends to others.
+    pub fleet_bytes_per_s: f64,
     pub events: u64,
     pub breaches: Vec<String>,
 }
@@ -143,6 +151,10 @@
     slow: Vec<f64>,
     resets: Vec<f64>,
     list_down_until: Nanos,
+    /// Discovery's version.
+    version: u64,
+    fleet: Option<Net>,
+    heeded: Heeded,
     burst: f64,
     audit: Audit,
     next_id: u64,
@@ -188,6 +200,9 @@
             slow: vec![1.0; scenario.tiers.len()],
             resets: vec![0.0; scenario.tiers.len()],
             list_down_until: 0,
+            version: 1,
+            fleet: None,
+            heeded: Heeded::default(),
             burst: 1.0,
             audit: Audit::default(),
             next_id: 0,
@@ -227,6 +242,10 @@
                 });
             }
         }
+        world.fleet = scenario.fleet.clone().map(|fleet| {
+            let sites = scenario.tiers[0].sites;
+            Net::new(fleet, seed, scenario.clients.instances, sites, START)
+        });
         for instance in 0..world.instances.len() {
             world.first_list(START, instance);
         }
@@ -239,6 +258,38 @@
         let of = self.srvs.iter().filter(|srv| srv.tier == tier);
         let entries: Vec<Listed> = of.map(|srv| self.entry(srv, State::Up, None)).collect();
         self.instances[instance].chooser.list(now, &entries);
+        if let Some(net) = self.fleet.as_mut().filter(|net| instance < net.instances()) {
+            let effects = net.began(now, instance, &entries);
+            self.carry(now, effects);
+        }
+    }
+
+    /// Carries out what the balancers' machines want.
+    fn carry(&mut self, now: Nanos, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Later(at, due) => self.events.at(at, Event::Fleet(due)),
+                Effect::News(instance, entries) => {
+                    for entry in &entries {
+                        let leaves = entry.state != State::Up;
+                        self.audit.told(now, instance, &entry.srv, leaves);
+                        if leaves {
+                            self.heeded.note_last(now, instance, &entry.srv);
+                        }
+                    }
+                    self.instances[instance].chooser.list(now, &entries);
+                    self.settle(instance);
+                }
+                Effect::Counted { instance, srv, set, counts } => {
+                    let outcomes =
+                        [(How::Done, counts.done), (How::Error, counts.failed), (How::Reset, counts.lost)];
+                    for (how, times) in outcomes {
+                        self.instances[instance].chooser.others(now, &srv, &set, how, times);
+                    }
+                    self.settle(instance);
+                }
+            }
+        }
     }
 
     /// A balancer's process ends with all it holds; the next one starts with an old list and hears the news later.
@@ -250,6 +301,10 @@
         let seed = self.seed.wrapping_mul(1_000_003).wrapping_add((instance + 1_000_000) as u64);
         self.instances[instance].chooser = self.policy.start(now, seed, self.scenario, seat);
         self.instances[instance].wake = Nanos::MAX;
+        if let Some(net) = self.fleet.as_mut().filter(|net| instance < net.instances()) {
+            let effects = net.crash(now, instance);
+            self.carry(now, effects);
+        }
         self.first_list(now, instance);
         let from = self.list_down_until.max(now);
         for srv in 0..self.srvs.len() {
@@ -258,7 +313,8 @@
                 let came_up = Some(self.srvs[srv].started).filter(|at| *at > START);
                 let entry = self.entry(&self.srvs[srv], state, came_up);
                 let delay = self.scenario.list.delay.draw(&mut self.net);
-                self.events.at(from + delay, Event::News { instance, entry });
+                let version = self.version;
+                self.events.at(from + delay, Event::News { instance, version, entry });
             }
         }
         self.settle(instance);
@@ -333,10 +389,24 @@
                 }
             }
             Event::Back { key, number, how } => self.back(now, key, number, how),
-            Event::News { instance, entry } => {
+            Event::News { instance, version, entry } => {
+                if instance < self.scenario.clients.instances && entry.state != State::Up {
+                    self.heeded.note(now, instance, &entry.srv, version);
+                }
+                let (entry, effects) = match self.fleet.as_mut().filter(|net| instance < net.instances()) {
+                    Some(net) => net.listed(now, instance, version, entry),
+                    None => (entry, Vec::new()),
+                };
                 self.audit.told(now, instance, &entry.srv, entry.state != State::Up);
                 self.instances[instance].chooser.list(now, &[entry]);
                 self.settle(instance);
+                self.carry(now, effects);
+            }
+            Event::Fleet(due) => {
+                if let Some(net) = &mut self.fleet {
+                    let effects = net.happen(now, due);
+                    self.carry(now, effects);
+                }
             }
             Event::Trouble(number, begins) => self.trouble(now, number, begins),
             Event::Drain(srv) => {
@@ -533,6 +603,7 @@
     fn back(&mut self, now: Nanos, key: Key, number: usize, how: How) {
         let Some(under) = self.under.get_mut(&key) else { return };
         let Some((_, srv, sent)) = under.out.take_if(|out| out.0 == number) else { return };
+        let set = under.set;
         self.audit.ended(now, key, number, &format!("{how:?}"));
         if !matches!(how, How::Done | How::Error | How::Full) {
             self.abandon(now, srv, key, number);
@@ -542,6 +613,24 @@
         }
         self.instances[key.0].chooser.ended(now, key.1, number, how, now - sent);
         self.settle(key.0);
+        self.count(now, key.0, srv, set, how);
+    }
+
+    /// What the others are told of a dispatch, as the program gathers it.
+    fn count(&mut self, now: Nanos, instance: usize, srv: usize, set: usize, how: How) {
+        let counts = match how {
+            How::Done => Counts { done: 1, ..Counts::default() },
+            How::Error => Counts { failed: 1, ..Counts::default() },
+            How::NoConnection | How::Reset | How::TimedOut | How::Recalled => {
+                Counts { lost: 1, ..Counts::default() }
+            }
+            How::Full | How::NotSent => return,
+        };
+        let set = self.set(set).name.as_str();
+        if let Some(net) = self.fleet.as_mut().filter(|net| instance < net.instances()) {
+            let effects = net.count(now, instance, &self.srvs[srv].name, set, counts);
+            self.carry(now, effects);
+        }
     }
 
     /// The connection is closed: a srv notices that for what still waits.
@@ -586,13 +675,15 @@
     }
 
     fn tell(&mut self, srv: usize, state: State, came_up: Option<Nanos>) {
+        self.version += 1;
         let tier = self.srvs[srv].tier;
         for instance in 0..self.instances.len() {
             if self.instances[instance].tier == tier {
                 let entry = self.entry(&self.srvs[srv], state, came_up);
                 let delay = self.scenario.list.delay.draw(&mut self.net);
                 let from = self.list_down_until.max(self.events.now());
-                self.events.at(from + delay, Event::News { instance, entry });
+                let version = self.version;
+                self.events.at(from + delay, Event::News { instance, version, entry });
             }
         }
     }
@@ -620,6 +711,18 @@
                     self.events.after(from + 4 * S, Event::Replace(srv));
                 }
             }
+            What::FleetCut => {
+                let cut = if begins { *srvs } else { 0 };
+                if let Some(net) = &mut self.fleet {
+                    net.cut(cut);
+                }
+            }
+            What::Drain => {
+                for srv in of.into_iter().take(*srvs) {
+                    self.srvs[srv].draining = begins;
+                    self.tell(srv, if begins { State::Draining } else { State::Up }, None);
+                }
+            }
             What::Slow => self.slow[tier] = if begins { *times } else { 1.0 },
             What::Resets => self.resets[tier] = if begins { *part } else { 0.0 },
             What::ListDown if begins => self.list_down_until = now + lasts,
@@ -664,6 +767,12 @@
             after.windows(3).position(good).map(|seconds| seconds as u64)
         };
         self.result.recovery = self.scenario.troubles.iter().map(recovery).collect();
+        self.result.heeded = self.heeded.after();
+        if let Some(net) = &self.fleet {
+            let seconds = (self.events.now() - START) as f64 / S as f64;
+            let all: u64 = net.bytes.iter().sum();
+            self.result.fleet_bytes_per_s = all as f64 / seconds / net.instances() as f64;
+        }
         self.result.worst_set = self.by_set.iter().map(|both| part(*both)).fold(1.0, f64::min);
         self.result.sends = self
             .sent
--- a/gossip/src/known.rs
+++ b/gossip/src/known.rs
@@ -24,6 +24,11 @@
         self.list.contains_key(srv)
     }
 
+    /// The list as discovery last told it here.
+    pub fn list(&self) -> impl Iterator<Item = &(Listed, A)> {
+        self.list.values()
+    }
+
     /// Of how many srvs others have heard worse than the own list says.
     pub fn overruled(&self) -> usize {
         self.overruled.len()
--- a/gossip/src/peer.rs
+++ b/gossip/src/peer.rs
@@ -9,14 +9,17 @@
 use ochreshed_membership::wire::{self, FIRST_OTHER, From, MOST, Message, What};
 use ochreshed_membership::{MS, Nanos, S};
 use ochreshed_replica::rows::{Counts, MOST_SETS, Row};
+use ochreshed_replica::stamp::Stamp;
 use ochreshed_replica::store::{Digest, Store, read};
-use ochreshed_replica::words::State;
+use ochreshed_replica::words::{State, Word};
 
 use crate::meet::{self, Hello};
 
 /// Kinds of parts behind a message: items of the replica, and its digest.
 const ITEMS: u16 = FIRST_OTHER;
 const DIGEST: u16 = FIRST_OTHER + 1;
+/// A digest that wants one back.
+const GREETING: u16 = FIRST_OTHER + 2;
 /// A part's own head.
 const PART: usize = 4;
 /// Room for items in a message of their own.
@@ -132,6 +135,8 @@
     failed: bool,
     /// The number of each writer's last row that was told on.
     heard: BTreeMap<String, (u64, u64)>,
+    /// A member's copy has been the same as ours, or has met it, since the start.
+    confirmed: bool,
     traffic: Traffic,
     out: VecDeque<Output>,
 }
@@ -160,6 +165,7 @@
             gathered: BTreeMap::new(),
             failed: false,
             heard: BTreeMap::new(),
+            confirmed: false,
             traffic: Traffic::default(),
             out: VecDeque::new(),
         }
@@ -181,6 +187,16 @@
         self.out.pop_front()
     }
 
+    /// What this instance knew before it started anew.
+    pub fn recall(&mut self, own: Stamp, words: &[(String, Word)], floor: Stamp) {
+        self.store.recall(own, words, floor);
+    }
+
+    /// Whether others have told what they know since the start.
+    pub fn confirmed(&self) -> bool {
+        self.confirmed
+    }
+
     /// Discovery has told this instance a list, or changes of it.
     pub fn listed(&mut self, version: u64, whole: bool, entries: &[(String, State)]) {
         self.store.listed(version, whole, entries);
@@ -232,7 +248,7 @@
         if self.digest_at <= now {
             self.digest_at = now + DIGEST_EVERY;
             if let Some(name) = self.swim.any() {
-                self.say_digest(&name);
+                self.say_digest(&name, DIGEST);
             }
             // What is too old is dropped, whether or not anything is counted here.
             self.forget(now);
@@ -241,7 +257,7 @@
             && let Some(name) = self.greet.pop_front()
         {
             self.greet_at = now + GREET_EVERY;
-            self.say_digest(&name);
+            self.say_digest(&name, GREETING);
         }
         self.drain(now);
     }
@@ -313,8 +329,13 @@
                         self.wrong(from, why.into());
                     }
                 }
-                DIGEST => match digest(body) {
-                    Some(theirs) => self.hear_digest(now, &message.from.name, &theirs),
+                DIGEST | GREETING => match digest(body) {
+                    Some(theirs) => {
+                        self.hear_digest(now, &message.from.name, &theirs);
+                        if *kind == GREETING {
+                            self.say_digest(&message.from.name, DIGEST);
+                        }
+                    }
                     None => self.wrong(from, "a digest can't be read".into()),
                 },
                 // A newer build's.
@@ -341,6 +362,7 @@
     /// A member's copy is another than ours: it is told what we hold where they differ; by a meeting, if that is much.
     fn hear_digest(&mut self, now: Nanos, name: &str, theirs: &Digest) {
         if *theirs == self.store.digest() {
+            self.confirmed = true;
             return;
         }
         if self.store.count_differing(theirs) > MANY {
@@ -385,9 +407,9 @@
         self.store.delta(now, zone, room, times)
     }
 
-    fn say_digest(&mut self, name: &str) {
+    fn say_digest(&mut self, name: &str, kind: u16) {
         let body = self.store.digest().iter().flat_map(|sum| sum.to_le_bytes()).collect();
-        self.say(name, vec![(DIGEST, body)]);
+        self.say(name, vec![(kind, body)]);
     }
 
     fn say(&mut self, name: &str, more: Vec<(u16, Vec<u8>)>) {
@@ -477,6 +499,7 @@
     pub fn parted(&mut self, now: Nanos, well: bool) {
         self.meet_at = now + MEET_EVERY;
         self.traffic.meetings += u64::from(well);
+        self.confirmed |= well;
     }
 }
 
--- a/membership/benches/curve.rs
+++ b/membership/benches/curve.rs
@@ -16,7 +16,11 @@
     println!("| --- | --- | --- | --- | --- | --- | --- |");
     for loss in [0.0, 0.33] {
         for size in [10, 30, 100, 300] {
-            let runs: Vec<[f64; 5]> = (1..4).map(|seed| run(size, loss, seed)).collect();
+            // Side by side, a thread each.
+            let runs: Vec<[f64; 5]> = std::thread::scope(|scope| {
+                let runs: Vec<_> = (1..4).map(|seed| scope.spawn(move || run(size, loss, seed))).collect();
+                runs.into_iter().map(|run| run.join().expect("a run")).collect()
+            });
             let mean = |at: usize| runs.iter().map(|run| run[at]).sum::<f64>() / runs.len() as f64;
             let [found, most, all, cut, bytes] = [0, 1, 2, 3, 4].map(mean);
             println!("| {size} | {loss} | {found:.1} | {most:.1} | {all:.1} | {cut:.1} | {bytes:.0} |");
--- a/membership/src/swim.rs
+++ b/membership/src/swim.rs
@@ -540,7 +540,15 @@
             if let Some((name, word)) = own.filter(|(name, _)| self.members.contains_key(name)) {
                 self.hear(now, name, word.clone(), None);
             }
-            self.correct(address, message);
+            // It tells us in turn that we go by the name of an earlier process: that is contradicted, and ends it. Guards
+            // against two that restarted and correct each other without end.
+            if let Some((_, word)) = words.iter().find(|(name, _)| *name == self.name) {
+                if self.members.contains_key(&from.name) {
+                    self.hear_of_us(&word.clone());
+                }
+            } else {
+                self.correct(address, message);
+            }
             return false;
         };
         let gone = !known.word.state.there();
--- a/membership/tests/world/mod.rs
+++ b/membership/tests/world/mod.rs
@@ -19,8 +19,9 @@
     /// Neither sends nor hears, and its time stands still.
     pub asleep: BTreeSet<usize>,
     pub due: BTreeMap<(Nanos, u64), (usize, SocketAddr, Vec<u8>)>,
-    /// When each member wants to be called.
+    /// When each member wants to be called, by time and by member.
     pub timers: BTreeSet<(Nanos, usize)>,
+    pub wake: BTreeMap<usize, Nanos>,
     /// Whether a message from one to another gets through, by numbers.
     pub cut: Box<dyn Fn(usize, usize) -> bool>,
     pub loss: f64,
@@ -53,6 +54,7 @@
             asleep: BTreeSet::new(),
             due: BTreeMap::new(),
             timers: BTreeSet::new(),
+            wake: BTreeMap::new(),
             cut: Box::new(|_, _| false),
             loss: 0.0,
             chance: ChaCha8Rng::seed_from_u64(seed),
@@ -74,8 +76,11 @@
     }
 
     pub fn flush(&mut self, number: usize) {
-        self.timers.retain(|(_, of)| *of != number);
+        if let Some(at) = self.wake.remove(&number) {
+            self.timers.remove(&(at, number));
+        }
         if let Some(swim) = self.members.get(&number).filter(|_| !self.asleep.contains(&number)) {
+            self.wake.insert(number, swim.next());
             self.timers.insert((swim.next(), number));
         }
         while let Some(output) = self.members.get_mut(&number).and_then(Swim::output) {
--- /dev/null
+++ b/recovery/src/start.rs
@@ -0,0 +1,209 @@
+//! The way from a process's start to full service, as a machine with names. It owns what counts as full service and when it
+//! was reached, and must never hold a req back: it only says what a start still lacks, and how long it may wait before it
+//! serves at all.
+
+use crate::{MS, Nanos, S};
+
+/// What a start goes by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Knows {
+    /// No list at all: nothing can be sent.
+    Nothing,
+    /// A list from before the start.
+    OldList,
+    /// Others have told what they know.
+    Others,
+    /// Discovery has told a list since the start.
+    Discovery,
+}
+
+impl Knows {
+    pub fn name(self) -> &'static str {
+        match self {
+            Knows::Nothing => "nothing",
+            Knows::OldList => "an old list",
+            Knows::Others => "told by others",
+            Knows::Discovery => "told by discovery",
+        }
+    }
+}
+
+/// A window is bad where more than this part of what ended in it was lost; where few ended, any loss.
+const WINDOW: Nanos = 500 * MS;
+const LOST: f64 = 0.05;
+const ENOUGH: u64 = 8;
+/// Full service is told once no window has been bad for so long. It was reached at the end of the last bad one.
+const QUIET: Nanos = 2 * S;
+
+/// A start's wait for others before it serves is worth while it costs less than what it saves. An old list of this age has
+/// so much changed (half of a fleet in an hour of deploying), each req at a srv that is gone is lost in one of three cases
+/// (the others go elsewhere at once), for as long as discovery takes to tell.
+const HALF_CHANGED: f64 = 3_600.0;
+const LOST_OF_STALE: f64 = 0.33;
+const DISCOVERY_TAKES: f64 = 1.0;
+const WAIT_MOST: Nanos = 300 * MS;
+
+/// How long a start with a list of this age may wait for others to tell what has changed since. With nobody to ask, or no
+/// list to serve by but theirs, there is nothing to weigh: no wait, and as long as it may be.
+pub fn wait(age: Option<Nanos>, others: bool) -> Nanos {
+    let Some(age) = age.filter(|_| others) else { return if others { WAIT_MOST } else { 0 } };
+    let changed = 1.0 - 0.5f64.powf(age as f64 / 1e9 / HALF_CHANGED);
+    let worth = changed * LOST_OF_STALE * DISCOVERY_TAKES;
+    ((worth * 1e9) as Nanos).min(WAIT_MOST)
+}
+
+#[derive(Clone, Debug)]
+pub struct Start {
+    began: Nanos,
+    knows: Knows,
+    /// When each was reached first.
+    reached: [Option<Nanos>; 4],
+    ready: Option<Nanos>,
+    full: Option<Nanos>,
+    /// The window under way: its begin, and what ended in it.
+    window: Nanos,
+    ended: u64,
+    lost: u64,
+    /// The end of the last bad one.
+    bad_until: Nanos,
+}
+
+/// How a start went, once it is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// Spans from the process's start.
+    pub ready: Nanos,
+    pub full: Nanos,
+    pub others: Option<Nanos>,
+    pub discovery: Option<Nanos>,
+    /// What it served by until then.
+    pub began_by: Knows,
+}
+
+impl Start {
+    pub fn new(now: Nanos, list: bool) -> Start {
+        let knows = if list { Knows::OldList } else { Knows::Nothing };
+        let mut reached = [None; 4];
+        reached[knows as usize] = Some(now);
+        Start {
+            began: now,
+            knows,
+            reached,
+            ready: None,
+            full: None,
+            window: now,
+            ended: 0,
+            lost: 0,
+            bad_until: now,
+        }
+    }
+
+    pub fn knows(&self) -> Knows {
+        self.knows
+    }
+
+    /// When full service was reached, from the process's start.
+    pub fn full(&self) -> Option<Nanos> {
+        self.full.map(|full| full.saturating_sub(self.began))
+    }
+
+    /// It serves.
+    pub fn ready(&mut self, now: Nanos) {
+        if self.ready.is_none() {
+            (self.ready, self.window, self.ended, self.lost) = (Some(now), now, 0, 0);
+        }
+    }
+
+    /// Others, or discovery, have told what they know. Never less than before.
+    pub fn told(&mut self, now: Nanos, by: Knows) {
+        self.reached[by as usize].get_or_insert(now);
+        self.knows = self.knows.max(by);
+    }
+
+    /// So many reqs have ended; lost are those whose clients got no answer that they wanted.
+    pub fn ended(&mut self, now: Nanos, ended: u64, lost: u64) {
+        self.turn(now);
+        (self.ended, self.lost) = (self.ended + ended, self.lost + lost);
+    }
+
+    fn turn(&mut self, now: Nanos) {
+        if now < self.window + WINDOW {
+            return;
+        }
+        let bad = match self.ended {
+            0..ENOUGH => self.lost > 0,
+            ended => self.lost as f64 > LOST * ended as f64,
+        };
+        if bad {
+            self.bad_until = self.window + WINDOW;
+        }
+        (self.window, self.ended, self.lost) = (now, 0, 0);
+    }
+
+    /// Looks whether it is over; the first time that it is, how it went.
+    pub fn look(&mut self, now: Nanos) -> Option<Told> {
+        self.turn(now);
+        let ready = self.ready?;
+        // Somebody has confirmed the list since.
+        let confirmed = self.reached[Knows::Others as usize..].iter().flatten().min().copied()?;
+        let full = self.bad_until.max(confirmed).max(ready);
+        if self.full.is_some() || now < full + QUIET {
+            return None;
+        }
+        self.full = Some(full);
+        let span = |at: Nanos| at.saturating_sub(self.began);
+        let old = self.reached[Knows::OldList as usize].is_some();
+        Some(Told {
+            ready: span(ready),
+            full: span(full),
+            others: self.reached[Knows::Others as usize].map(span),
+            discovery: self.reached[Knows::Discovery as usize].map(span),
+            began_by: if old { Knows::OldList } else { Knows::Nothing },
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn full_service_is_when_the_last_bad_window_ended_and_somebody_confirmed_the_list() {
+        let mut start = Start::new(0, true);
+        start.ready(300 * MS);
+        assert_eq!(start.look(10 * S), None, "nobody has confirmed its list");
+        let mut start = Start::new(0, true);
+        start.ready(300 * MS);
+        start.ended(400 * MS, 100, 30);
+        start.told(600 * MS, Knows::Others);
+        start.ended(900 * MS, 100, 2);
+        start.ended(S, 2, 0);
+        assert_eq!(start.look(2_700 * MS), None, "the quiet has not lasted");
+        let told = start.look(2_800 * MS).expect("over");
+        assert_eq!((told.ready, told.full, told.others), (300 * MS, 800 * MS, Some(600 * MS)));
+        assert_eq!((told.began_by, told.discovery, start.knows()), (Knows::OldList, None, Knows::Others));
+        assert_eq!((start.look(9 * S), start.full()), (None, Some(800 * MS)), "it is told once");
+    }
+
+    #[test]
+    fn where_hardly_anything_is_asked_any_loss_is_bad_and_none_is_needed() {
+        let mut start = Start::new(0, false);
+        start.ready(100 * MS);
+        start.told(50 * MS, Knows::Discovery);
+        start.ended(S, 1, 1);
+        let told = start.look(5 * S).expect("over");
+        assert_eq!((told.full, told.began_by), (1_500 * MS, Knows::Nothing));
+        let mut idle = Start::new(0, false);
+        idle.ready(100 * MS);
+        idle.told(50 * MS, Knows::Discovery);
+        assert_eq!(idle.look(2_100 * MS).map(|told| told.full), Some(100 * MS));
+    }
+
+    #[test]
+    fn a_wait_is_bounded_and_grows_with_what_it_may_save() {
+        assert_eq!((wait(Some(0), true), wait(Some(S), false), wait(None, false)), (0, 0, 0));
+        let minutes = |count: u64| wait(Some(count * 60 * S), true);
+        assert!(minutes(1) < 5 * MS && minutes(10) > 20 * MS && minutes(10) < 60 * MS);
+        assert_eq!((minutes(6_000), wait(None, true)), (300 * MS, 300 * MS));
+    }
+}
--- a/replica/src/stamp.rs
+++ b/replica/src/stamp.rs
@@ -42,6 +42,12 @@
         }
     }
 
+    /// What this instance had been told before it started anew.
+    pub fn recall(&mut self, own: Stamp) {
+        self.own = self.own.max(own);
+        self.epoch = self.epoch.max(own.epoch);
+    }
+
     pub fn own(&self) -> Stamp {
         self.own
     }
--- a/replica/src/store.rs
+++ b/replica/src/store.rs
@@ -121,6 +121,21 @@
         news
     }
 
+    /// What this instance knew before it started anew: no news to anybody.
+    pub fn recall(&mut self, own: Stamp, words: &[(String, Word)], floor: Stamp) {
+        self.counting.recall(own);
+        self.words.raise(floor);
+        for (srv, word) in words {
+            self.counting.heard(word.stamp);
+            self.words.hear(srv, *word);
+        }
+    }
+
+    /// Of the newest list that discovery told this instance.
+    pub fn own(&self) -> Stamp {
+        self.counting.own()
+    }
+
     /// What this instance has counted since the last time.
     pub fn count(&mut self, now: Nanos, mut row: Row) {
         self.number += 1;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -25,6 +25,8 @@
     balancers: Vec<Balancer>,
     srvs: u64,
     bad: fn(&str) -> bool,
+    /// What an instance is asked, as a part of what all are on the mean.
+    busy: fn(Nanos, usize) -> f64,
     now: Nanos,
     mix: u64,
     due: BTreeSet<(Nanos, usize, Due)>,
@@ -48,6 +50,7 @@
             balancers: balancers.collect(),
             srvs,
             bad,
+            busy: |_, _| 1.0,
             now: START,
             mix: 1,
             due: (0..instances).map(|me| (START, me, Due::Req)).collect(),
@@ -120,7 +123,7 @@
                     // In one second of four reqs come almost four times as often, at each instance in its own.
                     let burst = (at / S + me as u64).is_multiple_of(4);
                     let rate = each_s * if burst { 2.2 } else { 0.6 };
-                    let gap = -(1.0 - self.part()).ln() / rate;
+                    let gap = -(1.0 - self.part()).ln() / (rate * (self.busy)(at, me));
                     self.due.insert((at + (gap * S as f64) as u64 + 1, me, Due::Req));
                     let (id, rule_set) = (self.mix >> 12, "charge".into());
                     let (taken, ends) = (at, at + 3 * S);
@@ -223,6 +226,39 @@
     }
 }
 
+/// Guards against a cold srv that gets too much where a few instances have nearly all reqs, and where these are others from
+/// one moment to the next, as when a cut takes half of the fleet from its clients. No instance is told of another here.
+#[test]
+fn cold_budgets_hold_over_all_where_instances_are_unevenly_busy_and_change_places() {
+    // For 2 s one half has 19 of 20 reqs, then the other one; within a half some have five times what others have.
+    let busy = |at: Nanos, me: usize| {
+        let half = if (at / (2 * S)).is_multiple_of(2) == (me < 30) { 1.9 } else { 0.1 };
+        half * if me.is_multiple_of(5) { 3.0 } else { 0.5 }
+    };
+    for rate in [2.0, 20.0] {
+        let mut many = Many::new(60, 16, |_| false);
+        many.busy = busy;
+        many.run(rate, 10 * S);
+        let back = many.now;
+        many.list(&|number| (number < 3).then_some(back));
+        many.sends.clear();
+        many.run(rate, 6 * S);
+        for second in 0..6 {
+            let sends = &many.sends[&(back / S + second)];
+            let sent = |cold: bool| {
+                let of = sends.iter().filter(|(srv, _)| (srv[1..].parse::<u64>().unwrap_or(0) < 3) == cold);
+                of.map(|(_, sent)| *sent).sum::<u64>() as f64
+            };
+            let (cold, warm) = (sent(true) / 3.0, sent(false) / 13.0);
+            let least = 0.2 + 0.04 * (second + 1) as f64;
+            assert!(
+                cold < 1.6 * least * warm + 4.0,
+                "{cold:.0} in second {second} at {rate}, warm ones {warm:.0}"
+            );
+        }
+    }
+}
+
 #[test]
 fn an_empty_list_ends_all_sends_and_the_one_that_follows_begins_them_again() {
     let mut many = Many::new(10, 16, |_| false);
