--- a/balancer/src/body.rs
+++ b/balancer/src/body.rs
@@ -100,6 +100,11 @@
 }
 
 impl Message {
+    /// Whether the body could still go to a srv.
+    pub fn load_again(&self) -> bool {
+        self.long.as_ref().is_none_or(|long| held(&long.rest).is_some())
+    }
+
     /// The body as it goes to a srv; nothing if a part of it is gone already.
     pub fn load(self: &Arc<Message>) -> Option<Load> {
         let rest = match &self.long {
--- a/balancer/src/figures.rs
+++ b/balancer/src/figures.rs
@@ -122,6 +122,11 @@
 }
 
 impl Coming {
+    /// Of a req that no figures are kept of.
+    pub fn apart() -> Arc<Coming> {
+        Arc::new(Coming { figures: Figures::new([]), state: AtomicU8::new(WAITED_FOR) })
+    }
+
     pub fn whole(&self) -> bool {
         self.state.load(Relaxed) != WAITED_FOR
     }
--- a/balancer/src/main.rs
+++ b/balancer/src/main.rs
@@ -9,6 +9,7 @@
 mod front;
 mod link;
 mod list;
+mod mesh;
 mod operator;
 mod peer;
 mod phases;
@@ -53,7 +54,11 @@
 }
 
 fn main() -> ExitCode {
-    match command().and_then(run) {
+    let done = match mesh::parse(std::env::args_os().skip(1).collect()) {
+        Some(command) => mesh::run(command),
+        None => command().and_then(run),
+    };
+    match done {
         Ok(code) => code,
         Err(why) => {
             eprintln!("ochreshed: {why}");
@@ -138,7 +143,7 @@
             Ok(ExitCode::SUCCESS)
         }
         Command::Help => {
-            print!("{HELP}");
+            print!("{HELP}\n{}", mesh::HELP);
             Ok(ExitCode::SUCCESS)
         }
     }
--- /dev/null
+++ b/balancer/src/mesh/attendant.rs
@@ -0,0 +1,389 @@
+//! The attendant: the balancer beside an application's instance. It owns what this machine knows of the mesh as
+//! immutable snapshots that are swapped whole, its four doors, and the order of its start and end. It must never take
+//! work before it has a configuration, nor end while it owes an answer and still may give it.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use hyper::Response;
+use hyper::header::HeaderValue;
+use ochreshed::Name;
+use ochreshed_mesh::list::Row;
+use ochreshed_mesh::timetable::{Route, Timetable};
+use ochreshed_mesh::words::Sheet;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Semaphore, watch};
+use tokio::time::{Instant, sleep};
+
+use super::carry::{Flow, Line};
+use super::desk::{Desk, Told};
+use super::door::Door;
+use super::entry::{self, Ajar, Bounds, Came, say};
+use super::keys::Stewards;
+use super::settings::{Settings, SettingsError};
+use super::wire::Callers;
+use super::{gate, news, start};
+use crate::clock::Clock;
+use crate::link::held;
+
+/// Descriptors kept for what is neither a caller's connection nor one of ours to a door or upstream.
+const SPARE: u64 = 300;
+/// Of a process's memory, the part for bodies of reqs in hand.
+const BODIES: f64 = 0.15;
+/// How long clients may still come after the wish to end: the platform looks once a second and wants two misses.
+const LINGER: Duration = Duration::from_millis(2_400);
+/// So long before the grace is over all is given up.
+const LAST: Duration = Duration::from_millis(600);
+const LOOK: Duration = Duration::from_millis(100);
+/// How often the settings file is looked at.
+const SETTINGS: Duration = Duration::from_secs(2);
+
+/// The rows as they were told, and who is quiet by each watcher.
+#[derive(Default)]
+struct Rows {
+    rows: HashMap<SocketAddr, Row>,
+    quiet: HashMap<usize, HashSet<SocketAddr>>,
+}
+
+pub struct Branch {
+    pub settings: ArcSwap<Settings>,
+    pub clock: Clock,
+    pub callers: Arc<Callers>,
+    pub stewards: Arc<Stewards>,
+    pub timetable: ArcSwapOption<Timetable>,
+    sheet: Mutex<(u64, u64)>,
+    rows: Mutex<Rows>,
+    desks: Mutex<HashMap<Name, Arc<Desk>>>,
+    lines: Mutex<HashMap<SocketAddr, Arc<Line>>>,
+    room: Arc<Semaphore>,
+    pub door: Arc<Door>,
+    door_at: SocketAddr,
+    pub bodies: Arc<Semaphore>,
+    chance: Mutex<ChaCha8Rng>,
+    served: AtomicU64,
+    inside: AtomicUsize,
+    leaving: AtomicBool,
+}
+
+impl Branch {
+    pub fn door_at(&self) -> SocketAddr {
+        self.door_at
+    }
+
+    /// A number drawn by chance, never 0.
+    pub fn draw(&self) -> u64 {
+        held(&self.chance).random_range(1..=u64::MAX)
+    }
+
+    pub fn sheet_rank(&self) -> (u64, u64) {
+        *held(&self.sheet)
+    }
+
+    /// The service of this machine, as the system sets it on reqs that began here.
+    pub fn caller(&self) -> HeaderValue {
+        let told = self.settings.load().line.clone();
+        let line = self.door.line().or(told).unwrap_or_default();
+        HeaderValue::try_from(line).unwrap_or(HeaderValue::from_static(""))
+    }
+
+    /// A req came to the gate.
+    pub fn saw(&self, id: &HeaderValue) {
+        self.served.fetch_add(1, Relaxed);
+        self.door.saw(id.as_bytes());
+    }
+
+    /// The service that a req of this route goes to.
+    pub fn split(&self, route: &Route) -> Option<Name> {
+        let total: f64 = route.lines.iter().map(|(_, share)| share).sum();
+        if route.lines.len() == 1 {
+            return route.lines.first().map(|(name, _)| name.clone());
+        }
+        let mut at = held(&self.chance).random::<f64>() * total;
+        for (name, share) in &route.lines {
+            at -= share;
+            if at < 0.0 && *share > 0.0 {
+                return Some(name.clone());
+            }
+        }
+        route.lines.iter().rev().find(|(_, share)| *share > 0.0).map(|(name, _)| name.clone())
+    }
+
+    pub fn desk(&self, line: &Name) -> Option<Arc<Desk>> {
+        held(&self.desks).get(line).cloned()
+    }
+
+    pub fn line_to(&self, door: SocketAddr) -> Arc<Line> {
+        let line = || Arc::new(Line::new(door, self.clock, self.room.clone()));
+        held(&self.lines).entry(door).or_insert_with(line).clone()
+    }
+
+    pub fn know_stewards(&self, told: Vec<SocketAddr>) {
+        let seeds = seeds(&self.settings.load());
+        let all: HashSet<SocketAddr> = told.into_iter().chain(seeds).collect();
+        self.stewards.know(all);
+    }
+
+    /// Takes a configuration, if it is a later one.
+    pub fn take_sheet(&self, sheet: &Sheet) {
+        let mut rank = held(&self.sheet);
+        if sheet.rank() <= *rank {
+            return;
+        }
+        match Timetable::read(&sheet.bytes) {
+            Ok(timetable) => {
+                *rank = sheet.rank();
+                log::info!("timetable r{} in force, {} routes", sheet.version, timetable.routes().count());
+                self.timetable.store(Some(Arc::new(timetable)));
+                drop(rank);
+                self.seat();
+            }
+            // The core checks by the same reader; this is a build that differs.
+            Err(why) => log::error!("timetable r{} is refused here: {}", sheet.version, why[0]),
+        }
+    }
+
+    pub fn take_rows(&self, which: usize, rows: Vec<Row>, quiet: HashSet<SocketAddr>) {
+        {
+            let mut all = held(&self.rows);
+            let mut changed = false;
+            for row in rows {
+                if all.rows.get(&row.door).is_none_or(|was| was.rank() < row.rank()) {
+                    changed = true;
+                    all.rows.insert(row.door, row);
+                }
+            }
+            if all.quiet.get(&which) != Some(&quiet) {
+                changed = true;
+                all.quiet.insert(which, quiet);
+            }
+            if !changed {
+                return;
+            }
+        }
+        self.seat();
+    }
+
+    /// A watcher gives no reply: what it held for quiet counts no more.
+    pub fn silent(&self, which: usize) {
+        held(&self.rows).quiet.remove(&which);
+    }
+
+    /// Brings the desks in line with the configuration and the list.
+    fn seat(&self) {
+        let Some(timetable) = self.timetable.load_full() else { return };
+        let rows = held(&self.rows);
+        let gates: Vec<SocketAddr> = {
+            let mut gates: Vec<SocketAddr> =
+                rows.rows.values().filter(|row| row.serving).map(|row| row.door).collect();
+            gates.sort();
+            gates
+        };
+        let me = gates.iter().position(|door| *door == self.door_at).unwrap_or(0);
+        let me = me as f64 / gates.len().max(1) as f64;
+        // Quiet are those whom every watcher that replies has not heard.
+        let mut quiet: Option<HashSet<SocketAddr>> = None;
+        for told in rows.quiet.values() {
+            quiet = Some(match quiet {
+                None => told.clone(),
+                Some(quiet) => quiet.intersection(told).copied().collect(),
+            });
+        }
+        let quiet = quiet.unwrap_or_default();
+        let mut desks = held(&self.desks);
+        let mut kept = HashMap::new();
+        for service in timetable.services() {
+            let of = || rows.rows.values().filter(|row| *row.line == *service.name);
+            let calls = of().any(|row| row.calls);
+            let told = Told::new(&timetable, &service.name, gates.len(), calls);
+            let desk = match desks.remove(&service.name).filter(|desk| desk.told == told) {
+                Some(desk) => desk,
+                None => Desk::new(service.name.clone(), told, self.clock, self.draw(), me),
+            };
+            desk.list(of(), &quiet, &self.settings.load().zone);
+            kept.insert(service.name.clone(), desk);
+        }
+        *desks = kept;
+    }
+
+    fn ready(&self) -> bool {
+        !self.leaving.load(Relaxed) && self.timetable.load().is_some() && !held(&self.rows).rows.is_empty()
+    }
+}
+
+/// Where the seeds are called by the system's own processes: their port for that is the same on all machines.
+pub fn seeds(settings: &Settings) -> Vec<SocketAddr> {
+    settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), settings.inner_ports.0)).collect()
+}
+
+pub fn run(path: Option<PathBuf>) -> Result<ExitCode, SettingsError> {
+    let path = Settings::path(path)?;
+    let settings = Settings::read(&path)?;
+    settings.need_branch().map_err(SettingsError::Bad)?;
+    start::logs();
+    Ok(start::block_on(serve(path, settings)))
+}
+
+async fn serve(path: PathBuf, settings: Settings) -> ExitCode {
+    let clock = Clock::new();
+    let (Some(inbound), Some(outbound), Some(ready), Some(control)) =
+        (settings.inbound_gate, settings.outbound_gate, settings.ready_gate, settings.control_gate)
+    else {
+        return ExitCode::FAILURE;
+    };
+    let sockets = settings.limits.fds.saturating_sub(SPARE).max(64) as usize;
+    let bodies = ((settings.limits.memory_mb as f64 * BODIES * 1e6) as usize).clamp(1 << 20, 1 << 29);
+    let life = clock.now() / 1_000_000;
+    let mut chance = ChaCha8Rng::seed_from_u64(rand::random());
+    let seed: u64 = chance.random();
+    let door = Door::new(inbound, settings.zone.clone(), clock, settings.bounds.drain, sockets / 8, life);
+    let branch = Arc::new(Branch {
+        clock,
+        callers: Arc::default(),
+        stewards: Arc::default(),
+        timetable: ArcSwapOption::empty(),
+        sheet: Mutex::default(),
+        rows: Mutex::default(),
+        desks: Mutex::default(),
+        lines: Mutex::default(),
+        room: Arc::new(Semaphore::new(sockets / 4)),
+        door: door.clone(),
+        door_at: inbound,
+        bodies: Arc::new(Semaphore::new(bodies)),
+        chance: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
+        served: AtomicU64::new(0),
+        inside: AtomicUsize::new(0),
+        leaving: AtomicBool::new(false),
+        settings: ArcSwap::from_pointee(settings),
+    });
+    branch.know_stewards(Vec::new());
+    let (ajar, watch_ajar) = watch::channel(Ajar::Open);
+    let mut listeners = Vec::new();
+    for at in [inbound, outbound, ready, control] {
+        match TcpListener::bind(at).await {
+            Ok(listener) => listeners.push(listener),
+            Err(why) => {
+                log::error!("{at}: {why}");
+                return ExitCode::FAILURE;
+            }
+        }
+    }
+    let bounds = |callers: usize| Bounds { callers: callers.max(16), head: Duration::from_secs(20) };
+    let (Some(at_control), Some(at_ready), Some(at_outbound), Some(at_inbound)) =
+        (listeners.pop(), listeners.pop(), listeners.pop(), listeners.pop())
+    else {
+        return ExitCode::FAILURE;
+    };
+    let count = || Arc::new(AtomicUsize::new(0));
+    let doors = [
+        tokio::spawn(entry::keep(at_inbound, clock, bounds(sockets / 4), watch_ajar.clone(), count(), {
+            let (door, bodies) = (door.clone(), branch.bodies.clone());
+            move |came: Came| door.clone().answer(came, bodies.clone())
+        })),
+        tokio::spawn(entry::keep(at_outbound, clock, bounds(sockets / 3), watch_ajar.clone(), count(), {
+            let branch = branch.clone();
+            move |came: Came| {
+                let branch = branch.clone();
+                async move {
+                    branch.inside.fetch_add(1, Relaxed);
+                    let answer = gate::answer(branch.clone(), came).await;
+                    branch.inside.fetch_sub(1, Relaxed);
+                    answer
+                }
+            }
+        })),
+    ];
+    for (listener, control) in [(at_control, true), (at_ready, false)] {
+        let (branch, door, watch_ajar) = (branch.clone(), door.clone(), watch_ajar.clone());
+        tokio::spawn(entry::keep(
+            listener,
+            clock,
+            bounds(sockets / 32),
+            watch_ajar,
+            count(),
+            move |came: Came| {
+                let (branch, door) = (branch.clone(), door.clone());
+                async move { if control { door.control(came).await } else { look(&branch, &came) } }
+            },
+        ));
+    }
+    door.serving.store(true, Relaxed);
+    let many = (branch.settings.load().tolerate.machines + 1).max(2);
+    for which in 0..many {
+        tokio::spawn(news::ask(branch.clone(), which, many));
+    }
+    tokio::spawn(tidy(branch.clone(), path));
+    log::info!("attendant {} at {outbound}, door {inbound}", branch.settings.load().station);
+    let mut end = match signal(SignalKind::terminate()) {
+        Ok(end) => end,
+        Err(why) => {
+            log::error!("no signals: {why}");
+            return ExitCode::FAILURE;
+        }
+    };
+    end.recv().await;
+    log::info!("asked to end, {} reqs inside", branch.inside.load(Relaxed) + door.busy());
+    // Nobody is sent here any more, and whoever still comes is served.
+    branch.leaving.store(true, Relaxed);
+    door.serving.store(false, Relaxed);
+    door.touch();
+    ajar.send_replace(Ajar::Leaving);
+    let began = Instant::now();
+    let grace = branch.settings.load().bounds.grace.saturating_sub(LAST);
+    let busy = || branch.inside.load(Relaxed) + door.busy() > 0;
+    while began.elapsed() < grace && (began.elapsed() < LINGER || busy()) {
+        sleep(LOOK).await;
+    }
+    ajar.send_replace(Ajar::Closed);
+    for door in doors {
+        let left = (grace + LAST / 2).saturating_sub(began.elapsed());
+        let _ = tokio::time::timeout(left, door).await;
+    }
+    log::info!("ended after {} ms, {} reqs served", began.elapsed().as_millis(), branch.served.load(Relaxed));
+    ExitCode::SUCCESS
+}
+
+fn look(branch: &Branch, came: &Came) -> Response<Flow> {
+    match came.req.uri().path() {
+        "/api/ready" if branch.ready() => say(200, "ready"),
+        "/api/ready" => say(503, "not ready"),
+        _ => say(404, "no such page here"),
+    }
+}
+
+/// What is looked at now and then: idle connections, and the settings file, which may change without a signal.
+async fn tidy(branch: Arc<Branch>, path: PathBuf) {
+    let Ok(mut again) = signal(SignalKind::hangup()) else { return };
+    let mut looked = Instant::now();
+    loop {
+        let told = tokio::select! {
+            Some(()) = again.recv() => true,
+            () = sleep(Duration::from_millis(1_000)) => false,
+        };
+        let now = branch.clock.now();
+        branch.door.sweep();
+        held(&branch.lines).retain(|_, line| !line.sweep(now) || Arc::strong_count(line) > 1);
+        if told || looked.elapsed() >= SETTINGS {
+            looked = Instant::now();
+            match Settings::read(&path) {
+                Ok(settings) => {
+                    if settings.seeds != branch.settings.load().seeds {
+                        log::info!("settings: {} seeds", settings.seeds.len());
+                    }
+                    branch.settings.store(Arc::new(settings));
+                    let known = branch.stewards.all();
+                    branch.know_stewards(known);
+                }
+                Err(why) => log::warn!("settings not taken: {why}"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/balancer/src/mesh/carry.rs
@@ -0,0 +1,280 @@
+//! One hop of a req: from a gate to a door, or from a door to its upstream. It owns the connections kept to one address
+//! and tells of each exchange how it ended and whether the other side can have begun on it. It must never send a req
+//! twice by itself but where no byte of it was written, and never call a req unsent once its last byte may have gone.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap};
+use hyper::http::response::Parts;
+use ochreshed::Nanos;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{timeout, timeout_at};
+
+use crate::body::{Message, Pass, Pieces};
+use crate::clock::Clock;
+use crate::link::{Body, Link, drop_hop_fields, held};
+
+const MS: Nanos = 1_000_000;
+const CONNECT: Duration = Duration::from_millis(500);
+/// How long a connection is kept idle where the other side tells nothing, and how long before its end it is left alone.
+const IDLE: Nanos = 4_000 * MS;
+const MARGIN: Nanos = 1_500 * MS;
+const MOST_IDLE: usize = 32;
+/// A long answer of which nothing comes for so long, or of which its reader takes nothing, is given up.
+const STANDS: Duration = Duration::from_secs(5);
+const READER_STANDS: Duration = Duration::from_secs(10);
+
+/// How an exchange failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fail {
+    /// Nothing of it can have been run: no connection came up, or not all of it was written.
+    NoConnection,
+    /// Its time was over, or there was no room, before all of it was written.
+    NotSent,
+    /// It went whole, and no whole answer came.
+    Reset,
+    /// It went whole, and its time was over.
+    Late,
+}
+
+/// Connections to one address.
+pub struct Line {
+    to: SocketAddr,
+    clock: Clock,
+    idle: Mutex<Vec<(Link, Nanos)>>,
+    room: Arc<Semaphore>,
+}
+
+impl Line {
+    /// `room` bounds the connections of all lines that share it.
+    pub fn new(to: SocketAddr, clock: Clock, room: Arc<Semaphore>) -> Line {
+        Line { to, clock, idle: Mutex::default(), room }
+    }
+
+    pub fn to(&self) -> SocketAddr {
+        self.to
+    }
+
+    /// Closes what has been idle for long; whether none is left.
+    pub fn sweep(&self, now: Nanos) -> bool {
+        let mut idle = held(&self.idle);
+        idle.retain(|(_, until)| *until > now);
+        idle.is_empty()
+    }
+
+    pub fn shut(&self) {
+        held(&self.idle).clear();
+    }
+
+    fn reusable(&self) -> Option<Link> {
+        let now = self.clock.now();
+        loop {
+            let (mut link, until) = held(&self.idle).pop()?;
+            if now < until && link.sound() {
+                return Some(link);
+            }
+        }
+    }
+
+    fn keep(&self, link: Link, until: Nanos) {
+        let mut idle = held(&self.idle);
+        if idle.len() < MOST_IDLE && until > self.clock.now() {
+            idle.push((link, until));
+        }
+    }
+
+    async fn open(&self) -> Result<Link, Fail> {
+        let permit = match self.room.clone().try_acquire_owned() {
+            Ok(permit) => permit,
+            Err(_) => {
+                self.shut();
+                self.room.clone().try_acquire_owned().map_err(|_| Fail::NotSent)?
+            }
+        };
+        match timeout(CONNECT, Link::open(self.to, self.clock, Some(permit), None)).await {
+            Ok(Ok(link)) => Ok(link),
+            _ => Err(Fail::NoConnection),
+        }
+    }
+
+    /// Sends a req once and waits for its answer until then. `check` looks at the head of an answer first: with an
+    /// error it belongs to another req, and nothing of it goes on.
+    pub async fn exchange(
+        self: &Arc<Self>,
+        message: &Arc<Message>,
+        fields: &HeaderMap,
+        until: Nanos,
+        check: impl Fn(&Parts) -> bool,
+    ) -> Result<(Parts, Flow), Fail> {
+        let at = self.clock.instant(until);
+        let mut link = self.reusable();
+        let mut reused = link.is_some();
+        loop {
+            let on = match &mut link {
+                Some(on) => on,
+                None => match timeout_at(at, self.open()).await {
+                    Ok(opened) => link.insert(opened?),
+                    Err(_) => return Err(Fail::NotSent),
+                },
+            };
+            let load = message.load().ok_or(Fail::NotSent)?;
+            let mut req = message.head.clone().map(|()| load);
+            for (name, value) in fields {
+                req.headers_mut().insert(name, value.clone());
+            }
+            let answer = timeout_at(at, exchange(on, req, message)).await;
+            match answer {
+                Ok(Ok((head, _))) if !check(&head) => return Err(Fail::Reset),
+                Ok(Ok((head, body))) => return Ok(self.pass(link, head, body)),
+                // A kept connection that turns out dead before a byte of this was written costs a new one.
+                Ok(Err(())) if reused && !on.began() && message.load_again() => {
+                    (link, reused) = (None, false)
+                }
+                Ok(Err(())) if on.sent_whole() => return Err(Fail::Reset),
+                Ok(Err(())) => return Err(Fail::NoConnection),
+                Err(_) if on.sent_whole() => return Err(Fail::Late),
+                Err(_) => return Err(Fail::NotSent),
+            }
+        }
+    }
+
+    /// Hands on a head and a body, and keeps the connection when all has come.
+    fn pass(self: &Arc<Self>, link: Option<Link>, mut head: Parts, body: Body) -> (Parts, Flow) {
+        let until = self.idle_until(&head);
+        drop_hop_fields(&mut head.headers);
+        match (body, link) {
+            (Body::Whole(bytes), link) => {
+                head.headers.remove(CONTENT_LENGTH);
+                if let (Some(mut link), Some(until)) = (link, until)
+                    && link.sent_whole()
+                    && link.end(head.version)
+                {
+                    self.keep(link, until);
+                }
+                (head, Flow::Whole(Full::new(bytes)))
+            }
+            (Body::Long(first, length, rest), link) => {
+                head.headers.remove(CONTENT_LENGTH);
+                let (pass, pieces) = Pieces::new(first.clone(), length);
+                if let Some(link) = link {
+                    let left = length.map(|length| length.saturating_sub(first.len() as u64));
+                    tokio::spawn(self.clone().pass_on(link, head.version, (left, rest), pass, until));
+                }
+                (head, Flow::Long { pieces, hold: None })
+            }
+        }
+    }
+
+    async fn pass_on(
+        self: Arc<Self>,
+        mut link: Link,
+        version: hyper::Version,
+        (length, mut rest): (Option<u64>, Incoming),
+        pass: Pass,
+        until: Option<Nanos>,
+    ) -> Option<()> {
+        let mut left = length.unwrap_or(u64::MAX);
+        loop {
+            let piece = tokio::select! {
+                piece = timeout(STANDS, link.piece(&mut rest)) => piece.ok()?.ok()?,
+                // One whose length was told listens no more once it has all.
+                () = pass.closed(), if left > 0 => return None,
+            };
+            let Some(piece) = piece else {
+                let _ = pass.send_timeout(None, READER_STANDS).await;
+                if let Some(until) = until.filter(|_| link.sent_whole() && link.end(version)) {
+                    self.keep(link, until);
+                }
+                return Some(());
+            };
+            left = left.saturating_sub(piece.len() as u64);
+            pass.send_timeout(Some(piece), READER_STANDS).await.ok()?;
+        }
+    }
+
+    /// Until when the connection may carry another req, by what its answer says.
+    fn idle_until(&self, head: &Parts) -> Option<Nanos> {
+        let told = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+        if told(CONNECTION.as_str()).is_some_and(|value| value.to_ascii_lowercase().contains("close")) {
+            return None;
+        }
+        let kept = told("keep-alive").into_iter().flat_map(|value| value.split(','));
+        let kept =
+            kept.filter_map(|part| part.trim().strip_prefix("timeout=")?.trim().parse::<u64>().ok()).next();
+        let idle = kept.map_or(IDLE, |seconds| (seconds.min(3_600) * 1_000 * MS).saturating_sub(MARGIN));
+        Some(self.clock.now() + idle)
+    }
+}
+
+async fn exchange(
+    on: &mut Link,
+    req: Request<crate::body::Load>,
+    message: &Arc<Message>,
+) -> Result<(Parts, Body), ()> {
+    let (head, body) = on.begin(req, Some(message)).await.map_err(drop)?.into_parts();
+    let body = on.take(body).await.map_err(drop)?;
+    Ok((head, body))
+}
+
+/// An answer's body on its way to whoever asked.
+pub enum Flow {
+    Whole(Full<Bytes>),
+    Long { pieces: Pieces, hold: Option<Hold> },
+}
+
+/// What lasts as long as an answer is on its way.
+pub type Hold = Box<dyn Send + Sync>;
+
+impl Flow {
+    pub fn of(bytes: impl Into<Bytes>) -> Flow {
+        Flow::Whole(Full::new(bytes.into()))
+    }
+
+    /// Keeps something until the last byte has gone.
+    pub fn holding(self, thing: impl Send + Sync + 'static) -> Flow {
+        match self {
+            Flow::Long { pieces, hold: None } => Flow::Long { pieces, hold: Some(Box::new(thing)) },
+            other => other,
+        }
+    }
+}
+
+impl HttpBody for Flow {
+    type Data = Bytes;
+    type Error = &'static str;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context,
+    ) -> Poll<Option<Result<Frame<Bytes>, &'static str>>> {
+        match self.get_mut() {
+            Flow::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
+            Flow::Long { pieces, .. } => {
+                let piece = ready!(pieces.poll(cx));
+                Poll::Ready(piece.map(|piece| piece.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Flow::Whole(body) if body.is_end_stream())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Flow::Whole(body) => body.size_hint(),
+            Flow::Long { pieces, .. } => pieces.length.map_or_else(SizeHint::default, SizeHint::with_exact),
+        }
+    }
+}
+
+/// A place taken in a bounded room for as long as this lives.
+pub type Place = OwnedSemaphorePermit;
--- /dev/null
+++ b/balancer/src/mesh/desk.rs
@@ -0,0 +1,291 @@
+//! The module at work for one service: a gate asks here where a req goes. It owns the hands that hold the service's
+//! reqs, the list as the module is told it, and the timer. It must never decide itself, nor do I/O.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, Weak};
+
+use ochreshed::{Balancer, Facts, How, Listed, Name, Nanos, Outcome, Req, State, Value};
+use ochreshed_hands::{Act, End, Hands};
+use ochreshed_mesh::list::{Row, Stand};
+use ochreshed_mesh::timetable::{Route, Timetable};
+use tokio::sync::{Notify, mpsc};
+use tokio::time::sleep_until;
+
+use crate::clock::Clock;
+use crate::link::held;
+
+const MS: Nanos = 1_000_000;
+/// A srv that has just started counts as cold for so long at most, and does this part of its work at first.
+const COLD: Nanos = 4_000 * MS;
+const COLD_SHARE: f64 = 0.4;
+/// Upstreams of other zones count with this part of their weight while the near ones stand.
+const FAR: f64 = 0.25;
+
+/// What the module wants done for one req.
+#[derive(Debug)]
+pub enum Step {
+    Send { number: usize, srv: Name, give_up: Nanos },
+    Recall,
+    Deny { come_back: Nanos },
+    Abort,
+}
+
+/// What a service's module is told once and for all.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Told {
+    /// Kinds of req by what matters to the module: kind, target and rank.
+    pub shapes: Vec<(String, bool, u64, u32)>,
+    pub tries: u32,
+    /// How many gates there are, in coarse steps.
+    pub gates: u64,
+    /// Its upstreams call other services.
+    pub calls: bool,
+}
+
+/// The name of a route's shape.
+pub fn shape(route: &Route) -> String {
+    format!("{}-{}-{}", if route.kind.repeatable() { "again" } else { "once" }, route.target_ms, route.rank)
+}
+
+impl Told {
+    pub fn new(timetable: &Timetable, line: &str, gates: usize, calls: bool) -> Told {
+        let to = |route: &&Arc<Route>| route.lines.iter().any(|(name, _)| &**name == line);
+        let mut shapes: Vec<(String, bool, u64, u32)> = timetable
+            .routes()
+            .filter(to)
+            .map(|route| (shape(route), route.kind.repeatable(), route.target_ms, route.rank))
+            .collect();
+        shapes.sort();
+        shapes.dedup();
+        let tries = timetable.routes().filter(to).map(|route| route.tries).max().unwrap_or(1);
+        // A new count of gates matters by its size only.
+        let gates = (gates.max(1) as f64).log(1.3).round();
+        Told { shapes, tries, gates: 1.3f64.powf(gates).round() as u64, calls }
+    }
+
+    fn facts(&self, me: f64) -> Facts {
+        let number = |value: f64| Value::Number(value);
+        let rule_set = |(name, again, target, rank): &(String, bool, u64, u32)| {
+            Facts::from([
+                ("name".into(), Value::Text((**name).into())),
+                ("response_target".into(), Value::Span(target * MS)),
+                ("utility".into(), number(0.5f64.powi((*rank).min(8) as i32))),
+                ("late_utility".into(), number(0.2 * 0.5f64.powi((*rank).min(8) as i32))),
+                ("effect".into(), Value::Text(if *again { "replayable" } else { "non-replayable" }.into())),
+            ])
+        };
+        Facts::from([
+            ("instances".into(), number(self.gates as f64)),
+            ("me".into(), number(me * self.gates as f64)),
+            ("tier".into(), number(0.0)),
+            ("tiers".into(), number(if self.calls { 2.0 } else { 1.0 })),
+            ("max_dispatches".into(), number(f64::from(self.tries))),
+            ("may_recall".into(), Value::Flag(true)),
+            ("come_back_passed".into(), Value::Flag(true)),
+            ("max_come_back".into(), Value::Span(1_000 * MS)),
+            ("cold".into(), Value::Span(COLD)),
+            ("cold_share".into(), number(COLD_SHARE)),
+            ("rule_sets".into(), Value::List(self.shapes.iter().map(rule_set).collect())),
+        ])
+    }
+}
+
+/// Where an upstream is reached.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Place {
+    pub door: SocketAddr,
+    pub id: Name,
+    pub zone: Name,
+}
+
+struct Inner {
+    hands: Hands,
+    steps: HashMap<u64, mpsc::UnboundedSender<Step>>,
+    next: u64,
+    wake: Nanos,
+    listed: HashMap<Name, Listed>,
+    places: HashMap<Name, Place>,
+}
+
+pub struct Desk {
+    pub line: Name,
+    pub told: Told,
+    clock: Clock,
+    inner: Mutex<Inner>,
+    woken: Notify,
+}
+
+/// A req at the module. Dropped, its client has gone.
+pub struct Turn {
+    desk: Arc<Desk>,
+    pub id: u64,
+    pub steps: mpsc::UnboundedReceiver<Step>,
+    over: bool,
+}
+
+impl Desk {
+    pub fn new(line: Name, told: Told, clock: Clock, seed: u64, me: f64) -> Arc<Desk> {
+        let now = clock.now();
+        let hands = Hands::new(Balancer::new(now, seed, told.facts(me)));
+        let inner = Inner {
+            hands,
+            steps: HashMap::new(),
+            next: 0,
+            wake: Nanos::MAX,
+            listed: HashMap::new(),
+            places: HashMap::new(),
+        };
+        let desk = Arc::new(Desk { line, told, clock, inner: Mutex::new(inner), woken: Notify::new() });
+        tokio::spawn(Desk::tend(Arc::downgrade(&desk)));
+        desk
+    }
+
+    /// Asks the module when it wants to be asked, for as long as the desk is used.
+    async fn tend(desk: Weak<Desk>) {
+        loop {
+            let (clock, wake) = {
+                let Some(desk) = desk.upgrade() else { return };
+                let wake = desk.settle(&mut held(&desk.inner));
+                (desk.clock, wake)
+            };
+            let at = clock.instant(wake.min(clock.now() + 2_000 * MS));
+            let Some(held) = desk.upgrade() else { return };
+            tokio::select! {
+                () = sleep_until(at) => {}
+                () = held.woken.notified() => {}
+            }
+        }
+    }
+
+    fn settle(&self, inner: &mut Inner) -> Nanos {
+        loop {
+            let now = self.clock.now();
+            let wake = inner.hands.settle(now);
+            let acts = inner.hands.acts();
+            if acts.is_empty() {
+                inner.wake = wake;
+                return wake;
+            }
+            for act in acts {
+                let (id, step) = match act {
+                    Act::Send { id, number, srv, give_up } => (id, Step::Send { number, srv, give_up }),
+                    Act::Recall { id, .. } => (id, Step::Recall),
+                    Act::Deny { id, come_back } => (id, Step::Deny { come_back }),
+                    Act::Abort { id } => (id, Step::Abort),
+                    Act::Log(line) => {
+                        log::info!("{}: {line}", self.line);
+                        continue;
+                    }
+                    Act::Watch | Act::List | Act::Probe(_) | Act::Close(_) => continue,
+                };
+                if let Some(steps) = inner.steps.get(&id) {
+                    let _ = steps.send(step);
+                }
+            }
+        }
+    }
+
+    fn settle_and_wake(&self, inner: &mut Inner) {
+        let before = inner.wake;
+        if self.settle(inner) < before {
+            self.woken.notify_one();
+        }
+    }
+
+    /// Takes a req; what is to be done for it comes as steps.
+    pub fn take(self: &Arc<Self>, mut req: Req) -> Turn {
+        let mut inner = held(&self.inner);
+        inner.next += 1;
+        let id = inner.next;
+        req.id = id;
+        let (steps, got) = mpsc::unbounded_channel();
+        inner.steps.insert(id, steps);
+        let now = self.clock.now();
+        inner.hands.take(now, req);
+        self.settle_and_wake(&mut inner);
+        Turn { desk: self.clone(), id, steps: got, over: false }
+    }
+
+    pub fn place(&self, srv: &Name) -> Option<Place> {
+        held(&self.inner).places.get(srv).cloned()
+    }
+
+    /// Tells the module the list as it is now.
+    pub fn list<'a>(&self, rows: impl Iterator<Item = &'a Row>, quiet: &HashSet<SocketAddr>, zone: &str) {
+        let mut inner = held(&self.inner);
+        let now = self.clock.now();
+        let rows: Vec<&Row> = rows.filter(|row| *row.line == *self.line && !row.id.is_empty()).collect();
+        let takes = |row: &Row| row.serving && row.stand == Stand::Open && !quiet.contains(&row.door);
+        let near = rows.iter().any(|row| row.zone == zone && takes(row));
+        let mut fresh = HashMap::new();
+        for row in rows {
+            let state = if takes(row) {
+                State::Up
+            } else if row.stand == Stand::None || !row.serving {
+                State::Gone
+            } else {
+                State::Draining
+            };
+            let srv: Name = row.id.as_str().into();
+            let was = inner.listed.get(&srv);
+            let came_up = was.and_then(|was| was.came_up);
+            let came_up =
+                came_up.or((row.cold_ms > 0).then(|| (now + row.cold_ms * MS).saturating_sub(COLD)));
+            let far = near && row.zone != zone;
+            let weight = f64::from(row.slots.max(1)) * if far { FAR } else { 1.0 };
+            let site: Name = row.zone.as_str().into();
+            let listed = Listed { srv: srv.clone(), state, came_up, weight, site: site.clone(), cell: 0 };
+            fresh.insert(srv.clone(), (listed, Place { door: row.door, id: srv, zone: site }));
+        }
+        let same = |(srv, (listed, place)): (&Name, &(Listed, Place))| {
+            let was = inner.listed.get(srv).map(|was| (was.state, was.weight, was.came_up, &was.site));
+            was == Some((listed.state, listed.weight, listed.came_up, &listed.site))
+                && inner.places.get(srv) == Some(place)
+        };
+        if fresh.len() == inner.listed.len() && fresh.iter().all(same) {
+            return;
+        }
+        let entries: Vec<Listed> = fresh.values().map(|(listed, _)| listed.clone()).collect();
+        inner.places = fresh.iter().map(|(srv, (_, place))| (srv.clone(), place.clone())).collect();
+        inner.listed = fresh.into_iter().map(|(srv, (listed, _))| (srv, listed)).collect();
+        inner.hands.news(now, Outcome::List { whole: true, old: false, entries: &entries });
+        self.settle_and_wake(&mut inner);
+    }
+}
+
+impl Turn {
+    /// A dispatch has ended; `closed` when its req has had its final answer by that.
+    pub fn ended(&mut self, number: usize, how: How, took: Nanos, closed: bool) {
+        let mut inner = held(&self.desk.inner);
+        self.over |= closed;
+        let now = self.desk.clock.now();
+        inner.hands.ended(now, self.id, number, End { how, took, closed, report: &[] });
+        self.desk.settle_and_wake(&mut inner);
+    }
+
+    pub fn end(&mut self) {
+        self.over = true;
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        let mut inner = held(&self.desk.inner);
+        inner.steps.remove(&self.id);
+        if !self.over {
+            let now = self.desk.clock.now();
+            inner.hands.left(now, self.id);
+            // Its dispatch, if one is out, ends with it.
+            for number in 0..8 {
+                inner.hands.ended(
+                    now,
+                    self.id,
+                    number,
+                    End { how: How::Recalled, took: 0, closed: true, report: &[] },
+                );
+            }
+            self.desk.settle_and_wake(&mut inner);
+        }
+    }
+}
--- /dev/null
+++ b/balancer/src/mesh/door.rs
@@ -0,0 +1,521 @@
+//! The door beside an upstream, its only way in: what the attendant knows of its upstream first-hand, and the reqs let
+//! through to it. It owns the proof that a req was never handed on, the upstream's drain, and how many it has at once.
+//! It must never send a req on twice, to another life than was meant, or after the drain's time.
+
+use std::collections::{HashSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::response::Parts;
+use hyper::{Response, StatusCode};
+use jzon::JsonValue as Json;
+use ochreshed::Nanos;
+use ochreshed_mesh::list::{Row, Stand};
+use tokio::sync::Semaphore;
+use tokio::time::timeout_at;
+
+use super::carry::{Fail, Flow, Line};
+use super::entry::{self, Bad, Came, field, say};
+use crate::body::Message;
+use crate::clock::Clock;
+use crate::link::held;
+
+pub const ID: HeaderName = HeaderName::from_static("ochreshed-consignment-id");
+pub const LEFT: HeaderName = HeaderName::from_static("ochreshed-time-left-ms");
+pub const ADDRESSEE: HeaderName = HeaderName::from_static("ochreshed-addressee");
+pub const CALLER: HeaderName = HeaderName::from_static("ochreshed-caller");
+pub const KEY: HeaderName = HeaderName::from_static("ochreshed-tracking-key");
+pub const STAMP: HeaderName = HeaderName::from_static("ochreshed-postmark");
+const NOT_RUN: HeaderName = HeaderName::from_static("ochreshed-not-delivered");
+/// Between a door and a gate: how the door's part ended.
+pub const WAY: HeaderName = HeaderName::from_static("ochreshed-way");
+
+const MS: Nanos = 1_000_000;
+/// After its upstream has said that it closes, the door still takes what is on its way, for this part of the time
+/// that the rules give.
+const DRAIN_PART: u32 = 2;
+/// A req that waits for a slot has at least so much of its time left when it is handed on.
+const LEAST_LEFT: Nanos = 15 * MS;
+/// Ids of lives that have ended.
+const MOST_PAST: usize = 32;
+const MOST_BEAT: u64 = 4 * 1024;
+
+/// How a door's part ended.
+pub enum End {
+    /// The upstream ran it, or turned it away for good by an answer of its own.
+    Ran(Parts, Flow),
+    /// Proved never to have run.
+    Full,
+    Gone,
+    Unreachable,
+    Unsent,
+    /// It may have run.
+    Reset,
+    Late,
+}
+
+impl End {
+    pub fn word(&self) -> &'static str {
+        match self {
+            End::Ran(..) => "ran",
+            End::Full => "full",
+            End::Gone => "gone",
+            End::Unreachable => "unreachable",
+            End::Unsent => "unsent",
+            End::Reset => "reset",
+            End::Late => "late",
+        }
+    }
+
+    pub fn from_word(word: &str, head: Parts, flow: Flow) -> End {
+        match word {
+            "ran" => End::Ran(head, flow),
+            "full" => End::Full,
+            "gone" => End::Gone,
+            "unreachable" => End::Unreachable,
+            "unsent" => End::Unsent,
+            "late" => End::Late,
+            _ => End::Reset,
+        }
+    }
+}
+
+/// The upstream as it told of itself.
+#[derive(Clone, Debug)]
+struct Upstream {
+    id: String,
+    line: String,
+    zone: String,
+    edition: String,
+    slots: u32,
+    stand: Stand,
+    number: u64,
+    cold_ms: u64,
+    told: Nanos,
+    closing_since: Option<Nanos>,
+    to: Arc<Line>,
+}
+
+impl std::fmt::Debug for Line {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "{}", self.to())
+    }
+}
+
+struct State {
+    upstream: Option<Upstream>,
+    past: VecDeque<String>,
+    number: u64,
+    life: u64,
+}
+
+pub struct Door {
+    at: SocketAddr,
+    zone: String,
+    clock: Clock,
+    drain: Duration,
+    state: Mutex<State>,
+    room: Arc<Semaphore>,
+    /// Reqs that wait for a slot or are in one.
+    inside: AtomicUsize,
+    /// Those at the upstream now, and who waits to be one of them.
+    slots: Mutex<(u32, VecDeque<tokio::sync::oneshot::Sender<()>>)>,
+    calls: AtomicBool,
+    /// The ids of the reqs that are at the upstream.
+    runs: Mutex<HashSet<Vec<u8>>>,
+    pub serving: AtomicBool,
+    pub changed: tokio::sync::Notify,
+}
+
+/// A place at the upstream; given back when its answer has come, or nobody waits for it any more.
+struct Slot(Arc<Door>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let mut slots = held(&self.0.slots);
+        slots.0 -= 1;
+        self.0.hand_on(&mut slots);
+    }
+}
+
+struct Inside(Arc<Door>, Vec<u8>);
+
+impl Drop for Inside {
+    fn drop(&mut self) {
+        held(&self.0.runs).remove(&self.1);
+        self.0.inside.fetch_sub(1, Relaxed);
+    }
+}
+
+impl Door {
+    pub fn new(
+        at: SocketAddr,
+        zone: String,
+        clock: Clock,
+        drain: Duration,
+        connections: usize,
+        life: u64,
+    ) -> Arc<Door> {
+        let state = State { upstream: None, past: VecDeque::new(), number: 1, life };
+        Arc::new(Door {
+            at,
+            zone,
+            clock,
+            drain,
+            state: Mutex::new(state),
+            room: Arc::new(Semaphore::new(connections.max(1))),
+            inside: AtomicUsize::new(0),
+            slots: Mutex::default(),
+            calls: AtomicBool::new(false),
+            runs: Mutex::default(),
+            serving: AtomicBool::new(false),
+            changed: tokio::sync::Notify::new(),
+        })
+    }
+
+    /// The row that tells of this place.
+    pub fn row(&self) -> Row {
+        let state = held(&self.state);
+        let mut row = Row {
+            door: self.at,
+            life: state.life,
+            number: state.number,
+            zone: self.zone.clone(),
+            line: String::new(),
+            id: String::new(),
+            edition: String::new(),
+            stand: Stand::None,
+            slots: 0,
+            cold_ms: 0,
+            calls: self.calls.load(Relaxed),
+            serving: self.serving.load(Relaxed),
+        };
+        if let Some(upstream) = &state.upstream {
+            row.line = upstream.line.clone();
+            row.id = upstream.id.clone();
+            row.edition = upstream.edition.clone();
+            row.stand = upstream.stand;
+            row.slots = upstream.slots;
+            let since = (self.clock.now() - upstream.told) / MS;
+            row.cold_ms = upstream.cold_ms.saturating_sub(since);
+        }
+        row
+    }
+
+    pub fn touch(&self) {
+        held(&self.state).number += 1;
+        self.changed.notify_waiters();
+    }
+
+    /// The row is known elsewhere under a later life: what is told from here on must be later still.
+    pub fn outlive(&self, life: u64) {
+        let mut state = held(&self.state);
+        if life > state.life {
+            state.life = life + 1;
+            state.number += 1;
+            drop(state);
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// A req came to the gate of this machine. One whose id goes on from that of a run inside is a call of that run:
+    /// the upstream is no last tier.
+    pub fn saw(&self, id: &[u8]) {
+        if self.calls.load(Relaxed) {
+            return;
+        }
+        let goes_on = id.iter().enumerate().filter(|(_, byte)| !byte.is_ascii_alphanumeric());
+        let called = {
+            let runs = held(&self.runs);
+            goes_on.take(8).any(|(at, _)| runs.contains(&id[..at]))
+        };
+        if called {
+            self.calls.store(true, Relaxed);
+            log::info!("the upstream calls other services");
+            self.touch();
+        }
+    }
+
+    pub fn line(&self) -> Option<String> {
+        held(&self.state).upstream.as_ref().map(|upstream| upstream.line.clone())
+    }
+
+    /// What the upstream says at the control gate.
+    pub async fn control(self: Arc<Self>, came: Came) -> Response<Flow> {
+        let uri = came.req.uri().clone();
+        let (call, of) = call_of(&uri);
+        match (call.as_str(), of) {
+            ("offices.beat", Some(of)) => {
+                let bodies = Arc::new(Semaphore::new(1 << 16));
+                let read = entry::message(came, &bodies, self.clock, MOST_BEAT, Duration::from_secs(1)).await;
+                let beat = match read {
+                    Ok((message, _room)) => self.beat(&of, &message.first),
+                    Err(Bad(status, line)) => return say(status, line),
+                };
+                match beat {
+                    Ok(()) => entry::json(200, "{}".into()),
+                    Err(why) => say(400, why),
+                }
+            }
+            ("offices.sign_off", Some(of)) => {
+                self.sign_off(&of);
+                entry::json(200, "{}".into())
+            }
+            _ => say(404, "no such call here"),
+        }
+    }
+
+    fn beat(&self, of: &str, body: &[u8]) -> Result<(), &'static str> {
+        let text = std::str::from_utf8(body).map_err(|_| "not UTF-8")?;
+        let beat = jzon::parse(text).map_err(|_| "no JSON")?;
+        let (notice, status) = (&beat["notice"], &beat["status"]);
+        let word = |from: &Json, name: &str| from[name].as_str().unwrap_or_default().to_owned();
+        let address: SocketAddr =
+            beat["address"].as_str().and_then(|at| at.parse().ok()).ok_or("no address")?;
+        let line = word(notice, "line");
+        if line.is_empty() {
+            return Err("no line");
+        }
+        let number = status["postmark_seq"].as_u64().unwrap_or(0);
+        let stand = if status["state"].as_str() == Some("closing") { Stand::Closing } else { Stand::Open };
+        let cold_ms = status["cold_left_ms"].as_f64().unwrap_or(0.0).clamp(0.0, 600_000.0) as u64;
+        let slots = notice["pigeonholes"].as_u32().unwrap_or(1).clamp(1, 100_000);
+        let (zone, edition) = (word(notice, "zone"), word(notice, "edition"));
+        let now = self.clock.now();
+        let mut state = held(&self.state);
+        if state.past.iter().any(|past| past == of) {
+            return Ok(());
+        }
+        let was = state.upstream.take();
+        let (to, closing_since) = match &was {
+            Some(was) if was.id == of => {
+                if number < was.number {
+                    state.upstream = Some(was.clone());
+                    return Ok(());
+                }
+                let to = if was.to.to() == address { was.to.clone() } else { self.line_to(address) };
+                (to, was.closing_since)
+            }
+            Some(was) => {
+                let past = was.id.clone();
+                state.past.push_back(past);
+                if state.past.len() > MOST_PAST {
+                    state.past.pop_front();
+                }
+                (self.line_to(address), None)
+            }
+            None => (self.line_to(address), None),
+        };
+        // Once closing, it does not open again in one life.
+        let stand = if closing_since.is_some() { Stand::Closing } else { stand };
+        let closing_since = closing_since.or((stand == Stand::Closing).then_some(now));
+        let same = was.as_ref().is_some_and(|was| {
+            was.id == of
+                && was.stand == stand
+                && was.slots == slots
+                && was.line == line
+                && was.edition == edition
+        });
+        let id = of.to_owned();
+        let upstream =
+            Upstream { id, line, zone, edition, slots, stand, number, cold_ms, told: now, closing_since, to };
+        if !same {
+            log::info!(
+                "upstream {} of {}: {:?}, {} slots, zone {}",
+                upstream.id,
+                upstream.line,
+                stand,
+                slots,
+                upstream.zone
+            );
+        }
+        state.upstream = Some(upstream);
+        drop(state);
+        if !same {
+            let mut slots = held(&self.slots);
+            self.hand_on(&mut slots);
+            drop(slots);
+            self.touch();
+        }
+        Ok(())
+    }
+
+    fn line_to(&self, address: SocketAddr) -> Arc<Line> {
+        Arc::new(Line::new(address, self.clock, self.room.clone()))
+    }
+
+    fn sign_off(&self, of: &str) {
+        let mut state = held(&self.state);
+        if let Some(upstream) = &mut state.upstream
+            && upstream.id == of
+            && upstream.stand != Stand::None
+        {
+            upstream.stand = Stand::None;
+            upstream.to.shut();
+            log::info!("upstream {of}: signed off");
+            drop(state);
+            self.touch();
+        }
+    }
+
+    pub fn sweep(&self) {
+        if let Some(upstream) = &held(&self.state).upstream {
+            upstream.to.sweep(self.clock.now());
+        }
+    }
+
+    /// How many reqs are inside.
+    pub fn busy(&self) -> usize {
+        self.inside.load(Relaxed)
+    }
+
+    fn slots_now(&self) -> u32 {
+        held(&self.state).upstream.as_ref().map_or(0, |upstream| upstream.slots)
+    }
+
+    fn hand_on(&self, slots: &mut (u32, VecDeque<tokio::sync::oneshot::Sender<()>>)) {
+        let most = at_once(self.slots_now());
+        while slots.0 < most {
+            let Some(next) = slots.1.pop_front() else { return };
+            slots.0 += 1;
+            if next.send(()).is_err() {
+                slots.0 -= 1;
+            }
+        }
+    }
+
+    /// Lets a req through to the upstream, if it is the one that was meant.
+    pub async fn pass(
+        self: &Arc<Self>,
+        message: &Arc<Message>,
+        meant: &str,
+        caller: &HeaderValue,
+        until: Nanos,
+    ) -> End {
+        let Some((to, slots)) = self.check(meant) else { return End::Gone };
+        let most = at_once(slots) + slots;
+        if self.inside.load(Relaxed) >= most as usize {
+            return End::Full;
+        }
+        self.inside.fetch_add(1, Relaxed);
+        let id = message.head.headers().get(&ID).cloned();
+        let name = id.as_ref().map(|id| id.as_bytes().to_vec()).unwrap_or_default();
+        held(&self.runs).insert(name.clone());
+        let inside = Inside(self.clone(), name);
+        let waits = {
+            let mut slots = held(&self.slots);
+            if slots.0 < at_once(self.slots_now()) && slots.1.is_empty() {
+                slots.0 += 1;
+                None
+            } else {
+                let (send, wait) = tokio::sync::oneshot::channel();
+                slots.1.push_back(send);
+                Some(wait)
+            }
+        };
+        if let Some(wait) = waits {
+            let last = self.clock.instant(until.saturating_sub(LEAST_LEFT));
+            if !matches!(timeout_at(last, wait).await, Ok(Ok(()))) {
+                return End::Unsent;
+            }
+        }
+        let slot = Slot(self.clone());
+        if self.check(meant).is_none() {
+            return End::Gone;
+        }
+        let left = until.saturating_sub(self.clock.now()) / MS;
+        if left == 0 {
+            return End::Unsent;
+        }
+        let mut fields = HeaderMap::new();
+        fields.insert(LEFT, HeaderValue::from(left));
+        if let Ok(meant) = HeaderValue::try_from(meant) {
+            fields.insert(ADDRESSEE, meant);
+        }
+        fields.insert(CALLER, caller.clone());
+        // An answer that names another req belongs to that one.
+        let ours = |head: &Parts| head.headers.get(&ID) == id.as_ref();
+        let answer = to.exchange(message, &fields, until, ours).await;
+        let (mut head, flow) = match answer {
+            Ok(answer) => answer,
+            Err(Fail::NoConnection) => return End::Unreachable,
+            Err(Fail::NotSent) => return End::Unsent,
+            Err(Fail::Reset) => return End::Reset,
+            Err(Fail::Late) => return End::Late,
+        };
+        head.headers.remove(&WAY);
+        if head.status == StatusCode::MISDIRECTED_REQUEST {
+            return End::Gone;
+        }
+        if head.headers.contains_key(&NOT_RUN) {
+            return End::Full;
+        }
+        let stamped = head.headers.contains_key(&STAMP);
+        let coded = head.headers.contains_key(CONTENT_ENCODING);
+        if coded || (head.status.is_success() && !stamped) {
+            return End::Reset;
+        }
+        End::Ran(head, flow.holding((slot, inside)))
+    }
+
+    /// Whether this life takes reqs now, and where it is.
+    fn check(&self, meant: &str) -> Option<(Arc<Line>, u32)> {
+        let state = held(&self.state);
+        let upstream = state.upstream.as_ref()?;
+        let over = |since: Nanos| self.clock.now() > since + (self.drain / DRAIN_PART).as_nanos() as Nanos;
+        let takes = upstream.id == meant
+            && upstream.stand != Stand::None
+            && !upstream.closing_since.is_some_and(over);
+        takes.then(|| (upstream.to.clone(), upstream.slots))
+    }
+
+    /// A req that a gate elsewhere sent here.
+    pub async fn answer(self: Arc<Self>, came: Came, bodies: Arc<Semaphore>) -> Response<Flow> {
+        let at = came.at;
+        let headers = came.req.headers();
+        let meant = field(headers, &ADDRESSEE).to_owned();
+        let left = field(headers, &LEFT).parse::<u64>().unwrap_or(0).min(86_400_000);
+        let caller = headers.get(&CALLER).cloned().unwrap_or(HeaderValue::from_static(""));
+        let read = entry::message(came, &bodies, self.clock, u64::MAX, Duration::from_secs(10)).await;
+        let (message, _room) = match read {
+            Ok(read) => read,
+            Err(Bad(status, line)) => return way(say(status, line), "unsent"),
+        };
+        let end = self.pass(&Arc::new(message), &meant, &caller, at + left * MS).await;
+        let word = end.word();
+        match end {
+            End::Ran(head, flow) => way(Response::from_parts(head, flow), word),
+            _ => way(say(503, word), word),
+        }
+    }
+}
+
+/// How many reqs an upstream is given at once.
+fn at_once(slots: u32) -> u32 {
+    slots + 1
+}
+
+fn way(mut answer: Response<Flow>, word: &'static str) -> Response<Flow> {
+    answer.headers_mut().insert(WAY, HeaderValue::from_static(word));
+    answer
+}
+
+/// The call's name and whom it is of.
+pub fn call_of(uri: &hyper::Uri) -> (String, Option<String>) {
+    if uri.path() != "/api/rpc" {
+        return (String::new(), None);
+    }
+    let pairs = uri.query().unwrap_or_default().split('&').filter_map(|pair| pair.split_once('='));
+    let (mut call, mut of) = (String::new(), None);
+    for (name, value) in pairs {
+        match name {
+            "call" => call = value.to_owned(),
+            "of" => of = Some(value.chars().take(256).collect()),
+            _ => {}
+        }
+    }
+    (call, of)
+}
--- /dev/null
+++ b/balancer/src/mesh/entry.rs
@@ -0,0 +1,234 @@
+//! A door for HTTP/1.1: callers' connections, and reqs read off them. It owns the bounds on connections, heads, bodies
+//! and time, and how a door closes. It must never decide on a req, nor let one caller's connection cost another its own.
+
+use std::convert::Infallible;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::time::Duration;
+
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
+};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioTimer;
+use ochreshed::Nanos;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+use super::carry::{Flow, Place};
+use crate::body::{Long, Message};
+use crate::clock::Clock;
+use crate::figures::Coming;
+use crate::link::{MOST_HEAD, Meter, Wire, drop_hop_fields};
+use crate::start::{MOST_BODY, PER_LONG};
+
+/// How long to wait when no descriptor is left for a new connection.
+const NO_SOCKET: Duration = Duration::from_millis(50);
+/// Half a req is waited for so long once the door has closed.
+const UNFINISHED: Duration = Duration::from_secs(1);
+
+/// Bounds of one door.
+#[derive(Clone)]
+pub struct Bounds {
+    pub callers: usize,
+    /// How long a head may take, and a connection stand idle.
+    pub head: Duration,
+}
+
+/// A req as it came, and when.
+pub struct Came {
+    pub req: Request<Incoming>,
+    pub meter: Arc<Meter>,
+    pub at: Nanos,
+}
+
+/// What a caller did wrong, as a status and a line.
+#[derive(Debug)]
+pub struct Bad(pub u16, pub &'static str);
+
+/// How far a door's end has come: open, answers end their connections, closed.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum Ajar {
+    Open,
+    Leaving,
+    Closed,
+}
+
+/// Lets callers in until the door is closed, and returns once the last one has gone. `answer` is asked for each req.
+pub async fn keep<F, A>(
+    listener: TcpListener,
+    clock: Clock,
+    bounds: Bounds,
+    mut ajar: watch::Receiver<Ajar>,
+    callers: Arc<AtomicUsize>,
+    answer: F,
+) where
+    F: Fn(Came) -> A + Clone + Send + Sync + 'static,
+    A: Future<Output = Response<Flow>> + Send + 'static,
+{
+    let mut guests = JoinSet::new();
+    let closing = ajar.clone();
+    let mut closed = pin!(async {
+        let _ = ajar.wait_for(|ajar| *ajar == Ajar::Closed).await;
+    });
+    loop {
+        tokio::select! {
+            () = &mut closed => break,
+            Some(_) = guests.join_next(), if !guests.is_empty() => {}
+            came = listener.accept(), if guests.len() < bounds.callers => match came {
+                Ok((stream, _)) => {
+                    callers.store(guests.len() + 1, Relaxed);
+                    guests.spawn(guest(stream, clock, bounds.clone(), closing.clone(), answer.clone()));
+                }
+                Err(_) => sleep(NO_SOCKET).await,
+            }
+        }
+    }
+    drop(listener);
+    while guests.join_next().await.is_some() {}
+}
+
+async fn guest<F, A>(
+    stream: TcpStream,
+    clock: Clock,
+    bounds: Bounds,
+    mut ajar: watch::Receiver<Ajar>,
+    answer: F,
+) where
+    F: Fn(Came) -> A + Clone + Send + Sync + 'static,
+    A: Future<Output = Response<Flow>> + Send + 'static,
+{
+    super::wire::tune(&stream);
+    let (wire, meter) = Wire::new(Arc::new(stream), clock, None);
+    let leaving = ajar.clone();
+    let work = Arc::new(AtomicUsize::new(0));
+    let busy = work.clone();
+    let serve = service_fn(move |req: Request<Incoming>| {
+        let at = meter.take_first().unwrap_or_else(|| clock.now());
+        let meter = meter.clone();
+        let (answer, leaving, work) = (answer.clone(), leaving.clone(), work.clone());
+        async move {
+            work.fetch_add(1, Relaxed);
+            let mut answer = answer(Came { req, meter: meter.clone(), at }).await;
+            work.fetch_sub(1, Relaxed);
+            meter.take_first();
+            meter.next_message();
+            if *leaving.borrow() >= Ajar::Leaving {
+                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(answer)
+        }
+    });
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(bounds.head).max_buf_size(MOST_HEAD);
+    let mut connection = pin!(builder.serve_connection(wire, serve));
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = ajar.wait_for(|ajar| *ajar == Ajar::Closed) => connection.as_mut().graceful_shutdown(),
+    }
+    // What is answered is waited for; half a req that never comes whole is not.
+    while timeout(UNFINISHED, connection.as_mut()).await.is_err() {
+        if busy.load(Relaxed) == 0 {
+            return;
+        }
+    }
+}
+
+/// A req's message as it goes on, and the room that its body holds. The body is read whole where it is short.
+pub async fn message(
+    came: Came,
+    bodies: &Arc<Semaphore>,
+    clock: Clock,
+    most: u64,
+    slow: Duration,
+) -> Result<(Message, Place), Bad> {
+    let Came { req, meter, .. } = came;
+    let (mut head, mut body) = req.into_parts();
+    let framed = !head.headers.contains_key(TRANSFER_ENCODING);
+    if !framed && meter.length_named() {
+        // Guards against a req that another one hides in.
+        return Err(Bad(400, "both a length and a transfer encoding"));
+    }
+    if body.size_hint().lower() > most {
+        return Err(Bad(413, "body too large"));
+    }
+    let told = body.size_hint().exact();
+    let room = told.filter(|length| *length <= MOST_BODY as u64).map_or(PER_LONG, |length| length as u32);
+    let room = bodies.clone().acquire_many_owned(room).await.map_err(|_| Bad(503, "closed"))?;
+    let (first, whole) = match timeout(slow, first(&mut body)).await {
+        Ok(read) => read?,
+        Err(_) => return Err(Bad(408, "body too slow")),
+    };
+    let long = (!whole).then(|| Long::new(body, clock, Coming::apart()));
+    let length = if whole { Some(first.len() as u64) } else { told };
+    let named = head.headers.contains_key(CONTENT_LENGTH) || !first.is_empty();
+    drop_hop_fields(&mut head.headers);
+    head.headers.remove(EXPECT);
+    head.headers.remove(CONTENT_LENGTH);
+    if let Some(length) = length.filter(|_| named) {
+        head.headers.insert(CONTENT_LENGTH, length.into());
+    }
+    let mut on = Request::new(());
+    *on.method_mut() = head.method;
+    if let Some(path) = head.uri.path_and_query() {
+        *on.uri_mut() = path.clone().into();
+    }
+    if !head.headers.contains_key(HOST)
+        && let Some(host) = head.uri.authority().and_then(|host| HeaderValue::try_from(host.as_str()).ok())
+    {
+        head.headers.insert(HOST, host);
+    }
+    *on.headers_mut() = head.headers;
+    Ok((Message { head: on, first, length, long }, room))
+}
+
+/// All of a message's body, where it may be long.
+pub async fn whole(message: Message, most: u64) -> Result<Vec<u8>, Bad> {
+    let message = Arc::new(message);
+    let load = message.load().ok_or(Bad(400, "body cut short"))?;
+    let body = http_body_util::Limited::new(load, most.min(usize::MAX as u64) as usize).collect().await;
+    Ok(body.map_err(|_| Bad(400, "body cut short, or too large"))?.to_bytes().to_vec())
+}
+
+async fn first(body: &mut Incoming) -> Result<(bytes::Bytes, bool), Bad> {
+    if body.is_end_stream() {
+        return Ok((bytes::Bytes::new(), true));
+    }
+    let mut bytes = BytesMut::new();
+    while bytes.len() <= MOST_BODY {
+        let Some(frame) = body.frame().await else { return Ok((bytes.freeze(), true)) };
+        if let Ok(data) = frame.map_err(|_| Bad(400, "body cut short"))?.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+        if body.is_end_stream() {
+            return Ok((bytes.freeze(), true));
+        }
+    }
+    Ok((bytes.freeze(), false))
+}
+
+pub fn say(status: u16, line: &str) -> Response<Flow> {
+    let mut answer = Response::new(Flow::of(format!("{line}\n")));
+    *answer.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    answer
+}
+
+pub fn json(status: u16, text: String) -> Response<Flow> {
+    let mut answer = Response::new(Flow::of(text));
+    *answer.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    answer.headers_mut().insert("content-type", HeaderValue::from_static("application/json"));
+    answer
+}
+
+/// A field as text, empty when there is none.
+pub fn field<'a>(headers: &'a HeaderMap, name: &HeaderName) -> &'a str {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().trim()
+}
--- /dev/null
+++ b/balancer/src/mesh/gate.rs
@@ -0,0 +1,311 @@
+//! The gate: reqs of the clients and the upstream of this machine. It owns the way of a req from its head to its one
+//! final answer: route, service, key, the module's steps, the dispatches. It must never decide where a req goes (the
+//! module does), let one go on that the configuration in force here forbids, or hold back an answer it has.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::http::response::Parts;
+use hyper::{Response, StatusCode};
+use ochreshed::{How, Name, Nanos, Req, seconds};
+use ochreshed_mesh::timetable::{Kind, Route};
+use ochreshed_mesh::words::{Answer, Got, Key, Outcome, Token};
+use tokio::sync::oneshot;
+
+use super::attendant::Branch;
+use super::carry::{Fail, Flow};
+use super::desk::{self, Desk, Place, Step, Turn};
+use super::door::{ADDRESSEE, CALLER, End, ID, KEY, LEFT, WAY};
+use super::entry::{self, Bad, Came, field, say};
+use super::keys;
+use crate::body::Message;
+
+const MS: Nanos = 1_000_000;
+/// What an answer may need on its way back to the client.
+const WAY_BACK: Nanos = 12 * MS;
+/// A body of an answer that is longer is not kept with its key.
+const MOST_KEPT: usize = 64 * 1024;
+/// How long the core is waited for, for a claim, and the part of the target that may go into it.
+const CLAIM: Duration = Duration::from_millis(900);
+/// How a client is told to come back where the module says nothing of it.
+const COME_BACK: Nanos = 100 * MS;
+
+/// What a req came to here.
+enum Outcomes {
+    Answer(Parts, Flow),
+    /// It has not run and never will.
+    Deny(Nanos),
+    /// It may have run.
+    Abort {
+        late: bool,
+    },
+}
+
+pub async fn answer(branch: Arc<Branch>, came: Came) -> Response<Flow> {
+    let headers = came.req.headers();
+    let Some(id) = headers.get(&ID).cloned() else { return say(400, "no Ochreshed-Consignment-Id") };
+    let Some(timetable) = branch.timetable.load_full() else { return deny(300 * MS) };
+    let host = field(headers, &HOST).to_owned();
+    let path = came.req.uri().path().to_owned();
+    let Some(route) = timetable.route(&host, &path).cloned() else {
+        return say(404, "no such route");
+    };
+    let left = field(headers, &LEFT).parse::<u64>().unwrap_or(route.deadline_ms).min(86_400_000);
+    let key = Some(field(headers, &KEY)).filter(|key| !key.is_empty()).map(keys::key);
+    let at = came.at;
+    branch.saw(&id);
+    let limits = timetable.limits();
+    let slow = Duration::from_millis(limits.label_ms.max(left));
+    let read = entry::message(came, &branch.bodies, branch.clock, limits.parcel_bytes, slow).await;
+    let (mut message, room) = match read {
+        Ok(read) => read,
+        Err(Bad(status, line)) => return say(status, line),
+    };
+    for name in [&ADDRESSEE, &CALLER, &WAY] {
+        message.head.headers_mut().remove(name);
+    }
+    let ends = (at + left.min(route.deadline_ms) * MS).saturating_sub(WAY_BACK);
+    let trip = Trip { branch: branch.clone(), route: route.clone(), message: Arc::new(message), ends, at };
+    let answer = match key.filter(|_| route.kind == Kind::Registered) {
+        Some(key) => {
+            // Goes on to its end though its client goes: its outcome is its key's.
+            let (send, got) = oneshot::channel();
+            tokio::spawn(async move {
+                let _room = room;
+                let _ = send.send(keyed(trip, key).await);
+            });
+            got.await.unwrap_or_else(|_| say(502, "it may have run"))
+        }
+        None => trip.run().await.into_answer(),
+    };
+    let mut answer = answer;
+    if !answer.headers().contains_key(&ID) {
+        answer.headers_mut().insert(ID, id);
+    }
+    answer
+}
+
+fn deny(come_back: Nanos) -> Response<Flow> {
+    let mut answer = say(503, "not run: come back");
+    let back = if come_back == 0 { COME_BACK } else { come_back };
+    if let Ok(value) = HeaderValue::try_from(format!("{:.3}", seconds(back))) {
+        answer.headers_mut().insert(RETRY_AFTER, value);
+    }
+    answer
+}
+
+impl Outcomes {
+    fn into_answer(self) -> Response<Flow> {
+        match self {
+            Outcomes::Answer(mut head, flow) => {
+                head.headers.remove(&WAY);
+                Response::from_parts(head, flow)
+            }
+            Outcomes::Deny(come_back) => deny(come_back),
+            Outcomes::Abort { late: true } => say(504, "its time is over; it may have run"),
+            Outcomes::Abort { late: false } => say(502, "it may have run"),
+        }
+    }
+}
+
+/// A req with a key: claimed first, run if it was granted, answered from the first one's answer if not.
+async fn keyed(trip: Trip, key: Key) -> Response<Flow> {
+    let branch = trip.branch.clone();
+    let token: Token = branch.draw();
+    let now = branch.clock.now();
+    let left = trip.ends.saturating_sub(now);
+    let within = CLAIM.min(Duration::from_nanos(left));
+    let left_ms = (left / MS).min(u64::from(u32::MAX)) as u32;
+    let got = keys::claim(&branch.stewards, &branch.callers, (key, token), left_ms, within).await;
+    let settle =
+        |outcome| keys::settle(branch.stewards.clone(), branch.callers.clone(), (key, token), outcome);
+    match got {
+        Got::Granted => {}
+        Got::Held(Outcome::Done(answer)) => return replay(&answer),
+        Got::Held(Outcome::Open) => return say(409, "a req with this key is at work"),
+        Got::Held(Outcome::Unknown) => return say(502, "a req with this key may have run"),
+        _ => {
+            // The claim may stand somewhere: it is given back, and never used.
+            settle(None);
+            return deny(200 * MS);
+        }
+    }
+    match trip.run().await {
+        Outcomes::Answer(head, Flow::Whole(body)) => {
+            let bytes =
+                http_body_util::BodyExt::collect(body).await.map(|body| body.to_bytes()).unwrap_or_default();
+            if bytes.len() <= MOST_KEPT {
+                settle(Some(Outcome::Done(Arc::new(kept(&head, &bytes)))));
+            } else {
+                settle(Some(Outcome::Unknown));
+            }
+            Outcomes::Answer(head, Flow::of(bytes)).into_answer()
+        }
+        Outcomes::Deny(come_back) => {
+            settle(None);
+            deny(come_back)
+        }
+        other => {
+            settle(Some(Outcome::Unknown));
+            other.into_answer()
+        }
+    }
+}
+
+fn kept(head: &Parts, body: &[u8]) -> Answer {
+    let text = |(name, value): (&HeaderName, &HeaderValue)| {
+        Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))
+    };
+    let ours = [&ID, &WAY];
+    let headers = head.headers.iter().filter(|(name, _)| !ours.contains(name)).filter_map(text).collect();
+    Answer { status: head.status.as_u16(), headers, body: body.to_vec() }
+}
+
+fn replay(answer: &Answer) -> Response<Flow> {
+    let mut again = Response::new(Flow::of(answer.body.clone()));
+    *again.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    for (name, value) in &answer.headers {
+        if let (Ok(name), Ok(value)) = (HeaderName::try_from(name), HeaderValue::try_from(value)) {
+            again.headers_mut().append(name, value);
+        }
+    }
+    again
+}
+
+/// A req on its way.
+struct Trip {
+    branch: Arc<Branch>,
+    route: Arc<Route>,
+    message: Arc<Message>,
+    ends: Nanos,
+    at: Nanos,
+}
+
+impl Trip {
+    async fn run(&self) -> Outcomes {
+        let Some(line) = self.branch.split(&self.route) else { return Outcomes::Deny(COME_BACK) };
+        let Some(desk) = self.branch.desk(&line) else { return Outcomes::Deny(COME_BACK) };
+        let rule_set: Name = desk::shape(&self.route).as_str().into();
+        let mut req = Req::new(0, rule_set, "".into(), self.at, self.ends);
+        req.coming = self.message.long.is_some();
+        let mut turn = desk.take(req);
+        let mut last: Option<(Parts, Flow)> = None;
+        let (mut ran, mut sent) = (false, 0);
+        loop {
+            let step = turn.steps.recv().await;
+            match step {
+                Some(Step::Send { number, srv, give_up }) => {
+                    if sent >= self.route.tries {
+                        break;
+                    }
+                    sent += 1;
+                    let began = self.branch.clock.now();
+                    let Some(place) = desk.place(&srv) else {
+                        turn.ended(number, How::NotSent, 0, false);
+                        continue;
+                    };
+                    let Some(end) = self.dispatch(&desk, &mut turn, &place, give_up).await else {
+                        ran = true;
+                        turn.ended(number, How::Recalled, 0, false);
+                        continue;
+                    };
+                    let took = self.branch.clock.now() - began;
+                    let how = match end {
+                        End::Ran(head, flow) if !head.status.is_server_error() => {
+                            turn.ended(number, How::Done, took, true);
+                            return Outcomes::Answer(head, flow);
+                        }
+                        End::Ran(head, flow) => {
+                            (last, ran) = (Some((head, flow)), true);
+                            How::Error
+                        }
+                        End::Full | End::Gone => How::Full,
+                        End::Unreachable => How::NoConnection,
+                        End::Unsent => How::NotSent,
+                        End::Reset => {
+                            ran = true;
+                            How::Reset
+                        }
+                        End::Late => {
+                            ran = true;
+                            How::TimedOut
+                        }
+                    };
+                    turn.ended(number, how, took, false);
+                }
+                Some(Step::Recall) => {}
+                Some(Step::Deny { come_back }) => {
+                    turn.end();
+                    if last.is_none() && !ran {
+                        return Outcomes::Deny(come_back);
+                    }
+                    break;
+                }
+                Some(Step::Abort) | None => {
+                    turn.end();
+                    break;
+                }
+            }
+        }
+        let late = self.branch.clock.now() >= self.ends;
+        match last {
+            // The upstream's own word on it, where it has one.
+            Some((head, flow)) => Outcomes::Answer(head, flow),
+            None if !ran => Outcomes::Deny(COME_BACK),
+            None => Outcomes::Abort { late },
+        }
+    }
+
+    /// One dispatch; nothing if the module recalled it.
+    async fn dispatch(
+        &self,
+        desk: &Arc<Desk>,
+        turn: &mut Turn,
+        place: &Place,
+        give_up: Nanos,
+    ) -> Option<End> {
+        let _ = desk;
+        let work = self.send(place, give_up.min(self.ends));
+        tokio::pin!(work);
+        loop {
+            tokio::select! {
+                end = &mut work => return Some(end),
+                step = turn.steps.recv() => match step {
+                    Some(Step::Recall) | None => return None,
+                    Some(_) => {}
+                }
+            }
+        }
+    }
+
+    async fn send(&self, place: &Place, until: Nanos) -> End {
+        let branch = &self.branch;
+        let caller = branch.caller();
+        if place.door == branch.door_at() {
+            return branch.door.pass(&self.message, &place.id, &caller, until).await;
+        }
+        let left = until.saturating_sub(branch.clock.now()) / MS;
+        if left == 0 {
+            return End::Unsent;
+        }
+        let mut fields = HeaderMap::new();
+        fields.insert(LEFT, HeaderValue::from(left));
+        if let Ok(id) = HeaderValue::try_from(&*place.id) {
+            fields.insert(ADDRESSEE, id);
+        }
+        fields.insert(CALLER, caller);
+        let ours = |head: &Parts| head.headers.contains_key(&WAY);
+        match branch.line_to(place.door).exchange(&self.message, &fields, until, ours).await {
+            Ok((head, flow)) => {
+                let word =
+                    head.headers.get(&WAY).and_then(|word| word.to_str().ok()).unwrap_or_default().to_owned();
+                End::from_word(&word, head, flow)
+            }
+            Err(Fail::NoConnection) => End::Unreachable,
+            Err(Fail::NotSent) => End::Unsent,
+            Err(Fail::Reset) => End::Reset,
+            Err(Fail::Late) => End::Late,
+        }
+    }
+}
--- /dev/null
+++ b/balancer/src/mesh/keys.rs
@@ -0,0 +1,132 @@
+//! An attendant's side of keys that run once: the claim before a req of a registered route is handed on, and what came
+//! of it after. It owns the choice of the steward that a key's duty falls to, and the repeats of a call that got no
+//! reply. It must never let a req run that it was not granted, nor free a claim under which one may have run.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use ochreshed_mesh::words::{Got, Key, Outcome, Token, Want};
+use tokio::time::{sleep, sleep_until};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_128};
+
+use super::wire::{Ask, Callers, Reply};
+use crate::link::held;
+
+/// A claim goes to the next steward too when the one before has not replied within this.
+const HEDGE: Duration = Duration::from_millis(90);
+const SETTLE: Duration = Duration::from_millis(800);
+const SETTLES: u32 = 4;
+const PAUSE: Duration = Duration::from_millis(150);
+const ASIDE: Duration = Duration::from_millis(2_000);
+
+pub fn key(text: &str) -> Key {
+    xxh3_128(text.as_bytes())
+}
+
+/// The stewards that are known, and which of them gave no reply of late.
+#[derive(Default)]
+pub struct Stewards(Mutex<Vec<(SocketAddr, Option<tokio::time::Instant>)>>);
+
+impl Stewards {
+    pub fn know(&self, all: impl IntoIterator<Item = SocketAddr>) {
+        let mut known = held(&self.0);
+        let fresh: Vec<SocketAddr> = all.into_iter().collect();
+        known.retain(|(at, _)| fresh.contains(at));
+        for at in fresh {
+            if !known.iter().any(|(known, _)| *known == at) {
+                known.push((at, None));
+            }
+        }
+    }
+
+    pub fn all(&self) -> Vec<SocketAddr> {
+        held(&self.0).iter().map(|(at, _)| *at).collect()
+    }
+
+    pub fn failed(&self, steward: SocketAddr) {
+        if let Some(known) = held(&self.0).iter_mut().find(|(at, _)| *at == steward) {
+            known.1 = Some(tokio::time::Instant::now() + ASIDE);
+        }
+    }
+
+    pub fn replied(&self, steward: SocketAddr) {
+        if let Some(known) = held(&self.0).iter_mut().find(|(at, _)| *at == steward) {
+            known.1 = None;
+        }
+    }
+
+    /// In the order in which a key's duty falls to them: by key, those that gave no reply last.
+    pub fn by_key(&self, key: Key) -> Vec<SocketAddr> {
+        let now = tokio::time::Instant::now();
+        let place = |at: &SocketAddr| xxh3_64(format!("{at} {key:x}").as_bytes());
+        let mut order: Vec<(bool, u64, SocketAddr)> = held(&self.0)
+            .iter()
+            .map(|(at, aside)| (aside.is_some_and(|until| until > now), place(at), *at))
+            .collect();
+        order.sort();
+        order.into_iter().map(|(_, _, at)| at).collect()
+    }
+}
+
+/// Claims a key: the first steward that knows decides how it went. One that is slow to reply is not waited for alone:
+/// the same claim may go through several, since it is one token. `within` is how long that may take in all.
+pub async fn claim(
+    stewards: &Stewards,
+    callers: &Callers,
+    (key, token): (Key, Token),
+    left_ms: u32,
+    within: Duration,
+) -> Got {
+    let until = tokio::time::Instant::now() + within;
+    let mut next = stewards.by_key(key).into_iter();
+    let mut out = FuturesUnordered::new();
+    loop {
+        if let Some(steward) = next.next() {
+            let call = async move {
+                let ask = Ask::Core(Want::Claim { key, token, left_ms });
+                (steward, callers.to(steward).call(ask, within).await)
+            };
+            out.push(call);
+        } else if out.is_empty() {
+            return Got::Unsure;
+        }
+        let hedge = (tokio::time::Instant::now() + HEDGE).min(until);
+        tokio::select! {
+            Some((steward, reply)) = out.next(), if !out.is_empty() => match reply {
+                Ok(Reply::Core(Got::Unsure)) => {}
+                Ok(Reply::Core(got)) => {
+                    stewards.replied(steward);
+                    return got;
+                }
+                _ => stewards.failed(steward),
+            },
+            () = sleep_until(hedge) => {}
+        }
+        if tokio::time::Instant::now() >= until {
+            return Got::Unsure;
+        }
+    }
+}
+
+/// Tells what came of a claim, until a steward has it.
+pub fn settle(
+    stewards: Arc<Stewards>,
+    callers: Arc<Callers>,
+    (key, token): (Key, Token),
+    outcome: Option<Outcome>,
+) {
+    tokio::spawn(async move {
+        for round in 0..SETTLES {
+            for steward in stewards.by_key(key) {
+                let ask = Ask::Core(Want::Settle { key, token, outcome: outcome.clone() });
+                if let Ok(Reply::Core(Got::Taken)) = callers.to(steward).call(ask, SETTLE).await {
+                    return;
+                }
+                stewards.failed(steward);
+            }
+            sleep(PAUSE * (1 << round)).await;
+        }
+    });
+}
--- /dev/null
+++ b/balancer/src/mesh/line.rs
@@ -0,0 +1,556 @@
+//! The command line of the mesh's subcommands. It owns their words, options and help texts, and must never take a line of
+//! which a part was not understood, nor do anything itself: what is asked for is handed on, and words of the older
+//! program are left to it.
+
+use std::convert::Infallible;
+use std::ffi::{OsStr, OsString};
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use pico_args::Arguments;
+
+/// The mesh's part of `ochreshed help`.
+pub const HELP: &str = "    ochreshed attendant [--settings FILE]
+                                      serve a branch of the mesh until SIGTERM
+    ochreshed steward [--settings FILE]
+                                      serve a sorting machine of the mesh until SIGTERM
+    ochreshed settings [--settings FILE]
+                                      read and check the settings of a mesh process, say what they amount to, and exit
+    ochreshed nodes --at ADDRESS      the processes of the mesh that the steward there knows
+    ochreshed upstreams --at ADDRESS  the servers of each line, and how they do
+    ochreshed timetable read|replace FILE|history|diff FILE --at ADDRESS
+                                      the timetable in force, a new one, those before, or what a new one would change
+    ochreshed keys [KEY] --at ADDRESS which server holds a tracking key, or how many each holds
+    ochreshed budget --at ADDRESS     what is left for retries
+    ochreshed drain UPSTREAM --at ADDRESS
+                                      send nothing new to that server
+                                      each of these has --help; without --settings OCHRESHED_SETTINGS names the file
+";
+
+const HELP_ATTENDANT: &str = "\
+ochreshed attendant [--settings FILE]
+
+Serves a branch of the mesh, its app and its gates, until SIGTERM.
+
+    --settings FILE    the settings (TOML); without it OCHRESHED_SETTINGS names the file
+    -h, --help         this page
+";
+
+const HELP_STEWARD: &str = "\
+ochreshed steward [--settings FILE]
+
+Serves a sorting machine of the mesh, which keeps the timetable and the registry, until SIGTERM.
+
+    --settings FILE    the settings (TOML); without it OCHRESHED_SETTINGS names the file
+    -h, --help         this page
+";
+
+const HELP_SETTINGS: &str = "\
+ochreshed settings [--settings FILE]
+
+Reads and checks the settings of a mesh process, and prints what they amount to or all that is wrong with them.
+
+    --settings FILE    the settings (TOML); without it OCHRESHED_SETTINGS names the file
+    -h, --help         this page
+";
+
+const HELP_NODES: &str = "\
+ochreshed nodes --at ADDRESS [--at ADDRESS] [--json]
+
+Prints the processes of the mesh that the steward knows.
+
+    --at ADDRESS       the control gate of a steward, as 10.1.0.13:8306; of several, the first that answers is asked
+    --json             print JSON
+    -h, --help         this page
+";
+
+const HELP_UPSTREAMS: &str = "\
+ochreshed upstreams --at ADDRESS [--at ADDRESS] [--json]
+
+Prints the servers of each line, and how they do.
+
+    --at ADDRESS       the control gate of a steward, as 10.1.0.13:8306; of several, the first that answers is asked
+    --json             print JSON
+    -h, --help         this page
+";
+
+const HELP_TIMETABLE: &str = "\
+ochreshed timetable read --at ADDRESS [--at ADDRESS] [--json]
+ochreshed timetable replace FILE --at ADDRESS [--at ADDRESS] [--json]
+ochreshed timetable history --at ADDRESS [--at ADDRESS] [--json]
+ochreshed timetable diff FILE --at ADDRESS [--at ADDRESS] [--json]
+
+Prints the timetable in force, puts the one of FILE in its place, prints the editions there were, or prints what the one
+of FILE would change.
+
+    --at ADDRESS       the control gate of a steward, as 10.1.0.13:8306; of several, the first that answers is asked
+    --json             print JSON
+    -h, --help         this page
+";
+
+const HELP_KEYS: &str = "\
+ochreshed keys [KEY] --at ADDRESS [--at ADDRESS] [--json]
+
+Prints which server holds the tracking key KEY, or without one how many each server holds. A KEY that begins with - goes
+after --.
+
+    --at ADDRESS       the control gate of a steward, as 10.1.0.13:8306; of several, the first that answers is asked
+    --json             print JSON
+    -h, --help         this page
+";
+
+const HELP_BUDGET: &str = "\
+ochreshed budget --at ADDRESS [--at ADDRESS] [--json]
+
+Prints what is left for retries.
+
+    --at ADDRESS       the control gate of a steward, as 10.1.0.13:8306; of several, the first that answers is asked
+    --json             print JSON
+    -h, --help         this page
+";
+
+const HELP_DRAIN: &str = "\
+ochreshed drain UPSTREAM --at ADDRESS [--at ADDRESS] [--json]
+
+Has nothing new sent to the server UPSTREAM; what it was sent is let finish.
+
+    --at ADDRESS       the control gate of a steward, as 10.1.0.13:8306; of several, the first that answers is asked
+    --json             print JSON
+    -h, --help         this page
+";
+
+/// The mesh's words and their help.
+const WORDS: [(&str, &str); 9] = [
+    ("attendant", HELP_ATTENDANT),
+    ("steward", HELP_STEWARD),
+    ("settings", HELP_SETTINGS),
+    ("nodes", HELP_NODES),
+    ("upstreams", HELP_UPSTREAMS),
+    ("timetable", HELP_TIMETABLE),
+    ("keys", HELP_KEYS),
+    ("budget", HELP_BUDGET),
+    ("drain", HELP_DRAIN),
+];
+/// What the older command line answers to.
+const OLDER: [&str; 6] = ["serve", "fleet", "snapshot", "check", "version", "help"];
+const VERBS: [&str; 4] = ["read", "replace", "history", "diff"];
+const SETTINGS: &str = "--settings";
+const AT: &str = "--at";
+const JSON: &str = "--json";
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    Attendant { settings: Option<PathBuf> },
+    Steward { settings: Option<PathBuf> },
+    Settings { settings: Option<PathBuf> },
+    Client { at: Vec<SocketAddr>, json: bool, what: What },
+}
+
+/// What an operator asks of a steward.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum What {
+    Nodes,
+    Upstreams,
+    TimetableRead,
+    TimetableReplace(PathBuf),
+    TimetableHistory,
+    TimetableDiff(PathBuf),
+    /// One key, or all.
+    Keys(Option<String>),
+    Budget,
+    Drain(String),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LineError {
+    /// No error: the page that was asked for, for standard output.
+    Help(&'static str),
+    /// A first word that is nobody's, and the one of the mesh's that was probably meant.
+    NoCommand(String, &'static str),
+    /// Of that command, an option or word that it doesn't have.
+    Left(&'static str, String, Option<&'static str>),
+    /// Of that command, an option without its value.
+    NoValue(&'static str, &'static str),
+    /// Of that command, an option that is given more than once.
+    Twice(&'static str, &'static str),
+    /// Of that command, what it can't do without.
+    Wants(&'static str, &'static str),
+    /// Of that command, what is given as --at and is no address.
+    NoAddress(&'static str, String),
+    /// Of that command, a word that is no text.
+    NoText(&'static str, String),
+}
+
+impl fmt::Display for LineError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let command = match self {
+            LineError::Help(page) => return f.write_str(page),
+            LineError::NoCommand(word, near) => {
+                return write!(f, "there is no command {word}; {near} is near; see `ochreshed help`");
+            }
+            LineError::Left(command, word, near) => {
+                write!(f, "{command} has no {word}")?;
+                if let Some(near) = near {
+                    write!(f, "; {near} is near")?;
+                }
+                command
+            }
+            LineError::NoValue(command, option) => {
+                write!(f, "{option} wants a value")?;
+                command
+            }
+            LineError::Twice(command, option) => {
+                write!(f, "{option} is given more than once")?;
+                command
+            }
+            LineError::Wants(command, what) => {
+                write!(f, "{command} wants {what}")?;
+                command
+            }
+            LineError::NoAddress(command, told) => {
+                write!(f, "--at wants an IP number and a port, and {told} is none")?;
+                command
+            }
+            LineError::NoText(command, told) => {
+                write!(f, "{told} is no text in UTF-8")?;
+                command
+            }
+        };
+        write!(f, "; see `ochreshed {command} --help`")
+    }
+}
+
+impl std::error::Error for LineError {}
+
+/// What the words after the program's name ask for. None when the first is none of the mesh's, so that the older command
+/// line takes over; a misspelt word that is nearer to one of the mesh's than to the older ones is answered here.
+pub fn parse(mut args: Vec<OsString>) -> Option<Result<Command, LineError>> {
+    let first = args.first()?.to_str()?.to_owned();
+    let Some((command, help)) = WORDS.iter().find(|(name, _)| *name == first) else {
+        let names = WORDS.iter().map(|(name, _)| *name);
+        let near = nearest(&first, OLDER.into_iter().chain(names));
+        let near = near.filter(|near| !OLDER.contains(near) && !first.starts_with('-'))?;
+        return Some(Err(LineError::NoCommand(first, near)));
+    };
+    args.remove(0);
+    Some(Line::new(command, args).command(help))
+}
+
+/// The words after a subcommand.
+struct Line {
+    command: &'static str,
+    options: Arguments,
+    /// Those after `--`, which are no options whatever they look like.
+    plain: Vec<OsString>,
+}
+
+impl Line {
+    fn new(command: &'static str, mut args: Vec<OsString>) -> Line {
+        let ends = args.iter().position(|arg| arg == "--").unwrap_or(args.len());
+        let plain = args.split_off(ends).into_iter().skip(1).collect();
+        let options = args.into_iter().flat_map(apart).collect();
+        Line { command, options: Arguments::from_vec(options), plain }
+    }
+
+    fn command(mut self, help: &'static str) -> Result<Command, LineError> {
+        if self.options.contains(["-h", "--help"]) {
+            return Err(LineError::Help(help));
+        }
+        match self.command {
+            "attendant" => self.process(|settings| Command::Attendant { settings }),
+            "steward" => self.process(|settings| Command::Steward { settings }),
+            "settings" => self.process(|settings| Command::Settings { settings }),
+            _ => self.client(),
+        }
+    }
+
+    fn process(mut self, of: fn(Option<PathBuf>) -> Command) -> Result<Command, LineError> {
+        let command = self.command;
+        let mut files = self.values(SETTINGS)?;
+        if files.len() > 1 {
+            return Err(LineError::Twice(command, SETTINGS));
+        }
+        let file = files.pop();
+        let words = self.words(&[SETTINGS])?;
+        nothing_left(command, words.into_iter())?;
+        Ok(of(file.map(PathBuf::from)))
+    }
+
+    fn client(mut self) -> Result<Command, LineError> {
+        let command = self.command;
+        let mut json = false;
+        while self.options.contains(JSON) {
+            json = true;
+        }
+        let told = self.values(AT)?;
+        let at = told.iter().map(|told| address(command, told)).collect::<Result<Vec<_>, _>>()?;
+        let mut words = self.words(&[AT, JSON])?.into_iter();
+        let what = match command {
+            "nodes" => What::Nodes,
+            "upstreams" => What::Upstreams,
+            "budget" => What::Budget,
+            "keys" => {
+                What::Keys(words.next().map(|key| text(command, key, "a KEY that is not empty")).transpose()?)
+            }
+            "drain" => {
+                let upstream = words.next().ok_or(LineError::Wants(command, "an UPSTREAM"))?;
+                What::Drain(text(command, upstream, "an UPSTREAM")?)
+            }
+            // Timetable, the only one left.
+            _ => {
+                let verb = words.next().unwrap_or_default();
+                let mut file = |wants| match words.next() {
+                    Some(file) if !file.is_empty() => Ok(PathBuf::from(file)),
+                    _ => Err(LineError::Wants(command, wants)),
+                };
+                match verb.to_str() {
+                    Some("read") => What::TimetableRead,
+                    Some("replace") => What::TimetableReplace(file("a FILE to replace it with")?),
+                    Some("history") => What::TimetableHistory,
+                    Some("diff") => What::TimetableDiff(file("a FILE to compare it with")?),
+                    Some("") => {
+                        return Err(LineError::Wants(command, "read, replace FILE, history or diff FILE"));
+                    }
+                    _ => return Err(left(command, &verb, &VERBS)),
+                }
+            }
+        };
+        nothing_left(command, words)?;
+        if at.is_empty() {
+            return Err(LineError::Wants(command, "--at ADDRESS, the control gate of a steward"));
+        }
+        Ok(Command::Client { at, json, what })
+    }
+
+    /// All that an option is given; a value doesn't look like an option.
+    fn values(&mut self, option: &'static str) -> Result<Vec<OsString>, LineError> {
+        let values = self.options.values_from_os_str(option, |told| Ok::<_, Infallible>(told.to_owned()));
+        let values = values.map_err(|_| LineError::NoValue(self.command, option))?;
+        if values.iter().any(|value| value.is_empty() || is_option(value)) {
+            return Err(LineError::NoValue(self.command, option));
+        }
+        Ok(values)
+    }
+
+    /// What is no option, once all options were taken; `options` are those there are.
+    fn words(self, options: &[&'static str]) -> Result<Vec<OsString>, LineError> {
+        let mut words = self.options.finish();
+        match words.iter().find(|word| is_option(word)) {
+            Some(option) => Err(left(self.command, option, options)),
+            None => {
+                words.extend(self.plain);
+                Ok(words)
+            }
+        }
+    }
+}
+
+/// `--at=ADDRESS` is `--at ADDRESS`.
+fn apart(arg: OsString) -> Vec<OsString> {
+    let pair = arg.to_str().and_then(|arg| arg.split_once('='));
+    match pair {
+        Some((option, value)) if option == AT || option == SETTINGS => vec![option.into(), value.into()],
+        _ => vec![arg],
+    }
+}
+
+/// A single `-` is none, but the standard input.
+fn is_option(word: &OsStr) -> bool {
+    word.len() > 1 && word.to_string_lossy().starts_with('-')
+}
+
+fn address(command: &'static str, told: &OsStr) -> Result<SocketAddr, LineError> {
+    let address = told.to_str().and_then(|told| told.parse::<SocketAddr>().ok());
+    let address = address.filter(|address| !address.ip().is_unspecified() && address.port() > 0);
+    address.ok_or_else(|| LineError::NoAddress(command, shown(told)))
+}
+
+fn text(command: &'static str, word: OsString, wants: &'static str) -> Result<String, LineError> {
+    match word.into_string() {
+        Ok(word) if word.is_empty() => Err(LineError::Wants(command, wants)),
+        Ok(word) => Ok(word),
+        Err(word) => Err(LineError::NoText(command, shown(&word))),
+    }
+}
+
+/// Names all that is left.
+fn nothing_left(command: &'static str, words: impl Iterator<Item = OsString>) -> Result<(), LineError> {
+    let words: Vec<_> = words.map(|word| shown(&word)).collect();
+    if words.is_empty() { Ok(()) } else { Err(LineError::Left(command, words.join(" "), None)) }
+}
+
+fn left(command: &'static str, word: &OsStr, there_are: &[&'static str]) -> LineError {
+    let near = word.to_str().and_then(|word| nearest(word, there_are.iter().copied()));
+    LineError::Left(command, shown(word), near)
+}
+
+/// Words from the line may hold anything, and go to a terminal.
+fn shown(word: &OsStr) -> String {
+    if word.is_empty() { "\"\"".into() } else { word.to_string_lossy().escape_debug().to_string() }
+}
+
+/// The one that was probably meant.
+fn nearest(word: &str, all: impl Iterator<Item = &'static str>) -> Option<&'static str> {
+    let (distance, near) = all.map(|one| (strsim::osa_distance(word, one), one)).min()?;
+    (distance <= 2 && distance * 2 < near.len()).then_some(near)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use expect_test::expect;
+
+    fn parsed(line: &str) -> Option<Result<Command, LineError>> {
+        parse(line.split_whitespace().map(OsString::from).collect())
+    }
+
+    fn said(lines: &[&str]) -> String {
+        let answer = |line: &&str| match parsed(line) {
+            None => format!("{line} -> older\n"),
+            Some(Ok(command)) => format!("{line} -> {command:?}\n"),
+            Some(Err(LineError::Help(page))) => {
+                format!("{line} -> help: {}\n", page.lines().next().unwrap_or_default())
+            }
+            Some(Err(why)) => format!("{line} -> {why}\n"),
+        };
+        lines.iter().map(answer).collect()
+    }
+
+    #[test]
+    fn what_is_asked_for_is_handed_on() {
+        let lines = [
+            "attendant",
+            "attendant --settings a.toml",
+            "steward --settings=/etc/ochreshed/local.toml",
+            "settings",
+            "nodes --at 10.1.0.13:8306 --at 10.2.0.10:8306",
+            "upstreams --json --at=10.1.0.13:8306",
+            "timetable read --at 10.1.0.13:8306",
+            "timetable --at 10.1.0.13:8306 replace r7.json",
+            "timetable replace - --at 10.1.0.13:8306",
+            "timetable history --at 10.1.0.13:8306",
+            "--json timetable diff r7.json --at 10.1.0.13:8306",
+            "timetable diff r7.json --at 10.1.0.13:8306 --json",
+            "keys --at 10.1.0.13:8306",
+            "keys k-5512 --at [::1]:8306",
+            "keys --at 10.1.0.13:8306 -- --json",
+            "budget --at 10.1.0.13:8306",
+            "drain i-7f3a91c2 --at 10.1.0.13:8306",
+            "drain --help",
+            "timetable replace -h --wrong",
+        ];
+        expect![[r#"
+            attendant -> Attendant { settings: None }
+            attendant --settings a.toml -> Attendant { settings: Some("a.toml") }
+            steward --settings=/etc/ochreshed/local.toml -> Steward { settings: Some("/etc/ochreshed/local.toml") }
+            settings -> Settings { settings: None }
+            nodes --at 10.1.0.13:8306 --at 10.2.0.10:8306 -> Client { at: [10.1.0.13:8306, 10.2.0.10:8306], json: false, what: Nodes }
+            upstreams --json --at=10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: true, what: Upstreams }
+            timetable read --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: TimetableRead }
+            timetable --at 10.1.0.13:8306 replace r7.json -> Client { at: [10.1.0.13:8306], json: false, what: TimetableReplace("r7.json") }
+            timetable replace - --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: TimetableReplace("-") }
+            timetable history --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: TimetableHistory }
+            --json timetable diff r7.json --at 10.1.0.13:8306 -> older
+            timetable diff r7.json --at 10.1.0.13:8306 --json -> Client { at: [10.1.0.13:8306], json: true, what: TimetableDiff("r7.json") }
+            keys --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: Keys(None) }
+            keys k-5512 --at [::1]:8306 -> Client { at: [[::1]:8306], json: false, what: Keys(Some("k-5512")) }
+            keys --at 10.1.0.13:8306 -- --json -> Client { at: [10.1.0.13:8306], json: false, what: Keys(Some("--json")) }
+            budget --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: Budget }
+            drain i-7f3a91c2 --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: Drain("i-7f3a91c2") }
+            drain --help -> help: ochreshed drain UPSTREAM --at ADDRESS [--at ADDRESS] [--json]
+            timetable replace -h --wrong -> help: ochreshed timetable read --at ADDRESS [--at ADDRESS] [--json]
+        "#]].assert_eq(&said(&lines));
+    }
+
+    #[test]
+    fn what_is_not_understood_is_named() {
+        let lines = [
+            "attendant a.toml",
+            "attendant --setings a.toml",
+            "attendant --settings",
+            "attendant --settings --json",
+            "steward --settings a.toml --settings b.toml",
+            "steward --at 10.1.0.13:8306",
+            "nodes",
+            "nodes --at",
+            "nodes --at here",
+            "nodes --at 0.0.0.0:8306",
+            "nodes --at 10.1.0.13:0",
+            "nodes --at 10.1.0.13:8306 --jsno",
+            "nodes --at 10.1.0.13:8306 more and more",
+            "timetable --at 10.1.0.13:8306",
+            "timetable replcae r7.json --at 10.1.0.13:8306",
+            "timetable moon --at 10.1.0.13:8306",
+            "timetable replace --at 10.1.0.13:8306",
+            "timetable read r7.json --at 10.1.0.13:8306",
+            "keys one two --at 10.1.0.13:8306",
+            "drain --at 10.1.0.13:8306",
+        ];
+        expect![[r#"
+            attendant a.toml -> attendant has no a.toml; see `ochreshed attendant --help`
+            attendant --setings a.toml -> attendant has no --setings; --settings is near; see `ochreshed attendant --help`
+            attendant --settings -> --settings wants a value; see `ochreshed attendant --help`
+            attendant --settings --json -> --settings wants a value; see `ochreshed attendant --help`
+            steward --settings a.toml --settings b.toml -> --settings is given more than once; see `ochreshed steward --help`
+            steward --at 10.1.0.13:8306 -> steward has no --at; see `ochreshed steward --help`
+            nodes -> nodes wants --at ADDRESS, the control gate of a steward; see `ochreshed nodes --help`
+            nodes --at -> --at wants a value; see `ochreshed nodes --help`
+            nodes --at here -> --at wants an IP number and a port, and here is none; see `ochreshed nodes --help`
+            nodes --at 0.0.0.0:8306 -> --at wants an IP number and a port, and 0.0.0.0:8306 is none; see `ochreshed nodes --help`
+            nodes --at 10.1.0.13:0 -> --at wants an IP number and a port, and 10.1.0.13:0 is none; see `ochreshed nodes --help`
+            nodes --at 10.1.0.13:8306 --jsno -> nodes has no --jsno; --json is near; see `ochreshed nodes --help`
+            nodes --at 10.1.0.13:8306 more and more -> nodes has no more and more; see `ochreshed nodes --help`
+            timetable --at 10.1.0.13:8306 -> timetable wants read, replace FILE, history or diff FILE; see `ochreshed timetable --help`
+            timetable replcae r7.json --at 10.1.0.13:8306 -> timetable has no replcae; replace is near; see `ochreshed timetable --help`
+            timetable moon --at 10.1.0.13:8306 -> timetable has no moon; see `ochreshed timetable --help`
+            timetable replace --at 10.1.0.13:8306 -> timetable wants a FILE to replace it with; see `ochreshed timetable --help`
+            timetable read r7.json --at 10.1.0.13:8306 -> timetable has no r7.json; see `ochreshed timetable --help`
+            keys one two --at 10.1.0.13:8306 -> keys has no two; see `ochreshed keys --help`
+            drain --at 10.1.0.13:8306 -> drain wants an UPSTREAM; see `ochreshed drain --help`
+        "#]].assert_eq(&said(&lines));
+    }
+
+    #[test]
+    fn the_rest_is_left_to_the_older_line() {
+        let lines =
+            ["", "serve", "fleet --at 127.0.0.1:7000", "check", "snapshot show x", "--help", "-V", "moon"];
+        assert!(lines.iter().all(|line| parsed(line).is_none()), "{}", said(&lines));
+        expect![[r#"
+            stewrad -> there is no command stewrad; steward is near; see `ochreshed help`
+            atendant --settings x -> there is no command atendant; attendant is near; see `ochreshed help`
+            node -> there is no command node; nodes is near; see `ochreshed help`
+            serv -> older
+            chek -> older
+            key -> there is no command key; keys is near; see `ochreshed help`
+        "#]]
+        .assert_eq(&said(&["stewrad", "atendant --settings x", "node", "serv", "chek", "key"]));
+    }
+
+    #[test]
+    #[cfg(unix)]
+    fn any_bytes_are_taken() {
+        use std::os::unix::ffi::OsStringExt;
+        let odd = || OsString::from_vec(vec![b'-', 0xff]);
+        assert_eq!(parse(vec![odd()]), None);
+        for (name, _) in WORDS {
+            for before in [None, Some("--at"), Some("--settings"), Some("--"), Some("replace")] {
+                let args = [Some(OsString::from(name)), before.map(OsString::from), Some(odd())];
+                let args: Vec<_> = args.into_iter().flatten().collect();
+                assert!(matches!(parse(args.clone()), Some(Err(_))), "{args:?}");
+            }
+        }
+        let file = OsString::from_vec(vec![b'a', 0xff]);
+        let args = vec!["steward".into(), "--settings".into(), file.clone()];
+        assert_eq!(parse(args), Some(Ok(Command::Steward { settings: Some(PathBuf::from(file)) })));
+    }
+
+    #[test]
+    fn every_command_has_its_help() {
+        for (name, page) in WORDS {
+            assert!(page.starts_with(&format!("ochreshed {name}")), "{name}");
+            assert!(HELP.contains(&format!("    ochreshed {name} ")), "{name}");
+            assert!(page.lines().chain(HELP.lines()).all(|line| line.len() <= 120), "{name}");
+        }
+    }
+}
--- /dev/null
+++ b/balancer/src/mesh/mod.rs
@@ -0,0 +1,38 @@
+//! The mesh's roles on sockets: the attendant beside an upstream and its clients, and the steward of the core. It owns
+//! how they start; what they decide together is in `ochreshed-mesh` and in the module.
+
+mod attendant;
+mod carry;
+mod client;
+mod desk;
+mod door;
+mod entry;
+mod gate;
+mod keys;
+mod line;
+mod news;
+mod settings;
+mod start;
+mod steward;
+mod store;
+mod wire;
+
+use std::process::ExitCode;
+
+use line::{Command, LineError};
+pub use line::{HELP, parse};
+
+/// Carries out a command of the mesh's; an error is a plain line for whoever started the program.
+pub fn run(command: Result<Command, LineError>) -> Result<ExitCode, String> {
+    match command {
+        Ok(Command::Attendant { settings }) => attendant::run(settings).map_err(|why| why.to_string()),
+        Ok(Command::Steward { settings }) => steward::run(settings).map_err(|why| why.to_string()),
+        Ok(Command::Settings { settings }) => client::settings(settings).map_err(|why| why.to_string()),
+        Ok(Command::Client { at, json, what }) => client::ask(&at, json, what),
+        Err(LineError::Help(text)) => {
+            print!("{text}");
+            Ok(ExitCode::SUCCESS)
+        }
+        Err(why) => Err(why.to_string()),
+    }
+}
--- /dev/null
+++ b/balancer/src/mesh/news.rs
@@ -0,0 +1,102 @@
+//! News to an attendant: it asks its watchers with the versions it has, and takes what they answer. Each ask is also its
+//! heartbeat. It owns which stewards are asked and what is taken from them; it must never go back to an older version.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ochreshed_mesh::list::{Mark, watchers};
+use tokio::time::{Instant, sleep};
+
+use super::attendant::Branch;
+use super::wire::{Ask, NewsAsk, NewsReply, Reply};
+
+/// An ask is answered after so long though there is no news, and given up so much later.
+const HOLD: Duration = Duration::from_millis(500);
+const LATE: Duration = Duration::from_millis(600);
+const PAUSE: Duration = Duration::from_millis(150);
+/// A steward that gave no reply is passed over for so long.
+const ASIDE: Duration = Duration::from_millis(1_500);
+
+/// What one steward told last.
+struct Heard {
+    mark: Mark,
+    quiet: (u64, HashSet<SocketAddr>),
+    row: (u64, u64),
+    aside: Option<Instant>,
+}
+
+/// Asks one of the watchers, for good: the one whose turn is `which` among those that reply.
+pub async fn ask(branch: Arc<Branch>, which: usize, many: usize) {
+    let mut heard: HashMap<SocketAddr, Heard> = HashMap::new();
+    loop {
+        let stewards = branch.stewards.all();
+        let ring = watchers(branch.door_at(), &stewards, stewards.len());
+        let now = Instant::now();
+        heard.retain(|at, _| stewards.contains(at));
+        let aside =
+            |at: &SocketAddr| heard.get(at).and_then(|heard| heard.aside).is_some_and(|until| until > now);
+        // Each asker has its own part of the ring first, so that no two ask the same while all reply.
+        let mine = ring.iter().skip(which).step_by(many).chain(ring.iter());
+        let Some(steward) = mine.clone().find(|at| !aside(at)).or(ring.first()).copied() else {
+            sleep(PAUSE).await;
+            continue;
+        };
+        let known = heard.entry(steward).or_insert(Heard {
+            mark: Mark::default(),
+            quiet: (0, HashSet::new()),
+            row: (0, 0),
+            aside: None,
+        });
+        let row = branch.door.row();
+        let rank = row.rank();
+        let news = NewsAsk {
+            row: (known.row != rank).then_some(row),
+            door: Some(branch.door_at()),
+            mark: known.mark,
+            sheet: branch.sheet_rank(),
+            quiet: known.quiet.0,
+            hold_ms: HOLD.as_millis() as u32,
+            steward: false,
+        };
+        let caller = branch.callers.to(steward);
+        let changed = branch.door.changed.notified();
+        let reply = tokio::select! {
+            reply = caller.call(Ask::News(news), HOLD + LATE) => reply,
+            () = changed => continue,
+        };
+        match reply {
+            Ok(Reply::News(reply)) => {
+                known.aside = None;
+                // One that has forgotten us is told anew.
+                known.row = if reply.life.is_some() { rank } else { (0, 0) };
+                known.mark = reply.mark;
+                if let Some((number, quiet)) = &reply.quiet {
+                    known.quiet = (*number, quiet.iter().copied().collect());
+                }
+                take(&branch, which, reply, known.quiet.1.clone());
+            }
+            _ => {
+                known.aside = Some(Instant::now() + ASIDE);
+                // It may have forgotten us.
+                known.row = (0, 0);
+                branch.silent(which);
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+fn take(branch: &Arc<Branch>, which: usize, reply: NewsReply, quiet: HashSet<SocketAddr>) {
+    if let Some(life) = reply.life {
+        branch.door.outlive(life);
+    }
+    if let Some(sheet) = reply.sheet {
+        branch.take_sheet(&sheet);
+    }
+    if !reply.stewards.is_empty() {
+        branch.know_stewards(reply.stewards);
+    }
+    branch.take_rows(which, reply.rows, quiet);
+}
--- /dev/null
+++ b/balancer/src/mesh/steward.rs
@@ -0,0 +1,605 @@
+//! The steward: one of the few that keep the operator's word, the list and the keys. It owns the order in which what
+//! the core decided is written, sent and answered, the table of rows, and the operators' door. It must never send or
+//! answer what depends on a write that is not safe on disk yet.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use hyper::Response;
+use ochreshed::Nanos;
+use ochreshed_mesh::agree::{Config, Core};
+use ochreshed_mesh::list::{Mark, Table};
+use ochreshed_mesh::timetable::Timetable;
+use ochreshed_mesh::words::{Act, Got, Letter, Record, Sheet, View, Want};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep, timeout};
+
+use super::attendant::seeds;
+use super::carry::Flow;
+use super::door::call_of;
+use super::entry::{self, Ajar, Bad, Bounds, Came, json, say};
+use super::settings::{Settings, SettingsError};
+use super::start;
+use super::store::{Store, StoreError};
+use super::wire::{self, Ask, Callers, NewsAsk, NewsReply, Reply};
+use crate::clock::Clock;
+use crate::link::held;
+
+const MS: Nanos = 1_000_000;
+/// Claims are kept for so much longer than the window in which a key runs once.
+const KEEP_MORE: Duration = Duration::from_secs(20);
+/// A voter of whom nothing was heard for so long may be replaced by another steward.
+const LOST: Nanos = 5_000 * MS;
+/// An attendant of whom nothing was heard for so long is quiet.
+const QUIET: Nanos = 1_700 * MS;
+const LOOK: Duration = Duration::from_millis(200);
+/// How long other stewards hold our asks.
+const HOLD: Duration = Duration::from_millis(400);
+const LATE: Duration = Duration::from_millis(600);
+const PAUSE: Duration = Duration::from_millis(200);
+/// An operator's call is answered within this.
+const OPERATOR: Duration = Duration::from_millis(2_500);
+const UNSETTLED: Duration = Duration::from_millis(800);
+/// A refused write is tried again after this.
+const WRITE_AGAIN: Duration = Duration::from_millis(50);
+const MOST_BODY: u64 = 32 << 20;
+const EVENTS: usize = 16_384;
+/// How long the end waits for another steward to take the place.
+const HAND_OVER: Duration = Duration::from_millis(3_000);
+const SETTINGS: Duration = Duration::from_secs(2);
+
+enum Event {
+    Letter(Letter),
+    Want(Want, oneshot::Sender<Got>),
+    Seeds(Vec<SocketAddr>),
+    Leaving,
+}
+
+/// What the core has come to, for readers.
+#[derive(Clone, Default)]
+struct Stand {
+    safe: Option<Arc<Sheet>>,
+    stewards: Vec<SocketAddr>,
+    settled: bool,
+    view: Option<View>,
+    voter: bool,
+    keys: (usize, usize, usize),
+    gone: bool,
+}
+
+struct Office {
+    clock: Clock,
+    at: SocketAddr,
+    settings: ArcSwap<Settings>,
+    stand: ArcSwap<Stand>,
+    table: Mutex<Table>,
+    quiet: Mutex<(u64, Vec<SocketAddr>)>,
+    /// Goes up with whatever readers may wait for.
+    changed: watch::Sender<u64>,
+    events: mpsc::Sender<Event>,
+    callers: Callers,
+}
+
+impl Office {
+    fn change(&self) {
+        self.changed.send_modify(|number| *number += 1);
+    }
+
+    async fn want(&self, want: Want, within: Duration) -> Got {
+        let (reply, got) = oneshot::channel();
+        if self.events.send(Event::Want(want, reply)).await.is_err() {
+            return Got::Unsure;
+        }
+        timeout(within, got).await.ok().and_then(Result::ok).unwrap_or(Got::Unsure)
+    }
+
+    /// Answers what a process asks for news, at once if there are any, else when there are or its hold is over.
+    async fn news(self: Arc<Self>, ask: NewsAsk) -> NewsReply {
+        let until = Instant::now() + Duration::from_millis(u64::from(ask.hold_ms.min(5_000)));
+        let mut changed = self.changed.subscribe();
+        let known = self.stand.load().stewards.clone();
+        if let Some(row) = &ask.row {
+            let mut table = held(&self.table);
+            if table.take(self.clock.now(), row, 0) {
+                drop(table);
+                self.change();
+            }
+        }
+        let door = ask.row.as_ref().map(|row| row.door).or(ask.door);
+        if let Some(door) = door {
+            held(&self.table).heard(self.clock.now(), door, 0);
+        }
+        loop {
+            changed.mark_unchanged();
+            let stand = self.stand.load_full();
+            let sheet = stand.safe.clone().filter(|sheet| sheet.rank() > ask.sheet);
+            let quiet = Some(held(&self.quiet).clone()).filter(|(number, _)| *number != ask.quiet);
+            let news = {
+                let table = held(&self.table);
+                table.mark() != ask.mark || sheet.is_some() || quiet.is_some() || stand.stewards != known
+            };
+            if news || Instant::now() >= until {
+                let table = held(&self.table);
+                return NewsReply {
+                    mark: table.mark(),
+                    rows: table.since(ask.mark),
+                    sheet,
+                    stewards: stand.stewards.clone(),
+                    quiet,
+                    settled: stand.settled,
+                    life: door.and_then(|door| table.life_of(door)),
+                    ages: if ask.steward { table.ages(self.clock.now()) } else { Vec::new() },
+                };
+            }
+            let _ = tokio::time::timeout_at(until, changed.changed()).await;
+        }
+    }
+
+    /// Takes what another steward holds.
+    fn merge(&self, reply: &NewsReply) {
+        let now = self.clock.now();
+        let ages: HashMap<SocketAddr, u32> = reply.ages.iter().copied().collect();
+        let mut news = false;
+        {
+            let mut table = held(&self.table);
+            for row in &reply.rows {
+                let age = ages.get(&row.door).copied().unwrap_or(0);
+                news |= table.take(now, row, Nanos::from(age) * MS);
+            }
+            for (door, age) in ages {
+                table.heard(now, door, Nanos::from(age) * MS);
+            }
+        }
+        if news {
+            self.change();
+        }
+    }
+
+    async fn answer(self: Arc<Self>, ask: Ask) -> Option<Reply> {
+        match ask {
+            Ask::News(ask) => Some(Reply::News(self.news(ask).await)),
+            Ask::Core(want) => Some(Reply::Core(self.want(want, Duration::from_secs(5)).await)),
+            Ask::Letter(letter) => {
+                let _ = self.events.send(Event::Letter(letter)).await;
+                None
+            }
+        }
+    }
+
+    /// The operators' calls.
+    async fn operator(self: Arc<Self>, came: Came, bodies: Arc<Semaphore>) -> Response<Flow> {
+        let (call, _) = call_of(came.req.uri());
+        match call.as_str() {
+            "timetable.replace" => {
+                let read =
+                    entry::message(came, &bodies, self.clock, MOST_BODY, Duration::from_secs(10)).await;
+                let bytes = match read {
+                    Ok((message, _room)) => match entry::whole(message, MOST_BODY).await {
+                        Ok(bytes) => bytes,
+                        Err(Bad(status, line)) => return say(status, line),
+                    },
+                    Err(Bad(status, line)) => return say(status, line),
+                };
+                self.replace(bytes).await
+            }
+            "timetable.read" => match self.want(Want::Read, OPERATOR).await {
+                Got::Newest(Some(sheet)) => json(200, String::from_utf8_lossy(&sheet.bytes).into_owned()),
+                Got::Newest(None) => say(404, "no timetable was ever taken"),
+                _ => say(503, "more than half of the core is not reached"),
+            },
+            _ => say(404, "no such call here"),
+        }
+    }
+
+    async fn replace(&self, bytes: Vec<u8>) -> Response<Flow> {
+        let version = match Timetable::read(&bytes) {
+            Ok(timetable) => timetable.version,
+            Err(why) => {
+                log::info!("timetable refused: {} ({} errors)", why[0], why.len());
+                let lines: Vec<String> = why.iter().map(ToString::to_string).collect();
+                return say(400, &lines.join("\n"));
+            }
+        };
+        let within = if self.stand.load().settled { OPERATOR } else { UNSETTLED };
+        match self.want(Want::Replace(Arc::new(Sheet::new(version, bytes))), within).await {
+            Got::Taken => json(200, "{}".into()),
+            _ => say(503, "not safe on more than half of the core yet: send it again"),
+        }
+    }
+}
+
+pub fn run(path: Option<PathBuf>) -> Result<ExitCode, SettingsError> {
+    let path = Settings::path(path)?;
+    let settings = Settings::read(&path)?;
+    settings.need_sorting().map_err(SettingsError::Bad)?;
+    start::logs();
+    Ok(start::block_on(serve(path, settings)))
+}
+
+async fn serve(path: PathBuf, settings: Settings) -> ExitCode {
+    match open(path, settings).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            log::error!("{why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Why a steward did not come up.
+enum Failed {
+    Socket(SocketAddr, std::io::Error),
+    Disk(StoreError),
+    Signals(std::io::Error),
+}
+
+impl std::fmt::Display for Failed {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            Failed::Socket(at, why) => write!(f, "{at}: {why}"),
+            Failed::Disk(why) => write!(f, "data folder: {why}"),
+            Failed::Signals(why) => write!(f, "no signals: {why}"),
+        }
+    }
+}
+
+async fn open(path: PathBuf, settings: Settings) -> Result<(), Failed> {
+    let clock = Clock::new();
+    let at = SocketAddr::new(settings.ip, settings.inner_ports.0);
+    let (Some(control), Some(dir)) = (settings.control_gate, settings.data_dir.clone()) else {
+        return Ok(());
+    };
+    let (store, saved) = Store::open(&dir).map_err(Failed::Disk)?;
+    store.found().iter().for_each(|line| log::warn!("disk: {line}"));
+    log::info!("disk: {} bytes", store.bytes());
+    let (events, mut coming) = mpsc::channel(EVENTS);
+    let bodies = Arc::new(Semaphore::new(
+        (settings.limits.memory_mb as usize * 1_000_000 / 5).clamp(40 << 20, 1 << 29),
+    ));
+    let config = Config {
+        keep: (settings.bounds.stamp_window + KEEP_MORE).as_nanos() as Nanos,
+        lost_after: LOST,
+        want: 2 * settings.tolerate.machines + 1,
+        most_claims: (settings.limits.memory_mb as usize * 1_000).max(10_000),
+    };
+    let mut out = Vec::new();
+    let found = (saved.sheet.as_ref().map_or(0, |sheet| sheet.version), saved.claims.len());
+    let core = Core::new(
+        clock.now(),
+        rand::random(),
+        at,
+        settings.first_start,
+        &seeds(&settings),
+        saved,
+        config,
+        &mut out,
+    );
+    log::info!("steward {} at {control}, found r{} and {} claims", settings.station, found.0, found.1);
+    let office = Arc::new(Office {
+        clock,
+        at,
+        stand: ArcSwap::default(),
+        table: Mutex::new(Table::new(rand::random())),
+        quiet: Mutex::default(),
+        changed: watch::Sender::new(0),
+        events: events.clone(),
+        callers: Callers::default(),
+        settings: ArcSwap::from_pointee(settings),
+    });
+    let inner = TcpListener::bind(at).await.map_err(|why| Failed::Socket(at, why))?;
+    let outer = TcpListener::bind(control).await.map_err(|why| Failed::Socket(control, why))?;
+    let (ajar, watch_ajar) = watch::channel(Ajar::Open);
+    let bounds = Bounds { callers: 256, head: Duration::from_secs(20) };
+    tokio::spawn(entry::keep(outer, clock, bounds, watch_ajar, Arc::default(), {
+        let office = office.clone();
+        move |came| office.clone().operator(came, bodies.clone())
+    }));
+    tokio::spawn(wire::answer(inner, {
+        let office = office.clone();
+        move |ask| office.clone().answer(ask)
+    }));
+    tokio::spawn(watch_table(office.clone()));
+    tokio::spawn(ask_others(office.clone()));
+    tokio::spawn(reread(office.clone(), path));
+    let mut end = signal(SignalKind::terminate()).map_err(Failed::Signals)?;
+    let disk = disk(store, events.clone());
+    let work = Work { office: office.clone(), core, disk, calls: HashMap::new(), next: 1, unsafe_writes: 0 };
+    let work = tokio::spawn(async move { work.go(&mut coming, out).await });
+    end.recv().await;
+    log::info!("asked to end");
+    let _ = events.send(Event::Leaving).await;
+    let began = Instant::now();
+    let hand_over = HAND_OVER.min(office.settings.load().bounds.grace / 2);
+    while began.elapsed() < hand_over && !office.stand.load().gone {
+        sleep(LOOK / 4).await;
+    }
+    ajar.send_replace(Ajar::Closed);
+    sleep(Duration::from_millis(100)).await;
+    work.abort();
+    log::info!("ended after {} ms", began.elapsed().as_millis());
+    Ok(())
+}
+
+/// What goes to the disk's thread, in order: records, and what is sent once they are safe.
+struct Batch {
+    records: Vec<Record>,
+    sends: Vec<(SocketAddr, Letter)>,
+}
+
+enum Back {
+    Sends(Vec<(SocketAddr, Letter)>),
+}
+
+struct Disk {
+    to: std::sync::mpsc::Sender<Batch>,
+    back: mpsc::UnboundedReceiver<Back>,
+}
+
+/// One thread writes, and takes all that waits as one write.
+fn disk(mut store: Store, _events: mpsc::Sender<Event>) -> Disk {
+    let (to, batches) = std::sync::mpsc::channel::<Batch>();
+    let (tell, back) = mpsc::unbounded_channel();
+    std::thread::spawn(move || {
+        while let Ok(first) = batches.recv() {
+            let Batch { mut records, mut sends } = first;
+            while let Ok(more) = batches.try_recv() {
+                records.extend(more.records);
+                sends.extend(more.sends);
+            }
+            let mut failed = 0;
+            while !records.is_empty() {
+                match store.write(&records) {
+                    Ok(()) => break,
+                    Err(why) => {
+                        if failed == 0 {
+                            log::warn!("disk: {why}; tried again until it is safe");
+                        }
+                        failed += 1;
+                        std::thread::sleep(WRITE_AGAIN);
+                    }
+                }
+            }
+            if failed > 0 {
+                log::info!("disk: written after {failed} failures");
+            }
+            if tell.send(Back::Sends(sends)).is_err() {
+                return;
+            }
+        }
+    });
+    Disk { to, back }
+}
+
+/// The core at work.
+struct Work {
+    office: Arc<Office>,
+    core: Core,
+    disk: Disk,
+    calls: HashMap<u64, oneshot::Sender<Got>>,
+    next: u64,
+    /// Batches that the disk has not brought back.
+    unsafe_writes: usize,
+}
+
+impl Work {
+    async fn go(mut self, coming: &mut mpsc::Receiver<Event>, mut out: Vec<Act>) {
+        let mut many = Vec::new();
+        let mut wake = self.office.clock.now();
+        loop {
+            let now = self.office.clock.now();
+            if now >= wake {
+                wake = self.core.tick(now, &mut out);
+            }
+            self.core.flush(&mut out);
+            self.carry_out(&mut out);
+            self.publish(now);
+            let at = self.office.clock.instant(wake);
+            tokio::select! {
+                biased;
+                Some(Back::Sends(sends)) = self.disk.back.recv() => {
+                    self.unsafe_writes -= 1;
+                    self.send(sends, &mut out);
+                }
+                count = coming.recv_many(&mut many, 256) => {
+                    if count == 0 {
+                        return;
+                    }
+                    let now = self.office.clock.now();
+                    for event in many.drain(..) {
+                        self.take(now, event, &mut out);
+                    }
+                }
+                () = tokio::time::sleep_until(at) => {}
+            }
+        }
+    }
+
+    fn take(&mut self, now: Nanos, event: Event, out: &mut Vec<Act>) {
+        match event {
+            Event::Letter(letter) => self.core.hear(now, letter, out),
+            Event::Want(want, reply) => {
+                self.next += 1;
+                self.calls.insert(self.next, reply);
+                self.core.want(now, self.next, want, out);
+                if self.next.is_multiple_of(64) {
+                    let gone: Vec<u64> = self
+                        .calls
+                        .iter()
+                        .filter(|(_, reply)| reply.is_closed())
+                        .map(|(call, _)| *call)
+                        .collect();
+                    for call in gone {
+                        self.calls.remove(&call);
+                        self.core.forget(call);
+                    }
+                }
+            }
+            Event::Seeds(seeds) => self.core.seeds(&seeds),
+            Event::Leaving => self.core.leaving(now, out),
+        }
+    }
+
+    fn carry_out(&mut self, out: &mut Vec<Act>) {
+        let mut batch = Batch { records: Vec::new(), sends: Vec::new() };
+        for act in out.drain(..) {
+            match act {
+                Act::Write(record) => batch.records.push(record),
+                Act::Send(to, letter) => batch.sends.push((to, letter)),
+                Act::Now(to, letter) => self.office.callers.to(to).post(letter),
+                Act::Answer { call, got } => {
+                    if let Some(reply) = self.calls.remove(&call) {
+                        let _ = reply.send(got);
+                    }
+                }
+                Act::Log(line) => log::info!("core: {line}"),
+            }
+        }
+        if batch.records.is_empty() && self.unsafe_writes == 0 {
+            let mut more = Vec::new();
+            self.send(batch.sends, &mut more);
+            if !more.is_empty() {
+                self.core.flush(&mut more);
+                self.carry_out(&mut more);
+            }
+        } else if !(batch.records.is_empty() && batch.sends.is_empty()) {
+            self.unsafe_writes += 1;
+            // The thread lives as long as this does.
+            let _ = self.disk.to.send(batch);
+        }
+    }
+
+    fn send(&mut self, sends: Vec<(SocketAddr, Letter)>, out: &mut Vec<Act>) {
+        let now = self.office.clock.now();
+        for (to, letter) in sends {
+            if to == self.office.at {
+                self.core.hear(now, letter, out);
+            } else {
+                self.office.callers.to(to).post(letter);
+            }
+        }
+    }
+
+    fn publish(&self, now: Nanos) {
+        let was = self.office.stand.load();
+        let safe = self.core.safe();
+        let same = was.safe.as_ref().map(|sheet| sheet.rank()) == safe.map(|sheet| sheet.rank())
+            && was.settled == self.core.settled(now)
+            && was.view.as_ref() == Some(self.core.view())
+            && was.voter == self.core.voter()
+            && was.gone == self.core.gone()
+            && was.keys == self.core.keys();
+        let stewards = {
+            let mut stewards = self.core.stewards();
+            stewards.sort();
+            stewards
+        };
+        if same && was.stewards == stewards {
+            return;
+        }
+        let news =
+            was.stewards != stewards || was.safe.as_ref().map(|sheet| sheet.rank()) != safe.map(|s| s.rank());
+        self.office.stand.store(Arc::new(Stand {
+            safe: safe.cloned(),
+            stewards,
+            settled: self.core.settled(now),
+            view: Some(self.core.view().clone()),
+            voter: self.core.voter(),
+            keys: self.core.keys(),
+            gone: self.core.gone(),
+        }));
+        if news {
+            self.office.change();
+        }
+    }
+}
+
+/// Tells who has fallen quiet.
+async fn watch_table(office: Arc<Office>) {
+    // At its start a steward has heard nobody, which says nothing of them.
+    sleep(Duration::from_nanos(QUIET)).await;
+    loop {
+        sleep(LOOK).await;
+        let quiet = {
+            let mut table = held(&office.table);
+            table.look(office.clock.now(), QUIET).then(|| table.quiet())
+        };
+        if let Some(quiet) = quiet {
+            log::info!("quiet: {}", quiet.len());
+            let mut known = held(&office.quiet);
+            *known = (known.0 + 1, quiet);
+            drop(known);
+            office.change();
+        }
+    }
+}
+
+/// Asks every other steward for its rows.
+async fn ask_others(office: Arc<Office>) {
+    let mut asked: HashMap<SocketAddr, tokio::task::JoinHandle<()>> = HashMap::new();
+    loop {
+        let stewards = office.stand.load().stewards.clone();
+        asked.retain(|at, task| {
+            let stays = stewards.contains(at);
+            if !stays {
+                task.abort();
+            }
+            stays
+        });
+        for at in stewards.into_iter().filter(|at| *at != office.at) {
+            asked.entry(at).or_insert_with(|| tokio::spawn(ask_one(office.clone(), at)));
+        }
+        sleep(LOOK).await;
+    }
+}
+
+async fn ask_one(office: Arc<Office>, at: SocketAddr) {
+    let mut mark = Mark::default();
+    loop {
+        let ask = NewsAsk {
+            row: None,
+            door: None,
+            mark,
+            sheet: (u64::MAX, 0),
+            quiet: u64::MAX,
+            hold_ms: HOLD.as_millis() as u32,
+            steward: true,
+        };
+        match office.callers.to(at).call(Ask::News(ask), HOLD + LATE).await {
+            Ok(Reply::News(reply)) => {
+                mark = reply.mark;
+                office.merge(&reply);
+                // Many small changes go together.
+                sleep(Duration::from_millis(20)).await;
+            }
+            _ => sleep(PAUSE).await,
+        }
+    }
+}
+
+/// The settings file may change, with a signal or without.
+async fn reread(office: Arc<Office>, path: PathBuf) {
+    let Ok(mut again) = signal(SignalKind::hangup()) else { return };
+    loop {
+        tokio::select! {
+            _ = again.recv() => {}
+            () = sleep(SETTINGS) => {}
+        }
+        match Settings::read(&path) {
+            Ok(settings) => {
+                if settings.seeds != office.settings.load().seeds {
+                    log::info!("settings: {} seeds", settings.seeds.len());
+                    let _ = office.events.send(Event::Seeds(seeds(&settings))).await;
+                }
+                office.settings.store(Arc::new(settings));
+            }
+            Err(why) => log::warn!("settings not taken: {why}"),
+        }
+    }
+}
--- /dev/null
+++ b/balancer/src/mesh/wire.rs
@@ -0,0 +1,311 @@
+//! Calls between the system's own processes: frames of CBOR over TCP, many calls at once on one connection. It owns the
+//! framing, the connections and the wait for replies. It must never send a call twice by itself, nor keep a caller
+//! waiting for a connection that has ended.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use ochreshed_mesh::list::{Mark, Row};
+use ochreshed_mesh::words::{Got, Letter, Sheet, Want};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+
+use crate::link::held;
+
+/// No frame is larger than this.
+const MOST_FRAME: usize = 40 << 20;
+const CONNECT: Duration = Duration::from_millis(400);
+/// Bytes that nobody acknowledges for so long end the connection.
+const UNHEARD: Duration = Duration::from_millis(1_500);
+/// Frames that wait to be written, and callers at one door.
+const MAILBOX: usize = 4_096;
+const MOST_CALLERS: usize = 2_048;
+/// After a failed connection the next one waits this long.
+const PAUSE: Duration = Duration::from_millis(100);
+
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Ask {
+    News(NewsAsk),
+    Core(Want),
+    Letter(Letter),
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Reply {
+    News(NewsReply),
+    Core(Got),
+}
+
+/// What a process has, and wants to be told when there is more.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct NewsAsk {
+    /// An attendant's own row.
+    pub row: Option<Row>,
+    /// An attendant's door, where its row is known.
+    pub door: Option<SocketAddr>,
+    pub mark: Mark,
+    pub sheet: (u64, u64),
+    /// The number of the quiet ones that the asker has.
+    pub quiet: u64,
+    /// Answered after so long though there is no news.
+    pub hold_ms: u32,
+    /// A steward asks: it wants to know how long ago attendants were heard.
+    pub steward: bool,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct NewsReply {
+    pub mark: Mark,
+    pub rows: Vec<Row>,
+    /// The newest configuration that is safe, if the asker has an older one.
+    pub sheet: Option<Arc<Sheet>>,
+    pub stewards: Vec<SocketAddr>,
+    /// Told when they have changed.
+    pub quiet: Option<(u64, Vec<SocketAddr>)>,
+    /// More than half of the core is heard here.
+    pub settled: bool,
+    /// The life under which the asker is known.
+    pub life: Option<u64>,
+    pub ages: Vec<(SocketAddr, u32)>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Frame<T> {
+    /// 0: no reply is wanted.
+    id: u64,
+    say: T,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallError {
+    /// No connection came up, or none has room.
+    NotSent,
+    /// The connection ended before a reply.
+    Broken,
+    Late,
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            CallError::NotSent => "not sent",
+            CallError::Broken => "the connection broke",
+            CallError::Late => "no reply in time",
+        })
+    }
+}
+
+fn encode<T: Serialize>(say: &T) -> Option<Vec<u8>> {
+    let mut bytes = vec![0; 4];
+    ciborium::into_writer(say, &mut bytes).ok()?;
+    let length = u32::try_from(bytes.len() - 4).ok().filter(|length| *length as usize <= MOST_FRAME)?;
+    bytes[..4].copy_from_slice(&length.to_be_bytes());
+    Some(bytes)
+}
+
+async fn read<T: DeserializeOwned>(from: &mut BufReader<OwnedReadHalf>) -> io::Result<T> {
+    let length = from.read_u32().await? as usize;
+    if length > MOST_FRAME {
+        return Err(io::Error::other("a frame too long"));
+    }
+    let mut bytes = Vec::with_capacity(length.min(64 * 1024));
+    (&mut *from).take(length as u64).read_to_end(&mut bytes).await?;
+    if bytes.len() < length {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    ciborium::from_reader(&bytes[..]).map_err(io::Error::other)
+}
+
+/// Writes what comes, as much at once as there is.
+async fn write(mut to: OwnedWriteHalf, mut frames: mpsc::Receiver<Vec<u8>>) {
+    let mut many = Vec::new();
+    while frames.recv_many(&mut many, 64).await > 0 {
+        let bytes = if many.len() == 1 { many.remove(0) } else { many.concat() };
+        many.clear();
+        if to.write_all(&bytes).await.is_err() {
+            return;
+        }
+    }
+}
+
+pub fn tune(stream: &TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let socket = socket2::SockRef::from(stream);
+    let _ = socket.set_tcp_user_timeout(Some(UNHEARD));
+    let alive = socket2::TcpKeepalive::new()
+        .with_time(Duration::from_secs(1))
+        .with_interval(Duration::from_millis(1_000));
+    let _ = socket.set_tcp_keepalive(&alive.with_retries(2));
+}
+
+type Pending = Arc<Mutex<HashMap<u64, oneshot::Sender<Reply>>>>;
+
+/// Calls to one process.
+pub struct Caller {
+    to: SocketAddr,
+    ids: AtomicU64,
+    open: Mutex<Option<Open>>,
+    connecting: tokio::sync::Mutex<Option<tokio::time::Instant>>,
+}
+
+#[derive(Clone)]
+struct Open {
+    frames: mpsc::Sender<Vec<u8>>,
+    pending: Pending,
+}
+
+impl Caller {
+    pub fn new(to: SocketAddr) -> Arc<Caller> {
+        Arc::new(Caller { to, ids: 1.into(), open: Mutex::default(), connecting: Default::default() })
+    }
+
+    pub async fn call(&self, ask: Ask, within: Duration) -> Result<Reply, CallError> {
+        let work = async {
+            let open = self.open().await.ok_or(CallError::NotSent)?;
+            let id = self.ids.fetch_add(1, Relaxed);
+            let bytes = encode(&Frame { id, say: ask }).ok_or(CallError::NotSent)?;
+            let (reply, replied) = oneshot::channel();
+            held(&open.pending).insert(id, reply);
+            let _waits = Waits { id, pending: open.pending.clone() };
+            open.frames.send(bytes).await.map_err(|_| CallError::Broken)?;
+            replied.await.map_err(|_| CallError::Broken)
+        };
+        timeout(within, work).await.unwrap_or(Err(CallError::Late))
+    }
+
+    /// Sends a letter, which may get lost. One connection is tried for at a time.
+    pub fn post(self: &Arc<Self>, letter: Letter) {
+        let Some(bytes) = encode(&Frame { id: 0, say: Ask::Letter(letter) }) else { return };
+        let open = held(&self.open).clone().filter(|open| !open.frames.is_closed());
+        if let Some(open) = open {
+            let _ = open.frames.try_send(bytes);
+            return;
+        }
+        let caller = self.clone();
+        tokio::spawn(async move {
+            if let Ok(Some(open)) = timeout(CONNECT, caller.open()).await {
+                let _ = open.frames.try_send(bytes);
+            }
+        });
+    }
+
+    async fn open(&self) -> Option<Open> {
+        let standing = || held(&self.open).clone().filter(|open| !open.frames.is_closed());
+        if let Some(open) = standing() {
+            return Some(open);
+        }
+        let mut failed = self.connecting.lock().await;
+        if let Some(open) = standing() {
+            return Some(open);
+        }
+        if failed.is_some_and(|at| at.elapsed() < PAUSE) {
+            return None;
+        }
+        let stream = match timeout(CONNECT, TcpStream::connect(self.to)).await {
+            Ok(Ok(stream)) => stream,
+            _ => {
+                *failed = Some(tokio::time::Instant::now());
+                return None;
+            }
+        };
+        *failed = None;
+        tune(&stream);
+        let (from, to) = stream.into_split();
+        let (frames, waiting) = mpsc::channel(MAILBOX);
+        let pending = Pending::default();
+        let open = Open { frames, pending: pending.clone() };
+        let writer = tokio::spawn(write(to, waiting));
+        tokio::spawn(async move {
+            let mut from = BufReader::new(from);
+            while let Ok(Frame { id, say }) = read::<Frame<Reply>>(&mut from).await {
+                if let Some(reply) = held(&pending).remove(&id) {
+                    let _ = reply.send(say);
+                }
+            }
+            writer.abort();
+            held(&pending).clear();
+        });
+        *held(&self.open) = Some(open.clone());
+        Some(open)
+    }
+}
+
+/// A call that waits; its place is freed when it is given up.
+struct Waits {
+    id: u64,
+    pending: Pending,
+}
+
+impl Drop for Waits {
+    fn drop(&mut self) {
+        held(&self.pending).remove(&self.id);
+    }
+}
+
+/// Callers by address.
+#[derive(Default)]
+pub struct Callers(Mutex<HashMap<SocketAddr, Arc<Caller>>>);
+
+impl Callers {
+    pub fn to(&self, address: SocketAddr) -> Arc<Caller> {
+        held(&self.0).entry(address).or_insert_with(|| Caller::new(address)).clone()
+    }
+}
+
+/// Answers calls until it is dropped. `answer` is asked for each; letters get no reply.
+pub async fn answer<F, A>(listener: TcpListener, answer: F)
+where
+    F: Fn(Ask) -> A + Clone + Send + Sync + 'static,
+    A: Future<Output = Option<Reply>> + Send + 'static,
+{
+    let mut guests = tokio::task::JoinSet::new();
+    loop {
+        tokio::select! {
+            Some(_) = guests.join_next(), if !guests.is_empty() => {}
+            came = listener.accept(), if guests.len() < MOST_CALLERS => match came {
+                Ok((stream, _)) => {
+                    guests.spawn(guest(stream, answer.clone()));
+                }
+                Err(_) => tokio::time::sleep(PAUSE).await,
+            }
+        }
+    }
+}
+
+async fn guest<F, A>(stream: TcpStream, answer: F)
+where
+    F: Fn(Ask) -> A + Send + Sync + 'static,
+    A: Future<Output = Option<Reply>> + Send + 'static,
+{
+    tune(&stream);
+    let (from, to) = stream.into_split();
+    let (frames, waiting) = mpsc::channel(MAILBOX);
+    let writer = tokio::spawn(write(to, waiting));
+    let mut from = BufReader::new(from);
+    // What is still being answered ends with the connection.
+    let mut calls = tokio::task::JoinSet::new();
+    while let Ok(Frame { id, say }) = read::<Frame<Ask>>(&mut from).await {
+        let (reply, frames) = (answer(say), frames.clone());
+        if id == 0 {
+            reply.await;
+            continue;
+        }
+        while calls.try_join_next().is_some() {}
+        calls.spawn(async move {
+            if let Some(bytes) = reply.await.and_then(|say| encode(&Frame { id, say })) {
+                let _ = frames.send(bytes).await;
+            }
+        });
+    }
+    writer.abort();
+}
--- /dev/null
+++ b/mesh/src/agree/view.rs
@@ -0,0 +1,392 @@
+//! Who votes. It owns the view, the ballots on the next one, and how a new member catches up before it votes. It must
+//! never answer for a view that it has left, nor vote with a disk that does not hold what the last one held.
+
+use super::*;
+
+/// How long a try to change the view has.
+const TRY: Nanos = 400 * MS;
+const ASK_STATE: Nanos = 100 * MS;
+const ASK_ALL: Nanos = 600 * MS;
+
+/// A try of this steward to decide the next view.
+#[derive(Clone, Debug)]
+pub(super) struct Attempt {
+    ballot: Ballot,
+    wish: View,
+    promises: BTreeMap<Station, Option<(Ballot, View)>>,
+    /// What is voted on, once more than half have promised.
+    chosen: Option<View>,
+    accepts: BTreeSet<Station>,
+    until: Nanos,
+}
+
+/// What a new member has been told so far.
+#[derive(Clone, Debug)]
+pub(super) struct Catching {
+    round: u64,
+    /// How far each one's claims are known; `None`: all.
+    sources: BTreeMap<Station, Option<Key>>,
+    next_ask: Nanos,
+    /// From then on one that left the view is asked as well: what it holds is whole, but may be outdated.
+    ask_all: Nanos,
+}
+
+impl Core {
+    pub(super) fn ballots(&self) -> Ballots {
+        Ballots {
+            me: self.me,
+            view: self.view.clone(),
+            voter: self.voter || self.left.is_some(),
+            promised: self.promised,
+            accepted: self.accepted.clone(),
+        }
+    }
+
+    pub(super) fn keep_ballots(&self, out: &mut Vec<Act>) {
+        out.push(Act::Write(Record::Ballots(self.ballots())));
+    }
+
+    /// Takes up a view that was decided.
+    pub(super) fn adopt(&mut self, now: Nanos, view: View, out: &mut Vec<Act>) {
+        if view.number <= self.view.number {
+            return;
+        }
+        // What was answered so far was answered in the old view, and says so.
+        self.flush(out);
+        let next = view.number == self.view.number + 1;
+        self.view = view;
+        self.view.members.sort();
+        self.view.members.dedup();
+        let member = self.is_member(&self.me);
+        self.left = (self.voter && next && !member).then_some(self.view.number);
+        self.voter = member && ((self.voter && next) || self.mutant == 2);
+        self.promised = Ballot::default();
+        self.accepted = None;
+        self.attempt = None;
+        self.wishing = false;
+        self.ranks.clear();
+        if member && !self.voter {
+            // Claims from an earlier membership may be long outdated; all that holds is told anew.
+            self.drop_open(out);
+        }
+        self.keep_ballots(out);
+        out.push(Act::Log(format!("core: voter {}, view {:?}", self.voter, self.view)));
+        self.enter(now, out);
+        self.tell = true;
+        self.claims_anew(now, out);
+        self.sheets_anew(now, out);
+    }
+
+    /// Begins to live in the view.
+    pub(super) fn enter(&mut self, now: Nanos, out: &mut Vec<Act>) {
+        for station in self.others() {
+            self.peers.entry(station).or_insert_with(|| Peer::new(now));
+        }
+        self.catching = None;
+        if self.voter {
+            self.send(self.me.at, Body::Held { ask: 0, rank: self.held_rank() }, out);
+        } else if self.is_member(&self.me) {
+            let sources = self.others().map(|station| (station, Some(0))).collect();
+            self.catching = Some(Catching {
+                round: self.chance.random(),
+                sources,
+                next_ask: now,
+                ask_all: now.saturating_add(ASK_ALL),
+            });
+        }
+    }
+
+    /// Asks all others of the view for what they hold.
+    pub(super) fn catch_up(&mut self, now: Nanos, out: &mut Vec<Act>) {
+        let Some(catching) = &mut self.catching else { return };
+        if now < catching.next_ask {
+            return;
+        }
+        catching.next_ask = now.saturating_add(ASK_STATE);
+        if now >= catching.ask_all {
+            for (station, peer) in &self.peers {
+                if peer.there(now) {
+                    catching.sources.entry(*station).or_insert(Some(0));
+                }
+            }
+        }
+        let round = catching.round;
+        let open: Vec<(Station, Key)> = catching
+            .sources
+            .iter()
+            .filter_map(|(station, place)| place.map(|place| (*station, place)))
+            .collect();
+        for (station, place) in open {
+            self.now(station.at, Body::WantState { from: place, round }, out);
+        }
+    }
+
+    /// A new member asks. Answered only in the view that is asked of, once that is safe here, and only by those that
+    /// voted in the one before: any so many of them together hold all that was agreed in it.
+    pub(super) fn want_state(&self, from: Station, place: Key, round: u64, out: &mut Vec<Act>) {
+        if !self.voter && self.left != Some(self.view.number) && self.mutant != 9 {
+            return;
+        }
+        let (mut part, mut next, mut bytes) = (Vec::new(), None, 0);
+        for (key, kept) in self.claims.range(place..) {
+            if part.len() >= MOST_IN_LETTER || bytes >= BYTES_IN_LETTER {
+                next = Some(*key);
+                break;
+            }
+            bytes += super::weight(&kept.claim.outcome);
+            part.push((*key, kept.claim.clone()));
+        }
+        let sheet = if next.is_none() { self.held.clone() } else { None };
+        self.send(from.at, Body::State { round, part, next, sheet }, out);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn state(
+        &mut self,
+        now: Nanos,
+        from: Station,
+        round: u64,
+        part: Vec<(Key, Claim)>,
+        next: Option<Key>,
+        sheet: Option<Arc<Sheet>>,
+        out: &mut Vec<Act>,
+    ) {
+        let enough = self.view.members.len() + 1 - self.majority().min(self.view.members.len());
+        let Some(catching) = &mut self.catching else { return };
+        if catching.round != round {
+            return;
+        }
+        let Some(place) = catching.sources.get_mut(&from) else { return };
+        let Some(known) = *place else { return };
+        // Answers to earlier questions tell of claims from an earlier place on, so nothing is left out.
+        let further = next.is_none_or(|next| next > known);
+        if further {
+            *place = next;
+        }
+        let complete = catching.sources.values().filter(|place| place.is_none()).count() >= enough;
+        for (key, claim) in part {
+            self.merge(key, claim, out);
+        }
+        if let Some(sheet) = sheet {
+            self.hold(sheet, out);
+        }
+        if complete {
+            self.catching = None;
+            self.voter = true;
+            self.keep_ballots(out);
+            out.push(Act::Log(format!("core: caught up in view {}", self.view.number)));
+            self.send(self.me.at, Body::Held { ask: 0, rank: self.held_rank() }, out);
+            self.tell = true;
+            self.claims_anew(now, out);
+            self.sheets_anew(now, out);
+        } else if let (true, Some(place)) = (further, next) {
+            self.now(from.at, Body::WantState { from: place, round }, out);
+        }
+    }
+
+    /// Whether this one could become a member.
+    pub(super) fn may_join(&self, station: &Station, peer: &Peer) -> bool {
+        peer.there(self.now) && !peer.leaving && !self.is_member(station)
+    }
+
+    /// Whether a member's place may be given away.
+    fn is_out(&self, now: Nanos, member: &Station) -> bool {
+        if *member == self.me {
+            return self.leaving;
+        }
+        let Some(peer) = self.peers.get(member) else { return true };
+        let other_disk = |(station, other): (&Station, &Peer)| {
+            station.at == member.at
+                && station.disk != member.disk
+                && other.there(now)
+                && other.heard > peer.heard
+        };
+        peer.silence(now) >= self.config.lost_after
+            || (peer.leaving && peer.there(now))
+            || self.peers.iter().any(other_disk)
+    }
+
+    pub(super) fn is_voter(&self, member: &Station) -> bool {
+        match self.peers.get(member) {
+            _ if *member == self.me => self.voter,
+            Some(peer) => peer.view == self.view.number && peer.voter,
+            None => false,
+        }
+    }
+
+    /// The view that should follow. All that stay vote, so that no more than one at a time has to catch up.
+    fn wish(&self, now: Nanos) -> Option<View> {
+        let members = &self.view.members;
+        let joins: Vec<Station> = self
+            .peers
+            .iter()
+            .filter(|(station, peer)| self.may_join(station, peer))
+            .map(|(s, _)| *s)
+            .collect();
+        let fits = |joins: &Station, out: Option<&Station>| {
+            members.iter().all(|member| member.at != joins.at || Some(member) == out)
+        };
+        let with = |out: Option<&Station>, joins: Station| {
+            let mut next: Vec<Station> =
+                members.iter().filter(|member| Some(*member) != out).copied().collect();
+            next.push(joins);
+            next.sort();
+            View { number: self.view.number + 1, members: next }
+        };
+        let silent: Vec<&Station> = members.iter().filter(|member| !self.is_voter(member)).collect();
+        for out in members.iter().filter(|member| members.len() > 1 && self.is_out(now, member)) {
+            if silent.iter().any(|member| *member != out) {
+                continue;
+            }
+            let same_place = joins.iter().find(|station| station.at == out.at);
+            let other = joins.iter().find(|station| fits(station, Some(out)));
+            if let Some(joins) = same_place.or(other) {
+                return Some(with(Some(out), *joins));
+            }
+        }
+        if members.len() < self.config.want && silent.is_empty() {
+            return joins.iter().find(|station| fits(station, None)).map(|joins| with(None, *joins));
+        }
+        None
+    }
+
+    /// Tries to change the view where that is wished.
+    pub(super) fn propose(&mut self, now: Nanos, out: &mut Vec<Act>) {
+        if self.attempt.as_ref().is_some_and(|attempt| now >= attempt.until) {
+            self.attempt = None;
+            self.back_off(now);
+        }
+        if !self.voter || self.attempt.is_some() {
+            return;
+        }
+        let Some(wish) = self.wish(now) else {
+            self.wishing = false;
+            return;
+        };
+        if !self.wishing {
+            self.wishing = true;
+            // The first of the view tries first.
+            let place = self.view.members.iter().position(|member| *member == self.me).unwrap_or(0);
+            let wait = (place as u64 * 80 + self.chance.random_range(0..40)) * MS;
+            self.next_try = self.next_try.max(now.saturating_add(wait));
+        }
+        if now < self.next_try {
+            return;
+        }
+        self.top_round = self.top_round.max(self.promised.round).saturating_add(1);
+        let by = {
+            let mut name = self.me.at.to_string().into_bytes();
+            name.extend_from_slice(&self.me.disk.to_be_bytes());
+            xxhash_rust::xxh3::xxh3_64(&name)
+        };
+        let ballot = Ballot { round: self.top_round, by };
+        if ballot <= self.promised {
+            return;
+        }
+        // On disk before anybody hears of it, so that no later life uses the same one.
+        self.promised = ballot;
+        self.keep_ballots(out);
+        self.attempt = Some(Attempt {
+            ballot,
+            wish,
+            promises: BTreeMap::new(),
+            chosen: None,
+            accepts: BTreeSet::new(),
+            until: now.saturating_add(TRY),
+        });
+        for station in self.view.members.clone() {
+            self.send(station.at, Body::Prepare(ballot), out);
+        }
+    }
+
+    fn back_off(&mut self, now: Nanos) {
+        let wait = self.chance.random_range(50..500) * MS;
+        self.next_try = self.next_try.max(now.saturating_add(wait));
+    }
+
+    pub(super) fn prepare(&mut self, from: Station, ballot: Ballot, out: &mut Vec<Act>) {
+        if !self.voter {
+            return;
+        }
+        if ballot < self.promised {
+            self.now(from.at, Body::Outbid(self.promised), out);
+            return;
+        }
+        if ballot > self.promised {
+            self.promised = ballot;
+            self.keep_ballots(out);
+        }
+        self.send(from.at, Body::Promise { ballot, accepted: self.accepted.clone() }, out);
+    }
+
+    pub(super) fn promise(
+        &mut self,
+        from: Station,
+        ballot: Ballot,
+        accepted: Option<(Ballot, View)>,
+        out: &mut Vec<Act>,
+    ) {
+        let majority = self.majority();
+        let Some(attempt) = &mut self.attempt else { return };
+        if attempt.ballot != ballot || attempt.chosen.is_some() {
+            return;
+        }
+        attempt.promises.insert(from, accepted);
+        if attempt.promises.len() < majority {
+            return;
+        }
+        let before = attempt.promises.values().flatten().max_by_key(|(ballot, _)| *ballot);
+        let chosen = match before {
+            Some((_, view)) if self.mutant != 8 => view.clone(),
+            _ => attempt.wish.clone(),
+        };
+        attempt.chosen = Some(chosen.clone());
+        for station in self.view.members.clone() {
+            self.send(station.at, Body::Accept(ballot, chosen.clone()), out);
+        }
+    }
+
+    pub(super) fn accept(&mut self, from: Station, ballot: Ballot, view: View, out: &mut Vec<Act>) {
+        if !self.voter || view.number != self.view.number + 1 {
+            return;
+        }
+        if ballot < self.promised {
+            self.now(from.at, Body::Outbid(self.promised), out);
+            return;
+        }
+        if self.accepted.as_ref().is_none_or(|(earlier, _)| *earlier != ballot) || self.promised != ballot {
+            self.promised = ballot;
+            self.accepted = Some((ballot, view));
+            self.keep_ballots(out);
+        }
+        self.send(from.at, Body::Accepted(ballot), out);
+    }
+
+    pub(super) fn accepted(&mut self, now: Nanos, from: Station, ballot: Ballot, out: &mut Vec<Act>) {
+        let majority = self.majority();
+        let Some(attempt) = &mut self.attempt else { return };
+        if attempt.ballot != ballot {
+            return;
+        }
+        let Some(view) = attempt.chosen.clone() else { return };
+        attempt.accepts.insert(from);
+        if attempt.accepts.len() < majority {
+            return;
+        }
+        let mut tell = self.all_known();
+        tell.extend(view.members.iter().map(|station| station.at));
+        tell.remove(&self.me.at);
+        self.adopt(now, view, out);
+        for at in tell {
+            self.now(at, Body::Holds(self.view.clone()), out);
+        }
+    }
+
+    pub(super) fn outbid(&mut self, now: Nanos, ballot: Ballot) {
+        self.top_round = self.top_round.max(ballot.round);
+        if self.attempt.as_ref().is_some_and(|attempt| attempt.ballot < ballot) {
+            self.attempt = None;
+            self.back_off(now);
+        }
+    }
+}
--- /dev/null
+++ b/mesh/src/list.rs
@@ -0,0 +1,182 @@
+//! The list of branches and their upstreams. It owns the rows, which of two copies of a row is the later one, and what
+//! has changed since a version. It must never judge whether a row is worth sending to: that is the sender's.
+//!
+//! A row has one writer, the attendant it is about. A steward keeps the rows it was told by attendants and by other
+//! stewards, and numbers its changes; whoever asks with the number it has gets what came after.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use ochreshed::Nanos;
+use serde::{Deserialize, Serialize};
+
+/// A row of which nothing was heard for so long is forgotten.
+const FORGET: Nanos = 90_000_000_000;
+/// More rows than these are not kept.
+const MOST: usize = 20_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Stand {
+    Open,
+    /// It takes nothing new.
+    Closing,
+    /// There is none beside that attendant, or it has ended.
+    None,
+}
+
+/// What an attendant tells of itself and of the upstream beside it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// The door's address.
+    pub door: SocketAddr,
+    /// The life of the attendant's process, and a number that goes up with each change: the later row is the higher one.
+    pub life: u64,
+    pub number: u64,
+    pub zone: String,
+    /// The upstream's service, its life's id, and its version of software.
+    pub line: String,
+    pub id: String,
+    pub edition: String,
+    pub stand: Stand,
+    pub slots: u32,
+    /// How much longer it is slow, when this was told.
+    pub cold_ms: u64,
+    /// It was seen to call other services.
+    pub calls: bool,
+    /// The attendant is there and serves its gate.
+    pub serving: bool,
+}
+
+impl Row {
+    pub fn rank(&self) -> (u64, u64) {
+        (self.life, self.number)
+    }
+}
+
+/// Where a reader stands in a table: the table's life and the number of the last change it has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    pub life: u64,
+    pub number: u64,
+}
+
+struct Held {
+    row: Row,
+    /// The table's number at its last change.
+    number: u64,
+    heard: Nanos,
+    quiet: bool,
+}
+
+/// A steward's rows.
+pub struct Table {
+    mark: Mark,
+    rows: HashMap<SocketAddr, Held>,
+    changes: BTreeMap<u64, SocketAddr>,
+}
+
+impl Table {
+    /// `life` differs from that of any table that stood here before.
+    pub fn new(life: u64) -> Table {
+        Table { mark: Mark { life, number: 0 }, rows: HashMap::new(), changes: BTreeMap::new() }
+    }
+
+    pub fn mark(&self) -> Mark {
+        self.mark
+    }
+
+    fn changed(&mut self, door: SocketAddr) -> u64 {
+        self.mark.number += 1;
+        self.changes.insert(self.mark.number, door);
+        self.mark.number
+    }
+
+    /// Takes a row; whether it is news. `heard` tells how long ago its attendant was heard of.
+    pub fn take(&mut self, now: Nanos, row: &Row, heard: Nanos) -> bool {
+        let heard = now.saturating_sub(heard);
+        if let Some(held) = self.rows.get_mut(&row.door) {
+            if row.rank() == held.row.rank() {
+                held.heard = held.heard.max(heard);
+            }
+            if row.rank() <= held.row.rank() {
+                return false;
+            }
+        } else if self.rows.len() >= MOST {
+            return false;
+        }
+        let number = self.changed(row.door);
+        let held = Held { row: row.clone(), number, heard, quiet: false };
+        if let Some(was) = self.rows.insert(row.door, held) {
+            self.changes.remove(&was.number);
+        }
+        true
+    }
+
+    /// The life under which an attendant is known here: one that starts must be above it.
+    pub fn life_of(&self, door: SocketAddr) -> Option<u64> {
+        self.rows.get(&door).map(|held| held.row.life)
+    }
+
+    /// What came after a mark; all of it when the mark is of another table.
+    pub fn since(&self, mark: Mark) -> Vec<Row> {
+        let from = if mark.life == self.mark.life { mark.number } else { 0 };
+        let news = self.changes.range(from + 1..).filter_map(|(_, door)| self.rows.get(door));
+        news.map(|held| held.row.clone()).collect()
+    }
+
+    /// How long ago each attendant was heard of.
+    pub fn ages(&self, now: Nanos) -> Vec<(SocketAddr, u32)> {
+        let age = |held: &Held| (now.saturating_sub(held.heard) / 1_000_000).min(u64::from(u32::MAX)) as u32;
+        self.rows.iter().map(|(door, held)| (*door, age(held))).collect()
+    }
+
+    pub fn heard(&mut self, now: Nanos, door: SocketAddr, age: Nanos) {
+        if let Some(held) = self.rows.get_mut(&door) {
+            held.heard = held.heard.max(now.saturating_sub(age));
+        }
+    }
+
+    /// Whose quietness has changed: not heard of for `after`, or heard again.
+    pub fn look(&mut self, now: Nanos, after: Nanos) -> bool {
+        let old: Vec<SocketAddr> = self
+            .rows
+            .iter()
+            .filter(|(_, held)| now.saturating_sub(held.heard) > FORGET)
+            .map(|(door, _)| *door)
+            .collect();
+        for door in old {
+            if let Some(held) = self.rows.remove(&door) {
+                self.changes.remove(&held.number);
+            }
+        }
+        let mut changed = false;
+        for held in self.rows.values_mut() {
+            let quiet = now.saturating_sub(held.heard) > after;
+            changed |= quiet != held.quiet;
+            held.quiet = quiet;
+        }
+        changed
+    }
+
+    /// Those of whom nothing was heard of late.
+    pub fn quiet(&self) -> Vec<SocketAddr> {
+        let mut quiet: Vec<SocketAddr> =
+            self.rows.iter().filter(|(_, held)| held.quiet).map(|(door, _)| *door).collect();
+        quiet.sort();
+        quiet
+    }
+
+    pub fn rows(&self) -> impl Iterator<Item = &Row> {
+        self.rows.values().map(|held| &held.row)
+    }
+}
+
+/// The watchers of a place on the ring: the first so many stewards at or behind it.
+pub fn watchers(place: SocketAddr, stewards: &[SocketAddr], many: usize) -> Vec<SocketAddr> {
+    let at = |address: &SocketAddr| xxhash_rust::xxh3::xxh3_64(address.to_string().as_bytes());
+    let mut ring: Vec<(u64, SocketAddr)> = stewards.iter().map(|steward| (at(steward), *steward)).collect();
+    ring.sort();
+    ring.dedup();
+    let from = ring.partition_point(|(place_of, _)| *place_of < at(&place));
+    ring.iter().cycle().skip(from).take(many.min(ring.len())).map(|(_, steward)| *steward).collect()
+}
--- /dev/null
+++ b/mesh/src/words.rs
@@ -0,0 +1,222 @@
+//! The words that the mesh's processes say to each other and keep on disk. It owns their shapes and must never decide.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// A steward: where others reach it for calls between the system's own processes, and the life of its disk. The
+/// disk of a very first start is 0; one that came empty later has a number drawn by chance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Station {
+    pub at: SocketAddr,
+    pub disk: u64,
+}
+
+/// Who votes in the core. Numbers only go up; two views of one number are never both decided.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct View {
+    pub number: u64,
+    /// Sorted.
+    pub members: Vec<Station>,
+}
+
+/// An operator's configuration as it was sent. Sheets are ordered by version, then by digest.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sheet {
+    pub version: u64,
+    pub digest: u64,
+    #[serde(with = "serde_bytes")]
+    pub bytes: Vec<u8>,
+}
+
+impl Sheet {
+    pub fn new(version: u64, bytes: Vec<u8>) -> Sheet {
+        Sheet { version, digest: xxhash_rust::xxh3::xxh3_64(&bytes), bytes }
+    }
+
+    pub fn rank(&self) -> (u64, u64) {
+        (self.version, self.digest)
+    }
+}
+
+/// A tracking key, hashed.
+pub type Key = u128;
+
+/// One claim of a key. Whoever claims draws a new one for every req, and never uses one again that it freed. 0 is
+/// nobody's: a steward holds a key under it when two others told it of different claims and it cannot know better.
+pub type Token = u64;
+
+/// The answer of the one run of a key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    pub status: u16,
+    /// Names and values as the upstream gave them, hop fields left out.
+    pub headers: Vec<(String, String)>,
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+}
+
+/// What came of a claim.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// Its holder may have handed it to an upstream, and nothing more is known.
+    Open,
+    /// It may have run and nobody will ever know its answer.
+    Unknown,
+    /// It ran; this is what it answered.
+    Done(Arc<Answer>),
+}
+
+/// What a steward holds of a key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    pub token: Token,
+    /// How long the req that claimed had left, in ms.
+    pub left_ms: u32,
+    pub outcome: Outcome,
+}
+
+/// What goes to disk, in this order. All of it is safe once the write that held it has returned.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Record {
+    /// The view that holds, and what was promised and accepted of the next one.
+    Ballots(Ballots),
+    Sheet(Arc<Sheet>),
+    Claim(Key, Claim),
+    Free(Key, Token),
+}
+
+/// A steward's part in deciding the view that follows the one it holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ballots {
+    pub me: Station,
+    pub view: View,
+    /// It has caught up in that view and may vote. Where it is no member: it voted until that view began.
+    pub voter: bool,
+    pub promised: Ballot,
+    pub accepted: Option<(Ballot, View)>,
+}
+
+/// A try to decide a view: higher ones win, and no two stewards use the same.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Ballot {
+    pub round: u64,
+    pub by: u64,
+}
+
+/// What a disk held at the start.
+#[derive(Clone, Debug, Default)]
+pub struct Saved {
+    pub ballots: Option<Ballots>,
+    pub sheet: Option<Arc<Sheet>>,
+    pub claims: Vec<(Key, Claim)>,
+}
+
+/// What an attendant or an operator wants of the core.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Want {
+    /// The right to run this key's req. Answered with `Granted`, or with what the first one's claim came to.
+    Claim { key: Key, token: Token, left_ms: u32 },
+    /// The one that holds the claim tells what came of it. `None`: it has not run and never will under this token.
+    Settle { key: Key, token: Token, outcome: Option<Outcome> },
+    /// A configuration that was read and found valid.
+    Replace(Arc<Sheet>),
+    /// The newest configuration.
+    Read,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Got {
+    /// Nobody else can hold this key; it is safe on more than half of the core's disks.
+    Granted,
+    /// Another claim holds it; `Open` when the wait for its outcome was over first.
+    Held(Outcome),
+    /// Settled, or taken: safe where that is promised.
+    Taken,
+    Newest(Option<Arc<Sheet>>),
+    /// The core could not be had in time. A claim may or may not be held under the token.
+    Unsure,
+}
+
+/// What stewards say to each other. Every message goes with the sender's view number.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Letter {
+    pub from: Station,
+    pub view: u64,
+    pub body: Body,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Body {
+    /// Told all the time: the sender is there, whether it votes, what it holds, whether it is about to leave.
+    Beat {
+        voter: bool,
+        sheet: (u64, u64),
+        safe: (u64, u64),
+        leaving: bool,
+    },
+    /// The view that the sender holds.
+    Holds(View),
+    /// Ballots on the view that follows that of the letter.
+    Prepare(Ballot),
+    Promise {
+        ballot: Ballot,
+        accepted: Option<(Ballot, View)>,
+    },
+    Accept(Ballot, View),
+    Accepted(Ballot),
+    /// A higher ballot was promised.
+    Outbid(Ballot),
+    /// Claims of keys to be held, and how each of them went.
+    Grant(Vec<(u64, Key, Token, u32)>),
+    Granted(Vec<(u64, Grant)>),
+    Settle(Vec<(Key, Token, Option<Outcome>)>),
+    /// A configuration to be held.
+    Hold(Arc<Sheet>),
+    /// Asks for a configuration newer than the one of this rank. A voter also says what it holds, with that `ask`.
+    WantSheet {
+        ask: u64,
+        have: (u64, u64),
+    },
+    /// The rank of the one that a voter holds now, safe on disk. `ask` is 0 where nobody asked.
+    Held {
+        ask: u64,
+        rank: (u64, u64),
+    },
+    /// One that is new in a view asks for all that is held, from a place on, and gets it in parts.
+    WantState {
+        from: u128,
+        round: u64,
+    },
+    State {
+        round: u64,
+        part: Vec<(Key, Claim)>,
+        next: Option<u128>,
+        sheet: Option<Arc<Sheet>>,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Grant {
+    Yes,
+    /// Another token holds it.
+    No(Claim),
+    /// This token was freed; it is never to be used again.
+    Freed,
+}
+
+/// What is to be done, in the order given.
+#[derive(Clone, Debug)]
+pub enum Act {
+    Write(Record),
+    /// Once all that was to be written before it is safe on disk. May be to oneself.
+    Send(SocketAddr, Letter),
+    /// At once.
+    Now(SocketAddr, Letter),
+    Answer {
+        call: u64,
+        got: Got,
+    },
+    Log(String),
+}
