Mesh: doors hold what an upstream may have at once, gates go near first and past full doors

Cause: each gate's level, made for instances that share nothing, denied 4 to 17% of reqs while upstreams stood at 40%; every gate spread over all zones. Change: the module is told that doors hold the level; a door that has no free slot turns a req away before it came to the upstream (`How::Turned`: no send, no part of the allowance), the next one lets it wait a little, the third longer. Far upstreams count with a fiftieth of their weight while near ones stand.

--- a/balancer/src/decisions.rs
+++ b/balancer/src/decisions.rs
@@ -162,7 +162,7 @@
         How::NoConnection | How::Reset | How::TimedOut => &mut counts.lost,
         // Given up because its site answers nobody here.
         How::Recalled if !left => &mut counts.lost,
-        How::Recalled | How::Full | How::NotSent => return,
+        How::Recalled | How::Full | How::NotSent | How::Turned => return,
     };
     *count = count.saturating_add(1);
 }
--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -181,14 +181,6 @@
     fn seat(&self) {
         let Some(timetable) = self.timetable.load_full() else { return };
         let rows = held(&self.rows);
-        let gates: Vec<SocketAddr> = {
-            let mut gates: Vec<SocketAddr> =
-                rows.rows.values().filter(|row| row.serving).map(|row| row.door).collect();
-            gates.sort();
-            gates
-        };
-        let me = gates.iter().position(|door| *door == self.door_at).unwrap_or(0);
-        let me = me as f64 / gates.len().max(1) as f64;
         // Quiet are those whom every watcher that replies has not heard.
         let mut quiet: Option<HashSet<SocketAddr>> = None;
         for told in rows.quiet.values() {
@@ -203,10 +195,10 @@
         for service in timetable.services() {
             let of = || rows.rows.values().filter(|row| *row.line == *service.name);
             let calls = of().any(|row| row.calls);
-            let told = Told::new(&timetable, &service.name, gates.len(), calls);
+            let told = Told::new(&timetable, &service.name, calls);
             let desk = match desks.remove(&service.name).filter(|desk| desk.told == told) {
                 Some(desk) => desk,
-                None => Desk::new(service.name.clone(), told, self.clock, self.draw(), me),
+                None => Desk::new(service.name.clone(), told, self.clock, self.draw()),
             };
             desk.list(of(), &quiet, &self.settings.load().zone);
             kept.insert(service.name.clone(), desk);
--- a/balancer/src/mesh/desk.rs
+++ b/balancer/src/mesh/desk.rs
@@ -20,7 +20,7 @@
 const COLD: Nanos = 4_000 * MS;
 const COLD_SHARE: f64 = 0.4;
 /// Upstreams of other zones count with this part of their weight while the near ones stand.
-const FAR: f64 = 0.25;
+const FAR: f64 = 0.02;
 
 /// What the module wants done for one req.
 #[derive(Debug)]
@@ -37,8 +37,6 @@
     /// Kinds of req by what matters to the module: kind, target and rank.
     pub shapes: Vec<(String, bool, u64, u32)>,
     pub tries: u32,
-    /// How many gates there are, in coarse steps.
-    pub gates: u64,
     /// Its upstreams call other services.
     pub calls: bool,
 }
@@ -49,7 +47,7 @@
 }
 
 impl Told {
-    pub fn new(timetable: &Timetable, line: &str, gates: usize, calls: bool) -> Told {
+    pub fn new(timetable: &Timetable, line: &str, calls: bool) -> Told {
         let to = |route: &&Arc<Route>| route.lines.iter().any(|(name, _)| &**name == line);
         let mut shapes: Vec<(String, bool, u64, u32)> = timetable
             .routes()
@@ -59,12 +57,10 @@
         shapes.sort();
         shapes.dedup();
         let tries = timetable.routes().filter(to).map(|route| route.tries).max().unwrap_or(1);
-        // A new count of gates matters by its size only.
-        let gates = (gates.max(1) as f64).log(1.3).round();
-        Told { shapes, tries, gates: 1.3f64.powf(gates).round() as u64, calls }
+        Told { shapes, tries, calls }
     }
 
-    fn facts(&self, me: f64) -> Facts {
+    fn facts(&self) -> Facts {
         let number = |value: f64| Value::Number(value);
         let rule_set = |(name, again, target, rank): &(String, bool, u64, u32)| {
             Facts::from([
@@ -76,8 +72,10 @@
             ])
         };
         Facts::from([
-            ("instances".into(), number(self.gates as f64)),
-            ("me".into(), number(me * self.gates as f64)),
+            ("instances".into(), number(1.0)),
+            // What a srv may have at once is held by the door beside it.
+            ("level".into(), Value::Text("doors".into())),
+            ("report_in_flight".into(), number(0.0)),
             ("tier".into(), number(0.0)),
             ("tiers".into(), number(if self.calls { 2.0 } else { 1.0 })),
             ("max_dispatches".into(), number(f64::from(self.tries))),
@@ -125,9 +123,9 @@
 }
 
 impl Desk {
-    pub fn new(line: Name, told: Told, clock: Clock, seed: u64, me: f64) -> Arc<Desk> {
+    pub fn new(line: Name, told: Told, clock: Clock, seed: u64) -> Arc<Desk> {
         let now = clock.now();
-        let hands = Hands::new(Balancer::new(now, seed, told.facts(me)));
+        let hands = Hands::new(Balancer::new(now, seed, told.facts()));
         let inner = Inner {
             hands,
             steps: HashMap::new(),
@@ -256,11 +254,11 @@
 
 impl Turn {
     /// A dispatch has ended; `closed` when its req has had its final answer by that.
-    pub fn ended(&mut self, number: usize, how: How, took: Nanos, closed: bool) {
+    pub fn ended(&mut self, number: usize, how: How, took: Nanos, closed: bool, inside: Option<f64>) {
         let mut inner = held(&self.desk.inner);
         self.over |= closed;
         let now = self.desk.clock.now();
-        inner.hands.ended(now, self.id, number, End { how, took, closed, report: &[] });
+        inner.hands.ended(now, self.id, number, End { how, took, closed, report: inside.as_slice() });
         self.desk.settle_and_wake(&mut inner);
     }
 
@@ -277,7 +275,7 @@
             let now = self.desk.clock.now();
             inner.hands.left(now, self.id);
             // Its dispatch, if one is out, ends with it.
-            for number in 0..8 {
+            for number in 0..64 {
                 inner.hands.ended(
                     now,
                     self.id,
--- a/balancer/src/mesh/door.rs
+++ b/balancer/src/mesh/door.rs
@@ -30,6 +30,10 @@
 pub const KEY: HeaderName = HeaderName::from_static("ochreshed-tracking-key");
 pub const STAMP: HeaderName = HeaderName::from_static("ochreshed-postmark");
 const NOT_RUN: HeaderName = HeaderName::from_static("ochreshed-not-delivered");
+/// Between a gate and a door: how many doors have turned the req away before.
+pub const TURNED: HeaderName = HeaderName::from_static("ochreshed-turned");
+/// How many reqs the door has inside.
+pub const INSIDE: HeaderName = HeaderName::from_static("ochreshed-inside");
 /// Between a door and a gate: how the door's part ended.
 pub const WAY: HeaderName = HeaderName::from_static("ochreshed-way");
 
@@ -47,8 +51,10 @@
 pub enum End {
     /// The upstream ran it, or turned it away for good by an answer of its own.
     Ran(Parts, Flow),
-    /// Proved never to have run.
+    /// The upstream turned it away: it has not run.
     Full,
+    /// Proved never to have come to the upstream.
+    Turned,
     Gone,
     Unreachable,
     Unsent,
@@ -62,6 +68,7 @@
         match self {
             End::Ran(..) => "ran",
             End::Full => "full",
+            End::Turned => "turned",
             End::Gone => "gone",
             End::Unreachable => "unreachable",
             End::Unsent => "unsent",
@@ -74,6 +81,7 @@
         match word {
             "ran" => End::Ran(head, flow),
             "full" => End::Full,
+            "turned" => End::Turned,
             "gone" => End::Gone,
             "unreachable" => End::Unreachable,
             "unsent" => End::Unsent,
@@ -393,12 +401,12 @@
         message: &Arc<Message>,
         meant: &str,
         caller: &HeaderValue,
+        turned: u32,
         until: Nanos,
     ) -> End {
         let Some((to, slots)) = self.check(meant) else { return End::Gone };
-        let most = at_once(slots) + slots;
-        if self.inside.load(Relaxed) >= most as usize {
-            return End::Full;
+        if self.inside.load(Relaxed) as u32 >= at_once(slots) + may_wait(slots, turned) {
+            return End::Turned;
         }
         self.inside.fetch_add(1, Relaxed);
         let id = message.head.headers().get(&ID).cloned();
@@ -447,6 +455,7 @@
             Err(Fail::Late) => return End::Late,
         };
         head.headers.remove(&WAY);
+        head.headers.remove(&INSIDE);
         if head.status == StatusCode::MISDIRECTED_REQUEST {
             return End::Gone;
         }
@@ -472,35 +481,47 @@
         takes.then(|| (upstream.to.clone(), upstream.slots))
     }
 
+    fn way(&self, mut answer: Response<Flow>, word: &'static str) -> Response<Flow> {
+        answer.headers_mut().insert(WAY, HeaderValue::from_static(word));
+        answer.headers_mut().insert(INSIDE, HeaderValue::from(self.busy() as u64));
+        answer
+    }
+
     /// A req that a gate elsewhere sent here.
     pub async fn answer(self: Arc<Self>, came: Came, bodies: Arc<Semaphore>) -> Response<Flow> {
         let at = came.at;
         let headers = came.req.headers();
         let meant = field(headers, &ADDRESSEE).to_owned();
         let left = field(headers, &LEFT).parse::<u64>().unwrap_or(0).min(86_400_000);
+        let turned = field(headers, &TURNED).parse::<u32>().unwrap_or(0);
         let caller = headers.get(&CALLER).cloned().unwrap_or(HeaderValue::from_static(""));
         let read = entry::message(came, &bodies, self.clock, u64::MAX, Duration::from_secs(10)).await;
         let (message, _room) = match read {
             Ok(read) => read,
-            Err(Bad(status, line)) => return way(say(status, line), "unsent"),
+            Err(Bad(status, line)) => return self.way(say(status, line), "unsent"),
         };
-        let end = self.pass(&Arc::new(message), &meant, &caller, at + left * MS).await;
+        let end = self.pass(&Arc::new(message), &meant, &caller, turned, at + left * MS).await;
         let word = end.word();
         match end {
-            End::Ran(head, flow) => way(Response::from_parts(head, flow), word),
-            _ => way(say(503, word), word),
+            End::Ran(head, flow) => self.way(Response::from_parts(head, flow), word),
+            _ => self.way(say(503, word), word),
         }
     }
 }
 
 /// How many reqs an upstream is given at once.
 fn at_once(slots: u32) -> u32 {
-    slots + 1
+    slots
 }
 
-fn way(mut answer: Response<Flow>, word: &'static str) -> Response<Flow> {
-    answer.headers_mut().insert(WAY, HeaderValue::from_static(word));
-    answer
+/// How many may wait here for a slot, so that a req that was turned away at so many doors waits too. Guards against a
+/// queue at one door while another has slots free.
+fn may_wait(slots: u32, turned: u32) -> u32 {
+    match turned {
+        0 => 0,
+        1 => 1 + slots / 4,
+        _ => slots * 2,
+    }
 }
 
 /// The call's name and whom it is of.
--- a/balancer/src/mesh/gate.rs
+++ b/balancer/src/mesh/gate.rs
@@ -15,8 +15,8 @@
 
 use super::attendant::Branch;
 use super::carry::{Fail, Flow};
-use super::desk::{self, Desk, Place, Step, Turn};
-use super::door::{ADDRESSEE, CALLER, End, ID, KEY, LEFT, WAY};
+use super::desk::{self, Place, Step, Turn};
+use super::door::{ADDRESSEE, CALLER, End, ID, INSIDE, KEY, LEFT, TURNED, WAY};
 use super::entry::{self, Bad, Came, field, say};
 use super::keys;
 use crate::body::Message;
@@ -62,7 +62,7 @@
         Ok(read) => read,
         Err(Bad(status, line)) => return say(status, line),
     };
-    for name in [&ADDRESSEE, &CALLER, &WAY] {
+    for name in [&ADDRESSEE, &CALLER, &TURNED, &WAY] {
         message.head.headers_mut().remove(name);
     }
     let ends = (at + left.min(route.deadline_ms) * MS).saturating_sub(WAY_BACK);
@@ -100,6 +100,7 @@
         match self {
             Outcomes::Answer(mut head, flow) => {
                 head.headers.remove(&WAY);
+                head.headers.remove(&INSIDE);
                 Response::from_parts(head, flow)
             }
             Outcomes::Deny(come_back) => deny(come_back),
@@ -157,7 +158,7 @@
     let text = |(name, value): (&HeaderName, &HeaderValue)| {
         Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))
     };
-    let ours = [&ID, &WAY];
+    let ours = [&ID, &INSIDE, &WAY];
     let headers = head.headers.iter().filter(|(name, _)| !ours.contains(name)).filter_map(text).collect();
     Answer { status: head.status.as_u16(), headers, body: body.to_vec() }
 }
@@ -191,7 +192,7 @@
         req.coming = self.message.long.is_some();
         let mut turn = desk.take(req);
         let mut last: Option<(Parts, Flow)> = None;
-        let (mut ran, mut sent) = (false, 0);
+        let (mut ran, mut sent, mut turned) = (false, 0, 0);
         loop {
             let step = turn.steps.recv().await;
             match step {
@@ -199,21 +200,22 @@
                     if sent >= self.route.tries {
                         break;
                     }
-                    sent += 1;
                     let began = self.branch.clock.now();
                     let Some(place) = desk.place(&srv) else {
-                        turn.ended(number, How::NotSent, 0, false);
+                        turn.ended(number, How::NotSent, 0, false, None);
                         continue;
                     };
-                    let Some(end) = self.dispatch(&desk, &mut turn, &place, give_up).await else {
+                    let Some((end, inside)) = self.dispatch(&mut turn, &place, turned, give_up).await else {
                         ran = true;
-                        turn.ended(number, How::Recalled, 0, false);
+                        turn.ended(number, How::Recalled, 0, false, None);
                         continue;
                     };
+                    sent += u32::from(!matches!(end, End::Turned));
+                    turned += u32::from(matches!(end, End::Turned));
                     let took = self.branch.clock.now() - began;
                     let how = match end {
                         End::Ran(head, flow) if !head.status.is_server_error() => {
-                            turn.ended(number, How::Done, took, true);
+                            turn.ended(number, How::Done, took, true, inside);
                             return Outcomes::Answer(head, flow);
                         }
                         End::Ran(head, flow) => {
@@ -221,6 +223,7 @@
                             How::Error
                         }
                         End::Full | End::Gone => How::Full,
+                        End::Turned => How::Turned,
                         End::Unreachable => How::NoConnection,
                         End::Unsent => How::NotSent,
                         End::Reset => {
@@ -232,7 +235,7 @@
                             How::TimedOut
                         }
                     };
-                    turn.ended(number, how, took, false);
+                    turn.ended(number, how, took, false, inside);
                 }
                 Some(Step::Recall) => {}
                 Some(Step::Deny { come_back }) => {
@@ -257,16 +260,15 @@
         }
     }
 
-    /// One dispatch; nothing if the module recalled it.
+    /// One dispatch, and how many reqs its door has inside; nothing if the module recalled it.
     async fn dispatch(
         &self,
-        desk: &Arc<Desk>,
         turn: &mut Turn,
         place: &Place,
+        turned: u32,
         give_up: Nanos,
-    ) -> Option<End> {
-        let _ = desk;
-        let work = self.send(place, give_up.min(self.ends));
+    ) -> Option<(End, Option<f64>)> {
+        let work = self.send(place, turned, give_up.min(self.ends));
         tokio::pin!(work);
         loop {
             tokio::select! {
@@ -279,15 +281,16 @@
         }
     }
 
-    async fn send(&self, place: &Place, until: Nanos) -> End {
+    async fn send(&self, place: &Place, turned: u32, until: Nanos) -> (End, Option<f64>) {
         let branch = &self.branch;
         let caller = branch.caller();
         if place.door == branch.door_at() {
-            return branch.door.pass(&self.message, &place.id, &caller, until).await;
+            let end = branch.door.pass(&self.message, &place.id, &caller, turned, until).await;
+            return (end, Some(branch.door.busy() as f64));
         }
         let left = until.saturating_sub(branch.clock.now()) / MS;
         if left == 0 {
-            return End::Unsent;
+            return (End::Unsent, None);
         }
         let mut fields = HeaderMap::new();
         fields.insert(LEFT, HeaderValue::from(left));
@@ -295,17 +298,21 @@
             fields.insert(ADDRESSEE, id);
         }
         fields.insert(CALLER, caller);
+        if turned > 0 {
+            fields.insert(TURNED, HeaderValue::from(turned));
+        }
         let ours = |head: &Parts| head.headers.contains_key(&WAY);
-        match branch.line_to(place.door).exchange(&self.message, &fields, until, ours).await {
+        let end = match branch.line_to(place.door).exchange(&self.message, &fields, until, ours).await {
             Ok((head, flow)) => {
-                let word =
-                    head.headers.get(&WAY).and_then(|word| word.to_str().ok()).unwrap_or_default().to_owned();
-                End::from_word(&word, head, flow)
+                let word = field(&head.headers, &WAY).to_owned();
+                let inside = field(&head.headers, &INSIDE).parse().ok();
+                return (End::from_word(&word, head, flow), inside);
             }
             Err(Fail::NoConnection) => End::Unreachable,
             Err(Fail::NotSent) => End::Unsent,
             Err(Fail::Reset) => End::Reset,
             Err(Fail::Late) => End::Late,
-        }
+        };
+        (end, None)
     }
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -155,7 +155,7 @@
             let srv = if self.may_go_again(now, req) { self.pick(now, req) } else { None };
             return match srv {
                 Some(srv) => {
-                    self.seen.again.add(now, 1.0);
+                    self.seen.sent_again(now, req.turned());
                     self.send(now, req, srv)
                 }
                 None => self.give_up_on(now, req, 0),
@@ -333,15 +333,14 @@
     /// Whether this req's failure is ours to send again, and its rule set and the tenth allow it.
     fn may_go_again(&self, now: Nanos, req: &Req) -> bool {
         let owned = match req.dispatches.last().and_then(|d| d.how) {
-            Some(How::NoConnection | How::Reset | How::Full) => true,
+            Some(How::NoConnection | How::Reset | How::Full | How::Turned) => true,
             Some(How::Error | How::TimedOut) => self.last_tier(),
             _ => false,
         };
         owned
-            && req.dispatches.len() < self.told.max_dispatches
+            && req.sends() < self.told.max_dispatches
             && now < req.ends
-            && self.seen.again.count(now) + 1.0
-                <= self.seen.first.count(now) * TENTH + (FLOOR / self.told.instances).min(1.0)
+            && (req.turned() || self.seen.room_again(now, TENTH, (FLOOR / self.told.instances).min(1.0)))
             && self.may_run_again(now, req)
     }
 
@@ -397,7 +396,7 @@
                         How::Done | How::Error => (srv.heard, srv.turned_away) = (now, 0),
                         How::Full => (srv.heard, srv.turned_away) = (now, srv.turned_away + 1),
                         How::NoConnection | How::Reset | How::TimedOut => self.fleet.lose(who),
-                        How::Recalled | How::NotSent => {}
+                        How::Recalled | How::NotSent | How::Turned => {}
                     }
                     if matches!(how, How::Done | How::Error | How::Full) {
                         let site = self.fleet.site(who);
--- a/src/decide/days.rs
+++ b/src/decide/days.rs
@@ -304,7 +304,7 @@
                 let site = self.list[&srv].site.clone();
                 self.forgive(&site);
             }
-            How::Recalled | How::NotSent => {}
+            How::Recalled | How::NotSent | How::Turned => {}
         }
         let report = if self.day.reports { &[f64::from(self.chance.next() % 5)][..] } else { &[] };
         let (took, closed) = (self.now - at, how == How::Done);
--- a/src/decide/judge.rs
+++ b/src/decide/judge.rs
@@ -39,7 +39,7 @@
             How::Error | How::Reset | How::TimedOut | How::NoConnection => true,
             // Guards against a srv that drains before we are told: it is never crowded, and draws ever more.
             How::Full if who.is_some_and(|who| self.fleet.get(who).turned_away > 1) => true,
-            How::Full | How::Recalled | How::NotSent => return,
+            How::Full | How::Recalled | How::NotSent | How::Turned => return,
         };
         self.seen.outcomes.add(now, f64::from(u8::from(failure)));
         let (everywhere, last_tier) = (self.seen.outcomes.mean(now), self.last_tier());
--- a/src/decide/pick.rs
+++ b/src/decide/pick.rs
@@ -195,7 +195,7 @@
             let level = srv.level(self.fleet.done_rate(now, srv), view.wide, view.floor);
             let chance = if warm { view.calm * by_chance(level, self.turned_by()) } else { 0.0 };
             let level = level + chance;
-            again.is_some() || (srv.counted(now, view.narrow) as f64) < level.max(1.0)
+            again.is_some() || (srv.counted(now, view.narrow) as f64) < level.max(self.told.least)
         };
         if !open || !room() {
             return Fit::Unfit;
@@ -228,7 +228,7 @@
         let calm = self.calm(now);
         let worth = self.worth(now, set, calm);
         let (wide, floor) = (narrow * self.widening(now) * worth, self.floor(now) * worth);
-        if !again {
+        if !again && self.told.least.is_finite() {
             let level = self.fleet.level(now, wide, floor);
             // In overload a part of a req is none: rounded up, hundreds of instances go over by one each.
             let chance = calm * by_chance(level, self.told.instances);
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -192,11 +192,23 @@
 
 impl Seen {
     pub fn ended(&mut self, now: Nanos, how: How) {
-        if how.never_ran() {
+        if how.never_ran() && how != How::Turned {
             self.refused.add(now, 1.0);
         }
     }
 
+    /// One is sent again. What never came to a srv the first time counts as sent once.
+    pub fn sent_again(&mut self, now: Nanos, turned: bool) {
+        if !turned {
+            self.again.add(now, 1.0);
+        }
+    }
+
+    /// Whether one more may be sent again within a part of the first sends and a floor.
+    pub fn room_again(&self, now: Nanos, part: f64, floor: f64) -> bool {
+        self.again.count(now) + 1.0 <= self.first.count(now) * part + floor
+    }
+
     /// What srvs take from us a second. What was turned away was not taken: in a storm of refusals, whose reqs come
     /// again at once, it is most of what is sent.
     pub fn taken(&self, now: Nanos, born: Nanos) -> f64 {
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -32,12 +32,14 @@
     Reset,
     Recalled,
     NotSent,
+    /// The balancer beside the srv had no room for it: it never came to the srv, and is no send.
+    Turned,
 }
 
 impl How {
     /// Whether the outcome proves that the srv never ran the req.
     pub fn never_ran(self) -> bool {
-        matches!(self, How::Full | How::NoConnection | How::NotSent)
+        matches!(self, How::Full | How::NoConnection | How::NotSent | How::Turned)
     }
 }
 
@@ -76,6 +78,16 @@
         Req { id, rule_set, customer, again, taken, ends, coming, work, dispatches }
     }
 
+    /// Whether its last dispatch was turned away before it came to a srv.
+    pub fn turned(&self) -> bool {
+        self.dispatches.last().is_some_and(|dispatch| dispatch.how == Some(How::Turned))
+    }
+
+    /// How many dispatches may have come to a srv.
+    pub fn sends(&self) -> usize {
+        self.dispatches.iter().filter(|dispatch| dispatch.how != Some(How::Turned)).count()
+    }
+
     /// The first dispatch that is not proved never to have run.
     pub fn may_have_run(&self) -> Option<&Dispatch> {
         self.dispatches.iter().find(|d| !d.how.is_some_and(How::never_ran))
