--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -13,7 +13,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use hyper::Response;
 use hyper::header::HeaderValue;
-use ochreshed::Name;
+use ochreshed::{Name, Nanos};
 use ochreshed_mesh::list::Row;
 use ochreshed_mesh::timetable::{Route, Timetable};
 use ochreshed_mesh::words::Sheet;
@@ -50,7 +50,8 @@
 /// The rows as they were told, and who is quiet by each watcher.
 #[derive(Default)]
 struct Rows {
-    rows: HashMap<SocketAddr, Row>,
+    /// With the time at which each was told.
+    rows: HashMap<SocketAddr, (Row, Nanos)>,
     quiet: HashMap<usize, HashSet<SocketAddr>>,
 }
 
@@ -62,6 +63,8 @@
     pub timetable: ArcSwapOption<Timetable>,
     sheet: Mutex<(u64, u64)>,
     rows: Mutex<Rows>,
+    /// Doors whose attendants no watcher that replies has heard of late.
+    quiet: ArcSwap<HashSet<SocketAddr>>,
     desks: Mutex<HashMap<Name, Arc<Desk>>>,
     lines: Mutex<HashMap<SocketAddr, Arc<Line>>>,
     room: Arc<Semaphore>,
@@ -121,6 +124,11 @@
         held(&self.desks).get(line).cloned()
     }
 
+    /// Whether what is out at this door may be given up there: nobody hears of its machine, and ours is not ending.
+    pub fn may_break_off(&self, door: &SocketAddr) -> bool {
+        !self.leaving.load(Relaxed) && self.quiet.load().contains(door)
+    }
+
     pub fn line_to(&self, door: SocketAddr) -> Arc<Line> {
         let line = || Arc::new(Line::new(door, self.clock, self.room.clone()));
         held(&self.lines).entry(door).or_insert_with(line).clone()
@@ -155,10 +163,11 @@
         {
             let mut all = held(&self.rows);
             let mut changed = false;
+            let now = self.clock.now();
             for row in rows {
-                if all.rows.get(&row.door).is_none_or(|was| was.rank() < row.rank()) {
+                if all.rows.get(&row.door).is_none_or(|(was, _)| was.rank() < row.rank()) {
                     changed = true;
-                    all.rows.insert(row.door, row);
+                    all.rows.insert(row.door, (row, now));
                 }
             }
             if all.quiet.get(&which) != Some(&quiet) {
@@ -181,6 +190,7 @@
     fn seat(&self) {
         let Some(timetable) = self.timetable.load_full() else { return };
         let rows = held(&self.rows);
+        let gates = rows.rows.values().filter(|(row, _)| row.serving).count();
         // Quiet are those whom every watcher that replies has not heard.
         let mut quiet: Option<HashSet<SocketAddr>> = None;
         for told in rows.quiet.values() {
@@ -190,12 +200,13 @@
             });
         }
         let quiet = quiet.unwrap_or_default();
+        self.quiet.store(Arc::new(quiet.clone()));
         let mut desks = held(&self.desks);
         let mut kept = HashMap::new();
         for service in timetable.services() {
-            let of = || rows.rows.values().filter(|row| *row.line == *service.name);
-            let calls = of().any(|row| row.calls);
-            let told = Told::new(&timetable, &service.name, calls);
+            let of = || rows.rows.values().filter(|(row, _)| *row.line == *service.name);
+            let calls = of().any(|(row, _)| row.calls);
+            let told = Told::new(&timetable, &service.name, gates, calls);
             let desk = match desks.remove(&service.name).filter(|desk| desk.told == told) {
                 Some(desk) => desk,
                 None => Desk::new(service.name.clone(), told, self.clock, self.draw()),
@@ -211,6 +222,22 @@
     }
 }
 
+/// A req inside; counted out however it ends.
+pub struct Inside(Arc<Branch>);
+
+impl Inside {
+    pub fn new(branch: &Arc<Branch>) -> Inside {
+        branch.inside.fetch_add(1, Relaxed);
+        Inside(branch.clone())
+    }
+}
+
+impl Drop for Inside {
+    fn drop(&mut self) {
+        self.0.inside.fetch_sub(1, Relaxed);
+    }
+}
+
 /// Where the seeds are called by the system's own processes: their port for that is the same on all machines.
 pub fn seeds(settings: &Settings) -> Vec<SocketAddr> {
     settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), settings.inner_ports.0)).collect()
@@ -244,6 +271,7 @@
         timetable: ArcSwapOption::empty(),
         sheet: Mutex::default(),
         rows: Mutex::default(),
+        quiet: ArcSwap::default(),
         desks: Mutex::default(),
         lines: Mutex::default(),
         room: Arc::new(Semaphore::new(sockets / 4)),
@@ -285,10 +313,8 @@
             move |came: Came| {
                 let branch = branch.clone();
                 async move {
-                    branch.inside.fetch_add(1, Relaxed);
-                    let answer = gate::answer(branch.clone(), came).await;
-                    branch.inside.fetch_sub(1, Relaxed);
-                    answer
+                    let _inside = Inside::new(&branch);
+                    gate::answer(branch.clone(), came).await
                 }
             }
         })),
--- a/balancer/src/mesh/desk.rs
+++ b/balancer/src/mesh/desk.rs
@@ -37,6 +37,8 @@
     /// Kinds of req by what matters to the module: kind, target and rank.
     pub shapes: Vec<(String, bool, u64, u32)>,
     pub tries: u32,
+    /// How many gates there are, in coarse steps.
+    pub gates: u64,
     /// Its upstreams call other services.
     pub calls: bool,
 }
@@ -47,7 +49,7 @@
 }
 
 impl Told {
-    pub fn new(timetable: &Timetable, line: &str, calls: bool) -> Told {
+    pub fn new(timetable: &Timetable, line: &str, gates: usize, calls: bool) -> Told {
         let to = |route: &&Arc<Route>| route.lines.iter().any(|(name, _)| &**name == line);
         let mut shapes: Vec<(String, bool, u64, u32)> = timetable
             .routes()
@@ -57,7 +59,9 @@
         shapes.sort();
         shapes.dedup();
         let tries = timetable.routes().filter(to).map(|route| route.tries).max().unwrap_or(1);
-        Told { shapes, tries, calls }
+        // A new count matters by its size only: each change of these makes the module learn anew.
+        let gates = 2u64.pow((gates.max(1) as f64).log2().round() as u32);
+        Told { shapes, tries, gates, calls }
     }
 
     fn facts(&self) -> Facts {
@@ -72,7 +76,7 @@
             ])
         };
         Facts::from([
-            ("instances".into(), number(1.0)),
+            ("instances".into(), number(self.gates as f64)),
             // What a srv may have at once is held by the door beside it.
             ("level".into(), Value::Text("doors".into())),
             ("report_in_flight".into(), number(0.0)),
@@ -210,14 +214,19 @@
     }
 
     /// Tells the module the list as it is now.
-    pub fn list<'a>(&self, rows: impl Iterator<Item = &'a Row>, quiet: &HashSet<SocketAddr>, zone: &str) {
+    pub fn list<'a>(
+        &self,
+        rows: impl Iterator<Item = &'a (Row, Nanos)>,
+        quiet: &HashSet<SocketAddr>,
+        zone: &str,
+    ) {
         let mut inner = held(&self.inner);
         let now = self.clock.now();
-        let rows: Vec<&Row> = rows.filter(|row| *row.line == *self.line && !row.id.is_empty()).collect();
+        let rows: Vec<&(Row, Nanos)> = rows.filter(|(row, _)| !row.id.is_empty()).collect();
         let takes = |row: &Row| row.serving && row.stand == Stand::Open && !quiet.contains(&row.door);
-        let near = rows.iter().any(|row| row.zone == zone && takes(row));
+        let near = rows.iter().any(|(row, _)| row.zone == zone && takes(row));
         let mut fresh = HashMap::new();
-        for row in rows {
+        for (row, told) in rows {
             let state = if takes(row) {
                 State::Up
             } else if row.stand == Stand::None || !row.serving {
@@ -228,8 +237,8 @@
             let srv: Name = row.id.as_str().into();
             let was = inner.listed.get(&srv);
             let came_up = was.and_then(|was| was.came_up);
-            let came_up =
-                came_up.or((row.cold_ms > 0).then(|| (now + row.cold_ms * MS).saturating_sub(COLD)));
+            let warm_at = told + row.cold_ms * MS;
+            let came_up = came_up.or((warm_at > now).then(|| warm_at.saturating_sub(COLD)));
             let far = near && row.zone != zone;
             let weight = f64::from(row.slots.max(1)) * if far { FAR } else { 1.0 };
             let site: Name = row.zone.as_str().into();
--- a/balancer/src/mesh/door.rs
+++ b/balancer/src/mesh/door.rs
@@ -14,7 +14,7 @@
 use jzon::JsonValue as Json;
 use ochreshed::Nanos;
 use ochreshed_mesh::list::{Row, Stand};
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, oneshot};
 use tokio::time::timeout_at;
 
 use super::carry::{Fail, Flow, Line};
@@ -130,7 +130,7 @@
     /// Reqs that wait for a slot or are in one.
     inside: AtomicUsize,
     /// Those at the upstream now, and who waits to be one of them.
-    slots: Mutex<(u32, VecDeque<tokio::sync::oneshot::Sender<()>>)>,
+    slots: Mutex<Slots>,
     calls: AtomicBool,
     /// The ids of the reqs that are at the upstream.
     runs: Mutex<HashSet<Vec<u8>>>,
@@ -138,14 +138,25 @@
     pub changed: tokio::sync::Notify,
 }
 
+/// How many are at the upstream, and who waits to be.
+#[derive(Default)]
+struct Slots {
+    taken: u32,
+    waiting: VecDeque<oneshot::Sender<Slot>>,
+}
+
 /// A place at the upstream; given back when its answer has come, or nobody waits for it any more.
 struct Slot(Arc<Door>);
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let mut slots = held(&self.0.slots);
-        slots.0 -= 1;
-        self.0.hand_on(&mut slots);
+        let handed = {
+            let mut slots = held(&self.0.slots);
+            slots.taken -= 1;
+            self.0.hand_on(&mut slots)
+        };
+        // Whoever has gone gives its place back here, without the lock.
+        handed.into_iter().for_each(|(waiting, slot)| drop(waiting.send(slot)));
     }
 }
 
@@ -276,7 +287,7 @@
         }
     }
 
-    fn beat(&self, of: &str, body: &[u8]) -> Result<(), &'static str> {
+    fn beat(self: &Arc<Self>, of: &str, body: &[u8]) -> Result<(), &'static str> {
         let text = std::str::from_utf8(body).map_err(|_| "not UTF-8")?;
         let beat = jzon::parse(text).map_err(|_| "no JSON")?;
         let (notice, status) = (&beat["notice"], &beat["status"]);
@@ -343,9 +354,8 @@
         state.upstream = Some(upstream);
         drop(state);
         if !same {
-            let mut slots = held(&self.slots);
-            self.hand_on(&mut slots);
-            drop(slots);
+            let handed = self.hand_on(&mut held(&self.slots));
+            handed.into_iter().for_each(|(waiting, slot)| drop(waiting.send(slot)));
             self.touch();
         }
         Ok(())
@@ -363,15 +373,26 @@
         {
             upstream.stand = Stand::None;
             upstream.to.shut();
+            state.past.push_back(of.to_owned());
             log::info!("upstream {of}: signed off");
             drop(state);
             self.touch();
         }
     }
 
+    /// Closes connections that have been idle for long, and tells when the upstream is cold no more.
     pub fn sweep(&self) {
-        if let Some(upstream) = &held(&self.state).upstream {
-            upstream.to.sweep(self.clock.now());
+        let warm = {
+            let mut state = held(&self.state);
+            let Some(upstream) = &mut state.upstream else { return };
+            let now = self.clock.now();
+            upstream.to.sweep(now);
+            let warm = upstream.cold_ms > 0 && now > upstream.told + upstream.cold_ms * MS;
+            upstream.cold_ms = if warm { 0 } else { upstream.cold_ms };
+            warm
+        };
+        if warm {
+            self.touch();
         }
     }
 
@@ -384,15 +405,19 @@
         held(&self.state).upstream.as_ref().map_or(0, |upstream| upstream.slots)
     }
 
-    fn hand_on(&self, slots: &mut (u32, VecDeque<tokio::sync::oneshot::Sender<()>>)) {
+    /// Gives free places to those that wait, to be sent to them once the lock is free.
+    fn hand_on(self: &Arc<Self>, slots: &mut Slots) -> Vec<(oneshot::Sender<Slot>, Slot)> {
         let most = at_once(self.slots_now());
-        while slots.0 < most {
-            let Some(next) = slots.1.pop_front() else { return };
-            slots.0 += 1;
-            if next.send(()).is_err() {
-                slots.0 -= 1;
+        let mut handed = Vec::new();
+        while slots.taken < most
+            && let Some(waiting) = slots.waiting.pop_front()
+        {
+            if !waiting.is_closed() {
+                slots.taken += 1;
+                handed.push((waiting, Slot(self.clone())));
             }
         }
+        handed
     }
 
     /// Lets a req through to the upstream, if it is the one that was meant.
@@ -415,22 +440,25 @@
         let inside = Inside(self.clone(), name);
         let waits = {
             let mut slots = held(&self.slots);
-            if slots.0 < at_once(self.slots_now()) && slots.1.is_empty() {
-                slots.0 += 1;
-                None
+            if slots.taken < at_once(self.slots_now()) && slots.waiting.is_empty() {
+                slots.taken += 1;
+                Ok(Slot(self.clone()))
             } else {
-                let (send, wait) = tokio::sync::oneshot::channel();
-                slots.1.push_back(send);
-                Some(wait)
+                let (send, wait) = oneshot::channel();
+                slots.waiting.push_back(send);
+                Err(wait)
             }
         };
-        if let Some(wait) = waits {
-            let last = self.clock.instant(until.saturating_sub(LEAST_LEFT));
-            if !matches!(timeout_at(last, wait).await, Ok(Ok(()))) {
-                return End::Unsent;
+        let slot = match waits {
+            Ok(slot) => slot,
+            Err(wait) => {
+                let last = self.clock.instant(until.saturating_sub(LEAST_LEFT));
+                match timeout_at(last, wait).await {
+                    Ok(Ok(slot)) => slot,
+                    _ => return End::Unsent,
+                }
             }
-        }
-        let slot = Slot(self.clone());
+        };
         if self.check(meant).is_none() {
             return End::Gone;
         }
--- a/balancer/src/mesh/gate.rs
+++ b/balancer/src/mesh/gate.rs
@@ -13,7 +13,7 @@
 use ochreshed_mesh::words::{Answer, Got, Key, Outcome, Token};
 use tokio::sync::oneshot;
 
-use super::attendant::Branch;
+use super::attendant::{Branch, Inside};
 use super::carry::{Fail, Flow};
 use super::desk::{self, Place, Step, Turn};
 use super::door::{ADDRESSEE, CALLER, End, ID, INSIDE, KEY, LEFT, TURNED, WAY};
@@ -72,7 +72,7 @@
             // Goes on to its end though its client goes: its outcome is its key's.
             let (send, got) = oneshot::channel();
             tokio::spawn(async move {
-                let _room = room;
+                let (_room, _inside) = (room, Inside::new(&trip.branch));
                 let _ = send.send(keyed(trip, key).await);
             });
             got.await.unwrap_or_else(|_| say(502, "it may have run"))
@@ -123,13 +123,15 @@
         |outcome| keys::settle(branch.stewards.clone(), branch.callers.clone(), (key, token), outcome);
     match got {
         Got::Granted => {}
-        Got::Held(Outcome::Done(answer)) => return replay(&answer),
-        Got::Held(Outcome::Open) => return say(409, "a req with this key is at work"),
-        Got::Held(Outcome::Unknown) => return say(502, "a req with this key may have run"),
-        _ => {
-            // The claim may stand somewhere: it is given back, and never used.
+        other => {
+            // The claim may stand at some of the core: it is given back, and never used.
             settle(None);
-            return deny(200 * MS);
+            return match other {
+                Got::Held(Outcome::Done(answer)) => replay(&answer),
+                Got::Held(Outcome::Open) => say(409, "a req with this key is at work"),
+                Got::Held(Outcome::Unknown) => say(502, "a req with this key may have run"),
+                _ => deny(200 * MS),
+            };
         }
     }
     match trip.run().await {
@@ -174,6 +176,11 @@
     again
 }
 
+/// Whether a status says that the req has not run and never will.
+fn promises(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
 /// A req on its way.
 struct Trip {
     branch: Arc<Branch>,
@@ -214,11 +221,15 @@
                     turned += u32::from(matches!(end, End::Turned));
                     let took = self.branch.clock.now() - began;
                     let how = match end {
-                        End::Ran(head, flow) if !head.status.is_server_error() => {
+                        End::Ran(head, flow) if !head.status.is_server_error() && !promises(head.status) => {
                             turn.ended(number, How::Done, took, true, inside);
                             return Outcomes::Answer(head, flow);
                         }
-                        End::Ran(head, flow) => {
+                        End::Ran(mut head, flow) => {
+                            if !self.route.kind.repeatable() && promises(head.status) {
+                                // It ran, and this answer would promise that it did not.
+                                head.status = StatusCode::BAD_GATEWAY;
+                            }
                             (last, ran) = (Some((head, flow)), true);
                             How::Error
                         }
@@ -274,7 +285,12 @@
             tokio::select! {
                 end = &mut work => return Some(end),
                 step = turn.steps.recv() => match step {
-                    Some(Step::Recall) | None => return None,
+                    // Silence alone is no reason to break one off: its machine must be quiet to others too, and
+                    // the req be one that may run again.
+                    Some(Step::Recall) if self.route.kind.repeatable() && self.branch.may_break_off(&place.door) => {
+                        return None;
+                    }
+                    None => return None,
                     Some(_) => {}
                 }
             }
--- a/balancer/src/mesh/keys.rs
+++ b/balancer/src/mesh/keys.rs
@@ -82,26 +82,33 @@
     let until = tokio::time::Instant::now() + within;
     let mut next = stewards.by_key(key).into_iter();
     let mut out = FuturesUnordered::new();
+    let mut silent = Vec::new();
     loop {
         if let Some(steward) = next.next() {
             let call = async move {
                 let ask = Ask::Core(Want::Claim { key, token, left_ms });
                 (steward, callers.to(steward).call(ask, within).await)
             };
+            silent.push(steward);
             out.push(call);
         } else if out.is_empty() {
             return Got::Unsure;
         }
         let hedge = (tokio::time::Instant::now() + HEDGE).min(until);
         tokio::select! {
-            Some((steward, reply)) = out.next(), if !out.is_empty() => match reply {
-                Ok(Reply::Core(Got::Unsure)) => {}
-                Ok(Reply::Core(got)) => {
-                    stewards.replied(steward);
-                    return got;
+            Some((steward, reply)) = out.next(), if !out.is_empty() => {
+                silent.retain(|silent| *silent != steward);
+                match reply {
+                    Ok(Reply::Core(Got::Unsure)) => {}
+                    Ok(Reply::Core(got)) => {
+                        stewards.replied(steward);
+                        // Those asked before it that said nothing: others are asked first for a while.
+                        silent.into_iter().for_each(|silent| stewards.failed(silent));
+                        return got;
+                    }
+                    _ => stewards.failed(steward),
                 }
-                _ => stewards.failed(steward),
-            },
+            }
             () = sleep_until(hedge) => {}
         }
         if tokio::time::Instant::now() >= until {
--- a/balancer/src/mesh/steward.rs
+++ b/balancer/src/mesh/steward.rs
@@ -70,7 +70,6 @@
     settled: bool,
     view: Option<View>,
     voter: bool,
-    keys: (usize, usize, usize),
     gone: bool,
 }
 
@@ -267,7 +266,7 @@
         keep: (settings.bounds.stamp_window + KEEP_MORE).as_nanos() as Nanos,
         lost_after: LOST,
         want: 2 * settings.tolerate.machines + 1,
-        most_claims: (settings.limits.memory_mb as usize * 1_000).max(10_000),
+        most_claims: (settings.limits.memory_mb as usize * 400).max(10_000),
     };
     let mut out = Vec::new();
     let found = (saved.sheet.as_ref().map_or(0, |sheet| sheet.version), saved.claims.len());
@@ -334,7 +333,8 @@
 }
 
 enum Back {
-    Sends(Vec<(SocketAddr, Letter)>),
+    /// Of how many batches, and what is sent now that they are safe.
+    Sends(usize, Vec<(SocketAddr, Letter)>),
 }
 
 struct Disk {
@@ -349,9 +349,11 @@
     std::thread::spawn(move || {
         while let Ok(first) = batches.recv() {
             let Batch { mut records, mut sends } = first;
+            let mut count = 1;
             while let Ok(more) = batches.try_recv() {
                 records.extend(more.records);
                 sends.extend(more.sends);
+                count += 1;
             }
             let mut failed = 0;
             while !records.is_empty() {
@@ -369,7 +371,7 @@
             if failed > 0 {
                 log::info!("disk: written after {failed} failures");
             }
-            if tell.send(Back::Sends(sends)).is_err() {
+            if tell.send(Back::Sends(count, sends)).is_err() {
                 return;
             }
         }
@@ -403,8 +405,8 @@
             let at = self.office.clock.instant(wake);
             tokio::select! {
                 biased;
-                Some(Back::Sends(sends)) = self.disk.back.recv() => {
-                    self.unsafe_writes -= 1;
+                Some(Back::Sends(count, sends)) = self.disk.back.recv() => {
+                    self.unsafe_writes -= count;
                     self.send(sends, &mut out);
                 }
                 count = coming.recv_many(&mut many, 256) => {
@@ -493,8 +495,7 @@
             && was.settled == self.core.settled(now)
             && was.view.as_ref() == Some(self.core.view())
             && was.voter == self.core.voter()
-            && was.gone == self.core.gone()
-            && was.keys == self.core.keys();
+            && was.gone == self.core.gone();
         let stewards = {
             let mut stewards = self.core.stewards();
             stewards.sort();
@@ -511,7 +512,6 @@
             settled: self.core.settled(now),
             view: Some(self.core.view().clone()),
             voter: self.core.voter(),
-            keys: self.core.keys(),
             gone: self.core.gone(),
         }));
         if news {
--- a/src/decide/pick.rs
+++ b/src/decide/pick.rs
@@ -312,7 +312,7 @@
         let wanted = heard.min((self.told.connections * KEPT_WARM).max(TURNS_LEAST)) / up;
         let part =
             (wanted.max(TURNED_BY / self.told.instances) * self.told.instances).ceil() / self.told.instances;
-        let part = if part > 0.5 { 1.0 } else { part };
+        let part = if part > 0.5 || self.told.least.is_infinite() { 1.0 } else { part };
         if listed || part != self.part {
             self.part = part;
             self.fleet.stretch(now, self.told.me / self.told.instances % 1.0, part);
