--- a/emulator/src/world.rs
+++ b/emulator/src/world.rs
@@ -624,7 +624,7 @@
             How::NoConnection | How::Reset | How::TimedOut | How::Recalled => {
                 Counts { lost: 1, ..Counts::default() }
             }
-            How::Full | How::NotSent => return,
+            How::Full | How::NotSent | How::Turned => return,
         };
         let set = self.set(set).name.as_str();
         if let Some(net) = self.fleet.as_mut().filter(|net| instance < net.instances()) {
