--- a/balancer/src/fleet/page.rs
+++ b/balancer/src/fleet/page.rs
@@ -4,7 +4,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use ochreshed_gossip::peer::Peer;
 use ochreshed_gossip::{Nanos, S};
@@ -93,20 +92,9 @@
 
 /// Asks an operators' door for its page of the fleet.
 pub fn ask(at: SocketAddr) -> Result<String, String> {
-    use std::io::{Read, Write};
-    let said = |e: std::io::Error| format!("{at}: {e}");
-    let mut stream = std::net::TcpStream::connect_timeout(&at, Duration::from_secs(2)).map_err(said)?;
-    stream.set_read_timeout(Some(Duration::from_secs(5))).map_err(said)?;
-    stream
-        .write_all(b"GET /api/fleet HTTP/1.1\r\nHost: operator\r\nConnection: close\r\n\r\n")
-        .map_err(said)?;
-    let mut answer = String::new();
-    stream.take(1 << 20).read_to_string(&mut answer).map_err(said)?;
-    let (head, body) = answer.split_once("\r\n\r\n").ok_or(format!("{at}: no answer"))?;
-    match head.contains(" 200 ") {
-        true => Ok(body.to_owned()),
-        false => Err(format!("{at}: {}", body.trim())),
-    }
+    let (status, page) = crate::asking::ask(at, "/api/fleet", None).map_err(|why| format!("{at}: {why}"))?;
+    let page = String::from_utf8(page).map_err(|_| format!("{at}: the answer is not UTF-8"))?;
+    if status == 200 { Ok(page) } else { Err(format!("{at}: {}", page.trim())) }
 }
 
 /// Where the pages of two instances differ in what they hold of members and srvs.
--- a/balancer/src/main.rs
+++ b/balancer/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line. It owns what is said to whoever starts the program, and must never serve on facts that
 //! were not read and checked first.
 
+mod asking;
 mod body;
 mod clock;
 mod decisions;
--- a/balancer/src/mesh/client.rs
+++ b/balancer/src/mesh/client.rs
@@ -1,18 +1,701 @@
-//! The operators' client: asks a steward and says what it answers. It must never change anything that it was not told to.
+//! The operators' client: asks a steward and says what it answers, as tables or as the JSON that came. It must never
+//! change anything that it was not told to, nor show as an answer what did not come whole.
 
+use std::fs::File;
+use std::io::{ErrorKind, Read, Write};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+use ochreshed_mesh::timetable::{Timetable, differences};
+use serde_json::Value;
+
 use super::line::What;
-use super::settings::{Settings, SettingsError};
+use super::settings::{Fault, Settings, SettingsError};
+use crate::asking::{self, AskError};
+
+/// A timetable is no longer than this.
+const MOST_FILE: u64 = 32 << 20;
+/// Answers that a list is made of; a steward keeps no more rows.
+const MOST_PARTS: usize = 40;
+/// A cell of a table is shown up to so many signs.
+const MOST_CELL: usize = 60;
 
 pub fn settings(path: Option<PathBuf>) -> Result<ExitCode, SettingsError> {
     let settings = Settings::read(&Settings::path(path)?)?;
-    println!("{} in {}, {} seeds", settings.station, settings.zone, settings.seeds.len());
+    let printed = print(&amounts(&settings));
+    Ok(if printed.is_ok() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// What a settings file amounts to.
+fn amounts(settings: &Settings) -> String {
+    let mut page = String::new();
+    let mut line = |name: &str, text: String| page.push_str(&format!("{name:<14}{text}\n"));
+    let address = |at: Option<SocketAddr>| at.map_or("-".to_owned(), |at| at.to_string());
+    let list = |all: Vec<String>| if all.is_empty() { "none".to_owned() } else { all.join(", ") };
+    line("station", format!("{}, role {}", shown(&settings.station), shown(&settings.role)));
+    line("place", format!("{} in {}, {}", settings.ip, shown(&settings.zone), shown(&settings.region)));
+    let (first, last) = settings.inner_ports;
+    line("inner ports", format!("{first} to {last}; calls between our processes go to {first}"));
+    line("seeds", list(settings.seeds.iter().map(ToString::to_string).collect()));
+    line("first start", if settings.first_start { "yes: an empty disk begins a mesh" } else { "no" }.into());
+    let lost = &settings.tolerate;
+    line(
+        "may be lost",
+        format!(
+            "{} machines, {} zones, {} regions; {} stewards vote",
+            lost.machines,
+            lost.zones,
+            lost.regions,
+            lost.machines.saturating_mul(2).saturating_add(1)
+        ),
+    );
+    let limits = &settings.limits;
+    line(
+        "limits",
+        format!(
+            "{} of a core, {} MB of memory, {} descriptors, {} MB of disk",
+            limits.cpu_share, limits.memory_mb, limits.fds, limits.disk_mb
+        ),
+    );
+    let wants = |faults: Vec<Fault>| list(faults.iter().map(|fault| fault.place.clone()).collect());
+    match settings.need_branch() {
+        Err(missing) => line("attendant", format!("no: without {}", wants(missing))),
+        Ok(()) => {
+            let room = limits.branch();
+            line("attendant", "yes".into());
+            line("  gate", format!("{}, {} callers", address(settings.outbound_gate), room.gate));
+            line("  door", format!("{}, {} callers", address(settings.inbound_gate), room.door));
+            line("  ready", format!("{}, {} callers", address(settings.ready_gate), room.small));
+            line("  control", format!("{}, {} callers", address(settings.control_gate), room.small));
+            let service = settings.line.as_deref().map_or("-".to_owned(), shown);
+            line("  upstream", format!("{} of {service}", address(settings.app)));
+            line("  out", format!("{} connections to doors, {} to the upstream", room.doors, room.upstream));
+            line("  bodies", format!("{} bytes of reqs in hand", room.bodies));
+        }
+    }
+    match settings.need_sorting() {
+        Err(missing) => line("steward", format!("no: without {}", wants(missing))),
+        Ok(()) => {
+            let room = limits.sorting();
+            line("steward", "yes".into());
+            line("  control", format!("{}, {} callers", address(settings.control_gate), room.control));
+            let folder = settings.data_dir.as_deref().unwrap_or(Path::new("-"));
+            line("  disk", shown(&folder.to_string_lossy()));
+            line("  bodies", format!("{} bytes of timetables in hand", room.bodies));
+            line("  claims", format!("{} keys at once", room.claims));
+        }
+    }
+    let bounds = &settings.bounds;
+    line("bounds", format!("drain {:?}, grace {:?}", bounds.drain, bounds.grace));
+    line("", format!("a key runs once within {:?}", bounds.stamp_window));
+    line(
+        "",
+        format!(
+            "retries {} in {:?} and {} more, as told",
+            bounds.retry_ratio, bounds.retry_window, bounds.retry_slack
+        ),
+    );
+    page
+}
+
+pub fn ask(at: &[SocketAddr], json: bool, what: What) -> Result<ExitCode, String> {
+    let page = match what {
+        What::Nodes => list(at, json, "nodes.list", "attendants", nodes)?,
+        What::Upstreams => list(at, json, "upstreams.list", "upstreams", upstreams)?,
+        What::TimetableRead => text(call(at, "timetable.read", None)?.1)?,
+        What::TimetableReplace(file) => return replace(at, json, &file),
+        What::TimetableHistory => one(at, json, "timetable.history", history)?,
+        What::TimetableDiff(file) => diff(at, json, &file)?,
+        What::Keys(None) => one(at, json, "keys.count", keys)?,
+        What::Keys(Some(key)) => one(at, json, &format!("keys.show&of={}", escaped(&key)), key_shown)?,
+        What::Budget => one(at, json, "budget.list", budget)?,
+        What::Drain(id) => one(at, json, &format!("upstreams.drain&of={}", escaped(&id)), drained)?,
+    };
+    print(&page)?;
     Ok(ExitCode::SUCCESS)
 }
 
-pub fn ask(_at: &[SocketAddr], _json: bool, _what: What) -> Result<ExitCode, String> {
-    Err("not there yet".into())
+/// What is not read any more is no error: the reader has seen enough.
+fn print(page: &str) -> Result<(), String> {
+    let mut out = std::io::stdout().lock();
+    let end = if page.ends_with('\n') || page.is_empty() { "" } else { "\n" };
+    let mut written = out.write_all(page.as_bytes());
+    written = written.and_then(|()| out.write_all(end.as_bytes())).and_then(|()| out.flush());
+    match written {
+        Err(why) if why.kind() != ErrorKind::BrokenPipe => Err(format!("standard output: {why}")),
+        _ => Ok(()),
+    }
+}
+
+/// A call that nobody answered well.
+struct Failed {
+    /// A line for each that was asked.
+    lines: Vec<String>,
+    /// Somebody may have taken it all the same.
+    maybe: bool,
+}
+
+impl From<Failed> for String {
+    fn from(failed: Failed) -> String {
+        failed.lines.join("\n")
+    }
+}
+
+/// The body of the first answer; who gives none, or can't answer now, is passed over.
+fn call(at: &[SocketAddr], what: &str, body: Option<&[u8]>) -> Result<(SocketAddr, Vec<u8>), Failed> {
+    let mut failed = Failed { lines: Vec::new(), maybe: false };
+    for at in at {
+        // All calls of a steward are POST.
+        match asking::ask(*at, &format!("/api/rpc?call={what}"), Some(body.unwrap_or_default())) {
+            Ok((200, body)) => return Ok((*at, body)),
+            Ok((status, body)) => {
+                let said = String::from_utf8_lossy(&body);
+                let said: Vec<String> = said.trim().lines().map(shown_line).collect();
+                let said = if said.is_empty() { "no word".to_owned() } else { said.join("\n  ") };
+                failed.lines.push(format!("{at}: {status}: {said}"));
+                if status < 500 {
+                    // Others would say the same.
+                    break;
+                }
+                failed.maybe = true;
+            }
+            Err(why) => {
+                failed.maybe |= !matches!(why, AskError::NoConnection(_));
+                failed.lines.push(format!("{at}: {why}"));
+            }
+        }
+    }
+    Err(failed)
+}
+
+fn text(bytes: Vec<u8>) -> Result<String, String> {
+    String::from_utf8(bytes).map_err(|_| "the answer is not UTF-8".into())
+}
+
+fn value(text: &str) -> Result<Value, String> {
+    serde_json::from_str(text).map_err(|why| format!("the answer is no JSON: {why}"))
+}
+
+fn one(at: &[SocketAddr], json: bool, what: &str, page: fn(&Value) -> String) -> Result<String, String> {
+    let text = text(call(at, what, None)?.1)?;
+    if json { Ok(text) } else { Ok(page(&value(&text)?)) }
+}
+
+/// A list that may come in parts, all of them from the steward that gave the first.
+fn list(
+    at: &[SocketAddr],
+    json: bool,
+    what: &str,
+    rows: &str,
+    page: fn(&Value) -> String,
+) -> Result<String, String> {
+    let (at, first) = call(at, what, None)?;
+    let first = text(first)?;
+    let mut all = value(&first)?;
+    let mut next = all["next"].as_str().map(str::to_owned);
+    if next.is_none() && json {
+        return Ok(first);
+    }
+    for _ in 1..MOST_PARTS {
+        let Some(after) = next else { break };
+        let more = call(&[at], &format!("{what}&after={}", escaped(&after)), None)?.1;
+        let mut more = value(&text(more)?)?;
+        next = more["next"].as_str().map(str::to_owned);
+        if let (Some(all), Some(more)) = (all[rows].as_array_mut(), more[rows].as_array_mut()) {
+            all.append(more);
+        }
+    }
+    if let Some(all) = all.as_object_mut() {
+        all.insert("next".into(), next.map_or(Value::Null, Value::from));
+    }
+    if json { Ok(all.to_string()) } else { Ok(page(&all)) }
+}
+
+/// A timetable from a file, or from the standard input for `-`; all that is wrong with it is told.
+fn timetable(file: &Path) -> Result<(Timetable, Vec<u8>), String> {
+    let (name, mut bytes) = (file.display(), Vec::new());
+    let read = if file == Path::new("-") {
+        std::io::stdin().take(MOST_FILE + 1).read_to_end(&mut bytes)
+    } else {
+        File::open(file).and_then(|file| file.take(MOST_FILE + 1).read_to_end(&mut bytes))
+    };
+    read.map_err(|why| format!("{name}: {why}"))?;
+    let timetable = Timetable::read(&bytes).map_err(|refusals| {
+        let lines: Vec<String> = refusals.iter().map(|refusal| format!("\n  {refusal}")).collect();
+        format!("{name}: refused, {} errors{}", refusals.len(), lines.concat())
+    })?;
+    Ok((timetable, bytes))
+}
+
+/// The one that is in force, as the core reads it back.
+fn in_force(at: &[SocketAddr]) -> Result<(Timetable, Vec<u8>), String> {
+    let (at, bytes) = call(at, "timetable.read", None)?;
+    let read = Timetable::read(&bytes);
+    let read = read.map_err(|why| match why.first() {
+        Some(first) => format!("{at}: the timetable there is refused by this build: {first}"),
+        None => format!("{at}: the timetable there is refused by this build"),
+    })?;
+    Ok((read, bytes))
+}
+
+fn diff(at: &[SocketAddr], json: bool, file: &Path) -> Result<String, String> {
+    let (new, _) = timetable(file)?;
+    let (old, _) = in_force(at)?;
+    let lines = differences(&old, &new);
+    let (from, to) = (format!("r{}", old.version), format!("r{}", new.version));
+    if json {
+        return Ok(serde_json::json!({ "from": from, "to": to, "differences": lines }).to_string());
+    }
+    let mut page: String = lines.iter().map(|line| shown_line(line) + "\n").collect();
+    page += &format!("{} differences between {from}, in force, and {to}\n", lines.len());
+    if new.version <= old.version && !lines.is_empty() {
+        page += &format!("{to} is not above {from}: sent like this it would change nothing\n");
+    }
+    Ok(page)
+}
+
+/// A version that is not above the one in force is acknowledged as well and changes nothing, so it is read back.
+fn replace(at: &[SocketAddr], json: bool, file: &Path) -> Result<ExitCode, String> {
+    let (new, bytes) = timetable(file)?;
+    let taken = call(at, "timetable.replace", Some(&bytes));
+    let (taker, answer) = taken.map_err(|mut failed| {
+        if failed.maybe {
+            // One steward may hold it, and others take it from there.
+            failed.lines.push("it may still come into force: send it again, unchanged".into());
+        }
+        String::from(failed)
+    })?;
+    let now = in_force(&[taker]);
+    let version = new.version;
+    let same = matches!(&now, Ok((_, held)) if *held == bytes);
+    match now {
+        Ok((now, _)) if !same && now.version > version => {
+            Err(format!("{taker} acknowledged r{version}, but r{} holds: nothing has changed", now.version))
+        }
+        Ok((now, _)) if !same && now.version == version => Err(format!(
+            "{taker} acknowledged r{version}, but another r{version} holds: give this one a higher number"
+        )),
+        Err(why) => Err(format!("{taker} acknowledged r{version}; reading back what holds failed: {why}")),
+        Ok(_) if json => {
+            print(&text(answer)?)?;
+            Ok(ExitCode::SUCCESS)
+        }
+        Ok(_) => {
+            print(&format!(
+                "r{version} is safe on more than half of the core, {} routes\n",
+                new.routes().count()
+            ))?;
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
+
+/// Text for a query: what could be taken for something else there goes as `%` and two digits.
+fn escaped(text: &str) -> String {
+    let one = |byte: u8| match byte {
+        b'0'..=b'9' | b'a'..=b'z' | b'A'..=b'Z' | b'-' | b'_' | b'.' | b'~' => char::from(byte).to_string(),
+        _ => format!("%{byte:02X}"),
+    };
+    text.bytes().map(one).collect()
+}
+
+/// Names come from upstreams and operators, and go to a terminal.
+fn shown(text: &str) -> String {
+    let shown: String = text.escape_debug().take(MOST_CELL + 1).collect();
+    match shown.char_indices().nth(MOST_CELL) {
+        Some((end, _)) => format!("{}...", &shown[..end]),
+        None => shown,
+    }
+}
+
+/// A line that keeps all but its control characters.
+fn shown_line(line: &str) -> String {
+    let mut shown = String::new();
+    for sign in line.chars() {
+        if sign.is_control() { shown.extend(sign.escape_debug()) } else { shown.push(sign) }
+    }
+    shown
+}
+
+/// Columns as wide as what stands in them; the last one is not filled up.
+fn table(head: &[&str], rows: Vec<Vec<String>>) -> String {
+    let mut widths: Vec<usize> = head.iter().map(|cell| cell.chars().count()).collect();
+    for row in &rows {
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = (*width).max(cell.chars().count());
+        }
+    }
+    let head = head.iter().map(|cell| cell.to_string()).collect();
+    let mut page = String::new();
+    for row in [head].into_iter().chain(rows) {
+        let cells: Vec<String> =
+            row.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}", width = *width)).collect();
+        page += cells.join("  ").trim_end();
+        page.push('\n');
+    }
+    page
+}
+
+fn rows<'a>(of: &'a Value, name: &str) -> &'a [Value] {
+    of[name].as_array().map(Vec::as_slice).unwrap_or_default()
+}
+
+fn cell(value: &Value) -> String {
+    match value {
+        Value::Null => "-".into(),
+        Value::Bool(truth) => if *truth { "yes" } else { "no" }.into(),
+        Value::String(text) if text.is_empty() => "-".into(),
+        Value::String(text) => shown(text),
+        other => other.to_string(),
+    }
+}
+
+fn cells(row: &Value, names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| cell(&row[*name])).collect()
+}
+
+/// That a list is longer than what is shown.
+fn more(of: &Value) -> &'static str {
+    if of["next"].is_null() { "" } else { "there are more than these\n" }
+}
+
+fn nodes(of: &Value) -> String {
+    let settled =
+        if of["settled"] == true { "more than half of it is heard" } else { "NOT heard by half or more" };
+    let mut page = format!("asked {}, view {}, {settled}\n\n", cell(&of["asked"]), cell(&of["view"]));
+    let steward = |row: &Value| {
+        let heard = if row["address"] == of["asked"] { "itself".into() } else { ago(&row["heard_ms"]) };
+        let mut cells = cells(row, &["address", "member", "voter", "view", "disk"]);
+        cells.extend([heard, cell(&row["leaving"])]);
+        cells
+    };
+    let stewards = rows(of, "stewards").iter().map(steward).collect();
+    page += &table(&["STEWARD", "MEMBER", "VOTES", "VIEW", "DISK", "HEARD", "LEAVING"], stewards);
+    let attendant = |row: &Value| {
+        let mut cells = cells(row, &["door", "zone", "serving", "quiet"]);
+        cells.push(ago(&row["heard_ms"]));
+        cells.extend(["service", "upstream"].map(|name| cell(&row[name])));
+        cells
+    };
+    let attendants = rows(of, "attendants").iter().map(attendant).collect();
+    page.push('\n');
+    page += &table(&["ATTENDANT", "ZONE", "SERVES", "QUIET", "HEARD", "SERVICE", "UPSTREAM"], attendants);
+    page + more(of)
+}
+
+fn upstreams(of: &Value) -> String {
+    let mut all: Vec<&Value> = rows(of, "upstreams").iter().collect();
+    all.sort_by_key(|row| (row["line"].as_str(), row["id"].as_str()));
+    let upstream = |row: &Value| {
+        let mut cells = cells(row, &["line", "id", "zone", "edition", "state", "slots"]);
+        if row["quiet"] == true {
+            cells[4] += ", quiet";
+        } else if row["serving"] == false {
+            cells[4] += ", leaving";
+        }
+        let cold = row["cold_ms"].as_u64().filter(|cold| *cold > 0);
+        cells.push(cold.map_or("-".into(), |ms| format!("{ms} ms")));
+        cells.push(cell(&row["door"]));
+        cells
+    };
+    let head = ["SERVICE", "UPSTREAM", "ZONE", "EDITION", "STATE", "SLOTS", "COLD", "DOOR"];
+    table(&head, all.into_iter().map(upstream).collect()) + more(of)
+}
+
+fn history(of: &Value) -> String {
+    let version = |row: &Value| {
+        let mut cells = cells(row, &["edition", "digest", "bytes"]);
+        cells.push(row["written_ms"].as_u64().map_or("-".into(), time_of_day));
+        cells.push(cell(&row["in_force"]));
+        cells
+    };
+    let versions = rows(of, "versions").iter().map(version).collect();
+    table(&["EDITION", "DIGEST", "BYTES", "WRITTEN", "IN FORCE"], versions)
+}
+
+fn keys(of: &Value) -> String {
+    let head = ["OPEN", "UNKNOWN", "DONE", "OLDEST OPEN"];
+    let mut cells = cells(of, &["open", "unknown", "done"]);
+    cells.push(ago(&of["oldest_open_ms"]));
+    table(&head, vec![cells])
+}
+
+fn key_shown(of: &Value) -> String {
+    let state = match of["state"].as_str() {
+        Some("none") => "not known to this steward",
+        Some("open") if of["disputed"] == true => "open, and two claims met: blocked until it is forgotten",
+        Some("open") => "open: granted to a gate, nothing more is known",
+        Some("unknown") => "unknown: it may have run, nobody knows its answer",
+        Some("done") => "done: it ran, repeats get its answer",
+        _ => "not told",
+    };
+    let mut page =
+        format!("key     {}\nhashed  {}\nstate   {state}\n", cell(&of["key"]), cell(&of["hashed"]));
+    if !of["known_ms"].is_null() {
+        page += &format!("known   for {}\n", ago(&of["known_ms"]));
+    }
+    if !of["status"].is_null() {
+        page += &format!("answer  {}, {} bytes\n", cell(&of["status"]), cell(&of["bytes"]));
+    }
+    page
+}
+
+fn budget(of: &Value) -> String {
+    let service = |row: &Value| cells(row, &["service", "upstreams"]);
+    let mut page = table(&["SERVICE", "UPSTREAMS"], rows(of, "services").iter().map(service).collect());
+    page += &format!(
+        "\n{} gates, each with an allowance of its own for each service: a tenth of its first sends and one more in\n\
+         10 s. Stewards are not told what is left of it.\n",
+        cell(&of["gates"])
+    );
+    page
+}
+
+fn drained(of: &Value) -> String {
+    let left = cell(&of["open_left"]);
+    format!(
+        "{} of {} at {} is {}: nothing new is sent to it\nothers of {} that are open: {left}\n",
+        cell(&of["id"]),
+        cell(&of["line"]),
+        cell(&of["door"]),
+        cell(&of["state"]),
+        cell(&of["line"]),
+    )
+}
+
+fn ago(ms: &Value) -> String {
+    match ms.as_u64() {
+        None => "-".into(),
+        Some(ms) if ms < 10_000 => format!("{ms} ms"),
+        Some(ms) => format!("{} s", ms / 1_000),
+    }
+}
+
+/// A time of day in UTC, from ms since 1970.
+fn time_of_day(ms: u64) -> String {
+    let (seconds, days) = (ms / 1_000 % 86_400, ms / 86_400_000);
+    // Days since the first of March of the year 0, in years of March to February and eras of 400 years.
+    let days = days.saturating_add(719_468);
+    let (era, of_era) = (days / 146_097, days % 146_097);
+    let of_years = (of_era - of_era / 1_460 + of_era / 36_524 - of_era / 146_096) / 365;
+    let of_year = of_era - (365 * of_years + of_years / 4 - of_years / 100);
+    let month = (5 * of_year + 2) / 153;
+    let day = of_year - (153 * month + 2) / 5 + 1;
+    let month = if month < 10 { month + 3 } else { month - 9 };
+    let year = of_years + era * 400 + u64::from(month <= 2);
+    let (hour, minute) = (seconds / 3_600, seconds / 60 % 60);
+    format!("{year:04}-{month:02}-{day:02} {hour:02}:{minute:02}:{:02} UTC", seconds % 60)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::asking::stand_in;
+    use expect_test::expect;
+
+    fn answer(status: u16, body: &str) -> Vec<u8> {
+        format!("HTTP/1.1 {status} X\r\ncontent-length: {}\r\n\r\n{body}", body.len()).into_bytes()
+    }
+
+    #[test]
+    fn tables() {
+        let said = |page: fn(&Value) -> String, text: &str| page(&value(text).expect("JSON")) + "--\n";
+        let all = [
+            said(
+                nodes,
+                r#"{"asked":"10.1.0.13:7620","view":3,"settled":false,"stewards":[
+                {"address":"10.1.0.13:7620","disk":"0","member":true,"voter":true,"view":3,"heard_ms":0,"leaving":false},
+                {"address":"10.2.0.10:7620","disk":"5e","member":true,"voter":false,"view":2,"heard_ms":null,"leaving":false}],
+                "attendants":[{"door":"10.1.0.8:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,
+                "service":"huvo11a","upstream":"i-1\u001b[2J"}],"next":null}"#,
+            ),
+            said(
+                upstreams,
+                r#"{"upstreams":[
+                {"id":"i-2","line":"b","zone":"quito-a","edition":"v1","state":"open","slots":6,"cold_ms":900,
+                 "door":"10.1.0.9:8300","serving":true,"quiet":true},
+                {"id":"i-1","line":"a","zone":"quito-a","edition":"","state":"closing","slots":6,"cold_ms":0,
+                 "door":"10.1.0.8:8300","serving":false,"quiet":false}],"next":"10.1.0.9:8300"}"#,
+            ),
+            said(
+                history,
+                r#"{"versions":[{"edition":"r7","digest":"ff","bytes":812,"written_ms":1709164800000,"in_force":true}]}"#,
+            ),
+            said(keys, r#"{"open":2,"unknown":0,"done":40,"oldest_open_ms":61250}"#),
+            said(
+                key_shown,
+                r#"{"key":"k","hashed":"0f","state":"done","known_ms":1250,"disputed":false,"status":201,"bytes":17}"#,
+            ),
+            said(key_shown, r#"{"key":"k","hashed":"0f","state":"none","known_ms":null}"#),
+            said(budget, r#"{"gates":2,"services":[{"service":"a","upstreams":1}]}"#),
+            said(
+                drained,
+                r#"{"id":"i-1","line":"a","door":"10.1.0.8:8300","state":"closing","open_left":1}"#,
+            ),
+            // From some other program.
+            said(nodes, "[]") + &said(upstreams, "{}") + &said(key_shown, "3"),
+        ];
+        expect![[r#"
+            asked 10.1.0.13:7620, view 3, NOT heard by half or more
+
+            STEWARD         MEMBER  VOTES  VIEW  DISK  HEARD   LEAVING
+            10.1.0.13:7620  yes     yes    3     0     itself  no
+            10.2.0.10:7620  yes     no     2     5e    -       no
+
+            ATTENDANT      ZONE     SERVES  QUIET  HEARD   SERVICE  UPSTREAM
+            10.1.0.8:8300  quito-a  yes     no     120 ms  huvo11a  i-1\u{1b}[2J
+            --
+            SERVICE  UPSTREAM  ZONE     EDITION  STATE             SLOTS  COLD    DOOR
+            a        i-1       quito-a  -        closing, leaving  6      -       10.1.0.8:8300
+            b        i-2       quito-a  v1       open, quiet       6      900 ms  10.1.0.9:8300
+            there are more than these
+            --
+            EDITION  DIGEST  BYTES  WRITTEN                  IN FORCE
+            r7       ff      812    2024-02-29 00:00:00 UTC  yes
+            --
+            OPEN  UNKNOWN  DONE  OLDEST OPEN
+            2     0        40    61 s
+            --
+            key     k
+            hashed  0f
+            state   done: it ran, repeats get its answer
+            known   for 1250 ms
+            answer  201, 17 bytes
+            --
+            key     k
+            hashed  0f
+            state   not known to this steward
+            --
+            SERVICE  UPSTREAMS
+            a        1
+
+            2 gates, each with an allowance of its own for each service: a tenth of its first sends and one more in
+            10 s. Stewards are not told what is left of it.
+            --
+            i-1 of a at 10.1.0.8:8300 is closing: nothing new is sent to it
+            others of a that are open: 1
+            --
+            asked -, view -, NOT heard by half or more
+
+            STEWARD  MEMBER  VOTES  VIEW  DISK  HEARD  LEAVING
+
+            ATTENDANT  ZONE  SERVES  QUIET  HEARD  SERVICE  UPSTREAM
+            --
+            SERVICE  UPSTREAM  ZONE  EDITION  STATE  SLOTS  COLD  DOOR
+            --
+            key     -
+            hashed  -
+            state   not told
+            --
+        "#]].assert_eq(&all.concat());
+    }
+
+    #[test]
+    fn the_first_that_answers_is_asked() {
+        let dead = SocketAddr::from(([127, 0, 0, 1], 1));
+        let busy = stand_in(vec![answer(503, "more than half of the core is not reached\n"); 2]);
+        let well = stand_in(vec![answer(200, r#"{"open":0}"#), answer(404, "no such call here\n")]);
+        let said = |at: &[SocketAddr]| match one(at, true, "keys.count", keys) {
+            Ok(page) => page,
+            Err(why) => {
+                let why = why.replace(&busy.to_string(), "BUSY").replace(&well.to_string(), "WELL");
+                why.replace(&dead.to_string(), "DEAD")
+            }
+        };
+        let all = [said(&[dead, busy, well]), said(&[dead, busy]), said(&[well, dead])];
+        expect![[r#"
+            {"open":0}
+            --
+            DEAD: Connection refused (os error 111)
+            BUSY: 503: more than half of the core is not reached
+            --
+            WELL: 404: no such call here"#]]
+        .assert_eq(&all.join("\n--\n"));
+    }
+
+    #[test]
+    fn a_timetable_is_checked_before_it_is_sent() {
+        let folder = std::env::temp_dir().join(format!("ochreshed-client-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let file = folder.join("r7.json");
+        let limits = r#"{"category":"limits","label":{},"manifest":{}}"#;
+        let good = |version: &str| format!(r#"{{"edition":"{version}","consignments":[{limits}]}}"#);
+        let write = |text: &str| std::fs::write(&file, text).expect("written");
+        let said = |answers: Vec<Vec<u8>>| {
+            let at = stand_in(answers);
+            let done = replace(&[at], false, &file);
+            let done = done.map(|_| "done".to_owned()).unwrap_or_else(|why| why);
+            done.replace(&at.to_string(), "AT").replace(&folder.display().to_string(), "DIR")
+        };
+        let mut all = Vec::new();
+        write(
+            r#"{"edition":"7","consignments":[{"category":"routes","label":{"name":"r-1"},"manifest":{"tries":0}}]}"#,
+        );
+        all.push(said(Vec::new()));
+        write(&good("r7"));
+        all.push(said(vec![answer(200, "{}"), answer(200, &good("r7"))]));
+        all.push(said(vec![answer(200, "{}"), answer(200, &good("r9"))]));
+        all.push(said(vec![answer(200, "{}"), answer(200, &(good("r7") + " "))]));
+        all.push(said(vec![answer(200, "{}"), answer(503, "not reached")]));
+        all.push(said(vec![answer(503, "not safe yet")]));
+        all.push(said(vec![answer(400, "edition: is missing\nlimits: is wrong")]));
+        let at = stand_in(vec![answer(200, &good("r9"))]);
+        all.push(diff(&[at], false, &file).unwrap_or_else(|why| why));
+        std::fs::remove_dir_all(&folder).expect("removed");
+        all.push(said(Vec::new()));
+        expect![[r#"
+            DIR/r7.json: refused, 7 errors
+              edition: is "7", not r and a number
+              consignments[0] (routes r-1).manifest.depot: is missing
+              consignments[0] (routes r-1).manifest.lane_prefix: is missing
+              consignments[0] (routes r-1).manifest.route_kind: is missing
+              consignments[0] (routes r-1).manifest.deadline_ms: is missing
+              consignments[0] (routes r-1).manifest.tries: is not above 0
+              consignments[0] (routes r-1).manifest: has neither line nor split
+            --
+            done
+            --
+            AT acknowledged r7, but r9 holds: nothing has changed
+            --
+            AT acknowledged r7, but another r7 holds: give this one a higher number
+            --
+            AT acknowledged r7; reading back what holds failed: AT: 503: not reached
+            --
+            AT: 503: not safe yet
+            it may still come into force: send it again, unchanged
+            --
+            AT: 400: edition: is missing
+              limits: is wrong
+            --
+            timetable: edition from r9 to r7
+            1 differences between r9, in force, and r7
+            r7 is not above r9: sent like this it would change nothing
+
+            --
+            DIR/r7.json: No such file or directory (os error 2)"#]]
+        .assert_eq(&all.join("\n--\n"));
+    }
+
+    #[test]
+    fn a_list_is_put_together() {
+        let first = r#"{"upstreams":[{"id":"i-1"}],"next":"10.1.0.8:8300"}"#;
+        let at =
+            stand_in(vec![answer(200, first), answer(200, r#"{"upstreams":[{"id":"i-2"}],"next":null}"#)]);
+        let page = list(&[at], true, "upstreams.list", "upstreams", upstreams);
+        assert_eq!(page.as_deref(), Ok(r#"{"next":null,"upstreams":[{"id":"i-1"},{"id":"i-2"}]}"#));
+    }
+
+    #[test]
+    fn times_and_queries() {
+        let times = [0, 951_782_399_000, 1_709_164_800_000, 4_102_444_799_999].map(time_of_day);
+        expect![[r#"
+            1970-01-01 00:00:00 UTC
+            2000-02-28 23:59:59 UTC
+            2024-02-29 00:00:00 UTC
+            2099-12-31 23:59:59 UTC"#]]
+        .assert_eq(&times.join("\n"));
+        assert_eq!(escaped("k 5&of=é"), "k%205%26of%3D%C3%A9");
+        assert!(!time_of_day(u64::MAX).is_empty());
+    }
 }
--- a/balancer/src/mesh/door.rs
+++ b/balancer/src/mesh/door.rs
@@ -12,7 +12,7 @@
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use jzon::JsonValue as Json;
-use ochreshed::Nanos;
+use ochreshed::{Nanos, seconds};
 use ochreshed_mesh::list::{Row, Stand};
 use tokio::sync::{Semaphore, oneshot};
 use tokio::time::timeout_at;
@@ -32,6 +32,8 @@
 const NOT_RUN: HeaderName = HeaderName::from_static("ochreshed-not-delivered");
 /// Between a gate and a door: how many doors have turned the req away before.
 pub const TURNED: HeaderName = HeaderName::from_static("ochreshed-turned");
+/// Between a gate and a door: how long a req has until its answer is late, in ms.
+pub const AIM: HeaderName = HeaderName::from_static("ochreshed-aim-left-ms");
 /// How many reqs the door has inside.
 pub const INSIDE: HeaderName = HeaderName::from_static("ochreshed-inside");
 /// Between a door and a gate: how the door's part ended.
@@ -43,6 +45,8 @@
 const DRAIN_PART: u32 = 2;
 /// A req that waits for a slot has at least so much of its time left when it is handed on.
 const LEAST_LEFT: Nanos = 15 * MS;
+/// How much of the last run's time goes into the mean.
+const TOOK_PART: f64 = 0.05;
 /// Ids of lives that have ended.
 const MOST_PAST: usize = 32;
 const MOST_BEAT: u64 = 4 * 1024;
@@ -142,17 +146,37 @@
 #[derive(Default)]
 struct Slots {
     taken: u32,
-    waiting: VecDeque<oneshot::Sender<Slot>>,
+    /// The one that is late first goes first.
+    waiting: VecDeque<(Nanos, oneshot::Sender<Slot>)>,
+    /// What a run takes on the mean of late, in seconds.
+    took: f64,
+}
+
+/// A req at a door.
+pub struct Knock<'a> {
+    pub message: &'a Arc<Message>,
+    /// The life of the upstream that is meant.
+    pub meant: &'a str,
+    pub caller: &'a HeaderValue,
+    /// How many doors have turned it away before.
+    pub turned: u32,
+    /// When its answer is late, and when nobody waits for it any more.
+    pub aim: Nanos,
+    pub until: Nanos,
 }
 
 /// A place at the upstream; given back when its answer has come, or nobody waits for it any more.
-struct Slot(Arc<Door>);
+struct Slot(Arc<Door>, Nanos);
 
 impl Drop for Slot {
     fn drop(&mut self) {
         let handed = {
             let mut slots = held(&self.0.slots);
             slots.taken -= 1;
+            if self.1 > 0 {
+                let took = seconds(self.0.clock.now().saturating_sub(self.1));
+                slots.took += (took - slots.took) * TOOK_PART;
+            }
             self.0.hand_on(&mut slots)
         };
         // Whoever has gone gives its place back here, without the lock.
@@ -380,6 +404,21 @@
         }
     }
 
+    /// An operator's word: this life takes nothing new, as if its upstream had said that it closes.
+    pub fn close(&self, id: &str) {
+        let mut state = held(&self.state);
+        if let Some(upstream) = &mut state.upstream
+            && upstream.id == id
+            && upstream.stand == Stand::Open
+        {
+            upstream.stand = Stand::Closing;
+            upstream.closing_since = Some(self.clock.now());
+            log::info!("upstream {id}: drained by an operator");
+            drop(state);
+            self.touch();
+        }
+    }
+
     /// Closes connections that have been idle for long, and tells when the upstream is cold no more.
     pub fn sweep(&self) {
         let warm = {
@@ -410,27 +449,21 @@
         let most = at_once(self.slots_now());
         let mut handed = Vec::new();
         while slots.taken < most
-            && let Some(waiting) = slots.waiting.pop_front()
+            && let Some((_, waiting)) = slots.waiting.pop_front()
         {
             if !waiting.is_closed() {
                 slots.taken += 1;
-                handed.push((waiting, Slot(self.clone())));
+                handed.push((waiting, Slot(self.clone(), 0)));
             }
         }
         handed
     }
 
     /// Lets a req through to the upstream, if it is the one that was meant.
-    pub async fn pass(
-        self: &Arc<Self>,
-        message: &Arc<Message>,
-        meant: &str,
-        caller: &HeaderValue,
-        turned: u32,
-        until: Nanos,
-    ) -> End {
+    pub async fn pass(self: &Arc<Self>, knock: Knock<'_>) -> End {
+        let Knock { message, meant, caller, turned, aim, until } = knock;
         let Some((to, slots)) = self.check(meant) else { return End::Gone };
-        if self.inside.load(Relaxed) as u32 >= at_once(slots) + may_wait(slots, turned) {
+        if !self.takes(slots, turned, aim) {
             return End::Turned;
         }
         self.inside.fetch_add(1, Relaxed);
@@ -442,14 +475,15 @@
             let mut slots = held(&self.slots);
             if slots.taken < at_once(self.slots_now()) && slots.waiting.is_empty() {
                 slots.taken += 1;
-                Ok(Slot(self.clone()))
+                Ok(Slot(self.clone(), 0))
             } else {
                 let (send, wait) = oneshot::channel();
-                slots.waiting.push_back(send);
+                let place = slots.waiting.partition_point(|(other, _)| *other <= aim);
+                slots.waiting.insert(place, (aim, send));
                 Err(wait)
             }
         };
-        let slot = match waits {
+        let mut slot = match waits {
             Ok(slot) => slot,
             Err(wait) => {
                 let last = self.clock.instant(until.saturating_sub(LEAST_LEFT));
@@ -474,6 +508,7 @@
         fields.insert(CALLER, caller.clone());
         // An answer that names another req belongs to that one.
         let ours = |head: &Parts| head.headers.get(&ID) == id.as_ref();
+        slot.1 = self.clock.now();
         let answer = to.exchange(message, &fields, until, ours).await;
         let (mut head, flow) = match answer {
             Ok(answer) => answer,
@@ -498,6 +533,26 @@
         End::Ran(head, flow.holding((slot, inside)))
     }
 
+    /// Whether a req may come in: to a free slot; or to wait for one, after so many doors, where it is likely to be
+    /// answered before it is late. Guards against a queue in which all are late, and against one at a door while
+    /// another has slots free.
+    fn takes(&self, slots: u32, turned: u32, aim: Nanos) -> bool {
+        let inside = self.inside.load(Relaxed) as u32;
+        let most = at_once(slots);
+        let may_wait = match turned {
+            0 => 0,
+            1 => 1 + slots / 4,
+            _ => slots * 2,
+        };
+        if inside < most {
+            return true;
+        }
+        let took = held(&self.slots).took;
+        let left = seconds(aim.saturating_sub(self.clock.now()));
+        inside < most + may_wait
+            && f64::from(inside - most + 1) * took / f64::from(most.max(1)) + took <= left
+    }
+
     /// Whether this life takes reqs now, and where it is.
     fn check(&self, meant: &str) -> Option<(Arc<Line>, u32)> {
         let state = held(&self.state);
@@ -522,13 +577,16 @@
         let meant = field(headers, &ADDRESSEE).to_owned();
         let left = field(headers, &LEFT).parse::<u64>().unwrap_or(0).min(86_400_000);
         let turned = field(headers, &TURNED).parse::<u32>().unwrap_or(0);
+        let aim = field(headers, &AIM).parse::<u64>().unwrap_or(left).min(86_400_000);
         let caller = headers.get(&CALLER).cloned().unwrap_or(HeaderValue::from_static(""));
         let read = entry::message(came, &bodies, self.clock, u64::MAX, Duration::from_secs(10)).await;
         let (message, _room) = match read {
             Ok(read) => read,
             Err(Bad(status, line)) => return self.way(say(status, line), "unsent"),
         };
-        let end = self.pass(&Arc::new(message), &meant, &caller, turned, at + left * MS).await;
+        let message = &Arc::new(message);
+        let (aim, until) = (at + aim * MS, at + left * MS);
+        let end = self.pass(Knock { message, meant: &meant, caller: &caller, turned, aim, until }).await;
         let word = end.word();
         match end {
             End::Ran(head, flow) => self.way(Response::from_parts(head, flow), word),
@@ -542,16 +600,6 @@
     slots
 }
 
-/// How many may wait here for a slot, so that a req that was turned away at so many doors waits too. Guards against a
-/// queue at one door while another has slots free.
-fn may_wait(slots: u32, turned: u32) -> u32 {
-    match turned {
-        0 => 0,
-        1 => 1 + slots / 4,
-        _ => slots * 2,
-    }
-}
-
 /// The call's name and whom it is of.
 pub fn call_of(uri: &hyper::Uri) -> (String, Option<String>) {
     if uri.path() != "/api/rpc" {
--- a/balancer/src/mesh/gate.rs
+++ b/balancer/src/mesh/gate.rs
@@ -16,7 +16,7 @@
 use super::attendant::{Branch, Inside};
 use super::carry::{Fail, Flow};
 use super::desk::{self, Place, Step, Turn};
-use super::door::{ADDRESSEE, CALLER, End, ID, INSIDE, KEY, LEFT, TURNED, WAY};
+use super::door::{ADDRESSEE, AIM, CALLER, End, ID, INSIDE, KEY, Knock, LEFT, TURNED, WAY};
 use super::entry::{self, Bad, Came, field, say};
 use super::keys;
 use crate::body::Message;
@@ -62,7 +62,7 @@
         Ok(read) => read,
         Err(Bad(status, line)) => return say(status, line),
     };
-    for name in [&ADDRESSEE, &CALLER, &TURNED, &WAY] {
+    for name in [&ADDRESSEE, &AIM, &CALLER, &TURNED, &WAY] {
         message.head.headers_mut().remove(name);
     }
     let ends = (at + left.min(route.deadline_ms) * MS).saturating_sub(WAY_BACK);
@@ -191,6 +191,11 @@
 }
 
 impl Trip {
+    /// When an answer is late.
+    fn aim(&self) -> Nanos {
+        self.at + self.route.target_ms * MS
+    }
+
     async fn run(&self) -> Outcomes {
         let Some(line) = self.branch.split(&self.route) else { return Outcomes::Deny(COME_BACK) };
         let Some(desk) = self.branch.desk(&line) else { return Outcomes::Deny(COME_BACK) };
@@ -301,7 +306,15 @@
         let branch = &self.branch;
         let caller = branch.caller();
         if place.door == branch.door_at() {
-            let end = branch.door.pass(&self.message, &place.id, &caller, turned, until).await;
+            let knock = Knock {
+                message: &self.message,
+                meant: &place.id,
+                caller: &caller,
+                turned,
+                aim: self.aim(),
+                until,
+            };
+            let end = branch.door.pass(knock).await;
             return (end, Some(branch.door.busy() as f64));
         }
         let left = until.saturating_sub(branch.clock.now()) / MS;
@@ -313,6 +326,7 @@
         if let Ok(id) = HeaderValue::try_from(&*place.id) {
             fields.insert(ADDRESSEE, id);
         }
+        fields.insert(AIM, HeaderValue::from(self.aim().saturating_sub(branch.clock.now()) / MS));
         fields.insert(CALLER, caller);
         if turned > 0 {
             fields.insert(TURNED, HeaderValue::from(turned));
--- a/balancer/src/mesh/line.rs
+++ b/balancer/src/mesh/line.rs
@@ -17,12 +17,12 @@
                                       serve a sorting machine of the mesh until SIGTERM
     ochreshed settings [--settings FILE]
                                       read and check the settings of a mesh process, say what they amount to, and exit
-    ochreshed nodes --at ADDRESS      the processes of the mesh that the steward there knows
+    ochreshed nodes --at ADDRESS      the stewards and attendants that the steward there knows
     ochreshed upstreams --at ADDRESS  the servers of each line, and how they do
     ochreshed timetable read|replace FILE|history|diff FILE --at ADDRESS
                                       the timetable in force, a new one, those before, or what a new one would change
-    ochreshed keys [KEY] --at ADDRESS which server holds a tracking key, or how many each holds
-    ochreshed budget --at ADDRESS     what is left for retries
+    ochreshed keys [KEY] --at ADDRESS how a tracking key stands, or how many are open, unknown and done
+    ochreshed budget --at ADDRESS     what is known of the allowance for retries
     ochreshed drain UPSTREAM --at ADDRESS
                                       send nothing new to that server
                                       each of these has --help; without --settings OCHRESHED_SETTINGS names the file
@@ -58,7 +58,7 @@
 const HELP_NODES: &str = "\
 ochreshed nodes --at ADDRESS [--at ADDRESS] [--json]
 
-Prints the processes of the mesh that the steward knows.
+Prints the stewards and attendants that the steward knows, who votes, and how long ago each was heard.
 
     --at ADDRESS       the control gate of a steward, as 10.1.0.13:8306; of several, the first that answers is asked
     --json             print JSON
@@ -81,8 +81,8 @@
 ochreshed timetable history --at ADDRESS [--at ADDRESS] [--json]
 ochreshed timetable diff FILE --at ADDRESS [--at ADDRESS] [--json]
 
-Prints the timetable in force, puts the one of FILE in its place, prints the editions there were, or prints what the one
-of FILE would change.
+Prints the timetable in force, puts the one of FILE in its place, prints the editions on the disk of the steward that
+answers, or prints what the one of FILE would change. FILE is checked before anything is sent; - is the standard input.
 
     --at ADDRESS       the control gate of a steward, as 10.1.0.13:8306; of several, the first that answers is asked
     --json             print JSON
@@ -92,8 +92,8 @@
 const HELP_KEYS: &str = "\
 ochreshed keys [KEY] --at ADDRESS [--at ADDRESS] [--json]
 
-Prints which server holds the tracking key KEY, or without one how many each server holds. A KEY that begins with - goes
-after --.
+Prints how the tracking key KEY stands at the steward that answers, or without one how many are open, unknown and done
+there, and the age of the oldest open one. A KEY that begins with - goes after --.
 
     --at ADDRESS       the control gate of a steward, as 10.1.0.13:8306; of several, the first that answers is asked
     --json             print JSON
@@ -103,7 +103,7 @@
 const HELP_BUDGET: &str = "\
 ochreshed budget --at ADDRESS [--at ADDRESS] [--json]
 
-Prints what is left for retries.
+Prints what the steward knows of the allowance for retries: each gate keeps its own.
 
     --at ADDRESS       the control gate of a steward, as 10.1.0.13:8306; of several, the first that answers is asked
     --json             print JSON
@@ -113,7 +113,8 @@
 const HELP_DRAIN: &str = "\
 ochreshed drain UPSTREAM --at ADDRESS [--at ADDRESS] [--json]
 
-Has nothing new sent to the server UPSTREAM; what it was sent is let finish.
+Has nothing new sent to the server UPSTREAM; what it was sent is let finish. It lasts until that server starts again,
+and can't be taken back.
 
     --at ADDRESS       the control gate of a steward, as 10.1.0.13:8306; of several, the first that answers is asked
     --json             print JSON
--- a/balancer/src/mesh/mod.rs
+++ b/balancer/src/mesh/mod.rs
@@ -11,6 +11,7 @@
 mod keys;
 mod line;
 mod news;
+mod pages;
 mod settings;
 mod start;
 mod steward;
--- a/balancer/src/mesh/news.rs
+++ b/balancer/src/mesh/news.rs
@@ -96,6 +96,11 @@
     if let Some(sheet) = reply.sheet {
         branch.take_sheet(&sheet);
     }
+    for (door, id, _) in &reply.drains {
+        if *door == branch.door_at() {
+            branch.door.close(id);
+        }
+    }
     if !reply.stewards.is_empty() {
         branch.know_stewards(reply.stewards);
     }
--- /dev/null
+++ b/balancer/src/mesh/pages.rs
@@ -0,0 +1,756 @@
+//! What a steward answers its operators: who is there, which upstreams, the versions on its disk, the keys. It owns the
+//! shape of these answers and their bounds. It works on plain values that the steward fills in, and must never change
+//! any of them, nor tell what this steward does not know itself.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::UNIX_EPOCH;
+
+use ochreshed::Nanos;
+use ochreshed_mesh::agree::{Core, Known};
+use ochreshed_mesh::list::{Row, Stand, Table};
+use ochreshed_mesh::words::{Claim, Key, Outcome};
+use serde::Serialize;
+
+use super::keys;
+
+const MS: Nanos = 1_000_000;
+/// Rows in one answer; the rest is asked for with `after`.
+const MOST_ROWS: usize = 1_000;
+/// Files in the timetables' folder that are looked at.
+const MOST_FILES: usize = 1_000;
+/// Bytes of a key or an id. No header that holds one is longer.
+const MOST_OF: usize = 32 * 1024;
+/// Drains that are passed on at once, and for how long each is.
+const MOST_DRAINS: usize = 1_000;
+const DRAIN: Nanos = 30_000 * MS;
+/// With less left than this a drain is not passed on, so that two stewards never keep it up between them.
+const LEAST_DRAIN: Nanos = 1_000 * MS;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    Nodes,
+    Upstreams,
+    History,
+    Count,
+    Show(String),
+    Budget,
+    Drain(String),
+}
+
+/// What is asked for, as it stands in the path.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Query {
+    pub call: Call,
+    /// Only rows of doors behind this one.
+    after: Option<SocketAddr>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QueryError {
+    NoCall,
+    /// It wants `of`, with what is named here.
+    NoOf(&'static str),
+    NotText,
+    Long,
+    After,
+}
+
+impl QueryError {
+    pub fn status(self) -> u16 {
+        if self == QueryError::NoCall { 404 } else { 400 }
+    }
+
+    pub fn line(self) -> &'static str {
+        match self {
+            QueryError::NoCall => "no such call here",
+            QueryError::NoOf(line) => line,
+            QueryError::NotText => "of: is no text in UTF-8, or a % in it stands before no two digits",
+            QueryError::Long => "of: is too long",
+            QueryError::After => "after: is no address of a door",
+        }
+    }
+}
+
+impl Query {
+    pub fn read(uri: &hyper::Uri) -> Result<Query, QueryError> {
+        if uri.path() != "/api/rpc" {
+            return Err(QueryError::NoCall);
+        }
+        let pairs = || uri.query().unwrap_or_default().split('&').filter_map(|pair| pair.split_once('='));
+        let told = |name| pairs().find(|(other, _)| *other == name).map(|(_, value)| value);
+        let of = |wants| {
+            let text = plain(told("of").unwrap_or_default())?;
+            // As gates take them off a header.
+            let text = text.trim();
+            if text.is_empty() { Err(QueryError::NoOf(wants)) } else { Ok(text.to_owned()) }
+        };
+        let call = match told("call").unwrap_or_default() {
+            "nodes.list" => Call::Nodes,
+            "upstreams.list" => Call::Upstreams,
+            "timetable.history" => Call::History,
+            "keys.count" => Call::Count,
+            "keys.show" => Call::Show(of("keys.show wants of=KEY")?),
+            "budget.list" => Call::Budget,
+            "upstreams.drain" => Call::Drain(of("upstreams.drain wants of=ID, an upstream's")?),
+            _ => return Err(QueryError::NoCall),
+        };
+        let after = told("after").map(plain).transpose()?;
+        let after = after.map(|after| after.parse().map_err(|_| QueryError::After)).transpose()?;
+        Ok(Query { call, after })
+    }
+
+    /// The key whose claim the answer wants.
+    pub fn key(&self) -> Option<Key> {
+        match &self.call {
+            Call::Show(key) => Some(keys::key(key)),
+            _ => None,
+        }
+    }
+
+    /// The answer wants to know what is on the disk.
+    pub fn wants_disk(&self) -> bool {
+        self.call == Call::History
+    }
+
+    /// The rows that the answer wants, in the order of their doors; of a list one more than it shows.
+    pub fn pick(&self, table: &Table, now: Nanos) -> Vec<Attendant> {
+        let most = match self.call {
+            Call::Nodes | Call::Upstreams => MOST_ROWS + 1,
+            Call::Budget | Call::Drain(_) => usize::MAX,
+            Call::History | Call::Count | Call::Show(_) => return Vec::new(),
+        };
+        let mut rows: Vec<&Row> = table.rows().filter(|row| Some(row.door) > self.after).collect();
+        rows.sort_by_key(|row| row.door);
+        rows.truncate(most);
+        let ages: BTreeMap<SocketAddr, u32> = table.ages(now).into_iter().collect();
+        let quiet = table.quiet();
+        let attendant = |row: &Row| Attendant {
+            row: row.clone(),
+            heard_ms: ages.get(&row.door).copied().unwrap_or(0),
+            quiet: quiet.binary_search(&row.door).is_ok(),
+        };
+        rows.into_iter().map(attendant).collect()
+    }
+}
+
+/// Text out of a query, with its `%` taken apart.
+fn plain(told: &str) -> Result<String, QueryError> {
+    if told.len() > 3 * MOST_OF {
+        return Err(QueryError::Long);
+    }
+    let (mut bytes, mut from) = (Vec::new(), told.bytes());
+    while let Some(byte) = from.next() {
+        if byte != b'%' {
+            bytes.push(byte);
+            continue;
+        }
+        let mut digit = || from.next().and_then(|byte| char::from(byte).to_digit(16));
+        match (digit(), digit()) {
+            (Some(high), Some(low)) => bytes.push((high * 16 + low) as u8),
+            _ => return Err(QueryError::NotText),
+        }
+    }
+    if bytes.len() > MOST_OF {
+        return Err(QueryError::Long);
+    }
+    String::from_utf8(bytes).map_err(|_| QueryError::NotText)
+}
+
+/// A row, and how its attendant is heard here.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Attendant {
+    pub row: Row,
+    pub heard_ms: u32,
+    pub quiet: bool,
+}
+
+/// What the core tells of itself for one answer.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    pub view: u64,
+    pub settled: bool,
+    /// The newest version that is safe, and its digest.
+    pub safe: Option<(u64, u64)>,
+    pub stewards: Vec<Known>,
+    /// Open, unknown, done.
+    pub keys: (usize, usize, usize),
+    pub oldest_open: Option<Nanos>,
+    /// Of the key that was asked for, and for how long it is known here.
+    pub claim: Option<(Claim, Nanos)>,
+}
+
+impl Seen {
+    pub fn of(core: &Core, now: Nanos, key: Option<Key>) -> Seen {
+        let claim = key.and_then(|key| Some((core.claim(key)?.clone(), core.age(key)?)));
+        Seen {
+            view: core.view().number,
+            settled: core.settled(now),
+            safe: core.safe().map(|sheet| sheet.rank()),
+            stewards: core.known(now),
+            keys: core.keys(),
+            oldest_open: core.oldest_open(),
+            claim,
+        }
+    }
+}
+
+/// A version in a file on this disk.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Version {
+    /// Version and digest.
+    pub rank: (u64, u64),
+    pub bytes: u64,
+    /// By the time of day of this machine.
+    pub written_ms: u64,
+}
+
+/// The versions whose files are whole by name, the latest first. It waits on the disk, so it is called off the thread
+/// of work.
+pub fn history(data_dir: &Path) -> std::io::Result<Vec<Version>> {
+    let mut versions = Vec::new();
+    for entry in std::fs::read_dir(data_dir.join("timetable"))?.take(MOST_FILES) {
+        let entry = entry?;
+        let name = entry.file_name();
+        let Some(rank) = name.to_str().and_then(rank_of) else { continue };
+        // Removed meanwhile.
+        let Ok(about) = entry.metadata() else { continue };
+        let written = about.modified().ok().and_then(|at| at.duration_since(UNIX_EPOCH).ok());
+        let written_ms = written.map_or(0, |since| since.as_millis() as u64);
+        versions.push(Version { rank, bytes: about.len(), written_ms });
+    }
+    versions.sort();
+    versions.reverse();
+    Ok(versions)
+}
+
+/// Of `r12-00ff....json`.
+fn rank_of(name: &str) -> Option<(u64, u64)> {
+    let (version, digest) = name.strip_prefix('r')?.strip_suffix(".json")?.split_once('-')?;
+    let digits = |text: &str| text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    if !digits(version) || !digits(digest) {
+        return None;
+    }
+    Some((version.parse().ok()?, u64::from_str_radix(digest, 16).ok()?))
+}
+
+/// What an answer is made of.
+#[derive(Clone, Debug)]
+pub struct Facts {
+    pub me: SocketAddr,
+    pub seen: Seen,
+    /// As `Query::pick` gives them.
+    pub rows: Vec<Attendant>,
+    /// Those on the disk, where the answer wants them.
+    pub versions: Vec<Version>,
+}
+
+/// An answer: JSON with 200, else a plain line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Page {
+    pub status: u16,
+    pub text: String,
+    /// A door that is first to be told that this life takes nothing new.
+    pub drain: Option<(SocketAddr, String)>,
+}
+
+impl Page {
+    fn line(status: u16, line: impl Into<String>) -> Page {
+        Page { status, text: line.into(), drain: None }
+    }
+
+    fn json(of: &impl Serialize) -> Page {
+        match serde_json::to_string(of) {
+            Ok(text) => Page { status: 200, text, drain: None },
+            Err(why) => Page::line(500, why.to_string()),
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct Nodes<'a> {
+    asked: SocketAddr,
+    view: u64,
+    settled: bool,
+    stewards: Vec<Steward>,
+    attendants: Vec<Node<'a>>,
+    next: Option<SocketAddr>,
+}
+
+#[derive(Serialize)]
+struct Steward {
+    address: SocketAddr,
+    /// The life of its disk: 0 is the first.
+    disk: String,
+    member: bool,
+    voter: bool,
+    view: u64,
+    heard_ms: Option<u64>,
+    leaving: bool,
+}
+
+#[derive(Serialize)]
+struct Node<'a> {
+    door: SocketAddr,
+    zone: &'a str,
+    serving: bool,
+    quiet: bool,
+    heard_ms: u32,
+    service: &'a str,
+    upstream: &'a str,
+}
+
+#[derive(Serialize)]
+struct Upstreams<'a> {
+    upstreams: Vec<Upstream<'a>>,
+    next: Option<SocketAddr>,
+}
+
+#[derive(Serialize)]
+struct Upstream<'a> {
+    id: &'a str,
+    line: &'a str,
+    zone: &'a str,
+    edition: &'a str,
+    state: &'static str,
+    slots: u32,
+    cold_ms: u64,
+    door: SocketAddr,
+    serving: bool,
+    quiet: bool,
+}
+
+#[derive(Serialize)]
+struct History {
+    versions: Vec<Kept>,
+}
+
+#[derive(Serialize)]
+struct Kept {
+    edition: String,
+    digest: String,
+    bytes: u64,
+    written_ms: u64,
+    in_force: bool,
+}
+
+#[derive(Serialize)]
+struct Count {
+    open: usize,
+    unknown: usize,
+    done: usize,
+    oldest_open_ms: Option<u64>,
+}
+
+#[derive(Serialize)]
+struct Shown<'a> {
+    key: &'a str,
+    hashed: String,
+    state: &'static str,
+    known_ms: Option<u64>,
+    /// Two claims met, and either may have been granted.
+    disputed: bool,
+    status: Option<u16>,
+    bytes: Option<usize>,
+}
+
+#[derive(Serialize)]
+struct Budget<'a> {
+    kept_by: &'static str,
+    told: bool,
+    gates: usize,
+    services: Vec<Service<'a>>,
+}
+
+#[derive(Serialize)]
+struct Service<'a> {
+    service: &'a str,
+    upstreams: usize,
+}
+
+#[derive(Serialize)]
+struct Drained<'a> {
+    id: &'a str,
+    line: &'a str,
+    door: SocketAddr,
+    state: &'static str,
+    /// How many others of its service are open.
+    open_left: usize,
+}
+
+fn state(stand: Stand) -> &'static str {
+    match stand {
+        Stand::Open => "open",
+        Stand::Closing => "closing",
+        Stand::None => "gone",
+    }
+}
+
+pub fn answer(query: &Query, facts: &Facts) -> Page {
+    let shown = &facts.rows[..facts.rows.len().min(MOST_ROWS)];
+    let next = shown.last().filter(|_| facts.rows.len() > MOST_ROWS).map(|last| last.row.door);
+    match &query.call {
+        Call::Nodes => Page::json(&nodes(facts, shown, next)),
+        Call::Upstreams => {
+            let upstreams = shown.iter().filter(|of| !of.row.id.is_empty()).map(upstream).collect();
+            Page::json(&Upstreams { upstreams, next })
+        }
+        Call::History => {
+            let kept = |version: &Version| Kept {
+                edition: format!("r{}", version.rank.0),
+                digest: format!("{:016x}", version.rank.1),
+                bytes: version.bytes,
+                written_ms: version.written_ms,
+                in_force: facts.seen.safe == Some(version.rank),
+            };
+            Page::json(&History { versions: facts.versions.iter().take(MOST_ROWS).map(kept).collect() })
+        }
+        Call::Count => {
+            let (open, unknown, done) = facts.seen.keys;
+            let oldest_open_ms = facts.seen.oldest_open.map(|age| age / MS);
+            Page::json(&Count { open, unknown, done, oldest_open_ms })
+        }
+        Call::Show(key) => Page::json(&show(key, facts.seen.claim.as_ref())),
+        Call::Budget => {
+            let mut lines: BTreeMap<&str, usize> = BTreeMap::new();
+            for of in facts.rows.iter().filter(|of| !of.row.id.is_empty() && of.row.stand != Stand::None) {
+                *lines.entry(&of.row.line).or_default() += 1;
+            }
+            let services = lines.into_iter().take(MOST_ROWS);
+            Page::json(&Budget {
+                kept_by: "attendants",
+                told: false,
+                gates: facts.rows.iter().filter(|of| of.row.serving).count(),
+                services: services.map(|(service, upstreams)| Service { service, upstreams }).collect(),
+            })
+        }
+        Call::Drain(id) => drain(id, facts),
+    }
+}
+
+fn nodes<'a>(facts: &Facts, shown: &'a [Attendant], next: Option<SocketAddr>) -> Nodes<'a> {
+    let steward = |known: &Known| Steward {
+        address: known.station.at,
+        disk: format!("{:x}", known.station.disk),
+        member: known.member,
+        voter: known.member && known.voter,
+        view: known.view,
+        heard_ms: known.heard.map(|ago| ago / MS),
+        leaving: known.leaving,
+    };
+    let node = |of: &'a Attendant| Node {
+        door: of.row.door,
+        zone: &of.row.zone,
+        serving: of.row.serving,
+        quiet: of.quiet,
+        heard_ms: of.heard_ms,
+        service: &of.row.line,
+        upstream: &of.row.id,
+    };
+    Nodes {
+        asked: facts.me,
+        view: facts.seen.view,
+        settled: facts.seen.settled,
+        stewards: facts.seen.stewards.iter().take(MOST_ROWS).map(steward).collect(),
+        attendants: shown.iter().map(node).collect(),
+        next,
+    }
+}
+
+fn upstream(of: &Attendant) -> Upstream<'_> {
+    Upstream {
+        id: &of.row.id,
+        line: &of.row.line,
+        zone: &of.row.zone,
+        edition: &of.row.edition,
+        state: state(of.row.stand),
+        slots: of.row.slots,
+        cold_ms: of.row.cold_ms,
+        door: of.row.door,
+        serving: of.row.serving,
+        quiet: of.quiet,
+    }
+}
+
+fn show<'a>(key: &'a str, claim: Option<&(Claim, Nanos)>) -> Shown<'a> {
+    let mut shown = Shown {
+        key,
+        hashed: format!("{:032x}", keys::key(key)),
+        state: "none",
+        known_ms: claim.map(|(_, age)| age / MS),
+        disputed: false,
+        status: None,
+        bytes: None,
+    };
+    match claim.map(|(claim, _)| (&claim.outcome, claim.token)) {
+        None => {}
+        Some((Outcome::Open, token)) => (shown.state, shown.disputed) = ("open", token == 0),
+        Some((Outcome::Unknown, _)) => shown.state = "unknown",
+        Some((Outcome::Done(answer), _)) => {
+            shown.state = "done";
+            (shown.status, shown.bytes) = (Some(answer.status), Some(answer.body.len()));
+        }
+    }
+    shown
+}
+
+/// A row is its attendant's to write: it is told, and the answer waits for the row to say so.
+fn drain(id: &str, facts: &Facts) -> Page {
+    let of = |of: &&Attendant| of.row.id == id;
+    let open = |of: &&Attendant| of.row.stand == Stand::Open;
+    let found = facts.rows.iter().filter(of).find(open).or(facts.rows.iter().find(of));
+    let Some(found) = found else { return Page::line(404, "no upstream of that id is known here") };
+    if found.row.stand == Stand::Open {
+        let mut page = Page::line(503, "its attendant has not taken the drain yet: ask again");
+        page.drain = Some((found.row.door, id.to_owned()));
+        return page;
+    }
+    let left = |of: &&Attendant| of.row.line == found.row.line && of.row.serving && !of.quiet && open(of);
+    Page::json(&Drained {
+        id,
+        line: &found.row.line,
+        door: found.row.door,
+        state: state(found.row.stand),
+        open_left: facts.rows.iter().filter(left).count(),
+    })
+}
+
+/// Drains that doors are to be told of, in the memory of each steward. Each is passed on until the door's row says that
+/// it was taken, for a while at most.
+#[derive(Debug, Default)]
+pub struct Drains(BTreeMap<SocketAddr, (String, Nanos)>);
+
+impl Drains {
+    pub fn ask(&mut self, now: Nanos, door: SocketAddr, id: &str) {
+        self.0.retain(|_, (_, until)| *until > now);
+        if self.0.len() < MOST_DRAINS || self.0.contains_key(&door) {
+            self.0.insert(door, (id.to_owned(), now.saturating_add(DRAIN)));
+        }
+    }
+
+    /// Those that another steward passes on, with the ms that each has left.
+    pub fn take(&mut self, now: Nanos, told: &[(SocketAddr, String, u32)], table: &Table) {
+        for (door, id, left_ms) in told {
+            let until = now.saturating_add(DRAIN.min(Nanos::from(*left_ms) * MS));
+            if self.0.len() < MOST_DRAINS && !self.0.contains_key(door) && wanted(table, door, id) {
+                self.0.insert(*door, (id.clone(), until));
+            }
+        }
+    }
+
+    /// Those for one door, or for whoever passes them on.
+    pub fn tell(
+        &mut self,
+        now: Nanos,
+        door: Option<SocketAddr>,
+        table: &Table,
+    ) -> Vec<(SocketAddr, String, u32)> {
+        self.0.retain(|door, (id, until)| *until > now && wanted(table, door, id));
+        let left = |until: Nanos| until.saturating_sub(now);
+        let all = self.0.iter().filter(|(at, _)| door.is_none_or(|door| door == **at));
+        all.filter(|(_, (_, until))| left(*until) >= LEAST_DRAIN)
+            .map(|(at, (id, until))| (*at, id.clone(), (left(*until) / MS) as u32))
+            .collect()
+    }
+}
+
+/// The life is still open.
+fn wanted(table: &Table, door: &SocketAddr, id: &str) -> bool {
+    table.row(*door).is_some_and(|row| row.id == id && row.stand == Stand::Open)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use expect_test::expect;
+    use ochreshed_mesh::words::{Answer, Station};
+    use std::sync::Arc;
+
+    fn at(host: u8, port: u16) -> SocketAddr {
+        SocketAddr::from(([10, 1, host / 100, host % 100], port))
+    }
+
+    fn row(host: u8, id: &str, stand: Stand) -> Row {
+        Row {
+            door: at(host, 8300),
+            life: 7,
+            number: 1,
+            zone: "quito-a".into(),
+            line: if id.is_empty() { "" } else { "huvo11a" }.into(),
+            id: id.into(),
+            edition: "v1".into(),
+            stand,
+            slots: 6,
+            cold_ms: 0,
+            calls: false,
+            serving: true,
+        }
+    }
+
+    fn facts() -> Facts {
+        let known = |host, voter, heard| Known {
+            station: Station { at: at(host, 7620), disk: 0 },
+            member: true,
+            voter,
+            view: 3,
+            heard,
+            leaving: false,
+        };
+        let rows = [row(8, "i-1", Stand::Open), row(9, "i-2", Stand::Closing), row(10, "", Stand::None)];
+        Facts {
+            me: at(13, 7620),
+            seen: Seen {
+                view: 3,
+                settled: true,
+                safe: Some((7, 0xff)),
+                stewards: vec![known(13, true, Some(0)), known(14, false, None)],
+                keys: (2, 1, 40),
+                oldest_open: Some(1_250 * MS),
+                claim: None,
+            },
+            rows: rows.map(|row| Attendant { row, heard_ms: 120, quiet: false }).to_vec(),
+            versions: vec![
+                Version { rank: (7, 0xff), bytes: 812, written_ms: 1_700_000_000_000 },
+                Version { rank: (5, 1), bytes: 800, written_ms: 1_600_000_000_000 },
+            ],
+        }
+    }
+
+    fn read(path: &str) -> Result<Query, QueryError> {
+        Query::read(&path.parse().expect("a path"))
+    }
+
+    fn said(path: &str, facts: &Facts) -> String {
+        match read(path) {
+            Ok(query) => {
+                let page = answer(&query, facts);
+                let drain = page.drain.map(|(door, id)| format!(" drain {id} at {door}")).unwrap_or_default();
+                format!("{} {}{drain}\n", page.status, page.text)
+            }
+            Err(why) => format!("{} {}\n", why.status(), why.line()),
+        }
+    }
+
+    #[test]
+    fn what_is_answered() {
+        let facts = facts();
+        let calls = [
+            "nodes.list",
+            "upstreams.list",
+            "timetable.history",
+            "keys.count",
+            "keys.show&of=k-5512",
+            "budget.list",
+            "upstreams.drain&of=i-1",
+            "upstreams.drain&of=i-2",
+            "upstreams.drain&of=i-3",
+            "upstreams.drain",
+            "keys.show&of=%20",
+            "keys.show&of=%f",
+            "keys.show&of=%ff",
+            "nodes.list&after=here",
+            "nodes.burn",
+        ];
+        let all: String = calls.iter().map(|call| said(&format!("/api/rpc?call={call}"), &facts)).collect();
+        expect![[r#"
+            200 {"asked":"10.1.0.13:7620","view":3,"settled":true,"stewards":[{"address":"10.1.0.13:7620","disk":"0","member":true,"voter":true,"view":3,"heard_ms":0,"leaving":false},{"address":"10.1.0.14:7620","disk":"0","member":true,"voter":false,"view":3,"heard_ms":null,"leaving":false}],"attendants":[{"door":"10.1.0.8:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,"service":"huvo11a","upstream":"i-1"},{"door":"10.1.0.9:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,"service":"huvo11a","upstream":"i-2"},{"door":"10.1.0.10:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,"service":"","upstream":""}],"next":null}
+            200 {"upstreams":[{"id":"i-1","line":"huvo11a","zone":"quito-a","edition":"v1","state":"open","slots":6,"cold_ms":0,"door":"10.1.0.8:8300","serving":true,"quiet":false},{"id":"i-2","line":"huvo11a","zone":"quito-a","edition":"v1","state":"closing","slots":6,"cold_ms":0,"door":"10.1.0.9:8300","serving":true,"quiet":false}],"next":null}
+            200 {"versions":[{"edition":"r7","digest":"00000000000000ff","bytes":812,"written_ms":1700000000000,"in_force":true},{"edition":"r5","digest":"0000000000000001","bytes":800,"written_ms":1600000000000,"in_force":false}]}
+            200 {"open":2,"unknown":1,"done":40,"oldest_open_ms":1250}
+            200 {"key":"k-5512","hashed":"c32bde1baefa4f27855b78996880fdae","state":"none","known_ms":null,"disputed":false,"status":null,"bytes":null}
+            200 {"kept_by":"attendants","told":false,"gates":3,"services":[{"service":"huvo11a","upstreams":2}]}
+            503 its attendant has not taken the drain yet: ask again drain i-1 at 10.1.0.8:8300
+            200 {"id":"i-2","line":"huvo11a","door":"10.1.0.9:8300","state":"closing","open_left":1}
+            404 no upstream of that id is known here
+            400 upstreams.drain wants of=ID, an upstream's
+            400 keys.show wants of=KEY
+            400 of: is no text in UTF-8, or a % in it stands before no two digits
+            400 of: is no text in UTF-8, or a % in it stands before no two digits
+            400 after: is no address of a door
+            404 no such call here
+        "#]]
+        .assert_eq(&all);
+    }
+
+    #[test]
+    fn a_claim_is_shown_as_it_stands() {
+        let mut facts = facts();
+        let answer = Answer { status: 201, headers: Vec::new(), body: vec![0; 17] };
+        let outcomes = [(0, Outcome::Open), (5, Outcome::Unknown), (5, Outcome::Done(Arc::new(answer)))];
+        let mut all = String::new();
+        for (token, outcome) in outcomes {
+            facts.seen.claim = Some((Claim { token, left_ms: 300, outcome }, 2_000 * MS));
+            all += &said("/api/rpc?call=keys.show&of=k%2D5512", &facts);
+        }
+        expect![[r#"
+            200 {"key":"k-5512","hashed":"c32bde1baefa4f27855b78996880fdae","state":"open","known_ms":2000,"disputed":true,"status":null,"bytes":null}
+            200 {"key":"k-5512","hashed":"c32bde1baefa4f27855b78996880fdae","state":"unknown","known_ms":2000,"disputed":false,"status":null,"bytes":null}
+            200 {"key":"k-5512","hashed":"c32bde1baefa4f27855b78996880fdae","state":"done","known_ms":2000,"disputed":false,"status":201,"bytes":17}
+        "#]].assert_eq(&all);
+    }
+
+    #[test]
+    fn long_lists_come_in_parts() {
+        let mut table = Table::new(1);
+        for host in 0..2_500u32 {
+            let mut one = row(1, &format!("i-{host}"), Stand::Open);
+            one.door = SocketAddr::from((std::net::Ipv4Addr::from(0x0a01_0000 + host), 8300));
+            table.take(1, &one, 0);
+        }
+        let (mut path, mut seen) = ("/api/rpc?call=upstreams.list".to_owned(), 0);
+        for part in [1_000, 1_000, 500] {
+            let query = read(&path).expect("a query");
+            let rows = query.pick(&table, 1);
+            let page = super::answer(&query, &Facts { rows, ..facts() });
+            let json: serde_json::Value = serde_json::from_str(&page.text).expect("JSON");
+            assert_eq!(json["upstreams"].as_array().map(Vec::len), Some(part));
+            seen += part;
+            let next = json["next"].as_str().map(str::to_owned);
+            assert_eq!(next.is_some(), seen < 2_500);
+            path = format!("/api/rpc?call=upstreams.list&after={}", next.unwrap_or_default());
+        }
+    }
+
+    #[test]
+    fn a_drain_is_passed_on_until_it_is_taken_or_old() {
+        let mut table = Table::new(1);
+        table.take(1, &row(8, "i-1", Stand::Open), 0);
+        let (mut one, mut other) = (Drains::default(), Drains::default());
+        one.ask(1, at(8, 8300), "i-1");
+        one.ask(1, at(9, 8300), "i-9");
+        let told = one.tell(1, None, &table);
+        assert_eq!(told, [(at(8, 8300), "i-1".into(), 30_000)], "only what is open here");
+        other.take(10 * MS, &told, &table);
+        assert_eq!(other.tell(10 * MS, Some(at(8, 8300)), &table).len(), 1);
+        assert!(other.tell(10 * MS, Some(at(9, 8300)), &table).is_empty());
+        // Two that tell each other don't keep it up.
+        let mut now = 10 * MS;
+        while now < 40_000 * MS {
+            let told = one.tell(now, None, &table);
+            other.take(now + 5 * MS, &told, &table);
+            let told = other.tell(now + 5 * MS, None, &table);
+            one.take(now + 10 * MS, &told, &table);
+            now += 20 * MS;
+        }
+        assert!(one.tell(now, None, &table).is_empty() && other.tell(now, None, &table).is_empty());
+        one.ask(now, at(8, 8300), "i-1");
+        let mut closing = row(8, "i-1", Stand::Closing);
+        closing.number = 2;
+        table.take(now, &closing, 0);
+        assert!(one.tell(now, None, &table).is_empty());
+    }
+
+    #[test]
+    fn the_folder_tells_its_versions() {
+        let folder = std::env::temp_dir().join(format!("ochreshed-pages-{}", std::process::id()));
+        std::fs::create_dir_all(folder.join("timetable")).expect("a folder");
+        for name in ["r12-00000000000000ff.json", "r7-0000000000000001.json", "r9-x.json", "r8-1.json.new"] {
+            std::fs::write(folder.join("timetable").join(name), "{}").expect("written");
+        }
+        let ranks: Vec<_> = history(&folder).expect("read").iter().map(|version| version.rank).collect();
+        std::fs::remove_dir_all(&folder).expect("removed");
+        assert_eq!(ranks, [(12, 0xff), (7, 1)]);
+        assert!(history(&folder).is_err());
+    }
+}
--- a/balancer/src/mesh/settings.rs
+++ b/balancer/src/mesh/settings.rs
@@ -27,6 +27,10 @@
 const MOST_NUMBER: f64 = 1e12;
 /// Small enough to be added to any moment.
 const MOST_SECS: f64 = 366.0 * 86_400.0;
+/// Descriptors kept for what is neither a caller's connection nor one of ours to a door or upstream.
+const SPARE: u64 = 300;
+/// Of an attendant's memory, the part for bodies of reqs in hand.
+const BODIES: f64 = 0.15;
 /// As much of a wrong value is shown.
 const MOST_SHOWN: usize = 60;
 
@@ -79,6 +83,52 @@
     }
 }
 
+/// What an attendant makes of its limits: connections, and bytes of bodies in hand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BranchRoom {
+    /// Callers of its gate, of its door, and of each of its two small gates.
+    pub gate: usize,
+    pub door: usize,
+    pub small: usize,
+    /// Connections to doors and to its upstream.
+    pub doors: usize,
+    pub upstream: usize,
+    pub bodies: usize,
+}
+
+/// What a steward makes of its limits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SortingRoom {
+    pub control: usize,
+    pub bodies: usize,
+    /// Keys that are held at once.
+    pub claims: usize,
+}
+
+impl Limits {
+    pub fn branch(&self) -> BranchRoom {
+        let sockets = self.fds.saturating_sub(SPARE).max(64) as usize;
+        let bodies = ((self.memory_mb as f64 * BODIES * 1e6) as usize).clamp(1 << 20, 1 << 29);
+        BranchRoom {
+            gate: (sockets / 3).max(16),
+            door: (sockets / 4).max(16),
+            small: (sockets / 32).max(16),
+            doors: sockets / 4,
+            upstream: sockets / 8,
+            bodies,
+        }
+    }
+
+    pub fn sorting(&self) -> SortingRoom {
+        let memory = self.memory_mb as usize;
+        SortingRoom {
+            control: 256,
+            bodies: (memory * 1_000_000 / 5).clamp(40 << 20, 1 << 29),
+            claims: (memory * 400).max(10_000),
+        }
+    }
+}
+
 /// What may be lost together while every rule still holds: this many counted machines, or zones, or regions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Tolerate {
--- a/balancer/src/mesh/steward.rs
+++ b/balancer/src/mesh/steward.rs
@@ -15,7 +15,7 @@
 use ochreshed_mesh::agree::{Config, Core};
 use ochreshed_mesh::list::{Mark, Table};
 use ochreshed_mesh::timetable::Timetable;
-use ochreshed_mesh::words::{Act, Got, Letter, Record, Sheet, View, Want};
+use ochreshed_mesh::words::{Act, Got, Key, Letter, Record, Sheet, View, Want};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
@@ -25,6 +25,7 @@
 use super::carry::Flow;
 use super::door::call_of;
 use super::entry::{self, Ajar, Bad, Bounds, Came, json, say};
+use super::pages::{self, Drains, Facts, Query, Seen};
 use super::settings::{Settings, SettingsError};
 use super::start;
 use super::store::{Store, StoreError};
@@ -59,6 +60,8 @@
     Letter(Letter),
     Want(Want, oneshot::Sender<Got>),
     Seeds(Vec<SocketAddr>),
+    /// For an operator, with the key whose claim is wanted.
+    Look(Option<Key>, oneshot::Sender<Seen>),
     Leaving,
 }
 
@@ -80,6 +83,7 @@
     stand: ArcSwap<Stand>,
     table: Mutex<Table>,
     quiet: Mutex<(u64, Vec<SocketAddr>)>,
+    drains: Mutex<Drains>,
     /// Goes up with whatever readers may wait for.
     changed: watch::Sender<u64>,
     events: mpsc::Sender<Event>,
@@ -135,6 +139,10 @@
                     settled: stand.settled,
                     life: door.and_then(|door| table.life_of(door)),
                     ages: if ask.steward { table.ages(self.clock.now()) } else { Vec::new() },
+                    drains: match door {
+                        None if !ask.steward => Vec::new(),
+                        door => held(&self.drains).tell(self.clock.now(), door, &table),
+                    },
                 };
             }
             let _ = tokio::time::timeout_at(until, changed.changed()).await;
@@ -155,6 +163,7 @@
             for (door, age) in ages {
                 table.heard(now, door, Nanos::from(age) * MS);
             }
+            held(&self.drains).take(now, &reply.drains, &table);
         }
         if news {
             self.change();
@@ -193,7 +202,39 @@
                 Got::Newest(None) => say(404, "no timetable was ever taken"),
                 _ => say(503, "more than half of the core is not reached"),
             },
-            _ => say(404, "no such call here"),
+            _ => match Query::read(came.req.uri()) {
+                Ok(query) => self.page(query).await,
+                Err(why) => say(why.status(), why.line()),
+            },
+        }
+    }
+
+    /// What the operators' client asks. A drain is answered once the upstream's row says that it was taken.
+    async fn page(&self, query: Query) -> Response<Flow> {
+        let until = Instant::now() + OPERATOR;
+        loop {
+            let (reply, seen) = oneshot::channel();
+            let _ = self.events.send(Event::Look(query.key(), reply)).await;
+            let Ok(Ok(seen)) = timeout(OPERATOR, seen).await else { return say(503, "busy: ask again") };
+            let now = self.clock.now();
+            let rows = query.pick(&held(&self.table), now);
+            let mut facts = Facts { me: self.at, seen, rows, versions: Vec::new() };
+            if let Some(dir) = self.settings.load().data_dir.clone().filter(|_| query.wants_disk()) {
+                let read = tokio::task::spawn_blocking(move || pages::history(&dir));
+                match timeout(OPERATOR, read).await {
+                    Ok(Ok(Ok(versions))) => facts.versions = versions,
+                    _ => return say(503, "the disk can't be read now"),
+                }
+            }
+            let page = pages::answer(&query, &facts);
+            match page.drain {
+                Some((door, id)) if Instant::now() < until => {
+                    held(&self.drains).ask(now, door, &id);
+                    sleep(LOOK / 2).await;
+                }
+                _ if page.status == 200 => return json(200, page.text),
+                _ => return say(page.status, &page.text),
+            }
         }
     }
 
@@ -287,6 +328,7 @@
         stand: ArcSwap::default(),
         table: Mutex::new(Table::new(rand::random())),
         quiet: Mutex::default(),
+        drains: Mutex::default(),
         changed: watch::Sender::new(0),
         events: events.clone(),
         callers: Callers::default(),
@@ -444,6 +486,9 @@
                 }
             }
             Event::Seeds(seeds) => self.core.seeds(&seeds),
+            Event::Look(key, reply) => {
+                let _ = reply.send(Seen::of(&self.core, now, key));
+            }
             Event::Leaving => self.core.leaving(now, out),
         }
     }
--- a/balancer/src/mesh/store.rs
+++ b/balancer/src/mesh/store.rs
@@ -84,8 +84,8 @@
     fn read(&mut self, name: &str, from: u64, most: u64) -> io::Result<Vec<u8>>;
     /// Makes the file if there is none. When it fails any part may be written.
     fn write(&mut self, name: &str, at: u64, bytes: &[u8]) -> io::Result<()>;
-    /// Makes the file if there is none, and empties it.
-    fn clear(&mut self, name: &str) -> io::Result<()>;
+    /// Makes the file if there is none, and sets its length.
+    fn cut(&mut self, name: &str, len: u64) -> io::Result<()>;
     fn sync(&mut self, name: &str) -> io::Result<()>;
     fn sync_folder(&mut self, name: &str) -> io::Result<()>;
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
@@ -107,7 +107,7 @@
 
 impl Folder {
     fn path(&self, name: &str) -> PathBuf {
-        self.root.join(name)
+        if name == ROOT { self.root.clone() } else { self.root.join(name) }
     }
 
     /// Taken out; who uses it without an error puts it back.
@@ -170,9 +170,9 @@
         Ok(())
     }
 
-    fn clear(&mut self, name: &str) -> io::Result<()> {
+    fn cut(&mut self, name: &str, len: u64) -> io::Result<()> {
         let handle = self.handle(name)?;
-        handle.file.set_len(0)?;
+        handle.file.set_len(len)?;
         self.put_back(handle);
         Ok(())
     }
@@ -252,6 +252,8 @@
     tail: Option<u32>,
     /// The next one.
     next: u32,
+    /// A segment that ends with a failed write.
+    torn: Option<u32>,
     /// How far the live claims of the oldest segment have moved on.
     moved: u64,
     /// A segment was removed and may come back.
@@ -314,6 +316,7 @@
             live_bytes: 0,
             tail: None,
             next: 1,
+            torn: None,
             moved: 0,
             removed: false,
             slots: [0; 2],
@@ -396,8 +399,10 @@
                 (best, self.count, self.newest) = (Some(ballots), count, i);
             }
         }
-        match best {
-            Some(_) => self.sync(SLOTS[self.newest])?,
+        match &best {
+            // Guards against telling what is lost with the next loss of power. A sync would not do: one that failed
+            // before, under another process, may leave bytes behind that no later one takes along.
+            Some(ballots) => self.keep_ballots(ballots)?,
             None => {
                 for (i, slot) in SLOTS.iter().enumerate() {
                     if self.slots[i] > 0 {
@@ -475,7 +480,7 @@
 
     fn write_new(&mut self, name: &str, bytes: &[u8]) -> Result<(), StoreError> {
         let failed = |why| StoreError::Write(name.to_owned(), why);
-        self.files.clear(name).map_err(failed)?;
+        self.files.cut(name, 0).map_err(failed)?;
         self.files.write(name, 0, bytes).map_err(failed)?;
         self.sync(name)
     }
@@ -531,6 +536,13 @@
     }
 
     fn append(&mut self, records: &[Record]) -> Result<(), StoreError> {
+        // Guards against a start that reads what a failed write left there and takes it for safe.
+        if let Some((number, segment)) = self.torn.and_then(|n| Some((n, self.segments.get_mut(&n)?))) {
+            let (name, whole) = (segment_name(number), segment.whole);
+            self.files.cut(&name, whole).map_err(|why| StoreError::Write(name, why))?;
+            segment.len = whole;
+        }
+        self.torn = None;
         let room = |number| self.segments.get(&number).filter(|segment| segment.whole < self.limits.segment);
         let (number, from, fresh) = match self.tail.and_then(|number| Some((number, room(number)?.whole))) {
             Some((number, whole)) => (number, whole, false),
@@ -551,7 +563,7 @@
                 return Err(why);
             }
             (Err(why), Some(segment)) => {
-                (segment.len, self.tail) = (len, None);
+                (segment.len, self.tail, self.torn) = (len, None, Some(number));
                 self.sweep();
                 return Err(why);
             }
@@ -573,7 +585,7 @@
     fn put(&mut self, name: &str, from: u64, fresh: bool, bytes: &[u8]) -> Result<(), StoreError> {
         let failed = |why| StoreError::Write(name.to_owned(), why);
         if fresh {
-            self.files.clear(name).map_err(failed)?;
+            self.files.cut(name, 0).map_err(failed)?;
         }
         self.files.write(name, from, bytes).map_err(failed)?;
         self.sync(name)?;
@@ -788,3 +800,759 @@
     let rank = (version.parse().ok()?, u64::from_str_radix(digest, 16).ok()?);
     sheet_name(rank).strip_prefix(TIMETABLE)?.strip_prefix('/')?.eq(name).then_some(rank)
 }
+
+#[cfg(test)]
+mod tests {
+    use std::net::SocketAddr;
+    use std::ops::Range;
+    use std::sync::{Mutex, MutexGuard, PoisonError};
+
+    use ochreshed_mesh::words::{Answer, Ballot, Outcome, Station, View};
+
+    use super::*;
+
+    struct Dice(u64);
+
+    impl Dice {
+        fn new(seed: u64) -> Dice {
+            Dice(seed.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1)
+        }
+
+        fn roll(&mut self, sides: u64) -> u64 {
+            self.0 ^= self.0 << 13;
+            self.0 ^= self.0 >> 7;
+            self.0 ^= self.0 << 17;
+            (self.0 >> 11) % sides
+        }
+    }
+
+    enum Change {
+        Cut(usize),
+        Write(usize, Vec<u8>),
+    }
+
+    impl Change {
+        fn make(&self, bytes: &mut Vec<u8>) {
+            match self {
+                Change::Cut(len) => bytes.resize(*len, 0),
+                Change::Write(at, new) => {
+                    bytes.resize(bytes.len().max(at + new.len()), 0);
+                    bytes[*at..at + new.len()].copy_from_slice(new);
+                }
+            }
+        }
+
+        /// Whether it leaves nothing of what was before.
+        fn covers(&self, other: &Change) -> bool {
+            match (self, other) {
+                (Change::Cut(at), Change::Cut(other) | Change::Write(other, _)) => at <= other,
+                (Change::Write(at, _), Change::Write(other, _)) => at == other,
+                (Change::Write(..), Change::Cut(_)) => false,
+            }
+        }
+    }
+
+    /// What is safe of a file, what a program sees, and the changes between; those that a failed sync has left behind
+    /// are marked, and no later sync takes them along.
+    #[derive(Default)]
+    struct Node {
+        safe: Vec<u8>,
+        now: Vec<u8>,
+        changes: Vec<(Change, bool)>,
+    }
+
+    enum Naming {
+        Make(String, usize),
+        Rename(String, String, usize),
+        Remove(String, usize),
+    }
+
+    impl Naming {
+        fn make(&self, names: &mut BTreeMap<String, usize>) {
+            match self {
+                Naming::Make(name, node) => {
+                    names.insert(name.clone(), *node);
+                }
+                Naming::Rename(from, to, node) if names.get(from) == Some(node) => {
+                    names.remove(from);
+                    names.insert(to.clone(), *node);
+                }
+                Naming::Remove(name, node) if names.get(name) == Some(node) => {
+                    names.remove(name);
+                }
+                _ => {}
+            }
+        }
+
+        fn touches(&self, name: &str) -> bool {
+            match self {
+                Naming::Make(at, _) | Naming::Remove(at, _) => at == name,
+                Naming::Rename(from, to, _) => from == name || to == name,
+            }
+        }
+
+        fn within(&self, folder: &str) -> bool {
+            let (Naming::Make(name, _) | Naming::Rename(name, ..) | Naming::Remove(name, _)) = self;
+            name.rsplit_once('/').map_or(ROOT, |(folder, _)| folder) == folder
+        }
+    }
+
+    /// A disk that loses power, refuses or is full when told to.
+    struct Disk {
+        nodes: Vec<Node>,
+        now: BTreeMap<String, usize>,
+        safe: BTreeMap<String, usize>,
+        namings: Vec<Naming>,
+        calls: u64,
+        syncs: u64,
+        stop: u64,
+        refuse: Range<u64>,
+        room: usize,
+        dice: Dice,
+    }
+
+    #[derive(Clone)]
+    struct Sim(Arc<Mutex<Disk>>);
+
+    impl Sim {
+        fn new(seed: u64, stop: u64, refuse: Range<u64>) -> Sim {
+            Sim(Arc::new(Mutex::new(Disk {
+                nodes: Vec::new(),
+                now: BTreeMap::new(),
+                safe: BTreeMap::new(),
+                namings: Vec::new(),
+                calls: 0,
+                syncs: 0,
+                stop,
+                refuse,
+                room: usize::MAX,
+                dice: Dice::new(seed),
+            })))
+        }
+
+        fn get(&self) -> MutexGuard<'_, Disk> {
+            self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        }
+
+        fn open(&self) -> Result<(Store, Saved), StoreError> {
+            Store::start(Box::new(self.clone()), SMALL)
+        }
+
+        fn is_off(&self) -> bool {
+            self.get().is_off()
+        }
+
+        /// Power is back. `keep`: it was the process that died, and files are as they were.
+        fn back(&self, keep: bool) {
+            let disk = &mut *self.get();
+            (disk.stop, disk.refuse, disk.room) = (u64::MAX, 0..0, usize::MAX);
+            if keep {
+                return;
+            }
+            // 0: all that wasn't synced is gone; 1: nothing is.
+            let how = disk.dice.roll(4);
+            for node in &mut disk.nodes {
+                for (change, _) in std::mem::take(&mut node.changes) {
+                    match if how < 2 { how } else { disk.dice.roll(3) } {
+                        0 => {}
+                        1 => change.make(&mut node.safe),
+                        _ => torn(change, &mut disk.dice).make(&mut node.safe),
+                    }
+                }
+                node.now = node.safe.clone();
+            }
+            for naming in std::mem::take(&mut disk.namings) {
+                if how == 1 || how > 1 && disk.dice.roll(2) == 1 {
+                    naming.make(&mut disk.safe);
+                }
+            }
+            disk.now = disk.safe.clone();
+        }
+    }
+
+    /// A part of a write, with holes or cut short.
+    fn torn(change: Change, dice: &mut Dice) -> Change {
+        match change {
+            Change::Write(at, mut bytes) if dice.roll(2) == 0 => {
+                bytes.truncate(dice.roll(bytes.len() as u64 + 1) as usize);
+                Change::Write(at, bytes)
+            }
+            Change::Write(at, mut bytes) => {
+                for part in bytes.chunks_mut(16) {
+                    if dice.roll(2) == 0 {
+                        part.fill(0);
+                    }
+                }
+                Change::Write(at, bytes)
+            }
+            change => change,
+        }
+    }
+
+    impl Disk {
+        /// Whether the call is to be carried out and whether it is well; power may be lost before or after it.
+        fn call(&mut self) -> (bool, io::Result<()>) {
+            self.calls += 1;
+            if self.calls >= self.stop {
+                let done = self.calls == self.stop && self.dice.roll(2) == 0;
+                return (done, Err(ErrorKind::BrokenPipe.into()));
+            }
+            if self.refuse.contains(&self.calls) {
+                return (false, Err(ErrorKind::PermissionDenied.into()));
+            }
+            (true, Ok(()))
+        }
+
+        fn is_off(&self) -> bool {
+            self.calls >= self.stop
+        }
+
+        fn node(&self, name: &str) -> io::Result<usize> {
+            self.now.get(name).copied().ok_or(ErrorKind::NotFound.into())
+        }
+
+        fn make(&mut self, name: &str) -> usize {
+            self.node(name).unwrap_or_else(|_| {
+                self.nodes.push(Node::default());
+                let node = self.nodes.len() - 1;
+                self.now.insert(name.to_owned(), node);
+                self.namings.push(Naming::Make(name.to_owned(), node));
+                node
+            })
+        }
+
+        fn change(&mut self, name: &str, change: Change) {
+            let node = self.make(name);
+            change.make(&mut self.nodes[node].now);
+            self.nodes[node].changes.push((change, false));
+        }
+
+        fn used(&self) -> usize {
+            self.now.values().map(|node| self.nodes[*node].now.len()).sum()
+        }
+    }
+
+    impl Files for Sim {
+        fn folder(&mut self, _: &str) -> io::Result<()> {
+            Ok(())
+        }
+
+        fn list(&mut self, folder: &str) -> io::Result<Vec<(String, u64)>> {
+            let mut disk = self.get();
+            disk.call().1?;
+            let all = disk.now.iter().filter_map(|(name, node)| {
+                let (within, name) = name.rsplit_once('/').unwrap_or((ROOT, name));
+                (within == folder).then(|| (name.to_owned(), disk.nodes[*node].now.len() as u64))
+            });
+            Ok(all.collect())
+        }
+
+        fn read(&mut self, name: &str, from: u64, most: u64) -> io::Result<Vec<u8>> {
+            let mut disk = self.get();
+            disk.call().1?;
+            let node = disk.node(name)?;
+            let bytes = disk.nodes[node].now.get(from as usize..).unwrap_or_default();
+            Ok(bytes[..usize::try_from(most).unwrap_or(usize::MAX).min(bytes.len())].to_vec())
+        }
+
+        fn write(&mut self, name: &str, at: u64, bytes: &[u8]) -> io::Result<()> {
+            let mut disk = self.get();
+            let (done, mut well) = disk.call();
+            let mut part = bytes.len();
+            if well.is_ok() && disk.used() + bytes.len() > disk.room {
+                part = disk.room.saturating_sub(disk.used());
+                well = Err(ErrorKind::StorageFull.into());
+            } else if !done {
+                part = disk.dice.roll(bytes.len() as u64 + 1) as usize;
+            }
+            disk.change(name, Change::Write(at as usize, bytes[..part].to_vec()));
+            well
+        }
+
+        fn cut(&mut self, name: &str, len: u64) -> io::Result<()> {
+            let mut disk = self.get();
+            let (done, well) = disk.call();
+            if done {
+                disk.change(name, Change::Cut(len as usize));
+            }
+            well
+        }
+
+        fn sync(&mut self, name: &str) -> io::Result<()> {
+            let mut disk = self.get();
+            disk.syncs += 1;
+            let (done, well) = disk.call();
+            let node = disk.make(name);
+            if !done && !disk.is_off() {
+                disk.nodes[node].changes.iter_mut().for_each(|(_, left)| *left = true);
+            }
+            if !done {
+                return well;
+            }
+            let file = &mut disk.nodes[node];
+            let mut changes = std::mem::take(&mut file.changes);
+            while !changes.is_empty() {
+                let (change, left) = changes.remove(0);
+                if !left {
+                    change.make(&mut file.safe);
+                } else if !changes.iter().any(|(later, left)| !left && later.covers(&change)) {
+                    file.changes.push((change, true));
+                }
+            }
+            // Its name lasts as well, and what became of that name before.
+            let made = |naming: &Naming| matches!(naming, Naming::Make(_, of) if *of == node);
+            if let Some(i) = disk.namings.iter().position(made) {
+                let mut now = disk.namings.drain(..=i).collect::<Vec<Naming>>();
+                let rest = now.extract_if(.., |naming| !naming.touches(name)).collect::<Vec<Naming>>();
+                disk.namings.splice(..0, rest);
+                now.iter().for_each(|naming| naming.make(&mut disk.safe));
+            }
+            well
+        }
+
+        fn sync_folder(&mut self, name: &str) -> io::Result<()> {
+            let mut disk = self.get();
+            disk.syncs += 1;
+            let (done, well) = disk.call();
+            if done {
+                let (now, rest): (Vec<_>, Vec<_>) =
+                    std::mem::take(&mut disk.namings).into_iter().partition(|naming| naming.within(name));
+                disk.namings = rest;
+                now.iter().for_each(|naming| naming.make(&mut disk.safe));
+            }
+            well
+        }
+
+        fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+            let mut disk = self.get();
+            let (done, well) = disk.call();
+            if done {
+                let node = disk.node(from)?;
+                disk.now.remove(from);
+                disk.now.insert(to.to_owned(), node);
+                disk.namings.push(Naming::Rename(from.to_owned(), to.to_owned(), node));
+            }
+            well
+        }
+
+        fn remove(&mut self, name: &str) -> io::Result<()> {
+            let mut disk = self.get();
+            let (done, well) = disk.call();
+            if done {
+                let node = disk.node(name)?;
+                disk.now.remove(name);
+                disk.namings.push(Naming::Remove(name.to_owned(), node));
+            }
+            well
+        }
+    }
+
+    const SMALL: Limits = Limits { segment: 600, some: 1_200, many: 5_000, segments: 8, step: 300 };
+
+    fn ballots(round: u64) -> Ballots {
+        let me = Station { at: SocketAddr::from(([10, 0, 0, 1], 4_000)), disk: 7 };
+        let view = View { number: round, members: vec![me; round as usize % 4] };
+        let promised = Ballot { round, by: 3 };
+        Ballots { me, view: view.clone(), voter: true, promised, accepted: Some((promised, view)) }
+    }
+
+    fn sheet(version: u64) -> Record {
+        Record::Sheet(Arc::new(Sheet::new(version, format!("{{\"version\":{version}}}").into_bytes())))
+    }
+
+    fn claim(token: Token, body: Option<usize>) -> Claim {
+        let answer = |long| Answer {
+            status: 200,
+            headers: vec![("content-type".to_owned(), "text/plain".to_owned())],
+            body: vec![token as u8; long],
+        };
+        let outcome = body.map_or(Outcome::Open, |long| Outcome::Done(Arc::new(answer(long))));
+        Claim { token, left_ms: 1_500, outcome }
+    }
+
+    /// What a disk should hold.
+    #[derive(Clone, Default, Debug, PartialEq)]
+    struct Held {
+        ballots: Option<Ballots>,
+        sheet: Option<Arc<Sheet>>,
+        claims: BTreeMap<Key, Claim>,
+    }
+
+    impl Held {
+        fn of(saved: &Saved) -> Held {
+            let claims = saved.claims.iter().cloned().collect();
+            Held { ballots: saved.ballots.clone(), sheet: saved.sheet.clone(), claims }
+        }
+
+        fn take(&mut self, record: &Record) {
+            match record {
+                Record::Ballots(ballots) => self.ballots = Some(ballots.clone()),
+                Record::Sheet(sheet) => self.sheet = Some(Arc::clone(sheet)),
+                Record::Claim(key, claim) => {
+                    self.claims.insert(*key, claim.clone());
+                }
+                Record::Free(key, token) => {
+                    if self.claims.get(key).is_some_and(|claim| claim.token == *token) {
+                        self.claims.remove(key);
+                    }
+                }
+            }
+        }
+
+        /// It holds what is safe; of the rest, each thing is as it was or as one of the later records left it.
+        fn check(&self, safe: &Held, maybe: &[Record], about: &str) {
+            let mut steps = vec![safe.clone()];
+            for record in maybe {
+                let mut step = steps[steps.len() - 1].clone();
+                step.take(record);
+                steps.push(step);
+            }
+            assert!(steps.iter().any(|step| step.ballots == self.ballots), "{about}: {:?}", self.ballots);
+            assert!(steps.iter().any(|step| step.sheet == self.sheet), "{about}: {:?}", self.sheet);
+            let keys = self.claims.keys().chain(safe.claims.keys());
+            for key in keys {
+                let (got, mut may) = (self.claims.get(key), steps.iter().map(|step| step.claims.get(key)));
+                assert!(
+                    may.any(|may| may == got),
+                    "{about}: {key} is {got:?}, safe {:?}",
+                    safe.claims.get(key)
+                );
+            }
+        }
+    }
+
+    /// A steward at work.
+    struct Work {
+        sim: Sim,
+        store: Option<Store>,
+        dice: Dice,
+        token: Token,
+        safe: Held,
+        maybe: Vec<Record>,
+    }
+
+    impl Work {
+        fn new(sim: Sim) -> Work {
+            let (dice, safe) = (Dice::new(5), Held::default());
+            Work { sim, store: None, dice, token: 0, safe, maybe: Vec::new() }
+        }
+
+        /// What comes next does not hang on the disk, so that every run of a script is the same up to its end.
+        fn batch(&mut self, turn: u64, held: &mut Held) -> Vec<Record> {
+            let mut records = Vec::new();
+            for _ in 0..1 + self.dice.roll(4) {
+                let key = u128::from(self.dice.roll(14)) << 64 | 1;
+                let (what, long) = (self.dice.roll(5), self.dice.roll(90) as usize);
+                // The first keys are hardly ever freed: they have to move.
+                let lasting = key >> 64 < 4 && self.dice.roll(12) > 0;
+                let record = match held.claims.get(&key) {
+                    Some(_) if lasting => continue,
+                    Some(old) if what < 3 => Record::Free(key, old.token),
+                    Some(old) if what == 3 => Record::Claim(key, claim(old.token, Some(long))),
+                    _ => {
+                        self.token += 1;
+                        Record::Claim(key, claim(self.token, (what == 0).then_some(long)))
+                    }
+                };
+                held.take(&record);
+                records.push(record);
+            }
+            if turn % 6 == 2 {
+                records.insert(0, sheet(turn));
+            }
+            if turn % 5 == 1 {
+                records.push(Record::Ballots(ballots(turn)));
+            }
+            records.iter().filter(|r| matches!(r, Record::Sheet(_))).for_each(|record| held.take(record));
+            records
+        }
+
+        /// Until the power is lost. Whatever is refused is tried again.
+        fn run(&mut self, turns: u64) -> Result<(), StoreError> {
+            let mut held = Held::default();
+            for turn in 0..turns {
+                let batch = self.batch(turn, &mut held);
+                // The process dies at times, and the next one must not tell what isn't safe.
+                if turn % 25 == 24 {
+                    self.store = None;
+                }
+                self.maybe.extend(batch.iter().cloned());
+                for tries in 0.. {
+                    match self.go(&batch) {
+                        Ok(()) => break,
+                        Err(why) if tries > 20 || self.sim.is_off() => return Err(why),
+                        Err(_) => {}
+                    }
+                }
+                batch.iter().for_each(|record| self.safe.take(record));
+                self.maybe.clear();
+            }
+            Ok(())
+        }
+
+        fn go(&mut self, batch: &[Record]) -> Result<(), StoreError> {
+            if self.store.is_none() {
+                let (store, saved) = self.sim.open()?;
+                Held::of(&saved).check(&self.safe, &self.maybe, "after a kill");
+                self.store = Some(store);
+            }
+            self.store.as_mut().map_or(Ok(()), |store| store.write(batch))
+        }
+    }
+
+    const TURNS: u64 = 60;
+
+    fn reopen(sim: &Sim) -> (Store, Held) {
+        let (store, saved) = sim.open().expect("a disk without trouble opens");
+        (store, Held::of(&saved))
+    }
+
+    /// Wherever power is lost, what was safe is there, nothing else appears, and it goes on from there.
+    #[test]
+    fn every_loss_of_power() {
+        let sim = Sim::new(0, u64::MAX, 0..0);
+        let mut work = Work::new(sim.clone());
+        work.run(TURNS).expect("no trouble");
+        let calls = sim.get().calls;
+        assert!(calls > 200, "{calls}");
+        for stop in 1..=calls {
+            for seed in 0..3 {
+                let about = format!("power lost in call {stop}, seed {seed}");
+                let sim = Sim::new(stop * 3 + seed, stop, 0..0);
+                let mut work = Work::new(sim.clone());
+                let ended = work.run(TURNS);
+                assert!(ended.is_err() || stop == calls, "{about}");
+                work.store = None;
+                let mut held = work.safe.clone();
+                if seed == 2 {
+                    // A kill at first. What the next process is told is safe, whatever comes.
+                    sim.back(true);
+                    let told = reopen(&sim).1;
+                    told.check(&work.safe, &work.maybe, &about);
+                    held = told;
+                    work.maybe.clear();
+                }
+                sim.back(false);
+                let (mut store, told) = reopen(&sim);
+                told.check(&held, &work.maybe, &about);
+                let more =
+                    [Record::Claim(99, claim(9_999, Some(30))), Record::Ballots(ballots(900)), sheet(900)];
+                store.write(&more).expect("no trouble");
+                let mut held = told;
+                more.iter().for_each(|record| held.take(record));
+                sim.back(false);
+                assert_eq!(reopen(&sim).1, held, "{about}");
+            }
+        }
+    }
+
+    /// Wherever calls are refused for a while, all is written in the end, and nothing that was safe is lost.
+    #[test]
+    fn every_refusal() {
+        let sim = Sim::new(0, u64::MAX, 0..0);
+        Work::new(sim.clone()).run(TURNS).expect("no trouble");
+        let calls = sim.get().calls;
+        for from in 1..=calls {
+            let sim = Sim::new(from, u64::MAX, from..from + 1 + from % 4);
+            let mut work = Work::new(sim.clone());
+            // Every third one loses power soon after.
+            sim.get().stop = if from % 3 == 0 { from + 9 } else { u64::MAX };
+            let ended = work.run(TURNS);
+            assert!(ended.is_ok() || from % 3 == 0, "refused from call {from}: {ended:?}");
+            sim.back(false);
+            reopen(&sim).1.check(&work.safe, &work.maybe, &format!("refused from call {from}"));
+        }
+    }
+
+    #[test]
+    fn a_full_disk_loses_nothing() {
+        for room in (300..6_000).step_by(70) {
+            let sim = Sim::new(room, u64::MAX, 0..0);
+            let (mut store, _) = reopen(&sim);
+            sim.get().room = room as usize;
+            let mut held = Held::default();
+            let mut failed = None;
+            for i in 0..100 {
+                let records = [Record::Claim(i, claim(i as u64, Some(20))), sheet(i as u64)];
+                if store.write(&records).is_err() {
+                    failed = Some(records);
+                    break;
+                }
+                records.iter().for_each(|record| held.take(record));
+            }
+            let failed = failed.expect("the disk is full");
+            assert!(store.write(&failed).is_err());
+            if room % 3 == 0 {
+                drop(store);
+                sim.back(false);
+                let (store, told) = reopen(&sim);
+                told.check(&held, &failed, "full");
+                held = told;
+                drop(store);
+            } else {
+                sim.get().room = usize::MAX;
+                store.write(&failed).expect("there is room");
+                failed.iter().for_each(|record| held.take(record));
+            }
+            sim.back(false);
+            assert_eq!(reopen(&sim).1, held, "room {room}");
+        }
+    }
+
+    /// Nothing that a disk hands out makes it panic or tell what was never written.
+    #[test]
+    fn flipped_bits() {
+        let sim = Sim::new(0, u64::MAX, 0..0);
+        let mut work = Work::new(sim.clone());
+        work.run(30).expect("no trouble");
+        let names: Vec<String> = sim.get().now.keys().cloned().collect();
+        let whole = reopen(&sim).1;
+        let mut dice = Dice::new(1);
+        for name in names {
+            let node = sim.get().now[&name];
+            let bytes = sim.get().nodes[node].now.clone();
+            for at in (0..bytes.len()).step_by(2) {
+                let bit = 1 << dice.roll(8);
+                sim.get().nodes[node].now[at] ^= bit;
+                let before = sim.get().now.clone();
+                let (store, told) = reopen(&sim);
+                let kind = name.split(['/', '.']).next().unwrap_or_default();
+                let (claims, sheet, ballots) =
+                    (told.claims == whole.claims, told.sheet == whole.sheet, told.ballots == whole.ballots);
+                assert!(claims || kind == CLAIMS, "{name} {at}");
+                assert!(sheet || kind == TIMETABLE, "{name} {at}");
+                assert!(ballots || kind == "ballots", "{name} {at}");
+                for (key, claim) in &told.claims {
+                    assert!(claim.token <= work.token && key >> 64 < 14, "{name} {at}");
+                }
+                drop(store);
+                let mut disk = sim.get();
+                disk.now = before;
+                disk.nodes[node].now = bytes.clone();
+            }
+        }
+    }
+
+    /// Both ballots gone: as if the disk was lost, but for the claims.
+    #[test]
+    fn ballots_that_cannot_be_read() {
+        let sim = Sim::new(0, u64::MAX, 0..0);
+        let (mut store, _) = reopen(&sim);
+        for round in 1..4 {
+            store
+                .write(&[Record::Ballots(ballots(round)), Record::Claim(1, claim(round, None))])
+                .expect("written");
+        }
+        for slot in SLOTS {
+            sim.clone().write(slot, 3, b"rot").expect("written");
+        }
+        let (mut store, told) = reopen(&sim);
+        assert_eq!((told.ballots, told.claims.len()), (None, 1));
+        assert_eq!(store.found().len(), 4, "{:?}", store.found());
+        store.write(&[Record::Ballots(ballots(9))]).expect("written");
+        sim.back(false);
+        assert_eq!(reopen(&sim).1.ballots, Some(ballots(9)));
+    }
+
+    /// A segment that rots while it is in use: its live claims can't move on, all others do.
+    #[test]
+    fn a_segment_rots() {
+        let sim = Sim::new(0, u64::MAX, 0..0);
+        let (mut store, _) = reopen(&sim);
+        store.write(&[Record::Claim(1, claim(1, Some(200)))]).expect("written");
+        store.write(&[Record::Claim(2, claim(2, Some(200)))]).expect("written");
+        sim.clone().write(&segment_name(1), 400, b"rot").expect("written");
+        for token in 3..200 {
+            store.write(&[Record::Claim(3, claim(token, Some(40)))]).expect("written");
+        }
+        assert!(store.found()[0].starts_with("claims/000001"), "{:?}", store.found());
+        let (_, told) = reopen(&sim);
+        assert_eq!(told.claims.keys().copied().collect::<Vec<Key>>(), [1, 3]);
+    }
+
+    /// One write and one sync, and a bounded disk, however long it goes on.
+    #[test]
+    fn the_hot_path() {
+        let sim = Sim::new(0, u64::MAX, 0..0);
+        let (mut store, _) = Store::start(Box::new(sim.clone()), LIMITS).expect("opens");
+        store.write(&[Record::Claim(0, claim(0, None)), Record::Ballots(ballots(1))]).expect("written");
+        store.write(&[Record::Ballots(ballots(2))]).expect("written");
+        let open = |key: u128| Record::Claim(key << 100 | key, claim(u64::MAX - key as u64, None));
+        let counted = || {
+            let disk = sim.get();
+            (disk.calls, disk.syncs)
+        };
+        let (bytes, (calls, syncs)) = (store.bytes(), counted());
+        store.write(&[open(3)]).expect("written");
+        assert_eq!(counted(), (calls + 2, syncs + 1));
+        assert_eq!(store.bytes() - bytes, 71);
+        store.write(&(4..104).map(open).collect::<Vec<Record>>()).expect("written");
+        assert_eq!(counted().1, syncs + 2);
+        assert_eq!((store.bytes() - bytes - 71) / 100, 63);
+        store.write(&[Record::Ballots(ballots(3))]).expect("written");
+        assert_eq!(counted().1, syncs + 3);
+
+        let (mut store, _) = reopen(&Sim::new(0, u64::MAX, 0..0));
+        let (mut most, mut held) = (0, Held::default());
+        for token in 0..3_000 {
+            // One in a hundred stays for long.
+            let key = u128::from(if token % 100 == 0 { token % 500 } else { token % 7 + 1_000 });
+            let record = Record::Claim(key, claim(token, Some(50)));
+            held.take(&record);
+            store.write(&[record]).expect("written");
+            most = most.max(store.bytes());
+        }
+        assert!(most < 4 * store.live_bytes + SMALL.some, "{most}");
+        assert_eq!(store.live.len(), held.claims.len());
+        let counted: usize = store.segments.values().map(|segment| segment.live).sum();
+        assert_eq!(counted, store.live.len());
+    }
+
+    /// On a real folder: the operator's word is there to be read, long records come back, strange files do no harm.
+    #[test]
+    fn a_real_folder() {
+        let dir = std::env::temp_dir().join(format!("ochreshed-store-{}", std::process::id()));
+        let _ = fs::remove_dir_all(&dir);
+        let (mut store, saved) = Store::open(&dir).expect("opens");
+        assert_eq!(Held::of(&saved), Held::default());
+        let mut held = Held::default();
+        let mut long = claim(2, Some(300_000));
+        if let Outcome::Done(answer) = &mut long.outcome {
+            Arc::make_mut(answer).headers.push(("x".repeat(9_000), "y".repeat(70_000)));
+        }
+        let mut records = vec![Record::Claim(u128::MAX, long), Record::Ballots(ballots(1))];
+        records.extend((0..3_000).map(|key| Record::Claim(key, claim(key as u64, Some(9)))));
+        records.extend((1..9).map(sheet));
+        for record in &records {
+            held.take(record);
+        }
+        store.write(&records).expect("written");
+        store
+            .write(&[Record::Claim(7, Claim { token: 9, left_ms: 0, outcome: Outcome::Unknown })])
+            .expect("written");
+        held.take(&Record::Claim(7, Claim { token: 9, left_ms: 0, outcome: Outcome::Unknown }));
+        for version in 9..20 {
+            store.write(&[sheet(version)]).expect("written");
+            held.take(&sheet(version));
+        }
+        let rank = held.sheet.as_ref().map(|sheet| sheet.rank()).unwrap_or_default();
+        assert_eq!(fs::read(dir.join(sheet_name(rank))).expect("there"), b"{\"version\":19}");
+        assert_eq!(fs::read_dir(dir.join(TIMETABLE)).expect("there").count(), SHEETS);
+        drop(store);
+        for name in [
+            "claims/7",
+            "claims/000009",
+            "claims/x",
+            "timetable/r1-00.json",
+            "timetable/r99-0000000000000000.json",
+        ] {
+            fs::write(dir.join(name), b"\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0\0").expect("written");
+        }
+        let (mut store, saved) = Store::open(&dir).expect("opens");
+        assert_eq!(Held::of(&saved), held);
+        assert_eq!(store.found().len(), 2, "{:?}", store.found());
+        store.write(&[Record::Free(7, 9)]).expect("written");
+        assert!(dir.join("claims/000010").exists());
+        fs::remove_dir_all(&dir).expect("removed");
+    }
+}
--- a/balancer/src/mesh/wire.rs
+++ b/balancer/src/mesh/wire.rs
@@ -77,6 +77,10 @@
     /// The life under which the asker is known.
     pub life: Option<u64>,
     pub ages: Vec<(SocketAddr, u32)>,
+    /// Doors whose upstream's life an operator wants drained, and the ms for which that is told; to stewards all of
+    /// them, to an attendant its own.
+    #[serde(default)]
+    pub drains: Vec<(SocketAddr, String, u32)>,
 }
 
 #[derive(Serialize, Deserialize)]
--- /dev/null
+++ b/balancer/tests/mesh.rs
@@ -0,0 +1,283 @@
+//! The mesh's roles as processes on loopback: three stewards, four attendants with stand-in upstreams, an operator and
+//! clients of the test's own.
+
+mod helper;
+#[path = "mesh/town.rs"]
+mod town;
+
+use std::net::SocketAddr;
+use std::sync::Barrier;
+use std::sync::atomic::Ordering::Relaxed;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use helper::until;
+use town::*;
+
+/// Guards against any hop that alters a req or an answer, takes a client's word for who it is, or sends to the wrong
+/// service.
+#[test]
+fn on_a_calm_day_what_comes_in_at_any_gate_arrives_as_it_was() {
+    let town = Town::start();
+    town.replace(1, &timetable(2, &route("/later/", "resendable", "alpha")));
+    town.until_in_force("/later/x");
+    let body: Vec<u8> = (0..100_000_u32).map(|at| at as u8).collect();
+    let lies = format!("{CALLER}: nobody\r\n{ADDRESSEE}: nobody\r\nX-More: kept\r\n");
+    for (nth, gate) in town.gates().into_iter().enumerate() {
+        let caller = if nth == 3 { "omega" } else { "alpha" };
+        let reqs = [("GET /read/a/2f?b=%20c", &b""[..]), ("PUT /read/b", b"short"), ("POST /read/c", &body)];
+        for (first, body) in reqs {
+            let id = new_id();
+            let answer = call(gate, &req(first, &id, &lies, body)).expect("an answer");
+            let runs = town.ledger.of_id(&id);
+            assert_eq!((answer.status(), runs.len()), ("200", 1), "{first} at {gate}: {answer:?}");
+            let run = &runs[0];
+            assert_eq!(run.req.first, format!("{first} HTTP/1.1"));
+            assert!(run.req.body == body, "{first}: {} bytes", run.req.body.len());
+            assert_eq!((run.line, run.req.field(CALLER), run.req.field("x-more")), ("alpha", caller, "kept"));
+            assert_eq!(run.req.field(ADDRESSEE), run.by);
+            assert_eq!((answer.field(STAMP), answer.field(ID)), (&*run.stamp, &*id));
+            assert_eq!(answer.text(), said(&id));
+        }
+        let answer = get(gate, "/large/x");
+        assert!(answer.status() == "200" && answer.body == large(), "{}", answer.body.len());
+        for path in ["/first/x", "/reads/x", "/", "/read"] {
+            assert_eq!(get(gate, path).status(), "404", "{path}");
+        }
+        let elsewhere = b"GET /read/x HTTP/1.1\r\nHost: else.example\r\nOchreshed-Consignment-Id: e\r\n\r\n";
+        assert_eq!(call(gate, elsewhere).expect("an answer").status(), "404");
+        // The upstream's own call: by its gate, to the other service.
+        let id = new_id();
+        let answer = call(gate, &req("GET /read/calls", &id, "", b"")).expect("an answer");
+        let called = town.ledger.of_id(&format!("{id}.1"));
+        assert_eq!((answer.status(), called.len()), ("200", 1), "{answer:?}");
+        assert_eq!((called[0].line, called[0].req.field(CALLER)), ("omega", "alpha"));
+        assert_eq!(answer.text(), said(&format!("{id}.1")));
+    }
+}
+
+/// Guards against a key that runs twice, and against repeats that are not told of the first one's answer.
+#[test]
+fn a_key_runs_once_whichever_gates_it_comes_to() {
+    let town = Town::start();
+    let gates = town.gates();
+    for (nth, gate) in gates.iter().enumerate() {
+        let key = format!("k-{nth}");
+        let first = insisted(*gate, "/move/x", &key);
+        let runs = town.ledger.of_key(&key);
+        assert_eq!(
+            (first.status(), runs.len(), first.field(STAMP)),
+            ("200", 1, &*runs[0].stamp),
+            "{first:?}"
+        );
+        for other in &gates {
+            let again = insisted(*other, "/move/x", &key);
+            assert_eq!(
+                (again.status(), again.field(STAMP), &again.body),
+                ("200", &*runs[0].stamp, &first.body)
+            );
+        }
+        assert_eq!(town.ledger.of_key(&key).len(), 1);
+    }
+    // Two at once.
+    for nth in 0..20 {
+        let (key, both) = (format!("two-{nth}"), Barrier::new(2));
+        let send = |gate: usize| {
+            both.wait();
+            keyed(gates[gate], "/move/x", &key)
+        };
+        let (one, two) = thread::scope(|scope| {
+            let one = scope.spawn(|| send(nth % 4));
+            (send((nth + 1) % 4), one.join().expect("an answer"))
+        });
+        let after = insisted(gates[0], "/move/x", &key);
+        let runs = town.ledger.of_key(&key);
+        assert_eq!(
+            (runs.len(), after.status(), after.field(STAMP)),
+            (1, "200", &*runs[0].stamp),
+            "{after:?}"
+        );
+        for answer in [one, two] {
+            let told = answer.status() == "200" && answer.field(STAMP) == runs[0].stamp;
+            assert!(told || ["409", "503"].contains(&answer.status()), "{answer:?}");
+        }
+    }
+    // While the first is at work.
+    let repeat = |gate: SocketAddr| {
+        let message = req("POST /move/held", &new_id(), &format!("{KEY}: held\r\n"), b"move");
+        let short = String::from_utf8(message)
+            .expect("text")
+            .replace(&format!("Left-Ms: {LEFT_MS}"), "Left-Ms: 1000");
+        call(gate, short.as_bytes()).expect("an answer")
+    };
+    thread::scope(|scope| {
+        let first = scope.spawn(|| keyed(gates[0], "/move/held", "held"));
+        until("at work", || town.ledger.of_key("held").len() == 1);
+        let repeats: Vec<_> = gates.iter().map(|gate| scope.spawn(move || repeat(*gate))).collect();
+        for repeat in repeats {
+            assert_eq!(repeat.join().expect("an answer").status(), "409");
+        }
+        town.ledger.release.store(true, Relaxed);
+        assert_eq!(first.join().expect("an answer").status(), "200");
+    });
+    let (again, runs) = (insisted(gates[1], "/move/held", "held"), town.ledger.of_key("held"));
+    assert_eq!((again.field(STAMP), runs.len()), (&*runs[0].stamp, 1));
+}
+
+/// Guards against reqs lost to an upstream that goes as planned, and against any that come after it may be gone.
+#[test]
+fn an_upstream_that_closes_gets_nothing_new_after_its_drain_and_nothing_is_lost() {
+    let town = Town::start();
+    let load = Load::on(&town.gates(), "/read/work");
+    load.go_on(300);
+    let leaving = &town.upstreams[0];
+    let asked = Instant::now();
+    leaving.close();
+    let last = Instant::now() + DRAIN;
+    let runs = |since: Instant| town.ledger.runs(|run| run.by == leaving.id && run.at > since);
+    assert!(!town.ledger.runs(|run| run.by == leaving.id && run.at < asked).is_empty(), "it took none");
+    until("drained", || Instant::now() > last);
+    load.go_on(400);
+    let others = town.ledger.runs(|run| run.by != leaving.id && run.at > last);
+    assert!(others.len() >= 300, "{}", others.len());
+    assert!(runs(last).is_empty(), "{} after its drain", runs(last).len());
+    let lost = load.end();
+    assert!(lost.is_empty(), "{} lost: {:?}", lost.len(), lost.first());
+}
+
+/// The core at work: a configuration that is taken, read back and in force, and keys that run once at every gate.
+fn serves(town: &Town, alive: &[usize], version: u64) {
+    let (prefix, name) = (format!("/v{version}/"), format!("v{version}"));
+    let body = timetable(version, &route(&prefix, "resendable", "alpha"));
+    town.replace(alive[0], &body);
+    alive.iter().for_each(|steward| town.until_reads(*steward, &body));
+    town.until_in_force(&format!("{prefix}x"));
+    for (nth, gate) in town.gates().into_iter().enumerate() {
+        let key = format!("{name}-{nth}");
+        let answer = insisted(gate, "/move/x", &key);
+        let runs = town.ledger.of_key(&key);
+        assert_eq!((answer.status(), runs.len()), ("200", 1), "{answer:?}");
+    }
+}
+
+/// Guards against a core that needs all of its machines, and against one that comes back as a stranger or with less
+/// than it had promised.
+#[test]
+fn the_core_goes_on_without_one_of_its_processes_and_takes_it_back_with_its_disk_and_without() {
+    let mut town = Town::start();
+    let load = Load::on(&town.gates(), "/read/x");
+    serves(&town, &[0, 1, 2], 2);
+    town.stewards[0].kill();
+    serves(&town, &[1, 2], 3);
+    town.start_steward(0, false);
+    serves(&town, &[0, 1, 2], 4);
+    // It votes: the others can do nothing without it.
+    town.stewards[1].kill();
+    serves(&town, &[0, 2], 5);
+    town.stewards[1].lose_disk();
+    let caught_up = |town: &Town| town.stewards[1].logged("caught up in view");
+    let before = caught_up(&town);
+    town.start_steward(1, false);
+    until("a voter again", || caught_up(&town) > before);
+    town.stewards[2].kill();
+    serves(&town, &[0, 1], 6);
+    let lost = load.end();
+    assert!(lost.is_empty(), "{} lost: {:?}", lost.len(), lost.first());
+}
+
+/// Guards against an acknowledgement that was only memory's, a key that runs again, and gates that stop with the core.
+#[test]
+fn a_core_that_is_killed_whole_comes_back_with_all_that_it_acknowledged() {
+    let mut town = Town::start();
+    let load = Load::on(&town.gates(), "/read/x");
+    serves(&town, &[0, 1, 2], 5);
+    let ran = |town: &Town, key: &str| town.ledger.of_key(key).len();
+    let keys: Vec<String> = (0..8).map(|nth| format!("ran-{nth}")).collect();
+    let (settled, fresh) = keys.split_at(4);
+    settled.iter().for_each(|key| drop(insisted(town.gate(0), "/move/x", key)));
+    settled.iter().for_each(|key| assert_eq!(insisted(town.gate(1), "/move/x", key).status(), "200"));
+    let body = timetable(9, &route("/nine/", "resendable", "alpha"));
+    fresh.iter().for_each(|key| drop(insisted(town.gate(2), "/move/x", key)));
+    town.replace(2, &body);
+    town.stewards.iter_mut().for_each(Machine::kill);
+    load.go_on(200);
+    (0..STEWARDS).for_each(|steward| town.start_steward(steward, false));
+    (0..STEWARDS).for_each(|steward| town.until_reads(steward, &body));
+    for key in &keys {
+        let again = insisted(town.gate(3), "/move/x", key);
+        let stamp = town.ledger.of_key(key)[0].stamp.clone();
+        assert_eq!(ran(&town, key), 1, "{key}: {again:?}");
+        // Of those whose answer was settled, it is told.
+        if settled.contains(key) {
+            assert_eq!((again.status(), again.field(STAMP)), ("200", &*stamp), "{key}");
+        }
+    }
+    serves(&town, &[0, 1, 2], 12);
+    let lost = load.end();
+    assert!(lost.is_empty(), "{} lost: {:?}", lost.len(), lost.first());
+}
+
+/// Guards against a configuration that is taken in part, in spite of what it says, or over a newer one.
+#[test]
+fn an_invalid_configuration_is_refused_with_its_place_and_an_older_one_alters_nothing() {
+    let town = Town::start();
+    let body = timetable(7, &route("/seven/", "resendable", "alpha"));
+    town.replace(0, &body);
+    let good = timetable(8, &route("/bad/", "resendable", "alpha"));
+    let wrong = [
+        (good.replace(r#""line":"omega""#, r#""line":"nobody""#), "consignments[1]"),
+        (good.replacen(r#""tries":2"#, r#""tries":0"#, 1), "consignments[0]"),
+        (good.replace("/bad/", "bad/"), "consignments[4]"),
+        (good.replace("registered", "sometimes"), "consignments[3]"),
+        (good.replace(r#""r8""#, r#""8""#), "edition"),
+        (good[..good.len() / 2].to_owned(), "document"),
+        (String::new(), "document"),
+    ];
+    for (nth, (wrong, place)) in wrong.iter().enumerate() {
+        let answer = town.operate(nth % STEWARDS, "replace", wrong).expect("an answer");
+        let line = answer.text().lines().next().unwrap_or_default();
+        assert!(answer.status() == "400" && line.starts_with(place), "{nth}: {answer:?}, {line}");
+    }
+    let older = timetable(6, &route("/older/", "resendable", "alpha"));
+    for steward in 0..STEWARDS {
+        for older in [&older, &body] {
+            let answer = town.operate(steward, "replace", older).expect("an answer");
+            assert_eq!(answer.status(), "200", "{answer:?}");
+        }
+        town.until_reads(steward, &body);
+    }
+    town.until_in_force("/seven/x");
+    town.replace(1, &timetable(9, &route("/nine/", "resendable", "alpha")));
+    town.until_in_force("/nine/x");
+    let gone = ["/bad/x", "/older/x", "/seven/x"];
+    for gate in town.gates() {
+        gone.iter().for_each(|path| assert_eq!(get(gate, path).status(), "404", "{path}"));
+    }
+}
+
+/// Guards against reqs lost at the gate or the door of an attendant that is asked to end, and against one that stays.
+#[test]
+fn an_attendant_that_is_asked_to_end_answers_all_that_came_and_goes_within_its_grace() {
+    let mut town = Town::start();
+    let load = Load::on(&town.gates(), "/read/work");
+    load.go_on(300);
+    town.attendants[1].end();
+    let since = Instant::now();
+    // As the platform does: looked at once a second, and no more clients after two misses.
+    for _ in 0..2 {
+        until("not ready", || !town.ready(1));
+        thread::sleep(Duration::from_secs(1));
+    }
+    load.stop(1);
+    let ended = |town: &mut Town| town.attendants[1].ended();
+    let mut well = None;
+    while well.is_none() && since.elapsed() < GRACE * 2 {
+        well = ended(&mut town);
+        thread::sleep(Duration::from_millis(10));
+    }
+    let took = since.elapsed();
+    load.go_on(200);
+    assert!(well == Some(true) && took <= GRACE, "{well:?} after {took:?}");
+    let lost = load.end();
+    assert!(lost.is_empty(), "{} lost: {:?}", lost.len(), lost.first());
+}
--- a/mesh/src/agree.rs
+++ b/mesh/src/agree.rs
@@ -6,7 +6,8 @@
 //! Why it holds. A thing is agreed once more than half of a view's voters hold it. A view is followed by one that
 //! differs in one member, decided by more than half of its own voters, and whoever has moved on answers nothing of
 //! the old one any more. The new member votes only after so many voters that have moved on told it all they hold
-//! that none of what was agreed before can be missing. The next change waits until all that stay do vote.
+//! that none of what was agreed before can be missing: of a view's voters, those that do not hold a thing that was
+//! agreed are always fewer than it asks.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -102,6 +103,18 @@
     }
 }
 
+/// What is known of a steward, for those that look on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Known {
+    pub station: Station,
+    pub member: bool,
+    pub voter: bool,
+    pub view: u64,
+    /// How long ago; never, for one that was not heard yet.
+    pub heard: Option<Nanos>,
+    pub leaving: bool,
+}
+
 /// Whether it is time again; notes that it was done.
 fn due(last: &mut Option<Nanos>, now: Nanos, every: Nanos) -> bool {
     if last.is_some_and(|last| now < last.saturating_add(every)) {
@@ -467,6 +480,30 @@
         all.into_iter().collect()
     }
 
+    /// This steward, the members, and all others heard of late.
+    pub fn known(&self, now: Nanos) -> Vec<Known> {
+        let me = Known {
+            station: self.me,
+            member: self.is_member(&self.me),
+            voter: self.voter,
+            view: self.view.number,
+            heard: Some(0),
+            leaving: self.leaving,
+        };
+        let others = self.peers.iter().filter(|(station, _)| **station != self.me);
+        let others = others.map(|(station, peer)| Known {
+            station: *station,
+            member: self.is_member(station),
+            voter: peer.voter,
+            view: peer.view,
+            heard: peer.heard.map(|heard| now.saturating_sub(heard)),
+            leaving: peer.leaving,
+        });
+        let mut all: Vec<Known> = [me].into_iter().chain(others).collect();
+        all.sort_by_key(|known| known.station);
+        all
+    }
+
     /// All that the disk should hold, to write it anew.
     pub fn records(&self) -> Vec<Record> {
         let claims = self.claims.iter().map(|(key, kept)| Record::Claim(*key, kept.claim.clone()));
--- a/mesh/src/agree/keys.rs
+++ b/mesh/src/agree/keys.rs
@@ -6,7 +6,7 @@
 /// A call gathers grants for so long.
 const GATHER: Nanos = 1000 * MS;
 /// A call waits for another claim's outcome half the time that its req has left, of at most so many ms.
-const MOST_WAIT_MS: u32 = 2000;
+const MOST_WAIT_MS: u32 = 1_400;
 const TOLD_FOR: Nanos = 20_000 * MS;
 const MOST_TOLD: usize = 4096;
 const MOST_FREED: usize = 20_000;
@@ -64,6 +64,21 @@
         self.claims.get(&key).map(|kept| &kept.claim)
     }
 
+    /// For how long a claim is known here.
+    pub fn age(&self, key: Key) -> Option<Nanos> {
+        self.claims.get(&key).map(|kept| self.known_for(kept))
+    }
+
+    /// That of the open claim which is known for longest.
+    pub fn oldest_open(&self) -> Option<Nanos> {
+        let open = self.claims.values().filter(|kept| kept.claim.outcome == Outcome::Open);
+        open.map(|kept| self.known_for(kept)).max()
+    }
+
+    fn known_for(&self, kept: &Kept) -> Nanos {
+        self.now.saturating_add(self.config.keep).saturating_sub(kept.until)
+    }
+
     pub(super) fn claim_wanted(
         &mut self,
         now: Nanos,
@@ -226,7 +241,7 @@
             let claim = claim.clone();
             self.answer(call, Got::Held(claim.outcome.clone()), out);
             self.settle(now, key, claim.token, Some(claim.outcome), out);
-        } else if voters.saturating_sub(asked.no.len()) < self.majority() {
+        } else if voters > 0 && voters.saturating_sub(asked.no.len()) < self.majority() {
             let other = asked.no.values().any(|claim| claim.is_some());
             if !other {
                 self.answer(call, Got::Unsure, out);
--- a/mesh/src/agree/view.rs
+++ b/mesh/src/agree/view.rs
@@ -53,7 +53,7 @@
         }
         // What was answered so far was answered in the old view, and says so.
         self.flush(out);
-        let next = view.number == self.view.number + 1;
+        let next = view.number - 1 == self.view.number;
         self.view = view;
         self.view.members.sort();
         self.view.members.dedup();
@@ -189,10 +189,18 @@
         peer.there(self.now) && !peer.leaving && !self.is_member(station)
     }
 
-    /// Whether a member's place may be given away.
-    fn is_out(&self, now: Nanos, member: &Station) -> bool {
+    fn is_leaving(&self, now: Nanos, member: &Station) -> bool {
+        match self.peers.get(member) {
+            _ if *member == self.me => self.leaving,
+            Some(peer) => peer.leaving && peer.there(now),
+            None => false,
+        }
+    }
+
+    /// Whether a member was silent for too long, or came back without its disk.
+    fn is_lost(&self, now: Nanos, member: &Station) -> bool {
         if *member == self.me {
-            return self.leaving;
+            return false;
         }
         let Some(peer) = self.peers.get(member) else { return true };
         let other_disk = |(station, other): (&Station, &Peer)| {
@@ -201,9 +209,7 @@
                 && other.there(now)
                 && other.heard > peer.heard
         };
-        peer.silence(now) >= self.config.lost_after
-            || (peer.leaving && peer.there(now))
-            || self.peers.iter().any(other_disk)
+        peer.silence(now) >= self.config.lost_after || self.peers.iter().any(other_disk)
     }
 
     pub(super) fn is_voter(&self, member: &Station) -> bool {
@@ -214,7 +220,8 @@
         }
     }
 
-    /// The view that should follow. All that stay vote, so that no more than one at a time has to catch up.
+    /// The view that should follow. Where it can wait it waits until all that stay vote, so that only one at a time
+    /// has to catch up. For one that is lost it is enough that those that stay and are there can go on by themselves.
     fn wish(&self, now: Nanos) -> Option<View> {
         let members = &self.view.members;
         let joins: Vec<Station> = self
@@ -231,11 +238,18 @@
                 members.iter().filter(|member| Some(*member) != out).copied().collect();
             next.push(joins);
             next.sort();
-            View { number: self.view.number + 1, members: next }
+            View { number: self.view.number.saturating_add(1), members: next }
+        };
+        let votes = |member: &&Station| self.is_voter(member);
+        let there = |member: &&Station| {
+            **member == self.me || self.peers.get(*member).is_some_and(|peer| peer.there(now))
         };
-        let silent: Vec<&Station> = members.iter().filter(|member| !self.is_voter(member)).collect();
-        for out in members.iter().filter(|member| members.len() > 1 && self.is_out(now, member)) {
-            if silent.iter().any(|member| *member != out) {
+        for out in members.iter().filter(|_| members.len() > 1) {
+            let stay = || members.iter().filter(|member| *member != out);
+            let lost = self.is_lost(now, out);
+            let whole = stay().all(|member| self.is_voter(member));
+            let enough = stay().filter(votes).filter(there).count() >= self.majority();
+            if !(lost && (whole || enough) || whole && self.is_leaving(now, out)) {
                 continue;
             }
             let same_place = joins.iter().find(|station| station.at == out.at);
@@ -244,7 +258,7 @@
                 return Some(with(Some(out), *joins));
             }
         }
-        if members.len() < self.config.want && silent.is_empty() {
+        if members.len() < self.config.want && members.iter().all(|member| self.is_voter(member)) {
             return joins.iter().find(|station| fits(station, None)).map(|joins| with(None, *joins));
         }
         None
@@ -347,7 +361,7 @@
     }
 
     pub(super) fn accept(&mut self, from: Station, ballot: Ballot, view: View, out: &mut Vec<Act>) {
-        if !self.voter || view.number != self.view.number + 1 {
+        if !self.voter || view.number.checked_sub(1) != Some(self.view.number) {
             return;
         }
         if ballot < self.promised {
--- a/mesh/src/list.rs
+++ b/mesh/src/list.rs
@@ -166,6 +166,10 @@
         quiet
     }
 
+    pub fn row(&self, door: SocketAddr) -> Option<&Row> {
+        self.rows.get(&door).map(|held| &held.row)
+    }
+
     pub fn rows(&self) -> impl Iterator<Item = &Row> {
         self.rows.values().map(|held| &held.row)
     }
--- a/mesh/src/words.rs
+++ b/mesh/src/words.rs
@@ -118,7 +118,8 @@
 pub enum Want {
     /// The right to run this key's req. Answered with `Granted`, or with what the first one's claim came to.
     Claim { key: Key, token: Token, left_ms: u32 },
-    /// The one that holds the claim tells what came of it. `None`: it has not run and never will under this token.
+    /// The one that claimed tells what came of it. `None`: it has not run and never will under this token, to be told
+    /// as well after `Held` or `Unsure`. Any other only where the claim was granted: it is taken as proof of that.
     Settle { key: Key, token: Token, outcome: Option<Outcome> },
     /// A configuration that was read and found valid.
     Replace(Arc<Sheet>),
