--- /dev/null
+++ b/mesh/tests/agree.rs
@@ -0,0 +1,455 @@
+//! The core's agreement, one story at a time.
+
+mod stewards;
+
+use std::sync::Arc;
+
+use ochreshed_mesh::agree::Core;
+use ochreshed_mesh::words::*;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use stewards::{MS, World, answer, at};
+
+fn claim(world: &mut World, node: usize, key: Key, token: Token) -> u64 {
+    world.want(node, Want::Claim { key, token, left_ms: 1000 })
+}
+
+fn settle(world: &mut World, node: usize, key: Key, token: Token, outcome: Option<Outcome>) {
+    world.want(node, Want::Settle { key, token, outcome });
+}
+
+fn core(world: &World, node: usize) -> &Core {
+    world.nodes[node].core.as_ref().unwrap()
+}
+
+#[test]
+fn a_claim_is_granted_in_one_round() {
+    let mut world = World::new(1, 3, 3, 3, 0);
+    let call = claim(&mut world, 0, 7, 21);
+    assert_eq!(world.answers.get(&call), None);
+    world.settle_down();
+    assert_eq!(world.answers[&call], Got::Granted);
+    for node in 0..3 {
+        assert_eq!(core(&world, node).claim(7).unwrap().token, 21);
+        assert_eq!(core(&world, node).keys(), (1, 0, 0));
+        assert!(world.nodes[node].disk.claims.contains_key(&7));
+    }
+}
+
+#[test]
+fn no_grant_before_the_disks_are_safe() {
+    let mut world = World::new(1, 3, 3, 3, 0);
+    let call = claim(&mut world, 0, 7, 21);
+    while !world.bag.is_empty() {
+        world.deliver(0);
+    }
+    assert_eq!(world.answers.get(&call), None);
+    world.sync(1, usize::MAX);
+    while !world.bag.is_empty() {
+        world.deliver(0);
+    }
+    assert_eq!(world.answers.get(&call), None);
+    world.sync(0, usize::MAX);
+    while !world.bag.is_empty() {
+        world.deliver(0);
+    }
+    assert_eq!(world.answers[&call], Got::Granted);
+}
+
+#[test]
+fn a_repeat_waits_and_gets_the_answer() {
+    let mut world = World::new(1, 4, 3, 3, 0);
+    claim(&mut world, 0, 7, 21);
+    world.settle_down();
+    // Through another member, and through one that is none.
+    let calls = [claim(&mut world, 1, 7, 22), claim(&mut world, 3, 7, 23)];
+    world.calm(200 * MS);
+    assert!(calls.iter().all(|call| !world.answers.contains_key(call)));
+    settle(&mut world, 2, 7, 21, Some(Outcome::Done(answer(21))));
+    world.calm(200 * MS);
+    for call in calls {
+        assert_eq!(world.answers[&call], Got::Held(Outcome::Done(answer(21))));
+    }
+    let late = claim(&mut world, 0, 7, 24);
+    assert_eq!(world.answers[&late], Got::Held(Outcome::Done(answer(21))));
+    assert_eq!(core(&world, 0).keys(), (0, 0, 1));
+}
+
+#[test]
+fn the_wait_for_an_open_claim_ends() {
+    let mut world = World::new(1, 3, 3, 3, 0);
+    claim(&mut world, 0, 7, 21);
+    world.settle_down();
+    let call = claim(&mut world, 1, 7, 22);
+    world.calm(450 * MS);
+    assert_eq!(world.answers.get(&call), None);
+    world.calm(100 * MS);
+    assert_eq!(world.answers[&call], Got::Held(Outcome::Open));
+}
+
+#[test]
+fn a_freed_key_goes_to_the_one_that_waits() {
+    let mut world = World::new(1, 3, 3, 3, 0);
+    claim(&mut world, 0, 7, 21);
+    world.settle_down();
+    let call = claim(&mut world, 1, 7, 22);
+    world.settle_down();
+    settle(&mut world, 2, 7, 21, None);
+    world.calm(200 * MS);
+    assert_eq!(world.answers[&call], Got::Granted);
+    // The freed token is never good again.
+    let again = claim(&mut world, 0, 7, 21);
+    world.calm(600 * MS);
+    assert_ne!(world.answers[&again], Got::Granted);
+}
+
+#[test]
+fn claims_need_more_than_half() {
+    let mut world = World::new(1, 3, 3, 3, 0);
+    world.crash(1);
+    world.crash(2);
+    let call = claim(&mut world, 0, 7, 21);
+    for _ in 0..30 {
+        world.now += 50 * MS;
+        world.tick(0);
+        world.settle_down();
+    }
+    assert_eq!(world.answers[&call], Got::Unsure);
+    assert!(!core(&world, 0).settled(world.now));
+    // Its own grant stays: it cannot know whether another got it through elsewhere.
+    assert_eq!(core(&world, 0).claim(7).unwrap().token, 21);
+    world.calm(1000 * MS);
+    assert!(core(&world, 0).settled(world.now));
+    let call = claim(&mut world, 2, 7, 21);
+    world.settle_down();
+    assert_eq!(world.answers[&call], Got::Granted);
+}
+
+#[test]
+fn one_that_was_silent_is_told_what_it_missed() {
+    let mut world = World::new(1, 3, 3, 3, 0);
+    world.calm(300 * MS);
+    world.crash(2);
+    claim(&mut world, 0, 7, 21);
+    claim(&mut world, 0, 8, 22);
+    for _ in 0..20 {
+        world.now += 50 * MS;
+        world.tick(0);
+        world.tick(1);
+        world.settle_down();
+    }
+    settle(&mut world, 1, 8, 22, Some(Outcome::Unknown));
+    world.settle_down();
+    assert_eq!(core(&world, 1).keys(), (1, 1, 0));
+    world.calm(600 * MS);
+    assert_eq!(core(&world, 2).keys(), (1, 1, 0));
+}
+
+#[test]
+fn claims_end_after_their_time() {
+    let mut world = World::new(1, 3, 3, 3, 0);
+    claim(&mut world, 0, 7, 21);
+    world.settle_down();
+    world.now += world.config.keep;
+    world.calm(400 * MS);
+    for node in 0..3 {
+        assert_eq!(core(&world, node).keys(), (0, 0, 0));
+        assert!(world.nodes[node].disk.claims.is_empty());
+    }
+}
+
+#[test]
+fn a_sheet_is_taken_read_and_safe_everywhere() {
+    let mut world = World::new(1, 4, 3, 3, 0);
+    world.calm(300 * MS);
+    let none = world.want(1, Want::Read);
+    world.settle_down();
+    assert_eq!(world.answers[&none], Got::Newest(None));
+    let sheet = world.sheet();
+    let call = world.want(0, Want::Replace(sheet.clone()));
+    world.settle_down();
+    assert_eq!(world.answers[&call], Got::Taken);
+    let read = world.want(3, Want::Read);
+    world.settle_down();
+    assert_eq!(world.answers[&read], Got::Newest(Some(sheet.clone())));
+    world.calm(600 * MS);
+    for node in 0..4 {
+        assert_eq!(core(&world, node).safe(), Some(&sheet));
+    }
+    // The same again and an older one are there already.
+    for sheet in [sheet, Sheet::new(0, vec![]).into()] {
+        let call = world.want(2, Want::Replace(sheet));
+        assert_eq!(world.answers[&call], Got::Taken);
+    }
+}
+
+#[test]
+fn many_sheets_at_once() {
+    let mut world = World::new(1, 3, 3, 3, 0);
+    let calls: Vec<u64> = (0..200)
+        .map(|n| {
+            let sheet = world.sheet();
+            world.want(n % 3, Want::Replace(sheet))
+        })
+        .collect();
+    world.calm(800 * MS);
+    assert!(calls.iter().all(|call| world.answers[call] == Got::Taken));
+    let newest = core(&world, 0).safe().unwrap().rank();
+    assert!((0..3).all(|node| core(&world, node).safe().unwrap().rank() == newest));
+    assert_eq!(newest.0, world.next_version);
+}
+
+#[test]
+fn all_of_the_core_goes_and_comes_back() {
+    let mut world = World::new(1, 3, 3, 3, 0);
+    let sheet = world.sheet();
+    world.want(0, Want::Replace(sheet.clone()));
+    claim(&mut world, 0, 7, 21);
+    claim(&mut world, 1, 8, 22);
+    settle(&mut world, 1, 8, 22, Some(Outcome::Done(answer(22))));
+    world.settle_down();
+    for node in 0..3 {
+        world.crash(node);
+    }
+    world.bag.clear();
+    world.calm(500 * MS);
+    assert_eq!(core(&world, 2).safe(), Some(&sheet));
+    let calls = [claim(&mut world, 2, 7, 31), claim(&mut world, 2, 8, 32)];
+    world.calm(600 * MS);
+    assert_eq!(world.answers[&calls[0]], Got::Held(Outcome::Open));
+    assert_eq!(world.answers[&calls[1]], Got::Held(Outcome::Done(answer(22))));
+    assert_eq!(core(&world, 2).view().number, 1);
+}
+
+#[test]
+fn a_wiped_one_comes_back_and_votes_again() {
+    let mut world = World::new(1, 3, 3, 3, 0);
+    let sheet = world.sheet();
+    world.want(0, Want::Replace(sheet.clone()));
+    for key in 0..600 {
+        claim(&mut world, 0, key, 1000 + key as u64);
+    }
+    world.calm(300 * MS);
+    world.wipe(2);
+    world.calm(1500 * MS);
+    let back = core(&world, 2);
+    assert!(back.voter());
+    assert_eq!(back.view().number, 2);
+    assert_ne!(back.me().disk, 0);
+    assert_eq!(back.keys(), (600, 0, 0));
+    assert_eq!(back.safe(), Some(&sheet));
+    assert!((0..3).all(|node| core(&world, node).view() == back.view()));
+    // And the next one may be lost.
+    world.wipe(0);
+    world.calm(1500 * MS);
+    assert_eq!(core(&world, 0).keys(), (600, 0, 0));
+    assert!(core(&world, 0).voter());
+}
+
+#[test]
+fn a_fourth_takes_the_place_of_one_that_is_lost() {
+    let mut world = World::new(1, 4, 3, 3, 0);
+    claim(&mut world, 3, 7, 21);
+    world.calm(500 * MS);
+    world.crash(1);
+    for _ in 0..80 {
+        world.now += 50 * MS;
+        for node in [0, 2, 3] {
+            world.tick(node);
+        }
+        world.settle_down();
+    }
+    let members: Vec<_> = core(&world, 0).view().members.iter().map(|station| station.at).collect();
+    assert_eq!(members, [at(0), at(2), at(3)]);
+    assert!(core(&world, 3).voter());
+    assert_eq!(core(&world, 3).keys(), (1, 0, 0));
+    // The one that was lost comes back and is told that it is out.
+    world.calm(500 * MS);
+    assert!(!core(&world, 1).voter());
+    assert_eq!(core(&world, 1).view(), core(&world, 0).view());
+    let call = claim(&mut world, 1, 7, 22);
+    world.calm(600 * MS);
+    assert_eq!(world.answers[&call], Got::Held(Outcome::Open));
+}
+
+#[test]
+fn two_of_five_lose_their_disks_while_all_is_dark() {
+    let mut world = World::new(1, 5, 5, 5, 0);
+    claim(&mut world, 3, 7, 21);
+    world.calm(500 * MS);
+    (0..5).for_each(|node| world.crash(node));
+    world.wipe(1);
+    world.wipe(3);
+    world.calm(3_000 * MS);
+    for node in 0..5 {
+        assert!(core(&world, node).voter());
+        assert_eq!(core(&world, node).keys(), (1, 0, 0));
+        assert_eq!(core(&world, node).view().number, 3);
+    }
+}
+
+#[test]
+fn one_that_leaves_is_replaced_at_once() {
+    let mut world = World::new(1, 4, 3, 3, 0);
+    world.calm(500 * MS);
+    let mut out = Vec::new();
+    let now = world.now;
+    world.nodes[0].core.as_mut().unwrap().leaving(now, &mut out);
+    assert!(!core(&world, 0).gone());
+    world.calm(900 * MS);
+    assert!(core(&world, 0).gone());
+    assert!(core(&world, 3).voter());
+    // With nobody to take the place it may go as well.
+    world.crash(0);
+    let now = world.now + 3_000 * MS;
+    let last = world.nodes[1].core.as_mut().unwrap();
+    last.tick(now, &mut out);
+    last.leaving(now, &mut out);
+    assert!(last.gone());
+}
+
+#[test]
+fn a_core_of_one_grows_to_three() {
+    let mut world = World::new(1, 3, 1, 1, 0);
+    for node in 0..3 {
+        world.crash(node);
+    }
+    world.config.want = 3;
+    claim(&mut world, 0, 7, 21);
+    world.calm(200 * MS);
+    claim(&mut world, 0, 7, 21);
+    world.calm(2_000 * MS);
+    for node in 0..3 {
+        assert_eq!(core(&world, node).view().members.len(), 3);
+        assert!(core(&world, node).voter());
+        assert_eq!(core(&world, node).keys(), (1, 0, 0));
+        assert_eq!(core(&world, node).stewards(), [at(0), at(1), at(2)]);
+    }
+}
+
+#[test]
+fn without_a_view_nothing_is_promised() {
+    let mut world = World::new(1, 1, 1, 1, 0);
+    world.wipe(0);
+    world.calm(100 * MS);
+    assert_eq!(core(&world, 0).view().number, 0);
+    assert!(!core(&world, 0).settled(world.now));
+    let calls = [claim(&mut world, 0, 7, 21), world.want(0, Want::Read)];
+    let sheet = world.sheet();
+    let replace = world.want(0, Want::Replace(sheet));
+    world.calm(500 * MS);
+    assert!(world.answers.is_empty());
+    world.calm(3_000 * MS);
+    assert!(calls.iter().chain([&replace]).all(|call| world.answers[call] == Got::Unsure));
+    assert_eq!(core(&world, 0).safe(), None);
+}
+
+#[test]
+fn bounds_hold() {
+    let mut world = World::new(1, 1, 1, 1, 0);
+    world.config.most_claims = 3;
+    world.crash(0);
+    world.calm(100 * MS);
+    for key in 0..3 {
+        claim(&mut world, 0, key, 50 + key as u64);
+        world.settle_down();
+    }
+    let more = claim(&mut world, 0, 9, 60);
+    assert_eq!(world.answers[&more], Got::Unsure);
+    let nobody = claim(&mut world, 0, 1, 0);
+    assert_eq!(world.answers[&nobody], Got::Unsure);
+    settle(&mut world, 0, 0, 50, None);
+    let more = claim(&mut world, 0, 9, 60);
+    world.settle_down();
+    assert_eq!(world.answers[&more], Got::Granted);
+}
+
+#[test]
+fn a_caller_that_went_gets_no_answer() {
+    let mut world = World::new(1, 3, 3, 3, 0);
+    let call = claim(&mut world, 0, 7, 21);
+    world.nodes[0].core.as_mut().unwrap().forget(call);
+    world.calm(300 * MS);
+    assert!(!world.answers.contains_key(&call));
+    assert_eq!(core(&world, 2).keys(), (1, 0, 0));
+}
+
+/// Any letter whatever, with numbers at their ends and ones that fit.
+fn garbage(chance: &mut ChaCha8Rng) -> Letter {
+    fn number(chance: &mut ChaCha8Rng) -> u64 {
+        [0, 1, 2, 21, u64::MAX - 1, u64::MAX][chance.random_range(0..6)]
+    }
+    fn station(chance: &mut ChaCha8Rng) -> Station {
+        Station { at: at(chance.random_range(0..5)), disk: number(chance) }
+    }
+    fn view(chance: &mut ChaCha8Rng) -> View {
+        let members = (0..chance.random_range(0..5)).map(|_| station(chance)).collect();
+        View { number: number(chance), members }
+    }
+    fn ballot(chance: &mut ChaCha8Rng) -> Ballot {
+        Ballot { round: number(chance), by: number(chance) }
+    }
+    fn key(chance: &mut ChaCha8Rng) -> Key {
+        [0, 7, Key::MAX][chance.random_range(0..3)]
+    }
+    fn outcome(chance: &mut ChaCha8Rng) -> Outcome {
+        [Outcome::Open, Outcome::Unknown, Outcome::Done(answer(1))][chance.random_range(0..3)].clone()
+    }
+    let c = chance;
+    let sheet = Arc::new(Sheet { version: number(c), digest: number(c), bytes: Vec::new() });
+    let claim = Claim { token: number(c), left_ms: u32::MAX, outcome: outcome(c) };
+    let rank = (number(c), number(c));
+    let body = match c.random_range(0..16) {
+        0 => Body::Beat { voter: c.random(), sheet: rank, safe: (number(c), number(c)), leaving: c.random() },
+        1 => Body::Holds(view(c)),
+        2 => Body::Prepare(ballot(c)),
+        3 => Body::Promise { ballot: ballot(c), accepted: Some((ballot(c), view(c))) },
+        4 => Body::Accept(ballot(c), view(c)),
+        5 => Body::Accepted(ballot(c)),
+        6 => Body::Outbid(ballot(c)),
+        7 => Body::Grant(vec![(number(c), key(c), number(c), u32::MAX)]),
+        8 => Body::Granted(vec![(number(c), Grant::No(claim)), (number(c), Grant::Freed)]),
+        9 => Body::Settle(vec![(key(c), number(c), c.random::<bool>().then(|| outcome(c)))]),
+        10 => Body::Hold(sheet),
+        11 => Body::WantSheet { ask: number(c), have: rank },
+        12 => Body::Held { ask: number(c), rank },
+        13 => Body::WantState { from: key(c), round: number(c) },
+        _ => Body::State {
+            round: number(c),
+            part: vec![(key(c), claim)],
+            next: c.random::<bool>().then(|| key(c)),
+            sheet: Some(sheet),
+        },
+    };
+    Letter { from: station(c), view: number(c), body }
+}
+
+#[test]
+fn no_letter_does_it_in() {
+    for seed in 0..300 {
+        let mut chance = ChaCha8Rng::seed_from_u64(seed);
+        let mut world = World::new(seed, 4, 3, 3, 0);
+        for _ in 0..150 {
+            let node = chance.random_range(0..4);
+            let (key, token) = (7, chance.random_range(0..30));
+            match chance.random_range(0..8) {
+                0 => drop(claim(&mut world, node, key, token)),
+                1 => drop(world.want(node, Want::Read)),
+                2 => settle(&mut world, node, key, token, None),
+                3 => {
+                    world.now = [world.now.saturating_add(200 * MS), world.now, u64::MAX]
+                        [chance.random_range(0..40usize).min(39) / 19];
+                    world.tick(node);
+                }
+                _ => {
+                    let letter = garbage(&mut chance);
+                    let mut out = Vec::new();
+                    let core = world.nodes[node].core.as_mut().unwrap();
+                    core.hear(world.now, letter, &mut out);
+                    core.flush(&mut out);
+                    assert!(out.len() < 1000);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/mesh/tests/search.rs
@@ -0,0 +1,425 @@
+//! The core's agreement under every kind of mischief: letters lost, doubled and late, disks that keep only a part,
+//! machines that end, come back, lose their disk, leave. It walks many ways by chance, each from its own seed, and
+//! breaks one rule after the other to see that a walk notices. It must never depend on a clock.
+
+mod stewards;
+
+use std::time::Instant;
+
+use ochreshed_mesh::words::*;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use stewards::{KINDS, MS, World, answer};
+
+/// How much of each kind of mischief a walk has.
+#[derive(Default)]
+struct Mood {
+    lose: u32,
+    double: u32,
+    cut: u32,
+    crash: u32,
+    wipe: u32,
+    leave: u32,
+    hurry: u32,
+    slow_disks: bool,
+    claims: u32,
+    sheets: u32,
+    steps: usize,
+    keys: Key,
+    nodes: usize,
+    voters: usize,
+    /// How many voters there should be.
+    want: usize,
+    /// It begins when all know each other, so many are about to leave, and some cannot tell others of it.
+    leaves: usize,
+    spite: bool,
+    scarce: Option<&'static str>,
+}
+
+impl Mood {
+    fn draw(chance: &mut ChaCha8Rng) -> Mood {
+        fn one(chance: &mut ChaCha8Rng, of: &[u32]) -> u32 {
+            of[chance.random_range(0..of.len())]
+        }
+        let (voters, want, nodes) =
+            [(3, 3, 4), (3, 3, 4), (3, 3, 5), (5, 5, 6), (3, 5, 5), (1, 3, 4)][chance.random_range(0..6)];
+        Mood {
+            lose: one(chance, &[0, 5, 30]),
+            double: one(chance, &[0, 5, 20]),
+            cut: one(chance, &[0, 0, 3, 10]),
+            crash: one(chance, &[0, 3, 10]),
+            wipe: one(chance, &[0, 0, 4, 12]),
+            leave: one(chance, &[0, 0, 3]),
+            hurry: one(chance, &[10, 20, 40]),
+            slow_disks: chance.random(),
+            claims: one(chance, &[10, 40]),
+            sheets: one(chance, &[0, 5, 25]),
+            steps: one(chance, &[150, 300, 500]) as usize,
+            keys: one(chance, &[1, 2, 5]).into(),
+            nodes,
+            voters,
+            want,
+            leaves: one(chance, &[0, 0, 0, 1, 2]) as usize,
+            spite: chance.random_range(0..4) == 0,
+            scarce: KINDS.get(chance.random_range(0..2 * KINDS.len())).copied(),
+        }
+    }
+
+    /// Some that dwell on one matter.
+    fn dwell(on: u64) -> Option<Mood> {
+        let plain =
+            Mood { lose: 5, hurry: 20, steps: 600, keys: 1, nodes: 4, voters: 3, want: 3, ..Mood::default() };
+        match on {
+            1 => Some(Mood { claims: 60, leaves: 1, cut: 3, steps: 250, ..plain }),
+            2 => Some(Mood { claims: 80, wipe: 10, ..plain }),
+            3 => Some(Mood { sheets: 80, lose: 20, ..plain }),
+            4 => Some(Mood { leaves: 2, crash: 2, cut: 3, nodes: 5, steps: 200, spite: true, ..plain }),
+            5 => Some(Mood {
+                claims: 80,
+                leaves: 1,
+                cut: 15,
+                lose: 20,
+                hurry: 40,
+                steps: 500,
+                keys: 8,
+                scarce: Some("holds"),
+                ..plain
+            }),
+            6 => Some(Mood { claims: 60, crash: 20, slow_disks: true, ..plain }),
+            7 => Some(Mood { claims: 60, cut: 15, lose: 30, hurry: 60, keys: 3, ..plain }),
+            _ => None,
+        }
+    }
+}
+
+/// What a claimant has under way.
+struct Holder {
+    key: Key,
+    token: Token,
+    calls: Vec<u64>,
+    over: bool,
+}
+
+fn step(world: &mut World, mood: &Mood, holders: &mut Vec<Holder>) {
+    let nodes = world.nodes.len();
+    let node = world.chance.random_range(0..nodes);
+    let weights = [
+        300,
+        mood.lose,
+        mood.double,
+        200,
+        mood.hurry,
+        mood.crash,
+        mood.wipe,
+        mood.leave,
+        mood.claims,
+        mood.sheets,
+        mood.cut,
+    ];
+    let mut pick = world.chance.random_range(0..weights.iter().sum());
+    let kind = weights.iter().position(|weight| {
+        let here = pick < *weight;
+        pick = pick.wrapping_sub(*weight);
+        here
+    });
+    let letter = (!world.bag.is_empty()).then(|| world.chance.random_range(0..world.bag.len()));
+    match (kind, letter) {
+        (Some(0), _) => {
+            for _ in 0..4 {
+                if !world.bag.is_empty() {
+                    let letter = world.chance.random_range(0..world.bag.len());
+                    world.deliver(letter);
+                }
+            }
+        }
+        (Some(1), Some(letter)) => drop(world.bag.swap_remove(letter)),
+        (Some(2), Some(letter)) => {
+            let (to, life, letter) = {
+                let flying = &world.bag[letter];
+                (flying.to, flying.life, flying.letter.clone())
+            };
+            world.bag.push(stewards::Flying { to, life, letter });
+        }
+        (Some(3), _) => {
+            if mood.slow_disks {
+                let count = world.chance.random_range(0..6);
+                world.sync(node, count);
+            } else {
+                (0..nodes).for_each(|node| world.sync(node, usize::MAX));
+            }
+        }
+        (Some(4), _) => {
+            world.now += [1, 20, 60, 130, 400][world.chance.random_range(0..5)] * MS;
+            match world.chance.random_range(0..3) {
+                0 => world.tick(node),
+                _ => (0..nodes).for_each(|node| world.tick(node)),
+            }
+        }
+        (Some(5), _) => {
+            if !world.up(node) {
+                world.start(node, false);
+            } else if world.chance.random_range(0..6) == 0 {
+                (0..nodes).for_each(|node| world.crash(node));
+            } else {
+                world.crash(node);
+                if world.chance.random_range(0..3) > 0 {
+                    world.start(node, false);
+                }
+            }
+        }
+        (Some(6), _) if world.may_wipe(node) => {
+            world.wipe(node);
+            world.start(node, false);
+        }
+        (Some(7), _) => world.leave(node),
+        (Some(8), _) if world.up(node) => claimant(world, mood, node, holders),
+        (Some(9), _) if world.up(node) => {
+            let want = match world.chance.random_range(0..2) {
+                0 => Want::Replace(world.sheet()),
+                _ => Want::Read,
+            };
+            world.want(node, want);
+        }
+        (Some(10), _) => {
+            let to = world.chance.random_range(0..nodes);
+            match world.chance.random_range(0..4) {
+                0 => world.cut.clear(),
+                1 => (0..nodes).filter(|other| *other != node).for_each(|other| {
+                    world.cut.insert((stewards::at(node), other));
+                    world.cut.insert((stewards::at(other), node));
+                }),
+                _ if to != node => drop(world.cut.insert((stewards::at(node), to))),
+                _ => {}
+            }
+        }
+        _ => {}
+    }
+    // Beats are many; of too many letters the oldest ones are lost.
+    if world.bag.len() > 120 {
+        let keep = |flying: &stewards::Flying| !matches!(flying.letter.body, Body::Beat { .. });
+        world.bag.retain(keep);
+        let more = world.bag.len().saturating_sub(120);
+        world.bag.drain(..more);
+    }
+}
+
+/// A new claim, one more try with the same token somewhere else, or word of what came of one.
+fn claimant(world: &mut World, mood: &Mood, node: usize, holders: &mut Vec<Holder>) {
+    let chosen = (!holders.is_empty()).then(|| world.chance.random_range(0..holders.len()));
+    match (world.chance.random_range(0..8), chosen) {
+        (0..3, _) | (_, None) => {
+            let (key, token) = (world.chance.random_range(0..mood.keys), world.token());
+            let left_ms = [100, 3000][world.chance.random_range(0..2)];
+            let call = world.want(node, Want::Claim { key, token, left_ms });
+            holders.push(Holder { key, token, calls: vec![call], over: false });
+        }
+        (3, Some(one)) if !holders[one].over => {
+            let (key, token) = (holders[one].key, holders[one].token);
+            let call = world.want(node, Want::Claim { key, token, left_ms: 1000 });
+            holders[one].calls.push(call);
+        }
+        (4..6, Some(one)) => {
+            let one = &mut holders[one];
+            let (key, token) = (one.key, one.token);
+            let granted = one.calls.iter().any(|call| world.answers.get(call) == Some(&Got::Granted));
+            let outcome = match world.chance.random_range(0..3) {
+                0 if granted && !world.freed.contains(&token) => Some(Outcome::Done(answer(token))),
+                1 if granted && !world.freed.contains(&token) => Some(Outcome::Unknown),
+                _ => return,
+            };
+            one.over = true;
+            world.want(node, Want::Settle { key, token, outcome });
+        }
+        (_, Some(one)) => {
+            let one = &mut holders[one];
+            let (key, token) = (one.key, one.token);
+            // Told once or twice; never after it ran.
+            if !one.over || world.freed.contains(&token) {
+                one.over = true;
+                world.want(node, Want::Settle { key, token, outcome: None });
+            }
+        }
+    }
+}
+
+/// One walk; at its end all is well again, and nothing may have been lost.
+fn walk(seed: u64, mutant: u8, on: u64) -> World {
+    let mut chance = ChaCha8Rng::seed_from_u64(seed);
+    let mood = Mood::dwell(on).unwrap_or_else(|| Mood::draw(&mut chance));
+    let mut world = World::new(seed, mood.nodes, mood.voters, mood.want, mutant);
+    let mut holders = Vec::new();
+    if mood.leaves > 0 {
+        world.calm(300 * MS);
+        for _ in 0..mood.leaves {
+            let node = world.chance.random_range(0..3);
+            world.leave(node);
+        }
+        for (from, to) in (0..16).map(|link| (link / 4, link % 4)).filter(|(from, to)| from != to) {
+            if world.chance.random_range(0..4) == 0 {
+                world.cut.insert((stewards::at(from), to));
+            }
+        }
+    }
+    (world.spite, world.scarce) = (mood.spite, mood.scarce);
+    for _ in 0..mood.steps {
+        step(&mut world, &mood, &mut holders);
+        world.steps += 1;
+        if world.broken.is_some() {
+            return world;
+        }
+    }
+    if mutant > 0 {
+        return world; // Breaking is what these are for; the end takes long.
+    }
+    // One that was about to leave does so and starts again.
+    let nodes = world.nodes.len();
+    (0..nodes).for_each(|node| world.crash(node));
+    world.calm(6_000 * MS);
+    let floor = world.floor;
+    let read = world.want(seed as usize % nodes, Want::Read);
+    let granted: Vec<Key> = world.granted.keys().copied().collect();
+    for key in granted {
+        let token = world.token();
+        world.want(key as usize % nodes, Want::Claim { key, token, left_ms: 100 });
+    }
+    world.calm(1_700 * MS);
+    if world.broken.is_none() && !lost_two(&world) {
+        let voters =
+            world.nodes.iter().filter(|node| node.core.as_ref().is_some_and(|core| core.voter())).count();
+        let wrong = match world.answers.get(&read) {
+            Some(Got::Newest(sheet)) if sheet.as_ref().map_or((0, 0), |sheet| sheet.rank()) >= floor => None,
+            Some(Got::Newest(_)) => Some("what was safe is lost"),
+            _ => Some("no read when all is well"),
+        };
+        let wrong = wrong
+            .or((world.calls_of_the_living() > 0).then_some("a call was never answered"))
+            .or((voters != mood.want).then_some("not as many vote in the end as should"));
+        world.broken = wrong.map(|wrong| wrong.to_string());
+    }
+    world
+}
+
+/// Two disks of the newest view are gone: a spare's, after it was voted in and before that was known, and another's.
+/// That is more than the core can bear. Nothing wrong may be said, but nothing more can be agreed.
+fn lost_two(world: &World) -> bool {
+    let Some((_, view)) = world.views.last_key_value() else { return false };
+    let stations: Vec<Station> =
+        world.nodes.iter().flat_map(|node| &node.core).map(|core| core.me()).collect();
+    let lost = view.members.iter().filter(|member| !stations.contains(member)).count();
+    lost > 0 && 2 * lost >= view.members.len()
+}
+
+/// Walks until one is broken, or so many times. Says which one and how.
+fn search(name: &str, mutant: u8, on: Option<u64>, walks: u64) -> Option<String> {
+    let began = Instant::now();
+    let (mut steps, mut seen, mut lost) = (0, [0; 8], 0);
+    for seed in 0..walks {
+        let world = walk(seed, mutant, on.unwrap_or(seed % 10));
+        steps += world.steps;
+        lost += u64::from(mutant == 0 && lost_two(&world));
+        seen.iter_mut().zip(world.seen).for_each(|(sum, more)| *sum += more);
+        if let Some(broken) = world.broken {
+            println!("{name}: walk {seed}, {steps} steps, {:?}: {broken}", began.elapsed());
+            return Some(format!("walk {seed}: {broken}"));
+        }
+    }
+    println!(
+        "{name}: {walks} walks, {steps} steps, {:?}; granted {}, held {}, taken {}, read {}, views {}, unsure {}, \
+         letters {}, disks lost {}, ended with two lost {lost}",
+        began.elapsed(),
+        seen[0],
+        seen[1],
+        seen[2],
+        seen[3],
+        seen[4],
+        seen[5],
+        seen[6],
+        seen[7]
+    );
+    assert!(lost * 300 <= walks);
+    None
+}
+
+fn walks(otherwise: u64) -> u64 {
+    std::env::var("WALKS").ok().and_then(|walks| walks.parse().ok()).unwrap_or(otherwise)
+}
+
+#[test]
+fn nothing_breaks() {
+    assert_eq!(search("as it is", 0, None, walks(500)), None);
+}
+
+#[test]
+fn notices_one_that_grants_counted_across_views() {
+    assert!(search("grants_counted_across_views", 1, Some(1), walks(3000)).is_some());
+}
+
+#[test]
+fn notices_one_that_votes_before_it_caught_up() {
+    assert!(search("votes_before_it_caught_up", 2, Some(2), walks(3000)).is_some());
+}
+
+#[test]
+fn notices_one_that_says_yes_before_the_disk_is_safe() {
+    assert!(search("says_yes_before_the_disk_is_safe", 3, Some(6), walks(3000)).is_some());
+}
+
+#[test]
+fn notices_one_that_half_is_taken_for_more_than_half() {
+    assert!(search("half_is_taken_for_more_than_half", 4, Some(0), walks(3000)).is_some());
+}
+
+#[test]
+fn notices_one_that_frees_of_its_own_accord() {
+    assert!(search("frees_of_its_own_accord", 5, Some(7), walks(3000)).is_some());
+}
+
+#[test]
+fn notices_one_that_takes_one_of_two_open_claims() {
+    assert!(search("takes_one_of_two_open_claims", 6, Some(2), walks(3000)).is_some());
+}
+
+#[test]
+fn notices_one_that_reads_what_is_not_safe() {
+    assert!(search("reads_what_is_not_safe", 7, Some(3), walks(3000)).is_some());
+}
+
+#[test]
+fn notices_one_that_forgets_what_was_accepted() {
+    assert!(search("forgets_what_was_accepted", 8, Some(4), walks(3000)).is_some());
+}
+
+#[test]
+fn notices_one_that_tells_its_state_across_views() {
+    assert!(search("tells_its_state_across_views", 9, Some(5), walks(3000)).is_some());
+}
+
+#[test]
+fn notices_one_that_takes_what_only_it_holds() {
+    assert!(search("takes_what_only_it_holds", 10, Some(3), walks(3000)).is_some());
+}
+
+#[test]
+fn notices_one_that_frees_under_any_token() {
+    assert!(search("frees_under_any_token", 11, Some(2), walks(3000)).is_some());
+}
+
+/// Shows how one walk ends.
+#[test]
+#[ignore = "to look closer at a walk that broke: SEED, MUTANT and ON say which"]
+fn show() {
+    let given = |name: &str| std::env::var(name).ok().and_then(|given| given.parse::<u64>().ok());
+    let seed = given("SEED").unwrap_or(0);
+    let world = walk(seed, given("MUTANT").unwrap_or(0) as u8, given("ON").unwrap_or(seed % 10));
+    println!("{:?}", world.broken);
+    for node in &world.nodes {
+        let core = node.core.as_ref();
+        println!(
+            "{:?} voter {:?} {:?}",
+            core.map(|core| core.me()),
+            core.map(|core| core.voter()),
+            node.disk.ballots
+        );
+    }
+    println!("{:?}", world.views);
+}
