Mesh: no cold budget, no judgement by time and no silence of sites where doors stand

A site was set aside after 0.1 s for two slow answers, upstreams for one. Doors hold the load and watchers tell who is silent. Decisions of `serve` are as before: the fact `level` is told by the mesh alone. A gate without a configuration asks on.

--- a/balancer/src/mesh/news.rs
+++ b/balancer/src/mesh/news.rs
@@ -15,7 +15,7 @@
 /// An ask is answered after so long though there is no news, and given up so much later.
 const HOLD: Duration = Duration::from_millis(500);
 const LATE: Duration = Duration::from_millis(600);
-const PAUSE: Duration = Duration::from_millis(150);
+const PAUSE: Duration = Duration::from_millis(80);
 /// A steward that gave no reply is passed over for so long.
 const ASIDE: Duration = Duration::from_millis(1_500);
 
@@ -39,7 +39,8 @@
             |at: &SocketAddr| heard.get(at).and_then(|heard| heard.aside).is_some_and(|until| until > now);
         // Each asker has its own part of the ring first, so that no two ask the same while all reply.
         let mine = ring.iter().skip(which).step_by(many).chain(ring.iter());
-        let Some(steward) = mine.clone().find(|at| !aside(at)).or(ring.first()).copied() else {
+        let soonest = ring.iter().min_by_key(|at| heard.get(at).and_then(|heard| heard.aside));
+        let Some(steward) = mine.clone().find(|at| !aside(at)).or(soonest).copied() else {
             sleep(PAUSE).await;
             continue;
         };
@@ -79,7 +80,9 @@
                 take(&branch, which, reply, known.quiet.1.clone());
             }
             _ => {
-                known.aside = Some(Instant::now() + ASIDE);
+                // One that has nothing yet asks everybody until it has.
+                let aside = if branch.timetable.load().is_some() { ASIDE } else { PAUSE };
+                known.aside = Some(Instant::now() + aside);
                 // It may have forgotten us.
                 known.row = (0, 0);
                 branch.silent(which);
--- a/balancer/src/mesh/store.rs
+++ b/balancer/src/mesh/store.rs
@@ -252,8 +252,6 @@
     tail: Option<u32>,
     /// The next one.
     next: u32,
-    /// A segment that ends with a failed write.
-    torn: Option<u32>,
     /// How far the live claims of the oldest segment have moved on.
     moved: u64,
     /// A segment was removed and may come back.
@@ -316,7 +314,6 @@
             live_bytes: 0,
             tail: None,
             next: 1,
-            torn: None,
             moved: 0,
             removed: false,
             slots: [0; 2],
@@ -536,13 +533,6 @@
     }
 
     fn append(&mut self, records: &[Record]) -> Result<(), StoreError> {
-        // Guards against a start that reads what a failed write left there and takes it for safe.
-        if let Some((number, segment)) = self.torn.and_then(|n| Some((n, self.segments.get_mut(&n)?))) {
-            let (name, whole) = (segment_name(number), segment.whole);
-            self.files.cut(&name, whole).map_err(|why| StoreError::Write(name, why))?;
-            segment.len = whole;
-        }
-        self.torn = None;
         let room = |number| self.segments.get(&number).filter(|segment| segment.whole < self.limits.segment);
         let (number, from, fresh) = match self.tail.and_then(|number| Some((number, room(number)?.whole))) {
             Some((number, whole)) => (number, whole, false),
@@ -563,7 +553,7 @@
                 return Err(why);
             }
             (Err(why), Some(segment)) => {
-                (segment.len, self.tail, self.torn) = (len, None, Some(number));
+                (segment.len, self.tail) = (len, None);
                 self.sweep();
                 return Err(why);
             }
@@ -1470,6 +1460,31 @@
         assert_eq!(told.claims.keys().copied().collect::<Vec<Key>>(), [1, 3]);
     }
 
+    /// What comes in the very write that moves a claim comes after it, and the latest of a segment is what moves.
+    #[test]
+    fn a_claim_that_moves() {
+        for turn in 0..24 {
+            for last in [Record::Free(1, 1), Record::Claim(1, claim(1, Some(7))), Record::Free(1, 2)] {
+                let sim = Sim::new(0, u64::MAX, 0..0);
+                let (mut store, _) = reopen(&sim);
+                let mut held = Held::default();
+                let first = [Record::Claim(1, claim(1, None))];
+                let then = [Record::Claim(2, claim(0, Some(250)))];
+                let done = [Record::Claim(1, claim(1, Some(3)))];
+                let churn = (0..24).map(|i| {
+                    let more = Record::Claim(2, claim(i, Some(60)));
+                    if i == turn { [more, last.clone()].to_vec() } else { [more].to_vec() }
+                });
+                for records in [first.to_vec(), then.to_vec(), done.to_vec()].into_iter().chain(churn) {
+                    store.write(&records).expect("written");
+                    records.iter().for_each(|record| held.take(record));
+                }
+                assert!(sim.get().node(&segment_name(1)).is_err(), "the first segment is still there");
+                assert_eq!(reopen(&sim).1, held, "turn {turn}, {last:?}");
+            }
+        }
+    }
+
     /// One write and one sync, and a bounded disk, however long it goes on.
     #[test]
     fn the_hot_path() {
--- a/src/decide/pick.rs
+++ b/src/decide/pick.rs
@@ -189,13 +189,13 @@
             return Fit::NotThis;
         }
         let warm = !srv.cold(now, self.told.cold);
-        let ready = warm || self.budget(now, srv) >= 1.0;
+        let ready = warm || self.told.doors || self.budget(now, srv) >= 1.0;
         let open = srv.state == State::Up && (set == 0 || srv.health[set].aside_until <= now) && ready;
         let room = || {
             let level = srv.level(self.fleet.done_rate(now, srv), view.wide, view.floor);
             let chance = if warm { view.calm * by_chance(level, self.turned_by()) } else { 0.0 };
             let level = level + chance;
-            again.is_some() || (srv.counted(now, view.narrow) as f64) < level.max(self.told.least)
+            again.is_some() || self.told.doors || (srv.counted(now, view.narrow) as f64) < level.max(1.0)
         };
         if !open || !room() {
             return Fit::Unfit;
@@ -228,7 +228,7 @@
         let calm = self.calm(now);
         let worth = self.worth(now, set, calm);
         let (wide, floor) = (narrow * self.widening(now) * worth, self.floor(now) * worth);
-        if !again && self.told.least.is_finite() {
+        if !again && !self.told.doors {
             let level = self.fleet.level(now, wide, floor);
             // In overload a part of a req is none: rounded up, hundreds of instances go over by one each.
             let chance = calm * by_chance(level, self.told.instances);
@@ -312,7 +312,7 @@
         let wanted = heard.min((self.told.connections * KEPT_WARM).max(TURNS_LEAST)) / up;
         let part =
             (wanted.max(TURNED_BY / self.told.instances) * self.told.instances).ceil() / self.told.instances;
-        let part = if part > 0.5 || self.told.least.is_infinite() { 1.0 } else { part };
+        let part = if part > 0.5 || self.told.doors { 1.0 } else { part };
         if listed || part != self.part {
             self.part = part;
             self.fleet.stretch(now, self.told.me / self.told.instances % 1.0, part);
--- a/src/told.rs
+++ b/src/told.rs
@@ -17,8 +17,9 @@
     pub tiers: usize,
     pub instances: f64,
     pub me: f64,
-    /// What a srv may have in flight from us at least; without bound where the balancers beside the srvs hold that.
-    pub least: f64,
+    /// Balancers beside the srvs hold what those may have at once, and others tell which are silent: no level, no cold
+    /// budget and no judgement by time is wanted here.
+    pub doors: bool,
     pub max_dispatches: usize,
     pub may_recall: bool,
     pub come_back_passed: bool,
@@ -75,7 +76,7 @@
             tiers: number(facts, "tiers", 1.0) as usize,
             instances: number(facts, "instances", 1.0).max(1.0),
             me: number(facts, "me", 0.0),
-            least: if text(facts, "level") == "doors" { f64::INFINITY } else { 1.0 },
+            doors: text(facts, "level") == "doors",
             max_dispatches: number(facts, "max_dispatches", 2.0) as usize,
             may_recall: flag(facts, "may_recall"),
             come_back_passed: flag(facts, "come_back_passed"),
