Mesh: a door stays in use while clients leave, is found again by one probe, and late reqs make way

Change: the door is told closed half way; the row that others hold and one probe of /health bring its upstream back; the time a client has used up counts against the aim.

--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -42,6 +42,8 @@
 /// Answers of more bytes than these are large, and so many routes' sizes are kept.
 const LARGE: f64 = 16_384.0;
 const MOST_SIZES: usize = 20_000;
+/// For how long the most time that a client had left counts.
+const LEFT_FOR: Nanos = 10_000_000_000;
 /// How long clients may still come after the wish to end: the platform looks once a second and wants two misses.
 const LINGER: Duration = Duration::from_millis(2_400);
 /// So long before the grace is over all is given up.
@@ -71,6 +73,8 @@
     desks: Mutex<HashMap<Name, Arc<Desk>>>,
     /// The mean size of answers, by route.
     sizes: Mutex<HashMap<Name, f64>>,
+    /// The most time that a client had left, by route, and when that was.
+    lefts: Mutex<HashMap<Name, (u64, Nanos)>>,
     lines: Mutex<HashMap<SocketAddr, Arc<Line>>>,
     room: Arc<Semaphore>,
     pub door: Arc<Door>,
@@ -129,6 +133,21 @@
         held(&self.desks).get(line).cloned()
     }
 
+    /// How much of its time a client had used up before this try: the most that was left on this route of late, less
+    /// what is left now.
+    pub fn used(&self, route: &Name, left: u64) -> u64 {
+        let now = self.clock.now();
+        let mut lefts = held(&self.lefts);
+        if lefts.len() > MOST_SIZES {
+            lefts.clear();
+        }
+        let (most, at) = lefts.entry(route.clone()).or_insert((left, now));
+        if left >= *most || now > *at + LEFT_FOR {
+            (*most, *at) = (left, now);
+        }
+        *most - left
+    }
+
     /// Notes how large an answer of this route was.
     pub fn note_size(&self, route: &Name, bytes: u64) {
         let mut sizes = held(&self.sizes);
@@ -185,6 +204,9 @@
             let mut changed = false;
             let now = self.clock.now();
             for row in rows {
+                if row.door == self.door_at && !self.door.knows() && !row.id.is_empty() {
+                    tokio::spawn(self.door.clone().find_again(row.clone(), self.health_of(&row.line)));
+                }
                 if all.rows.get(&row.door).is_none_or(|(was, _)| was.rank() < row.rank()) {
                     changed = true;
                     all.rows.insert(row.door, (row, now));
@@ -201,6 +223,12 @@
         self.seat();
     }
 
+    fn health_of(&self, line: &str) -> String {
+        let timetable = self.timetable.load();
+        let service = timetable.as_ref().and_then(|timetable| timetable.service(line));
+        service.map_or("/health".into(), |service| service.health.clone())
+    }
+
     /// A watcher gives no reply: what it held for quiet counts no more.
     pub fn silent(&self, which: usize) {
         held(&self.rows).quiet.remove(&which);
@@ -283,7 +311,15 @@
     let life = clock.now() / 1_000_000;
     let mut chance = ChaCha8Rng::seed_from_u64(rand::random());
     let seed: u64 = chance.random();
-    let door = Door::new(inbound, settings.zone.clone(), clock, settings.bounds.drain, sockets / 8, life);
+    let door = Door::new(
+        inbound,
+        settings.zone.clone(),
+        settings.app,
+        clock,
+        settings.bounds.drain,
+        sockets / 8,
+        life,
+    );
     let branch = Arc::new(Branch {
         clock,
         callers: Arc::default(),
@@ -294,6 +330,7 @@
         quiet: ArcSwap::default(),
         desks: Mutex::default(),
         sizes: Mutex::default(),
+        lefts: Mutex::default(),
         lines: Mutex::default(),
         room: Arc::new(Semaphore::new(sockets / 4)),
         door: door.clone(),
@@ -370,15 +407,18 @@
     };
     end.recv().await;
     log::info!("asked to end, {} reqs inside", branch.inside.load(Relaxed) + door.busy());
-    // Nobody is sent here any more, and whoever still comes is served.
+    // Clients are sent elsewhere, and whoever still comes is served. The door stays in use for a while longer: what
+    // the upstream can do is lost to all from then on.
     branch.leaving.store(true, Relaxed);
-    door.serving.store(false, Relaxed);
-    door.touch();
     ajar.send_replace(Ajar::Leaving);
     let began = Instant::now();
     let grace = branch.settings.load().bounds.grace.saturating_sub(LAST);
+    let linger = LINGER.min(grace);
     let busy = || branch.inside.load(Relaxed) + door.busy() > 0;
-    while began.elapsed() < grace && (began.elapsed() < LINGER || busy()) {
+    while began.elapsed() < grace && (began.elapsed() < linger || busy()) {
+        if began.elapsed() >= linger / 2 && door.serving.swap(false, Relaxed) {
+            door.touch();
+        }
         sleep(LOOK).await;
     }
     ajar.send_replace(Ajar::Closed);
--- a/balancer/src/mesh/door.rs
+++ b/balancer/src/mesh/door.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{CONTENT_ENCODING, HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use jzon::JsonValue as Json;
@@ -29,6 +29,7 @@
 pub const CALLER: HeaderName = HeaderName::from_static("ochreshed-caller");
 pub const KEY: HeaderName = HeaderName::from_static("ochreshed-tracking-key");
 pub const STAMP: HeaderName = HeaderName::from_static("ochreshed-postmark");
+const DELIVERED_BY: HeaderName = HeaderName::from_static("ochreshed-delivered-by");
 const NOT_RUN: HeaderName = HeaderName::from_static("ochreshed-not-delivered");
 /// Between a gate and a door: how many doors have turned the req away before.
 pub const TURNED: HeaderName = HeaderName::from_static("ochreshed-turned");
@@ -45,6 +46,8 @@
 const DRAIN_PART: u32 = 2;
 /// A req that waits for a slot has at least so much of its time left when it is handed on.
 const LEAST_LEFT: Nanos = 15 * MS;
+/// How long a probe may take.
+const PROBE: Nanos = 1_000 * MS;
 /// How much of the last run's time goes into the mean.
 const TOOK_PART: f64 = 0.05;
 /// Ids of lives that have ended.
@@ -127,6 +130,7 @@
 pub struct Door {
     at: SocketAddr,
     zone: String,
+    app: Option<SocketAddr>,
     clock: Clock,
     drain: Duration,
     state: Mutex<State>,
@@ -197,6 +201,7 @@
     pub fn new(
         at: SocketAddr,
         zone: String,
+        app: Option<SocketAddr>,
         clock: Clock,
         drain: Duration,
         connections: usize,
@@ -206,6 +211,7 @@
         Arc::new(Door {
             at,
             zone,
+            app,
             clock,
             drain,
             state: Mutex::new(state),
@@ -248,6 +254,54 @@
         row
     }
 
+    pub fn knows(&self) -> bool {
+        held(&self.state).upstream.is_some()
+    }
+
+    /// After a start: the row that others still hold of this place tells of an upstream, and one probe tells whether it
+    /// still stands. Guards against a door that knows nothing until the next beat.
+    pub async fn find_again(self: Arc<Self>, row: Row, health: String) {
+        let Some(app) = self.app.filter(|_| row.stand != Stand::None) else { return };
+        let line = self.line_to(app);
+        let mut head = hyper::Request::new(());
+        match health.parse() {
+            Ok(uri) => *head.uri_mut() = uri,
+            Err(_) => return,
+        }
+        if let Ok(host) = HeaderValue::try_from(app.to_string()) {
+            head.headers_mut().insert(HOST, host);
+        }
+        let message = Arc::new(Message { head, first: bytes::Bytes::new(), length: Some(0), long: None });
+        let until = self.clock.now() + PROBE;
+        let Ok((head, _)) = line.exchange(&message, &HeaderMap::new(), until, |_| true).await else { return };
+        if field(&head.headers, &DELIVERED_BY) != row.id {
+            return;
+        }
+        let now = self.clock.now();
+        let mut state = held(&self.state);
+        if state.upstream.is_some() || state.past.contains(&row.id) {
+            return;
+        }
+        let closing = row.stand == Stand::Closing || !head.status.is_success();
+        let stand = if closing { Stand::Closing } else { Stand::Open };
+        log::info!("upstream {} of {}: found again, {stand:?}", row.id, row.line);
+        state.upstream = Some(Upstream {
+            id: row.id,
+            line: row.line,
+            zone: row.zone,
+            edition: row.edition,
+            slots: row.slots,
+            stand,
+            number: 0,
+            cold_ms: 0,
+            told: now,
+            closing_since: closing.then_some(now),
+            to: line,
+        });
+        drop(state);
+        self.touch();
+    }
+
     pub fn touch(&self) {
         held(&self.state).number += 1;
         self.changed.notify_waiters();
@@ -446,12 +500,14 @@
 
     /// Gives free places to those that wait, to be sent to them once the lock is free.
     fn hand_on(self: &Arc<Self>, slots: &mut Slots) -> Vec<(oneshot::Sender<Slot>, Slot)> {
-        let most = at_once(self.slots_now());
+        let (most, now) = (at_once(self.slots_now()), self.clock.now());
         let mut handed = Vec::new();
         while slots.taken < most
-            && let Some((_, waiting)) = slots.waiting.pop_front()
+            && let Some((aim, waiting)) = slots.waiting.pop_front()
         {
-            if !waiting.is_closed() {
+            // One that is late already makes way for those that are not.
+            let late = seconds(aim.saturating_sub(now)) < slots.took / 2.0 && !slots.waiting.is_empty();
+            if !waiting.is_closed() && !late {
                 slots.taken += 1;
                 handed.push((waiting, Slot(self.clone(), 0)));
             }
@@ -489,7 +545,8 @@
                 let last = self.clock.instant(until.saturating_sub(LEAST_LEFT));
                 match timeout_at(last, wait).await {
                     Ok(Ok(slot)) => slot,
-                    _ => return End::Unsent,
+                    Ok(Err(_)) => return End::Turned,
+                    Err(_) => return End::Unsent,
                 }
             }
         };
--- a/balancer/src/mesh/gate.rs
+++ b/balancer/src/mesh/gate.rs
@@ -67,7 +67,9 @@
         message.head.headers_mut().remove(name);
     }
     let ends = (at + left.min(route.deadline_ms) * MS).saturating_sub(WAY_BACK);
-    let trip = Trip { branch: branch.clone(), route: route.clone(), message: Arc::new(message), ends, at };
+    let aim = (at + route.target_ms * MS).saturating_sub(branch.used(&route.name, left) * MS);
+    let trip =
+        Trip { branch: branch.clone(), route: route.clone(), message: Arc::new(message), ends, at, aim };
     let answer = match key.filter(|_| route.kind == Kind::Registered) {
         Some(key) => {
             // Goes on to its end though its client goes: its outcome is its key's.
@@ -189,14 +191,11 @@
     message: Arc<Message>,
     ends: Nanos,
     at: Nanos,
+    /// When an answer is late.
+    aim: Nanos,
 }
 
 impl Trip {
-    /// When an answer is late.
-    fn aim(&self) -> Nanos {
-        self.at + self.route.target_ms * MS
-    }
-
     async fn run(&self) -> Outcomes {
         let Some(line) = self.branch.split(&self.route) else { return Outcomes::Deny(COME_BACK) };
         let Some(desk) = self.branch.desk(&line) else { return Outcomes::Deny(COME_BACK) };
@@ -329,7 +328,7 @@
                 meant: &place.id,
                 caller: &caller,
                 turned,
-                aim: self.aim(),
+                aim: self.aim,
                 until,
             };
             let end = branch.door.pass(knock).await;
@@ -344,7 +343,7 @@
         if let Ok(id) = HeaderValue::try_from(&*place.id) {
             fields.insert(ADDRESSEE, id);
         }
-        fields.insert(AIM, HeaderValue::from(self.aim().saturating_sub(branch.clock.now()) / MS));
+        fields.insert(AIM, HeaderValue::from(self.aim.saturating_sub(branch.clock.now()) / MS));
         fields.insert(CALLER, caller);
         if turned > 0 {
             fields.insert(TURNED, HeaderValue::from(turned));
--- a/balancer/tests/mesh/town.rs
+++ b/balancer/tests/mesh/town.rs
@@ -11,6 +11,8 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use socket2::{Domain, Socket, Type};
+
 use super::helper::{LONG, until};
 
 pub const DRAIN: Duration = Duration::from_millis(1_000);
@@ -386,7 +388,12 @@
     let number = std::process::id() as usize * 16 + NUMBER.fetch_add(1, Relaxed);
     let net = [1 + number / 254 % 254, 1 + number % 254].map(|part| part as u8);
     let ips: Vec<Ipv4Addr> = (1..=count).map(|machine| Ipv4Addr::new(127, net[0], net[1], machine)).collect();
-    let free = |port: &u16| ips.iter().all(|ip| TcpListener::bind((*ip, *port)).is_ok());
+    // Without listening: what another thread starts just now may hold on to such a socket for a moment.
+    let bind = |at: SocketAddr| {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        socket.set_reuse_address(true).and_then(|()| socket.bind(&at.into()))
+    };
+    let free = |port: &u16| ips.iter().all(|ip| bind((*ip, *port).into()).is_ok());
     let mut ports = (20_000..32_000).filter(free);
     let ports = [(); 6].map(|()| ports.next().expect("a port"));
     (ips, ports)
@@ -396,8 +403,10 @@
     /// All of it, with the first configuration in force everywhere.
     pub fn start() -> Town {
         let (ips, ports) = places((STEWARDS + LINES.len()) as u8);
-        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-        let folder = folder.join(format!("town-{}-{}", std::process::id(), ips[0]));
+        // In memory where there is such a folder: a sync must not wait for what others write to the disk.
+        let memory = Some(PathBuf::from("/dev/shm")).filter(|folder| folder.is_dir());
+        let folder = memory.unwrap_or_else(|| PathBuf::from(env!("CARGO_TARGET_TMPDIR")));
+        let folder = folder.join(format!("ochreshed-town-{}-{}", std::process::id(), ips[0]));
         let machine = |(nth, ip): (usize, &Ipv4Addr)| {
             let folder = folder.join(ip.to_string());
             fs::create_dir_all(folder.join("data")).expect("a folder");
