--- a/balancer/src/mesh/door.rs
+++ b/balancer/src/mesh/door.rs
@@ -594,20 +594,22 @@
     /// answered before it is late. Guards against a queue in which all are late, and against one at a door while
     /// another has slots free.
     fn takes(&self, slots: u32, turned: u32, aim: Nanos) -> bool {
-        let inside = self.inside.load(Relaxed) as u32;
         let most = at_once(slots);
+        let held = held(&self.slots);
+        let inside = self.inside.load(Relaxed) as u32;
+        if inside < most {
+            return true;
+        }
+        // Those that are late sooner go first: a req whose answer is wanted soon waits for few.
+        let ahead = held.waiting.partition_point(|(other, _)| *other <= aim) as u32;
         let may_wait = match turned {
             0 => 0,
             1 => 1 + slots / 4,
             _ => slots * 2,
         };
-        if inside < most {
-            return true;
-        }
-        let took = held(&self.slots).took;
         let left = seconds(aim.saturating_sub(self.clock.now()));
-        inside < most + may_wait
-            && f64::from(inside - most + 1) * took / f64::from(most.max(1)) + took <= left
+        let wait = f64::from(ahead + 1) * held.took / f64::from(most.max(1));
+        ahead < may_wait && inside < most + slots * 3 && wait + held.took <= left
     }
 
     /// Whether this life takes reqs now, and where it is.
