--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -809,3 +809,65 @@
     "#]]
     .assert_eq(&told);
 }
+
+/// As where balancers beside the srvs hold what those may have at once.
+fn doors() -> Facts {
+    let mut facts = facts(0.0, 1.0);
+    facts.insert("level".into(), Value::Text("doors".into()));
+    facts
+}
+
+#[test]
+fn a_req_that_doors_turn_away_goes_on_to_others_without_a_part_of_the_allowance() {
+    let mut scene = Scene::new(doors(), "a@x b@x c@x d@x");
+    // Nothing was sent before, so the allowance holds one at most.
+    for id in 1..3 {
+        scene.req(id, "charge").pass(1).end(id, How::Turned).pass(1).end(id, How::Turned).pass(1);
+        scene.end(id, How::Turned).pass(100).end(id, How::Done);
+    }
+    // When all have turned it away it is given up at once, and safely.
+    scene.req(3, "charge");
+    for _ in 0..4 {
+        scene.pass(1).end(3, How::Turned);
+    }
+    check(
+        &mut scene,
+        expect![[r#"
+        0 1: to d
+        1 1: Turned
+        1 1: to b
+        2 1: Turned
+        2 1: to a
+        3 1: Turned
+        3 1: to c
+        103 2: to c
+        104 2: Turned
+        104 2: to a
+        105 2: Turned
+        105 2: to b
+        106 2: Turned
+        106 2: to d
+        206 3: to d
+        207 3: Turned
+        207 3: to b
+        208 3: Turned
+        208 3: to a
+        209 3: Turned
+        209 3: to c
+        210 3: Turned
+        210 3: deny
+    "#]],
+    );
+}
+
+#[test]
+fn where_doors_stand_nothing_is_held_for_a_level_nor_for_cold_srvs() {
+    let mut facts = doors();
+    facts.insert("cold".into(), Value::Span(4_000 * MS));
+    facts.insert("cold_share".into(), Value::Number(0.4));
+    let mut scene = Scene::new(facts, "a@x* b@x*");
+    for id in 1..40 {
+        scene.req(id, "read");
+        assert!(scene.holds_out(id), "{id} waits\n{}", scene.trace);
+    }
+}
