--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -44,6 +44,8 @@
 const MOST_SIZES: usize = 20_000;
 /// For how long the most time that a client had left counts.
 const LEFT_FOR: Nanos = 10_000_000_000;
+/// The core is silent when no steward has answered for so long, three asks' time.
+const CORE_SILENT: Nanos = 1_500_000_000;
 /// How long clients may still come after the wish to end: the platform looks once a second and wants two misses.
 const LINGER: Duration = Duration::from_millis(2_400);
 /// So long before the grace is over all is given up.
@@ -83,6 +85,8 @@
     chance: Mutex<ChaCha8Rng>,
     served: AtomicU64,
     inside: AtomicUsize,
+    /// When a steward last answered.
+    heard: AtomicU64,
     leaving: AtomicBool,
 }
 
@@ -100,6 +104,16 @@
         *held(&self.sheet)
     }
 
+    /// Whether no steward has answered for so long that nothing can be had of the core from here.
+    pub fn core_silent(&self) -> bool {
+        self.clock.now() > self.heard.load(Relaxed) + CORE_SILENT
+    }
+
+    /// A steward has answered.
+    pub fn heard_core(&self) {
+        self.heard.store(self.clock.now(), Relaxed);
+    }
+
     /// The service of this machine, as the system sets it on reqs that began here.
     pub fn caller(&self) -> HeaderValue {
         let told = self.settings.load().line.clone();
@@ -107,8 +121,8 @@
         HeaderValue::try_from(line).unwrap_or(HeaderValue::from_static(""))
     }
 
-    /// A req came to the gate; whether it is a call of a run that was sent again.
-    pub fn saw(&self, id: &HeaderValue) -> bool {
+    /// A req came to the gate; whether it is a call of a run here, and of one that was sent again.
+    pub fn saw(&self, id: &HeaderValue) -> Option<bool> {
         self.served.fetch_add(1, Relaxed);
         self.door.saw(id.as_bytes())
     }
@@ -267,7 +281,10 @@
     }
 
     fn ready(&self) -> bool {
-        !self.leaving.load(Relaxed) && self.timetable.load().is_some() && !held(&self.rows).rows.is_empty()
+        !self.leaving.load(Relaxed)
+            && !self.core_silent()
+            && self.timetable.load().is_some()
+            && !held(&self.rows).rows.is_empty()
     }
 }
 
@@ -340,6 +357,7 @@
         chance: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
         served: AtomicU64::new(0),
         inside: AtomicUsize::new(0),
+        heard: AtomicU64::new(clock.now()),
         leaving: AtomicBool::new(false),
         settings: ArcSwap::from_pointee(settings),
     });
@@ -414,7 +432,9 @@
     ajar.send_replace(Ajar::Leaving);
     let began = Instant::now();
     let grace = branch.settings.load().bounds.grace.saturating_sub(LAST);
-    let linger = LINGER.min(grace);
+    // Where its upstream has ended, this machine goes for good, and the platform may still send clients here when few
+    // others of the zone are in: it stays for as long as it may.
+    let linger = if door.signed_off() { grace } else { LINGER.min(grace) };
     let busy = || branch.inside.load(Relaxed) + door.busy() > 0;
     while began.elapsed() < grace && (began.elapsed() < linger || busy()) {
         if began.elapsed() >= linger / 2 && door.serving.swap(false, Relaxed) {
--- a/balancer/src/mesh/door.rs
+++ b/balancer/src/mesh/door.rs
@@ -258,6 +258,11 @@
         row
     }
 
+    /// Whether the upstream beside it has ended in order.
+    pub fn signed_off(&self) -> bool {
+        held(&self.state).upstream.as_ref().is_some_and(|upstream| upstream.stand == Stand::None)
+    }
+
     pub fn knows(&self) -> bool {
         held(&self.state).upstream.is_some()
     }
@@ -323,8 +328,8 @@
     }
 
     /// A req came to the gate of this machine. One whose id goes on from that of a run inside is a call of that run: the
-    /// upstream is no last tier. Whether that run was one sent again, so that its calls count as such too.
-    pub fn saw(&self, id: &[u8]) -> bool {
+    /// upstream is no last tier. Told with whether that run was one sent again, so that its calls count as such too.
+    pub fn saw(&self, id: &[u8]) -> Option<bool> {
         let mut goes_on = id.iter().enumerate().filter(|(_, byte)| !byte.is_ascii_alphanumeric()).take(8);
         let again = {
             let runs = held(&self.runs);
@@ -334,7 +339,7 @@
             log::info!("the upstream calls other services");
             self.touch();
         }
-        again == Some(true)
+        again
     }
 
     pub fn line(&self) -> Option<String> {
--- a/balancer/src/mesh/gate.rs
+++ b/balancer/src/mesh/gate.rs
@@ -27,8 +27,9 @@
 const WAY_BACK: Nanos = 12 * MS;
 /// A body of an answer that is longer is not kept with its key.
 const MOST_KEPT: usize = 64 * 1024;
-/// How long the core is waited for, for a claim, and the part of the target that may go into it.
+/// How long the core is waited for, for a claim; where it has been silent before, a req is refused early rather than late.
 const CLAIM: Duration = Duration::from_millis(900);
+const CLAIM_SILENT: Duration = Duration::from_millis(60);
 /// How a client is told to come back where the module says nothing of it.
 const COME_BACK: Nanos = 100 * MS;
 
@@ -55,7 +56,7 @@
     let left = field(headers, &LEFT).parse::<u64>().unwrap_or(route.deadline_ms).min(86_400_000);
     let key = Some(field(headers, &KEY)).filter(|key| !key.is_empty()).map(keys::key);
     let at = came.at;
-    let again = branch.saw(&id);
+    let call = branch.saw(&id);
     let limits = timetable.limits();
     let slow = Duration::from_millis(limits.label_ms.max(left));
     let read = entry::message(came, &branch.bodies, branch.clock, limits.parcel_bytes, slow).await;
@@ -68,6 +69,9 @@
     }
     let ends = (at + left.min(route.deadline_ms) * MS).saturating_sub(WAY_BACK);
     let aim = (at + route.target_ms * MS).saturating_sub(branch.used(&route.name, left) * MS);
+    // A call keeps its caller's slot taken, and is of use for as long as that waits.
+    let aim = if call.is_some() { aim.max(at + route.deadline_ms * MS * 7 / 10) } else { aim };
+    let again = call == Some(true);
     let trip = Trip {
         branch: branch.clone(),
         route: route.clone(),
@@ -126,7 +130,8 @@
     let token: Token = branch.draw();
     let now = branch.clock.now();
     let left = trip.ends.saturating_sub(now);
-    let within = CLAIM.min(Duration::from_nanos(left));
+    let claim = if branch.core_silent() { CLAIM_SILENT } else { CLAIM };
+    let within = claim.min(Duration::from_nanos(left));
     let left_ms = (left / MS).min(u64::from(u32::MAX)) as u32;
     let got = keys::claim(&branch.stewards, &branch.callers, (key, token), left_ms, within).await;
     let settle =
--- a/balancer/src/mesh/news.rs
+++ b/balancer/src/mesh/news.rs
@@ -70,7 +70,9 @@
         match reply {
             Ok(Reply::News(reply)) => {
                 // One that is cut off from more than half of the core may not know the newest: others are asked first.
-                known.aside = (!reply.settled).then(|| Instant::now() + ASIDE);
+                let aside = if branch.timetable.load().is_some() { ASIDE } else { PAUSE };
+                known.aside = (!reply.settled).then(|| Instant::now() + aside);
+                branch.heard_core();
                 // One that has forgotten us is told anew.
                 known.row = if reply.life.is_some() { rank } else { (0, 0) };
                 known.mark = reply.mark;
--- a/balancer/src/mesh/steward.rs
+++ b/balancer/src/mesh/steward.rs
@@ -108,8 +108,12 @@
         let until = Instant::now() + Duration::from_millis(u64::from(ask.hold_ms.min(5_000)));
         let mut changed = self.changed.subscribe();
         let known = self.stand.load().stewards.clone();
+        let mut before = None;
         if let Some(row) = &ask.row {
             let mut table = held(&self.table);
+            // One that has just started knows no upstream: it is told what its row said before.
+            let was = table.row(row.door).filter(|was| was.life != row.life && row.id.is_empty());
+            before = was.filter(|was| !was.id.is_empty()).cloned();
             if table.take(self.clock.now(), row, 0) {
                 drop(table);
                 self.change();
@@ -129,11 +133,11 @@
                 let table = held(&self.table);
                 table.mark() != ask.mark || sheet.is_some() || quiet.is_some() || stand.stewards != known
             };
-            if news || Instant::now() >= until {
+            if news || before.is_some() || Instant::now() >= until {
                 let table = held(&self.table);
                 return NewsReply {
                     mark: table.mark(),
-                    rows: table.since(ask.mark),
+                    rows: before.into_iter().chain(table.since(ask.mark)).collect(),
                     sheet,
                     stewards: stand.stewards.clone(),
                     quiet,
--- a/balancer/src/mesh/wire.rs
+++ b/balancer/src/mesh/wire.rs
@@ -24,14 +24,14 @@
 
 /// No frame is larger than this.
 const MOST_FRAME: usize = 40 << 20;
-const CONNECT: Duration = Duration::from_millis(400);
+const CONNECT: Duration = Duration::from_millis(250);
 /// Bytes that nobody acknowledges for so long end the connection.
 const UNHEARD: Duration = Duration::from_millis(1_500);
 /// Frames that wait to be written, and callers at one door.
 const MAILBOX: usize = 4_096;
 const MOST_CALLERS: usize = 2_048;
 /// After a failed connection the next one waits this long.
-const PAUSE: Duration = Duration::from_millis(100);
+const PAUSE: Duration = Duration::from_millis(60);
 
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Ask {
