--- a/balancer/src/body.rs
+++ b/balancer/src/body.rs
@@ -248,7 +248,12 @@
 
 impl Pieces {
     pub fn new(first: Bytes, length: Option<u64>) -> (Pass, Pieces) {
-        let (pass, rest) = mpsc::channel(1);
+        Pieces::with_room(first, length, 1)
+    }
+
+    /// With so many pieces on the way at the most.
+    pub fn with_room(first: Bytes, length: Option<u64>, room: usize) -> (Pass, Pieces) {
+        let (pass, rest) = mpsc::channel(room.max(1));
         (pass, Pieces { first: Some(first).filter(|first| !first.is_empty()), length, passed: 0, rest })
     }
 
--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -26,7 +26,7 @@
 
 use super::carry::{Flow, Line};
 use super::desk::{Desk, Told};
-use super::door::Door;
+use super::door::{Door, Site};
 use super::entry::{self, Ajar, Bounds, Came, say};
 use super::keys::Stewards;
 use super::settings::{Settings, SettingsError};
@@ -39,9 +39,10 @@
 const SPARE: u64 = 300;
 /// Of a process's memory, the part for bodies of reqs in hand.
 const BODIES: f64 = 0.15;
-/// Answers of more bytes than these are large, and so many routes' sizes are kept.
-const LARGE: f64 = 16_384.0;
-const MOST_SIZES: usize = 20_000;
+/// And the part for large answers that were read ahead of who takes them.
+const AHEAD: f64 = 0.15;
+/// So many routes are kept in mind.
+const MOST_ROUTES: usize = 20_000;
 /// For how long the most time that a client had left counts.
 const LEFT_FOR: Nanos = 10_000_000_000;
 /// The core is silent when no steward has answered for so long, three asks' time.
@@ -72,9 +73,8 @@
     rows: Mutex<Rows>,
     /// Doors whose attendants no watcher that replies has heard of late.
     quiet: ArcSwap<HashSet<SocketAddr>>,
-    desks: Mutex<HashMap<Name, Arc<Desk>>>,
-    /// The mean size of answers, by route.
-    sizes: Mutex<HashMap<Name, f64>>,
+    /// By service, and whether for large answers.
+    desks: Mutex<HashMap<(Name, bool), Arc<Desk>>>,
     /// The most time that a client had left, by route, and when that was.
     lefts: Mutex<HashMap<Name, (u64, Nanos)>>,
     lines: Mutex<HashMap<SocketAddr, Arc<Line>>>,
@@ -143,8 +143,8 @@
         route.lines.iter().rev().find(|(_, share)| *share > 0.0).map(|(name, _)| name.clone())
     }
 
-    pub fn desk(&self, line: &Name) -> Option<Arc<Desk>> {
-        held(&self.desks).get(line).cloned()
+    pub fn desk(&self, line: &Name, large: bool) -> Option<Arc<Desk>> {
+        held(&self.desks).get(&(line.clone(), large)).cloned()
     }
 
     /// How much of its time a client had used up before this try: the most that was left on this route of late, less
@@ -152,7 +152,7 @@
     pub fn used(&self, route: &Name, left: u64) -> u64 {
         let now = self.clock.now();
         let mut lefts = held(&self.lefts);
-        if lefts.len() > MOST_SIZES {
+        if lefts.len() > MOST_ROUTES {
             lefts.clear();
         }
         let (most, at) = lefts.entry(route.clone()).or_insert((left, now));
@@ -162,21 +162,6 @@
         *most - left
     }
 
-    /// Notes how large an answer of this route was.
-    pub fn note_size(&self, route: &Name, bytes: u64) {
-        let mut sizes = held(&self.sizes);
-        if sizes.len() > MOST_SIZES {
-            sizes.clear();
-        }
-        let mean = sizes.entry(route.clone()).or_insert(bytes as f64);
-        *mean += (bytes as f64 - *mean) * 0.1;
-    }
-
-    /// Whether this route's answers are large on the mean.
-    pub fn is_large(&self, route: &Name) -> bool {
-        held(&self.sizes).get(route).is_some_and(|mean| *mean > LARGE)
-    }
-
     /// Whether what is out at this door may be given up there: nobody hears of its machine, and ours is not ending.
     pub fn may_break_off(&self, door: &SocketAddr) -> bool {
         !self.leaving.load(Relaxed) && self.quiet.load().contains(door)
@@ -269,13 +254,19 @@
         for service in timetable.services() {
             let of = || rows.rows.values().filter(|(row, _)| *row.line == *service.name);
             let calls = of().any(|(row, _)| row.calls);
-            let told = Told::new(&timetable, &service.name, gates, calls, &settings.bounds);
-            let desk = match desks.remove(&service.name).filter(|desk| desk.told == told) {
-                Some(desk) => desk,
-                None => Desk::new(service.name.clone(), told, self.clock, self.draw()),
-            };
-            desk.list(of(), &quiet, &settings.zone);
-            kept.insert(service.name.clone(), desk);
+            for large in [false, true] {
+                let told = Told::new(&timetable, (&service.name, large), gates, calls, &settings.bounds);
+                if told.shapes.is_empty() {
+                    continue;
+                }
+                let key = (service.name.clone(), large);
+                let desk = match desks.remove(&key).filter(|desk| desk.told == told) {
+                    Some(desk) => desk,
+                    None => Desk::new(service.name.clone(), told, self.clock, self.draw()),
+                };
+                desk.list(of(), &quiet, &settings.zone);
+                kept.insert(key, desk);
+            }
         }
         *desks = kept;
     }
@@ -326,18 +317,20 @@
     };
     let sockets = settings.limits.fds.saturating_sub(SPARE).max(64) as usize;
     let bodies = ((settings.limits.memory_mb as f64 * BODIES * 1e6) as usize).clamp(1 << 20, 1 << 29);
+    let ahead = ((settings.limits.memory_mb as f64 * AHEAD * 1e6) as usize).clamp(1 << 20, 1 << 28);
     let life = clock.now() / 1_000_000;
     let mut chance = ChaCha8Rng::seed_from_u64(rand::random());
     let seed: u64 = chance.random();
-    let door = Door::new(
-        inbound,
-        settings.zone.clone(),
-        settings.app,
-        clock,
-        settings.bounds.drain,
-        sockets / 8,
-        life,
-    );
+    let site = Site {
+        at: inbound,
+        zone: settings.zone.clone(),
+        app: settings.app,
+        drain: settings.bounds.drain,
+        connections: sockets / 8,
+        ahead,
+        link_mbps: settings.limits.link_mbps,
+    };
+    let door = Door::new(site, clock, life);
     let branch = Arc::new(Branch {
         clock,
         callers: Arc::default(),
@@ -347,7 +340,6 @@
         rows: Mutex::default(),
         quiet: ArcSwap::default(),
         desks: Mutex::default(),
-        sizes: Mutex::default(),
         lefts: Mutex::default(),
         lines: Mutex::default(),
         room: Arc::new(Semaphore::new(sockets / 4)),
@@ -390,8 +382,8 @@
             move |came: Came| {
                 let branch = branch.clone();
                 async move {
-                    let _inside = Inside::new(&branch);
-                    gate::answer(branch.clone(), came).await
+                    let inside = Inside::new(&branch);
+                    gate::answer(branch.clone(), came).await.map(|flow| flow.holding(inside))
                 }
             }
         })),
--- a/balancer/src/mesh/carry.rs
+++ b/balancer/src/mesh/carry.rs
@@ -2,6 +2,7 @@
 //! and tells of each exchange how it ended and whether the other side can have begun on it. It must never send a req
 //! twice by itself but where no byte of it was written, and never call a req unsent once its last byte may have gone.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
@@ -15,8 +16,9 @@
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap};
 use hyper::http::response::Parts;
 use ochreshed::Nanos;
+use ochreshed_mesh::pace::Pace;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::{timeout, timeout_at};
+use tokio::time::{Sleep, sleep_until, timeout, timeout_at};
 
 use crate::body::{Message, Pass, Pieces};
 use crate::clock::Clock;
@@ -31,6 +33,9 @@
 /// A long answer of which nothing comes for so long, or of which its reader takes nothing, is given up.
 const STANDS: Duration = Duration::from_secs(5);
 const READER_STANDS: Duration = Duration::from_secs(10);
+/// Pieces of one answer that may be read ahead, and the size of those that a whole one is cut into.
+const AHEAD_PIECES: usize = 64;
+const PIECE: usize = 16 * 1024;
 
 /// How an exchange failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,12 +56,20 @@
     clock: Clock,
     idle: Mutex<Vec<(Link, Nanos)>>,
     room: Arc<Semaphore>,
+    /// Bytes of long answers that may be read ahead of who takes them, for all lines that share it.
+    ahead: Option<Arc<Semaphore>>,
 }
 
 impl Line {
     /// `room` bounds the connections of all lines that share it.
     pub fn new(to: SocketAddr, clock: Clock, room: Arc<Semaphore>) -> Line {
-        Line { to, clock, idle: Mutex::default(), room }
+        Line { to, clock, idle: Mutex::default(), room, ahead: None }
+    }
+
+    /// Long answers are read as fast as they come, as long as there is room for it: whoever sends them has done with
+    /// them sooner than a slow reader.
+    pub fn reading_ahead(self, ahead: Arc<Semaphore>) -> Line {
+        Line { ahead: Some(ahead), ..self }
     }
 
     pub fn to(&self) -> SocketAddr {
@@ -106,12 +119,13 @@
     }
 
     /// Sends a req once and waits for its answer until then. `check` looks at the head of an answer first: with an
-    /// error it belongs to another req, and nothing of it goes on.
+    /// error it belongs to another req, and nothing of it goes on. `hold` lasts until the other side has done with it.
     pub async fn exchange(
         self: &Arc<Self>,
         message: &Arc<Message>,
         fields: &HeaderMap,
         until: Nanos,
+        hold: Option<Hold>,
         check: impl Fn(&Parts) -> bool,
     ) -> Result<(Parts, Flow), Fail> {
         let at = self.clock.instant(until);
@@ -133,7 +147,7 @@
             let answer = timeout_at(at, exchange(on, req, message)).await;
             match answer {
                 Ok(Ok((head, _))) if !check(&head) => return Err(Fail::Reset),
-                Ok(Ok((head, body))) => return Ok(self.pass(link, head, body)),
+                Ok(Ok((head, body))) => return Ok(self.pass(link, head, body, hold)),
                 // A kept connection that turns out dead before a byte of this was written costs a new one.
                 Ok(Err(())) if reused && !on.began() && message.load_again() => {
                     (link, reused) = (None, false)
@@ -147,7 +161,13 @@
     }
 
     /// Hands on a head and a body, and keeps the connection when all has come.
-    fn pass(self: &Arc<Self>, link: Option<Link>, mut head: Parts, body: Body) -> (Parts, Flow) {
+    fn pass(
+        self: &Arc<Self>,
+        link: Option<Link>,
+        mut head: Parts,
+        body: Body,
+        hold: Option<Hold>,
+    ) -> (Parts, Flow) {
         let until = self.idle_until(&head);
         drop_hop_fields(&mut head.headers);
         match (body, link) {
@@ -163,12 +183,17 @@
             }
             (Body::Long(first, length, rest), link) => {
                 head.headers.remove(CONTENT_LENGTH);
-                let (pass, pieces) = Pieces::new(first.clone(), length);
+                let room = if self.ahead.is_some() { AHEAD_PIECES } else { 1 };
+                let (pass, pieces) = Pieces::with_room(first.clone(), length, room);
                 if let Some(link) = link {
                     let left = length.map(|length| length.saturating_sub(first.len() as u64));
-                    tokio::spawn(self.clone().pass_on(link, head.version, (left, rest), pass, until));
+                    let (line, version) = (self.clone(), head.version);
+                    tokio::spawn(async move {
+                        let _hold = hold;
+                        line.pass_on(link, version, (left, rest), pass, until).await
+                    });
                 }
-                (head, Flow::Long { pieces, hold: None })
+                (head, Flow::Long { pieces, hold: None, paced: None })
             }
         }
     }
@@ -196,6 +221,10 @@
                 return Some(());
             };
             left = left.saturating_sub(piece.len() as u64);
+            let piece = match &self.ahead {
+                Some(ahead) => counted(ahead, piece).await?,
+                None => piece,
+            };
             pass.send_timeout(Some(piece), READER_STANDS).await.ok()?;
         }
     }
@@ -214,6 +243,21 @@
     }
 }
 
+/// A piece with its place among those read ahead.
+struct Counted(Bytes, #[allow(dead_code)] Place);
+
+impl AsRef<[u8]> for Counted {
+    fn as_ref(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+async fn counted(ahead: &Arc<Semaphore>, piece: Bytes) -> Option<Bytes> {
+    let place = ahead.clone().acquire_many_owned(u32::try_from(piece.len()).ok()?);
+    let place = timeout(READER_STANDS, place).await.ok()?.ok()?;
+    Some(Bytes::from_owner(Counted(piece, place)))
+}
+
 async fn exchange(
     on: &mut Link,
     req: Request<crate::body::Load>,
@@ -227,7 +271,14 @@
 /// An answer's body on its way to whoever asked.
 pub enum Flow {
     Whole(Full<Bytes>),
-    Long { pieces: Pieces, hold: Option<Hold> },
+    Long { pieces: Pieces, hold: Option<Hold>, paced: Option<Box<Paced>> },
+}
+
+/// The pace that all large answers of a machine share, and a piece of this one that waits for its turn.
+pub struct Paced {
+    pace: Arc<Mutex<Pace>>,
+    clock: Clock,
+    waits: Option<(Bytes, Pin<Box<Sleep>>)>,
 }
 
 /// What lasts as long as an answer is on its way.
@@ -238,11 +289,37 @@
         Flow::Whole(Full::new(bytes.into()))
     }
 
-    /// Keeps something until the last byte has gone.
+    /// Lets a large answer go at the pace of all such; a small one goes at once.
+    pub fn paced(self, pace: &Arc<Mutex<Pace>>, clock: Clock) -> Flow {
+        let paced = Some(Box::new(Paced { pace: pace.clone(), clock, waits: None }));
+        match self {
+            Flow::Long { pieces, hold, .. } => Flow::Long { pieces, hold, paced },
+            Flow::Whole(body) if body.size_hint().lower() > PIECE as u64 => {
+                let mut left = body.into_inner().unwrap_or_default();
+                let length = Some(left.len() as u64);
+                let (pass, pieces) = Pieces::with_room(Bytes::new(), length, left.len() / PIECE + 2);
+                while !left.is_empty() {
+                    let piece = left.split_to(PIECE.min(left.len()));
+                    let _ = pass.try_send(Some(piece));
+                }
+                let _ = pass.try_send(None);
+                Flow::Long { pieces, hold: None, paced }
+            }
+            whole => whole,
+        }
+    }
+
+    /// Keeps something until the last byte has been taken; of a short answer that is now.
     pub fn holding(self, thing: impl Send + Sync + 'static) -> Flow {
         match self {
-            Flow::Long { pieces, hold: None } => Flow::Long { pieces, hold: Some(Box::new(thing)) },
-            other => other,
+            Flow::Long { pieces, hold, paced } => {
+                let hold: Hold = match hold {
+                    Some(before) => Box::new((before, thing)),
+                    None => Box::new(thing),
+                };
+                Flow::Long { pieces, hold: Some(hold), paced }
+            }
+            whole => whole,
         }
     }
 }
@@ -257,10 +334,30 @@
     ) -> Poll<Option<Result<Frame<Bytes>, &'static str>>> {
         match self.get_mut() {
             Flow::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
-            Flow::Long { pieces, .. } => {
+            Flow::Long { pieces, paced: None, .. } => {
                 let piece = ready!(pieces.poll(cx));
                 Poll::Ready(piece.map(|piece| piece.map(Frame::data)))
             }
+            Flow::Long { pieces, paced: Some(paced), .. } => {
+                if paced.waits.is_none() {
+                    match ready!(pieces.poll(cx)) {
+                        Some(Ok(piece)) => {
+                            let now = paced.clock.now();
+                            let at = held(&paced.pace).reserve(now, piece.len());
+                            if at <= now + MS {
+                                return Poll::Ready(Some(Ok(Frame::data(piece))));
+                            }
+                            paced.waits = Some((piece, Box::pin(sleep_until(paced.clock.instant(at)))));
+                        }
+                        other => return Poll::Ready(other.map(|piece| piece.map(Frame::data))),
+                    }
+                }
+                if let Some((_, sleep)) = &mut paced.waits {
+                    ready!(sleep.as_mut().poll(cx));
+                }
+                let piece = paced.waits.take().map(|(piece, _)| Ok(Frame::data(piece)));
+                Poll::Ready(piece)
+            }
         }
     }
 
--- a/balancer/src/mesh/desk.rs
+++ b/balancer/src/mesh/desk.rs
@@ -8,7 +8,7 @@
 use ochreshed::{Balancer, Facts, How, Listed, Name, Nanos, Outcome, Req, State, Value};
 use ochreshed_hands::{Act, End, Hands};
 use ochreshed_mesh::list::{Row, Stand};
-use ochreshed_mesh::timetable::{Route, Timetable};
+use ochreshed_mesh::timetable::{Kind, Route, Timetable};
 use tokio::sync::{Notify, mpsc};
 use tokio::time::sleep_until;
 
@@ -20,6 +20,9 @@
 /// A srv that has just started counts as cold for so long at most, and does this part of its work at first.
 const COLD: Nanos = 4_000 * MS;
 const COLD_SHARE: f64 = 0.4;
+/// So many doors may turn a req away before it is denied, and so many of one zone before it goes to another.
+const MOST_TURNED: f64 = 4.0;
+const MOST_TURNED_BY_SITE: f64 = 2.0;
 /// Upstreams of other zones count with this part of their weight while the near ones stand.
 const FAR: f64 = 0.02;
 
@@ -42,6 +45,8 @@
     pub gates: u64,
     /// Its upstreams call other services.
     pub calls: bool,
+    /// Reqs with large answers, which stay near while anyone near takes reqs: their bytes cost more than a refusal.
+    pub large: bool,
     /// What all gates together may send again: a part of the first sends, and so many in the budget's window.
     pub allowance: (f64, f64),
 }
@@ -52,8 +57,16 @@
 }
 
 impl Told {
-    pub fn new(timetable: &Timetable, line: &str, gates: usize, calls: bool, budget: &Bounds) -> Told {
-        let to = |route: &&Arc<Route>| route.lines.iter().any(|(name, _)| &**name == line);
+    pub fn new(
+        timetable: &Timetable,
+        (line, large): (&str, bool),
+        gates: usize,
+        calls: bool,
+        budget: &Bounds,
+    ) -> Told {
+        let to = |route: &&Arc<Route>| {
+            route.lines.iter().any(|(name, _)| &**name == line) && (route.kind == Kind::OutboundPost) == large
+        };
         let mut shapes: Vec<(String, bool, u64, u32)> = timetable
             .routes()
             .filter(to)
@@ -67,7 +80,7 @@
         // Half of what the rules leave is kept for what no gate can know: calls of runs elsewhere, gates that have just
         // started, windows that don't fall together.
         let allowance = (budget.retry_ratio / 2.0, budget.retry_slack / 6.0);
-        Told { shapes, tries, gates, calls, allowance }
+        Told { shapes, tries, gates, calls, large, allowance }
     }
 
     fn facts(&self) -> Facts {
@@ -88,6 +101,8 @@
             ("report_in_flight".into(), number(0.0)),
             ("again_part".into(), number(self.allowance.0)),
             ("again_floor".into(), number(self.allowance.1)),
+            ("most_turned".into(), number(MOST_TURNED)),
+            ("most_turned_by_site".into(), number(MOST_TURNED_BY_SITE)),
             ("tier".into(), number(0.0)),
             ("tiers".into(), number(if self.calls { 2.0 } else { 1.0 })),
             ("max_dispatches".into(), number(f64::from(self.tries))),
@@ -116,7 +131,6 @@
     wake: Nanos,
     listed: HashMap<Name, Listed>,
     places: HashMap<Name, Place>,
-    near: (usize, bool),
 }
 
 pub struct Desk {
@@ -146,7 +160,6 @@
             wake: Nanos::MAX,
             listed: HashMap::new(),
             places: HashMap::new(),
-            near: (0, false),
         };
         let desk = Arc::new(Desk { line, told, clock, inner: Mutex::new(inner), woken: Notify::new() });
         tokio::spawn(Desk::tend(Arc::downgrade(&desk)));
@@ -223,11 +236,6 @@
         held(&self.inner).places.get(srv).cloned()
     }
 
-    /// How many upstreams of this zone take reqs, and whether there are others.
-    pub fn near(&self) -> (usize, bool) {
-        held(&self.inner).near
-    }
-
     /// Tells the module the list as it is now.
     pub fn list<'a>(
         &self,
@@ -239,12 +247,10 @@
         let now = self.clock.now();
         let rows: Vec<&(Row, Nanos)> = rows.filter(|(row, _)| !row.id.is_empty()).collect();
         let takes = |row: &Row| row.serving && row.stand == Stand::Open && !quiet.contains(&row.door);
-        let taking = rows.iter().filter(|(row, _)| takes(row)).count();
-        let near = rows.iter().filter(|(row, _)| row.zone == zone && takes(row)).count();
-        inner.near = (near, taking > near);
         let near = rows.iter().any(|(row, _)| row.zone == zone && takes(row));
         let mut fresh = HashMap::new();
-        for (row, told) in rows {
+        let wanted = |row: &Row| !(self.told.large && near) || row.zone == zone;
+        for (row, told) in rows.into_iter().filter(|(row, _)| wanted(row)) {
             let state = if takes(row) {
                 State::Up
             } else if row.stand == Stand::None || !row.serving {
--- a/balancer/src/mesh/door.rs
+++ b/balancer/src/mesh/door.rs
@@ -8,12 +8,15 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use hyper::body::Body as _;
 use hyper::header::{CONTENT_ENCODING, HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use jzon::JsonValue as Json;
-use ochreshed::{Nanos, seconds};
+use ochreshed::Nanos;
 use ochreshed_mesh::list::{Row, Stand};
+use ochreshed_mesh::pace::Pace;
+use ochreshed_mesh::slots::{Asker, Slots, Way};
 use tokio::sync::{Semaphore, oneshot};
 use tokio::time::timeout_at;
 
@@ -31,30 +34,27 @@
 pub const STAMP: HeaderName = HeaderName::from_static("ochreshed-postmark");
 const DELIVERED_BY: HeaderName = HeaderName::from_static("ochreshed-delivered-by");
 const NOT_RUN: HeaderName = HeaderName::from_static("ochreshed-not-delivered");
-/// Between a gate and a door: how many doors have turned the req away before.
-pub const TURNED: HeaderName = HeaderName::from_static("ochreshed-turned");
-/// Between a gate and a door: the req is sent again, or called by a run that was.
-pub const AGAIN: HeaderName = HeaderName::from_static("ochreshed-again");
-/// Between a gate and a door: how long a req has until its answer is late, in ms.
-pub const AIM: HeaderName = HeaderName::from_static("ochreshed-aim-left-ms");
-/// How many reqs the door has inside.
-pub const INSIDE: HeaderName = HeaderName::from_static("ochreshed-inside");
-/// Between a door and a gate: how the door's part ended.
+/// Between a gate and a door: the ms until an answer is late, how many doors have turned the req away, and letters: `a`,
+/// it is sent again or called by a run that was; `c`, a run waits for it; `l`, its answer is large.
+pub const KNOCK: HeaderName = HeaderName::from_static("ochreshed-knock");
+/// Between a door and a gate: how the door's part ended, and how many reqs are at its upstream or wait there.
 pub const WAY: HeaderName = HeaderName::from_static("ochreshed-way");
 
 const MS: Nanos = 1_000_000;
 /// After its upstream has said that it closes, the door still takes what is on its way, for this part of the time
 /// that the rules give.
 const DRAIN_PART: u32 = 2;
-/// A req that waits for a slot has at least so much of its time left when it is handed on.
-const LEAST_LEFT: Nanos = 15 * MS;
 /// How long a probe may take.
 const PROBE: Nanos = 1_000 * MS;
-/// How much of the last run's time goes into the mean.
-const TOOK_PART: f64 = 0.05;
 /// Ids of lives that have ended.
 const MOST_PAST: usize = 32;
 const MOST_BEAT: u64 = 4 * 1024;
+/// The longest that a client may say it waits, in ms.
+pub const MOST_LEFT: u64 = 86_400_000;
+/// What a message has on the wire beside its body, about.
+const HEAD_BYTES: usize = 400;
+/// How much of the last large answer's size goes into the mean.
+const LARGE_PART: f64 = 0.1;
 
 /// How a door's part ended.
 pub enum End {
@@ -129,6 +129,20 @@
     life: u64,
 }
 
+/// What a door is told at its start.
+pub struct Site {
+    pub at: SocketAddr,
+    pub zone: String,
+    /// Where its upstream listens, if that was told.
+    pub app: Option<SocketAddr>,
+    pub drain: Duration,
+    /// How many connections to the upstream there may be, and how many bytes of its answers in hand.
+    pub connections: usize,
+    pub ahead: usize,
+    /// What the machine's link carries, in Mbit/s.
+    pub link_mbps: f64,
+}
+
 pub struct Door {
     at: SocketAddr,
     zone: String,
@@ -140,7 +154,12 @@
     /// Reqs that wait for a slot or are in one.
     inside: AtomicUsize,
     /// Those at the upstream now, and who waits to be one of them.
-    slots: Mutex<Slots>,
+    slots: Mutex<Slots<oneshot::Sender<Slot>>>,
+    /// The pace of large answers to other machines, and the mean size of one.
+    pace: Arc<Mutex<Pace>>,
+    large: Mutex<f64>,
+    /// Bytes of answers read ahead of who takes them.
+    ahead: Arc<Semaphore>,
     calls: AtomicBool,
     /// The ids of the reqs that are at the upstream, and whether each was sent again.
     runs: Mutex<HashMap<Vec<u8>, bool>>,
@@ -148,16 +167,6 @@
     pub changed: tokio::sync::Notify,
 }
 
-/// How many are at the upstream, and who waits to be.
-#[derive(Default)]
-struct Slots {
-    taken: u32,
-    /// The one that is late first goes first.
-    waiting: VecDeque<(Nanos, oneshot::Sender<Slot>)>,
-    /// What a run takes on the mean of late, in seconds.
-    took: f64,
-}
-
 /// A req at a door.
 pub struct Knock<'a> {
     pub message: &'a Arc<Message>,
@@ -168,25 +177,50 @@
     pub turned: u32,
     /// It is sent again, or called by a run that was.
     pub again: bool,
+    /// A run waits for its answer.
+    pub call: bool,
+    /// Its answer is a large one.
+    pub large: bool,
+    /// Its answer goes to another machine.
+    pub away: bool,
     /// When its answer is late, and when nobody waits for it any more.
     pub aim: Nanos,
     pub until: Nanos,
 }
 
-/// A place at the upstream; given back when its answer has come, or nobody waits for it any more.
+impl Knock<'_> {
+    /// What of it goes on the wire; the door's part of its time is told by another field.
+    pub fn word(&self, now: Nanos) -> String {
+        let mut word = format!("{} {} ", self.aim.saturating_sub(now) / MS, self.turned);
+        word.extend(
+            [(self.again, 'a'), (self.call, 'c'), (self.large, 'l')]
+                .iter()
+                .filter(|(is, _)| *is)
+                .map(|(_, c)| c),
+        );
+        word
+    }
+
+    /// Reads that again, with the ms until it is late in place of the time: (aim, turned, again, call, large).
+    fn read(word: &str, left: u64) -> (u64, u32, bool, bool, bool) {
+        let mut parts = word.split(' ');
+        let aim = parts.next().and_then(|part| part.parse().ok()).unwrap_or(left).min(MOST_LEFT);
+        let turned = parts.next().and_then(|part| part.parse().ok()).unwrap_or(0);
+        let letters = parts.next().unwrap_or_default();
+        (aim, turned, letters.contains('a'), letters.contains('c'), letters.contains('l'))
+    }
+}
+
+/// A place at the upstream, and since when; given back when its answer has come, or nobody waits for it any more.
 struct Slot(Arc<Door>, Nanos);
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let handed = {
-            let mut slots = held(&self.0.slots);
-            slots.taken -= 1;
-            if self.1 > 0 {
-                let took = seconds(self.0.clock.now().saturating_sub(self.1));
-                slots.took += (took - slots.took) * TOOK_PART;
-            }
-            self.0.hand_on(&mut slots)
-        };
+        let now = self.0.clock.now();
+        let mut slots = held(&self.0.slots);
+        slots.leave((self.1 > 0).then(|| now.saturating_sub(self.1)));
+        let handed = self.0.hand_on(&mut slots, now);
+        drop(slots);
         // Whoever has gone gives its place back here, without the lock.
         handed.into_iter().for_each(|(waiting, slot)| drop(waiting.send(slot)));
     }
@@ -202,15 +236,8 @@
 }
 
 impl Door {
-    pub fn new(
-        at: SocketAddr,
-        zone: String,
-        app: Option<SocketAddr>,
-        clock: Clock,
-        drain: Duration,
-        connections: usize,
-        life: u64,
-    ) -> Arc<Door> {
+    pub fn new(site: Site, clock: Clock, life: u64) -> Arc<Door> {
+        let Site { at, zone, app, drain, connections, ahead, link_mbps } = site;
         let state = State { upstream: None, past: VecDeque::new(), number: 1, life };
         Arc::new(Door {
             at,
@@ -222,6 +249,9 @@
             room: Arc::new(Semaphore::new(connections.max(1))),
             inside: AtomicUsize::new(0),
             slots: Mutex::default(),
+            pace: Arc::new(Mutex::new(Pace::new(link_mbps))),
+            large: Mutex::new(0.0),
+            ahead: Arc::new(Semaphore::new(ahead)),
             calls: AtomicBool::new(false),
             runs: Mutex::default(),
             serving: AtomicBool::new(false),
@@ -282,7 +312,9 @@
         }
         let message = Arc::new(Message { head, first: bytes::Bytes::new(), length: Some(0), long: None });
         let until = self.clock.now() + PROBE;
-        let Ok((head, _)) = line.exchange(&message, &HeaderMap::new(), until, |_| true).await else { return };
+        let Ok((head, _)) = line.exchange(&message, &HeaderMap::new(), until, None, |_| true).await else {
+            return;
+        };
         if field(&head.headers, &DELIVERED_BY) != row.id {
             return;
         }
@@ -307,6 +339,7 @@
             closing_since: closing.then_some(now),
             to: line,
         });
+        held(&self.slots).set(row.slots);
         drop(state);
         self.touch();
     }
@@ -438,7 +471,10 @@
         state.upstream = Some(upstream);
         drop(state);
         if !same {
-            let handed = self.hand_on(&mut held(&self.slots));
+            let mut all = held(&self.slots);
+            all.set(slots);
+            let handed = self.hand_on(&mut all, now);
+            drop(all);
             handed.into_iter().for_each(|(waiting, slot)| drop(waiting.send(slot)));
             self.touch();
         }
@@ -446,7 +482,7 @@
     }
 
     fn line_to(&self, address: SocketAddr) -> Arc<Line> {
-        Arc::new(Line::new(address, self.clock, self.room.clone()))
+        Arc::new(Line::new(address, self.clock, self.room.clone()).reading_ahead(self.ahead.clone()))
     }
 
     fn sign_off(&self, of: &str) {
@@ -500,61 +536,63 @@
         self.inside.load(Relaxed)
     }
 
-    fn slots_now(&self) -> u32 {
-        held(&self.state).upstream.as_ref().map_or(0, |upstream| upstream.slots)
+    /// How many reqs are at the upstream or wait to be.
+    pub fn load(&self) -> usize {
+        let slots = held(&self.slots);
+        slots.taken() as usize + slots.waiting()
     }
 
     /// Gives free places to those that wait, to be sent to them once the lock is free.
-    fn hand_on(self: &Arc<Self>, slots: &mut Slots) -> Vec<(oneshot::Sender<Slot>, Slot)> {
-        let (most, now) = (at_once(self.slots_now()), self.clock.now());
+    fn hand_on(
+        self: &Arc<Self>,
+        slots: &mut Slots<oneshot::Sender<Slot>>,
+        now: Nanos,
+    ) -> Vec<(oneshot::Sender<Slot>, Slot)> {
         let mut handed = Vec::new();
-        while slots.taken < most
-            && let Some((aim, waiting)) = slots.waiting.pop_front()
-        {
-            // One that is late already makes way for those that are not.
-            let late = seconds(aim.saturating_sub(now)) < slots.took / 2.0 && !slots.waiting.is_empty();
-            if !waiting.is_closed() && !late {
-                slots.taken += 1;
-                handed.push((waiting, Slot(self.clone(), 0)));
-            }
+        slots.forget(oneshot::Sender::is_closed);
+        while let Some(waiting) = slots.next(now) {
+            handed.push((waiting, Slot(self.clone(), 0)));
         }
         handed
     }
 
     /// Lets a req through to the upstream, if it is the one that was meant.
     pub async fn pass(self: &Arc<Self>, knock: Knock<'_>) -> End {
-        let Knock { message, meant, caller, turned, again, aim, until } = knock;
-        let Some((to, slots)) = self.check(meant) else { return End::Gone };
-        if !self.takes(slots, turned, aim) {
+        let Knock { message, meant, caller, turned, again, call, large, away, aim, until } = knock;
+        let Some(to) = self.check(meant) else { return End::Gone };
+        let now = self.clock.now();
+        // A large answer is late when its last byte is: what stands before it on the link, and its own part.
+        let (stands, span) = if large && away { self.on_the_way(now) } else { (0, 0) };
+        let aim = aim.saturating_sub(stands + span);
+        if stands > 0 && now > aim {
             return End::Turned;
         }
+        let waits = {
+            let mut wait = None;
+            let asker = Asker { call, turned, aim, until };
+            let way = held(&self.slots).ask(now, &asker, || {
+                let (send, waits) = oneshot::channel();
+                wait = Some(waits);
+                send
+            });
+            match (way, wait) {
+                (Way::In, _) => Ok(Slot(self.clone(), 0)),
+                (Way::Waits(last), Some(wait)) => Err((last, wait)),
+                _ => return End::Turned,
+            }
+        };
         self.inside.fetch_add(1, Relaxed);
         let id = message.head.headers().get(&ID).cloned();
         let name = id.as_ref().map(|id| id.as_bytes().to_vec()).unwrap_or_default();
         held(&self.runs).insert(name.clone(), again);
         let inside = Inside(self.clone(), name);
-        let waits = {
-            let mut slots = held(&self.slots);
-            if slots.taken < at_once(self.slots_now()) && slots.waiting.is_empty() {
-                slots.taken += 1;
-                Ok(Slot(self.clone(), 0))
-            } else {
-                let (send, wait) = oneshot::channel();
-                let place = slots.waiting.partition_point(|(other, _)| *other <= aim);
-                slots.waiting.insert(place, (aim, send));
-                Err(wait)
-            }
-        };
         let mut slot = match waits {
             Ok(slot) => slot,
-            Err(wait) => {
-                let last = self.clock.instant(until.saturating_sub(LEAST_LEFT));
-                match timeout_at(last, wait).await {
-                    Ok(Ok(slot)) => slot,
-                    Ok(Err(_)) => return End::Turned,
-                    Err(_) => return End::Unsent,
-                }
-            }
+            Err((last, wait)) => match timeout_at(self.clock.instant(last), wait).await {
+                Ok(Ok(slot)) => slot,
+                Ok(Err(_)) => return End::Turned,
+                Err(_) => return End::Unsent,
+            },
         };
         if self.check(meant).is_none() {
             return End::Gone;
@@ -572,7 +610,7 @@
         // An answer that names another req belongs to that one.
         let ours = |head: &Parts| head.headers.get(&ID) == id.as_ref();
         slot.1 = self.clock.now();
-        let answer = to.exchange(message, &fields, until, ours).await;
+        let answer = to.exchange(message, &fields, until, Some(Box::new(slot)), ours).await;
         let (mut head, flow) = match answer {
             Ok(answer) => answer,
             Err(Fail::NoConnection) => return End::Unreachable,
@@ -581,7 +619,6 @@
             Err(Fail::Late) => return End::Late,
         };
         head.headers.remove(&WAY);
-        head.headers.remove(&INSIDE);
         if head.status == StatusCode::MISDIRECTED_REQUEST {
             return End::Gone;
         }
@@ -593,45 +630,48 @@
         if coded || (head.status.is_success() && !stamped) {
             return End::Reset;
         }
-        End::Ran(head, flow.holding((slot, inside)))
-    }
-
-    /// Whether a req may come in: to a free slot; or to wait for one, after so many doors, where it is likely to be
-    /// answered before it is late. Guards against a queue in which all are late, and against one at a door while
-    /// another has slots free.
-    fn takes(&self, slots: u32, turned: u32, aim: Nanos) -> bool {
-        let most = at_once(slots);
-        let held = held(&self.slots);
-        let inside = self.inside.load(Relaxed) as u32;
-        if inside < most {
-            return true;
-        }
-        // Those that are late sooner go first: a req whose answer is wanted soon waits for few.
-        let ahead = held.waiting.partition_point(|(other, _)| *other <= aim) as u32;
-        let may_wait = match turned {
-            0 => 0,
-            1 => 1 + slots / 4,
-            _ => slots * 2,
-        };
-        let left = seconds(aim.saturating_sub(self.clock.now()));
-        let wait = f64::from(ahead + 1) * held.took / f64::from(most.max(1));
-        ahead < may_wait && inside < most + slots * 3 && wait + held.took <= left
+        if large && let Some(size) = flow.size_hint().exact() {
+            let mut mean = held(&self.large);
+            *mean += (size as f64 - *mean) * if *mean > 0.0 { LARGE_PART } else { 1.0 };
+        }
+        let flow = if away { self.paced(flow) } else { flow };
+        End::Ran(head, flow.holding(inside))
+    }
+
+    fn paced(&self, flow: Flow) -> Flow {
+        let flow = flow.paced(&self.pace, self.clock);
+        if let Flow::Whole(body) = &flow {
+            self.goes_out(body.size_hint().lower());
+        }
+        flow
+    }
+
+    /// What stands before a large answer on the way to another machine, and how long it is on its way itself.
+    fn on_the_way(&self, now: Nanos) -> (Nanos, Nanos) {
+        let pace = held(&self.pace);
+        (pace.wait(now), pace.span(*held(&self.large)))
+    }
+
+    /// So many bytes go out to other machines, at once.
+    pub fn goes_out(&self, bytes: u64) {
+        held(&self.pace).note(self.clock.now(), bytes as usize + HEAD_BYTES);
     }
 
     /// Whether this life takes reqs now, and where it is.
-    fn check(&self, meant: &str) -> Option<(Arc<Line>, u32)> {
+    fn check(&self, meant: &str) -> Option<Arc<Line>> {
         let state = held(&self.state);
         let upstream = state.upstream.as_ref()?;
         let over = |since: Nanos| self.clock.now() > since + (self.drain / DRAIN_PART).as_nanos() as Nanos;
         let takes = upstream.id == meant
             && upstream.stand != Stand::None
             && !upstream.closing_since.is_some_and(over);
-        takes.then(|| (upstream.to.clone(), upstream.slots))
+        takes.then(|| upstream.to.clone())
     }
 
     fn way(&self, mut answer: Response<Flow>, word: &'static str) -> Response<Flow> {
-        answer.headers_mut().insert(WAY, HeaderValue::from_static(word));
-        answer.headers_mut().insert(INSIDE, HeaderValue::from(self.busy() as u64));
+        if let Ok(word) = HeaderValue::try_from(format!("{word} {}", self.load())) {
+            answer.headers_mut().insert(WAY, word);
+        }
         answer
     }
 
@@ -640,20 +680,19 @@
         let at = came.at;
         let headers = came.req.headers();
         let meant = field(headers, &ADDRESSEE).to_owned();
-        let left = field(headers, &LEFT).parse::<u64>().unwrap_or(0).min(86_400_000);
-        let turned = field(headers, &TURNED).parse::<u32>().unwrap_or(0);
-        let again = headers.contains_key(&AGAIN);
-        let aim = field(headers, &AIM).parse::<u64>().unwrap_or(left).min(86_400_000);
+        let left = field(headers, &LEFT).parse::<u64>().unwrap_or(0).min(MOST_LEFT);
+        let (aim, turned, again, call, large) = Knock::read(field(headers, &KNOCK), left);
         let caller = headers.get(&CALLER).cloned().unwrap_or(HeaderValue::from_static(""));
         let read = entry::message(came, &bodies, self.clock, u64::MAX, Duration::from_secs(10)).await;
-        let (message, _room) = match read {
+        let (mut message, _room) = match read {
             Ok(read) => read,
             Err(Bad(status, line)) => return self.way(say(status, line), "unsent"),
         };
-        let message = &Arc::new(message);
+        message.head.headers_mut().remove(&KNOCK);
+        let (message, meant, caller, away) = (&Arc::new(message), &*meant, &caller, true);
         let (aim, until) = (at + aim * MS, at + left * MS);
         let end =
-            self.pass(Knock { message, meant: &meant, caller: &caller, turned, again, aim, until }).await;
+            self.pass(Knock { message, meant, caller, turned, again, call, large, away, aim, until }).await;
         let word = end.word();
         match end {
             End::Ran(head, flow) => self.way(Response::from_parts(head, flow), word),
@@ -662,11 +701,6 @@
     }
 }
 
-/// How many reqs an upstream is given at once.
-fn at_once(slots: u32) -> u32 {
-    slots
-}
-
 /// The call's name and whom it is of.
 pub fn call_of(uri: &hyper::Uri) -> (String, Option<String>) {
     if uri.path() != "/api/rpc" {
@@ -696,7 +730,9 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let app = listener.local_addr().expect("its address");
         let at = SocketAddr::from(([127, 0, 0, 1], 1));
-        let door = Door::new(at, "a".into(), None, Clock::new(), Duration::from_secs(2), 64, 1);
+        let (zone, drain, connections, ahead) = ("a".into(), Duration::from_secs(2), 64, 1 << 20);
+        let site = Site { at, zone, app: None, drain, connections, ahead, link_mbps: 1_000.0 };
+        let door = Door::new(site, Clock::new(), 1);
         beat(&door, app, "i-1", 1, slots, "open_for_post");
         (door, listener)
     }
@@ -717,8 +753,18 @@
         tokio::spawn(async move {
             let (caller, now) = (HeaderValue::from_static("y"), door.clock.now());
             let (aim, until) = (now + late_ms * MS, now + 20_000 * MS);
-            let knock =
-                Knock { message: &message, meant: "i-1", caller: &caller, turned, again: false, aim, until };
+            let knock = Knock {
+                message: &message,
+                meant: "i-1",
+                caller: &caller,
+                turned,
+                again: false,
+                call: false,
+                large: false,
+                away: false,
+                aim,
+                until,
+            };
             door.pass(knock).await.word()
         })
     }
@@ -755,9 +801,9 @@
         let at_upstream = next(&upstream).await;
         assert_eq!(knock(&door, "b", 0, 10_000).await.expect("no panic"), "turned");
         // Turned away elsewhere before, it waits; the one that is late sooner goes first.
-        let later = knock(&door, "c", 2, 9_000);
+        let later = knock(&door, "c", 3, 9_000);
         inside(&door, 2).await;
-        let sooner = knock(&door, "d", 2, 5_000);
+        let sooner = knock(&door, "d", 3, 5_000);
         inside(&door, 3).await;
         answer(at_upstream).await;
         let at_upstream = next(&upstream).await;
@@ -773,7 +819,7 @@
         for round in 0..20 {
             let first = knock(&door, "a", 0, 10_000);
             let at_upstream = next(&upstream).await;
-            let waits = knock(&door, "b", 2, 10_000);
+            let waits = knock(&door, "b", 3, 10_000);
             inside(&door, 2).await;
             // Its client goes in the moment in which the slot becomes free.
             first.abort();
--- a/balancer/src/mesh/entry.rs
+++ b/balancer/src/mesh/entry.rs
@@ -96,6 +96,22 @@
     while guests.join_next().await.is_some() {}
 }
 
+/// A req that is answered, or whose answer is on its way.
+struct Work(Arc<AtomicUsize>);
+
+impl Work {
+    fn new(count: Arc<AtomicUsize>) -> Work {
+        count.fetch_add(1, Relaxed);
+        Work(count)
+    }
+}
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Relaxed);
+    }
+}
+
 async fn guest<F, A>(
     stream: TcpStream,
     clock: Clock,
@@ -115,9 +131,10 @@
         let meter = meter.clone();
         let (answer, leaving, work) = (answer.clone(), leaving.clone(), work.clone());
         async move {
-            work.fetch_add(1, Relaxed);
-            let mut answer = answer(Came { req, meter: meter.clone(), at }).await;
-            work.fetch_sub(1, Relaxed);
+            let work = Work::new(work);
+            let answer = answer(Came { req, meter: meter.clone(), at }).await;
+            // A long answer is work until its last byte.
+            let mut answer = answer.map(|flow| flow.holding(work));
             meter.take_first();
             meter.next_message();
             if *leaving.borrow() >= Ajar::Leaving {
@@ -231,3 +248,42 @@
 pub fn field<'a>(headers: &'a HeaderMap, name: &HeaderName) -> &'a str {
     headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().trim()
 }
+
+#[cfg(test)]
+mod tests {
+    use bytes::Bytes;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+    use super::*;
+    use crate::body::Pieces;
+
+    /// Time is the test's own: it goes on at once when nobody has anything to do.
+    #[tokio::test(start_paused = true)]
+    async fn a_long_answer_that_is_on_its_way_at_the_end_goes_whole() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let at = listener.local_addr().expect("its address");
+        let (ajar, watch_ajar) = watch::channel(Ajar::Open);
+        let (pass, pieces) = Pieces::new(Bytes::from_static(b"begins, "), Some(17));
+        let once = Arc::new(std::sync::Mutex::new(Some(pieces)));
+        let answer = move |_: Came| {
+            let pieces = once.lock().expect("a lock").take().expect("one req");
+            async move { Response::new(Flow::Long { pieces, hold: None, paced: None }) }
+        };
+        let bounds = Bounds { callers: 4, head: Duration::from_secs(60) };
+        let door = tokio::spawn(keep(listener, Clock::new(), bounds, watch_ajar, Arc::default(), answer));
+        let mut client = TcpStream::connect(at).await.expect("a connection");
+        client.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").await.expect("written");
+        let mut got = Vec::new();
+        while !got.ends_with(b"begins, ") {
+            got.push(client.read_u8().await.expect("a byte"));
+        }
+        ajar.send_replace(Ajar::Closed);
+        sleep(UNFINISHED * 5).await;
+        pass.send(Some(Bytes::from_static(b"ends well"))).await.expect("somebody reads");
+        // Its length was told: nobody asks for its end.
+        let _ = pass.send(None).await;
+        client.read_to_end(&mut got).await.expect("an end");
+        assert!(got.ends_with(b"begins, ends well"), "{}", String::from_utf8_lossy(&got));
+        door.await.expect("no panic");
+    }
+}
--- a/balancer/src/mesh/gate.rs
+++ b/balancer/src/mesh/gate.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::body::Body as _;
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
@@ -16,8 +15,8 @@
 
 use super::attendant::{Branch, Inside};
 use super::carry::{Fail, Flow};
-use super::desk::{self, Desk, Place, Step, Turn};
-use super::door::{ADDRESSEE, AGAIN, AIM, CALLER, End, ID, INSIDE, KEY, Knock, LEFT, TURNED, WAY};
+use super::desk::{self, Place, Step, Turn};
+use super::door::{ADDRESSEE, CALLER, End, ID, KEY, KNOCK, Knock, LEFT, MOST_LEFT, WAY};
 use super::entry::{self, Bad, Came, field, say};
 use super::keys;
 use crate::body::Message;
@@ -53,7 +52,7 @@
     let Some(route) = timetable.route(&host, &path).cloned() else {
         return say(404, "no such route");
     };
-    let left = field(headers, &LEFT).parse::<u64>().unwrap_or(route.deadline_ms).min(86_400_000);
+    let left = field(headers, &LEFT).parse::<u64>().unwrap_or(route.deadline_ms).min(MOST_LEFT);
     let key = Some(field(headers, &KEY)).filter(|key| !key.is_empty()).map(keys::key);
     let at = came.at;
     let call = branch.saw(&id);
@@ -64,7 +63,7 @@
         Ok(read) => read,
         Err(Bad(status, line)) => return say(status, line),
     };
-    for name in [&ADDRESSEE, &AGAIN, &AIM, &CALLER, &TURNED, &WAY] {
+    for name in [&ADDRESSEE, &CALLER, &KNOCK, &WAY] {
         message.head.headers_mut().remove(name);
     }
     let ends = (at + left.min(route.deadline_ms) * MS).saturating_sub(WAY_BACK);
@@ -72,15 +71,9 @@
     // A call keeps its caller's slot taken, and is of use for as long as that waits.
     let aim = if call.is_some() { aim.max(at + route.deadline_ms * MS * 7 / 10) } else { aim };
     let again = call == Some(true);
-    let trip = Trip {
-        branch: branch.clone(),
-        route: route.clone(),
-        message: Arc::new(message),
-        ends,
-        at,
-        aim,
-        again,
-    };
+    let message = Arc::new(message);
+    let (branch_of, route_of, call) = (branch.clone(), route.clone(), call.is_some());
+    let trip = Trip { branch: branch_of, route: route_of, message, ends, at, aim, again, call };
     let answer = match key.filter(|_| route.kind == Kind::Registered) {
         Some(key) => {
             // Goes on to its end though its client goes: its outcome is its key's.
@@ -114,7 +107,6 @@
         match self {
             Outcomes::Answer(mut head, flow) => {
                 head.headers.remove(&WAY);
-                head.headers.remove(&INSIDE);
                 Response::from_parts(head, flow)
             }
             Outcomes::Deny(come_back) => deny(come_back),
@@ -175,7 +167,7 @@
     let text = |(name, value): (&HeaderName, &HeaderValue)| {
         Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))
     };
-    let ours = [&ID, &INSIDE, &WAY];
+    let ours = [&ID, &WAY];
     let headers = head.headers.iter().filter(|(name, _)| !ours.contains(name)).filter_map(text).collect();
     Answer { status: head.status.as_u16(), headers, body: body.to_vec() }
 }
@@ -196,6 +188,11 @@
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
 
+/// Whether an answer is a good one.
+fn well(head: &Parts) -> bool {
+    !head.status.is_server_error() && !promises(head.status)
+}
+
 /// A req on its way.
 struct Trip {
     branch: Arc<Branch>,
@@ -207,19 +204,23 @@
     aim: Nanos,
     /// It was called by a run that was sent again.
     again: bool,
+    /// It was called by a run.
+    call: bool,
 }
 
 impl Trip {
     async fn run(&self) -> Outcomes {
         let Some(line) = self.branch.split(&self.route) else { return Outcomes::Deny(COME_BACK) };
-        let Some(desk) = self.branch.desk(&line) else { return Outcomes::Deny(COME_BACK) };
+        let large = self.route.kind == Kind::OutboundPost;
+        let Some(desk) = self.branch.desk(&line, large) else { return Outcomes::Deny(COME_BACK) };
         let rule_set: Name = desk::shape(&self.route).as_str().into();
         let mut req = Req::new(0, rule_set, "".into(), self.at, self.ends);
         req.again = self.again;
         req.coming = self.message.long.is_some();
         let mut turn = desk.take(req);
         let mut last: Option<(Parts, Flow)> = None;
-        let (mut ran, mut sent, mut turned) = (false, 0, self.patience(&desk));
+        // A large answer is wanted from near: the first door may let it wait already.
+        let (mut ran, mut sent, mut turned) = (false, 0, u32::from(large));
         loop {
             let step = turn.steps.recv().await;
             match step {
@@ -233,7 +234,7 @@
                         continue;
                     };
                     let Some((end, inside)) =
-                        self.dispatch(&mut turn, &place, (turned, sent > 0), give_up).await
+                        self.dispatch(&mut turn, &place, (turned, sent > 0, large), give_up).await
                     else {
                         ran = true;
                         turn.ended(number, How::Recalled, 0, false, None);
@@ -243,7 +244,7 @@
                     turned += u32::from(matches!(end, End::Turned));
                     let took = self.branch.clock.now() - began;
                     let how = match end {
-                        End::Ran(head, flow) if self.note(&flow, &head) => {
+                        End::Ran(head, flow) if well(&head) => {
                             turn.ended(number, How::Done, took, true, inside);
                             return Outcomes::Answer(head, flow);
                         }
@@ -293,29 +294,12 @@
         }
     }
 
-    /// Whether an answer is a good one; its size is noted.
-    fn note(&self, flow: &Flow, head: &Parts) -> bool {
-        self.branch.note_size(&self.route.name, flow.size_hint().lower());
-        !head.status.is_server_error() && !promises(head.status)
-    }
-
-    /// As how often turned away a req begins: one that has a single upstream near, or a large answer, had better wait
-    /// there a little than go to another zone.
-    fn patience(&self, desk: &Desk) -> u32 {
-        match desk.near() {
-            (_, false) => 0,
-            (near, true) if near > 0 && self.branch.is_large(&self.route.name) => 2,
-            (1, true) => 1,
-            _ => 0,
-        }
-    }
-
     /// One dispatch, and how many reqs its door has inside; nothing if the module recalled it.
     async fn dispatch(
         &self,
         turn: &mut Turn,
         place: &Place,
-        turned: (u32, bool),
+        turned: (u32, bool, bool),
         give_up: Nanos,
     ) -> Option<(End, Option<f64>)> {
         let work = self.send(place, turned, give_up.min(self.ends));
@@ -336,23 +320,32 @@
         }
     }
 
-    async fn send(&self, place: &Place, (turned, again): (u32, bool), until: Nanos) -> (End, Option<f64>) {
-        let (branch, again) = (&self.branch, again || self.again);
-        let caller = branch.caller();
-        if place.door == branch.door_at() {
-            let knock = Knock {
-                message: &self.message,
-                meant: &place.id,
-                caller: &caller,
-                turned,
-                again,
-                aim: self.aim,
-                until,
-            };
+    async fn send(
+        &self,
+        place: &Place,
+        (turned, again, large): (u32, bool, bool),
+        until: Nanos,
+    ) -> (End, Option<f64>) {
+        let (branch, again, now) = (&self.branch, again || self.again, self.branch.clock.now());
+        let (caller, away) = (branch.caller(), place.door != branch.door_at());
+        let (message, meant, aim) = (&self.message, &*place.id, self.aim);
+        let knock = Knock {
+            message,
+            meant,
+            caller: &caller,
+            turned,
+            again,
+            call: self.call,
+            large,
+            away,
+            aim,
+            until,
+        };
+        if !away {
             let end = branch.door.pass(knock).await;
-            return (end, Some(branch.door.busy() as f64));
+            return (end, Some(branch.door.load() as f64));
         }
-        let left = until.saturating_sub(branch.clock.now()) / MS;
+        let left = until.saturating_sub(now) / MS;
         if left == 0 {
             return (End::Unsent, None);
         }
@@ -361,20 +354,17 @@
         if let Ok(id) = HeaderValue::try_from(&*place.id) {
             fields.insert(ADDRESSEE, id);
         }
-        fields.insert(AIM, HeaderValue::from(self.aim.saturating_sub(branch.clock.now()) / MS));
-        fields.insert(CALLER, caller);
-        if again {
-            fields.insert(AGAIN, HeaderValue::from_static("1"));
-        }
-        if turned > 0 {
-            fields.insert(TURNED, HeaderValue::from(turned));
+        if let Ok(word) = HeaderValue::try_from(knock.word(now)) {
+            fields.insert(KNOCK, word);
         }
+        fields.insert(CALLER, caller);
+        branch.door.goes_out(message.length.unwrap_or(0));
         let ours = |head: &Parts| head.headers.contains_key(&WAY);
-        let end = match branch.line_to(place.door).exchange(&self.message, &fields, until, ours).await {
+        let end = match branch.line_to(place.door).exchange(&self.message, &fields, until, None, ours).await {
             Ok((head, flow)) => {
                 let word = field(&head.headers, &WAY).to_owned();
-                let inside = field(&head.headers, &INSIDE).parse().ok();
-                return (End::from_word(&word, head, flow), inside);
+                let (word, inside) = word.split_once(' ').unwrap_or((&word, ""));
+                return (End::from_word(word, head, flow), inside.parse().ok());
             }
             Err(Fail::NoConnection) => End::Unreachable,
             Err(Fail::NotSent) => End::Unsent,
--- a/balancer/tests/mesh/town.rs
+++ b/balancer/tests/mesh/town.rs
@@ -7,7 +7,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -307,6 +307,9 @@
     format!(r#"{{"edition":"r{version}","consignments":[{}]}}"#, all.join(","))
 }
 
+/// The program, where it is not the one built with this: an earlier version's, to be measured beside it.
+pub static PROGRAM: OnceLock<String> = OnceLock::new();
+
 /// A process of the program on a machine; killed when it is dropped.
 pub struct Machine {
     ip: Ipv4Addr,
@@ -320,7 +323,7 @@
     fn run(&mut self, settings: &str) {
         let path = self.folder.join("local.toml");
         fs::write(&path, settings).expect("its settings");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_ochreshed"));
+        let mut command = Command::new(PROGRAM.get().map_or(env!("CARGO_BIN_EXE_ochreshed"), String::as_str));
         command.arg(self.role).env("OCHRESHED_SETTINGS", path).stdin(Stdio::null()).stderr(Stdio::piped());
         let mut process = command.spawn().expect("the program");
         let lines = BufReader::new(process.stderr.take().expect("its log")).lines();
@@ -331,6 +334,12 @@
         self.process = Some(process);
     }
 
+    /// Its number; 0 where none runs. For the bench.
+    #[allow(dead_code)]
+    pub fn number(&self) -> u32 {
+        self.process.as_ref().map_or(0, Child::id)
+    }
+
     /// Without a word.
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
@@ -542,6 +551,20 @@
     }
 }
 
+/// Sends one req on a connection that is kept for the next, and gives its answer. For the bench.
+#[allow(dead_code)]
+pub fn kept(
+    gate: SocketAddr,
+    stream: &mut Option<BufReader<TcpStream>>,
+    message: &[u8],
+) -> io::Result<Message> {
+    let mut on = stream.take().map_or_else(|| connect(gate), Ok)?;
+    on.get_mut().write_all(message)?;
+    let answer = read(&mut on)?.ok_or_else(cut)?;
+    *stream = (answer.field("connection") != "close").then_some(on);
+    Ok(answer)
+}
+
 /// Clients that go on sending resendable reqs to their gates, half of them on kept connections.
 pub struct Load {
     stop: Arc<AtomicBool>,
--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -4,5 +4,7 @@
 
 pub mod agree;
 pub mod list;
+pub mod pace;
+pub mod slots;
 pub mod timetable;
 pub mod words;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -337,7 +337,7 @@
             _ => false,
         };
         owned
-            && req.sends() < self.told.max_dispatches
+            && (req.sends() < self.told.max_dispatches && req.turns(None) < self.told.most_turned)
             && now < req.ends
             && (req.turned() || self.seen.room_again(now, self.told.tenth, self.told.floor))
             && self.may_run_again(now, req)
--- a/src/decide/pick.rs
+++ b/src/decide/pick.rs
@@ -185,7 +185,9 @@
         let tried = again.map_or(&[][..], |req| &req.dispatches);
         let mut tried = tried.iter().filter(|d| d.srv == srv.name).peekable();
         let before = tried.peek().is_some();
-        if tried.any(|d| d.how != Some(How::Reset)) {
+        let site = &*self.fleet.sites[srv.site as usize].name;
+        let turned = again.is_some_and(|req| req.turns(Some(site)) >= self.told.most_turned_by_site);
+        if turned || tried.any(|d| d.how != Some(How::Reset)) {
             return Fit::NotThis;
         }
         let warm = !srv.cold(now, self.told.cold);
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -83,6 +83,13 @@
         self.dispatches.last().is_some_and(|dispatch| dispatch.how == Some(How::Turned))
     }
 
+    /// How many doors have turned it away; of one site, where that is named.
+    pub fn turns(&self, site: Option<&str>) -> usize {
+        let of = |dispatch: &&Dispatch| site.is_none_or(|site| &*dispatch.site == site);
+        let turned = |dispatch: &&Dispatch| dispatch.how == Some(How::Turned);
+        self.dispatches.iter().filter(turned).filter(of).count()
+    }
+
     /// How many dispatches may have come to a srv.
     pub fn sends(&self) -> usize {
         self.dispatches.iter().filter(|dispatch| dispatch.how != Some(How::Turned)).count()
--- a/src/told.rs
+++ b/src/told.rs
@@ -26,6 +26,9 @@
     /// against floors that sum up to more than a tenth over hundreds of instances.
     pub floor: f64,
     pub max_dispatches: usize,
+    /// So many doors may turn a req away before it is denied, and so many of one site before it goes to another.
+    pub most_turned: usize,
+    pub most_turned_by_site: usize,
     pub may_recall: bool,
     pub come_back_passed: bool,
     pub max_come_back: Nanos,
@@ -86,6 +89,8 @@
             me: number(facts, "me", 0.0),
             doors: text(facts, "level") == "doors",
             max_dispatches: number(facts, "max_dispatches", 2.0) as usize,
+            most_turned: number(facts, "most_turned", f64::INFINITY) as usize,
+            most_turned_by_site: number(facts, "most_turned_by_site", f64::INFINITY) as usize,
             may_recall: flag(facts, "may_recall"),
             come_back_passed: flag(facts, "come_back_passed"),
             max_come_back: span(facts, "max_come_back", S),
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -817,6 +817,44 @@
     facts
 }
 
+#[test]
+fn so_many_doors_of_one_site_and_of_all_may_turn_a_req_away() {
+    let mut facts = doors();
+    facts.insert("most_turned".into(), Value::Number(3.0));
+    facts.insert("most_turned_by_site".into(), Value::Number(2.0));
+    let mut scene = Scene::new(facts, "a@x b@x c@x d@y e@y f@y");
+    for id in 1..4 {
+        scene.req(id, "charge").pass(1).end(id, How::Turned).pass(1).end(id, How::Turned);
+        scene.pass(1).end(id, How::Turned);
+    }
+    check(
+        &mut scene,
+        expect![[r#"
+        0 1: to d
+        1 1: Turned
+        1 1: to f
+        2 1: Turned
+        2 1: to b
+        3 1: Turned
+        3 1: deny
+        3 2: to a
+        4 2: Turned
+        4 2: to c
+        5 2: Turned
+        5 2: to e
+        6 2: Turned
+        6 2: deny
+        6 3: to b
+        7 3: Turned
+        7 3: to e
+        8 3: Turned
+        8 3: to f
+        9 3: Turned
+        9 3: deny
+    "#]],
+    );
+}
+
 #[test]
 fn a_req_that_doors_turn_away_goes_on_to_others_without_a_part_of_the_allowance() {
     let mut scene = Scene::new(doors(), "a@x b@x c@x d@x");
