Mesh: configurations go out as what differs, packed once for all, and are fetched once

Each new row also made an attendant format all routes anew.

Change: news tells the rank only; an attendant fetches once, from one steward, what differs from what it has (mesh/src/delta.rs), deflated and packed once for all that ask (parcels.rs); the digest decides whether what it makes is taken. Shapes of routes are made once a version.

--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -25,10 +25,11 @@
 use tokio::time::{Instant, sleep};
 
 use super::carry::{Flow, Line};
-use super::desk::{Desk, Told};
+use super::desk::{Desk, Plan, Told};
 use super::door::{Door, Site};
 use super::entry::{self, Ajar, Bounds, Came, say};
 use super::keys::Stewards;
+use super::parcels::Rank;
 use super::settings::{Settings, SettingsError};
 use super::wire::Callers;
 use super::{gate, news, start};
@@ -63,13 +64,35 @@
     quiet: HashMap<usize, HashSet<SocketAddr>>,
 }
 
+/// A configuration as this machine goes by it.
+pub struct InForce {
+    timetable: Timetable,
+    plans: Vec<Plan>,
+}
+
+impl InForce {
+    fn new(timetable: Timetable) -> InForce {
+        let plans = Plan::all(&timetable);
+        InForce { timetable, plans }
+    }
+}
+
+impl std::ops::Deref for InForce {
+    type Target = Timetable;
+
+    fn deref(&self) -> &Timetable {
+        &self.timetable
+    }
+}
+
 pub struct Branch {
     pub settings: ArcSwap<Settings>,
     pub clock: Clock,
     pub callers: Arc<Callers>,
     pub stewards: Arc<Stewards>,
-    pub timetable: ArcSwapOption<Timetable>,
-    sheet: Mutex<(u64, u64)>,
+    pub timetable: ArcSwapOption<InForce>,
+    /// The configuration in force as it was sent, and the rank of the one that is being fetched.
+    sheet: Mutex<(Option<Arc<Sheet>>, Rank)>,
     rows: Mutex<Rows>,
     /// Doors whose attendants no watcher that replies has heard of late.
     quiet: ArcSwap<HashSet<SocketAddr>>,
@@ -100,8 +123,32 @@
         held(&self.chance).random_range(1..=u64::MAX)
     }
 
-    pub fn sheet_rank(&self) -> (u64, u64) {
-        *held(&self.sheet)
+    /// Of the configuration that is here, or on its way.
+    pub fn sheet_rank(&self) -> Rank {
+        let sheet = held(&self.sheet);
+        sheet.0.as_ref().map_or((0, 0), |sheet| sheet.rank()).max(sheet.1)
+    }
+
+    /// The configuration that is here.
+    pub fn sheet(&self) -> Option<Arc<Sheet>> {
+        held(&self.sheet).0.clone()
+    }
+
+    /// Whether the configuration of this rank is to be fetched now: it is later, and nobody fetches it.
+    pub fn to_fetch(&self, rank: Rank) -> bool {
+        let later = rank > self.sheet_rank();
+        if later {
+            held(&self.sheet).1 = rank;
+        }
+        later
+    }
+
+    /// What was being fetched has come, or won't.
+    pub fn fetched(&self, rank: Rank) {
+        let mut sheet = held(&self.sheet);
+        if sheet.1 == rank {
+            sheet.1 = (0, 0);
+        }
     }
 
     /// Whether no steward has answered for so long that nothing can be had of the core from here.
@@ -178,22 +225,25 @@
         self.stewards.know(all);
     }
 
-    /// Takes a configuration, if it is a later one.
-    pub fn take_sheet(&self, sheet: &Sheet) {
-        let mut rank = held(&self.sheet);
-        if sheet.rank() <= *rank {
+    /// Takes a configuration, if it is a later one. One that can't be read here is not asked for again.
+    pub fn take_sheet(&self, sheet: Sheet) {
+        let mut here = held(&self.sheet);
+        if here.0.as_ref().is_some_and(|here| here.rank() >= sheet.rank()) {
             return;
         }
         match Timetable::read(&sheet.bytes) {
             Ok(timetable) => {
-                *rank = sheet.rank();
                 log::info!("timetable r{} in force, {} routes", sheet.version, timetable.routes().count());
-                self.timetable.store(Some(Arc::new(timetable)));
-                drop(rank);
+                self.timetable.store(Some(Arc::new(InForce::new(timetable))));
+                here.0 = Some(Arc::new(sheet));
+                drop(here);
                 self.seat();
             }
             // The core checks by the same reader; this is a build that differs.
-            Err(why) => log::error!("timetable r{} is refused here: {}", sheet.version, why[0]),
+            Err(why) => {
+                log::error!("timetable r{} is refused here: {}", sheet.version, why[0]);
+                here.1 = (sheet.version, u64::MAX);
+            }
         }
     }
 
@@ -251,22 +301,17 @@
         let settings = self.settings.load();
         let mut desks = held(&self.desks);
         let mut kept = HashMap::new();
-        for service in timetable.services() {
-            let of = || rows.rows.values().filter(|(row, _)| *row.line == *service.name);
+        for plan in &timetable.plans {
+            let of = || rows.rows.values().filter(|(row, _)| *row.line == *plan.line);
             let calls = of().any(|(row, _)| row.calls);
-            for large in [false, true] {
-                let told = Told::new(&timetable, (&service.name, large), gates, calls, &settings.bounds);
-                if told.shapes.is_empty() {
-                    continue;
-                }
-                let key = (service.name.clone(), large);
-                let desk = match desks.remove(&key).filter(|desk| desk.told == told) {
-                    Some(desk) => desk,
-                    None => Desk::new(service.name.clone(), told, self.clock, self.draw()),
-                };
-                desk.list(of(), &quiet, &settings.zone);
-                kept.insert(key, desk);
-            }
+            let told = Told::new(plan, gates, calls, &settings.bounds);
+            let key = (plan.line.clone(), plan.large);
+            let desk = match desks.remove(&key).filter(|desk| desk.told == told) {
+                Some(desk) => desk,
+                None => Desk::new(plan.line.clone(), told, self.clock, self.draw()),
+            };
+            desk.list(of(), &quiet, &settings.zone);
+            kept.insert(key, desk);
         }
         *desks = kept;
     }
--- a/balancer/src/mesh/desk.rs
+++ b/balancer/src/mesh/desk.rs
@@ -1,7 +1,7 @@
 //! The module at work for one service: a gate asks here where a req goes. It owns the hands that hold the service's
 //! reqs, the list as the module is told it, and the timer. It must never decide itself, nor do I/O.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, Weak};
 
@@ -35,18 +35,47 @@
     Abort,
 }
 
+/// What a configuration tells of the reqs for one service, those with large answers apart.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Plan {
+    pub line: Name,
+    /// Reqs with large answers, which stay near while anyone near takes reqs: their bytes cost more than a refusal.
+    pub large: bool,
+    /// Kinds of req by what matters to the module: kind, target and rank.
+    shapes: Vec<(String, bool, u64, u32)>,
+    tries: u32,
+}
+
+impl Plan {
+    /// For all services to which any route goes.
+    pub fn all(timetable: &Timetable) -> Vec<Plan> {
+        let mut plans: BTreeMap<(Name, bool), Plan> = BTreeMap::new();
+        for route in timetable.routes() {
+            let large = route.kind == Kind::OutboundPost;
+            for (line, _) in &route.lines {
+                let none = || Plan { line: line.clone(), large, shapes: Vec::new(), tries: 1 };
+                let plan = plans.entry((line.clone(), large)).or_insert_with(none);
+                plan.shapes.push((shape(route), route.kind.repeatable(), route.target_ms, route.rank));
+                plan.tries = plan.tries.max(route.tries);
+            }
+        }
+        let mut plans: Vec<Plan> = plans.into_values().collect();
+        for plan in &mut plans {
+            plan.shapes.sort();
+            plan.shapes.dedup();
+        }
+        plans
+    }
+}
+
 /// What a service's module is told once and for all.
 #[derive(Clone, PartialEq, Debug)]
 pub struct Told {
-    /// Kinds of req by what matters to the module: kind, target and rank.
-    pub shapes: Vec<(String, bool, u64, u32)>,
-    pub tries: u32,
+    plan: Plan,
     /// How many gates there are, in coarse steps.
     pub gates: u64,
     /// Its upstreams call other services.
     pub calls: bool,
-    /// Reqs with large answers, which stay near while anyone near takes reqs: their bytes cost more than a refusal.
-    pub large: bool,
     /// What all gates together may send again: a part of the first sends, and so many in the budget's window.
     pub allowance: (f64, f64),
 }
@@ -57,30 +86,13 @@
 }
 
 impl Told {
-    pub fn new(
-        timetable: &Timetable,
-        (line, large): (&str, bool),
-        gates: usize,
-        calls: bool,
-        budget: &Bounds,
-    ) -> Told {
-        let to = |route: &&Arc<Route>| {
-            route.lines.iter().any(|(name, _)| &**name == line) && (route.kind == Kind::OutboundPost) == large
-        };
-        let mut shapes: Vec<(String, bool, u64, u32)> = timetable
-            .routes()
-            .filter(to)
-            .map(|route| (shape(route), route.kind.repeatable(), route.target_ms, route.rank))
-            .collect();
-        shapes.sort();
-        shapes.dedup();
-        let tries = timetable.routes().filter(to).map(|route| route.tries).max().unwrap_or(1);
+    pub fn new(plan: &Plan, gates: usize, calls: bool, budget: &Bounds) -> Told {
         // A new count matters by its size only: each change of these makes the module learn anew.
         let gates = 2u64.pow((gates.max(1) as f64).log2().round() as u32);
         // Half of what the rules leave is kept for what no gate can know: calls of runs elsewhere, gates that have just
         // started, windows that don't fall together.
         let allowance = (budget.retry_ratio / 2.0, budget.retry_slack / 6.0);
-        Told { shapes, tries, gates, calls, large, allowance }
+        Told { plan: plan.clone(), gates, calls, allowance }
     }
 
     fn facts(&self) -> Facts {
@@ -105,13 +117,13 @@
             ("most_turned_by_site".into(), number(MOST_TURNED_BY_SITE)),
             ("tier".into(), number(0.0)),
             ("tiers".into(), number(if self.calls { 2.0 } else { 1.0 })),
-            ("max_dispatches".into(), number(f64::from(self.tries))),
+            ("max_dispatches".into(), number(f64::from(self.plan.tries))),
             ("may_recall".into(), Value::Flag(true)),
             ("come_back_passed".into(), Value::Flag(true)),
             ("max_come_back".into(), Value::Span(1_000 * MS)),
             ("cold".into(), Value::Span(COLD)),
             ("cold_share".into(), number(COLD_SHARE)),
-            ("rule_sets".into(), Value::List(self.shapes.iter().map(rule_set).collect())),
+            ("rule_sets".into(), Value::List(self.plan.shapes.iter().map(rule_set).collect())),
         ])
     }
 }
@@ -249,7 +261,7 @@
         let takes = |row: &Row| row.serving && row.stand == Stand::Open && !quiet.contains(&row.door);
         let near = rows.iter().any(|(row, _)| row.zone == zone && takes(row));
         let mut fresh = HashMap::new();
-        let wanted = |row: &Row| !(self.told.large && near) || row.zone == zone;
+        let wanted = |row: &Row| !(self.told.plan.large && near) || row.zone == zone;
         for (row, told) in rows.into_iter().filter(|(row, _)| wanted(row)) {
             let state = if takes(row) {
                 State::Up
--- a/balancer/src/mesh/mod.rs
+++ b/balancer/src/mesh/mod.rs
@@ -12,6 +12,7 @@
 mod line;
 mod news;
 mod pages;
+mod parcels;
 mod settings;
 mod start;
 mod steward;
--- a/balancer/src/mesh/news.rs
+++ b/balancer/src/mesh/news.rs
@@ -10,12 +10,15 @@
 use tokio::time::{Instant, sleep};
 
 use super::attendant::Branch;
+use super::parcels::Rank;
 use super::wire::{Ask, NewsAsk, NewsReply, Reply};
 
 /// An ask is answered after so long though there is no news, and given up so much later.
 const HOLD: Duration = Duration::from_millis(500);
 const LATE: Duration = Duration::from_millis(600);
 const PAUSE: Duration = Duration::from_millis(80);
+/// A configuration that has not come by then is fetched from another steward.
+const FETCH: Duration = Duration::from_millis(900);
 /// A steward that gave no reply is passed over for so long.
 const ASIDE: Duration = Duration::from_millis(1_500);
 
@@ -79,7 +82,7 @@
                 if let Some((number, quiet)) = &reply.quiet {
                     known.quiet = (*number, quiet.iter().copied().collect());
                 }
-                take(&branch, which, reply, known.quiet.1.clone());
+                take(&branch, (which, steward), reply, known.quiet.1.clone());
             }
             _ => {
                 // One that has nothing yet asks everybody until it has.
@@ -94,12 +97,17 @@
     }
 }
 
-fn take(branch: &Arc<Branch>, which: usize, reply: NewsReply, quiet: HashSet<SocketAddr>) {
+fn take(
+    branch: &Arc<Branch>,
+    (which, steward): (usize, SocketAddr),
+    reply: NewsReply,
+    quiet: HashSet<SocketAddr>,
+) {
     if let Some(life) = reply.life {
         branch.door.outlive(life);
     }
-    if let Some(sheet) = reply.sheet {
-        branch.take_sheet(&sheet);
+    if let Some(rank) = reply.sheet.filter(|rank| branch.to_fetch(*rank)) {
+        tokio::spawn(fetch(branch.clone(), steward, rank));
     }
     for (door, id, _) in &reply.drains {
         if *door == branch.door_at() {
@@ -111,3 +119,22 @@
     }
     branch.take_rows(which, reply.rows, quiet);
 }
+
+/// Gets a configuration from the steward that told of it: what differs from the one that is here, and whole where that
+/// does not open. If it fails, the next news tells of it again.
+async fn fetch(branch: Arc<Branch>, steward: SocketAddr, rank: Rank) {
+    let here = branch.sheet();
+    for from in [here.as_deref(), None] {
+        let have = from.map_or((0, 0), |from| from.rank());
+        let reply = branch.callers.to(steward).call(Ask::Sheet(have), FETCH).await;
+        let Ok(Reply::Sheet(Some(parcel))) = reply else { break };
+        match parcel.open(from) {
+            Ok(sheet) => {
+                branch.take_sheet(sheet);
+                break;
+            }
+            Err(why) => log::warn!("timetable r{}: what differs {why}", rank.0),
+        }
+    }
+    branch.fetched(rank);
+}
--- /dev/null
+++ b/balancer/src/mesh/parcels.rs
@@ -0,0 +1,172 @@
+//! Configurations on their way to attendants: packed once for all that have the same one before, as what differs, in
+//! few bytes. It owns which older ones are kept for that. It must never let a text through that differs from what the
+//! core agreed on: its digest is checked where it is opened.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::io::{Read, Write};
+use std::sync::{Arc, Mutex};
+
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
+use ochreshed_mesh::delta::{self, Piece};
+use ochreshed_mesh::words::Sheet;
+use serde::{Deserialize, Serialize};
+
+use crate::link::held;
+
+/// So many older ones are kept, of so many bytes together at most.
+const KEPT: usize = 4;
+const KEPT_BYTES: usize = 16 << 20;
+/// So many packed ones are kept.
+const PACKED: usize = 6;
+/// An opened one has no more bytes than this.
+const MOST: u64 = 64 << 20;
+
+pub type Rank = (u64, u64);
+
+/// A configuration, or what differs between it and an older one.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Parcel {
+    pub rank: Rank,
+    /// The one it goes out from; (0, 0) where it is whole.
+    pub from: Rank,
+    #[serde(with = "serde_bytes")]
+    pub packed: Vec<u8>,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+pub enum ParcelError {
+    /// It goes out from one that is not here.
+    Other,
+    /// It can't be opened, or what it makes is not what was meant.
+    Spoilt,
+}
+
+impl fmt::Display for ParcelError {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            ParcelError::Other => "goes out from another one",
+            ParcelError::Spoilt => "can't be opened",
+        })
+    }
+}
+
+impl Parcel {
+    fn pack(sheet: &Sheet, from: Option<&Sheet>) -> Option<Parcel> {
+        let pieces = match from {
+            Some(from) => delta::between(&from.bytes, &sheet.bytes),
+            None => vec![Piece::New(sheet.bytes.clone())],
+        };
+        let mut plain = Vec::new();
+        ciborium::into_writer(&pieces, &mut plain).ok()?;
+        let mut packer = DeflateEncoder::new(Vec::new(), Compression::fast());
+        packer.write_all(&plain).ok()?;
+        let from = from.map_or((0, 0), Sheet::rank);
+        Some(Parcel { rank: sheet.rank(), from, packed: packer.finish().ok()? })
+    }
+
+    /// The configuration that it holds, made out of the one that is here.
+    pub fn open(&self, here: Option<&Sheet>) -> Result<Sheet, ParcelError> {
+        let old = match here {
+            _ if self.from == (0, 0) => &[][..],
+            Some(here) if here.rank() == self.from => &here.bytes,
+            _ => return Err(ParcelError::Other),
+        };
+        let mut plain = Vec::new();
+        let read = DeflateDecoder::new(&self.packed[..]).take(MOST).read_to_end(&mut plain);
+        read.map_err(|_| ParcelError::Spoilt)?;
+        let pieces: Vec<Piece> = ciborium::from_reader(&plain[..]).map_err(|_| ParcelError::Spoilt)?;
+        let bytes = delta::apply(old, &pieces, self.rank.1).ok_or(ParcelError::Spoilt)?;
+        Ok(Sheet { version: self.rank.0, digest: self.rank.1, bytes })
+    }
+}
+
+/// What a steward has at hand for attendants.
+#[derive(Default)]
+pub struct Parcels(Mutex<Kept>);
+
+#[derive(Default)]
+struct Kept {
+    /// The newest last.
+    sheets: VecDeque<Arc<Sheet>>,
+    packed: VecDeque<Arc<Parcel>>,
+}
+
+impl Parcels {
+    /// This one is safe now.
+    pub fn note(&self, sheet: &Arc<Sheet>) {
+        let mut kept = held(&self.0);
+        if kept.sheets.back().is_some_and(|last| last.rank() >= sheet.rank()) {
+            return;
+        }
+        kept.sheets.push_back(sheet.clone());
+        let bytes =
+            |sheets: &VecDeque<Arc<Sheet>>| sheets.iter().map(|sheet| sheet.bytes.len()).sum::<usize>();
+        while kept.sheets.len() > 1 && (kept.sheets.len() > KEPT || bytes(&kept.sheets) > KEPT_BYTES) {
+            kept.sheets.pop_front();
+        }
+        let newest = sheet.rank();
+        kept.packed.retain(|parcel| parcel.rank == newest);
+    }
+
+    /// The newest one, for who has that one; nothing when it has the newest. Takes time where nobody had asked so before.
+    pub fn newest(&self, have: Rank) -> Option<Arc<Parcel>> {
+        let (sheet, from) = {
+            let kept = held(&self.0);
+            let sheet = kept.sheets.back().filter(|sheet| sheet.rank() > have)?.clone();
+            let from = kept.sheets.iter().find(|sheet| sheet.rank() == have).cloned();
+            let out_from = from.as_ref().map_or((0, 0), |from| from.rank());
+            let ready = kept.packed.iter().find(|parcel| parcel.from == out_from);
+            if let Some(ready) = ready.filter(|ready| ready.rank == sheet.rank()) {
+                return Some(ready.clone());
+            }
+            (sheet, from)
+        };
+        let parcel = Arc::new(Parcel::pack(&sheet, from.as_deref())?);
+        let mut kept = held(&self.0);
+        kept.packed.push_back(parcel.clone());
+        if kept.packed.len() > PACKED {
+            kept.packed.pop_front();
+        }
+        Some(parcel)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn sheet(version: u64, routes: usize) -> Arc<Sheet> {
+        let text: String =
+            (0..routes).map(|at| format!(r#"{{"route":"r-{at}","version":{}}},"#, at % 9)).collect();
+        Arc::new(Sheet::new(version, format!("r{version} {text}").into_bytes()))
+    }
+
+    #[test]
+    fn each_gets_what_differs_from_what_it_has_and_opens_it_to_the_same() {
+        let parcels = Parcels::default();
+        let all: Vec<Arc<Sheet>> = (1..8).map(|version| sheet(version, 500 + version as usize)).collect();
+        all.iter().for_each(|sheet| parcels.note(sheet));
+        let newest = all.last().expect("one");
+        assert!(parcels.newest(newest.rank()).is_none());
+        // Whoever has one that is no longer kept, or none, gets it whole.
+        for (have, whole) in
+            [(None, true), (Some(&all[0]), true), (Some(&all[4]), false), (Some(&all[5]), false)]
+        {
+            let rank = have.map_or((0, 0), |have| have.rank());
+            let parcel = parcels.newest(rank).expect("a parcel");
+            assert_eq!(parcel.from == (0, 0), whole);
+            assert!(whole || parcel.packed.len() < 300, "{} bytes", parcel.packed.len());
+            assert_eq!(parcel.open(have.map(|have| &**have)).as_ref(), Ok(&**newest));
+        }
+        let parcel = parcels.newest(all[5].rank()).expect("a parcel");
+        assert_eq!(parcel.open(Some(&all[4])), Err(ParcelError::Other));
+        let mut spoilt = (*parcel).clone();
+        spoilt.rank.1 ^= 1;
+        assert_eq!(spoilt.open(Some(&all[5])), Err(ParcelError::Spoilt));
+        spoilt.packed.truncate(5);
+        assert_eq!(spoilt.open(Some(&all[5])), Err(ParcelError::Spoilt));
+    }
+}
--- a/balancer/src/mesh/steward.rs
+++ b/balancer/src/mesh/steward.rs
@@ -26,6 +26,7 @@
 use super::door::call_of;
 use super::entry::{self, Ajar, Bad, Bounds, Came, json, say};
 use super::pages::{self, Drains, Facts, Query, Seen};
+use super::parcels::{Parcel, Parcels, Rank};
 use super::settings::{Settings, SettingsError};
 use super::start;
 use super::store::{Store, StoreError};
@@ -88,6 +89,8 @@
     changed: watch::Sender<u64>,
     events: mpsc::Sender<Event>,
     callers: Callers,
+    parcels: Parcels,
+    packing: tokio::sync::Mutex<()>,
 }
 
 impl Office {
@@ -126,7 +129,7 @@
         loop {
             changed.mark_unchanged();
             let stand = self.stand.load_full();
-            let sheet = stand.safe.clone().filter(|sheet| sheet.rank() > ask.sheet);
+            let sheet = stand.safe.as_ref().map(|sheet| sheet.rank()).filter(|rank| *rank > ask.sheet);
             let quiet =
                 Some(held(&self.quiet).clone()).filter(|(number, _)| !ask.steward && *number != ask.quiet);
             let news = {
@@ -175,10 +178,18 @@
         }
     }
 
+    /// The newest configuration, packed for who has that one. One is packed at a time: many ask for the same.
+    async fn parcel(self: &Arc<Self>, have: Rank) -> Option<Arc<Parcel>> {
+        let _one = self.packing.lock().await;
+        let office = self.clone();
+        tokio::task::spawn_blocking(move || office.parcels.newest(have)).await.ok()?
+    }
+
     async fn answer(self: Arc<Self>, ask: Ask) -> Option<Reply> {
         match ask {
             Ask::News(ask) => Some(Reply::News(self.news(ask).await)),
             Ask::Core(want) => Some(Reply::Core(self.want(want, Duration::from_secs(5)).await)),
+            Ask::Sheet(have) => Some(Reply::Sheet(self.parcel(have).await)),
             Ask::Letter(letter) => {
                 let _ = self.events.send(Event::Letter(letter)).await;
                 None
@@ -337,6 +348,8 @@
         changed: watch::Sender::new(0),
         events: events.clone(),
         callers: Callers::default(),
+        parcels: Parcels::default(),
+        packing: tokio::sync::Mutex::default(),
         settings: ArcSwap::from_pointee(settings),
     });
     let inner = TcpListener::bind(at).await.map_err(|why| Failed::Socket(at, why))?;
@@ -556,6 +569,7 @@
         }
         let news =
             was.stewards != stewards || was.safe.as_ref().map(|sheet| sheet.rank()) != safe.map(|s| s.rank());
+        safe.into_iter().for_each(|safe| self.office.parcels.note(safe));
         self.office.stand.store(Arc::new(Stand {
             safe: safe.cloned(),
             stewards,
--- a/balancer/src/mesh/wire.rs
+++ b/balancer/src/mesh/wire.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use ochreshed_mesh::list::{Mark, Row};
-use ochreshed_mesh::words::{Got, Letter, Sheet, Want};
+use ochreshed_mesh::words::{Got, Letter, Want};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
@@ -20,6 +20,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
+use super::parcels::{Parcel, Rank};
 use crate::link::held;
 
 /// No frame is larger than this.
@@ -38,12 +39,15 @@
     News(NewsAsk),
     Core(Want),
     Letter(Letter),
+    /// The newest configuration, from one that has the one of this rank.
+    Sheet(Rank),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Reply {
     News(NewsReply),
     Core(Got),
+    Sheet(Option<Arc<Parcel>>),
 }
 
 /// What a process has, and wants to be told when there is more.
@@ -54,7 +58,8 @@
     /// An attendant's door, where its row is known.
     pub door: Option<SocketAddr>,
     pub mark: Mark,
-    pub sheet: (u64, u64),
+    /// Of the configuration that it has or has just asked for.
+    pub sheet: Rank,
     /// The number of the quiet ones that the asker has.
     pub quiet: u64,
     /// Answered after so long though there is no news.
@@ -67,8 +72,8 @@
 pub struct NewsReply {
     pub mark: Mark,
     pub rows: Vec<Row>,
-    /// The newest configuration that is safe, if the asker has an older one.
-    pub sheet: Option<Arc<Sheet>>,
+    /// Of the newest configuration that is safe, if the asker has an older one.
+    pub sheet: Option<Rank>,
     pub stewards: Vec<SocketAddr>,
     /// Told when they have changed.
     pub quiet: Option<(u64, Vec<SocketAddr>)>,
