Tests: a stand-in reads the whole request before it closes

answers_are_taken_whole_or_not_at_all failed now and then on a loaded machine: the stand-in answered after the head and closed with the body unread, which resets the connection, so that its answer was lost.

--- a/balancer/src/asking.rs
+++ b/balancer/src/asking.rs
@@ -167,8 +167,15 @@
             let Ok((mut stream, _)) = listener.accept() else { return };
             let mut seen = Vec::new();
             let mut part = [0; 4096];
-            // A request's head; bodies in tests are short and come with it.
-            while !seen.windows(4).any(|four| four == b"\r\n\r\n") {
+            // The whole request: a close with bytes unread would reset the connection under its answer.
+            let whole = |seen: &[u8]| {
+                let head = seen.windows(4).position(|four| four == b"\r\n\r\n").map(|end| end + 4)?;
+                let text = String::from_utf8_lossy(&seen[..head]).to_lowercase();
+                let length = text.lines().find_map(|line| line.strip_prefix("content-length:"));
+                let length = length.and_then(|length| length.trim().parse::<usize>().ok()).unwrap_or(0);
+                (seen.len() >= head + length).then_some(())
+            };
+            while whole(&seen).is_none() {
                 match stream.read(&mut part) {
                     Ok(some) if some > 0 => seen.extend_from_slice(&part[..some]),
                     _ => break,
