Mesh: late reqs leave a slot free, large answers go a few at a time by what stands before them

Change: a req that can't be in time takes a slot only where one more is free, and nobody waits beyond its aim less what a run takes; the aim holds the way back; three large answers go at a time in the order in which they came, and all their bytes count as standing before.

--- a/balancer/src/mesh/carry.rs
+++ b/balancer/src/mesh/carry.rs
@@ -5,7 +5,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -36,6 +36,8 @@
 /// Pieces of one answer that may be read ahead, and the size of those that a whole one is cut into.
 const AHEAD_PIECES: usize = 64;
 const PIECE: usize = 16 * 1024;
+/// So many large answers go out to other machines at a time; a reader that stands still holds up no more than its turn.
+const AT_ONCE: usize = 3;
 
 /// How an exchange failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -274,13 +276,83 @@
     Long { pieces: Pieces, hold: Option<Hold>, paced: Option<Box<Paced>> },
 }
 
-/// The pace that all large answers of a machine share, and a piece of this one that waits for its turn.
-pub struct Paced {
-    pace: Arc<Mutex<Pace>>,
+/// What all large answers of a machine share: the pace, and who may go.
+pub struct Lane {
+    pace: Mutex<Pace>,
+    /// A few go at a time, in the order in which they came: each of many would be late.
+    turns: Arc<Semaphore>,
     clock: Clock,
+}
+
+impl Lane {
+    pub fn new(link_mbps: f64, clock: Clock) -> Arc<Lane> {
+        let turns = Arc::new(Semaphore::new(AT_ONCE));
+        Arc::new(Lane { pace: Mutex::new(Pace::new(link_mbps)), turns, clock })
+    }
+
+    pub fn pace(&self) -> MutexGuard<'_, Pace> {
+        held(&self.pace)
+    }
+}
+
+/// A large answer in its lane.
+pub struct Paced {
+    lane: Arc<Lane>,
+    /// Bytes that it told of and that have not gone.
+    left: u64,
+    turn: Turn,
+    /// A piece that waits for its time.
     waits: Option<(Bytes, Pin<Box<Sleep>>)>,
 }
 
+enum Turn {
+    Waits(Pin<Box<dyn Future<Output = Option<Place>> + Send + Sync>>),
+    Has(#[allow(dead_code)] Option<Place>),
+}
+
+impl Paced {
+    fn new(lane: &Arc<Lane>, length: Option<u64>) -> Box<Paced> {
+        let (left, turns) = (length.unwrap_or(0), lane.turns.clone());
+        lane.pace().begin(left);
+        let turn = Turn::Waits(Box::pin(async move { turns.acquire_owned().await.ok() }));
+        Box::new(Paced { lane: lane.clone(), left, turn, waits: None })
+    }
+
+    /// The next of the pieces, once it may go.
+    fn poll(&mut self, pieces: &mut Pieces, cx: &mut Context) -> Poll<Option<Result<Bytes, &'static str>>> {
+        if let Turn::Waits(turn) = &mut self.turn {
+            self.turn = Turn::Has(ready!(turn.as_mut().poll(cx)));
+        }
+        if self.waits.is_none() {
+            let piece = match ready!(pieces.poll(cx)) {
+                Some(Ok(piece)) => piece,
+                end => return Poll::Ready(end),
+            };
+            let (now, long) = (self.lane.clock.now(), piece.len() as u64);
+            let at = {
+                let mut pace = self.lane.pace();
+                pace.done(long.min(self.left));
+                self.left = self.left.saturating_sub(long);
+                pace.reserve(now, piece.len())
+            };
+            if at <= now + MS {
+                return Poll::Ready(Some(Ok(piece)));
+            }
+            self.waits = Some((piece, Box::pin(sleep_until(self.lane.clock.instant(at)))));
+        }
+        if let Some((_, sleep)) = &mut self.waits {
+            ready!(sleep.as_mut().poll(cx));
+        }
+        Poll::Ready(self.waits.take().map(|(piece, _)| Ok(piece)))
+    }
+}
+
+impl Drop for Paced {
+    fn drop(&mut self) {
+        self.lane.pace().done(self.left);
+    }
+}
+
 /// What lasts as long as an answer is on its way.
 pub type Hold = Box<dyn Send + Sync>;
 
@@ -290,10 +362,12 @@
     }
 
     /// Lets a large answer go at the pace of all such; a small one goes at once.
-    pub fn paced(self, pace: &Arc<Mutex<Pace>>, clock: Clock) -> Flow {
-        let paced = Some(Box::new(Paced { pace: pace.clone(), clock, waits: None }));
+    pub fn paced(self, lane: &Arc<Lane>) -> Flow {
         match self {
-            Flow::Long { pieces, hold, .. } => Flow::Long { pieces, hold, paced },
+            Flow::Long { pieces, hold, .. } => {
+                let paced = Some(Paced::new(lane, pieces.length));
+                Flow::Long { pieces, hold, paced }
+            }
             Flow::Whole(body) if body.size_hint().lower() > PIECE as u64 => {
                 let mut left = body.into_inner().unwrap_or_default();
                 let length = Some(left.len() as u64);
@@ -303,7 +377,7 @@
                     let _ = pass.try_send(Some(piece));
                 }
                 let _ = pass.try_send(None);
-                Flow::Long { pieces, hold: None, paced }
+                Flow::Long { pieces, hold: None, paced: Some(Paced::new(lane, length)) }
             }
             whole => whole,
         }
@@ -334,30 +408,13 @@
     ) -> Poll<Option<Result<Frame<Bytes>, &'static str>>> {
         match self.get_mut() {
             Flow::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
-            Flow::Long { pieces, paced: None, .. } => {
-                let piece = ready!(pieces.poll(cx));
+            Flow::Long { pieces, paced, .. } => {
+                let piece = match paced {
+                    Some(paced) => ready!(paced.poll(pieces, cx)),
+                    None => ready!(pieces.poll(cx)),
+                };
                 Poll::Ready(piece.map(|piece| piece.map(Frame::data)))
             }
-            Flow::Long { pieces, paced: Some(paced), .. } => {
-                if paced.waits.is_none() {
-                    match ready!(pieces.poll(cx)) {
-                        Some(Ok(piece)) => {
-                            let now = paced.clock.now();
-                            let at = held(&paced.pace).reserve(now, piece.len());
-                            if at <= now + MS {
-                                return Poll::Ready(Some(Ok(Frame::data(piece))));
-                            }
-                            paced.waits = Some((piece, Box::pin(sleep_until(paced.clock.instant(at)))));
-                        }
-                        other => return Poll::Ready(other.map(|piece| piece.map(Frame::data))),
-                    }
-                }
-                if let Some((_, sleep)) = &mut paced.waits {
-                    ready!(sleep.as_mut().poll(cx));
-                }
-                let piece = paced.waits.take().map(|(piece, _)| Ok(Frame::data(piece)));
-                Poll::Ready(piece)
-            }
         }
     }
 
--- a/balancer/src/mesh/door.rs
+++ b/balancer/src/mesh/door.rs
@@ -15,12 +15,11 @@
 use jzon::JsonValue as Json;
 use ochreshed::Nanos;
 use ochreshed_mesh::list::{Row, Stand};
-use ochreshed_mesh::pace::Pace;
 use ochreshed_mesh::slots::{Asker, Slots, Way};
 use tokio::sync::{Semaphore, oneshot};
 use tokio::time::timeout_at;
 
-use super::carry::{Fail, Flow, Line};
+use super::carry::{Fail, Flow, Lane, Line};
 use super::entry::{self, Bad, Came, field, say};
 use crate::body::Message;
 use crate::clock::Clock;
@@ -155,8 +154,8 @@
     inside: AtomicUsize,
     /// Those at the upstream now, and who waits to be one of them.
     slots: Mutex<Slots<oneshot::Sender<Slot>>>,
-    /// The pace of large answers to other machines, and the mean size of one.
-    pace: Arc<Mutex<Pace>>,
+    /// Where large answers to other machines go, and the mean size of one.
+    lane: Arc<Lane>,
     large: Mutex<f64>,
     /// Bytes of answers read ahead of who takes them.
     ahead: Arc<Semaphore>,
@@ -249,7 +248,7 @@
             room: Arc::new(Semaphore::new(connections.max(1))),
             inside: AtomicUsize::new(0),
             slots: Mutex::default(),
-            pace: Arc::new(Mutex::new(Pace::new(link_mbps))),
+            lane: Lane::new(link_mbps, clock),
             large: Mutex::new(0.0),
             ahead: Arc::new(Semaphore::new(ahead)),
             calls: AtomicBool::new(false),
@@ -564,7 +563,7 @@
         // A large answer is late when its last byte is: what stands before it on the link, and its own part.
         let (stands, span) = if large && away { self.on_the_way(now) } else { (0, 0) };
         let aim = aim.saturating_sub(stands + span);
-        if stands > 0 && now > aim {
+        if stands > 0 && now + held(&self.slots).took() > aim {
             return End::Turned;
         }
         let waits = {
@@ -639,7 +638,7 @@
     }
 
     fn paced(&self, flow: Flow) -> Flow {
-        let flow = flow.paced(&self.pace, self.clock);
+        let flow = flow.paced(&self.lane);
         if let Flow::Whole(body) = &flow {
             self.goes_out(body.size_hint().lower());
         }
@@ -648,13 +647,13 @@
 
     /// What stands before a large answer on the way to another machine, and how long it is on its way itself.
     fn on_the_way(&self, now: Nanos) -> (Nanos, Nanos) {
-        let pace = held(&self.pace);
+        let pace = self.lane.pace();
         (pace.wait(now), pace.span(*held(&self.large)))
     }
 
     /// So many bytes go out to other machines, at once.
     pub fn goes_out(&self, bytes: u64) {
-        held(&self.pace).note(self.clock.now(), bytes as usize + HEAD_BYTES);
+        self.lane.pace().note(self.clock.now(), bytes as usize + HEAD_BYTES);
     }
 
     /// Whether this life takes reqs now, and where it is.
--- a/balancer/src/mesh/gate.rs
+++ b/balancer/src/mesh/gate.rs
@@ -67,7 +67,7 @@
         message.head.headers_mut().remove(name);
     }
     let ends = (at + left.min(route.deadline_ms) * MS).saturating_sub(WAY_BACK);
-    let aim = (at + route.target_ms * MS).saturating_sub(branch.used(&route.name, left) * MS);
+    let aim = (at + route.target_ms * MS).saturating_sub(branch.used(&route.name, left) * MS + WAY_BACK);
     // A call keeps its caller's slot taken, and is of use for as long as that waits.
     let aim = if call.is_some() { aim.max(at + route.deadline_ms * MS * 7 / 10) } else { aim };
     let again = call == Some(true);
--- a/mesh/src/pace.rs
+++ b/mesh/src/pace.rs
@@ -10,12 +10,14 @@
 pub struct Pace {
     bytes_per_ns: f64,
     next: Nanos,
+    /// Bytes of large answers that are on their way and have not gone yet.
+    pending: u64,
 }
 
 impl Pace {
     /// For a link of so many Mbit/s.
     pub fn new(link_mbps: f64) -> Pace {
-        Pace { bytes_per_ns: link_mbps.max(0.01) * 1e6 / 8.0 * PART / 1e9, next: 0 }
+        Pace { bytes_per_ns: link_mbps.max(0.01) * 1e6 / 8.0 * PART / 1e9, next: 0, pending: 0 }
     }
 
     /// When a piece of so many bytes may go; later ones come behind it.
@@ -30,9 +32,19 @@
         self.reserve(now, bytes);
     }
 
-    /// How long one that comes now would wait.
+    /// A large answer of so many bytes is to go.
+    pub fn begin(&mut self, bytes: u64) {
+        self.pending = self.pending.saturating_add(bytes);
+    }
+
+    /// So many of those have gone, or never will.
+    pub fn done(&mut self, bytes: u64) {
+        self.pending = self.pending.saturating_sub(bytes);
+    }
+
+    /// How long one that comes now would wait for all that is on its way.
     pub fn wait(&self, now: Nanos) -> Nanos {
-        self.next.saturating_sub(now)
+        self.next.saturating_sub(now).saturating_add(self.span(self.pending as f64))
     }
 
     /// How long so many bytes take.
@@ -53,6 +65,11 @@
         assert_eq!(gone, [5_000, 10_005_000, 20_005_000]);
         pace.note(10_005_000, 1_000);
         assert_eq!(pace.wait(10_005_000), 21_000_000);
+        // What was begun stands before who comes, whether its pieces are there or not.
+        pace.begin(50_000);
+        pace.done(10_000);
+        assert_eq!(pace.wait(10_005_000), 61_000_000);
+        pace.done(40_000);
         // After a while without any the next goes at once.
         assert_eq!(pace.reserve(90_000_000, 10_000), 90_000_000);
     }
--- a/mesh/src/slots.rs
+++ b/mesh/src/slots.rs
@@ -75,7 +75,10 @@
 
     /// A req comes; `who` is kept where it waits.
     pub fn ask(&mut self, now: Nanos, asker: &Asker, who: impl FnOnce() -> T) -> Way {
-        if self.taken < self.slots && self.waiting.is_empty() {
+        // One slot is left for those that can still be in time.
+        let late = !asker.call && now + self.took() > asker.aim;
+        let free = self.slots.saturating_sub(u32::from(late && self.slots > 1));
+        if self.taken < free && self.waiting.is_empty() {
             self.taken += 1;
             return Way::In;
         }
@@ -91,7 +94,7 @@
         if waiting >= self.slots.saturating_mul(MOST_WAITING) {
             return None;
         }
-        let took = (self.took * 1e9) as Nanos;
+        let took = self.took();
         let each = took / Nanos::from(self.slots.max(1));
         let class = if asker.call { Class::Call } else { Class::InTime };
         let order = (class, asker.aim);
@@ -107,13 +110,18 @@
                 _ => self.slots * 2,
             };
             // Who waits in vain is told while there is time to go elsewhere.
-            return (ahead < most).then(|| (order, last.min(asker.aim - took / 2)));
+            return (ahead < most).then(|| (order, last.min(asker.aim - took)));
         }
         let order = (Class::Late, asker.until);
         let in_time = now + Nanos::from(waiting + 1) * each + took <= last;
         (asker.turned > 0 && waiting == 0 && in_time).then_some((order, last))
     }
 
+    /// What a run takes on the mean of late.
+    pub fn took(&self) -> Nanos {
+        (self.took * 1e9) as Nanos
+    }
+
     /// A run has ended, after so long; without a time it tells nothing of how long runs take.
     pub fn leave(&mut self, took: Option<Nanos>) {
         self.taken = self.taken.saturating_sub(1);
