--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -50,6 +50,8 @@
 const CORE_SILENT: Nanos = 1_500_000_000;
 /// How long clients may still come after the wish to end: the platform looks once a second and wants two misses.
 const LINGER: Duration = Duration::from_millis(2_400);
+/// Within this all gates have heard that the door takes nothing more.
+const HEARD: Duration = Duration::from_millis(500);
 /// So long before the grace is over all is given up.
 const LAST: Duration = Duration::from_millis(600);
 const LOOK: Duration = Duration::from_millis(100);
@@ -474,7 +476,7 @@
     let linger = if door.signed_off() { grace } else { LINGER.min(grace) };
     let busy = || branch.inside.load(Relaxed) + door.busy() > 0;
     while began.elapsed() < grace && (began.elapsed() < linger || busy()) {
-        if began.elapsed() >= linger / 2 && door.serving.swap(false, Relaxed) {
+        if began.elapsed() + HEARD >= linger && door.serving.swap(false, Relaxed) {
             door.touch();
         }
         sleep(LOOK).await;
--- a/balancer/src/mesh/desk.rs
+++ b/balancer/src/mesh/desk.rs
@@ -24,7 +24,7 @@
 const MOST_TURNED: f64 = 4.0;
 const MOST_TURNED_BY_SITE: f64 = 2.0;
 /// Upstreams of other zones count with this part of their weight while the near ones stand.
-const FAR: f64 = 0.02;
+const FAR: f64 = 0.001;
 
 /// What the module wants done for one req.
 #[derive(Debug)]
