--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -14,6 +14,7 @@
 use hyper::Response;
 use hyper::header::HeaderValue;
 use ochreshed::{Name, Nanos};
+use ochreshed_mesh::budget::{Figures, MOST_SERVICES, Spending};
 use ochreshed_mesh::list::Row;
 use ochreshed_mesh::timetable::{Route, Timetable};
 use ochreshed_mesh::words::Sheet;
@@ -147,6 +148,16 @@
         held(&self.desks).get(line).cloned()
     }
 
+    /// What of each service was sent and sent again of late, where anything was.
+    pub fn spending(&self) -> Spending {
+        let desks = held(&self.desks);
+        let all = desks.iter().map(|(name, desk)| (name.clone(), desk.figures()));
+        let mut all: Spending = all.filter(|(_, figures)| *figures != Figures::default()).collect();
+        all.sort_by_key(|(name, figures)| (std::cmp::Reverse((figures.again, figures.first)), name.clone()));
+        all.truncate(MOST_SERVICES);
+        all
+    }
+
     /// How much of its time a client had used up before this try: the most that was left on this route of late, less
     /// what is left now.
     pub fn used(&self, route: &Name, left: u64) -> u64 {
@@ -270,10 +281,9 @@
             let of = || rows.rows.values().filter(|(row, _)| *row.line == *service.name);
             let calls = of().any(|(row, _)| row.calls);
             let told = Told::new(&timetable, &service.name, gates, calls, &settings.bounds);
-            let desk = match desks.remove(&service.name).filter(|desk| desk.told == told) {
-                Some(desk) => desk,
-                None => Desk::new(service.name.clone(), told, self.clock, self.draw()),
-            };
+            let (was, told) = (desks.remove(&service.name), (service.name.clone(), told));
+            let window = settings.bounds.retry_window.as_nanos() as Nanos;
+            let desk = Desk::of(was, told, self.clock, || self.draw(), window);
             desk.list(of(), &quiet, &settings.zone);
             kept.insert(service.name.clone(), desk);
         }
--- a/balancer/src/mesh/client.rs
+++ b/balancer/src/mesh/client.rs
@@ -442,13 +442,21 @@
 }
 
 fn budget(of: &Value) -> String {
-    let service = |row: &Value| cells(row, &["service", "upstreams"]);
-    let mut page = table(&["SERVICE", "UPSTREAMS"], rows(of, "services").iter().map(service).collect());
+    let service =
+        |row: &Value| cells(row, &["service", "upstreams", "first", "again", "refused", "allowed", "left"]);
+    let head = ["SERVICE", "UPSTREAMS", "FIRST", "AGAIN", "REFUSED", "ALLOWED", "LEFT"];
+    let mut page = table(&head, rows(of, "services").iter().map(service).collect());
     page += &format!(
-        "\n{} gates, each with an allowance of its own for each service: a tenth of its first sends and one more in\n\
-         10 s. Stewards are not told what is left of it.\n",
-        cell(&of["gates"])
+        "\nin the last {}, told by {} of {} gates; allowed: {} x FIRST + {}\n",
+        ago(&of["window_ms"]),
+        cell(&of["gates_told"]),
+        cell(&of["gates"]),
+        cell(&of["retry_ratio"]),
+        cell(&of["retry_slack"]),
     );
+    for silent in rows(of, "silent") {
+        page += &format!("not known: what steward {} was told\n", cell(silent));
+    }
     page
 }
 
@@ -528,7 +536,11 @@
                 r#"{"key":"k","hashed":"0f","state":"done","known_ms":1250,"disputed":false,"status":201,"bytes":17}"#,
             ),
             said(key_shown, r#"{"key":"k","hashed":"0f","state":"none","known_ms":null}"#),
-            said(budget, r#"{"gates":2,"services":[{"service":"a","upstreams":1}]}"#),
+            said(
+                budget,
+                r#"{"window_ms":10000,"retry_ratio":0.2,"retry_slack":60.0,"gates":3,"gates_told":2,"silent":["10.1.0.14:7620"],
+                "services":[{"service":"a","upstreams":1,"first":812,"again":3,"refused":1,"allowed":222.4,"left":219.4}]}"#,
+            ),
             said(
                 drained,
                 r#"{"id":"i-1","line":"a","door":"10.1.0.8:8300","state":"closing","open_left":1}"#,
@@ -567,11 +579,11 @@
             hashed  0f
             state   not known to this steward
             --
-            SERVICE  UPSTREAMS
-            a        1
+            SERVICE  UPSTREAMS  FIRST  AGAIN  REFUSED  ALLOWED  LEFT
+            a        1          812    3      1        222.4    219.4
 
-            2 gates, each with an allowance of its own for each service: a tenth of its first sends and one more in
-            10 s. Stewards are not told what is left of it.
+            in the last 10 s, told by 2 of 3 gates; allowed: 0.2 x FIRST + 60.0
+            not known: what steward 10.1.0.14:7620 was told
             --
             i-1 of a at 10.1.0.8:8300 is closing: nothing new is sent to it
             others of a that are open: 1
@@ -588,7 +600,8 @@
             hashed  -
             state   not told
             --
-        "#]].assert_eq(&all.concat());
+        "#]]
+        .assert_eq(&all.concat());
     }
 
     #[test]
--- a/balancer/src/mesh/desk.rs
+++ b/balancer/src/mesh/desk.rs
@@ -7,6 +7,7 @@
 
 use ochreshed::{Balancer, Facts, How, Listed, Name, Nanos, Outcome, Req, State, Value};
 use ochreshed_hands::{Act, End, Hands};
+use ochreshed_mesh::budget::{Figures, Spent, Tally, Terms};
 use ochreshed_mesh::list::{Row, Stand};
 use ochreshed_mesh::timetable::{Route, Timetable};
 use tokio::sync::{Notify, mpsc};
@@ -70,6 +71,17 @@
         Told { shapes, tries, gates, calls, allowance }
     }
 
+    /// The same bounds as the module reads out of its facts, for the counts that are told.
+    fn terms(&self) -> Terms {
+        let (part, slack) = self.allowance;
+        let floor = (slack / self.gates.max(1) as f64).min(1.0);
+        Terms { tries: self.tries, last_tier: !self.calls, part: part.clamp(0.0, 0.1), floor }
+    }
+
+    fn repeatable(&self, shape: &str) -> bool {
+        self.shapes.iter().any(|(name, repeatable, ..)| name == shape && *repeatable)
+    }
+
     fn facts(&self) -> Facts {
         let number = |value: f64| Value::Number(value);
         let rule_set = |(name, again, target, rank): &(String, bool, u64, u32)| {
@@ -117,6 +129,7 @@
     listed: HashMap<Name, Listed>,
     places: HashMap<Name, Place>,
     near: (usize, bool),
+    spent: Spent,
 }
 
 pub struct Desk {
@@ -133,10 +146,29 @@
     pub id: u64,
     pub steps: mpsc::UnboundedReceiver<Step>,
     over: bool,
+    tally: Tally,
 }
 
 impl Desk {
-    pub fn new(line: Name, told: Told, clock: Clock, seed: u64) -> Arc<Desk> {
+    /// The one that stands, where it was told the same; else one whose module begins anew. Its counts go over the
+    /// budget's window.
+    pub fn of(
+        was: Option<Arc<Desk>>,
+        (line, told): (Name, Told),
+        clock: Clock,
+        seed: impl FnOnce() -> u64,
+        window: Nanos,
+    ) -> Arc<Desk> {
+        let terms = told.terms();
+        let spent = match was {
+            Some(desk) if desk.told == told => return desk,
+            Some(desk) => held(&desk.inner).spent.anew(window, terms),
+            None => Spent::new(window, terms),
+        };
+        Desk::new(line, told, clock, seed(), spent)
+    }
+
+    fn new(line: Name, told: Told, clock: Clock, seed: u64, spent: Spent) -> Arc<Desk> {
         let now = clock.now();
         let hands = Hands::new(Balancer::new(now, seed, told.facts()));
         let inner = Inner {
@@ -147,6 +179,7 @@
             listed: HashMap::new(),
             places: HashMap::new(),
             near: (0, false),
+            spent,
         };
         let desk = Arc::new(Desk { line, told, clock, inner: Mutex::new(inner), woken: Notify::new() });
         tokio::spawn(Desk::tend(Arc::downgrade(&desk)));
@@ -214,9 +247,18 @@
         let (steps, got) = mpsc::unbounded_channel();
         inner.steps.insert(id, steps);
         let now = self.clock.now();
+        let tally = Tally::new(self.told.repeatable(&req.rule_set), req.ends);
+        if req.again {
+            inner.spent.called_again(now);
+        }
         inner.hands.take(now, req);
         self.settle_and_wake(&mut inner);
-        Turn { desk: self.clone(), id, steps: got, over: false }
+        Turn { desk: self.clone(), id, steps: got, over: false, tally }
+    }
+
+    /// What of this service was sent, sent again and refused for want of allowance in the budget's window.
+    pub fn figures(&self) -> Figures {
+        held(&self.inner).spent.figures(self.clock.now())
     }
 
     pub fn place(&self, srv: &Name) -> Option<Place> {
@@ -280,17 +322,25 @@
 }
 
 impl Turn {
+    /// A dispatch goes on its way.
+    pub fn goes(&self) {
+        held(&self.desk.inner).spent.goes(self.desk.clock.now(), &self.tally);
+    }
+
     /// A dispatch has ended; `closed` when its req has had its final answer by that.
     pub fn ended(&mut self, number: usize, how: How, took: Nanos, closed: bool, inside: Option<f64>) {
         let mut inner = held(&self.desk.inner);
+        self.tally.ended(how);
         self.over |= closed;
         let now = self.desk.clock.now();
         inner.hands.ended(now, self.id, number, End { how, took, closed, report: inside.as_slice() });
         self.desk.settle_and_wake(&mut inner);
     }
 
+    /// The module has given the req up.
     pub fn end(&mut self) {
         self.over = true;
+        held(&self.desk.inner).spent.given_up(self.desk.clock.now(), &self.tally);
     }
 }
 
--- a/balancer/src/mesh/gate.rs
+++ b/balancer/src/mesh/gate.rs
@@ -232,6 +232,7 @@
                         turn.ended(number, How::NotSent, 0, false, None);
                         continue;
                     };
+                    turn.goes();
                     let Some((end, inside)) =
                         self.dispatch(&mut turn, &place, (turned, sent > 0), give_up).await
                     else {
--- a/balancer/src/mesh/line.rs
+++ b/balancer/src/mesh/line.rs
@@ -103,7 +103,8 @@
 const HELP_BUDGET: &str = "\
 ochreshed budget --at ADDRESS [--at ADDRESS] [--json]
 
-Prints what the steward knows of the allowance for retries: each gate keeps its own.
+Prints what all gates have sent, sent again and not sent again for want of allowance, by service, in the budget's
+window, and what the rules leave.
 
     --at ADDRESS       the control gate of a steward, as 10.1.0.13:8306; of several, the first that answers is asked
     --json             print JSON
--- a/balancer/src/mesh/mod.rs
+++ b/balancer/src/mesh/mod.rs
@@ -13,6 +13,7 @@
 mod news;
 mod pages;
 mod settings;
+mod spending;
 mod start;
 mod steward;
 mod store;
--- a/balancer/src/mesh/pages.rs
+++ b/balancer/src/mesh/pages.rs
@@ -2,18 +2,20 @@
 //! shape of these answers and their bounds. It works on plain values that the steward fills in, and must never change
 //! any of them, nor tell what this steward does not know itself.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::UNIX_EPOCH;
 
 use ochreshed::Nanos;
 use ochreshed_mesh::agree::{Core, Known};
+use ochreshed_mesh::budget::Spendings;
 use ochreshed_mesh::list::{Row, Stand, Table};
 use ochreshed_mesh::words::{Claim, Key, Outcome};
 use serde::Serialize;
 
 use super::keys;
+use super::settings::Bounds;
 
 const MS: Nanos = 1_000_000;
 /// Rows in one answer; the rest is asked for with `after`.
@@ -114,6 +116,11 @@
         self.call == Call::History
     }
 
+    /// The answer wants to know what was told of budgets.
+    pub fn wants_budget(&self) -> bool {
+        self.call == Call::Budget
+    }
+
     /// The rows that the answer wants, in the order of their doors; of a list one more than it shows.
     pub fn pick(&self, table: &Table, now: Nanos) -> Vec<Attendant> {
         let most = match self.call {
@@ -244,6 +251,16 @@
     pub rows: Vec<Attendant>,
     /// Those on the disk, where the answer wants them.
     pub versions: Vec<Version>,
+    pub budget: Budget,
+}
+
+/// What gates told of their budgets, as far as stewards answered.
+#[derive(Clone, Debug, Default)]
+pub struct Budget {
+    pub spendings: Spendings,
+    /// Stewards that gave no answer.
+    pub silent: Vec<SocketAddr>,
+    pub bounds: Bounds,
 }
 
 /// An answer: JSON with 200, else a plain line.
@@ -356,17 +373,29 @@
 }
 
 #[derive(Serialize)]
-struct Budget<'a> {
+struct Budgets<'a> {
     kept_by: &'static str,
-    told: bool,
+    window_ms: u64,
+    retry_ratio: f64,
+    retry_slack: f64,
     gates: usize,
-    services: Vec<Service<'a>>,
+    /// So many of them have told, and which stewards could not be asked what they were told.
+    gates_told: usize,
+    silent: &'a [SocketAddr],
+    services: Vec<Service>,
 }
 
-#[derive(Serialize)]
-struct Service<'a> {
-    service: &'a str,
+#[derive(Default, Serialize)]
+struct Service {
+    service: String,
     upstreams: usize,
+    /// In the window: first sends, sends again, and what was not sent again for want of allowance.
+    first: u32,
+    again: u32,
+    refused: u32,
+    /// What the rules leave for sends again, and that less those made.
+    allowed: f64,
+    left: f64,
 }
 
 #[derive(Serialize)]
@@ -412,23 +441,44 @@
             Page::json(&Count { open, unknown, done, oldest_open_ms })
         }
         Call::Show(key) => Page::json(&show(key, facts.seen.claim.as_ref())),
-        Call::Budget => {
-            let mut lines: BTreeMap<&str, usize> = BTreeMap::new();
-            for of in facts.rows.iter().filter(|of| !of.row.id.is_empty() && of.row.stand != Stand::None) {
-                *lines.entry(&of.row.line).or_default() += 1;
-            }
-            let services = lines.into_iter().take(MOST_ROWS);
-            Page::json(&Budget {
-                kept_by: "attendants",
-                told: false,
-                gates: facts.rows.iter().filter(|of| of.row.serving).count(),
-                services: services.map(|(service, upstreams)| Service { service, upstreams }).collect(),
-            })
-        }
+        Call::Budget => Page::json(&budgets(facts)),
         Call::Drain(id) => drain(id, facts),
     }
 }
 
+/// Only gates heard within the window count: what others told is over.
+fn budgets(facts: &Facts) -> Budgets<'_> {
+    let Budget { spendings, silent, bounds } = &facts.budget;
+    let window_ms = bounds.retry_window.as_millis() as u64;
+    let heard: BTreeSet<SocketAddr> =
+        facts.rows.iter().filter(|of| u64::from(of.heard_ms) <= window_ms).map(|of| of.row.door).collect();
+    let (sums, gates_told) = spendings.sum(|door| heard.contains(&door));
+    let mut services: BTreeMap<String, Service> = BTreeMap::new();
+    for of in facts.rows.iter().filter(|of| !of.row.id.is_empty() && of.row.stand != Stand::None) {
+        services.entry(of.row.line.clone()).or_default().upstreams += 1;
+    }
+    for (name, figures) in sums {
+        let service = services.entry(name.to_string()).or_default();
+        (service.first, service.again, service.refused) = (figures.first, figures.again, figures.refused);
+    }
+    let tenths = |value: f64| (value * 10.0).round() / 10.0;
+    let services = services.into_iter().take(MOST_ROWS).map(|(name, of)| {
+        let allowed = bounds.retry_ratio * f64::from(of.first) + bounds.retry_slack;
+        let left = tenths(allowed - f64::from(of.again));
+        Service { service: name, allowed: tenths(allowed), left, ..of }
+    });
+    Budgets {
+        kept_by: "attendants",
+        window_ms,
+        retry_ratio: bounds.retry_ratio,
+        retry_slack: bounds.retry_slack,
+        gates: facts.rows.iter().filter(|of| of.row.serving).count(),
+        gates_told,
+        silent,
+        services: services.collect(),
+    }
+}
+
 fn nodes<'a>(facts: &Facts, shown: &'a [Attendant], next: Option<SocketAddr>) -> Nodes<'a> {
     let steward = |known: &Known| Steward {
         address: known.station.at,
@@ -564,6 +614,7 @@
 mod tests {
     use super::*;
     use expect_test::expect;
+    use ochreshed_mesh::budget::Figures;
     use ochreshed_mesh::words::{Answer, Station};
     use std::sync::Arc;
 
@@ -614,9 +665,22 @@
                 Version { rank: (7, 0xff), bytes: 812, written_ms: 1_700_000_000_000 },
                 Version { rank: (5, 1), bytes: 800, written_ms: 1_600_000_000_000 },
             ],
+            budget: budget(),
         }
     }
 
+    /// One gate told here and by another steward, one is not heard any more, and one's service is gone.
+    fn budget() -> Budget {
+        let figures = |first, again, refused| Figures { first, again, refused };
+        let mut spendings = Spendings::default();
+        let told = |name: &str, of| vec![(name.into(), of)];
+        spendings.take(9_000 * MS, at(8, 8300), told("huvo11a", figures(400, 9, 2)), 0);
+        spendings.take(9_000 * MS, at(8, 8300), told("huvo11a", figures(1, 0, 0)), 3_000 * MS);
+        spendings.take(9_000 * MS, at(10, 8300), told("kafi81c", figures(10, 64, 0)), 0);
+        spendings.take(9_000 * MS, at(11, 8300), told("huvo11a", figures(7_000, 0, 0)), 0);
+        Budget { spendings, silent: vec![at(14, 7620)], bounds: Bounds::default() }
+    }
+
     fn read(path: &str) -> Result<Query, QueryError> {
         Query::read(&path.parse().expect("a path"))
     }
@@ -659,7 +723,7 @@
             200 {"versions":[{"edition":"r7","digest":"00000000000000ff","bytes":812,"written_ms":1700000000000,"in_force":true},{"edition":"r5","digest":"0000000000000001","bytes":800,"written_ms":1600000000000,"in_force":false}]}
             200 {"open":2,"unknown":1,"done":40,"oldest_open_ms":1250}
             200 {"key":"k-5512","hashed":"c32bde1baefa4f27855b78996880fdae","state":"none","known_ms":null,"disputed":false,"status":null,"bytes":null}
-            200 {"kept_by":"attendants","told":false,"gates":3,"services":[{"service":"huvo11a","upstreams":2}]}
+            200 {"kept_by":"attendants","window_ms":10000,"retry_ratio":0.2,"retry_slack":60.0,"gates":3,"gates_told":2,"silent":["10.1.0.14:7620"],"services":[{"service":"huvo11a","upstreams":2,"first":400,"again":9,"refused":2,"allowed":140.0,"left":131.0},{"service":"kafi81c","upstreams":0,"first":10,"again":64,"refused":0,"allowed":62.0,"left":-2.0}]}
             503 its attendant has not taken the drain yet: ask again drain i-1 at 10.1.0.8:8300
             200 {"id":"i-2","line":"huvo11a","door":"10.1.0.9:8300","state":"closing","open_left":1}
             404 no upstream of that id is known here
--- a/balancer/src/mesh/steward.rs
+++ b/balancer/src/mesh/steward.rs
@@ -13,6 +13,7 @@
 use hyper::Response;
 use ochreshed::Nanos;
 use ochreshed_mesh::agree::{Config, Core};
+use ochreshed_mesh::budget::Spendings;
 use ochreshed_mesh::list::{Mark, Table};
 use ochreshed_mesh::timetable::Timetable;
 use ochreshed_mesh::words::{Act, Got, Key, Letter, Record, Sheet, View, Want};
@@ -25,8 +26,9 @@
 use super::carry::Flow;
 use super::door::call_of;
 use super::entry::{self, Ajar, Bad, Bounds, Came, json, say};
-use super::pages::{self, Drains, Facts, Query, Seen};
+use super::pages::{self, Budget, Drains, Facts, Query, Seen};
 use super::settings::{Settings, SettingsError};
+use super::spending;
 use super::start;
 use super::store::{Store, StoreError};
 use super::wire::{self, Ask, Callers, NewsAsk, NewsReply, Reply};
@@ -84,6 +86,8 @@
     table: Mutex<Table>,
     quiet: Mutex<(u64, Vec<SocketAddr>)>,
     drains: Mutex<Drains>,
+    /// What gates have told of their budgets.
+    spendings: Mutex<Spendings>,
     /// Goes up with whatever readers may wait for.
     changed: watch::Sender<u64>,
     events: mpsc::Sender<Event>,
@@ -123,6 +127,10 @@
         if let Some(door) = door {
             held(&self.table).heard(self.clock.now(), door, 0);
         }
+        if let (Some(door), Some(spent)) = (door, ask.spent) {
+            held(&self.spendings).take(self.clock.now(), door, spent, 0);
+        }
+        let spent = ask.gather.then(|| held(&self.spendings).tell(self.clock.now()));
         loop {
             changed.mark_unchanged();
             let stand = self.stand.load_full();
@@ -135,9 +143,10 @@
             };
             if news || before.is_some() || Instant::now() >= until {
                 let table = held(&self.table);
+                let since = if ask.gather { Vec::new() } else { table.since(ask.mark) };
                 return NewsReply {
                     mark: table.mark(),
-                    rows: before.into_iter().chain(table.since(ask.mark)).collect(),
+                    rows: before.into_iter().chain(since).collect(),
                     sheet,
                     stewards: stand.stewards.clone(),
                     quiet,
@@ -148,6 +157,7 @@
                         None if !ask.steward => Vec::new(),
                         door => held(&self.drains).tell(self.clock.now(), door, &table),
                     },
+                    spent,
                 };
             }
             let _ = tokio::time::timeout_at(until, changed.changed()).await;
@@ -223,7 +233,11 @@
             let Ok(Ok(seen)) = timeout(OPERATOR, seen).await else { return say(503, "busy: ask again") };
             let now = self.clock.now();
             let rows = query.pick(&held(&self.table), now);
-            let mut facts = Facts { me: self.at, seen, rows, versions: Vec::new() };
+            let mut facts =
+                Facts { me: self.at, seen, rows, versions: Vec::new(), budget: Budget::default() };
+            if query.wants_budget() {
+                facts.budget = self.budget(now).await;
+            }
             if let Some(dir) = self.settings.load().data_dir.clone().filter(|_| query.wants_disk()) {
                 let read = tokio::task::spawn_blocking(move || pages::history(&dir));
                 match timeout(OPERATOR, read).await {
@@ -243,6 +257,14 @@
         }
     }
 
+    /// What all gates told of their budgets, here or to another steward.
+    async fn budget(&self, now: Nanos) -> Budget {
+        let mut spendings = held(&self.spendings).clone();
+        let others = self.stand.load().stewards.iter().copied().filter(|at| *at != self.at).collect();
+        let silent = spending::gather(&self.callers, others, now, &mut spendings).await;
+        Budget { spendings, silent, bounds: self.settings.load().bounds }
+    }
+
     async fn replace(&self, bytes: Vec<u8>) -> Response<Flow> {
         let version = match Timetable::read(&bytes) {
             Ok(timetable) => timetable.version,
@@ -334,6 +356,7 @@
         table: Mutex::new(Table::new(rand::random())),
         quiet: Mutex::default(),
         drains: Mutex::default(),
+        spendings: Mutex::default(),
         changed: watch::Sender::new(0),
         events: events.clone(),
         callers: Callers::default(),
@@ -578,6 +601,7 @@
         sleep(LOOK).await;
         let quiet = {
             let mut table = held(&office.table);
+            held(&office.spendings).keep(|door| table.row(door).is_some());
             table.look(office.clock.now(), QUIET).then(|| table.quiet())
         };
         if let Some(quiet) = quiet {
@@ -620,6 +644,8 @@
             quiet: u64::MAX,
             hold_ms: HOLD.as_millis() as u32,
             steward: true,
+            spent: None,
+            gather: false,
         };
         match office.callers.to(at).call(Ask::News(ask), HOLD + LATE).await {
             Ok(Reply::News(reply)) => {
--- a/balancer/src/mesh/wire.rs
+++ b/balancer/src/mesh/wire.rs
@@ -10,6 +10,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use ochreshed_mesh::budget::Spending;
 use ochreshed_mesh::list::{Mark, Row};
 use ochreshed_mesh::words::{Got, Letter, Sheet, Want};
 use serde::de::DeserializeOwned;
@@ -61,6 +62,12 @@
     pub hold_ms: u32,
     /// A steward asks: it wants to know how long ago attendants were heard.
     pub steward: bool,
+    /// What an attendant's budgets were used for, where that has changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub spent: Option<Spending>,
+    /// A steward wants nothing but what was told of budgets.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub gather: bool,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -81,6 +88,9 @@
     /// them, to an attendant its own.
     #[serde(default)]
     pub drains: Vec<(SocketAddr, String, u32)>,
+    /// What doors' attendants told of their budgets, and how many ms ago; told where it was asked for.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub spent: Option<Vec<(SocketAddr, u32, Spending)>>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -313,3 +323,34 @@
     }
     writer.abort();
 }
+
+#[cfg(test)]
+mod tests {
+    use ochreshed_mesh::budget::Figures;
+
+    use super::*;
+
+    /// Guards against news that costs more than it did with each of an attendant's asks, a few a second.
+    #[test]
+    fn the_bytes_of_an_ask() {
+        let door = SocketAddr::from(([10, 1, 0, 8], 8300));
+        let bytes = |spent: Option<Spending>| {
+            let mark = Mark { life: u64::MAX, number: 1_000 };
+            let ask = NewsAsk {
+                row: None,
+                door: Some(door),
+                mark,
+                sheet: (12, u64::MAX),
+                quiet: 3,
+                hold_ms: 500,
+                steward: false,
+                spent,
+                gather: false,
+            };
+            encode(&Frame { id: 9_000, say: Ask::News(ask) }).map(|bytes| bytes.len())
+        };
+        let figures = Figures { first: 2_000, again: 20, refused: 0 };
+        let spent = ["huvo11a", "kafi81c", "wuno96b"].map(|name| (name.into(), figures));
+        assert_eq!((bytes(None), bytes(Some(spent.to_vec()))), (Some(119), Some(171)));
+    }
+}
--- a/balancer/tests/mesh.rs
+++ b/balancer/tests/mesh.rs
@@ -239,6 +239,25 @@
     }
 }
 
+/// Guards against figures that only some of the core knows, or that count what was not sent.
+#[test]
+fn any_steward_tells_what_was_sent_of_all_gates() {
+    let town = Town::start();
+    let load = Load::on(&town.gates(), "/read/x");
+    for steward in 0..STEWARDS {
+        until("told", || {
+            let told = town.ask(steward, "budget.list");
+            let services = told["services"].as_array().cloned().unwrap_or_default();
+            let of = services.iter().find(|of| of["service"] == "alpha").cloned().unwrap_or_default();
+            let first = of["first"].as_u64().unwrap_or(0);
+            // With those that are on their way.
+            assert!(first <= town.ledger.runs(|run| run.line == "alpha").len() as u64 + 8, "{told}");
+            first >= 50 && told["gates_told"] == 4 && of["left"].as_f64() > Some(60.0)
+        });
+    }
+    load.end();
+}
+
 /// Guards against reqs lost at the gate or the door of an attendant that is asked to end, and against one that stays.
 #[test]
 fn an_attendant_that_is_asked_to_end_answers_all_that_came_and_goes_within_its_grace() {
--- a/balancer/tests/mesh/town.rs
+++ b/balancer/tests/mesh/town.rs
@@ -509,6 +509,13 @@
         rpc(self.at(&self.stewards[steward], CONTROL), &format!("timetable.{name}"), body)
     }
 
+    /// What the operators' client asks of a steward: JSON, null where it gives none.
+    pub fn ask(&self, steward: usize, call: &str) -> serde_json::Value {
+        let answer = rpc(self.at(&self.stewards[steward], CONTROL), call, "");
+        let answer = answer.ok().filter(|answer| answer.status() == "200");
+        answer.and_then(|answer| serde_json::from_str(answer.text()).ok()).unwrap_or_default()
+    }
+
     /// Sends a configuration as the operator does, to one steward after the other, until it is acknowledged.
     pub fn replace(&self, first: usize, body: &str) {
         let turn = AtomicUsize::new(first);
--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -3,6 +3,7 @@
 //! no clock: times are told, chance is drawn from a seed, and what is to be written or sent is handed out as acts.
 
 pub mod agree;
+pub mod budget;
 pub mod list;
 pub mod timetable;
 pub mod words;
--- /dev/null
+++ b/mesh/tests/budget.rs
@@ -0,0 +1,125 @@
+//! What budgets of repeats were used for: a gate's counts, and a steward's table of them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use ochreshed::How;
+use ochreshed_mesh::budget::{Figures, MOST_SERVICES, Spending, Spendings, Spent, Tally, Terms};
+use proptest::prelude::*;
+
+const MS: u64 = 1_000_000;
+const WINDOW: u64 = 10_000 * MS;
+const TERMS: Terms = Terms { tries: 2, last_tier: true, part: 0.1, floor: 1.0 };
+
+fn figures(first: u32, again: u32, refused: u32) -> Figures {
+    Figures { first, again, refused }
+}
+
+/// One req that goes and fails, and whether the module lets it go again or gives it up.
+fn one(spent: &mut Spent, now: u64, repeatable: bool, how: How, again: bool) {
+    let mut tally = Tally::new(repeatable, now + 100 * MS);
+    spent.goes(now, &tally);
+    tally.ended(how);
+    if again {
+        spent.goes(now, &tally);
+    } else {
+        spent.given_up(now, &tally);
+    }
+}
+
+#[test]
+fn a_req_counts_for_what_it_came_to() {
+    let mut spent = Spent::new(WINDOW, TERMS);
+    let now = 50_000 * MS;
+    one(&mut spent, now, true, How::Done, false);
+    one(&mut spent, now, true, How::Full, true);
+    assert_eq!(spent.figures(now), figures(2, 1, 0));
+    // Two first sends and a floor of one leave no second one again.
+    one(&mut spent, now, true, How::Reset, false);
+    assert_eq!(spent.figures(now), figures(3, 1, 1));
+    // What a door turned away never arrived; what may have run is not refused for want of allowance.
+    one(&mut spent, now, true, How::Turned, true);
+    one(&mut spent, now, false, How::Reset, false);
+    one(&mut spent, now, false, How::Full, false);
+    assert_eq!(spent.figures(now), figures(6, 1, 2));
+    spent.called_again(now);
+    assert_eq!(spent.figures(now), figures(6, 2, 2));
+    // Where there is room the module had another reason.
+    (0..20).for_each(|_| one(&mut spent, now, true, How::Done, false));
+    one(&mut spent, now, true, How::Full, false);
+    assert_eq!(spent.figures(now), figures(27, 2, 2));
+    // Not this service's failure, or its time is over.
+    let mut middle = Spent::new(WINDOW, Terms { last_tier: false, floor: 0.0, ..TERMS });
+    one(&mut middle, now, true, How::Error, false);
+    let mut late = Tally::new(true, now);
+    middle.goes(now, &late);
+    late.ended(How::Full);
+    middle.given_up(now, &late);
+    assert_eq!(middle.figures(now), figures(2, 0, 0));
+    assert_eq!(spent.anew(WINDOW, TERMS).figures(now), spent.figures(now));
+    assert_eq!(spent.figures(now + WINDOW), Figures::default());
+}
+
+proptest! {
+    /// Nothing is told that was not counted within the window, nor anything left out.
+    #[test]
+    fn the_window_holds_what_happened_in_it(steps in proptest::collection::vec((0u64..3_000, any::<bool>()), 1..60)) {
+        let mut spent = Spent::new(WINDOW, TERMS);
+        let (mut now, mut all) = (100_000 * MS, Vec::new());
+        for (wait, again) in steps {
+            now += wait * MS;
+            one(&mut spent, now, true, How::Full, again);
+            all.push((now, again));
+            let within = |span: u64| all.iter().filter(|(at, _)| now - at < span).count() as u32;
+            let told = spent.figures(now).first;
+            prop_assert!(told <= within(WINDOW) && told >= within(WINDOW - WINDOW / 10));
+        }
+    }
+
+    /// However often and in whatever order stewards tell each other, of each gate its last word counts.
+    #[test]
+    fn the_later_word_of_a_gate_holds(words in proptest::collection::vec((0u8..4, 0u64..50, 0u32..9), 1..40)) {
+        let door = |gate: u8| SocketAddr::from(([10, 1, 0, gate], 8300));
+        let now = 100_000 * MS;
+        let (mut one, mut other, mut last) = (Spendings::default(), Spendings::default(), BTreeMap::new());
+        for (gate, age, first) in &words {
+            let spending: Spending = vec![("a".into(), figures(*first, 0, 0))];
+            let at = if first % 2 == 0 { &mut one } else { &mut other };
+            at.take(now, door(*gate), spending, age * MS);
+            let newest = last.entry(*gate).or_insert((*age, *first));
+            if *age <= newest.0 && (*age < newest.0 || at.tell(now).iter().any(|(of, ..)| *of == door(*gate))) {
+                *newest = (*age, *first);
+            }
+        }
+        for (gate, age, told) in other.tell(now) {
+            one.take(now, gate, told, u64::from(age) * MS);
+        }
+        for (gate, age, told) in one.tell(now) {
+            let SocketAddr::V4(at) = gate else { continue };
+            let (newest, _) = last[&at.ip().octets()[3]];
+            prop_assert_eq!(u64::from(age), newest);
+            prop_assert_eq!(told.len(), 1);
+        }
+        let (sums, gates) = one.sum(|at| at != door(0));
+        prop_assert_eq!(gates, last.keys().filter(|gate| **gate != 0).count());
+        prop_assert!(sums.len() <= 1);
+    }
+}
+
+#[test]
+fn a_table_is_bounded_and_forgets() {
+    let door = |gate: u32| SocketAddr::from((std::net::Ipv4Addr::from(0x0a01_0000 + gate), 8300));
+    let many: Spending = (0..1_000).map(|name| (format!("s-{name}").into(), figures(1, 1, 0))).collect();
+    let mut table = Spendings::default();
+    (0..5_000).for_each(|gate| table.take(1, door(gate), many.clone(), 0));
+    let (sums, gates) = table.sum(|_| true);
+    assert_eq!((sums.len(), gates), (MOST_SERVICES, 200_000 / MOST_SERVICES));
+    assert_eq!(sums.values().map(|sum| sum.first as usize).sum::<usize>(), gates * MOST_SERVICES);
+    // Full for more, not for a new word of one that is in.
+    table.take(2, door(0), Vec::new(), 0);
+    table.take(3, door(4_999), vec![("x".into(), figures(5, 0, 0))], 0);
+    assert_eq!(table.sum(|at| at == door(0) || at == door(4_999)).0.len(), 1);
+    table.keep(|at| at == door(1));
+    assert_eq!(table.sum(|_| true).1, 1);
+    assert_eq!(table.tell(3).len(), 1);
+}
