Mesh: an operator's drain is remembered by the stewards for the life of the upstream

Cause: stewards passed a drain on for 30 s, or until the row said closing; an attendant that started anew while its upstream stayed opened it again with the next beat.

The wish now stands beside the row in the stewards' tables: it goes round with the row's change, to a steward that starts anew with all rows, and to the attendant whenever its row says that this life is open. It ends with the life, or with the row. A drain wakes the attendant's open ask, so that it is taken in a round trip.

--- a/balancer/src/mesh/steward.rs
+++ b/balancer/src/mesh/steward.rs
@@ -26,7 +26,7 @@
 use super::carry::Flow;
 use super::door::call_of;
 use super::entry::{self, Ajar, Bad, Bounds, Came, json, say};
-use super::pages::{self, Budget, Drains, Facts, Query, Seen};
+use super::pages::{self, Budget, Facts, Query, Seen};
 use super::settings::{Settings, SettingsError};
 use super::spending;
 use super::start;
@@ -57,6 +57,7 @@
 /// How long the end waits for another steward to take the place.
 const HAND_OVER: Duration = Duration::from_millis(3_000);
 const SETTINGS: Duration = Duration::from_secs(2);
+const DRAIN_MS: u32 = 30_000;
 
 enum Event {
     Letter(Letter),
@@ -85,7 +86,6 @@
     stand: ArcSwap<Stand>,
     table: Mutex<Table>,
     quiet: Mutex<(u64, Vec<SocketAddr>)>,
-    drains: Mutex<Drains>,
     /// What gates have told of their budgets.
     spendings: Mutex<Spendings>,
     /// Goes up with whatever readers may wait for.
@@ -153,10 +153,7 @@
                     settled: stand.settled,
                     life: door.and_then(|door| table.life_of(door)),
                     ages: if ask.steward { table.ages(self.clock.now()) } else { Vec::new() },
-                    drains: match door {
-                        None if !ask.steward => Vec::new(),
-                        door => held(&self.drains).tell(self.clock.now(), door, &table),
-                    },
+                    drains: drains(&table, door, ask.steward.then_some(ask.mark)),
                     spent,
                 };
             }
@@ -178,7 +175,9 @@
             for (door, age) in ages {
                 table.heard(now, door, Nanos::from(age) * MS);
             }
-            held(&self.drains).take(now, &reply.drains, &table);
+            for (door, id, _) in &reply.drains {
+                news |= table.drain(*door, id);
+            }
         }
         if news {
             self.change();
@@ -248,7 +247,9 @@
             let page = pages::answer(&query, &facts);
             match page.drain {
                 Some((door, id)) if Instant::now() < until => {
-                    held(&self.drains).ask(now, door, &id);
+                    if held(&self.table).drain(door, &id) {
+                        self.change();
+                    }
                     sleep(LOOK / 2).await;
                 }
                 _ if page.status == 200 => return json(200, page.text),
@@ -355,7 +356,6 @@
         stand: ArcSwap::default(),
         table: Mutex::new(Table::new(rand::random())),
         quiet: Mutex::default(),
-        drains: Mutex::default(),
         spendings: Mutex::default(),
         changed: watch::Sender::new(0),
         events: events.clone(),
@@ -593,6 +593,13 @@
     }
 }
 
+/// Lives to be drained: an attendant's own, or for a steward those that changed. Older programs keep them for so long.
+fn drains(table: &Table, door: Option<SocketAddr>, since: Option<Mark>) -> Vec<(SocketAddr, String, u32)> {
+    let own = door.and_then(|door| Some((door, table.drain_for(door)?.to_owned())));
+    let all = since.map(|mark| table.drained_since(mark)).unwrap_or_default();
+    own.into_iter().chain(all).map(|(door, id)| (door, id, DRAIN_MS)).collect()
+}
+
 /// Tells who has fallen quiet.
 async fn watch_table(office: Arc<Office>) {
     // At its start a steward has heard nobody, which says nothing of them.
--- a/balancer/src/mesh/wire.rs
+++ b/balancer/src/mesh/wire.rs
@@ -84,8 +84,8 @@
     /// The life under which the asker is known.
     pub life: Option<u64>,
     pub ages: Vec<(SocketAddr, u32)>,
-    /// Doors whose upstream's life an operator wants drained, and the ms for which that is told; to stewards all of
-    /// them, to an attendant its own.
+    /// Doors whose upstream's life an operator wants drained, and the ms for which an older program keeps that; to
+    /// stewards those of rows that changed, to an attendant its own until its row says that it was taken.
     #[serde(default)]
     pub drains: Vec<(SocketAddr, String, u32)>,
     /// What doors' attendants told of their budgets, and how many ms ago; told where it was asked for.
--- a/balancer/tests/mesh.rs
+++ b/balancer/tests/mesh.rs
@@ -239,6 +239,31 @@
     }
 }
 
+/// Guards against a drain that is forgotten with the attendant that was told of it.
+#[test]
+fn a_drained_upstream_stays_drained_when_its_attendant_starts_anew() {
+    let mut town = Town::start();
+    let id = town.upstreams[0].id.clone();
+    until("drained", || town.ask(0, &format!("upstreams.drain&of={id}"))["state"] == "closing");
+    let told = |town: &Town| town.attendants[0].logged("drained by an operator");
+    assert_eq!(told(&town), 1);
+    town.attendants[0].kill();
+    town.attendants[0].again();
+    until("told again", || told(&town) == 2);
+    until("known", || {
+        let listed = town.ask(1, "upstreams.list")["upstreams"].as_array().cloned().unwrap_or_default();
+        listed.iter().any(|of| of["id"] == *id && of["state"] == "closing" && of["serving"] == true)
+    });
+    until("over", || town.look(0) == "200");
+    let since = Instant::now();
+    until("past its drain", || since.elapsed() > DRAIN);
+    let (load, from) = (Load::on(&town.gates(), "/read/x"), Instant::now());
+    load.go_on(200);
+    load.end();
+    let runs = town.ledger.runs(|run| run.line == "alpha" && run.at > from);
+    assert!(runs.len() >= 200 && runs.iter().all(|run| run.by != id));
+}
+
 /// Guards against figures that only some of the core knows, or that count what was not sent.
 #[test]
 fn any_steward_tells_what_was_sent_of_all_gates() {
--- a/mesh/src/list.rs
+++ b/mesh/src/list.rs
@@ -1,6 +1,8 @@
 //! The list of branches and their upstreams. It owns the rows, which of two copies of a row is the later one, and what
 //! has changed since a version. It must never judge whether a row is worth sending to: that is the sender's.
 //!
+//! An operator's wish that a life be drained stands beside the row, for the attendant may forget it and its row with it.
+//!
 //! A row has one writer, the attendant it is about. A steward keeps the rows it was told by attendants and by other
 //! stewards, and numbers its changes; whoever asks with the number it has gets what came after.
 
@@ -66,6 +68,16 @@
     number: u64,
     heard: Nanos,
     quiet: bool,
+    /// The upstream's life that an operator wants drained: kept while that life lasts, also while an attendant that has
+    /// just started does not know of it.
+    drained: Option<String>,
+}
+
+impl Held {
+    /// Whether the row may still be about this life.
+    fn may_be(row: &Row, id: &str) -> bool {
+        row.id == id && row.stand != Stand::None || row.id.is_empty()
+    }
 }
 
 /// A steward's rows.
@@ -105,13 +117,50 @@
             return false;
         }
         let number = self.changed(row.door);
-        let held = Held { row: row.clone(), number, heard, quiet: false };
+        let held = Held { row: row.clone(), number, heard, quiet: false, drained: None };
         if let Some(was) = self.rows.insert(row.door, held) {
             self.changes.remove(&was.number);
+            let drained = was.drained.filter(|id| Held::may_be(row, id));
+            if let Some(held) = self.rows.get_mut(&row.door) {
+                held.drained = drained;
+            }
         }
         true
     }
 
+    /// An operator, or another steward that was told by one, wants this life drained; whether that is news, which goes
+    /// round with the row.
+    pub fn drain(&mut self, door: SocketAddr, id: &str) -> bool {
+        let wanted = self.rows.get(&door).is_some_and(|held| {
+            !id.is_empty() && Held::may_be(&held.row, id) && held.drained.as_deref() != Some(id)
+        });
+        if wanted {
+            let number = self.changed(door);
+            if let Some(held) = self.rows.get_mut(&door) {
+                self.changes.remove(&held.number);
+                (held.number, held.drained) = (number, Some(id.to_owned()));
+            }
+        }
+        wanted
+    }
+
+    /// The life that an attendant is to drain and has not yet.
+    pub fn drain_for(&self, door: SocketAddr) -> Option<&str> {
+        let held = self.rows.get(&door)?;
+        held.drained.as_deref().filter(|id| held.row.id == *id && held.row.stand == Stand::Open)
+    }
+
+    /// The lives to be drained among those rows that came after a mark.
+    pub fn drained_since(&self, mark: Mark) -> Vec<(SocketAddr, String)> {
+        let drained = |held: &Held| Some((held.row.door, held.drained.clone()?));
+        self.after(mark).filter_map(drained).collect()
+    }
+
+    fn after(&self, mark: Mark) -> impl Iterator<Item = &Held> {
+        let from = if mark.life == self.mark.life { mark.number } else { 0 };
+        self.changes.range(from + 1..).filter_map(|(_, door)| self.rows.get(door))
+    }
+
     /// The life under which an attendant is known here: one that starts must be above it.
     pub fn life_of(&self, door: SocketAddr) -> Option<u64> {
         self.rows.get(&door).map(|held| held.row.life)
@@ -119,9 +168,7 @@
 
     /// What came after a mark; all of it when the mark is of another table.
     pub fn since(&self, mark: Mark) -> Vec<Row> {
-        let from = if mark.life == self.mark.life { mark.number } else { 0 };
-        let news = self.changes.range(from + 1..).filter_map(|(_, door)| self.rows.get(door));
-        news.map(|held| held.row.clone()).collect()
+        self.after(mark).map(|held| held.row.clone()).collect()
     }
 
     /// How long ago each attendant was heard of.
