Mesh: kept answers of keys are bounded in bytes together; the oldest go, their claims stay

Need: answers were bounded in number and each in size (64 KiB), so a steward's memory was not.

A fifth of limits.memory_mb is for kept answers (51 MB at 256), with what each takes beside its bytes counted. Above it the answer whose key was known for longest becomes unknown, in memory and on disk; one too long by itself is not kept. What waits to be told again may hold an eighth of that more. `keys` tells bytes, bound and drops.

--- a/balancer/src/mesh/client.rs
+++ b/balancer/src/mesh/client.rs
@@ -83,7 +83,10 @@
             let folder = settings.data_dir.as_deref().unwrap_or(Path::new("-"));
             line("  disk", shown(&folder.to_string_lossy()));
             line("  bodies", format!("{} bytes of timetables in hand", room.bodies));
-            line("  claims", format!("{} keys at once", room.claims));
+            line(
+                "  claims",
+                format!("{} keys at once, {} bytes of their answers", room.claims, room.answers),
+            );
         }
     }
     let bounds = &settings.bounds;
@@ -415,10 +418,12 @@
 }
 
 fn keys(of: &Value) -> String {
-    let head = ["OPEN", "UNKNOWN", "DONE", "OLDEST OPEN"];
-    let mut cells = cells(of, &["open", "unknown", "done"]);
-    cells.push(ago(&of["oldest_open_ms"]));
-    table(&head, vec![cells])
+    let head = ["OPEN", "UNKNOWN", "DONE", "OLDEST OPEN", "ANSWERS", "DROPPED"];
+    let mut all = cells(of, &["open", "unknown", "done"]);
+    all.push(ago(&of["oldest_open_ms"]));
+    all.push(format!("{} of {} bytes", cell(&of["answer_bytes"]), cell(&of["most_answer_bytes"])));
+    all.push(cell(&of["answers_dropped"]));
+    table(&head, vec![all])
 }
 
 fn key_shown(of: &Value) -> String {
@@ -530,7 +535,11 @@
                 history,
                 r#"{"versions":[{"edition":"r7","digest":"ff","bytes":812,"written_ms":1709164800000,"in_force":true}]}"#,
             ),
-            said(keys, r#"{"open":2,"unknown":0,"done":40,"oldest_open_ms":61250}"#),
+            said(
+                keys,
+                r#"{"open":2,"unknown":0,"done":40,"oldest_open_ms":61250,"answer_bytes":12040,
+                "most_answer_bytes":51200000,"answers_dropped":3}"#,
+            ),
             said(
                 key_shown,
                 r#"{"key":"k","hashed":"0f","state":"done","known_ms":1250,"disputed":false,"status":201,"bytes":17}"#,
@@ -566,8 +575,8 @@
             EDITION  DIGEST  BYTES  WRITTEN                  IN FORCE
             r7       ff      812    2024-02-29 00:00:00 UTC  yes
             --
-            OPEN  UNKNOWN  DONE  OLDEST OPEN
-            2     0        40    61 s
+            OPEN  UNKNOWN  DONE  OLDEST OPEN  ANSWERS                  DROPPED
+            2     0        40    61 s         12040 of 51200000 bytes  3
             --
             key     k
             hashed  0f
--- a/balancer/src/mesh/pages.rs
+++ b/balancer/src/mesh/pages.rs
@@ -178,6 +178,8 @@
     pub stewards: Vec<Known>,
     /// Open, unknown, done.
     pub keys: (usize, usize, usize),
+    /// Bytes of kept answers, how many may be, and answers dropped for want of room.
+    pub answers: (usize, usize, u64),
     pub oldest_open: Option<Nanos>,
     /// Of the key that was asked for, and for how long it is known here.
     pub claim: Option<(Claim, Nanos)>,
@@ -192,6 +194,7 @@
             safe: core.safe().map(|sheet| sheet.rank()),
             stewards: core.known(now),
             keys: core.keys(),
+            answers: core.answers(),
             oldest_open: core.oldest_open(),
             claim,
         }
@@ -353,6 +356,10 @@
     unknown: usize,
     done: usize,
     oldest_open_ms: Option<u64>,
+    answer_bytes: usize,
+    most_answer_bytes: usize,
+    /// Since the steward's start.
+    answers_dropped: u64,
 }
 
 #[derive(Serialize)]
@@ -432,8 +439,18 @@
         }
         Call::Count => {
             let (open, unknown, done) = facts.seen.keys;
+            let (answer_bytes, most_answer_bytes, answers_dropped) = facts.seen.answers;
             let oldest_open_ms = facts.seen.oldest_open.map(|age| age / MS);
-            Page::json(&Count { open, unknown, done, oldest_open_ms })
+            let count = Count {
+                open,
+                unknown,
+                done,
+                oldest_open_ms,
+                answer_bytes,
+                most_answer_bytes,
+                answers_dropped,
+            };
+            Page::json(&count)
         }
         Call::Show(key) => Page::json(&show(key, facts.seen.claim.as_ref())),
         Call::Budget => Page::json(&budgets(facts)),
@@ -608,6 +625,7 @@
                 safe: Some((7, 0xff)),
                 stewards: vec![known(13, true, Some(0)), known(14, false, None)],
                 keys: (2, 1, 40),
+                answers: (12_040, 51_200_000, 3),
                 oldest_open: Some(1_250 * MS),
                 claim: None,
             },
@@ -672,7 +690,7 @@
             200 {"asked":"10.1.0.13:7620","view":3,"settled":true,"stewards":[{"address":"10.1.0.13:7620","disk":"0","member":true,"voter":true,"view":3,"heard_ms":0,"leaving":false},{"address":"10.1.0.14:7620","disk":"0","member":true,"voter":false,"view":3,"heard_ms":null,"leaving":false}],"attendants":[{"door":"10.1.0.8:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,"service":"huvo11a","upstream":"i-1"},{"door":"10.1.0.9:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,"service":"huvo11a","upstream":"i-2"},{"door":"10.1.0.10:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,"service":"","upstream":""}],"next":null}
             200 {"upstreams":[{"id":"i-1","line":"huvo11a","zone":"quito-a","edition":"v1","state":"open","slots":6,"cold_ms":0,"door":"10.1.0.8:8300","serving":true,"quiet":false},{"id":"i-2","line":"huvo11a","zone":"quito-a","edition":"v1","state":"closing","slots":6,"cold_ms":0,"door":"10.1.0.9:8300","serving":true,"quiet":false}],"next":null}
             200 {"versions":[{"edition":"r7","digest":"00000000000000ff","bytes":812,"written_ms":1700000000000,"in_force":true},{"edition":"r5","digest":"0000000000000001","bytes":800,"written_ms":1600000000000,"in_force":false}]}
-            200 {"open":2,"unknown":1,"done":40,"oldest_open_ms":1250}
+            200 {"open":2,"unknown":1,"done":40,"oldest_open_ms":1250,"answer_bytes":12040,"most_answer_bytes":51200000,"answers_dropped":3}
             200 {"key":"k-5512","hashed":"c32bde1baefa4f27855b78996880fdae","state":"none","known_ms":null,"disputed":false,"status":null,"bytes":null}
             200 {"kept_by":"attendants","window_ms":10000,"retry_ratio":0.2,"retry_slack":60.0,"gates":3,"gates_told":2,"silent":["10.1.0.14:7620"],"services":[{"service":"huvo11a","upstreams":2,"first":400,"again":9,"refused":2,"allowed":140.0,"left":131.0},{"service":"kafi81c","upstreams":0,"first":10,"again":64,"refused":0,"allowed":62.0,"left":-2.0}]}
             503 its attendant has not taken the drain yet: ask again drain i-1 at 10.1.0.8:8300
--- a/balancer/src/mesh/settings.rs
+++ b/balancer/src/mesh/settings.rs
@@ -101,8 +101,9 @@
 pub struct SortingRoom {
     pub control: usize,
     pub bodies: usize,
-    /// Keys that are held at once.
+    /// Keys that are held at once, and the bytes of their answers together.
     pub claims: usize,
+    pub answers: usize,
 }
 
 impl Limits {
@@ -125,6 +126,7 @@
             control: 256,
             bodies: (memory * 1_000_000 / 5).clamp(40 << 20, 1 << 29),
             claims: (memory * 400).max(10_000),
+            answers: (memory * 1_000_000 / 5).max(4 << 20),
         }
     }
 }
--- a/balancer/src/mesh/steward.rs
+++ b/balancer/src/mesh/steward.rs
@@ -328,14 +328,14 @@
     store.found().iter().for_each(|line| log::warn!("disk: {line}"));
     log::info!("disk: {} bytes", store.bytes());
     let (events, mut coming) = mpsc::channel(EVENTS);
-    let bodies = Arc::new(Semaphore::new(
-        (settings.limits.memory_mb as usize * 1_000_000 / 5).clamp(40 << 20, 1 << 29),
-    ));
+    let room = settings.limits.sorting();
+    let bodies = Arc::new(Semaphore::new(room.bodies));
     let config = Config {
         keep: (settings.bounds.stamp_window + KEEP_MORE).as_nanos() as Nanos,
         lost_after: LOST,
         want: 2 * settings.tolerate.machines + 1,
-        most_claims: (settings.limits.memory_mb as usize * 400).max(10_000),
+        most_claims: room.claims,
+        most_bytes: room.answers,
     };
     let mut out = Vec::new();
     let found = (saved.sheet.as_ref().map_or(0, |sheet| sheet.version), saved.claims.len());
--- a/mesh/src/agree.rs
+++ b/mesh/src/agree.rs
@@ -21,6 +21,7 @@
     Token, View, Want,
 };
 
+mod answers;
 mod keys;
 mod sheet;
 mod view;
@@ -60,6 +61,8 @@
     /// How many voters are wished.
     pub want: usize,
     pub most_claims: usize,
+    /// Of kept answers together. Above it the oldest go, and their claims stay.
+    pub most_bytes: usize,
 }
 
 /// What is known of another steward.
@@ -175,6 +178,7 @@
     ranks: BTreeMap<Station, Rank>,
 
     claims: BTreeMap<Key, keys::Kept>,
+    answers: answers::Answers,
     expiry: BTreeSet<(Nanos, Key)>,
     freed: BTreeMap<Token, Nanos>,
     /// Who asked for a key while another's claim of it was open.
@@ -253,6 +257,7 @@
             safe_rank: (0, 0),
             ranks: BTreeMap::new(),
             claims: BTreeMap::new(),
+            answers: answers::Answers::default(),
             expiry: BTreeSet::new(),
             freed: BTreeMap::new(),
             askers: BTreeSet::new(),
@@ -270,6 +275,7 @@
         for (key, claim) in saved.claims {
             core.put(key, claim);
         }
+        core.shed(out);
         if fresh || station != ballots.me {
             core.keep_ballots(out);
         }
--- a/mesh/src/agree/keys.rs
+++ b/mesh/src/agree/keys.rs
@@ -7,8 +7,8 @@
 const GATHER: Nanos = 1000 * MS;
 /// A call waits for another claim's outcome half the time that its req has left, of at most so many ms.
 const MOST_WAIT_MS: u32 = 1_400;
-const TOLD_FOR: Nanos = 20_000 * MS;
-const MOST_TOLD: usize = 4096;
+pub(super) const TOLD_FOR: Nanos = 20_000 * MS;
+pub(super) const MOST_TOLD: usize = 4096;
 const MOST_FREED: usize = 20_000;
 const MOST_ASKERS: usize = 4_096;
 /// Nobody's token.
@@ -27,6 +27,12 @@
     Settle(Key, Token, Option<Outcome>),
 }
 
+impl Told {
+    pub fn outcome(&self) -> Option<&Outcome> {
+        if let Told::Settle(_, _, outcome) = self { outcome.as_ref() } else { None }
+    }
+}
+
 /// A call that gathers grants.
 #[derive(Clone, Debug)]
 pub(super) struct Asked {
@@ -139,15 +145,6 @@
         self.remember(now, Told::Settle(key, token, outcome));
     }
 
-    fn remember(&mut self, now: Nanos, told: Told) {
-        while self.told.len() >= MOST_TOLD
-            || self.told.front().is_some_and(|(at, _)| at.saturating_add(TOLD_FOR) < now)
-        {
-            self.told.pop_front();
-        }
-        self.told.push_back((now, told));
-    }
-
     /// One that was silent since then is back.
     pub(super) fn tell_again(&mut self, to: Station, since: Nanos) {
         if !self.is_member(&to) {
@@ -380,8 +377,10 @@
     }
 
     fn write(&mut self, key: Key, claim: Claim, out: &mut Vec<Act>) {
+        let claim = self.fitting(claim);
         out.push(Act::Write(Record::Claim(key, claim.clone())));
         self.put(key, claim);
+        self.shed(out);
     }
 
     /// Keeps a claim, for as long as that is from when it was first known.
@@ -389,18 +388,21 @@
         let mut until = self.now.saturating_add(self.config.keep);
         if let Some(kept) = self.claims.get(&key) {
             self.expiry.remove(&(kept.until, key));
+            self.answers.goes(kept.until, key, &kept.claim.outcome);
             if kept.claim.token == claim.token {
                 until = kept.until;
             }
         }
+        self.answers.comes(until, key, &claim.outcome);
         self.expiry.insert((until, key));
         self.claims.insert(key, Kept { claim, until });
     }
 
-    fn remove(&mut self, key: Key, out: &mut Vec<Act>) {
+    pub(super) fn remove(&mut self, key: Key, out: &mut Vec<Act>) {
         self.askers_of(key);
         if let Some(kept) = self.claims.remove(&key) {
             self.expiry.remove(&(kept.until, key));
+            self.answers.goes(kept.until, key, &kept.claim.outcome);
             out.push(Act::Write(Record::Free(key, kept.claim.token)));
         }
     }
--- a/mesh/tests/agree.rs
+++ b/mesh/tests/agree.rs
@@ -77,6 +77,39 @@
     assert_eq!(core(&world, 0).keys(), (0, 0, 1));
 }
 
+/// Guards against answers that take all memory, and against keys that run again for want of it.
+#[test]
+fn above_its_bytes_a_steward_drops_the_oldest_answers_and_keeps_their_claims() {
+    let mut world = World::tight(1, 1, 1, 1, 0, 400);
+    for key in 1..=3 {
+        claim(&mut world, 0, key, key as Token);
+        world.settle_down();
+        settle(&mut world, 0, key, key as Token, Some(Outcome::Done(answer(key as Token))));
+        world.calm(100 * MS);
+    }
+    assert_eq!(core(&world, 0).answers(), (336, 400, 1));
+    assert_eq!(core(&world, 0).keys(), (0, 1, 2));
+    let calls = [1, 2, 3].map(|key| claim(&mut world, 0, key, 20 + key as Token));
+    world.calm(100 * MS);
+    assert_eq!(world.answers[&calls[0]], Got::Held(Outcome::Unknown));
+    assert_eq!(world.answers[&calls[2]], Got::Held(Outcome::Done(answer(3))));
+    // So it is on disk, and in the next life, whose bound is lower.
+    world.crash(0);
+    world.config.most_bytes = 200;
+    world.start(0, false);
+    world.settle_down();
+    assert_eq!(core(&world, 0).answers(), (168, 200, 1));
+    assert_eq!(world.nodes[0].disk.claims[&2].outcome, Outcome::Unknown);
+    // One that is too long by itself.
+    let long = Answer { status: 200, headers: Vec::new(), body: vec![0; 300] };
+    claim(&mut world, 0, 9, 9);
+    world.settle_down();
+    settle(&mut world, 0, 9, 9, Some(Outcome::Done(Arc::new(long))));
+    world.calm(100 * MS);
+    assert_eq!(core(&world, 0).claim(9).unwrap().outcome, Outcome::Unknown);
+    assert_eq!(core(&world, 0).answers().0, 168);
+}
+
 #[test]
 fn the_wait_for_an_open_claim_ends() {
     let mut world = World::new(1, 3, 3, 3, 0);
--- a/mesh/tests/search.rs
+++ b/mesh/tests/search.rs
@@ -11,6 +11,9 @@
 use rand_chacha::ChaCha8Rng;
 use stewards::{KINDS, MS, World, answer};
 
+/// The bytes for which an answer counts, as these walks have them.
+const ANSWER: usize = 170;
+
 /// How much of each kind of mischief a walk has.
 #[derive(Default)]
 struct Mood {
@@ -34,6 +37,8 @@
     leaves: usize,
     spite: bool,
     scarce: Option<&'static str>,
+    /// A steward keeps so many answers; 0: all.
+    answers: usize,
 }
 
 impl Mood {
@@ -62,6 +67,7 @@
             leaves: one(chance, &[0, 0, 0, 1, 2]) as usize,
             spite: chance.random_range(0..4) == 0,
             scarce: KINDS.get(chance.random_range(0..2 * KINDS.len())).copied(),
+            answers: one(chance, &[0, 0, 1, 2]) as usize,
         }
     }
 
@@ -87,6 +93,7 @@
             }),
             6 => Some(Mood { claims: 60, crash: 20, slow_disks: true, ..plain }),
             7 => Some(Mood { claims: 60, cut: 15, lose: 30, hurry: 60, keys: 3, ..plain }),
+            8 => Some(Mood { claims: 80, wipe: 4, keys: 6, answers: 1, ..plain }),
             _ => None,
         }
     }
@@ -246,7 +253,8 @@
 fn walk(seed: u64, mutant: u8, on: u64) -> World {
     let mut chance = ChaCha8Rng::seed_from_u64(seed);
     let mood = Mood::dwell(on).unwrap_or_else(|| Mood::draw(&mut chance));
-    let mut world = World::new(seed, mood.nodes, mood.voters, mood.want, mutant);
+    let most_bytes = if mood.answers == 0 { usize::MAX } else { ANSWER * mood.answers };
+    let mut world = World::tight(seed, mood.nodes, mood.voters, mood.want, mutant, most_bytes);
     let mut holders = Vec::new();
     if mood.leaves > 0 {
         world.calm(300 * MS);
@@ -404,6 +412,11 @@
     assert!(search("frees_under_any_token", 11, Some(2), walks(3000)).is_some());
 }
 
+#[test]
+fn notices_one_that_drops_claims_with_their_answers() {
+    assert!(search("drops_claims_with_their_answers", 12, Some(8), walks(3000)).is_some());
+}
+
 /// Shows how one walk ends.
 #[test]
 #[ignore = "to look closer at a walk that broke: SEED, MUTANT and ON say which"]
--- a/mesh/tests/stewards/mod.rs
+++ b/mesh/tests/stewards/mod.rs
@@ -119,6 +119,18 @@
 impl World {
     /// So many nodes, of which the first ones are the first view.
     pub fn new(seed: u64, nodes: usize, voters: usize, want: usize, mutant: u8) -> World {
+        World::tight(seed, nodes, voters, want, mutant, usize::MAX)
+    }
+
+    /// Each keeps answers of so many bytes.
+    pub fn tight(
+        seed: u64,
+        nodes: usize,
+        voters: usize,
+        want: usize,
+        mutant: u8,
+        most_bytes: usize,
+    ) -> World {
         let mut world = World {
             now: 1_000 * MS,
             nodes: Vec::new(),
@@ -128,7 +140,13 @@
             scarce: None,
             chance: ChaCha8Rng::seed_from_u64(seed),
             mutant,
-            config: Config { keep: 900_000 * MS, lost_after: 1_500 * MS, want, most_claims: 10_000 },
+            config: Config {
+                keep: 900_000 * MS,
+                lost_after: 1_500 * MS,
+                want,
+                most_claims: 10_000,
+                most_bytes,
+            },
             seeds: (0..voters).map(at).collect(),
             calls: BTreeMap::new(),
             answers: BTreeMap::new(),
