Mesh: time to full service, as one log line and a figure of each process

A steward counts from its process's start until it votes and hears more than half of its view, an attendant until it has a timetable and rows, hears the core and its door knows the upstream. One log line each, and FULL AFTER in nodes: attendants tell it with their report, stewards when an operator asks.

Also: the test's stand-in for a steward reads to the end, so that no reset comes in place of the answer's end (one verdict of asking.rs differed now and then).

--- a/balancer/src/asking.rs
+++ b/balancer/src/asking.rs
@@ -174,7 +174,9 @@
                     _ => break,
                 }
             }
-            let _ = stream.write_all(&answer);
+            let _ = stream.write_all(&answer).and_then(|()| stream.shutdown(std::net::Shutdown::Write));
+            // Guards against a reset in place of an end, where some of the request is left unread.
+            let _ = std::io::copy(&mut stream, &mut std::io::sink());
         }
     });
     at
--- a/balancer/src/clock.rs
+++ b/balancer/src/clock.rs
@@ -21,6 +21,11 @@
         self.unix + self.start.elapsed().as_nanos() as Nanos
     }
 
+    /// How long ago this clock was started.
+    pub fn age(&self) -> Duration {
+        self.start.elapsed()
+    }
+
     /// When that time is for the runtime's timers; far ones are cut to a day, which asks again too early.
     pub fn instant(&self, at: Nanos) -> tokio::time::Instant {
         let most = Duration::from_secs(86_400) + self.start.elapsed();
--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -14,7 +14,7 @@
 use hyper::Response;
 use hyper::header::HeaderValue;
 use ochreshed::{Name, Nanos};
-use ochreshed_mesh::budget::{Figures, MOST_SERVICES, Spending};
+use ochreshed_mesh::budget::{Figures, MOST_SERVICES, Report, Spending};
 use ochreshed_mesh::list::Row;
 use ochreshed_mesh::timetable::{Route, Timetable};
 use ochreshed_mesh::words::Sheet;
@@ -29,10 +29,11 @@
 use super::desk::{Desk, Told};
 use super::door::Door;
 use super::entry::{self, Ajar, Bounds, Came, say};
+use super::full::Full;
 use super::keys::Stewards;
 use super::settings::{Settings, SettingsError};
 use super::wire::Callers;
-use super::{gate, news, start};
+use super::{full, gate, news, start};
 use crate::clock::Clock;
 use crate::link::held;
 
@@ -89,6 +90,8 @@
     /// When a steward last answered.
     heard: AtomicU64,
     leaving: AtomicBool,
+    /// From the start to full service, in ms.
+    full: Full,
 }
 
 impl Branch {
@@ -148,14 +151,14 @@
         held(&self.desks).get(line).cloned()
     }
 
-    /// What of each service was sent and sent again of late, where anything was.
-    pub fn spending(&self) -> Spending {
+    /// What is told of this machine: what of each service was sent and sent again of late, where anything was.
+    pub fn report(&self) -> Report {
         let desks = held(&self.desks);
         let all = desks.iter().map(|(name, desk)| (name.clone(), desk.figures()));
         let mut all: Spending = all.filter(|(_, figures)| *figures != Figures::default()).collect();
         all.sort_by_key(|(name, figures)| (std::cmp::Reverse((figures.again, figures.first)), name.clone()));
         all.truncate(MOST_SERVICES);
-        all
+        Report { spending: all, full_ms: self.full.get().copied() }
     }
 
     /// How much of its time a client had used up before this try: the most that was left on this route of late, less
@@ -369,6 +372,7 @@
         inside: AtomicUsize::new(0),
         heard: AtomicU64::new(clock.now()),
         leaving: AtomicBool::new(false),
+        full: Full::default(),
         settings: ArcSwap::from_pointee(settings),
     });
     branch.know_stewards(Vec::new());
@@ -426,6 +430,7 @@
         tokio::spawn(news::ask(branch.clone(), which, many));
     }
     tokio::spawn(tidy(branch.clone(), path));
+    tokio::spawn(full_service(branch.clone()));
     log::info!("attendant {} at {outbound}, door {inbound}", branch.settings.load().station);
     let mut end = match signal(SignalKind::terminate()) {
         Ok(end) => end,
@@ -469,6 +474,14 @@
     }
 }
 
+/// Ready, and there is an upstream to serve.
+async fn full_service(branch: Arc<Branch>) {
+    let full_ms = full::within(&branch.clock, &branch.full, || branch.ready() && branch.door.knows()).await;
+    let timetable = branch.timetable.load().as_ref().map_or(0, |timetable| timetable.version);
+    let rows = held(&branch.rows).rows.len();
+    log::info!("full service after {full_ms} ms: timetable r{timetable}, {rows} attendants, an upstream");
+}
+
 /// What is looked at now and then: idle connections, and the settings file, which may change without a signal.
 async fn tidy(branch: Arc<Branch>, path: PathBuf) {
     let Ok(mut again) = signal(SignalKind::hangup()) else { return };
--- a/balancer/src/mesh/client.rs
+++ b/balancer/src/mesh/client.rs
@@ -370,20 +370,23 @@
     let steward = |row: &Value| {
         let heard = if row["address"] == of["asked"] { "itself".into() } else { ago(&row["heard_ms"]) };
         let mut cells = cells(row, &["address", "member", "voter", "view", "disk"]);
-        cells.extend([heard, cell(&row["leaving"])]);
+        cells.extend([heard, cell(&row["leaving"]), ago(&row["full_ms"])]);
         cells
     };
     let stewards = rows(of, "stewards").iter().map(steward).collect();
-    page += &table(&["STEWARD", "MEMBER", "VOTES", "VIEW", "DISK", "HEARD", "LEAVING"], stewards);
+    page +=
+        &table(&["STEWARD", "MEMBER", "VOTES", "VIEW", "DISK", "HEARD", "LEAVING", "FULL AFTER"], stewards);
     let attendant = |row: &Value| {
         let mut cells = cells(row, &["door", "zone", "serving", "quiet"]);
         cells.push(ago(&row["heard_ms"]));
         cells.extend(["service", "upstream"].map(|name| cell(&row[name])));
+        cells.push(ago(&row["full_ms"]));
         cells
     };
     let attendants = rows(of, "attendants").iter().map(attendant).collect();
     page.push('\n');
-    page += &table(&["ATTENDANT", "ZONE", "SERVES", "QUIET", "HEARD", "SERVICE", "UPSTREAM"], attendants);
+    let head = ["ATTENDANT", "ZONE", "SERVES", "QUIET", "HEARD", "SERVICE", "UPSTREAM", "FULL AFTER"];
+    page += &table(&head, attendants);
     page + more(of)
 }
 
@@ -518,10 +521,10 @@
             said(
                 nodes,
                 r#"{"asked":"10.1.0.13:7620","view":3,"settled":false,"stewards":[
-                {"address":"10.1.0.13:7620","disk":"0","member":true,"voter":true,"view":3,"heard_ms":0,"leaving":false},
+                {"address":"10.1.0.13:7620","disk":"0","member":true,"voter":true,"view":3,"heard_ms":0,"leaving":false,"full_ms":240},
                 {"address":"10.2.0.10:7620","disk":"5e","member":true,"voter":false,"view":2,"heard_ms":null,"leaving":false}],
                 "attendants":[{"door":"10.1.0.8:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,
-                "service":"huvo11a","upstream":"i-1\u001b[2J"}],"next":null}"#,
+                "service":"huvo11a","upstream":"i-1\u001b[2J","full_ms":812}],"next":null}"#,
             ),
             said(
                 upstreams,
@@ -560,12 +563,12 @@
         expect![[r#"
             asked 10.1.0.13:7620, view 3, NOT heard by half or more
 
-            STEWARD         MEMBER  VOTES  VIEW  DISK  HEARD   LEAVING
-            10.1.0.13:7620  yes     yes    3     0     itself  no
-            10.2.0.10:7620  yes     no     2     5e    -       no
+            STEWARD         MEMBER  VOTES  VIEW  DISK  HEARD   LEAVING  FULL AFTER
+            10.1.0.13:7620  yes     yes    3     0     itself  no       240 ms
+            10.2.0.10:7620  yes     no     2     5e    -       no       -
 
-            ATTENDANT      ZONE     SERVES  QUIET  HEARD   SERVICE  UPSTREAM
-            10.1.0.8:8300  quito-a  yes     no     120 ms  huvo11a  i-1\u{1b}[2J
+            ATTENDANT      ZONE     SERVES  QUIET  HEARD   SERVICE  UPSTREAM      FULL AFTER
+            10.1.0.8:8300  quito-a  yes     no     120 ms  huvo11a  i-1\u{1b}[2J  812 ms
             --
             SERVICE  UPSTREAM  ZONE     EDITION  STATE             SLOTS  COLD    DOOR
             a        i-1       quito-a  -        closing, leaving  6      -       10.1.0.8:8300
@@ -599,9 +602,9 @@
             --
             asked -, view -, NOT heard by half or more
 
-            STEWARD  MEMBER  VOTES  VIEW  DISK  HEARD  LEAVING
+            STEWARD  MEMBER  VOTES  VIEW  DISK  HEARD  LEAVING  FULL AFTER
 
-            ATTENDANT  ZONE  SERVES  QUIET  HEARD  SERVICE  UPSTREAM
+            ATTENDANT  ZONE  SERVES  QUIET  HEARD  SERVICE  UPSTREAM  FULL AFTER
             --
             SERVICE  UPSTREAM  ZONE  EDITION  STATE  SLOTS  COLD  DOOR
             --
--- a/balancer/src/mesh/news.rs
+++ b/balancer/src/mesh/news.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::attendant::Branch;
-use super::spending::Telling;
+use super::report::Telling;
 use super::wire::{Ask, NewsAsk, NewsReply, Reply};
 
 /// An ask is answered after so long though there is no news, and given up so much later.
@@ -26,7 +26,7 @@
     quiet: (u64, HashSet<SocketAddr>),
     row: (u64, u64),
     aside: Option<Instant>,
-    spent: Telling,
+    report: Telling,
 }
 
 /// Asks one of the watchers, for good: the one whose turn is `which` among those that reply.
@@ -51,10 +51,10 @@
             quiet: (0, HashSet::new()),
             row: (0, 0),
             aside: None,
-            spent: Telling::default(),
+            report: Telling::default(),
         });
         let window = branch.settings.load().bounds.retry_window;
-        let spent = (which == 0).then(|| known.spent.news(window, || branch.spending())).flatten();
+        let report = (which == 0).then(|| known.report.news(window, || branch.report())).flatten();
         let row = branch.door.row();
         let rank = row.rank();
         let news = NewsAsk {
@@ -65,7 +65,7 @@
             quiet: known.quiet.0,
             hold_ms: HOLD.as_millis() as u32,
             steward: false,
-            spent,
+            report,
             gather: false,
         };
         let caller = branch.callers.to(steward);
@@ -82,7 +82,7 @@
                 branch.heard_core();
                 // One that has forgotten us is told anew.
                 known.row = if reply.life.is_some() { rank } else { (0, 0) };
-                known.spent.answered(reply.life.is_some());
+                known.report.answered(reply.life.is_some());
                 known.mark = reply.mark;
                 if let Some((number, quiet)) = &reply.quiet {
                     known.quiet = (*number, quiet.iter().copied().collect());
@@ -95,7 +95,7 @@
                 known.aside = Some(Instant::now() + aside);
                 // It may have forgotten us.
                 known.row = (0, 0);
-                known.spent.answered(false);
+                known.report.answered(false);
                 branch.silent(which);
                 sleep(PAUSE).await;
             }
--- a/balancer/src/mesh/pages.rs
+++ b/balancer/src/mesh/pages.rs
@@ -9,12 +9,12 @@
 
 use ochreshed::Nanos;
 use ochreshed_mesh::agree::{Core, Known};
-use ochreshed_mesh::budget::Spendings;
 use ochreshed_mesh::list::{Row, Stand, Table};
 use ochreshed_mesh::words::{Claim, Key, Outcome};
 use serde::Serialize;
 
 use super::keys;
+use super::report::Gathered;
 use super::settings::Bounds;
 
 const MS: Nanos = 1_000_000;
@@ -111,9 +111,9 @@
         self.call == Call::History
     }
 
-    /// The answer wants to know what was told of budgets.
-    pub fn wants_budget(&self) -> bool {
-        self.call == Call::Budget
+    /// The answer wants to know what all stewards were told of gates.
+    pub fn wants_reports(&self) -> bool {
+        matches!(self.call, Call::Budget | Call::Nodes)
     }
 
     /// The rows that the answer wants, in the order of their doors; of a list one more than it shows.
@@ -249,15 +249,8 @@
     pub rows: Vec<Attendant>,
     /// Those on the disk, where the answer wants them.
     pub versions: Vec<Version>,
-    pub budget: Budget,
-}
-
-/// What gates told of their budgets, as far as stewards answered.
-#[derive(Clone, Debug, Default)]
-pub struct Budget {
-    pub spendings: Spendings,
-    /// Stewards that gave no answer.
-    pub silent: Vec<SocketAddr>,
+    /// Where the answer wants it.
+    pub gathered: Gathered,
     pub bounds: Bounds,
 }
 
@@ -303,6 +296,8 @@
     view: u64,
     heard_ms: Option<u64>,
     leaving: bool,
+    /// From its start to full service.
+    full_ms: Option<u32>,
 }
 
 #[derive(Serialize)]
@@ -314,6 +309,7 @@
     heard_ms: u32,
     service: &'a str,
     upstream: &'a str,
+    full_ms: Option<u32>,
 }
 
 #[derive(Serialize)]
@@ -460,11 +456,11 @@
 
 /// Only gates heard within the window count: what others told is over.
 fn budgets(facts: &Facts) -> Budgets<'_> {
-    let Budget { spendings, silent, bounds } = &facts.budget;
+    let (Gathered { reports, silent, .. }, bounds) = (&facts.gathered, &facts.bounds);
     let window_ms = bounds.retry_window.as_millis() as u64;
     let heard: BTreeSet<SocketAddr> =
         facts.rows.iter().filter(|of| u64::from(of.heard_ms) <= window_ms).map(|of| of.row.door).collect();
-    let (sums, gates_told) = spendings.sum(|door| heard.contains(&door));
+    let (sums, gates_told) = reports.sum(|door| heard.contains(&door));
     let mut services: BTreeMap<String, Service> = BTreeMap::new();
     for of in facts.rows.iter().filter(|of| !of.row.id.is_empty() && of.row.stand != Stand::None) {
         services.entry(of.row.line.clone()).or_default().upstreams += 1;
@@ -500,6 +496,7 @@
         view: known.view,
         heard_ms: known.heard.map(|ago| ago / MS),
         leaving: known.leaving,
+        full_ms: facts.gathered.full.get(&known.station.at).copied(),
     };
     let node = |of: &'a Attendant| Node {
         door: of.row.door,
@@ -509,6 +506,7 @@
         heard_ms: of.heard_ms,
         service: &of.row.line,
         upstream: &of.row.id,
+        full_ms: facts.gathered.reports.of(of.row.door).and_then(|report| report.full_ms),
     };
     Nodes {
         asked: facts.me,
@@ -582,7 +580,7 @@
 mod tests {
     use super::*;
     use expect_test::expect;
-    use ochreshed_mesh::budget::Figures;
+    use ochreshed_mesh::budget::{Figures, Report, Reports};
     use ochreshed_mesh::words::{Answer, Station};
     use std::sync::Arc;
 
@@ -634,20 +632,21 @@
                 Version { rank: (7, 0xff), bytes: 812, written_ms: 1_700_000_000_000 },
                 Version { rank: (5, 1), bytes: 800, written_ms: 1_600_000_000_000 },
             ],
-            budget: budget(),
+            gathered: gathered(),
+            bounds: Bounds::default(),
         }
     }
 
     /// One gate told here and by another steward, one is not heard any more, and one's service is gone.
-    fn budget() -> Budget {
+    fn gathered() -> Gathered {
         let figures = |first, again, refused| Figures { first, again, refused };
-        let mut spendings = Spendings::default();
-        let told = |name: &str, of| vec![(name.into(), of)];
-        spendings.take(9_000 * MS, at(8, 8300), told("huvo11a", figures(400, 9, 2)), 0);
-        spendings.take(9_000 * MS, at(8, 8300), told("huvo11a", figures(1, 0, 0)), 3_000 * MS);
-        spendings.take(9_000 * MS, at(10, 8300), told("kafi81c", figures(10, 64, 0)), 0);
-        spendings.take(9_000 * MS, at(11, 8300), told("huvo11a", figures(7_000, 0, 0)), 0);
-        Budget { spendings, silent: vec![at(14, 7620)], bounds: Bounds::default() }
+        let told = |name: &str, of, full_ms| Report { spending: vec![(name.into(), of)], full_ms };
+        let mut reports = Reports::default();
+        reports.take(9_000 * MS, at(8, 8300), told("huvo11a", figures(400, 9, 2), Some(812)), 0);
+        reports.take(9_000 * MS, at(8, 8300), told("huvo11a", figures(1, 0, 0), None), 3_000 * MS);
+        reports.take(9_000 * MS, at(10, 8300), told("kafi81c", figures(10, 64, 0), None), 0);
+        reports.take(9_000 * MS, at(11, 8300), told("huvo11a", figures(7_000, 0, 0), None), 0);
+        Gathered { reports, full: [(at(13, 7620), 240)].into(), silent: vec![at(14, 7620)] }
     }
 
     fn read(path: &str) -> Result<Query, QueryError> {
@@ -687,7 +686,7 @@
         ];
         let all: String = calls.iter().map(|call| said(&format!("/api/rpc?call={call}"), &facts)).collect();
         expect![[r#"
-            200 {"asked":"10.1.0.13:7620","view":3,"settled":true,"stewards":[{"address":"10.1.0.13:7620","disk":"0","member":true,"voter":true,"view":3,"heard_ms":0,"leaving":false},{"address":"10.1.0.14:7620","disk":"0","member":true,"voter":false,"view":3,"heard_ms":null,"leaving":false}],"attendants":[{"door":"10.1.0.8:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,"service":"huvo11a","upstream":"i-1"},{"door":"10.1.0.9:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,"service":"huvo11a","upstream":"i-2"},{"door":"10.1.0.10:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,"service":"","upstream":""}],"next":null}
+            200 {"asked":"10.1.0.13:7620","view":3,"settled":true,"stewards":[{"address":"10.1.0.13:7620","disk":"0","member":true,"voter":true,"view":3,"heard_ms":0,"leaving":false,"full_ms":240},{"address":"10.1.0.14:7620","disk":"0","member":true,"voter":false,"view":3,"heard_ms":null,"leaving":false,"full_ms":null}],"attendants":[{"door":"10.1.0.8:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,"service":"huvo11a","upstream":"i-1","full_ms":812},{"door":"10.1.0.9:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,"service":"huvo11a","upstream":"i-2","full_ms":null},{"door":"10.1.0.10:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,"service":"","upstream":"","full_ms":null}],"next":null}
             200 {"upstreams":[{"id":"i-1","line":"huvo11a","zone":"quito-a","edition":"v1","state":"open","slots":6,"cold_ms":0,"door":"10.1.0.8:8300","serving":true,"quiet":false},{"id":"i-2","line":"huvo11a","zone":"quito-a","edition":"v1","state":"closing","slots":6,"cold_ms":0,"door":"10.1.0.9:8300","serving":true,"quiet":false}],"next":null}
             200 {"versions":[{"edition":"r7","digest":"00000000000000ff","bytes":812,"written_ms":1700000000000,"in_force":true},{"edition":"r5","digest":"0000000000000001","bytes":800,"written_ms":1600000000000,"in_force":false}]}
             200 {"open":2,"unknown":1,"done":40,"oldest_open_ms":1250,"answer_bytes":12040,"most_answer_bytes":51200000,"answers_dropped":3}
--- a/balancer/src/mesh/spending.rs
+++ b/balancer/src/mesh/report.rs
@@ -1,13 +1,14 @@
-//! How gates tell stewards what their budgets of repeats were used for, and how a steward puts together what all were
-//! told. It owns when there is something to tell; the counts are of `ochreshed-mesh`. It must never make a gate ask
-//! more often than it does for its news.
+//! How gates report to stewards: what their budgets of repeats were used for, when they came to full service; and how a
+//! steward puts together what all were told. It owns when there is something to tell; the counts are of
+//! `ochreshed-mesh`. It must never make a gate ask more often than it does for its news.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use ochreshed::Nanos;
-use ochreshed_mesh::budget::{Spending, Spendings};
+use ochreshed_mesh::budget::{Report, Reports};
 use ochreshed_mesh::list::Mark;
 use tokio::time::Instant;
 
@@ -18,17 +19,17 @@
 /// A gate tells this many times in a window, if anything has changed.
 const TIMES: u32 = 4;
 
-/// What one steward knows of a gate's spending.
+/// What one steward knows of a gate's report.
 #[derive(Default)]
 pub struct Telling {
-    known: Option<Spending>,
-    out: Option<Spending>,
+    known: Option<Report>,
+    out: Option<Report>,
     at: Option<Instant>,
 }
 
 impl Telling {
     /// What is to go with the next ask: what changed, not more often than it is worth.
-    pub fn news(&mut self, window: Duration, now: impl FnOnce() -> Spending) -> Option<Spending> {
+    pub fn news(&mut self, window: Duration, now: impl FnOnce() -> Report) -> Option<Report> {
         if self.known.is_some() && self.at.is_some_and(|at| at.elapsed() < window / TIMES) {
             return None;
         }
@@ -45,13 +46,18 @@
     }
 }
 
-/// Asks the other stewards what they were told, adds it, and tells which of them gave no answer.
-pub async fn gather(
-    callers: &Callers,
-    others: Vec<SocketAddr>,
-    now: Nanos,
-    all: &mut Spendings,
-) -> Vec<SocketAddr> {
+/// What stewards were told, as far as they answered.
+#[derive(Clone, Debug, Default)]
+pub struct Gathered {
+    pub reports: Reports,
+    /// When stewards came to full service, in ms from their start.
+    pub full: BTreeMap<SocketAddr, u32>,
+    /// Those that gave no answer.
+    pub silent: Vec<SocketAddr>,
+}
+
+/// Asks the other stewards what they were told, and adds it.
+pub async fn gather(callers: &Callers, others: Vec<SocketAddr>, now: Nanos, mut all: Gathered) -> Gathered {
     let mut asks: FuturesUnordered<_> = others
         .into_iter()
         .map(|at| async move {
@@ -63,26 +69,26 @@
                 quiet: u64::MAX,
                 hold_ms: 0,
                 steward: true,
-                spent: None,
+                report: None,
                 gather: true,
             };
             (at, callers.to(at).call(Ask::News(ask), GATHER).await)
         })
         .collect();
-    let mut silent = Vec::new();
     while let Some((at, reply)) = asks.next().await {
-        match reply {
-            Ok(Reply::News(reply)) if reply.spent.is_some() => {
-                for (door, age, told) in reply.spent.into_iter().flatten() {
-                    all.take(now, door, told, Nanos::from(age) * 1_000_000);
-                }
-            }
-            // An older program tells none.
-            _ => silent.push(at),
+        // An older program tells none.
+        let told = reply.ok().and_then(|reply| if let Reply::News(news) = reply { news.told } else { None });
+        let Some((reports, full_ms)) = told else {
+            all.silent.push(at);
+            continue;
+        };
+        for (door, age, report) in reports {
+            all.reports.take(now, door, report, Nanos::from(age) * 1_000_000);
         }
+        all.full.extend(full_ms.map(|full_ms| (at, full_ms)));
     }
-    silent.sort();
-    silent
+    all.silent.sort();
+    all
 }
 
 #[cfg(test)]
@@ -93,8 +99,9 @@
 
     const WINDOW: Duration = Duration::from_secs(10);
 
-    fn spending(first: u32) -> Spending {
-        vec![("a".into(), Figures { first, ..Figures::default() })]
+    fn spending(first: u32) -> Report {
+        let figures = Figures { first, ..Figures::default() };
+        Report { spending: vec![("a".into(), figures)], full_ms: None }
     }
 
     #[tokio::test(start_paused = true)]
--- a/balancer/src/mesh/steward.rs
+++ b/balancer/src/mesh/steward.rs
@@ -13,7 +13,7 @@
 use hyper::Response;
 use ochreshed::Nanos;
 use ochreshed_mesh::agree::{Config, Core};
-use ochreshed_mesh::budget::Spendings;
+use ochreshed_mesh::budget::Reports;
 use ochreshed_mesh::list::{Mark, Table};
 use ochreshed_mesh::timetable::Timetable;
 use ochreshed_mesh::words::{Act, Got, Key, Letter, Record, Sheet, View, Want};
@@ -26,9 +26,10 @@
 use super::carry::Flow;
 use super::door::call_of;
 use super::entry::{self, Ajar, Bad, Bounds, Came, json, say};
-use super::pages::{self, Budget, Facts, Query, Seen};
+use super::full::{self, Full};
+use super::pages::{self, Facts, Query, Seen};
+use super::report::{self, Gathered};
 use super::settings::{Settings, SettingsError};
-use super::spending;
 use super::start;
 use super::store::{Store, StoreError};
 use super::wire::{self, Ask, Callers, NewsAsk, NewsReply, Reply};
@@ -86,8 +87,10 @@
     stand: ArcSwap<Stand>,
     table: Mutex<Table>,
     quiet: Mutex<(u64, Vec<SocketAddr>)>,
-    /// What gates have told of their budgets.
-    spendings: Mutex<Spendings>,
+    /// What gates told of themselves.
+    reports: Mutex<Reports>,
+    /// From the start to full service, in ms.
+    full: Full,
     /// Goes up with whatever readers may wait for.
     changed: watch::Sender<u64>,
     events: mpsc::Sender<Event>,
@@ -127,10 +130,11 @@
         if let Some(door) = door {
             held(&self.table).heard(self.clock.now(), door, 0);
         }
-        if let (Some(door), Some(spent)) = (door, ask.spent) {
-            held(&self.spendings).take(self.clock.now(), door, spent, 0);
+        if let (Some(door), Some(report)) = (door, ask.report) {
+            held(&self.reports).take(self.clock.now(), door, report, 0);
         }
-        let spent = ask.gather.then(|| held(&self.spendings).tell(self.clock.now()));
+        let told = || (held(&self.reports).tell(self.clock.now()), self.full.get().copied());
+        let told = ask.gather.then(told);
         loop {
             changed.mark_unchanged();
             let stand = self.stand.load_full();
@@ -154,7 +158,7 @@
                     life: door.and_then(|door| table.life_of(door)),
                     ages: if ask.steward { table.ages(self.clock.now()) } else { Vec::new() },
                     drains: drains(&table, door, ask.steward.then_some(ask.mark)),
-                    spent,
+                    told,
                 };
             }
             let _ = tokio::time::timeout_at(until, changed.changed()).await;
@@ -232,10 +236,16 @@
             let Ok(Ok(seen)) = timeout(OPERATOR, seen).await else { return say(503, "busy: ask again") };
             let now = self.clock.now();
             let rows = query.pick(&held(&self.table), now);
-            let mut facts =
-                Facts { me: self.at, seen, rows, versions: Vec::new(), budget: Budget::default() };
-            if query.wants_budget() {
-                facts.budget = self.budget(now).await;
+            let mut facts = Facts {
+                me: self.at,
+                seen,
+                rows,
+                versions: Vec::new(),
+                gathered: Gathered::default(),
+                bounds: self.settings.load().bounds,
+            };
+            if query.wants_reports() {
+                facts.gathered = self.gather(now).await;
             }
             if let Some(dir) = self.settings.load().data_dir.clone().filter(|_| query.wants_disk()) {
                 let read = tokio::task::spawn_blocking(move || pages::history(&dir));
@@ -258,12 +268,13 @@
         }
     }
 
-    /// What all gates told of their budgets, here or to another steward.
-    async fn budget(&self, now: Nanos) -> Budget {
-        let mut spendings = held(&self.spendings).clone();
+    /// What all gates told of themselves, here or to another steward.
+    async fn gather(&self, now: Nanos) -> Gathered {
+        let full = self.full.get().map(|full_ms| (self.at, *full_ms));
+        let reports = held(&self.reports).clone();
+        let own = Gathered { reports, full: full.into_iter().collect(), silent: Vec::new() };
         let others = self.stand.load().stewards.iter().copied().filter(|at| *at != self.at).collect();
-        let silent = spending::gather(&self.callers, others, now, &mut spendings).await;
-        Budget { spendings, silent, bounds: self.settings.load().bounds }
+        report::gather(&self.callers, others, now, own).await
     }
 
     async fn replace(&self, bytes: Vec<u8>) -> Response<Flow> {
@@ -356,7 +367,8 @@
         stand: ArcSwap::default(),
         table: Mutex::new(Table::new(rand::random())),
         quiet: Mutex::default(),
-        spendings: Mutex::default(),
+        reports: Mutex::default(),
+        full: Full::default(),
         changed: watch::Sender::new(0),
         events: events.clone(),
         callers: Callers::default(),
@@ -377,6 +389,7 @@
     tokio::spawn(watch_table(office.clone()));
     tokio::spawn(ask_others(office.clone()));
     tokio::spawn(reread(office.clone(), path));
+    tokio::spawn(full_service(office.clone()));
     let mut end = signal(SignalKind::terminate()).map_err(Failed::Signals)?;
     let disk = disk(store, events.clone());
     let work = Work { office: office.clone(), core, disk, calls: HashMap::new(), next: 1, unsafe_writes: 0 };
@@ -608,7 +621,7 @@
         sleep(LOOK).await;
         let quiet = {
             let mut table = held(&office.table);
-            held(&office.spendings).keep(|door| table.row(door).is_some());
+            held(&office.reports).keep(|door| table.row(door).is_some());
             table.look(office.clock.now(), QUIET).then(|| table.quiet())
         };
         if let Some(quiet) = quiet {
@@ -651,7 +664,7 @@
             quiet: u64::MAX,
             hold_ms: HOLD.as_millis() as u32,
             steward: true,
-            spent: None,
+            report: None,
             gather: false,
         };
         match office.callers.to(at).call(Ask::News(ask), HOLD + LATE).await {
@@ -666,6 +679,19 @@
     }
 }
 
+/// It votes, and more than half of its view is heard. A spare comes to it when it is voted in.
+async fn full_service(office: Arc<Office>) {
+    let is = || {
+        let stand = office.stand.load();
+        stand.voter && stand.settled
+    };
+    let full_ms = full::within(&office.clock, &office.full, is).await;
+    let stand = office.stand.load();
+    let (view, safe) = (stand.view.as_ref(), stand.safe.as_ref());
+    let (view, safe) = (view.map_or(0, |view| view.number), safe.map_or(0, |sheet| sheet.version));
+    log::info!("full service after {full_ms} ms: votes in view {view}, r{safe}");
+}
+
 /// The settings file may change, with a signal or without.
 async fn reread(office: Arc<Office>, path: PathBuf) {
     let Ok(mut again) = signal(SignalKind::hangup()) else { return };
--- a/balancer/tests/mesh.rs
+++ b/balancer/tests/mesh.rs
@@ -279,7 +279,16 @@
             assert!(first <= town.ledger.runs(|run| run.line == "alpha").len() as u64 + 8, "{told}");
             first >= 50 && told["gates_told"] == 4 && of["left"].as_f64() > Some(60.0)
         });
+        // And how long each took from its start to full service.
+        let nodes = town.ask(steward, "nodes.list");
+        for (kind, count) in [("stewards", STEWARDS), ("attendants", 4)] {
+            let full =
+                nodes[kind].as_array().map(|all| all.iter().filter(|of| of["full_ms"].is_u64()).count());
+            assert_eq!(full, Some(count), "{nodes}");
+        }
     }
+    let machines = town.stewards.iter().chain(&town.attendants);
+    assert!(machines.into_iter().all(|machine| machine.logged("full service after") == 1));
     load.end();
 }
 
--- a/mesh/src/budget.rs
+++ b/mesh/src/budget.rs
@@ -1,5 +1,6 @@
 //! What the budgets of repeats were used for. It owns a gate's counts over the budget's window, for each service, and a
-//! steward's table of what gates told of theirs. It must never decide whether a req goes again: that is the module's.
+//! steward's table of what gates report of themselves. It must never decide whether a req goes again: that is the
+//! module's.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -51,9 +52,30 @@
     }
 }
 
-/// What a gate tells: its services by name.
+/// A gate's services by name.
 pub type Spending = Vec<(Name, Figures)>;
 
+/// What a gate tells of itself, for operators to look at.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(Spending, Option<u32>)", into = "(Spending, Option<u32>)")]
+pub struct Report {
+    pub spending: Spending,
+    /// From the start of its process to full service, in ms.
+    pub full_ms: Option<u32>,
+}
+
+impl From<(Spending, Option<u32>)> for Report {
+    fn from((spending, full_ms): (Spending, Option<u32>)) -> Report {
+        Report { spending, full_ms }
+    }
+}
+
+impl From<Report> for (Spending, Option<u32>) {
+    fn from(of: Report) -> (Spending, Option<u32>) {
+        (of.spending, of.full_ms)
+    }
+}
+
 /// Counts of the last buckets of time.
 #[derive(Clone, Debug)]
 struct Ring {
@@ -179,55 +201,55 @@
     }
 }
 
-#[derive(Clone, Debug)]
-struct Told {
-    at: Nanos,
-    services: Spending,
-}
-
-/// What gates have told a steward. Whoever asks for all may merge it with another's: of two words of one gate the later
-/// one holds.
+/// What gates have reported to a steward. Whoever asks for all may merge it with another's: of two reports of one gate
+/// the later one holds.
 #[derive(Clone, Debug, Default)]
-pub struct Spendings {
-    gates: HashMap<SocketAddr, Told>,
+pub struct Reports {
+    /// With the time at which each was told.
+    gates: HashMap<SocketAddr, (Nanos, Report)>,
     services: usize,
 }
 
-impl Spendings {
+impl Reports {
     /// Takes what a gate told so long ago.
-    pub fn take(&mut self, now: Nanos, door: SocketAddr, mut services: Spending, age: Nanos) {
+    pub fn take(&mut self, now: Nanos, door: SocketAddr, mut report: Report, age: Nanos) {
         let at = now.saturating_sub(age);
-        services.retain(|(name, _)| name.len() <= MOST_NAME);
-        services.truncate(MOST_SERVICES);
+        report.spending.retain(|(name, _)| name.len() <= MOST_NAME);
+        report.spending.truncate(MOST_SERVICES);
         let before = self.gates.get(&door);
-        let had = before.map_or(0, |told| told.services.len());
-        let full = self.services - had + services.len() > MOST_KEPT || self.gates.len() >= MOST_KEPT;
-        if full || before.is_some_and(|told| told.at > at) {
+        let had = before.map_or(0, |(_, told)| told.spending.len());
+        let more = report.spending.len();
+        let full = self.services - had + more > MOST_KEPT || self.gates.len() >= MOST_KEPT;
+        if full || before.is_some_and(|(told, _)| *told > at) {
             return;
         }
-        self.services = self.services - had + services.len();
-        self.gates.insert(door, Told { at, services });
+        self.services = self.services - had + more;
+        self.gates.insert(door, (at, report));
     }
 
-    /// All of it, with the ms since each was told.
-    pub fn tell(&self, now: Nanos) -> Vec<(SocketAddr, u32, Spending)> {
-        let age = |told: &Told| (now.saturating_sub(told.at) / 1_000_000).min(u64::from(u32::MAX)) as u32;
-        self.gates.iter().map(|(door, told)| (*door, age(told), told.services.clone())).collect()
+    /// All of them, with the ms since each was told.
+    pub fn tell(&self, now: Nanos) -> Vec<(SocketAddr, u32, Report)> {
+        let age = |at: &Nanos| (now.saturating_sub(*at) / 1_000_000).min(u64::from(u32::MAX)) as u32;
+        self.gates.iter().map(|(door, (at, report))| (*door, age(at), report.clone())).collect()
     }
 
     /// Forgets the gates that are not known any more.
     pub fn keep(&mut self, known: impl Fn(SocketAddr) -> bool) {
         self.gates.retain(|door, _| known(*door));
-        self.services = self.gates.values().map(|told| told.services.len()).sum();
+        self.services = self.gates.values().map(|(_, report)| report.spending.len()).sum();
+    }
+
+    pub fn of(&self, door: SocketAddr) -> Option<&Report> {
+        self.gates.get(&door).map(|(_, report)| report)
     }
 
     /// The sums by service of the gates that count, and how many those are.
     pub fn sum(&self, counts: impl Fn(SocketAddr) -> bool) -> (BTreeMap<Name, Figures>, usize) {
         let mut sums: BTreeMap<Name, Figures> = BTreeMap::new();
         let mut gates = 0;
-        for (_, told) in self.gates.iter().filter(|(door, _)| counts(**door)) {
+        for (_, (_, report)) in self.gates.iter().filter(|(door, _)| counts(**door)) {
             gates += 1;
-            for (name, figures) in &told.services {
+            for (name, figures) in &report.spending {
                 let sum = sums.entry(name.clone()).or_default();
                 *sum = sum.and(*figures);
             }
