--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -14,6 +14,7 @@
 use hyper::Response;
 use hyper::header::HeaderValue;
 use ochreshed::{Name, Nanos};
+use ochreshed_mesh::budget::{Figures, MOST_SERVICES, Report, Spending};
 use ochreshed_mesh::list::Row;
 use ochreshed_mesh::timetable::{Route, Timetable};
 use ochreshed_mesh::words::Sheet;
@@ -28,11 +29,12 @@
 use super::desk::{Desk, Plan, Told};
 use super::door::{Door, Site};
 use super::entry::{self, Ajar, Bounds, Came, say};
+use super::full::Full;
 use super::keys::Stewards;
 use super::parcels::Rank;
 use super::settings::{Settings, SettingsError};
 use super::wire::Callers;
-use super::{gate, news, start};
+use super::{full, gate, news, start};
 use crate::clock::Clock;
 use crate::link::held;
 
@@ -113,6 +115,8 @@
     /// When a steward last answered.
     heard: AtomicU64,
     leaving: AtomicBool,
+    /// From the start to full service, in ms.
+    full: Full,
 }
 
 impl Branch {
@@ -196,6 +200,21 @@
         held(&self.desks).get(&(line.clone(), large)).cloned()
     }
 
+    /// What is told of this machine: what of each service was sent and sent again of late, where anything was.
+    pub fn report(&self) -> Report {
+        let desks = held(&self.desks);
+        let mut sums: HashMap<Name, Figures> = HashMap::new();
+        for ((name, _), desk) in desks.iter() {
+            let sum = sums.entry(name.clone()).or_default();
+            *sum = sum.and(desk.figures());
+        }
+        let mut all: Spending =
+            sums.into_iter().filter(|(_, figures)| *figures != Figures::default()).collect();
+        all.sort_by_key(|(name, figures)| (std::cmp::Reverse((figures.again, figures.first)), name.clone()));
+        all.truncate(MOST_SERVICES);
+        Report { spending: all, full_ms: self.full.get().copied() }
+    }
+
     /// How much of its time a client had used up before this try: the most that was left on this route of late, less
     /// what is left now.
     pub fn used(&self, route: &Name, left: u64) -> u64 {
@@ -308,10 +327,9 @@
             let calls = of().any(|(row, _)| row.calls);
             let told = Told::new(plan, gates, calls, &settings.bounds);
             let key = (plan.line.clone(), plan.large);
-            let desk = match desks.remove(&key).filter(|desk| desk.told == told) {
-                Some(desk) => desk,
-                None => Desk::new(plan.line.clone(), told, self.clock, self.draw()),
-            };
+            let (was, told) = (desks.remove(&key), (plan.line.clone(), told));
+            let window = settings.bounds.retry_window.as_nanos() as Nanos;
+            let desk = Desk::of(was, told, self.clock, || self.draw(), window);
             desk.list(of(), &quiet, &settings.zone);
             kept.insert(key, desk);
         }
@@ -398,6 +416,7 @@
         inside: AtomicUsize::new(0),
         heard: AtomicU64::new(clock.now()),
         leaving: AtomicBool::new(false),
+        full: Full::default(),
         settings: ArcSwap::from_pointee(settings),
     });
     branch.know_stewards(Vec::new());
@@ -455,6 +474,7 @@
         tokio::spawn(news::ask(branch.clone(), which, many));
     }
     tokio::spawn(tidy(branch.clone(), path));
+    tokio::spawn(full_service(branch.clone()));
     log::info!("attendant {} at {outbound}, door {inbound}", branch.settings.load().station);
     let mut end = match signal(SignalKind::terminate()) {
         Ok(end) => end,
@@ -498,6 +518,14 @@
     }
 }
 
+/// Ready, and there is an upstream to serve.
+async fn full_service(branch: Arc<Branch>) {
+    let full_ms = full::within(&branch.clock, &branch.full, || branch.ready() && branch.door.knows()).await;
+    let timetable = branch.timetable.load().as_ref().map_or(0, |timetable| timetable.version);
+    let rows = held(&branch.rows).rows.len();
+    log::info!("full service after {full_ms} ms: timetable r{timetable}, {rows} attendants, an upstream");
+}
+
 /// What is looked at now and then: idle connections, and the settings file, which may change without a signal.
 async fn tidy(branch: Arc<Branch>, path: PathBuf) {
     let Ok(mut again) = signal(SignalKind::hangup()) else { return };
--- a/balancer/src/mesh/steward.rs
+++ b/balancer/src/mesh/steward.rs
@@ -13,6 +13,7 @@
 use hyper::Response;
 use ochreshed::Nanos;
 use ochreshed_mesh::agree::{Config, Core};
+use ochreshed_mesh::budget::Reports;
 use ochreshed_mesh::list::{Mark, Table};
 use ochreshed_mesh::timetable::Timetable;
 use ochreshed_mesh::words::{Act, Got, Key, Letter, Record, Sheet, View, Want};
@@ -25,8 +26,10 @@
 use super::carry::Flow;
 use super::door::call_of;
 use super::entry::{self, Ajar, Bad, Bounds, Came, json, say};
-use super::pages::{self, Drains, Facts, Query, Seen};
+use super::full::{self, Full};
+use super::pages::{self, Facts, Query, Seen};
 use super::parcels::{Parcel, Parcels, Rank};
+use super::report::{self, Gathered};
 use super::settings::{Settings, SettingsError};
 use super::start;
 use super::store::{Store, StoreError};
@@ -56,6 +59,7 @@
 /// How long the end waits for another steward to take the place.
 const HAND_OVER: Duration = Duration::from_millis(3_000);
 const SETTINGS: Duration = Duration::from_secs(2);
+const DRAIN_MS: u32 = 30_000;
 
 enum Event {
     Letter(Letter),
@@ -84,7 +88,10 @@
     stand: ArcSwap<Stand>,
     table: Mutex<Table>,
     quiet: Mutex<(u64, Vec<SocketAddr>)>,
-    drains: Mutex<Drains>,
+    /// What gates told of themselves.
+    reports: Mutex<Reports>,
+    /// From the start to full service, in ms.
+    full: Full,
     /// Goes up with whatever readers may wait for.
     changed: watch::Sender<u64>,
     events: mpsc::Sender<Event>,
@@ -126,6 +133,11 @@
         if let Some(door) = door {
             held(&self.table).heard(self.clock.now(), door, 0);
         }
+        if let (Some(door), Some(report)) = (door, ask.report) {
+            held(&self.reports).take(self.clock.now(), door, report, 0);
+        }
+        let told = || (held(&self.reports).tell(self.clock.now()), self.full.get().copied());
+        let told = ask.gather.then(told);
         loop {
             changed.mark_unchanged();
             let stand = self.stand.load_full();
@@ -138,19 +150,18 @@
             };
             if news || before.is_some() || Instant::now() >= until {
                 let table = held(&self.table);
+                let since = if ask.gather { Vec::new() } else { table.since(ask.mark) };
                 return NewsReply {
                     mark: table.mark(),
-                    rows: before.into_iter().chain(table.since(ask.mark)).collect(),
+                    rows: before.into_iter().chain(since).collect(),
                     sheet,
                     stewards: stand.stewards.clone(),
                     quiet,
                     settled: stand.settled,
                     life: door.and_then(|door| table.life_of(door)),
                     ages: if ask.steward { table.ages(self.clock.now()) } else { Vec::new() },
-                    drains: match door {
-                        None if !ask.steward => Vec::new(),
-                        door => held(&self.drains).tell(self.clock.now(), door, &table),
-                    },
+                    drains: drains(&table, door, ask.steward.then_some(ask.mark)),
+                    told,
                 };
             }
             let _ = tokio::time::timeout_at(until, changed.changed()).await;
@@ -171,7 +182,9 @@
             for (door, age) in ages {
                 table.heard(now, door, Nanos::from(age) * MS);
             }
-            held(&self.drains).take(now, &reply.drains, &table);
+            for (door, id, _) in &reply.drains {
+                news |= table.drain(*door, id);
+            }
         }
         if news {
             self.change();
@@ -234,7 +247,17 @@
             let Ok(Ok(seen)) = timeout(OPERATOR, seen).await else { return say(503, "busy: ask again") };
             let now = self.clock.now();
             let rows = query.pick(&held(&self.table), now);
-            let mut facts = Facts { me: self.at, seen, rows, versions: Vec::new() };
+            let mut facts = Facts {
+                me: self.at,
+                seen,
+                rows,
+                versions: Vec::new(),
+                gathered: Gathered::default(),
+                bounds: self.settings.load().bounds,
+            };
+            if query.wants_reports() {
+                facts.gathered = self.gather(now).await;
+            }
             if let Some(dir) = self.settings.load().data_dir.clone().filter(|_| query.wants_disk()) {
                 let read = tokio::task::spawn_blocking(move || pages::history(&dir));
                 match timeout(OPERATOR, read).await {
@@ -245,7 +268,9 @@
             let page = pages::answer(&query, &facts);
             match page.drain {
                 Some((door, id)) if Instant::now() < until => {
-                    held(&self.drains).ask(now, door, &id);
+                    if held(&self.table).drain(door, &id) {
+                        self.change();
+                    }
                     sleep(LOOK / 2).await;
                 }
                 _ if page.status == 200 => return json(200, page.text),
@@ -254,6 +279,15 @@
         }
     }
 
+    /// What all gates told of themselves, here or to another steward.
+    async fn gather(&self, now: Nanos) -> Gathered {
+        let full = self.full.get().map(|full_ms| (self.at, *full_ms));
+        let reports = held(&self.reports).clone();
+        let own = Gathered { reports, full: full.into_iter().collect(), silent: Vec::new() };
+        let others = self.stand.load().stewards.iter().copied().filter(|at| *at != self.at).collect();
+        report::gather(&self.callers, others, now, own).await
+    }
+
     async fn replace(&self, bytes: Vec<u8>) -> Response<Flow> {
         let version = match Timetable::read(&bytes) {
             Ok(timetable) => timetable.version,
@@ -316,14 +350,14 @@
     store.found().iter().for_each(|line| log::warn!("disk: {line}"));
     log::info!("disk: {} bytes", store.bytes());
     let (events, mut coming) = mpsc::channel(EVENTS);
-    let bodies = Arc::new(Semaphore::new(
-        (settings.limits.memory_mb as usize * 1_000_000 / 5).clamp(40 << 20, 1 << 29),
-    ));
+    let room = settings.limits.sorting();
+    let bodies = Arc::new(Semaphore::new(room.bodies));
     let config = Config {
         keep: (settings.bounds.stamp_window + KEEP_MORE).as_nanos() as Nanos,
         lost_after: LOST,
         want: 2 * settings.tolerate.machines + 1,
-        most_claims: (settings.limits.memory_mb as usize * 400).max(10_000),
+        most_claims: room.claims,
+        most_bytes: room.answers,
     };
     let mut out = Vec::new();
     let found = (saved.sheet.as_ref().map_or(0, |sheet| sheet.version), saved.claims.len());
@@ -344,7 +378,8 @@
         stand: ArcSwap::default(),
         table: Mutex::new(Table::new(rand::random())),
         quiet: Mutex::default(),
-        drains: Mutex::default(),
+        reports: Mutex::default(),
+        full: Full::default(),
         changed: watch::Sender::new(0),
         events: events.clone(),
         callers: Callers::default(),
@@ -367,6 +402,7 @@
     tokio::spawn(watch_table(office.clone()));
     tokio::spawn(ask_others(office.clone()));
     tokio::spawn(reread(office.clone(), path));
+    tokio::spawn(full_service(office.clone()));
     let mut end = signal(SignalKind::terminate()).map_err(Failed::Signals)?;
     let disk = disk(store, events.clone());
     let work = Work { office: office.clone(), core, disk, calls: HashMap::new(), next: 1, unsafe_writes: 0 };
@@ -584,6 +620,13 @@
     }
 }
 
+/// Lives to be drained: an attendant's own, or for a steward those that changed. Older programs keep them for so long.
+fn drains(table: &Table, door: Option<SocketAddr>, since: Option<Mark>) -> Vec<(SocketAddr, String, u32)> {
+    let own = door.and_then(|door| Some((door, table.drain_for(door)?.to_owned())));
+    let all = since.map(|mark| table.drained_since(mark)).unwrap_or_default();
+    own.into_iter().chain(all).map(|(door, id)| (door, id, DRAIN_MS)).collect()
+}
+
 /// Tells who has fallen quiet.
 async fn watch_table(office: Arc<Office>) {
     // At its start a steward has heard nobody, which says nothing of them.
@@ -592,6 +635,7 @@
         sleep(LOOK).await;
         let quiet = {
             let mut table = held(&office.table);
+            held(&office.reports).keep(|door| table.row(door).is_some());
             table.look(office.clock.now(), QUIET).then(|| table.quiet())
         };
         if let Some(quiet) = quiet {
@@ -634,6 +678,8 @@
             quiet: u64::MAX,
             hold_ms: HOLD.as_millis() as u32,
             steward: true,
+            report: None,
+            gather: false,
         };
         match office.callers.to(at).call(Ask::News(ask), HOLD + LATE).await {
             Ok(Reply::News(reply)) => {
@@ -647,6 +693,19 @@
     }
 }
 
+/// It votes, and more than half of its view is heard. A spare comes to it when it is voted in.
+async fn full_service(office: Arc<Office>) {
+    let is = || {
+        let stand = office.stand.load();
+        stand.voter && stand.settled
+    };
+    let full_ms = full::within(&office.clock, &office.full, is).await;
+    let stand = office.stand.load();
+    let (view, safe) = (stand.view.as_ref(), stand.safe.as_ref());
+    let (view, safe) = (view.map_or(0, |view| view.number), safe.map_or(0, |sheet| sheet.version));
+    log::info!("full service after {full_ms} ms: votes in view {view}, r{safe}");
+}
+
 /// The settings file may change, with a signal or without.
 async fn reread(office: Arc<Office>, path: PathBuf) {
     let Ok(mut again) = signal(SignalKind::hangup()) else { return };
--- a/balancer/tests/mesh.rs
+++ b/balancer/tests/mesh.rs
@@ -239,6 +239,59 @@
     }
 }
 
+/// Guards against a drain that is forgotten with the attendant that was told of it.
+#[test]
+fn a_drained_upstream_stays_drained_when_its_attendant_starts_anew() {
+    let mut town = Town::start();
+    let id = town.upstreams[0].id.clone();
+    until("drained", || town.ask(0, &format!("upstreams.drain&of={id}"))["state"] == "closing");
+    let told = |town: &Town| town.attendants[0].logged("drained by an operator");
+    assert_eq!(told(&town), 1);
+    town.attendants[0].kill();
+    town.attendants[0].again();
+    until("told again", || told(&town) == 2);
+    until("known", || {
+        let listed = town.ask(1, "upstreams.list")["upstreams"].as_array().cloned().unwrap_or_default();
+        listed.iter().any(|of| of["id"] == *id && of["state"] == "closing" && of["serving"] == true)
+    });
+    until("over", || town.look(0) == "200");
+    let since = Instant::now();
+    until("past its drain", || since.elapsed() > DRAIN);
+    let (load, from) = (Load::on(&town.gates(), "/read/x"), Instant::now());
+    load.go_on(200);
+    load.end();
+    let runs = town.ledger.runs(|run| run.line == "alpha" && run.at > from);
+    assert!(runs.len() >= 200 && runs.iter().all(|run| run.by != id));
+}
+
+/// Guards against figures that only some of the core knows, or that count what was not sent.
+#[test]
+fn any_steward_tells_what_was_sent_of_all_gates() {
+    let town = Town::start();
+    let load = Load::on(&town.gates(), "/read/x");
+    for steward in 0..STEWARDS {
+        until("told", || {
+            let told = town.ask(steward, "budget.list");
+            let services = told["services"].as_array().cloned().unwrap_or_default();
+            let of = services.iter().find(|of| of["service"] == "alpha").cloned().unwrap_or_default();
+            let first = of["first"].as_u64().unwrap_or(0);
+            // With those that are on their way.
+            assert!(first <= town.ledger.runs(|run| run.line == "alpha").len() as u64 + 8, "{told}");
+            first >= 50 && told["gates_told"] == 4 && of["left"].as_f64() > Some(60.0)
+        });
+        // And how long each took from its start to full service.
+        let nodes = town.ask(steward, "nodes.list");
+        for (kind, count) in [("stewards", STEWARDS), ("attendants", 4)] {
+            let full =
+                nodes[kind].as_array().map(|all| all.iter().filter(|of| of["full_ms"].is_u64()).count());
+            assert_eq!(full, Some(count), "{nodes}");
+        }
+    }
+    let machines = town.stewards.iter().chain(&town.attendants);
+    assert!(machines.into_iter().all(|machine| machine.logged("full service after") == 1));
+    load.end();
+}
+
 /// Guards against reqs lost at the gate or the door of an attendant that is asked to end, and against one that stays.
 #[test]
 fn an_attendant_that_is_asked_to_end_answers_all_that_came_and_goes_within_its_grace() {
