--- a/balancer/src/mesh/news.rs
+++ b/balancer/src/mesh/news.rs
@@ -90,7 +90,7 @@
                 if let Some((number, quiet)) = &reply.quiet {
                     known.quiet = (*number, quiet.iter().copied().collect());
                 }
-                take(&branch, (which, steward), reply, known.quiet.1.clone());
+                take(&branch, (which, steward), *reply, known.quiet.1.clone());
             }
             _ => {
                 // One that has nothing yet asks everybody until it has.
--- a/balancer/src/mesh/steward.rs
+++ b/balancer/src/mesh/steward.rs
@@ -200,7 +200,7 @@
 
     async fn answer(self: Arc<Self>, ask: Ask) -> Option<Reply> {
         match ask {
-            Ask::News(ask) => Some(Reply::News(self.news(ask).await)),
+            Ask::News(ask) => Some(Reply::News(Box::new(self.news(ask).await))),
             Ask::Core(want) => Some(Reply::Core(self.want(want, Duration::from_secs(5)).await)),
             Ask::Sheet(have) => Some(Reply::Sheet(self.parcel(have).await)),
             Ask::Letter(letter) => {
--- a/balancer/src/mesh/wire.rs
+++ b/balancer/src/mesh/wire.rs
@@ -46,7 +46,7 @@
 
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Reply {
-    News(NewsReply),
+    News(Box<NewsReply>),
     Core(Got),
     Sheet(Option<Arc<Parcel>>),
 }
