--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -26,11 +26,12 @@
 use tokio::time::{Instant, sleep};
 
 use super::carry::{Flow, Line};
-use super::desk::{Desk, Told};
-use super::door::Door;
+use super::desk::{Desk, Plan, Told};
+use super::door::{Door, Site};
 use super::entry::{self, Ajar, Bounds, Came, say};
 use super::full::Full;
 use super::keys::Stewards;
+use super::parcels::Rank;
 use super::settings::{Settings, SettingsError};
 use super::wire::Callers;
 use super::{full, gate, news, start};
@@ -41,15 +42,18 @@
 const SPARE: u64 = 300;
 /// Of a process's memory, the part for bodies of reqs in hand.
 const BODIES: f64 = 0.15;
-/// Answers of more bytes than these are large, and so many routes' sizes are kept.
-const LARGE: f64 = 16_384.0;
-const MOST_SIZES: usize = 20_000;
+/// And the part for large answers that were read ahead of who takes them.
+const AHEAD: f64 = 0.15;
+/// So many routes are kept in mind.
+const MOST_ROUTES: usize = 20_000;
 /// For how long the most time that a client had left counts.
 const LEFT_FOR: Nanos = 10_000_000_000;
 /// The core is silent when no steward has answered for so long, three asks' time.
 const CORE_SILENT: Nanos = 1_500_000_000;
 /// How long clients may still come after the wish to end: the platform looks once a second and wants two misses.
 const LINGER: Duration = Duration::from_millis(2_400);
+/// Within this all gates have heard that the door takes nothing more.
+const HEARD: Duration = Duration::from_millis(500);
 /// So long before the grace is over all is given up.
 const LAST: Duration = Duration::from_millis(600);
 const LOOK: Duration = Duration::from_millis(100);
@@ -64,19 +68,40 @@
     quiet: HashMap<usize, HashSet<SocketAddr>>,
 }
 
+/// A configuration as this machine goes by it.
+pub struct InForce {
+    timetable: Timetable,
+    plans: Vec<Plan>,
+}
+
+impl InForce {
+    fn new(timetable: Timetable) -> InForce {
+        let plans = Plan::all(&timetable);
+        InForce { timetable, plans }
+    }
+}
+
+impl std::ops::Deref for InForce {
+    type Target = Timetable;
+
+    fn deref(&self) -> &Timetable {
+        &self.timetable
+    }
+}
+
 pub struct Branch {
     pub settings: ArcSwap<Settings>,
     pub clock: Clock,
     pub callers: Arc<Callers>,
     pub stewards: Arc<Stewards>,
-    pub timetable: ArcSwapOption<Timetable>,
-    sheet: Mutex<(u64, u64)>,
+    pub timetable: ArcSwapOption<InForce>,
+    /// The configuration in force as it was sent, and the rank of the one that is being fetched.
+    sheet: Mutex<(Option<Arc<Sheet>>, Rank)>,
     rows: Mutex<Rows>,
     /// Doors whose attendants no watcher that replies has heard of late.
     quiet: ArcSwap<HashSet<SocketAddr>>,
-    desks: Mutex<HashMap<Name, Arc<Desk>>>,
-    /// The mean size of answers, by route.
-    sizes: Mutex<HashMap<Name, f64>>,
+    /// By service, and whether for large answers.
+    desks: Mutex<HashMap<(Name, bool), Arc<Desk>>>,
     /// The most time that a client had left, by route, and when that was.
     lefts: Mutex<HashMap<Name, (u64, Nanos)>>,
     lines: Mutex<HashMap<SocketAddr, Arc<Line>>>,
@@ -104,8 +129,32 @@
         held(&self.chance).random_range(1..=u64::MAX)
     }
 
-    pub fn sheet_rank(&self) -> (u64, u64) {
-        *held(&self.sheet)
+    /// Of the configuration that is here, or on its way.
+    pub fn sheet_rank(&self) -> Rank {
+        let sheet = held(&self.sheet);
+        sheet.0.as_ref().map_or((0, 0), |sheet| sheet.rank()).max(sheet.1)
+    }
+
+    /// The configuration that is here.
+    pub fn sheet(&self) -> Option<Arc<Sheet>> {
+        held(&self.sheet).0.clone()
+    }
+
+    /// Whether the configuration of this rank is to be fetched now: it is later, and nobody fetches it.
+    pub fn to_fetch(&self, rank: Rank) -> bool {
+        let later = rank > self.sheet_rank();
+        if later {
+            held(&self.sheet).1 = rank;
+        }
+        later
+    }
+
+    /// What was being fetched has come, or won't.
+    pub fn fetched(&self, rank: Rank) {
+        let mut sheet = held(&self.sheet);
+        if sheet.1 == rank {
+            sheet.1 = (0, 0);
+        }
     }
 
     /// Whether no steward has answered for so long that nothing can be had of the core from here.
@@ -147,15 +196,19 @@
         route.lines.iter().rev().find(|(_, share)| *share > 0.0).map(|(name, _)| name.clone())
     }
 
-    pub fn desk(&self, line: &Name) -> Option<Arc<Desk>> {
-        held(&self.desks).get(line).cloned()
+    pub fn desk(&self, line: &Name, large: bool) -> Option<Arc<Desk>> {
+        held(&self.desks).get(&(line.clone(), large)).cloned()
     }
 
     /// What is told of this machine: what of each service was sent and sent again of late, where anything was.
     pub fn report(&self) -> Report {
-        let desks = held(&self.desks);
-        let all = desks.iter().map(|(name, desk)| (name.clone(), desk.figures()));
-        let mut all: Spending = all.filter(|(_, figures)| *figures != Figures::default()).collect();
+        let mut sums: HashMap<Name, Figures> = HashMap::new();
+        for ((line, _), desk) in held(&self.desks).iter() {
+            let sum = sums.entry(line.clone()).or_default();
+            *sum = sum.and(desk.figures());
+        }
+        let sums = sums.into_iter().filter(|(_, figures)| *figures != Figures::default());
+        let mut all: Spending = sums.collect();
         all.sort_by_key(|(name, figures)| (std::cmp::Reverse((figures.again, figures.first)), name.clone()));
         all.truncate(MOST_SERVICES);
         Report { spending: all, full_ms: self.full.get().copied() }
@@ -166,7 +219,7 @@
     pub fn used(&self, route: &Name, left: u64) -> u64 {
         let now = self.clock.now();
         let mut lefts = held(&self.lefts);
-        if lefts.len() > MOST_SIZES {
+        if lefts.len() > MOST_ROUTES {
             lefts.clear();
         }
         let (most, at) = lefts.entry(route.clone()).or_insert((left, now));
@@ -176,21 +229,6 @@
         *most - left
     }
 
-    /// Notes how large an answer of this route was.
-    pub fn note_size(&self, route: &Name, bytes: u64) {
-        let mut sizes = held(&self.sizes);
-        if sizes.len() > MOST_SIZES {
-            sizes.clear();
-        }
-        let mean = sizes.entry(route.clone()).or_insert(bytes as f64);
-        *mean += (bytes as f64 - *mean) * 0.1;
-    }
-
-    /// Whether this route's answers are large on the mean.
-    pub fn is_large(&self, route: &Name) -> bool {
-        held(&self.sizes).get(route).is_some_and(|mean| *mean > LARGE)
-    }
-
     /// Whether what is out at this door may be given up there: nobody hears of its machine, and ours is not ending.
     pub fn may_break_off(&self, door: &SocketAddr) -> bool {
         !self.leaving.load(Relaxed) && self.quiet.load().contains(door)
@@ -207,22 +245,25 @@
         self.stewards.know(all);
     }
 
-    /// Takes a configuration, if it is a later one.
-    pub fn take_sheet(&self, sheet: &Sheet) {
-        let mut rank = held(&self.sheet);
-        if sheet.rank() <= *rank {
+    /// Takes a configuration, if it is a later one. One that can't be read here is not asked for again.
+    pub fn take_sheet(&self, sheet: Sheet) {
+        let mut here = held(&self.sheet);
+        if here.0.as_ref().is_some_and(|here| here.rank() >= sheet.rank()) {
             return;
         }
         match Timetable::read(&sheet.bytes) {
             Ok(timetable) => {
-                *rank = sheet.rank();
                 log::info!("timetable r{} in force, {} routes", sheet.version, timetable.routes().count());
-                self.timetable.store(Some(Arc::new(timetable)));
-                drop(rank);
+                self.timetable.store(Some(Arc::new(InForce::new(timetable))));
+                here.0 = Some(Arc::new(sheet));
+                drop(here);
                 self.seat();
             }
             // The core checks by the same reader; this is a build that differs.
-            Err(why) => log::error!("timetable r{} is refused here: {}", sheet.version, why[0]),
+            Err(why) => {
+                log::error!("timetable r{} is refused here: {}", sheet.version, why[0]);
+                here.1 = (sheet.version, u64::MAX);
+            }
         }
     }
 
@@ -280,15 +321,16 @@
         let settings = self.settings.load();
         let mut desks = held(&self.desks);
         let mut kept = HashMap::new();
-        for service in timetable.services() {
-            let of = || rows.rows.values().filter(|(row, _)| *row.line == *service.name);
+        for plan in &timetable.plans {
+            let of = || rows.rows.values().filter(|(row, _)| *row.line == *plan.line);
             let calls = of().any(|(row, _)| row.calls);
-            let told = Told::new(&timetable, &service.name, gates, calls, &settings.bounds);
-            let (was, told) = (desks.remove(&service.name), (service.name.clone(), told));
+            let told = Told::new(plan, gates, calls, &settings.bounds);
+            let key = (plan.line.clone(), plan.large);
             let window = settings.bounds.retry_window.as_nanos() as Nanos;
-            let desk = Desk::of(was, told, self.clock, || self.draw(), window);
+            let was = desks.remove(&key);
+            let desk = Desk::of(was, (plan.line.clone(), told), self.clock, || self.draw(), window);
             desk.list(of(), &quiet, &settings.zone);
-            kept.insert(service.name.clone(), desk);
+            kept.insert(key, desk);
         }
         *desks = kept;
     }
@@ -339,18 +381,20 @@
     };
     let sockets = settings.limits.fds.saturating_sub(SPARE).max(64) as usize;
     let bodies = ((settings.limits.memory_mb as f64 * BODIES * 1e6) as usize).clamp(1 << 20, 1 << 29);
+    let ahead = ((settings.limits.memory_mb as f64 * AHEAD * 1e6) as usize).clamp(1 << 20, 1 << 28);
     let life = clock.now() / 1_000_000;
     let mut chance = ChaCha8Rng::seed_from_u64(rand::random());
     let seed: u64 = chance.random();
-    let door = Door::new(
-        inbound,
-        settings.zone.clone(),
-        settings.app,
-        clock,
-        settings.bounds.drain,
-        sockets / 8,
-        life,
-    );
+    let site = Site {
+        at: inbound,
+        zone: settings.zone.clone(),
+        app: settings.app,
+        drain: settings.bounds.drain,
+        connections: sockets / 8,
+        ahead,
+        link_mbps: settings.limits.link_mbps,
+    };
+    let door = Door::new(site, clock, life);
     let branch = Arc::new(Branch {
         clock,
         callers: Arc::default(),
@@ -360,7 +404,6 @@
         rows: Mutex::default(),
         quiet: ArcSwap::default(),
         desks: Mutex::default(),
-        sizes: Mutex::default(),
         lefts: Mutex::default(),
         lines: Mutex::default(),
         room: Arc::new(Semaphore::new(sockets / 4)),
@@ -404,8 +447,8 @@
             move |came: Came| {
                 let branch = branch.clone();
                 async move {
-                    let _inside = Inside::new(&branch);
-                    gate::answer(branch.clone(), came).await
+                    let inside = Inside::new(&branch);
+                    gate::answer(branch.clone(), came).await.map(|flow| flow.holding(inside))
                 }
             }
         })),
@@ -452,7 +495,7 @@
     let linger = if door.signed_off() { grace } else { LINGER.min(grace) };
     let busy = || branch.inside.load(Relaxed) + door.busy() > 0;
     while began.elapsed() < grace && (began.elapsed() < linger || busy()) {
-        if began.elapsed() >= linger / 2 && door.serving.swap(false, Relaxed) {
+        if began.elapsed() + HEARD >= linger && door.serving.swap(false, Relaxed) {
             door.touch();
         }
         sleep(LOOK).await;
--- a/balancer/src/mesh/carry.rs
+++ b/balancer/src/mesh/carry.rs
@@ -2,9 +2,10 @@
 //! and tells of each exchange how it ended and whether the other side can have begun on it. It must never send a req
 //! twice by itself but where no byte of it was written, and never call a req unsent once its last byte may have gone.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -15,8 +16,9 @@
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap};
 use hyper::http::response::Parts;
 use ochreshed::Nanos;
+use ochreshed_mesh::pace::Pace;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::{timeout, timeout_at};
+use tokio::time::{Sleep, sleep_until, timeout, timeout_at};
 
 use crate::body::{Message, Pass, Pieces};
 use crate::clock::Clock;
@@ -31,6 +33,11 @@
 /// A long answer of which nothing comes for so long, or of which its reader takes nothing, is given up.
 const STANDS: Duration = Duration::from_secs(5);
 const READER_STANDS: Duration = Duration::from_secs(10);
+/// Pieces of one answer that may be read ahead, and the size of those that a whole one is cut into.
+const AHEAD_PIECES: usize = 64;
+const PIECE: usize = 16 * 1024;
+/// So many large answers go out to other machines at a time; a reader that stands still holds up no more than its turn.
+const AT_ONCE: usize = 3;
 
 /// How an exchange failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,12 +58,20 @@
     clock: Clock,
     idle: Mutex<Vec<(Link, Nanos)>>,
     room: Arc<Semaphore>,
+    /// Bytes of long answers that may be read ahead of who takes them, for all lines that share it.
+    ahead: Option<Arc<Semaphore>>,
 }
 
 impl Line {
     /// `room` bounds the connections of all lines that share it.
     pub fn new(to: SocketAddr, clock: Clock, room: Arc<Semaphore>) -> Line {
-        Line { to, clock, idle: Mutex::default(), room }
+        Line { to, clock, idle: Mutex::default(), room, ahead: None }
+    }
+
+    /// Long answers are read as fast as they come, as long as there is room for it: whoever sends them has done with
+    /// them sooner than a slow reader.
+    pub fn reading_ahead(self, ahead: Arc<Semaphore>) -> Line {
+        Line { ahead: Some(ahead), ..self }
     }
 
     pub fn to(&self) -> SocketAddr {
@@ -106,12 +121,13 @@
     }
 
     /// Sends a req once and waits for its answer until then. `check` looks at the head of an answer first: with an
-    /// error it belongs to another req, and nothing of it goes on.
+    /// error it belongs to another req, and nothing of it goes on. `hold` lasts until the other side has done with it.
     pub async fn exchange(
         self: &Arc<Self>,
         message: &Arc<Message>,
         fields: &HeaderMap,
         until: Nanos,
+        hold: Option<Hold>,
         check: impl Fn(&Parts) -> bool,
     ) -> Result<(Parts, Flow), Fail> {
         let at = self.clock.instant(until);
@@ -133,7 +149,7 @@
             let answer = timeout_at(at, exchange(on, req, message)).await;
             match answer {
                 Ok(Ok((head, _))) if !check(&head) => return Err(Fail::Reset),
-                Ok(Ok((head, body))) => return Ok(self.pass(link, head, body)),
+                Ok(Ok((head, body))) => return Ok(self.pass(link, head, body, hold)),
                 // A kept connection that turns out dead before a byte of this was written costs a new one.
                 Ok(Err(())) if reused && !on.began() && message.load_again() => {
                     (link, reused) = (None, false)
@@ -147,7 +163,13 @@
     }
 
     /// Hands on a head and a body, and keeps the connection when all has come.
-    fn pass(self: &Arc<Self>, link: Option<Link>, mut head: Parts, body: Body) -> (Parts, Flow) {
+    fn pass(
+        self: &Arc<Self>,
+        link: Option<Link>,
+        mut head: Parts,
+        body: Body,
+        hold: Option<Hold>,
+    ) -> (Parts, Flow) {
         let until = self.idle_until(&head);
         drop_hop_fields(&mut head.headers);
         match (body, link) {
@@ -163,12 +185,17 @@
             }
             (Body::Long(first, length, rest), link) => {
                 head.headers.remove(CONTENT_LENGTH);
-                let (pass, pieces) = Pieces::new(first.clone(), length);
+                let room = if self.ahead.is_some() { AHEAD_PIECES } else { 1 };
+                let (pass, pieces) = Pieces::with_room(first.clone(), length, room);
                 if let Some(link) = link {
                     let left = length.map(|length| length.saturating_sub(first.len() as u64));
-                    tokio::spawn(self.clone().pass_on(link, head.version, (left, rest), pass, until));
+                    let (line, version) = (self.clone(), head.version);
+                    tokio::spawn(async move {
+                        let _hold = hold;
+                        line.pass_on(link, version, (left, rest), pass, until).await
+                    });
                 }
-                (head, Flow::Long { pieces, hold: None })
+                (head, Flow::Long { pieces, hold: None, paced: None })
             }
         }
     }
@@ -196,6 +223,10 @@
                 return Some(());
             };
             left = left.saturating_sub(piece.len() as u64);
+            let piece = match &self.ahead {
+                Some(ahead) => counted(ahead, piece).await?,
+                None => piece,
+            };
             pass.send_timeout(Some(piece), READER_STANDS).await.ok()?;
         }
     }
@@ -214,6 +245,21 @@
     }
 }
 
+/// A piece with its place among those read ahead.
+struct Counted(Bytes, #[allow(dead_code)] Place);
+
+impl AsRef<[u8]> for Counted {
+    fn as_ref(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+async fn counted(ahead: &Arc<Semaphore>, piece: Bytes) -> Option<Bytes> {
+    let place = ahead.clone().acquire_many_owned(u32::try_from(piece.len()).ok()?);
+    let place = timeout(READER_STANDS, place).await.ok()?.ok()?;
+    Some(Bytes::from_owner(Counted(piece, place)))
+}
+
 async fn exchange(
     on: &mut Link,
     req: Request<crate::body::Load>,
@@ -227,7 +273,84 @@
 /// An answer's body on its way to whoever asked.
 pub enum Flow {
     Whole(Full<Bytes>),
-    Long { pieces: Pieces, hold: Option<Hold> },
+    Long { pieces: Pieces, hold: Option<Hold>, paced: Option<Box<Paced>> },
+}
+
+/// What all large answers of a machine share: the pace, and who may go.
+pub struct Lane {
+    pace: Mutex<Pace>,
+    /// A few go at a time, in the order in which they came: each of many would be late.
+    turns: Arc<Semaphore>,
+    clock: Clock,
+}
+
+impl Lane {
+    pub fn new(link_mbps: f64, clock: Clock) -> Arc<Lane> {
+        let turns = Arc::new(Semaphore::new(AT_ONCE));
+        Arc::new(Lane { pace: Mutex::new(Pace::new(link_mbps)), turns, clock })
+    }
+
+    pub fn pace(&self) -> MutexGuard<'_, Pace> {
+        held(&self.pace)
+    }
+}
+
+/// A large answer in its lane.
+pub struct Paced {
+    lane: Arc<Lane>,
+    /// Bytes that it told of and that have not gone.
+    left: u64,
+    turn: Turn,
+    /// A piece that waits for its time.
+    waits: Option<(Bytes, Pin<Box<Sleep>>)>,
+}
+
+enum Turn {
+    Waits(Pin<Box<dyn Future<Output = Option<Place>> + Send + Sync>>),
+    Has(#[allow(dead_code)] Option<Place>),
+}
+
+impl Paced {
+    fn new(lane: &Arc<Lane>, length: Option<u64>) -> Box<Paced> {
+        let (left, turns) = (length.unwrap_or(0), lane.turns.clone());
+        lane.pace().begin(left);
+        let turn = Turn::Waits(Box::pin(async move { turns.acquire_owned().await.ok() }));
+        Box::new(Paced { lane: lane.clone(), left, turn, waits: None })
+    }
+
+    /// The next of the pieces, once it may go.
+    fn poll(&mut self, pieces: &mut Pieces, cx: &mut Context) -> Poll<Option<Result<Bytes, &'static str>>> {
+        if let Turn::Waits(turn) = &mut self.turn {
+            self.turn = Turn::Has(ready!(turn.as_mut().poll(cx)));
+        }
+        if self.waits.is_none() {
+            let piece = match ready!(pieces.poll(cx)) {
+                Some(Ok(piece)) => piece,
+                end => return Poll::Ready(end),
+            };
+            let (now, long) = (self.lane.clock.now(), piece.len() as u64);
+            let at = {
+                let mut pace = self.lane.pace();
+                pace.done(long.min(self.left));
+                self.left = self.left.saturating_sub(long);
+                pace.reserve(now, piece.len())
+            };
+            if at <= now + MS {
+                return Poll::Ready(Some(Ok(piece)));
+            }
+            self.waits = Some((piece, Box::pin(sleep_until(self.lane.clock.instant(at)))));
+        }
+        if let Some((_, sleep)) = &mut self.waits {
+            ready!(sleep.as_mut().poll(cx));
+        }
+        Poll::Ready(self.waits.take().map(|(piece, _)| Ok(piece)))
+    }
+}
+
+impl Drop for Paced {
+    fn drop(&mut self) {
+        self.lane.pace().done(self.left);
+    }
 }
 
 /// What lasts as long as an answer is on its way.
@@ -238,11 +361,39 @@
         Flow::Whole(Full::new(bytes.into()))
     }
 
-    /// Keeps something until the last byte has gone.
+    /// Lets a large answer go at the pace of all such; a small one goes at once.
+    pub fn paced(self, lane: &Arc<Lane>) -> Flow {
+        match self {
+            Flow::Long { pieces, hold, .. } => {
+                let paced = Some(Paced::new(lane, pieces.length));
+                Flow::Long { pieces, hold, paced }
+            }
+            Flow::Whole(body) if body.size_hint().lower() > PIECE as u64 => {
+                let mut left = body.into_inner().unwrap_or_default();
+                let length = Some(left.len() as u64);
+                let (pass, pieces) = Pieces::with_room(Bytes::new(), length, left.len() / PIECE + 2);
+                while !left.is_empty() {
+                    let piece = left.split_to(PIECE.min(left.len()));
+                    let _ = pass.try_send(Some(piece));
+                }
+                let _ = pass.try_send(None);
+                Flow::Long { pieces, hold: None, paced: Some(Paced::new(lane, length)) }
+            }
+            whole => whole,
+        }
+    }
+
+    /// Keeps something until the last byte has been taken; of a short answer that is now.
     pub fn holding(self, thing: impl Send + Sync + 'static) -> Flow {
         match self {
-            Flow::Long { pieces, hold: None } => Flow::Long { pieces, hold: Some(Box::new(thing)) },
-            other => other,
+            Flow::Long { pieces, hold, paced } => {
+                let hold: Hold = match hold {
+                    Some(before) => Box::new((before, thing)),
+                    None => Box::new(thing),
+                };
+                Flow::Long { pieces, hold: Some(hold), paced }
+            }
+            whole => whole,
         }
     }
 }
@@ -257,8 +408,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, &'static str>>> {
         match self.get_mut() {
             Flow::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
-            Flow::Long { pieces, .. } => {
-                let piece = ready!(pieces.poll(cx));
+            Flow::Long { pieces, paced, .. } => {
+                let piece = match paced {
+                    Some(paced) => ready!(paced.poll(pieces, cx)),
+                    None => ready!(pieces.poll(cx)),
+                };
                 Poll::Ready(piece.map(|piece| piece.map(Frame::data)))
             }
         }
--- a/balancer/src/mesh/desk.rs
+++ b/balancer/src/mesh/desk.rs
@@ -1,7 +1,7 @@
 //! The module at work for one service: a gate asks here where a req goes. It owns the hands that hold the service's
 //! reqs, the list as the module is told it, and the timer. It must never decide itself, nor do I/O.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, Weak};
 
@@ -9,7 +9,7 @@
 use ochreshed_hands::{Act, End, Hands};
 use ochreshed_mesh::budget::{Figures, Spent, Tally, Terms};
 use ochreshed_mesh::list::{Row, Stand};
-use ochreshed_mesh::timetable::{Route, Timetable};
+use ochreshed_mesh::timetable::{Kind, Route, Timetable};
 use tokio::sync::{Notify, mpsc};
 use tokio::time::sleep_until;
 
@@ -21,8 +21,11 @@
 /// A srv that has just started counts as cold for so long at most, and does this part of its work at first.
 const COLD: Nanos = 4_000 * MS;
 const COLD_SHARE: f64 = 0.4;
+/// So many doors may turn a req away before it is denied, and so many of one zone before it goes to another.
+const MOST_TURNED: f64 = 4.0;
+const MOST_TURNED_BY_SITE: f64 = 2.0;
 /// Upstreams of other zones count with this part of their weight while the near ones stand.
-const FAR: f64 = 0.02;
+const FAR: f64 = 0.001;
 
 /// What the module wants done for one req.
 #[derive(Debug)]
@@ -33,12 +36,43 @@
     Abort,
 }
 
+/// What a configuration tells of the reqs for one service, those with large answers apart.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Plan {
+    pub line: Name,
+    /// Reqs with large answers, which stay near while anyone near takes reqs: their bytes cost more than a refusal.
+    pub large: bool,
+    /// Kinds of req by what matters to the module: kind, target and rank.
+    shapes: Vec<(String, bool, u64, u32)>,
+    tries: u32,
+}
+
+impl Plan {
+    /// For all services to which any route goes.
+    pub fn all(timetable: &Timetable) -> Vec<Plan> {
+        let mut plans: BTreeMap<(Name, bool), Plan> = BTreeMap::new();
+        for route in timetable.routes() {
+            let large = route.kind == Kind::OutboundPost;
+            for (line, _) in &route.lines {
+                let none = || Plan { line: line.clone(), large, shapes: Vec::new(), tries: 1 };
+                let plan = plans.entry((line.clone(), large)).or_insert_with(none);
+                plan.shapes.push((shape(route), route.kind.repeatable(), route.target_ms, route.rank));
+                plan.tries = plan.tries.max(route.tries);
+            }
+        }
+        let mut plans: Vec<Plan> = plans.into_values().collect();
+        for plan in &mut plans {
+            plan.shapes.sort();
+            plan.shapes.dedup();
+        }
+        plans
+    }
+}
+
 /// What a service's module is told once and for all.
 #[derive(Clone, PartialEq, Debug)]
 pub struct Told {
-    /// Kinds of req by what matters to the module: kind, target and rank.
-    pub shapes: Vec<(String, bool, u64, u32)>,
-    pub tries: u32,
+    plan: Plan,
     /// How many gates there are, in coarse steps.
     pub gates: u64,
     /// Its upstreams call other services.
@@ -53,33 +87,24 @@
 }
 
 impl Told {
-    pub fn new(timetable: &Timetable, line: &str, gates: usize, calls: bool, budget: &Bounds) -> Told {
-        let to = |route: &&Arc<Route>| route.lines.iter().any(|(name, _)| &**name == line);
-        let mut shapes: Vec<(String, bool, u64, u32)> = timetable
-            .routes()
-            .filter(to)
-            .map(|route| (shape(route), route.kind.repeatable(), route.target_ms, route.rank))
-            .collect();
-        shapes.sort();
-        shapes.dedup();
-        let tries = timetable.routes().filter(to).map(|route| route.tries).max().unwrap_or(1);
+    pub fn new(plan: &Plan, gates: usize, calls: bool, budget: &Bounds) -> Told {
         // A new count matters by its size only: each change of these makes the module learn anew.
         let gates = 2u64.pow((gates.max(1) as f64).log2().round() as u32);
         // Half of what the rules leave is kept for what no gate can know: calls of runs elsewhere, gates that have just
         // started, windows that don't fall together.
         let allowance = (budget.retry_ratio / 2.0, budget.retry_slack / 6.0);
-        Told { shapes, tries, gates, calls, allowance }
+        Told { plan: plan.clone(), gates, calls, allowance }
     }
 
     /// The same bounds as the module reads out of its facts, for the counts that are told.
     fn terms(&self) -> Terms {
         let (part, slack) = self.allowance;
         let floor = (slack / self.gates.max(1) as f64).min(1.0);
-        Terms { tries: self.tries, last_tier: !self.calls, part: part.clamp(0.0, 0.1), floor }
+        Terms { tries: self.plan.tries, last_tier: !self.calls, part: part.clamp(0.0, 0.1), floor }
     }
 
     fn repeatable(&self, shape: &str) -> bool {
-        self.shapes.iter().any(|(name, repeatable, ..)| name == shape && *repeatable)
+        self.plan.shapes.iter().any(|(name, repeatable, ..)| name == shape && *repeatable)
     }
 
     fn facts(&self) -> Facts {
@@ -100,15 +125,17 @@
             ("report_in_flight".into(), number(0.0)),
             ("again_part".into(), number(self.allowance.0)),
             ("again_floor".into(), number(self.allowance.1)),
+            ("most_turned".into(), number(MOST_TURNED)),
+            ("most_turned_by_site".into(), number(MOST_TURNED_BY_SITE)),
             ("tier".into(), number(0.0)),
             ("tiers".into(), number(if self.calls { 2.0 } else { 1.0 })),
-            ("max_dispatches".into(), number(f64::from(self.tries))),
+            ("max_dispatches".into(), number(f64::from(self.plan.tries))),
             ("may_recall".into(), Value::Flag(true)),
             ("come_back_passed".into(), Value::Flag(true)),
             ("max_come_back".into(), Value::Span(1_000 * MS)),
             ("cold".into(), Value::Span(COLD)),
             ("cold_share".into(), number(COLD_SHARE)),
-            ("rule_sets".into(), Value::List(self.shapes.iter().map(rule_set).collect())),
+            ("rule_sets".into(), Value::List(self.plan.shapes.iter().map(rule_set).collect())),
         ])
     }
 }
@@ -128,7 +155,6 @@
     wake: Nanos,
     listed: HashMap<Name, Listed>,
     places: HashMap<Name, Place>,
-    near: (usize, bool),
     spent: Spent,
 }
 
@@ -178,7 +204,6 @@
             wake: Nanos::MAX,
             listed: HashMap::new(),
             places: HashMap::new(),
-            near: (0, false),
             spent,
         };
         let desk = Arc::new(Desk { line, told, clock, inner: Mutex::new(inner), woken: Notify::new() });
@@ -265,11 +290,6 @@
         held(&self.inner).places.get(srv).cloned()
     }
 
-    /// How many upstreams of this zone take reqs, and whether there are others.
-    pub fn near(&self) -> (usize, bool) {
-        held(&self.inner).near
-    }
-
     /// Tells the module the list as it is now.
     pub fn list<'a>(
         &self,
@@ -281,12 +301,10 @@
         let now = self.clock.now();
         let rows: Vec<&(Row, Nanos)> = rows.filter(|(row, _)| !row.id.is_empty()).collect();
         let takes = |row: &Row| row.serving && row.stand == Stand::Open && !quiet.contains(&row.door);
-        let taking = rows.iter().filter(|(row, _)| takes(row)).count();
-        let near = rows.iter().filter(|(row, _)| row.zone == zone && takes(row)).count();
-        inner.near = (near, taking > near);
         let near = rows.iter().any(|(row, _)| row.zone == zone && takes(row));
         let mut fresh = HashMap::new();
-        for (row, told) in rows {
+        let wanted = |row: &Row| !(self.told.plan.large && near) || row.zone == zone;
+        for (row, told) in rows.into_iter().filter(|(row, _)| wanted(row)) {
             let state = if takes(row) {
                 State::Up
             } else if row.stand == Stand::None || !row.serving {
--- a/balancer/src/mesh/mod.rs
+++ b/balancer/src/mesh/mod.rs
@@ -13,6 +13,7 @@
 mod line;
 mod news;
 mod pages;
+mod parcels;
 mod report;
 mod settings;
 mod start;
--- a/balancer/src/mesh/report.rs
+++ b/balancer/src/mesh/report.rs
@@ -78,7 +78,7 @@
     while let Some((at, reply)) = asks.next().await {
         // An older program tells none.
         let told = reply.ok().and_then(|reply| if let Reply::News(news) = reply { news.told } else { None });
-        let Some((reports, full_ms)) = told else {
+        let Some((reports, full_ms)) = told.map(|told| *told) else {
             all.silent.push(at);
             continue;
         };
--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -4,6 +4,9 @@
 
 pub mod agree;
 pub mod budget;
+pub mod delta;
 pub mod list;
+pub mod pace;
+pub mod slots;
 pub mod timetable;
 pub mod words;
