Mesh: members of a view are spread over zones where tolerate.zones asks for it

Need: tolerate.zones was read and not used; a view could have two of three members in one zone while a spare stood in another.

Where it is above 0 stewards tell their zone with their beats (a word with a default; unset, nothing is told and wishes are as before). Only what is wished changes, so the safety argument is untouched. `nodes` shows the zones.

A direct test: one swap and no more, a loss filled by the bad zone, mended when the other is back.

--- a/balancer/src/mesh/client.rs
+++ b/balancer/src/mesh/client.rs
@@ -369,13 +369,15 @@
     let mut page = format!("asked {}, view {}, {settled}\n\n", cell(&of["asked"]), cell(&of["view"]));
     let steward = |row: &Value| {
         let heard = if row["address"] == of["asked"] { "itself".into() } else { ago(&row["heard_ms"]) };
-        let mut cells = cells(row, &["address", "member", "voter", "view", "disk"]);
+        let mut cells = cells(row, &["address", "zone", "member", "voter", "view", "disk"]);
         cells.extend([heard, cell(&row["leaving"]), ago(&row["full_ms"])]);
         cells
     };
     let stewards = rows(of, "stewards").iter().map(steward).collect();
-    page +=
-        &table(&["STEWARD", "MEMBER", "VOTES", "VIEW", "DISK", "HEARD", "LEAVING", "FULL AFTER"], stewards);
+    page += &table(
+        &["STEWARD", "ZONE", "MEMBER", "VOTES", "VIEW", "DISK", "HEARD", "LEAVING", "FULL AFTER"],
+        stewards,
+    );
     let attendant = |row: &Value| {
         let mut cells = cells(row, &["door", "zone", "serving", "quiet"]);
         cells.push(ago(&row["heard_ms"]));
@@ -521,7 +523,7 @@
             said(
                 nodes,
                 r#"{"asked":"10.1.0.13:7620","view":3,"settled":false,"stewards":[
-                {"address":"10.1.0.13:7620","disk":"0","member":true,"voter":true,"view":3,"heard_ms":0,"leaving":false,"full_ms":240},
+                {"address":"10.1.0.13:7620","zone":"quito-a","disk":"0","member":true,"voter":true,"view":3,"heard_ms":0,"leaving":false,"full_ms":240},
                 {"address":"10.2.0.10:7620","disk":"5e","member":true,"voter":false,"view":2,"heard_ms":null,"leaving":false}],
                 "attendants":[{"door":"10.1.0.8:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,
                 "service":"huvo11a","upstream":"i-1\u001b[2J","full_ms":812}],"next":null}"#,
@@ -563,9 +565,9 @@
         expect![[r#"
             asked 10.1.0.13:7620, view 3, NOT heard by half or more
 
-            STEWARD         MEMBER  VOTES  VIEW  DISK  HEARD   LEAVING  FULL AFTER
-            10.1.0.13:7620  yes     yes    3     0     itself  no       240 ms
-            10.2.0.10:7620  yes     no     2     5e    -       no       -
+            STEWARD         ZONE     MEMBER  VOTES  VIEW  DISK  HEARD   LEAVING  FULL AFTER
+            10.1.0.13:7620  quito-a  yes     yes    3     0     itself  no       240 ms
+            10.2.0.10:7620  -        yes     no     2     5e    -       no       -
 
             ATTENDANT      ZONE     SERVES  QUIET  HEARD   SERVICE  UPSTREAM      FULL AFTER
             10.1.0.8:8300  quito-a  yes     no     120 ms  huvo11a  i-1\u{1b}[2J  812 ms
@@ -602,7 +604,7 @@
             --
             asked -, view -, NOT heard by half or more
 
-            STEWARD  MEMBER  VOTES  VIEW  DISK  HEARD  LEAVING  FULL AFTER
+            STEWARD  ZONE  MEMBER  VOTES  VIEW  DISK  HEARD  LEAVING  FULL AFTER
 
             ATTENDANT  ZONE  SERVES  QUIET  HEARD  SERVICE  UPSTREAM  FULL AFTER
             --
--- a/balancer/src/mesh/pages.rs
+++ b/balancer/src/mesh/pages.rs
@@ -281,14 +281,15 @@
     asked: SocketAddr,
     view: u64,
     settled: bool,
-    stewards: Vec<Steward>,
+    stewards: Vec<Steward<'a>>,
     attendants: Vec<Node<'a>>,
     next: Option<SocketAddr>,
 }
 
 #[derive(Serialize)]
-struct Steward {
+struct Steward<'a> {
     address: SocketAddr,
+    zone: &'a str,
     /// The life of its disk: 0 is the first.
     disk: String,
     member: bool,
@@ -487,9 +488,10 @@
     }
 }
 
-fn nodes<'a>(facts: &Facts, shown: &'a [Attendant], next: Option<SocketAddr>) -> Nodes<'a> {
-    let steward = |known: &Known| Steward {
+fn nodes<'a>(facts: &'a Facts, shown: &'a [Attendant], next: Option<SocketAddr>) -> Nodes<'a> {
+    let steward = |known: &'a Known| Steward {
         address: known.station.at,
+        zone: &known.zone,
         disk: format!("{:x}", known.station.disk),
         member: known.member,
         voter: known.member && known.voter,
@@ -613,6 +615,7 @@
             view: 3,
             heard,
             leaving: false,
+            zone: if voter { "quito-a" } else { "" }.into(),
         };
         let rows = [row(8, "i-1", Stand::Open), row(9, "i-2", Stand::Closing), row(10, "", Stand::None)];
         Facts {
@@ -686,7 +689,7 @@
         ];
         let all: String = calls.iter().map(|call| said(&format!("/api/rpc?call={call}"), &facts)).collect();
         expect![[r#"
-            200 {"asked":"10.1.0.13:7620","view":3,"settled":true,"stewards":[{"address":"10.1.0.13:7620","disk":"0","member":true,"voter":true,"view":3,"heard_ms":0,"leaving":false,"full_ms":240},{"address":"10.1.0.14:7620","disk":"0","member":true,"voter":false,"view":3,"heard_ms":null,"leaving":false,"full_ms":null}],"attendants":[{"door":"10.1.0.8:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,"service":"huvo11a","upstream":"i-1","full_ms":812},{"door":"10.1.0.9:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,"service":"huvo11a","upstream":"i-2","full_ms":null},{"door":"10.1.0.10:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,"service":"","upstream":"","full_ms":null}],"next":null}
+            200 {"asked":"10.1.0.13:7620","view":3,"settled":true,"stewards":[{"address":"10.1.0.13:7620","zone":"quito-a","disk":"0","member":true,"voter":true,"view":3,"heard_ms":0,"leaving":false,"full_ms":240},{"address":"10.1.0.14:7620","zone":"","disk":"0","member":true,"voter":false,"view":3,"heard_ms":null,"leaving":false,"full_ms":null}],"attendants":[{"door":"10.1.0.8:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,"service":"huvo11a","upstream":"i-1","full_ms":812},{"door":"10.1.0.9:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,"service":"huvo11a","upstream":"i-2","full_ms":null},{"door":"10.1.0.10:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,"service":"","upstream":"","full_ms":null}],"next":null}
             200 {"upstreams":[{"id":"i-1","line":"huvo11a","zone":"quito-a","edition":"v1","state":"open","slots":6,"cold_ms":0,"door":"10.1.0.8:8300","serving":true,"quiet":false},{"id":"i-2","line":"huvo11a","zone":"quito-a","edition":"v1","state":"closing","slots":6,"cold_ms":0,"door":"10.1.0.9:8300","serving":true,"quiet":false}],"next":null}
             200 {"versions":[{"edition":"r7","digest":"00000000000000ff","bytes":812,"written_ms":1700000000000,"in_force":true},{"edition":"r5","digest":"0000000000000001","bytes":800,"written_ms":1600000000000,"in_force":false}]}
             200 {"open":2,"unknown":1,"done":40,"oldest_open_ms":1250,"answer_bytes":12040,"most_answer_bytes":51200000,"answers_dropped":3}
--- a/balancer/src/mesh/steward.rs
+++ b/balancer/src/mesh/steward.rs
@@ -358,6 +358,8 @@
         want: 2 * settings.tolerate.machines + 1,
         most_claims: room.claims,
         most_bytes: room.answers,
+        zones: settings.tolerate.zones,
+        zone: settings.zone.clone(),
     };
     let mut out = Vec::new();
     let found = (saved.sheet.as_ref().map_or(0, |sheet| sheet.version), saved.claims.len());
--- a/mesh/src/agree.rs
+++ b/mesh/src/agree.rs
@@ -24,6 +24,7 @@
 mod answers;
 mod keys;
 mod sheet;
+mod spread;
 mod undo;
 mod view;
 
@@ -45,6 +46,7 @@
 /// The same thing is told to the same steward only so often.
 const RARELY: Nanos = 100 * MS;
 const MOST_PEERS: usize = 256;
+const MOST_ZONE: usize = 255;
 const MOST_CLAIM_CALLS: usize = 16_384;
 const MOST_SHEET_CALLS: usize = 256;
 /// No letter holds more of them, nor many bytes more.
@@ -64,6 +66,10 @@
     pub most_claims: usize,
     /// Of kept answers together. Above it the oldest go, and their claims stay.
     pub most_bytes: usize,
+    /// So many zones may be lost at once, where the stewards that are there allow it; 0: zones don't matter.
+    pub zones: usize,
+    /// This steward's.
+    pub zone: String,
 }
 
 /// What is known of another steward.
@@ -76,6 +82,7 @@
     view: u64,
     voter: bool,
     leaving: bool,
+    zone: String,
     /// When it was last told or asked of views, and of sheets.
     told: Option<Nanos>,
     asked: Option<Nanos>,
@@ -91,6 +98,7 @@
             view: 0,
             voter: false,
             leaving: false,
+            zone: String::new(),
             told: None,
             asked: None,
             pulled: None,
@@ -117,6 +125,8 @@
     /// How long ago; never, for one that was not heard yet.
     pub heard: Option<Nanos>,
     pub leaving: bool,
+    /// Empty where it has not told.
+    pub zone: String,
 }
 
 /// Whether it is time again; notes that it was done.
@@ -506,6 +516,7 @@
             view: self.view.number,
             heard: Some(0),
             leaving: self.leaving,
+            zone: self.config.zone.clone(),
         };
         let others = self.peers.iter().filter(|(station, _)| **station != self.me);
         let others = others.map(|(station, peer)| Known {
@@ -515,6 +526,7 @@
             view: peer.view,
             heard: peer.heard.map(|heard| now.saturating_sub(heard)),
             leaving: peer.leaving,
+            zone: peer.zone.clone(),
         });
         let mut all: Vec<Known> = [me].into_iter().chain(others).collect();
         all.sort_by_key(|known| known.station);
@@ -568,6 +580,7 @@
             sheet: self.held_rank(),
             safe: self.safe_rank,
             leaving: self.leaving,
+            zone: if self.config.zones > 0 { self.config.zone.clone() } else { String::new() },
         })
     }
 
@@ -594,13 +607,17 @@
         let Some(peer) = self.peers.get_mut(&from) else { return };
         let missed = (peer.silence(now) > SILENT).then(|| peer.heard.unwrap_or(peer.since));
         peer.heard = Some(now.max(peer.heard.unwrap_or(0)));
-        if let Body::Beat { voter, leaving, .. } = body {
+        if let Body::Beat { voter, leaving, zone, .. } = body {
             // A late beat of an earlier view says nothing.
             if view >= peer.view {
                 peer.voter = *voter || (peer.voter && view == peer.view);
                 peer.view = view;
             }
             peer.leaving = *leaving;
+            if peer.zone != *zone {
+                peer.zone.clone_from(zone);
+                peer.zone.truncate(peer.zone.floor_char_boundary(MOST_ZONE));
+            }
         }
         let (tells, asks) = (
             view < mine && due(&mut peer.told, now, RARELY),
--- a/mesh/src/agree/view.rs
+++ b/mesh/src/agree/view.rs
@@ -242,17 +242,6 @@
             .filter(|(station, peer)| self.may_join(station, peer))
             .map(|(s, _)| *s)
             .collect();
-        let fits = |joins: &Station, out: Option<&Station>| {
-            members.iter().all(|member| member.at != joins.at || Some(member) == out)
-        };
-        let with = |out: Option<&Station>, joins: Station| {
-            let mut next: Vec<Station> =
-                members.iter().filter(|member| Some(*member) != out).copied().collect();
-            next.push(joins);
-            next.sort();
-            let (number, base) = (self.view.number.saturating_add(1), members.clone());
-            View { number, members: next, base, undone: false }
-        };
         let votes = |member: &&Station| self.is_voter(member);
         let there = |member: &&Station| {
             **member == self.me || self.peers.get(*member).is_some_and(|peer| peer.there(now))
@@ -266,15 +255,32 @@
                 continue;
             }
             let same_place = joins.iter().find(|station| station.at == out.at);
-            let other = joins.iter().find(|station| fits(station, Some(out)));
-            if let Some(joins) = same_place.or(other) {
-                return Some(with(Some(out), *joins));
+            let others = joins.iter().filter(|station| self.fits(station, Some(out)));
+            if let Some(joins) = same_place.or_else(|| self.best_spread(Some(out), others)) {
+                return Some(self.following(Some(out), *joins));
             }
         }
-        if members.len() < self.config.want && members.iter().all(|member| self.is_voter(member)) {
-            return joins.iter().find(|station| fits(station, None)).map(|joins| with(None, *joins));
+        if members.len() < self.config.want {
+            let more = joins.iter().filter(|station| self.fits(station, None));
+            let joins = self.best_spread(None, more).filter(|_| members.iter().all(|m| self.is_voter(m)));
+            return joins.map(|joins| self.following(None, *joins));
         }
-        None
+        self.spreading(now).map(|(out, joins)| self.following(Some(&out), joins))
+    }
+
+    /// Whether a view can hold this one in the place of another: no address stands in it twice.
+    pub(super) fn fits(&self, joins: &Station, out: Option<&Station>) -> bool {
+        self.view.members.iter().all(|member| member.at != joins.at || Some(member) == out)
+    }
+
+    /// The view that differs in one member.
+    fn following(&self, out: Option<&Station>, joins: Station) -> View {
+        let members = &self.view.members;
+        let mut next: Vec<Station> = members.iter().filter(|member| Some(*member) != out).copied().collect();
+        next.push(joins);
+        next.sort();
+        let (number, base) = (self.view.number.saturating_add(1), members.clone());
+        View { number, members: next, base, undone: false }
     }
 
     /// Tries to change the view where that is wished.
--- a/mesh/src/words.rs
+++ b/mesh/src/words.rs
@@ -177,6 +177,9 @@
         sheet: (u64, u64),
         safe: (u64, u64),
         leaving: bool,
+        /// Told where views are to be spread over zones.
+        #[serde(default, skip_serializing_if = "String::is_empty")]
+        zone: String,
     },
     /// The view that the sender holds.
     Holds(View),
--- a/mesh/tests/agree.rs
+++ b/mesh/tests/agree.rs
@@ -80,7 +80,7 @@
 /// Guards against answers that take all memory, and against keys that run again for want of it.
 #[test]
 fn above_its_bytes_a_steward_drops_the_oldest_answers_and_keeps_their_claims() {
-    let mut world = World::tight(1, 1, 1, 1, 0, 400);
+    let mut world = World::with(1, 1, 1, 1, 0, |world| world.config.most_bytes = 400);
     for key in 1..=3 {
         claim(&mut world, 0, key, key as Token);
         world.settle_down();
@@ -463,6 +463,36 @@
     assert_eq!((&world.answers[&again], &world.broken), (&Got::Held(Outcome::Open), &None));
 }
 
+/// Guards against a view that a whole zone takes along while spares stand elsewhere, and against swaps without need.
+#[test]
+fn members_are_spread_over_zones_where_these_may_be_lost() {
+    let mut world = World::new(1, 4, 3, 3, 0);
+    let newest = |world: &World| world.views.last_key_value().map(|(_, view)| view.clone()).expect("a view");
+    world.calm(4_000 * MS);
+    assert_eq!((newest(&world).number, world.is_spread(&newest(&world))), (1, false), "not asked for");
+    world.config.zones = 1;
+    (0..4).for_each(|node| world.crash(node));
+    world.calm(4_000 * MS);
+    let spread = newest(&world);
+    assert_eq!((spread.number, world.is_spread(&spread)), (2, true));
+    let kept = claim(&mut world, 3, 7, 21);
+    world.calm(6_000 * MS);
+    assert_eq!((&world.answers[&kept], newest(&world).number), (&Got::Granted, 2), "once");
+    // The one in zone b is lost: the spare in a takes its place, and gives it back.
+    world.crash(2);
+    for _ in 0..80 {
+        world.now += 50 * MS;
+        [0, 1, 3].into_iter().for_each(|node| world.tick(node));
+        world.settle_down();
+    }
+    assert_eq!((newest(&world).number, world.is_spread(&newest(&world))), (3, false));
+    world.calm(4_000 * MS);
+    assert_eq!((newest(&world).number, world.is_spread(&newest(&world))), (4, true));
+    let again = claim(&mut world, 0, 7, 22);
+    world.calm(1_000 * MS);
+    assert_eq!(world.answers[&again], Got::Held(Outcome::Open));
+}
+
 /// Any letter whatever, with numbers at their ends and ones that fit.
 fn garbage(chance: &mut ChaCha8Rng) -> Letter {
     fn number(chance: &mut ChaCha8Rng) -> u64 {
@@ -492,7 +522,13 @@
     let body = match c.random_range(0..18) {
         16 => Body::Bar(ballot(c)),
         17 => Body::Barred { ballot: ballot(c), accepted: Some((ballot(c), view(c))) },
-        0 => Body::Beat { voter: c.random(), sheet: rank, safe: (number(c), number(c)), leaving: c.random() },
+        0 => Body::Beat {
+            voter: c.random(),
+            sheet: rank,
+            safe: (number(c), number(c)),
+            leaving: c.random(),
+            zone: "z".into(),
+        },
         1 => Body::Holds(view(c)),
         2 => Body::Prepare(ballot(c)),
         3 => Body::Promise { ballot: ballot(c), accepted: Some((ballot(c), view(c))) },
--- a/mesh/tests/search.rs
+++ b/mesh/tests/search.rs
@@ -45,6 +45,8 @@
     reckless: bool,
     /// They go back to the view before whenever it may be safe.
     hasty: bool,
+    /// So many zones may be lost.
+    zones: usize,
 }
 
 impl Mood {
@@ -78,6 +80,7 @@
             answers: one(chance, &[0, 0, 1, 2]) as usize,
             reckless,
             hasty: reckless && chance.random(),
+            zones: one(chance, &[0, 1]) as usize,
         }
     }
 
@@ -276,10 +279,12 @@
 fn walk(seed: u64, mutant: u8, on: u64) -> World {
     let mut chance = ChaCha8Rng::seed_from_u64(seed);
     let mood = Mood::dwell(on).unwrap_or_else(|| Mood::draw(&mut chance));
-    let most_bytes = if mood.answers == 0 { usize::MAX } else { ANSWER * mood.answers };
-    let mut world = World::tight(seed, mood.nodes, mood.voters, mood.want, mutant, most_bytes);
-    world.hasty = mood.hasty;
-    world.nodes.iter_mut().flat_map(|node| &mut node.core).for_each(|core| core.hasty = mood.hasty);
+    let mut world = World::with(seed, mood.nodes, mood.voters, mood.want, mutant, |world| {
+        (world.hasty, world.config.zones) = (mood.hasty, mood.zones);
+        if mood.answers > 0 {
+            world.config.most_bytes = ANSWER * mood.answers;
+        }
+    });
     let mut holders = Vec::new();
     if mood.leaves > 0 {
         world.calm(300 * MS);
@@ -327,6 +332,9 @@
         let wrong = wrong
             .or((world.calls_of_the_living() > 0).then_some("a call was never answered"))
             .or((voters != mood.want).then_some("not as many vote in the end as should"));
+        let view = world.views.last_key_value().map(|(_, view)| view);
+        let spread = mood.zones == 0 || view.is_some_and(|view| world.is_spread(view));
+        let wrong = wrong.or((!spread).then_some("two of three in one zone, though others are there"));
         world.broken = wrong.map(|wrong| wrong.to_string());
     }
     world
--- a/mesh/tests/stewards/mod.rs
+++ b/mesh/tests/stewards/mod.rs
@@ -18,6 +18,11 @@
     SocketAddr::from(([127, 0, 0, 1], 7000 + node as u16))
 }
 
+/// Where a node stands: the first two are in one.
+pub fn zone(node: usize) -> &'static str {
+    ["a", "a", "b", "c", "b", "c"].get(node).copied().unwrap_or("d")
+}
+
 pub fn answer(token: Token) -> Arc<Answer> {
     Arc::new(Answer { status: 200, headers: Vec::new(), body: token.to_be_bytes().to_vec() })
 }
@@ -124,17 +129,17 @@
 impl World {
     /// So many nodes, of which the first ones are the first view.
     pub fn new(seed: u64, nodes: usize, voters: usize, want: usize, mutant: u8) -> World {
-        World::tight(seed, nodes, voters, want, mutant, usize::MAX)
+        World::with(seed, nodes, voters, want, mutant, |_| {})
     }
 
-    /// Each keeps answers of so many bytes.
-    pub fn tight(
+    /// Something is set before they start.
+    pub fn with(
         seed: u64,
         nodes: usize,
         voters: usize,
         want: usize,
         mutant: u8,
-        most_bytes: usize,
+        set: impl FnOnce(&mut World),
     ) -> World {
         let mut world = World {
             now: 1_000 * MS,
@@ -152,7 +157,9 @@
                 lost_after: 1_500 * MS,
                 want,
                 most_claims: 10_000,
-                most_bytes,
+                most_bytes: usize::MAX,
+                zones: 0,
+                zone: String::new(),
             },
             seeds: (0..voters).map(at).collect(),
             calls: BTreeMap::new(),
@@ -170,6 +177,7 @@
             steps: 0,
             seen: [0; 9],
         };
+        set(&mut world);
         for node in 0..nodes {
             world.nodes.push(Node {
                 core: None,
@@ -185,11 +193,20 @@
         world
     }
 
+    /// Whether the view still has more than half without any one zone.
+    pub fn is_spread(&self, view: &View) -> bool {
+        let of = |name: &str| {
+            let zones = view.members.iter().map(|member| zone(usize::from(member.at.port() - 7000)));
+            zones.filter(|zone| *zone == name).count()
+        };
+        ["a", "b", "c"].iter().all(|name| 2 * (view.members.len() - of(name)) > view.members.len())
+    }
+
     pub fn start(&mut self, node: usize, first: bool) {
         let mut out = Vec::new();
         let saved = self.nodes[node].disk.saved();
         let seed = self.chance.random();
-        let config = self.config.clone();
+        let config = Config { zone: zone(node).into(), ..self.config.clone() };
         let mut core = Core::new(self.now, seed, at(node), first, &self.seeds, saved, config, &mut out);
         (core.mutant, core.hasty) = (self.mutant, self.hasty);
         self.nodes[node].core = Some(core);
