Mesh: a door keeps to its upstream's berth_cap; why dedupes is not used

Need: both were read and not used. A door held up to an eighth of its descriptors to its upstream (474), whatever the upstream takes (110 to 120 on the sites); it now holds berth_cap where that is less, and has no more reqs at the upstream than that. Connections in use above a lowered cap stay until they end.

dedupes stays unused: a run that broke off looks to a door like one that ended and whose answer was lost.

--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -333,6 +333,18 @@
             kept.insert(key, desk);
         }
         *desks = kept;
+        drop(desks);
+        self.moor();
+    }
+
+    /// Tells the door how many connections the upstream beside it takes.
+    fn moor(&self) {
+        let (timetable, line) = (self.timetable.load(), self.door.line());
+        let service =
+            timetable.as_ref().zip(line).and_then(|(timetable, line)| timetable.service(&line).cloned());
+        if let Some(service) = service {
+            self.door.moor(service.berth_cap as usize);
+        }
     }
 
     fn ready(&self) -> bool {
@@ -536,6 +548,7 @@
         };
         let now = branch.clock.now();
         branch.door.sweep();
+        branch.moor();
         held(&branch.lines).retain(|_, line| !line.sweep(now) || Arc::strong_count(line) > 1);
         if told || looked.elapsed() >= SETTINGS {
             looked = Instant::now();
--- /dev/null
+++ b/balancer/src/mesh/berths.rs
@@ -0,0 +1,67 @@
+//! Connections to the upstream beside a door. It owns how many there may be: what this process can hold, or what the
+//! upstream takes from all its callers where that is less, and that changes with its service and the configuration. It
+//! must never end a connection that is in use.
+
+use std::sync::{Arc, Mutex};
+
+use tokio::sync::Semaphore;
+
+use crate::link::held;
+
+pub struct Berths {
+    room: Arc<Semaphore>,
+    own: usize,
+    now: Mutex<usize>,
+}
+
+impl Berths {
+    /// `own`: as many as this process can hold.
+    pub fn new(own: usize) -> Berths {
+        let own = own.max(1);
+        Berths { room: Arc::new(Semaphore::new(own)), own, now: Mutex::new(own) }
+    }
+
+    pub fn room(&self) -> Arc<Semaphore> {
+        self.room.clone()
+    }
+
+    /// The upstream takes so many. Those in use above it stay until they end: to be told again now and then.
+    pub fn cap(&self, cap: usize) {
+        let most = cap.clamp(1, self.own);
+        let mut now = held(&self.now);
+        if most >= *now {
+            self.room.add_permits(most - *now);
+            *now = most;
+        } else {
+            *now -= self.room.forget_permits(*now - most);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn no_more_than_either_side_takes_and_those_in_use_stay() {
+        let berths = Berths::new(5);
+        let free = || berths.room().available_permits();
+        let room = berths.room();
+        let mut taken: Vec<_> = (0..4).filter_map(|_| room.try_acquire().ok()).collect();
+        berths.cap(2);
+        assert_eq!((taken.len(), free()), (4, 0));
+        taken.truncate(3);
+        berths.cap(2);
+        assert_eq!(free(), 0, "three are in use still");
+        taken.truncate(1);
+        berths.cap(2);
+        assert_eq!(free(), 1);
+        taken.clear();
+        berths.cap(2);
+        assert_eq!(free(), 2);
+        berths.cap(9);
+        assert_eq!(free(), 5);
+        berths.cap(0);
+        assert_eq!(free(), 1);
+    }
+}
--- a/balancer/src/mesh/door.rs
+++ b/balancer/src/mesh/door.rs
@@ -19,6 +19,7 @@
 use tokio::sync::{Semaphore, oneshot};
 use tokio::time::timeout_at;
 
+use super::berths::Berths;
 use super::carry::{Fail, Flow, Lane, Line};
 use super::entry::{self, Bad, Came, field, say};
 use crate::body::Message;
@@ -149,7 +150,7 @@
     clock: Clock,
     drain: Duration,
     state: Mutex<State>,
-    room: Arc<Semaphore>,
+    berths: Berths,
     /// Reqs that wait for a slot or are in one.
     inside: AtomicUsize,
     /// Those at the upstream now, and who waits to be one of them.
@@ -245,7 +246,7 @@
             clock,
             drain,
             state: Mutex::new(state),
-            room: Arc::new(Semaphore::new(connections.max(1))),
+            berths: Berths::new(connections),
             inside: AtomicUsize::new(0),
             slots: Mutex::default(),
             lane: Lane::new(link_mbps, clock),
@@ -481,7 +482,7 @@
     }
 
     fn line_to(&self, address: SocketAddr) -> Arc<Line> {
-        Arc::new(Line::new(address, self.clock, self.room.clone()).reading_ahead(self.ahead.clone()))
+        Arc::new(Line::new(address, self.clock, self.berths.room()).reading_ahead(self.ahead.clone()))
     }
 
     fn sign_off(&self, of: &str) {
@@ -530,6 +531,15 @@
         }
     }
 
+    /// The upstream takes so many connections from all its callers, each with one req at a time.
+    pub fn moor(&self, cap: usize) {
+        self.berths.cap(cap);
+        let slots = held(&self.state).upstream.as_ref().map_or(0, |upstream| upstream.slots);
+        if slots as usize > cap {
+            held(&self.slots).set(cap.max(1) as u32);
+        }
+    }
+
     /// How many reqs are inside.
     pub fn busy(&self) -> usize {
         self.inside.load(Relaxed)
--- a/balancer/src/mesh/mod.rs
+++ b/balancer/src/mesh/mod.rs
@@ -2,6 +2,7 @@
 //! how they start; what they decide together is in `ochreshed-mesh` and in the module.
 
 mod attendant;
+mod berths;
 mod carry;
 mod client;
 mod desk;
