Mesh: tests of the gate by itself, with stand-in doors and a stand-in steward on loopback

Need: gate.rs had no test of its own. Seam: Branch::new, out of the attendant's start.

What a client is told for 19 ways a door's part may end, and how often it was sent; a key by what its claim came to, and what is settled; routes; framing twice and cut short; what the system sets; clients that leave.

--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -120,6 +120,50 @@
 }
 
 impl Branch {
+    /// One that knows nothing yet but its settings.
+    pub fn new(settings: Settings, door_at: SocketAddr, clock: Clock) -> Arc<Branch> {
+        let sockets = sockets(&settings);
+        let bodies = ((settings.limits.memory_mb as f64 * BODIES * 1e6) as usize).clamp(1 << 20, 1 << 29);
+        let ahead = ((settings.limits.memory_mb as f64 * AHEAD * 1e6) as usize).clamp(1 << 20, 1 << 28);
+        let life = clock.now() / 1_000_000;
+        let mut chance = ChaCha8Rng::seed_from_u64(rand::random());
+        let seed: u64 = chance.random();
+        let site = Site {
+            at: door_at,
+            zone: settings.zone.clone(),
+            app: settings.app,
+            drain: settings.bounds.drain,
+            connections: sockets / 8,
+            ahead,
+            link_mbps: settings.limits.link_mbps,
+        };
+        let branch = Arc::new(Branch {
+            clock,
+            callers: Arc::default(),
+            stewards: Arc::default(),
+            timetable: ArcSwapOption::empty(),
+            sheet: Mutex::default(),
+            rows: Mutex::default(),
+            quiet: ArcSwap::default(),
+            desks: Mutex::default(),
+            lefts: Mutex::default(),
+            lines: Mutex::default(),
+            room: Arc::new(Semaphore::new(sockets / 4)),
+            door: Door::new(site, clock, life),
+            door_at,
+            bodies: Arc::new(Semaphore::new(bodies)),
+            chance: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
+            served: AtomicU64::new(0),
+            inside: AtomicUsize::new(0),
+            heard: AtomicU64::new(clock.now()),
+            leaving: AtomicBool::new(false),
+            full: Full::default(),
+            settings: ArcSwap::from_pointee(settings),
+        });
+        branch.know_stewards(Vec::new());
+        branch
+    }
+
     pub fn door_at(&self) -> SocketAddr {
         self.door_at
     }
@@ -371,6 +415,11 @@
     }
 }
 
+/// Descriptors for connections.
+fn sockets(settings: &Settings) -> usize {
+    settings.limits.fds.saturating_sub(SPARE).max(64) as usize
+}
+
 /// Where the seeds are called by the system's own processes: their port for that is the same on all machines.
 pub fn seeds(settings: &Settings) -> Vec<SocketAddr> {
     settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), settings.inner_ports.0)).collect()
@@ -391,46 +440,8 @@
     else {
         return ExitCode::FAILURE;
     };
-    let sockets = settings.limits.fds.saturating_sub(SPARE).max(64) as usize;
-    let bodies = ((settings.limits.memory_mb as f64 * BODIES * 1e6) as usize).clamp(1 << 20, 1 << 29);
-    let ahead = ((settings.limits.memory_mb as f64 * AHEAD * 1e6) as usize).clamp(1 << 20, 1 << 28);
-    let life = clock.now() / 1_000_000;
-    let mut chance = ChaCha8Rng::seed_from_u64(rand::random());
-    let seed: u64 = chance.random();
-    let site = Site {
-        at: inbound,
-        zone: settings.zone.clone(),
-        app: settings.app,
-        drain: settings.bounds.drain,
-        connections: sockets / 8,
-        ahead,
-        link_mbps: settings.limits.link_mbps,
-    };
-    let door = Door::new(site, clock, life);
-    let branch = Arc::new(Branch {
-        clock,
-        callers: Arc::default(),
-        stewards: Arc::default(),
-        timetable: ArcSwapOption::empty(),
-        sheet: Mutex::default(),
-        rows: Mutex::default(),
-        quiet: ArcSwap::default(),
-        desks: Mutex::default(),
-        lefts: Mutex::default(),
-        lines: Mutex::default(),
-        room: Arc::new(Semaphore::new(sockets / 4)),
-        door: door.clone(),
-        door_at: inbound,
-        bodies: Arc::new(Semaphore::new(bodies)),
-        chance: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
-        served: AtomicU64::new(0),
-        inside: AtomicUsize::new(0),
-        heard: AtomicU64::new(clock.now()),
-        leaving: AtomicBool::new(false),
-        full: Full::default(),
-        settings: ArcSwap::from_pointee(settings),
-    });
-    branch.know_stewards(Vec::new());
+    let branch = Branch::new(settings, inbound, clock);
+    let (door, sockets) = (branch.door.clone(), sockets(&branch.settings.load()));
     let (ajar, watch_ajar) = watch::channel(Ajar::Open);
     let mut listeners = Vec::new();
     for at in [inbound, outbound, ready, control] {
--- /dev/null
+++ b/balancer/src/mesh/gate_tests.rs
@@ -0,0 +1,553 @@
+//! The gate by itself, on loopback: stand-in doors that do as they are told, a stand-in steward, and clients that send
+//! bytes. What a client may be told, and what must never come to a door.
+
+use std::collections::{HashSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use expect_test::expect;
+use ochreshed_mesh::list::{Row, Stand};
+use ochreshed_mesh::words::{Answer, Got, Outcome, Sheet, Want};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use super::attendant::{Branch, Inside};
+use super::entry::{self, Ajar, Bounds, Came};
+use super::gate;
+use super::settings::Settings;
+use super::wire::{self, Ask, Reply};
+use crate::clock::Clock;
+use crate::link::held;
+
+/// What a stand-in door does with a req that has come whole.
+#[derive(Clone)]
+enum Does {
+    /// Its upstream ran it and answered with this status and body.
+    Ran(u16, &'static str),
+    /// It tells how its part ended.
+    Says(&'static str),
+    /// It answers as some other program would.
+    Stranger,
+    /// It closes without an answer.
+    Closes,
+    /// It answers so once the test lets it, if nobody has gone until then.
+    Waits(u16, &'static str),
+}
+
+/// A req or an answer as it came.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Message {
+    head: String,
+    body: Vec<u8>,
+}
+
+impl Message {
+    fn field(&self, name: &str) -> Option<&str> {
+        let mut fields = self.head.lines().skip(1).filter_map(|line| line.split_once(':'));
+        fields.find(|(other, _)| other.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim())
+    }
+
+    fn status(&self) -> &str {
+        self.head.split(' ').nth(1).unwrap_or_default()
+    }
+}
+
+/// Reads one message; nothing where it ends too early.
+async fn read(stream: &mut TcpStream) -> Option<Message> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let mut message = Message { head: String::from_utf8(head).expect("text"), body: Vec::new() };
+    if message.field("transfer-encoding") == Some("chunked") {
+        loop {
+            let mut line = Vec::new();
+            while !line.ends_with(b"\r\n") {
+                line.push(stream.read_u8().await.ok()?);
+            }
+            let line = String::from_utf8(line).expect("text");
+            let length = usize::from_str_radix(line.trim(), 16).expect("a length");
+            let mut piece = vec![0; length + 2];
+            stream.read_exact(&mut piece).await.ok()?;
+            message.body.extend_from_slice(&piece[..length]);
+            if length == 0 {
+                return Some(message);
+            }
+        }
+    }
+    let length = message.field("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+    message.body = vec![0; length];
+    stream.read_exact(&mut message.body).await.ok()?;
+    Some(message)
+}
+
+/// All that stands around the gate.
+struct Rig {
+    branch: Arc<Branch>,
+    gate: SocketAddr,
+    seen: Arc<Mutex<Seen>>,
+    go: watch::Sender<bool>,
+}
+
+#[derive(Default)]
+struct Seen {
+    script: VecDeque<Does>,
+    /// What came to doors, with the upstream's life beside each, and how often a connection ended before all had come.
+    came: Vec<(&'static str, Message)>,
+    cut: usize,
+    /// Connections that ended before the answer.
+    left: usize,
+    claims: VecDeque<Got>,
+    asked: usize,
+    settled: Vec<Option<Outcome>>,
+}
+
+const UPSTREAMS: [(&str, &str); 3] = [("i-1", "alpha"), ("i-2", "alpha"), ("i-3", "omega")];
+
+fn timetable() -> Sheet {
+    let route = |name: &str, host: &str, prefix: &str, kind: &str, line: &str| {
+        format!(
+            r#"{{"category":"routes","label":{{"name":"{name}"}},"manifest":{{"depot":"{host}","lane_prefix":"{prefix}",
+            "route_kind":"{kind}","deadline_ms":30000,"target_ms":20000,"post_class":1,"line":"{line}","tries":2}}}}"#
+        )
+    };
+    let all = [
+        route("again", "one.example", "/again/", "resendable", "alpha"),
+        route("once", "one.example", "/once/", "once_only", "alpha"),
+        route("deep", "one.example", "/once/deep/", "once_only", "omega"),
+        route("keyed", "one.example", "/keyed/", "registered", "alpha"),
+        route("other", "two.example", "/again/", "resendable", "omega"),
+        r#"{"category":"mail_lines","label":{"name":"alpha"},"manifest":{"health":"/h","berth_cap":9}}"#
+            .into(),
+        r#"{"category":"mail_lines","label":{"name":"omega"},"manifest":{"health":"/h","berth_cap":9}}"#
+            .into(),
+    ];
+    Sheet::new(1, format!(r#"{{"edition":"r1","consignments":[{}]}}"#, all.join(",")).into_bytes())
+}
+
+impl Rig {
+    async fn new(script: &[Does], claims: &[Got]) -> Rig {
+        let text = "station = \"s\"\nrole = \"r\"\nip = \"127.0.0.1\"\nzone = \"a\"\nregion = \"r\"\n\
+             inner_ports = [1, 1]\nline = \"beta\"\napp = \"127.0.0.1:1\"\n";
+        let settings = Settings::parse(text).expect("settings");
+        let clock = Clock::new();
+        let branch = Branch::new(settings, SocketAddr::from(([127, 0, 0, 1], 1)), clock);
+        let seen = Seen { script: script.to_vec().into(), claims: claims.to_vec().into(), ..Seen::default() };
+        let seen = Arc::new(Mutex::new(seen));
+        let (go, wait) = watch::channel(false);
+        let listen = || async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let at = listener.local_addr().expect("its address");
+            (listener, at)
+        };
+        let mut rows = Vec::new();
+        for (id, line) in UPSTREAMS {
+            let (listener, door) = listen().await;
+            tokio::spawn(doors(listener, id, seen.clone(), wait.clone()));
+            rows.push(Row {
+                door,
+                life: 1,
+                number: 1,
+                zone: "a".into(),
+                line: line.into(),
+                id: id.into(),
+                edition: "v1".into(),
+                stand: Stand::Open,
+                slots: 6,
+                cold_ms: 0,
+                calls: false,
+                serving: true,
+            });
+        }
+        let (inner, steward) = listen().await;
+        let asked = seen.clone();
+        tokio::spawn(wire::answer(inner, move |ask| {
+            let got = steward_says(&mut held(&asked), ask);
+            async move { got.map(Reply::Core) }
+        }));
+        branch.know_stewards(vec![steward]);
+        branch.take_sheet(timetable());
+        branch.take_rows(0, rows, HashSet::new());
+        let (outer, gate) = listen().await;
+        let bounds = Bounds { callers: 64, head: Duration::from_secs(20) };
+        let (ajar, ajar_now) = watch::channel(Ajar::Open);
+        let of = branch.clone();
+        tokio::spawn(async move {
+            let _open = ajar;
+            entry::keep(outer, clock, bounds, ajar_now, Arc::default(), move |came: Came| {
+                let branch = of.clone();
+                async move {
+                    let inside = Inside::new(&branch);
+                    gate::answer(branch.clone(), came).await.map(|flow| flow.holding(inside))
+                }
+            })
+            .await;
+        });
+        Rig { branch, gate, seen, go }
+    }
+
+    async fn send(&self, bytes: &[u8]) -> TcpStream {
+        self.branch.heard_core();
+        let mut stream = TcpStream::connect(self.gate).await.expect("a connection");
+        stream.write_all(bytes).await.expect("sent");
+        stream
+    }
+
+    async fn answer(&self, bytes: &[u8]) -> Message {
+        read(&mut self.send(bytes).await).await.expect("an answer")
+    }
+
+    /// Sent on a path of the first host, with an id.
+    async fn call(&self, path: &str, more: &str) -> Message {
+        self.answer(req(path, more).as_bytes()).await
+    }
+
+    fn came(&self) -> Vec<(&'static str, Message)> {
+        held(&self.seen).came.clone()
+    }
+
+    async fn until(&self, is: impl Fn(&Seen) -> bool) {
+        while !is(&held(&self.seen)) {
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
+fn req(path: &str, more: &str) -> String {
+    format!("POST {path} HTTP/1.1\r\nHost: one.example\r\nOchreshed-Consignment-Id: 7\r\n{more}\r\n")
+}
+
+fn steward_says(seen: &mut Seen, ask: Ask) -> Option<Got> {
+    match ask {
+        Ask::Core(Want::Claim { .. }) => {
+            seen.asked += 1;
+            Some(seen.claims.pop_front().unwrap_or(Got::Unsure))
+        }
+        Ask::Core(Want::Settle { outcome, .. }) => {
+            seen.settled.push(outcome);
+            Some(Got::Taken)
+        }
+        _ => None,
+    }
+}
+
+async fn doors(listener: TcpListener, id: &'static str, seen: Arc<Mutex<Seen>>, wait: watch::Receiver<bool>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(door(stream, id, seen.clone(), wait.clone()));
+    }
+}
+
+async fn door(
+    mut stream: TcpStream,
+    id: &'static str,
+    seen: Arc<Mutex<Seen>>,
+    mut wait: watch::Receiver<bool>,
+) {
+    loop {
+        let Some(message) = read(&mut stream).await else {
+            held(&seen).cut += 1;
+            return;
+        };
+        let echo = message.field("ochreshed-consignment-id").unwrap_or_default().to_owned();
+        let does = {
+            let mut seen = held(&seen);
+            seen.came.push((id, message));
+            seen.script.pop_front().unwrap_or(Does::Ran(200, "well"))
+        };
+        if let Does::Waits(..) = does {
+            let mut byte = [0];
+            tokio::select! {
+                _ = wait.wait_for(|go| *go) => {}
+                _ = stream.read(&mut byte) => {
+                    held(&seen).left += 1;
+                    return;
+                }
+            }
+        }
+        let fields = |way: &str| {
+            format!(
+                "ochreshed-consignment-id: {echo}\r\nochreshed-postmark: st-{id}\r\nochreshed-way: {way} 1\r\n"
+            )
+        };
+        let (status, fields, body) = match does {
+            Does::Ran(status, body) | Does::Waits(status, body) => (status, fields("ran"), body),
+            Does::Says(way) => (503, fields(way), ""),
+            Does::Stranger => (200, String::new(), "who are you"),
+            Does::Closes => return,
+        };
+        let head = format!("HTTP/1.1 {status} X\r\n{fields}content-length: {}\r\n\r\n", body.len());
+        if stream.write_all(format!("{head}{body}").as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Guards against a promise that a req has not run where it may have, and against a second run of one that may run once.
+#[tokio::test]
+async fn a_promise_is_given_only_where_nothing_may_have_run() {
+    use Does::{Closes, Ran, Says, Stranger};
+    let cases: [(&str, &[Does]); 19] = [
+        ("/once/", &[Says("full"), Says("full")]),
+        ("/once/", &[Says("gone"), Ran(200, "a")]),
+        ("/once/", &[Says("unreachable"), Ran(200, "a")]),
+        ("/once/", &[Says("unsent")]),
+        ("/once/", &[Says("turned"), Ran(200, "a")]),
+        ("/again/", &[Says("turned"), Closes, Ran(200, "a")]),
+        ("/once/", &[Closes]),
+        ("/once/", &[Says("full"), Closes]),
+        ("/once/", &[Says("reset")]),
+        ("/once/", &[Says("late")]),
+        ("/once/", &[Stranger]),
+        ("/once/", &[Ran(503, "not now")]),
+        ("/once/", &[Ran(429, "not now")]),
+        ("/once/", &[Ran(500, "broken")]),
+        ("/once/", &[Ran(404, "no such thing")]),
+        ("/again/", &[Closes, Ran(200, "a")]),
+        ("/again/", &[Ran(503, "not now"), Ran(200, "a")]),
+        ("/again/", &[Ran(500, "broken"), Ran(500, "again")]),
+        ("/again/", &[Says("full"), Says("full")]),
+    ];
+    let mut all = String::new();
+    for (path, script) in cases {
+        let rig = Rig::new(script, &[]).await;
+        let answer = rig.call(path, "").await;
+        let came = rig.came();
+        let back = if answer.field("retry-after").is_some() { ", come back" } else { "" };
+        let said = String::from_utf8_lossy(&answer.body).trim().to_owned();
+        let told: Vec<String> = script
+            .iter()
+            .map(|does| match does {
+                Ran(status, _) => format!("ran {status}"),
+                Says(way) => (*way).to_owned(),
+                Closes => "closes".into(),
+                _ => "a stranger's 200".into(),
+            })
+            .collect();
+        all +=
+            &format!("{path} {}: {} {said:?}{back}, {} sent\n", told.join(", "), answer.status(), came.len());
+        assert_eq!(answer.field("ochreshed-consignment-id"), Some("7"));
+        assert!(came.windows(2).all(|two| two[0].0 != two[1].0), "each to another upstream");
+    }
+    expect![[r#"
+        /once/ full, full: 503 "not run: come back", come back, 2 sent
+        /once/ gone, ran 200: 200 "a", 2 sent
+        /once/ unreachable, ran 200: 200 "a", 2 sent
+        /once/ unsent: 503 "not run: come back", come back, 1 sent
+        /once/ turned, ran 200: 200 "a", 2 sent
+        /again/ turned, closes, ran 200: 502 "it may have run", 2 sent
+        /once/ closes: 502 "it may have run", 1 sent
+        /once/ full, closes: 502 "it may have run", 2 sent
+        /once/ reset: 502 "it may have run", 1 sent
+        /once/ late: 502 "it may have run", 1 sent
+        /once/ a stranger's 200: 502 "it may have run", 1 sent
+        /once/ ran 503: 502 "not now", 1 sent
+        /once/ ran 429: 502 "not now", 1 sent
+        /once/ ran 500: 500 "broken", 1 sent
+        /once/ ran 404: 404 "no such thing", 1 sent
+        /again/ closes, ran 200: 200 "a", 2 sent
+        /again/ ran 503, ran 200: 200 "a", 2 sent
+        /again/ ran 500, ran 500: 500 "again", 2 sent
+        /again/ full, full: 503 "not run: come back", come back, 2 sent
+    "#]]
+    .assert_eq(&all);
+}
+
+/// Guards against a run without a grant, and against an answer that is not the first one's.
+#[tokio::test]
+async fn a_key_is_answered_by_what_its_claim_came_to() {
+    let first = Answer {
+        status: 201,
+        headers: vec![("ochreshed-postmark".into(), "st-0".into()), ("x-more".into(), "kept".into())],
+        body: b"the first".to_vec(),
+    };
+    let long: &str = String::leak("x".repeat(64 * 1024 + 1));
+    let granted = Got::Granted;
+    let cases: [(Got, &[Does]); 9] = [
+        (Got::Held(Outcome::Done(Arc::new(first))), &[]),
+        (Got::Held(Outcome::Open), &[]),
+        (Got::Held(Outcome::Unknown), &[]),
+        (Got::Unsure, &[]),
+        (granted.clone(), &[Does::Ran(200, "ran")]),
+        (granted.clone(), &[Does::Ran(503, "no promise")]),
+        (granted.clone(), &[Does::Ran(200, long)]),
+        (granted.clone(), &[Does::Closes]),
+        (granted, &[Does::Says("full"), Does::Says("full")]),
+    ];
+    let mut all = String::new();
+    for (got, script) in cases {
+        let rig = Rig::new(script, std::slice::from_ref(&got)).await;
+        let answer = rig.call("/keyed/", "Ochreshed-Tracking-Key: k-1\r\n").await;
+        rig.until(|seen| seen.settled.len() == 1).await;
+        let settled = match &held(&rig.seen).settled[0] {
+            None => "freed".into(),
+            Some(Outcome::Done(kept)) => {
+                let stamp = kept.headers.iter().find(|(name, _)| name == "ochreshed-postmark");
+                let ours = kept.headers.iter().filter(|(name, _)| name.starts_with("ochreshed")).count();
+                format!(
+                    "{} {:?} {} {ours}",
+                    kept.status,
+                    String::from_utf8_lossy(&kept.body),
+                    stamp.is_some()
+                )
+            }
+            Some(other) => format!("{other:?}"),
+        };
+        let got = if let Got::Held(Outcome::Done(_)) = got { "done".into() } else { format!("{got:?}") };
+        let body = String::from_utf8_lossy(&answer.body);
+        let body: String = body.trim().chars().take(40).collect();
+        let stamp = answer.field("ochreshed-postmark").map_or("no", |_| "a");
+        let sent = rig.came().len();
+        all += &format!("{got}: {} {body:?}, {stamp} stamp, {sent} sent, {settled}\n", answer.status());
+    }
+    expect![[r#"
+        done: 201 "the first", a stamp, 0 sent, freed
+        Held(Open): 409 "a req with this key is at work", no stamp, 0 sent, freed
+        Held(Unknown): 502 "a req with this key may have run", no stamp, 0 sent, freed
+        Unsure: 503 "not run: come back", no stamp, 0 sent, freed
+        Granted: 200 "ran", a stamp, 1 sent, 200 "ran" true 1
+        Granted: 502 "no promise", a stamp, 1 sent, 502 "no promise" true 1
+        Granted: 200 "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx", a stamp, 1 sent, Unknown
+        Granted: 502 "it may have run", no stamp, 1 sent, Unknown
+        Granted: 503 "not run: come back", no stamp, 2 sent, freed
+    "#]]
+    .assert_eq(&all);
+    // Only registered routes know keys.
+    let rig = Rig::new(&[], &[]).await;
+    assert_eq!(rig.call("/once/", "Ochreshed-Tracking-Key: k-1\r\n").await.status(), "200");
+    assert_eq!(held(&rig.seen).asked, 0);
+}
+
+/// Guards against reqs that go to another route's service, or on where there is no route.
+#[tokio::test]
+async fn the_route_is_that_of_the_host_with_the_longest_prefix() {
+    let rig = Rig::new(&[], &[]).await;
+    let cases = [
+        ("one.example", "/once/x"),
+        ("ONE.example:8080", "/once/deepest/x"),
+        ("one.example", "/once/deep/x?q=/again/"),
+        ("two.example", "/again/x"),
+        ("two.example", "/once/x"),
+        ("one.example", "/on"),
+        ("one.example", "/once"),
+        ("one.example", "/"),
+        ("three.example", "/again/x"),
+    ];
+    let mut all = String::new();
+    for (host, path) in cases {
+        let before = rig.came().len();
+        let head = format!("GET {path} HTTP/1.1\r\nHost: {host}\r\nOchreshed-Consignment-Id: 7\r\n\r\n");
+        let answer = rig.answer(head.as_bytes()).await;
+        let to =
+            rig.came().get(before).map_or("nobody", |(id, _)| if *id == "i-3" { "omega" } else { "alpha" });
+        all += &format!("{host} {path}: {} {to}\n", answer.status());
+    }
+    expect![[r#"
+        one.example /once/x: 200 alpha
+        ONE.example:8080 /once/deepest/x: 200 alpha
+        one.example /once/deep/x?q=/again/: 200 omega
+        two.example /again/x: 200 omega
+        two.example /once/x: 404 nobody
+        one.example /on: 404 nobody
+        one.example /once: 404 nobody
+        one.example /: 404 nobody
+        three.example /again/x: 404 nobody
+    "#]]
+    .assert_eq(&all);
+}
+
+/// Guards against a req that hides in another's body, and against one that goes on though not all of it came.
+#[tokio::test]
+async fn what_is_framed_twice_or_cut_short_comes_to_no_door() {
+    let hidden = "GET /again/hidden HTTP/1.1\r\nHost: one.example\r\nOchreshed-Consignment-Id: 8\r\n\r\n";
+    let length = hidden.len();
+    let twice = [
+        format!("Content-Length: {length}\r\nTransfer-Encoding: chunked\r\n"),
+        format!("Transfer-Encoding: chunked\r\nContent-Length: {length}\r\n"),
+        format!("Content-Length: 0\r\nContent-Length: {length}\r\n"),
+        "Transfer-Encoding: gzip\r\n".into(),
+        "Content-Length: -1\r\n".into(),
+    ];
+    let rig = Rig::new(&[], &[]).await;
+    for framing in &twice {
+        let body = if framing.contains("chunked") { format!("0\r\n\r\n{hidden}") } else { hidden.to_owned() };
+        let mut stream = rig.send(format!("{}{body}", req("/again/", framing)).as_bytes()).await;
+        let answer = read(&mut stream).await.expect("an answer");
+        assert_eq!(answer.status(), "400", "{framing}");
+    }
+    let no_id = "GET /again/ HTTP/1.1\r\nHost: one.example\r\n\r\n";
+    assert_eq!(rig.answer(no_id.as_bytes()).await.status(), "400");
+    assert_eq!(rig.came(), []);
+    // A body in pieces, and a long one, come whole.
+    let pieces =
+        req("/again/", "Transfer-Encoding: chunked\r\n") + "5\r\nhello\r\n6;x=y\r\n world\r\n0\r\n\r\n";
+    assert_eq!(rig.answer(pieces.as_bytes()).await.status(), "200");
+    let long = vec![b'x'; 300_000];
+    let mut bytes = req("/once/", "Content-Length: 300000\r\n").into_bytes();
+    bytes.extend_from_slice(&long);
+    assert_eq!(rig.answer(&bytes).await.status(), "200");
+    let bodies: Vec<Vec<u8>> = rig.came().into_iter().map(|(_, message)| message.body).collect();
+    assert!(
+        bodies == [b"hello world".to_vec(), long],
+        "{:?}",
+        bodies.iter().map(Vec::len).collect::<Vec<_>>()
+    );
+    // Cut short: a short one goes to nobody, a long one, of which a door may have a part, never comes whole.
+    let short = req("/once/", "Content-Length: 10\r\n") + "hal";
+    drop(rig.send(short.as_bytes()).await);
+    let chunked = req("/again/", "Transfer-Encoding: chunked\r\n") + "5\r\nhello\r\n";
+    drop(rig.send(chunked.as_bytes()).await);
+    let before = held(&rig.seen).cut;
+    drop(rig.send(&bytes[..200_000]).await);
+    rig.until(|seen| seen.cut > before).await;
+    assert_eq!(rig.call("/again/", "").await.status(), "200");
+    assert_eq!(rig.came().len(), 3);
+}
+
+/// Guards against a client that speaks for the system, and against fields of one connection that go on.
+#[tokio::test]
+async fn what_the_system_sets_is_not_taken_from_clients() {
+    let rig = Rig::new(&[], &[]).await;
+    let lies = "Ochreshed-Caller: nobody\r\nOchreshed-Addressee: i-9\r\nOchreshed-Knock: 1 9 acl\r\n\
+        Ochreshed-Way: ran\r\nX-More: kept\r\nConnection: x-hop\r\nX-Hop: 1\r\nOchreshed-Time-Left-Ms: 5000\r\n";
+    let answer = rig.call("/again/a%20b/?c=%2F", lies).await;
+    let (id, came) = rig.came().remove(0);
+    let field = |name| came.field(name).unwrap_or("-").to_owned();
+    let told =
+        ["ochreshed-caller", "ochreshed-addressee", "x-more", "x-hop", "ochreshed-consignment-id"].map(field);
+    assert_eq!(told, ["beta", id, "kept", "-", "7"]);
+    assert!(came.head.starts_with("POST /again/a%20b/?c=%2F HTTP/1.1\r\n"), "{}", came.head);
+    // How late it may be, and that no door turned it away; none of the letters that the client wrote.
+    let knock = field("ochreshed-knock");
+    assert!(knock.split_once(' ').is_some_and(|(_, turned)| turned == "0"), "{knock}");
+    assert_eq!(field("ochreshed-way"), "-");
+    assert!(field("ochreshed-time-left-ms").parse::<u32>().is_ok_and(|left| left < 5_000));
+    assert_eq!(answer.field("ochreshed-way"), None);
+}
+
+/// Guards against work for nobody, and against a key whose run nobody knows the answer of.
+#[tokio::test]
+async fn a_client_that_leaves_ends_its_req_unless_it_has_a_key() {
+    let rig = Rig::new(&[Does::Waits(200, "late")], &[]).await;
+    let stream = rig.send(req("/once/", "").as_bytes()).await;
+    rig.until(|seen| seen.came.len() == 1).await;
+    drop(stream);
+    rig.until(|seen| seen.left == 1).await;
+
+    let rig = Rig::new(&[Does::Waits(200, "late")], &[Got::Granted]).await;
+    let stream = rig.send(req("/keyed/", "Ochreshed-Tracking-Key: k-1\r\n").as_bytes()).await;
+    rig.until(|seen| seen.came.len() == 1).await;
+    drop(stream);
+    // Its gate looks at other reqs meanwhile, and has seen that it has gone.
+    assert_eq!(rig.call("/again/", "").await.status(), "200");
+    rig.go.send_replace(true);
+    rig.until(|seen| !seen.settled.is_empty()).await;
+    let seen = held(&rig.seen);
+    assert!(
+        matches!(&seen.settled[0], Some(Outcome::Done(answer)) if answer.body == b"late"),
+        "{:?}",
+        seen.settled
+    );
+    assert_eq!(seen.left, 0);
+}
--- a/balancer/src/mesh/mod.rs
+++ b/balancer/src/mesh/mod.rs
@@ -10,6 +10,8 @@
 mod entry;
 mod full;
 mod gate;
+#[cfg(test)]
+mod gate_tests;
 mod keys;
 mod line;
 mod news;
