Mesh: tests of the desk: the list, turned reqs, the allowance and what is counted of it

Need: desk.rs had no test of its own. Closing, gone, leaving and quiet upstreams get nothing, another zone takes over while none of its own takes reqs; a door that turned a req away is not asked again for it, outside the allowance; a call of a run that was sent again uses it up; counts outlive a module that begins anew.

--- /dev/null
+++ b/balancer/src/mesh/desk_tests.rs
@@ -0,0 +1,179 @@
+//! The desk by itself: what the module is told of the list, and what is counted of its allowance.
+
+use std::collections::{BTreeSet, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use ochreshed::{How, Nanos, Req};
+use ochreshed_mesh::budget::Figures;
+use ochreshed_mesh::list::{Row, Stand};
+use ochreshed_mesh::timetable::Timetable;
+
+use super::desk::{Desk, Plan, Step, Told, Turn};
+use super::settings::Bounds;
+use crate::clock::Clock;
+
+const MS: Nanos = 1_000_000;
+
+/// One service, whose reqs may run more than once.
+fn told(gates: usize, calls: bool) -> Told {
+    let route = r#"{"category":"routes","label":{"name":"r"},"manifest":{"depot":"one.example","lane_prefix":"/",
+        "route_kind":"resendable","deadline_ms":20000,"target_ms":10000,"post_class":1,"line":"a","tries":2}}"#;
+    let line = r#"{"category":"mail_lines","label":{"name":"a"},"manifest":{"health":"/h","berth_cap":9}}"#;
+    let text = format!(r#"{{"edition":"r1","consignments":[{route},{line}]}}"#);
+    let timetable = Timetable::read(text.as_bytes()).expect("a timetable");
+    Told::new(&Plan::all(&timetable)[0], gates, calls, &Bounds::default())
+}
+
+fn desk(was: Option<Arc<Desk>>, told: Told) -> Arc<Desk> {
+    Desk::of(was, ("a".into(), told), Clock::new(), || 7, 10_000 * MS)
+}
+
+fn row(host: u8, zone: &str, stand: Stand) -> Row {
+    Row {
+        door: door(host),
+        life: 1,
+        number: 1,
+        zone: zone.into(),
+        line: "a".into(),
+        id: format!("i-{host}"),
+        edition: "v1".into(),
+        stand,
+        slots: 6,
+        cold_ms: 0,
+        calls: false,
+        serving: true,
+    }
+}
+
+fn door(host: u8) -> SocketAddr {
+    SocketAddr::from(([10, 1, 0, host], 8300))
+}
+
+fn list(desk: &Desk, rows: &[Row], quiet: &[u8]) {
+    let rows: Vec<(Row, Nanos)> = rows.iter().map(|row| (row.clone(), 1)).collect();
+    let quiet: HashSet<SocketAddr> = quiet.iter().map(|host| door(*host)).collect();
+    desk.list(rows.iter(), &quiet, "a");
+}
+
+fn take(desk: &Arc<Desk>, again: bool) -> Turn {
+    let now = Clock::new().now();
+    let mut req = Req::new(0, "again-10000-1".into(), "".into(), now, now + 20_000 * MS);
+    req.again = again;
+    desk.take(req)
+}
+
+/// Where it goes next, if it goes.
+async fn goes(turn: &mut Turn) -> Option<(usize, String)> {
+    match turn.steps.recv().await {
+        Some(Step::Send { number, srv, .. }) => {
+            turn.goes();
+            Some((number, srv.to_string()))
+        }
+        Some(Step::Deny { .. } | Step::Abort) => {
+            turn.end();
+            None
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+async fn one(desk: &Arc<Desk>, how: How) -> String {
+    let mut turn = take(desk, false);
+    let (number, srv) = goes(&mut turn).await.expect("sent");
+    turn.ended(number, how, MS, how == How::Done, None);
+    srv
+}
+
+/// Guards against reqs for upstreams that take none: closing, gone, beside an attendant that leaves or is quiet.
+#[tokio::test]
+async fn the_module_sends_only_to_those_that_take_reqs() {
+    let desk = desk(None, told(4, false));
+    let mut leaving = row(3, "a", Stand::Open);
+    leaving.serving = false;
+    let mut none = row(6, "a", Stand::None);
+    none.id = String::new();
+    let rows = [
+        row(1, "a", Stand::Open),
+        row(2, "a", Stand::Closing),
+        leaving,
+        row(4, "a", Stand::Open),
+        row(5, "b", Stand::Open),
+        none,
+        row(7, "a", Stand::None),
+    ];
+    let sent = async |quiet: &[u8]| {
+        list(&desk, &rows, quiet);
+        let mut to = BTreeSet::new();
+        for _ in 0..40 {
+            to.insert(one(&desk, How::Done).await);
+        }
+        to
+    };
+    let near = sent(&[]).await;
+    assert!(near.is_superset(&["i-1".to_owned(), "i-4".into()].into()) && near.len() <= 3, "{near:?}");
+    assert!(near.iter().all(|id| ["i-1", "i-4", "i-5"].contains(&&**id)), "{near:?}");
+    // Another zone takes over once none of this one is heard, and gives it back.
+    assert_eq!(sent(&[1, 4]).await, ["i-5".to_owned()].into());
+    let back = sent(&[4]).await;
+    assert!(back.contains("i-1") && !back.contains("i-4"), "{back:?}");
+    // Nobody is left.
+    list(&desk, &rows, &[1, 4, 5]);
+    let mut turn = take(&desk, false);
+    let step = turn.steps.try_recv();
+    assert!(!matches!(step, Ok(Step::Send { .. })), "{step:?}");
+    assert_eq!(desk.place(&"i-5".into()).map(|place| place.door), Some(door(5)));
+}
+
+/// Guards against a door asked twice for one req, and against turned reqs that use up the allowance.
+#[tokio::test]
+async fn one_that_is_turned_away_goes_to_others_at_no_cost() {
+    let desk = desk(None, told(4, false));
+    list(&desk, &[1, 2, 3].map(|host| row(host, "a", Stand::Open)), &[]);
+    for _ in 0..20 {
+        let mut turn = take(&desk, false);
+        let mut to = BTreeSet::new();
+        while let Some((number, srv)) = goes(&mut turn).await {
+            assert!(to.insert(srv), "twice to the same");
+            turn.ended(number, How::Turned, MS, false, None);
+        }
+        assert!(to.len() >= 2, "{to:?}");
+    }
+    assert_eq!(desk.figures(), Figures { first: 20, again: 0, refused: 0 });
+}
+
+/// Guards against calls of runs that were sent again and that are not counted as such, and against counts that differ
+/// from what the module goes by.
+#[tokio::test]
+async fn calls_of_runs_sent_again_use_up_the_allowance() {
+    let rows = [1, 2].map(|host| row(host, "a", Stand::Open));
+    let fails = async |desk: &Arc<Desk>| {
+        let mut turn = take(desk, false);
+        let (number, _) = goes(&mut turn).await.expect("sent");
+        turn.ended(number, How::Reset, MS, false, None);
+        goes(&mut turn).await.is_some()
+    };
+    // One may be sent again in a window at a gate that has sent little.
+    let fresh = desk(None, told(1, false));
+    list(&fresh, &rows, &[]);
+    assert!(fails(&fresh).await);
+    assert!(!fails(&fresh).await);
+    assert_eq!(fresh.figures(), Figures { first: 2, again: 1, refused: 1 });
+    // A call of a run that was sent again has taken that.
+    let called = desk(None, told(1, false));
+    list(&called, &rows, &[]);
+    let mut call = take(&called, true);
+    let (number, _) = goes(&mut call).await.expect("sent");
+    call.ended(number, How::Done, MS, true, None);
+    assert!(!fails(&called).await);
+    assert_eq!(called.figures(), Figures { first: 2, again: 1, refused: 1 });
+    // Where it calls others itself its errors are not ours to send again, whatever is allowed.
+    let middle = desk(Some(called), told(1, true));
+    list(&middle, &rows, &[]);
+    let mut turn = take(&middle, false);
+    let (number, _) = goes(&mut turn).await.expect("sent");
+    turn.ended(number, How::Error, MS, false, None);
+    assert_eq!(goes(&mut turn).await, None);
+    // What was counted before the module began anew is still told.
+    assert_eq!(middle.figures(), Figures { first: 3, again: 1, refused: 1 });
+}
--- a/balancer/src/mesh/mod.rs
+++ b/balancer/src/mesh/mod.rs
@@ -6,6 +6,8 @@
 mod carry;
 mod client;
 mod desk;
+#[cfg(test)]
+mod desk_tests;
 mod door;
 mod entry;
 mod full;
