--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -246,13 +246,14 @@
 
     /// What is told of this machine: what of each service was sent and sent again of late, where anything was.
     pub fn report(&self) -> Report {
+        let desks = held(&self.desks);
         let mut sums: HashMap<Name, Figures> = HashMap::new();
-        for ((line, _), desk) in held(&self.desks).iter() {
-            let sum = sums.entry(line.clone()).or_default();
+        for ((name, _), desk) in desks.iter() {
+            let sum = sums.entry(name.clone()).or_default();
             *sum = sum.and(desk.figures());
         }
-        let sums = sums.into_iter().filter(|(_, figures)| *figures != Figures::default());
-        let mut all: Spending = sums.collect();
+        let mut all: Spending =
+            sums.into_iter().filter(|(_, figures)| *figures != Figures::default()).collect();
         all.sort_by_key(|(name, figures)| (std::cmp::Reverse((figures.again, figures.first)), name.clone()));
         all.truncate(MOST_SERVICES);
         Report { spending: all, full_ms: self.full.get().copied() }
@@ -370,9 +371,9 @@
             let calls = of().any(|(row, _)| row.calls);
             let told = Told::new(plan, gates, calls, &settings.bounds);
             let key = (plan.line.clone(), plan.large);
+            let (was, told) = (desks.remove(&key), (plan.line.clone(), told));
             let window = settings.bounds.retry_window.as_nanos() as Nanos;
-            let was = desks.remove(&key);
-            let desk = Desk::of(was, (plan.line.clone(), told), self.clock, || self.draw(), window);
+            let desk = Desk::of(was, told, self.clock, || self.draw(), window);
             desk.list(of(), &quiet, &settings.zone);
             kept.insert(key, desk);
         }
