Bench: what the claim of a key costs by itself, alone and grouped

Need: only whole reqs were measured. Three stewards as processes, claimants that speak to them as gates do: latency, processor, bytes and writes for 1 to 256 claims at once, the settling, and what a keyed req takes longer at a gate.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 bench:
 	cargo bench -p ochreshed-hands --bench req
 	cargo bench -p ochreshed-balancer --bench sockets
+	cargo bench -p ochreshed-balancer --bench claims
 
 # A mesh on this machine, to look at, until Enter is pressed.
 mesh:
--- a/balancer/src/mesh/pages.rs
+++ b/balancer/src/mesh/pages.rs
@@ -252,6 +252,8 @@
     /// Where the answer wants it.
     pub gathered: Gathered,
     pub bounds: Bounds,
+    /// Writes to disk and records in them, since the start.
+    pub written: (u64, u64),
 }
 
 /// An answer: JSON with 200, else a plain line.
@@ -357,6 +359,8 @@
     most_answer_bytes: usize,
     /// Since the steward's start.
     answers_dropped: u64,
+    disk_writes: u64,
+    disk_records: u64,
 }
 
 #[derive(Serialize)]
@@ -446,6 +450,8 @@
                 answer_bytes,
                 most_answer_bytes,
                 answers_dropped,
+                disk_writes: facts.written.0,
+                disk_records: facts.written.1,
             };
             Page::json(&count)
         }
@@ -637,6 +643,7 @@
             ],
             gathered: gathered(),
             bounds: Bounds::default(),
+            written: (7, 40),
         }
     }
 
@@ -692,7 +699,7 @@
             200 {"asked":"10.1.0.13:7620","view":3,"settled":true,"stewards":[{"address":"10.1.0.13:7620","zone":"quito-a","disk":"0","member":true,"voter":true,"view":3,"heard_ms":0,"leaving":false,"full_ms":240},{"address":"10.1.0.14:7620","zone":"","disk":"0","member":true,"voter":false,"view":3,"heard_ms":null,"leaving":false,"full_ms":null}],"attendants":[{"door":"10.1.0.8:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,"service":"huvo11a","upstream":"i-1","full_ms":812},{"door":"10.1.0.9:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,"service":"huvo11a","upstream":"i-2","full_ms":null},{"door":"10.1.0.10:8300","zone":"quito-a","serving":true,"quiet":false,"heard_ms":120,"service":"","upstream":"","full_ms":null}],"next":null}
             200 {"upstreams":[{"id":"i-1","line":"huvo11a","zone":"quito-a","edition":"v1","state":"open","slots":6,"cold_ms":0,"door":"10.1.0.8:8300","serving":true,"quiet":false},{"id":"i-2","line":"huvo11a","zone":"quito-a","edition":"v1","state":"closing","slots":6,"cold_ms":0,"door":"10.1.0.9:8300","serving":true,"quiet":false}],"next":null}
             200 {"versions":[{"edition":"r7","digest":"00000000000000ff","bytes":812,"written_ms":1700000000000,"in_force":true},{"edition":"r5","digest":"0000000000000001","bytes":800,"written_ms":1600000000000,"in_force":false}]}
-            200 {"open":2,"unknown":1,"done":40,"oldest_open_ms":1250,"answer_bytes":12040,"most_answer_bytes":51200000,"answers_dropped":3}
+            200 {"open":2,"unknown":1,"done":40,"oldest_open_ms":1250,"answer_bytes":12040,"most_answer_bytes":51200000,"answers_dropped":3,"disk_writes":7,"disk_records":40}
             200 {"key":"k-5512","hashed":"c32bde1baefa4f27855b78996880fdae","state":"none","known_ms":null,"disputed":false,"status":null,"bytes":null}
             200 {"kept_by":"attendants","window_ms":10000,"retry_ratio":0.2,"retry_slack":60.0,"gates":3,"gates_told":2,"silent":["10.1.0.14:7620"],"services":[{"service":"huvo11a","upstreams":2,"first":400,"again":9,"refused":2,"allowed":140.0,"left":131.0},{"service":"kafi81c","upstreams":0,"first":10,"again":64,"refused":0,"allowed":62.0,"left":-2.0}]}
             503 its attendant has not taken the drain yet: ask again drain i-1 at 10.1.0.8:8300
--- a/balancer/src/mesh/steward.rs
+++ b/balancer/src/mesh/steward.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -92,6 +93,7 @@
     reports: Mutex<Reports>,
     /// From the start to full service, in ms.
     full: Full,
+    written: Arc<Written>,
     /// Goes up with whatever readers may wait for.
     changed: watch::Sender<u64>,
     events: mpsc::Sender<Event>,
@@ -254,6 +256,7 @@
                 versions: Vec::new(),
                 gathered: Gathered::default(),
                 bounds: self.settings.load().bounds,
+                written: (self.written.writes.load(Relaxed), self.written.records.load(Relaxed)),
             };
             if query.wants_reports() {
                 facts.gathered = self.gather(now).await;
@@ -382,6 +385,7 @@
         quiet: Mutex::default(),
         reports: Mutex::default(),
         full: Full::default(),
+        written: Arc::default(),
         changed: watch::Sender::new(0),
         events: events.clone(),
         callers: Callers::default(),
@@ -406,7 +410,7 @@
     tokio::spawn(reread(office.clone(), path));
     tokio::spawn(full_service(office.clone()));
     let mut end = signal(SignalKind::terminate()).map_err(Failed::Signals)?;
-    let disk = disk(store, events.clone());
+    let disk = disk(store, events.clone(), office.written.clone());
     let work = Work { office: office.clone(), core, disk, calls: HashMap::new(), next: 1, unsafe_writes: 0 };
     let work = tokio::spawn(async move { work.go(&mut coming, out).await });
     end.recv().await;
@@ -435,13 +439,20 @@
     Sends(usize, Vec<(SocketAddr, Letter)>),
 }
 
+/// What went to disk since the start: writes, each made safe by itself, and the records in them.
+#[derive(Default)]
+struct Written {
+    writes: AtomicU64,
+    records: AtomicU64,
+}
+
 struct Disk {
     to: std::sync::mpsc::Sender<Batch>,
     back: mpsc::UnboundedReceiver<Back>,
 }
 
 /// One thread writes, and takes all that waits as one write.
-fn disk(mut store: Store, _events: mpsc::Sender<Event>) -> Disk {
+fn disk(mut store: Store, _events: mpsc::Sender<Event>, written: Arc<Written>) -> Disk {
     let (to, batches) = std::sync::mpsc::channel::<Batch>();
     let (tell, back) = mpsc::unbounded_channel();
     std::thread::spawn(move || {
@@ -456,7 +467,11 @@
             let mut failed = 0;
             while !records.is_empty() {
                 match store.write(&records) {
-                    Ok(()) => break,
+                    Ok(()) => {
+                        written.writes.fetch_add(1, Relaxed);
+                        written.records.fetch_add(records.len() as u64, Relaxed);
+                        break;
+                    }
                     Err(why) => {
                         if failed == 0 {
                             log::warn!("disk: {why}; tried again until it is safe");
--- a/balancer/tests/mesh/town.rs
+++ b/balancer/tests/mesh/town.rs
@@ -310,6 +310,9 @@
 /// The program, where it is not the one built with this: an earlier version's, to be measured beside it.
 pub static PROGRAM: OnceLock<String> = OnceLock::new();
 
+/// Where folders of machines are made, if not in memory: a disk, to be measured.
+pub static FOLDER: OnceLock<PathBuf> = OnceLock::new();
+
 /// A process of the program on a machine; killed when it is dropped.
 pub struct Machine {
     ip: Ipv4Addr,
@@ -339,6 +342,17 @@
         self.process = Some(process);
     }
 
+    /// Bytes in the files of its data folder. For the bench.
+    #[allow(dead_code)]
+    pub fn on_disk(&self) -> u64 {
+        let files = |folder: PathBuf| fs::read_dir(folder).into_iter().flatten().flatten();
+        let size = |file: fs::DirEntry| {
+            file.metadata().ok().filter(|about| about.is_file()).map(|about| about.len())
+        };
+        let folders = ["data", "data/claims", "data/timetable"].map(|name| self.folder.join(name));
+        folders.into_iter().flat_map(files).filter_map(size).sum()
+    }
+
     /// Its number; 0 where none runs. For the bench.
     #[allow(dead_code)]
     pub fn number(&self) -> u32 {
@@ -428,7 +442,8 @@
         let (ips, ports) = places((STEWARDS + LINES.len()) as u8);
         // In memory where there is such a folder: a sync must not wait for what others write to the disk.
         let memory = Some(PathBuf::from("/dev/shm")).filter(|folder| folder.is_dir());
-        let folder = memory.unwrap_or_else(|| PathBuf::from(env!("CARGO_TARGET_TMPDIR")));
+        let folder = FOLDER.get().cloned().or(memory);
+        let folder = folder.unwrap_or_else(|| PathBuf::from(env!("CARGO_TARGET_TMPDIR")));
         let folder = folder.join(format!("ochreshed-town-{}-{}", std::process::id(), ips[0]));
         let machine = |(nth, ip): (usize, &Ipv4Addr)| {
             let folder = folder.join(ip.to_string());
@@ -523,6 +538,12 @@
         rpc(self.at(&self.stewards[steward], CONTROL), &format!("timetable.{name}"), body)
     }
 
+    /// Where a steward is called by the system's own processes. For the bench.
+    #[allow(dead_code)]
+    pub fn inner(&self, steward: usize) -> SocketAddr {
+        self.at(&self.stewards[steward], INNER)
+    }
+
     /// What the operators' client asks of a steward: JSON, null where it gives none.
     pub fn ask(&self, steward: usize, call: &str) -> serde_json::Value {
         let answer = rpc(self.at(&self.stewards[steward], CONTROL), call, "");
