--- a/balancer/src/mesh/report.rs
+++ b/balancer/src/mesh/report.rs
@@ -30,6 +30,8 @@
 impl Telling {
     /// What is to go with the next ask: what changed, not more often than it is worth.
     pub fn news(&mut self, window: Duration, now: impl FnOnce() -> Report) -> Option<Report> {
+        // What went with an ask that was given up may not have come.
+        self.out = None;
         if self.known.is_some() && self.at.is_some_and(|at| at.elapsed() < window / TIMES) {
             return None;
         }
@@ -115,6 +117,10 @@
         telling.answered(true);
         tokio::time::advance(WINDOW / 4).await;
         assert_eq!(telling.news(WINDOW, || spending(2)), Some(spending(2)));
+        assert_eq!(telling.news(WINDOW, || spending(2)), None, "given up, and too soon for another");
+        telling.answered(true);
+        tokio::time::advance(WINDOW / 4).await;
+        assert_eq!(telling.news(WINDOW, || spending(2)), Some(spending(2)));
         // Lost on the way, or answered by one that has started anew.
         telling.answered(false);
         assert_eq!(telling.news(WINDOW, || spending(2)), Some(spending(2)));
