--- a/balancer/src/mesh/mod.rs
+++ b/balancer/src/mesh/mod.rs
@@ -2,13 +2,18 @@
 //! how they start; what they decide together is in `ochreshed-mesh` and in the module.
 
 mod attendant;
+mod berths;
 mod carry;
 mod client;
 mod desk;
+#[cfg(test)]
+mod desk_tests;
 mod door;
 mod entry;
 mod full;
 mod gate;
+#[cfg(test)]
+mod gate_tests;
 mod keys;
 mod line;
 mod news;
--- a/balancer/src/mesh/wire.rs
+++ b/balancer/src/mesh/wire.rs
@@ -96,7 +96,7 @@
     /// What doors' attendants reported and how many ms ago, and the ms in which this steward came to full service; told
     /// where it was asked for.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub told: Option<Told>,
+    pub told: Option<Box<Told>>,
 }
 
 /// Reports by door with their ages in ms, and a steward's own time to full service in ms.
--- a/mesh/src/agree.rs
+++ b/mesh/src/agree.rs
@@ -24,6 +24,8 @@
 mod answers;
 mod keys;
 mod sheet;
+mod spread;
+mod undo;
 mod view;
 
 pub type Nanos = u64;
@@ -44,6 +46,7 @@
 /// The same thing is told to the same steward only so often.
 const RARELY: Nanos = 100 * MS;
 const MOST_PEERS: usize = 256;
+const MOST_ZONE: usize = 255;
 const MOST_CLAIM_CALLS: usize = 16_384;
 const MOST_SHEET_CALLS: usize = 256;
 /// No letter holds more of them, nor many bytes more.
@@ -63,6 +66,10 @@
     pub most_claims: usize,
     /// Of kept answers together. Above it the oldest go, and their claims stay.
     pub most_bytes: usize,
+    /// So many zones may be lost at once, where the stewards that are there allow it; 0: zones don't matter.
+    pub zones: usize,
+    /// This steward's.
+    pub zone: String,
 }
 
 /// What is known of another steward.
@@ -75,6 +82,7 @@
     view: u64,
     voter: bool,
     leaving: bool,
+    zone: String,
     /// When it was last told or asked of views, and of sheets.
     told: Option<Nanos>,
     asked: Option<Nanos>,
@@ -90,6 +98,7 @@
             view: 0,
             voter: false,
             leaving: false,
+            zone: String::new(),
             told: None,
             asked: None,
             pulled: None,
@@ -116,6 +125,8 @@
     /// How long ago; never, for one that was not heard yet.
     pub heard: Option<Nanos>,
     pub leaving: bool,
+    /// Empty where it has not told.
+    pub zone: String,
 }
 
 /// Whether it is time again; notes that it was done.
@@ -168,6 +179,9 @@
     catching: Option<view::Catching>,
     /// It voted until this view began, and may tell its new member what it held.
     left: Option<u64>,
+    /// It told another in this view what it holds; or it never will.
+    told_new: bool,
+    barred: bool,
 
     held: Option<Arc<Sheet>>,
     /// Held before, not yet known to be outdated.
@@ -197,6 +211,9 @@
     /// Breaks one rule, for the tests that show that they would notice.
     #[doc(hidden)]
     pub mutant: u8,
+    /// Goes back though the new member may be there, for the tests that show that only progress depends on it.
+    #[doc(hidden)]
+    pub hasty: bool,
 }
 
 impl Core {
@@ -217,15 +234,11 @@
         let ballots = saved.ballots.unwrap_or_else(|| {
             let disk = if first_start { 0 } else { chance.random_range(1..=u64::MAX) };
             let me = Station { at: me, disk };
-            let mut view = View { number: 0, members: Vec::new() };
-            if first_start {
-                view.number = 1;
-                view.members = seeds.iter().map(|at| Station { at: *at, disk: 0 }).collect();
-                view.members.sort();
-                view.members.dedup();
-            }
+            let first = || seeds.iter().map(|at| Station { at: *at, disk: 0 }).collect();
+            let view = if first_start { View::first(1, first()) } else { View::first(0, Vec::new()) };
             let voter = view.members.contains(&me);
-            Ballots { me, view, voter, promised: Ballot::default(), accepted: None }
+            let (promised, accepted) = (Ballot::default(), None);
+            Ballots { me, view, voter, promised, accepted, told_new: false, barred: false }
         });
         let station = Station { at: me, disk: ballots.me.disk };
         let voted = ballots.voter && station == ballots.me;
@@ -243,6 +256,8 @@
             leaving: false,
             voter: voted && member,
             left: (voted && !member).then_some(ballots.view.number),
+            told_new: ballots.told_new,
+            barred: ballots.barred,
             top_round: ballots.promised.round,
             view: ballots.view,
             promised: ballots.promised,
@@ -270,6 +285,7 @@
             salt,
             post: BTreeMap::new(),
             mutant: 0,
+            hasty: false,
         };
         core.held = saved.sheet;
         for (key, claim) in saved.claims {
@@ -307,9 +323,11 @@
             }
             Body::Holds(view) => self.adopt(now, view, out),
             Body::Prepare(ballot) if same => self.prepare(from, ballot, out),
-            Body::Promise { ballot, accepted } if member => self.promise(from, ballot, accepted, out),
+            Body::Promise { ballot, accepted } if member => self.promise(from, ballot, accepted, false, out),
             Body::Accept(ballot, view) if same => self.accept(from, ballot, view, out),
-            Body::Accepted(ballot) if member => self.accepted(now, from, ballot, out),
+            Body::Accepted(ballot) if same => self.accepted(now, from, ballot, out),
+            Body::Bar(ballot) if same => self.bar(from, ballot, out),
+            Body::Barred { ballot, accepted } if same => self.promise(from, ballot, accepted, true, out),
             Body::Outbid(ballot) if same => self.outbid(now, ballot),
             Body::Grant(list) if same => self.asked_grants(now, from, list, out),
             Body::Granted(list) if member || self.mutant == 1 => self.granted(now, from, list, out),
@@ -498,6 +516,7 @@
             view: self.view.number,
             heard: Some(0),
             leaving: self.leaving,
+            zone: self.config.zone.clone(),
         };
         let others = self.peers.iter().filter(|(station, _)| **station != self.me);
         let others = others.map(|(station, peer)| Known {
@@ -507,6 +526,7 @@
             view: peer.view,
             heard: peer.heard.map(|heard| now.saturating_sub(heard)),
             leaving: peer.leaving,
+            zone: peer.zone.clone(),
         });
         let mut all: Vec<Known> = [me].into_iter().chain(others).collect();
         all.sort_by_key(|known| known.station);
@@ -560,6 +580,7 @@
             sheet: self.held_rank(),
             safe: self.safe_rank,
             leaving: self.leaving,
+            zone: if self.config.zones > 0 { self.config.zone.clone() } else { String::new() },
         })
     }
 
@@ -586,13 +607,17 @@
         let Some(peer) = self.peers.get_mut(&from) else { return };
         let missed = (peer.silence(now) > SILENT).then(|| peer.heard.unwrap_or(peer.since));
         peer.heard = Some(now.max(peer.heard.unwrap_or(0)));
-        if let Body::Beat { voter, leaving, .. } = body {
+        if let Body::Beat { voter, leaving, zone, .. } = body {
             // A late beat of an earlier view says nothing.
             if view >= peer.view {
                 peer.voter = *voter || (peer.voter && view == peer.view);
                 peer.view = view;
             }
             peer.leaving = *leaving;
+            if peer.zone != *zone {
+                peer.zone.clone_from(zone);
+                peer.zone.truncate(peer.zone.floor_char_boundary(MOST_ZONE));
+            }
         }
         let (tells, asks) = (
             view < mine && due(&mut peer.told, now, RARELY),
--- a/mesh/tests/agree.rs
+++ b/mesh/tests/agree.rs
@@ -80,7 +80,7 @@
 /// Guards against answers that take all memory, and against keys that run again for want of it.
 #[test]
 fn above_its_bytes_a_steward_drops_the_oldest_answers_and_keeps_their_claims() {
-    let mut world = World::tight(1, 1, 1, 1, 0, 400);
+    let mut world = World::with(1, 1, 1, 1, 0, |world| world.config.most_bytes = 400);
     for key in 1..=3 {
         claim(&mut world, 0, key, key as Token);
         world.settle_down();
@@ -409,6 +409,90 @@
     assert_eq!(core(&world, 2).keys(), (1, 0, 0));
 }
 
+/// Guards against a core that stops for good, and against one that forgets what the last view had agreed. A spare is
+/// voted in and nobody learns of it; it loses its disk, and so does one that voted for it. What was voted binds, and has
+/// one disk left of three: the two that voted before and are whole take back their places.
+#[test]
+fn a_view_whose_new_member_never_voted_is_undone() {
+    let mut world = World::new(1, 4, 3, 3, 0);
+    world.calm(300 * MS);
+    let run = |world: &mut World, time: u64, lost: fn(&stewards::Flying) -> bool| {
+        let end = world.now + time;
+        while world.now < end {
+            world.now += 50 * MS;
+            (0..4).for_each(|node| world.tick(node));
+            (0..4).for_each(|node| world.sync(node, usize::MAX));
+            while !world.bag.is_empty() {
+                world.bag.retain(|flying| !lost(flying));
+                (0..world.bag.len()).for_each(|_| world.deliver(0));
+                (0..4).for_each(|node| world.sync(node, usize::MAX));
+            }
+        }
+    };
+    // Granted by 1 and 2, and 0 never hears of it.
+    let call = claim(&mut world, 1, 7, 21);
+    run(&mut world, 200 * MS, |flying| flying.to == 0);
+    assert_eq!(world.answers[&call], Got::Granted);
+    world.leave(2);
+    run(&mut world, 700 * MS, |flying| {
+        matches!(flying.letter.body, Body::Accepted(_) | Body::Settle(_) | Body::Grant(_))
+    });
+    let accepted = |world: &World, node: usize| {
+        world.nodes[node]
+            .disk
+            .ballots
+            .as_ref()
+            .and_then(|ballots| ballots.accepted.clone())
+            .map(|(_, view)| view)
+    };
+    let next = accepted(&world, 1).expect("a vote");
+    assert_eq!(
+        (accepted(&world, 0), next.members[2].at, core(&world, 0).view().number),
+        (Some(next), at(3), 1)
+    );
+    for node in [3, 1] {
+        world.wipe(node);
+        world.start(node, false);
+    }
+    world.crash(2);
+    world.calm(5_000 * MS);
+    assert!(world.views.values().any(|view| view.undone), "{:?}", world.views);
+    assert_eq!((0..4).filter(|node| core(&world, *node).voter()).count(), 3);
+    let again = claim(&mut world, 3, 7, 22);
+    world.calm(1_000 * MS);
+    assert_eq!((&world.answers[&again], &world.broken), (&Got::Held(Outcome::Open), &None));
+}
+
+/// Guards against a view that a whole zone takes along while spares stand elsewhere, and against swaps without need.
+#[test]
+fn members_are_spread_over_zones_where_these_may_be_lost() {
+    let mut world = World::new(1, 4, 3, 3, 0);
+    let newest = |world: &World| world.views.last_key_value().map(|(_, view)| view.clone()).expect("a view");
+    world.calm(4_000 * MS);
+    assert_eq!((newest(&world).number, world.is_spread(&newest(&world))), (1, false), "not asked for");
+    world.config.zones = 1;
+    (0..4).for_each(|node| world.crash(node));
+    world.calm(4_000 * MS);
+    let spread = newest(&world);
+    assert_eq!((spread.number, world.is_spread(&spread)), (2, true));
+    let kept = claim(&mut world, 3, 7, 21);
+    world.calm(6_000 * MS);
+    assert_eq!((&world.answers[&kept], newest(&world).number), (&Got::Granted, 2), "once");
+    // The one in zone b is lost: the spare in a takes its place, and gives it back.
+    world.crash(2);
+    for _ in 0..80 {
+        world.now += 50 * MS;
+        [0, 1, 3].into_iter().for_each(|node| world.tick(node));
+        world.settle_down();
+    }
+    assert_eq!((newest(&world).number, world.is_spread(&newest(&world))), (3, false));
+    world.calm(4_000 * MS);
+    assert_eq!((newest(&world).number, world.is_spread(&newest(&world))), (4, true));
+    let again = claim(&mut world, 0, 7, 22);
+    world.calm(1_000 * MS);
+    assert_eq!(world.answers[&again], Got::Held(Outcome::Open));
+}
+
 /// Any letter whatever, with numbers at their ends and ones that fit.
 fn garbage(chance: &mut ChaCha8Rng) -> Letter {
     fn number(chance: &mut ChaCha8Rng) -> u64 {
@@ -419,7 +503,8 @@
     }
     fn view(chance: &mut ChaCha8Rng) -> View {
         let members = (0..chance.random_range(0..5)).map(|_| station(chance)).collect();
-        View { number: number(chance), members }
+        let base = (0..chance.random_range(0..4)).map(|_| station(chance)).collect();
+        View { number: number(chance), base, undone: chance.random(), ..View::first(0, members) }
     }
     fn ballot(chance: &mut ChaCha8Rng) -> Ballot {
         Ballot { round: number(chance), by: number(chance) }
@@ -434,8 +519,16 @@
     let sheet = Arc::new(Sheet { version: number(c), digest: number(c), bytes: Vec::new() });
     let claim = Claim { token: number(c), left_ms: u32::MAX, outcome: outcome(c) };
     let rank = (number(c), number(c));
-    let body = match c.random_range(0..16) {
-        0 => Body::Beat { voter: c.random(), sheet: rank, safe: (number(c), number(c)), leaving: c.random() },
+    let body = match c.random_range(0..18) {
+        16 => Body::Bar(ballot(c)),
+        17 => Body::Barred { ballot: ballot(c), accepted: Some((ballot(c), view(c))) },
+        0 => Body::Beat {
+            voter: c.random(),
+            sheet: rank,
+            safe: (number(c), number(c)),
+            leaving: c.random(),
+            zone: "z".into(),
+        },
         1 => Body::Holds(view(c)),
         2 => Body::Prepare(ballot(c)),
         3 => Body::Promise { ballot: ballot(c), accepted: Some((ballot(c), view(c))) },
