Mesh: a branch that was away long enough to fall quiet is used again

Cause: a new row replaced the old one with its quietness cleared, so the next look saw no change and readers kept the door for quiet until some other change. A machine killed for 3 s, or replaced, got nothing more from other gates. A door forgotten while quiet stays quiet until it comes back.

--- a/mesh/src/list.rs
+++ b/mesh/src/list.rs
@@ -6,7 +6,7 @@
 //! A row has one writer, the attendant it is about. A steward keeps the rows it was told by attendants and by other
 //! stewards, and numbers its changes; whoever asks with the number it has gets what came after.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use ochreshed::Nanos;
@@ -85,12 +85,21 @@
     mark: Mark,
     rows: HashMap<SocketAddr, Held>,
     changes: BTreeMap<u64, SocketAddr>,
+    /// Forgotten while they were quiet and seemed to take reqs; and that one of them has come back since the last look.
+    gone: BTreeSet<SocketAddr>,
+    returned: bool,
 }
 
 impl Table {
     /// `life` differs from that of any table that stood here before.
     pub fn new(life: u64) -> Table {
-        Table { mark: Mark { life, number: 0 }, rows: HashMap::new(), changes: BTreeMap::new() }
+        Table {
+            mark: Mark { life, number: 0 },
+            rows: HashMap::new(),
+            changes: BTreeMap::new(),
+            gone: BTreeSet::new(),
+            returned: false,
+        }
     }
 
     pub fn mark(&self) -> Mark {
@@ -117,7 +126,10 @@
             return false;
         }
         let number = self.changed(row.door);
-        let held = Held { row: row.clone(), number, heard, quiet: false, drained: None };
+        self.returned |= self.gone.remove(&row.door);
+        // One that was quiet is so until the next look, which then tells that it is not any more.
+        let quiet = self.rows.get(&row.door).is_some_and(|was| was.quiet);
+        let held = Held { row: row.clone(), number, heard, quiet, drained: None };
         if let Some(was) = self.rows.insert(row.door, held) {
             self.changes.remove(&was.number);
             let drained = was.drained.filter(|id| Held::may_be(row, id));
@@ -191,12 +203,16 @@
             .filter(|(_, held)| now.saturating_sub(held.heard) > FORGET)
             .map(|(door, _)| *door)
             .collect();
+        let mut changed = std::mem::take(&mut self.returned);
         for door in old {
             if let Some(held) = self.rows.remove(&door) {
                 self.changes.remove(&held.number);
+                // Readers keep its row: for them it must not seem to be there again.
+                if held.row.serving && held.row.stand == Stand::Open && self.gone.len() < MOST {
+                    self.gone.insert(door);
+                }
             }
         }
-        let mut changed = false;
         for held in self.rows.values_mut() {
             let quiet = now.saturating_sub(held.heard) > after;
             changed |= quiet != held.quiet;
@@ -209,6 +225,7 @@
     pub fn quiet(&self) -> Vec<SocketAddr> {
         let mut quiet: Vec<SocketAddr> =
             self.rows.iter().filter(|(_, held)| held.quiet).map(|(door, _)| *door).collect();
+        quiet.extend(&self.gone);
         quiet.sort();
         quiet
     }
