Core: a claim asks as many voters as it needs, the others after 50 ms or a no

Change: the voters nearest to the key that are there are asked first, which are those that keep its answer; after 50 ms, or when one says no, the others. What is told to readers is looked at when the core ticked or a rank, view or vote changed.

--- a/balancer/src/mesh/steward.rs
+++ b/balancer/src/mesh/steward.rs
@@ -509,12 +509,13 @@
         let mut wake = self.office.clock.now();
         loop {
             let now = self.office.clock.now();
-            if now >= wake {
+            let ticks = now >= wake;
+            if ticks {
                 wake = self.core.tick(now, &mut out);
             }
             self.core.flush(&mut out);
             self.carry_out(&mut out);
-            self.publish(now);
+            self.publish(now, ticks);
             let at = self.office.clock.instant(wake);
             tokio::select! {
                 biased;
@@ -604,14 +605,17 @@
         }
     }
 
-    fn publish(&self, now: Nanos) {
+    /// Readers are told what has changed. Who is there changes with time: that is looked at with each tick.
+    fn publish(&self, now: Nanos, ticks: bool) {
         let was = self.office.stand.load();
         let safe = self.core.safe();
         let same = was.safe.as_ref().map(|sheet| sheet.rank()) == safe.map(|sheet| sheet.rank())
-            && was.settled == self.core.settled(now)
             && was.view.as_ref() == Some(self.core.view())
-            && was.voter == self.core.voter()
-            && was.gone == self.core.gone();
+            && was.voter == self.core.voter();
+        if same && !ticks {
+            return;
+        }
+        let same = same && was.settled == self.core.settled(now) && was.gone == self.core.gone();
         let stewards = {
             let mut stewards = self.core.stewards();
             stewards.sort();
--- a/mesh/src/agree/keys.rs
+++ b/mesh/src/agree/keys.rs
@@ -3,6 +3,8 @@
 
 use super::*;
 
+/// Who was not asked for a grant at first is after so long.
+const HEDGE: Nanos = 50 * MS;
 /// A call gathers grants for so long.
 const GATHER: Nanos = 1000 * MS;
 /// A call waits for another claim's outcome half the time that its req has left, of at most so many ms.
@@ -42,6 +44,8 @@
     began: Nanos,
     wait_until: Nanos,
     pub timer: Nanos,
+    /// Only as many as are needed were asked so far.
+    few: bool,
     yes: BTreeSet<Station>,
     /// With the claim that is in the way, where there is one.
     no: BTreeMap<Station, Option<Claim>>,
@@ -106,7 +110,8 @@
             left_ms,
             began: now,
             wait_until: now.saturating_add(u64::from(left_ms.min(MOST_WAIT_MS)) * MS / 2),
-            timer: now.saturating_add(AGAIN),
+            timer: now.saturating_add(HEDGE),
+            few: true,
             yes: BTreeSet::new(),
             no: BTreeMap::new(),
         };
@@ -160,12 +165,21 @@
         }
     }
 
-    /// Asks all that have not said yes, oneself among them.
+    /// Asks for grants, oneself first: at the beginning as many as are needed, those nearest to the key that are there,
+    /// which will also keep its answer; later all that have not said yes.
     fn gather(&mut self, call: u64, out: &mut Vec<Act>) {
         let Some(Call::Claim(asked)) = self.calls.get(&call) else { return };
         let (key, token, left_ms) = (asked.key, asked.token, asked.left_ms);
-        let ask: Vec<Station> =
+        let mut ask: Vec<Station> =
             self.view.members.iter().filter(|station| !asked.yes.contains(station)).copied().collect();
+        if asked.few {
+            let away = |station: &Station| self.peers.get(station).is_none_or(|peer| !peer.there(self.now));
+            ask.sort_by_key(|station| {
+                let me = *station == self.me;
+                (!me || !self.voter, !me && away(station), crate::list::place(station.at, key))
+            });
+            ask.truncate(self.majority());
+        }
         let id = call ^ self.salt;
         for station in ask {
             if station == self.me {
@@ -216,6 +230,8 @@
         for (id, grant) in list {
             let call = id ^ self.salt;
             let Some(Call::Claim(asked)) = self.calls.get_mut(&call) else { continue };
+            let all = asked.few && grant != Grant::Yes;
+            asked.few &= !all;
             match grant {
                 Grant::Yes => {
                     asked.no.remove(&from);
@@ -231,6 +247,9 @@
                 }
             }
             self.judge(now, call, out);
+            if all {
+                self.gather(call, out);
+            }
         }
     }
 
@@ -273,6 +292,7 @@
         let ends =
             [asked.wait_until, asked.began.saturating_add(GATHER)].into_iter().filter(|end| *end > now);
         asked.timer = ends.min().unwrap_or(Nanos::MAX).min(now.saturating_add(AGAIN));
+        asked.few = false;
         self.timers.insert((asked.timer, call));
         self.judge(now, call, out);
         self.gather(call, out);
@@ -287,6 +307,7 @@
             {
                 asked.yes.clear();
                 asked.no.clear();
+                asked.few = false;
             }
             self.gather(call, out);
         }
