Mesh: attendants start with what one steward holds; no key waits for a core that is short

Change: a steward tells the newest configuration that it holds until it knows which one is safe; never back in a life. Attendants note whether any steward hears more than half of the core, and refuse keys at once where none does. Test: an attendant and one steward of three.

--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -112,8 +112,9 @@
     chance: Mutex<ChaCha8Rng>,
     served: AtomicU64,
     inside: AtomicUsize,
-    /// When a steward last answered.
+    /// When a steward last answered, and one that hears more than half of the core.
     heard: AtomicU64,
+    settled: AtomicU64,
     leaving: AtomicBool,
     /// From the start to full service, in ms.
     full: Full,
@@ -156,6 +157,7 @@
             served: AtomicU64::new(0),
             inside: AtomicUsize::new(0),
             heard: AtomicU64::new(clock.now()),
+            settled: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
             full: Full::default(),
             settings: ArcSwap::from_pointee(settings),
@@ -206,9 +208,18 @@
         self.clock.now() > self.heard.load(Relaxed) + CORE_SILENT
     }
 
-    /// A steward has answered.
-    pub fn heard_core(&self) {
-        self.heard.store(self.clock.now(), Relaxed);
+    /// Whether no steward that hears more than half of the core has answered for so long: no key can be claimed.
+    pub fn core_away(&self) -> bool {
+        self.clock.now() > self.settled.load(Relaxed) + CORE_SILENT
+    }
+
+    /// A steward has answered, and whether it hears more than half of the core.
+    pub fn heard_core(&self, settled: bool) {
+        let now = self.clock.now();
+        self.heard.store(now, Relaxed);
+        if settled {
+            self.settled.store(now, Relaxed);
+        }
     }
 
     /// The service of this machine, as the system sets it on reqs that began here.
--- a/balancer/src/mesh/gate.rs
+++ b/balancer/src/mesh/gate.rs
@@ -122,7 +122,7 @@
     let token: Token = branch.draw();
     let now = branch.clock.now();
     let left = trip.ends.saturating_sub(now);
-    let claim = if branch.core_silent() { CLAIM_SILENT } else { CLAIM };
+    let claim = if branch.core_away() { CLAIM_SILENT } else { CLAIM };
     let within = claim.min(Duration::from_nanos(left));
     let left_ms = (left / MS).min(u64::from(u32::MAX)) as u32;
     let got = keys::claim(&branch.stewards, &branch.callers, (key, token), left_ms, within).await;
--- a/balancer/src/mesh/news.rs
+++ b/balancer/src/mesh/news.rs
@@ -82,7 +82,7 @@
                 // One that is cut off from more than half of the core may not know the newest: others are asked first.
                 let aside = if branch.timetable.load().is_some() { ASIDE } else { PAUSE };
                 known.aside = (!reply.settled).then(|| Instant::now() + aside);
-                branch.heard_core();
+                branch.heard_core(reply.settled);
                 // One that has forgotten us is told anew.
                 known.row = if reply.life.is_some() { rank } else { (0, 0) };
                 known.report.answered(reply.life.is_some());
--- a/balancer/src/mesh/steward.rs
+++ b/balancer/src/mesh/steward.rs
@@ -608,7 +608,9 @@
     /// Readers are told what has changed. Who is there changes with time: that is looked at with each tick.
     fn publish(&self, now: Nanos, ticks: bool) {
         let was = self.office.stand.load();
-        let safe = self.core.safe();
+        // After a start the newest one held here is better than none: who else holds it is known once more than half are
+        // heard. Guards against attendants that come back before the core and have nothing to go by.
+        let safe = self.core.safe().or(self.core.held());
         let same = was.safe.as_ref().map(|sheet| sheet.rank()) == safe.map(|sheet| sheet.rank())
             && was.view.as_ref() == Some(self.core.view())
             && was.voter == self.core.voter();
--- a/balancer/tests/mesh.rs
+++ b/balancer/tests/mesh.rs
@@ -201,6 +201,26 @@
     load.end();
 }
 
+/// Guards against attendants that come back before more than half of the core and have nothing to go by. A key is not
+/// granted meanwhile, and refused at once.
+#[test]
+fn an_attendant_that_starts_while_the_core_is_short_goes_by_what_one_steward_holds() {
+    let mut town = Town::start();
+    town.stewards.iter_mut().for_each(Machine::kill);
+    town.attendants[0].kill();
+    town.start_steward(1, false);
+    town.attendants[0].again();
+    let gate = town.gate(0);
+    let served = |gate, path: &str| call(gate, &req(&format!("GET {path}"), &new_id(), "", b""));
+    until("served", || served(gate, "/read/x").is_ok_and(|answer| answer.status() == "200"));
+    let asked = Instant::now();
+    assert_eq!(keyed(gate, "/move/x", "while-short").status(), "503");
+    assert!(asked.elapsed() < Duration::from_millis(LEFT_MS / 2), "{:?}", asked.elapsed());
+    assert!(town.ledger.of_key("while-short").is_empty());
+    town.start_steward(0, false);
+    assert_eq!(keyed_insisted(gate, "/move/x", "while-short").status(), "200");
+}
+
 /// Guards against a configuration that is taken in part, in spite of what it says, or over a newer one.
 #[test]
 fn an_invalid_configuration_is_refused_with_its_place_and_an_older_one_alters_nothing() {
