--- a/balancer/src/mesh/gate_tests.rs
+++ b/balancer/src/mesh/gate_tests.rs
@@ -189,7 +189,7 @@
     }
 
     async fn send(&self, bytes: &[u8]) -> TcpStream {
-        self.branch.heard_core();
+        self.branch.heard_core(true);
         let mut stream = TcpStream::connect(self.gate).await.expect("a connection");
         stream.write_all(bytes).await.expect("sent");
         stream
