Mesh: what attendants and stewards decide about news is in mesh/, for the emulator to run

The emulator needs the same code that the balancer runs. Moved out of balancer/src/mesh, as it was: the words of calls and their frames (calls.rs), parcels, who is asked next and passed over, rows and quietness as an attendant lists them (news.rs), what a waiting ask is answered and how others' tables are merged (office.rs). Wire formats and behaviour are unchanged.

--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -16,6 +16,8 @@
 use ochreshed::{Name, Nanos};
 use ochreshed_mesh::budget::{Figures, MOST_SERVICES, Report, Spending};
 use ochreshed_mesh::list::Row;
+use ochreshed_mesh::news::Listing;
+use ochreshed_mesh::parcels::Rank;
 use ochreshed_mesh::timetable::{Route, Timetable};
 use ochreshed_mesh::words::Sheet;
 use rand::{Rng, SeedableRng};
@@ -31,7 +33,6 @@
 use super::entry::{self, Ajar, Bounds, Came, say};
 use super::full::Full;
 use super::keys::Stewards;
-use super::parcels::Rank;
 use super::settings::{Settings, SettingsError};
 use super::wire::Callers;
 use super::{full, gate, news, start};
@@ -60,14 +61,6 @@
 /// How often the settings file is looked at.
 const SETTINGS: Duration = Duration::from_secs(2);
 
-/// The rows as they were told, and who is quiet by each watcher.
-#[derive(Default)]
-struct Rows {
-    /// With the time at which each was told.
-    rows: HashMap<SocketAddr, (Row, Nanos)>,
-    quiet: HashMap<usize, HashSet<SocketAddr>>,
-}
-
 /// A configuration as this machine goes by it.
 pub struct InForce {
     timetable: Timetable,
@@ -97,7 +90,7 @@
     pub timetable: ArcSwapOption<InForce>,
     /// The configuration in force as it was sent, and the rank of the one that is being fetched.
     sheet: Mutex<(Option<Arc<Sheet>>, Rank)>,
-    rows: Mutex<Rows>,
+    rows: Mutex<Listing>,
     /// Doors whose attendants no watcher that replies has heard of late.
     quiet: ArcSwap<HashSet<SocketAddr>>,
     /// By service, and whether for large answers.
@@ -141,7 +134,7 @@
         let branch = Arc::new(Branch {
             clock,
             callers: Arc::default(),
-            stewards: Arc::default(),
+            stewards: Arc::new(Stewards::new(clock)),
             timetable: ArcSwapOption::empty(),
             sheet: Mutex::default(),
             rows: Mutex::default(),
@@ -324,28 +317,15 @@
     }
 
     pub fn take_rows(&self, which: usize, rows: Vec<Row>, quiet: HashSet<SocketAddr>) {
-        {
-            let mut all = held(&self.rows);
-            let mut changed = false;
-            let now = self.clock.now();
-            for row in rows {
-                if row.door == self.door_at && !self.door.knows() && !row.id.is_empty() {
-                    tokio::spawn(self.door.clone().find_again(row.clone(), self.health_of(&row.line)));
-                }
-                if all.rows.get(&row.door).is_none_or(|(was, _)| was.rank() < row.rank()) {
-                    changed = true;
-                    all.rows.insert(row.door, (row, now));
-                }
-            }
-            if all.quiet.get(&which) != Some(&quiet) {
-                changed = true;
-                all.quiet.insert(which, quiet);
-            }
-            if !changed {
-                return;
+        for row in &rows {
+            if row.door == self.door_at && !self.door.knows() && !row.id.is_empty() {
+                tokio::spawn(self.door.clone().find_again(row.clone(), self.health_of(&row.line)));
             }
         }
-        self.seat();
+        let changed = held(&self.rows).take(self.clock.now(), which, rows, quiet);
+        if changed {
+            self.seat();
+        }
     }
 
     fn health_of(&self, line: &str) -> String {
@@ -356,29 +336,21 @@
 
     /// A watcher gives no reply: what it held for quiet counts no more.
     pub fn silent(&self, which: usize) {
-        held(&self.rows).quiet.remove(&which);
+        held(&self.rows).silent(which);
     }
 
     /// Brings the desks in line with the configuration and the list.
     fn seat(&self) {
         let Some(timetable) = self.timetable.load_full() else { return };
         let rows = held(&self.rows);
-        let gates = rows.rows.values().filter(|(row, _)| row.serving).count();
-        // Quiet are those whom every watcher that replies has not heard.
-        let mut quiet: Option<HashSet<SocketAddr>> = None;
-        for told in rows.quiet.values() {
-            quiet = Some(match quiet {
-                None => told.clone(),
-                Some(quiet) => quiet.intersection(told).copied().collect(),
-            });
-        }
-        let quiet = quiet.unwrap_or_default();
+        let gates = rows.rows().filter(|(row, _)| row.serving).count();
+        let quiet = rows.quiet();
         self.quiet.store(Arc::new(quiet.clone()));
         let settings = self.settings.load();
         let mut desks = held(&self.desks);
         let mut kept = HashMap::new();
         for plan in &timetable.plans {
-            let of = || rows.rows.values().filter(|(row, _)| *row.line == *plan.line);
+            let of = || rows.rows().filter(|(row, _)| *row.line == *plan.line);
             let calls = of().any(|(row, _)| row.calls);
             let told = Told::new(plan, gates, calls, &settings.bounds);
             let key = (plan.line.clone(), plan.large);
@@ -407,7 +379,7 @@
         !self.leaving.load(Relaxed)
             && !self.core_silent()
             && self.timetable.load().is_some()
-            && !held(&self.rows).rows.is_empty()
+            && !held(&self.rows).is_empty()
     }
 }
 
@@ -556,7 +528,7 @@
 async fn full_service(branch: Arc<Branch>) {
     let full_ms = full::within(&branch.clock, &branch.full, || branch.ready() && branch.door.knows()).await;
     let timetable = branch.timetable.load().as_ref().map_or(0, |timetable| timetable.version);
-    let rows = held(&branch.rows).rows.len();
+    let rows = held(&branch.rows).len();
     log::info!("full service after {full_ms} ms: timetable r{timetable}, {rows} attendants, an upstream");
 }
 
--- a/balancer/src/mesh/keys.rs
+++ b/balancer/src/mesh/keys.rs
@@ -7,12 +7,13 @@
 use std::time::Duration;
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use ochreshed_mesh::list::place;
+use ochreshed_mesh::news::Known;
 use ochreshed_mesh::words::{Got, Key, Outcome, Token, Want};
 use tokio::time::{sleep, sleep_until};
 use xxhash_rust::xxh3::xxh3_128;
 
 use super::wire::{Ask, Callers, Reply};
+use crate::clock::Clock;
 use crate::link::held;
 
 /// A claim goes to the next steward too when the one before has not replied within this.
@@ -20,53 +21,41 @@
 const SETTLE: Duration = Duration::from_millis(800);
 const SETTLES: u32 = 4;
 const PAUSE: Duration = Duration::from_millis(150);
-const ASIDE: Duration = Duration::from_millis(2_000);
 
 pub fn key(text: &str) -> Key {
     xxh3_128(text.as_bytes())
 }
 
-/// The stewards that are known, and which of them gave no reply of late.
-#[derive(Default)]
-pub struct Stewards(Mutex<Vec<(SocketAddr, Option<tokio::time::Instant>)>>);
+/// The stewards that are known, for all that ask them.
+pub struct Stewards {
+    clock: Clock,
+    known: Mutex<Known>,
+}
 
 impl Stewards {
+    pub fn new(clock: Clock) -> Stewards {
+        Stewards { clock, known: Mutex::default() }
+    }
+
     pub fn know(&self, all: impl IntoIterator<Item = SocketAddr>) {
-        let mut known = held(&self.0);
-        let fresh: Vec<SocketAddr> = all.into_iter().collect();
-        known.retain(|(at, _)| fresh.contains(at));
-        for at in fresh {
-            if !known.iter().any(|(known, _)| *known == at) {
-                known.push((at, None));
-            }
-        }
+        held(&self.known).know(all);
     }
 
     pub fn all(&self) -> Vec<SocketAddr> {
-        held(&self.0).iter().map(|(at, _)| *at).collect()
+        held(&self.known).all()
     }
 
     pub fn failed(&self, steward: SocketAddr) {
-        if let Some(known) = held(&self.0).iter_mut().find(|(at, _)| *at == steward) {
-            known.1 = Some(tokio::time::Instant::now() + ASIDE);
-        }
+        held(&self.known).failed(self.clock.now(), steward);
     }
 
     pub fn replied(&self, steward: SocketAddr) {
-        if let Some(known) = held(&self.0).iter_mut().find(|(at, _)| *at == steward) {
-            known.1 = None;
-        }
+        held(&self.known).replied(steward);
     }
 
-    /// In the order in which a key's duty falls to them: by key, those that gave no reply last.
+    /// In the order in which a key's duty falls to them.
     pub fn by_key(&self, key: Key) -> Vec<SocketAddr> {
-        let now = tokio::time::Instant::now();
-        let mut order: Vec<(bool, u64, SocketAddr)> = held(&self.0)
-            .iter()
-            .map(|(at, aside)| (aside.is_some_and(|until| until > now), place(*at, key), *at))
-            .collect();
-        order.sort();
-        order.into_iter().map(|(_, _, at)| at).collect()
+        held(&self.known).by_key(self.clock.now(), key)
     }
 }
 
--- a/balancer/src/mesh/mod.rs
+++ b/balancer/src/mesh/mod.rs
@@ -18,7 +18,6 @@
 mod line;
 mod news;
 mod pages;
-mod parcels;
 mod report;
 mod settings;
 mod start;
--- a/balancer/src/mesh/news.rs
+++ b/balancer/src/mesh/news.rs
@@ -6,99 +6,52 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ochreshed_mesh::list::{Mark, watchers};
-use tokio::time::{Instant, sleep};
+use ochreshed_mesh::news::{self, Asker};
+use ochreshed_mesh::parcels::Rank;
+use tokio::time::sleep;
 
 use super::attendant::Branch;
-use super::parcels::Rank;
 use super::report::Telling;
 use super::wire::{Ask, NewsAsk, NewsReply, Reply};
 
-/// An ask is answered after so long though there is no news, and given up so much later.
-const HOLD: Duration = Duration::from_millis(500);
-const LATE: Duration = Duration::from_millis(600);
-const PAUSE: Duration = Duration::from_millis(80);
+const PAUSE: Duration = Duration::from_nanos(news::PAUSE);
 /// A configuration that has not come by then is fetched from another steward.
 const FETCH: Duration = Duration::from_millis(900);
-/// A steward that gave no reply is passed over for so long.
-const ASIDE: Duration = Duration::from_millis(1_500);
-
-/// What one steward told last.
-struct Heard {
-    mark: Mark,
-    quiet: (u64, HashSet<SocketAddr>),
-    row: (u64, u64),
-    aside: Option<Instant>,
-    report: Telling,
-}
 
 /// Asks one of the watchers, for good: the one whose turn is `which` among those that reply.
 pub async fn ask(branch: Arc<Branch>, which: usize, many: usize) {
-    let mut heard: HashMap<SocketAddr, Heard> = HashMap::new();
+    let mut asker = Asker::new(which, many);
+    let mut reports: HashMap<SocketAddr, Telling> = HashMap::new();
     loop {
         let stewards = branch.stewards.all();
-        let ring = watchers(branch.door_at(), &stewards, stewards.len());
-        let now = Instant::now();
-        heard.retain(|at, _| stewards.contains(at));
-        let aside =
-            |at: &SocketAddr| heard.get(at).and_then(|heard| heard.aside).is_some_and(|until| until > now);
-        // Each asker has its own part of the ring first, so that no two ask the same while all reply.
-        let mine = ring.iter().skip(which).step_by(many).chain(ring.iter());
-        let soonest = ring.iter().min_by_key(|at| heard.get(at).and_then(|heard| heard.aside));
-        let Some(steward) = mine.clone().find(|at| !aside(at)).or(soonest).copied() else {
+        reports.retain(|at, _| stewards.contains(at));
+        let Some(steward) = asker.next(branch.clock.now(), branch.door_at(), &stewards) else {
             sleep(PAUSE).await;
             continue;
         };
-        let known = heard.entry(steward).or_insert(Heard {
-            mark: Mark::default(),
-            quiet: (0, HashSet::new()),
-            row: (0, 0),
-            aside: None,
-            report: Telling::default(),
-        });
+        let report = reports.entry(steward).or_default();
         let window = branch.settings.load().bounds.retry_window;
-        let report = (which == 0).then(|| known.report.news(window, || branch.report())).flatten();
+        let told = (which == 0).then(|| report.news(window, || branch.report())).flatten();
         let row = branch.door.row();
         let rank = row.rank();
-        let news = NewsAsk {
-            row: (known.row != rank).then_some(row),
-            door: Some(branch.door_at()),
-            mark: known.mark,
-            sheet: branch.sheet_rank(),
-            quiet: known.quiet.0,
-            hold_ms: HOLD.as_millis() as u32,
-            steward: false,
-            report,
-            gather: false,
-        };
+        let ask = NewsAsk { report: told, ..asker.ask(steward, row, branch.sheet_rank()) };
         let caller = branch.callers.to(steward);
         let changed = branch.door.changed.notified();
         let reply = tokio::select! {
-            reply = caller.call(Ask::News(news), HOLD + LATE) => reply,
+            reply = caller.call(Ask::News(ask), Duration::from_nanos(news::HOLD + news::LATE)) => reply,
             () = changed => continue,
         };
+        let (now, has_sheet) = (branch.clock.now(), branch.timetable.load().is_some());
         match reply {
             Ok(Reply::News(reply)) => {
-                // One that is cut off from more than half of the core may not know the newest: others are asked first.
-                let aside = if branch.timetable.load().is_some() { ASIDE } else { PAUSE };
-                known.aside = (!reply.settled).then(|| Instant::now() + aside);
                 branch.heard_core(reply.settled);
-                // One that has forgotten us is told anew.
-                known.row = if reply.life.is_some() { rank } else { (0, 0) };
-                known.report.answered(reply.life.is_some());
-                known.mark = reply.mark;
-                if let Some((number, quiet)) = &reply.quiet {
-                    known.quiet = (*number, quiet.iter().copied().collect());
-                }
-                take(&branch, (which, steward), *reply, known.quiet.1.clone());
+                report.answered(reply.life.is_some());
+                let quiet = asker.replied(now, steward, rank, has_sheet, &reply);
+                take(&branch, (which, steward), *reply, quiet);
             }
             _ => {
-                // One that has nothing yet asks everybody until it has.
-                let aside = if branch.timetable.load().is_some() { ASIDE } else { PAUSE };
-                known.aside = Some(Instant::now() + aside);
-                // It may have forgotten us.
-                known.row = (0, 0);
-                known.report.answered(false);
+                asker.failed(now, steward, has_sheet);
+                report.answered(false);
                 branch.silent(which);
                 sleep(PAUSE).await;
             }
--- a/balancer/src/mesh/steward.rs
+++ b/balancer/src/mesh/steward.rs
@@ -15,7 +15,9 @@
 use ochreshed::Nanos;
 use ochreshed_mesh::agree::{Config, Core};
 use ochreshed_mesh::budget::Reports;
-use ochreshed_mesh::list::{Mark, Table};
+use ochreshed_mesh::list::Mark;
+use ochreshed_mesh::office;
+use ochreshed_mesh::parcels::{Parcel, Parcels, Rank};
 use ochreshed_mesh::timetable::Timetable;
 use ochreshed_mesh::words::{Act, Got, Key, Letter, Record, Sheet, View, Want};
 use tokio::net::TcpListener;
@@ -29,7 +31,6 @@
 use super::entry::{self, Ajar, Bad, Bounds, Came, json, say};
 use super::full::{self, Full};
 use super::pages::{self, Facts, Query, Seen};
-use super::parcels::{Parcel, Parcels, Rank};
 use super::report::{self, Gathered};
 use super::settings::{Settings, SettingsError};
 use super::start;
@@ -43,13 +44,7 @@
 const KEEP_MORE: Duration = Duration::from_secs(20);
 /// A voter of whom nothing was heard for so long may be replaced by another steward.
 const LOST: Nanos = 5_000 * MS;
-/// An attendant of whom nothing was heard for so long is quiet.
-const QUIET: Nanos = 1_700 * MS;
-const LOOK: Duration = Duration::from_millis(200);
-/// How long other stewards hold our asks.
-const HOLD: Duration = Duration::from_millis(400);
-const LATE: Duration = Duration::from_millis(600);
-const PAUSE: Duration = Duration::from_millis(200);
+const LOOK: Duration = Duration::from_nanos(office::LOOK);
 /// An operator's call is answered within this.
 const OPERATOR: Duration = Duration::from_millis(2_500);
 const UNSETTLED: Duration = Duration::from_millis(800);
@@ -60,7 +55,6 @@
 /// How long the end waits for another steward to take the place.
 const HAND_OVER: Duration = Duration::from_millis(3_000);
 const SETTINGS: Duration = Duration::from_secs(2);
-const DRAIN_MS: u32 = 30_000;
 
 enum Event {
     Letter(Letter),
@@ -82,13 +76,19 @@
     gone: bool,
 }
 
+impl Stand {
+    fn told(&self) -> office::Stand<'_> {
+        let safe = self.safe.as_ref().map(|sheet| sheet.rank());
+        office::Stand { safe, stewards: &self.stewards, settled: self.settled }
+    }
+}
+
 struct Office {
     clock: Clock,
     at: SocketAddr,
     settings: ArcSwap<Settings>,
     stand: ArcSwap<Stand>,
-    table: Mutex<Table>,
-    quiet: Mutex<(u64, Vec<SocketAddr>)>,
+    news: Mutex<office::Office>,
     /// What gates told of themselves.
     reports: Mutex<Reports>,
     /// From the start to full service, in ms.
@@ -117,25 +117,14 @@
 
     /// Answers what a process asks for news, at once if there are any, else when there are or its hold is over.
     async fn news(self: Arc<Self>, ask: NewsAsk) -> NewsReply {
-        let until = Instant::now() + Duration::from_millis(u64::from(ask.hold_ms.min(5_000)));
         let mut changed = self.changed.subscribe();
-        let known = self.stand.load().stewards.clone();
-        let mut before = None;
-        if let Some(row) = &ask.row {
-            let mut table = held(&self.table);
-            // One that has just started knows no upstream: it is told what its row said before.
-            let was = table.row(row.door).filter(|was| was.life != row.life && row.id.is_empty());
-            before = was.filter(|was| !was.id.is_empty()).cloned();
-            if table.take(self.clock.now(), row, 0) {
-                drop(table);
-                self.change();
-            }
-        }
-        let door = ask.row.as_ref().map(|row| row.door).or(ask.door);
-        if let Some(door) = door {
-            held(&self.table).heard(self.clock.now(), door, 0);
+        let stand = self.stand.load_full();
+        let (waiting, news) = held(&self.news).came(self.clock.now(), &ask, stand.told());
+        if news {
+            self.change();
         }
-        if let (Some(door), Some(report)) = (door, ask.report) {
+        let until = Instant::now() + Duration::from_nanos(waiting.hold);
+        if let (Some(door), Some(report)) = (ask.row.as_ref().map(|row| row.door).or(ask.door), ask.report) {
             held(&self.reports).take(self.clock.now(), door, report, 0);
         }
         let told = || (held(&self.reports).tell(self.clock.now()), self.full.get().copied());
@@ -143,28 +132,11 @@
         loop {
             changed.mark_unchanged();
             let stand = self.stand.load_full();
-            let sheet = stand.safe.as_ref().map(|sheet| sheet.rank()).filter(|rank| *rank > ask.sheet);
-            let quiet =
-                Some(held(&self.quiet).clone()).filter(|(number, _)| !ask.steward && *number != ask.quiet);
-            let news = {
-                let table = held(&self.table);
-                table.mark() != ask.mark || sheet.is_some() || quiet.is_some() || stand.stewards != known
-            };
-            if news || before.is_some() || Instant::now() >= until {
-                let table = held(&self.table);
-                let since = if ask.gather { Vec::new() } else { table.since(ask.mark) };
-                return NewsReply {
-                    mark: table.mark(),
-                    rows: before.into_iter().chain(since).collect(),
-                    sheet,
-                    stewards: stand.stewards.clone(),
-                    quiet,
-                    settled: stand.settled,
-                    life: door.and_then(|door| table.life_of(door)),
-                    ages: if ask.steward { table.ages(self.clock.now()) } else { Vec::new() },
-                    drains: drains(&table, door, ask.steward.then_some(ask.mark)),
-                    told,
-                };
+            {
+                let news = held(&self.news);
+                if Instant::now() >= until || news.is_news(&waiting, stand.told()) {
+                    return news.reply(self.clock.now(), waiting, stand.told(), told);
+                }
             }
             let _ = tokio::time::timeout_at(until, changed.changed()).await;
         }
@@ -172,22 +144,7 @@
 
     /// Takes what another steward holds.
     fn merge(&self, reply: &NewsReply) {
-        let now = self.clock.now();
-        let ages: HashMap<SocketAddr, u32> = reply.ages.iter().copied().collect();
-        let mut news = false;
-        {
-            let mut table = held(&self.table);
-            for row in &reply.rows {
-                let age = ages.get(&row.door).copied().unwrap_or(0);
-                news |= table.take(now, row, Nanos::from(age) * MS);
-            }
-            for (door, age) in ages {
-                table.heard(now, door, Nanos::from(age) * MS);
-            }
-            for (door, id, _) in &reply.drains {
-                news |= table.drain(*door, id);
-            }
-        }
+        let news = held(&self.news).merge(self.clock.now(), reply);
         if news {
             self.change();
         }
@@ -248,7 +205,7 @@
             let _ = self.events.send(Event::Look(query.key(), reply)).await;
             let Ok(Ok(seen)) = timeout(OPERATOR, seen).await else { return say(503, "busy: ask again") };
             let now = self.clock.now();
-            let rows = query.pick(&held(&self.table), now);
+            let rows = query.pick(&held(&self.news).table, now);
             let mut facts = Facts {
                 me: self.at,
                 seen,
@@ -271,7 +228,7 @@
             let page = pages::answer(&query, &facts);
             match page.drain {
                 Some((door, id)) if Instant::now() < until => {
-                    if held(&self.table).drain(door, &id) {
+                    if held(&self.news).table.drain(door, &id) {
                         self.change();
                     }
                     sleep(LOOK / 2).await;
@@ -381,8 +338,7 @@
         clock,
         at,
         stand: ArcSwap::default(),
-        table: Mutex::new(Table::new(rand::random())),
-        quiet: Mutex::default(),
+        news: Mutex::new(office::Office::new(rand::random())),
         reports: Mutex::default(),
         full: Full::default(),
         written: Arc::default(),
@@ -643,29 +599,19 @@
     }
 }
 
-/// Lives to be drained: an attendant's own, or for a steward those that changed. Older programs keep them for so long.
-fn drains(table: &Table, door: Option<SocketAddr>, since: Option<Mark>) -> Vec<(SocketAddr, String, u32)> {
-    let own = door.and_then(|door| Some((door, table.drain_for(door)?.to_owned())));
-    let all = since.map(|mark| table.drained_since(mark)).unwrap_or_default();
-    own.into_iter().chain(all).map(|(door, id)| (door, id, DRAIN_MS)).collect()
-}
-
 /// Tells who has fallen quiet.
 async fn watch_table(office: Arc<Office>) {
     // At its start a steward has heard nobody, which says nothing of them.
-    sleep(Duration::from_nanos(QUIET)).await;
+    sleep(Duration::from_nanos(office::QUIET)).await;
     loop {
         sleep(LOOK).await;
         let quiet = {
-            let mut table = held(&office.table);
-            held(&office.reports).keep(|door| table.row(door).is_some());
-            table.look(office.clock.now(), QUIET).then(|| table.quiet())
+            let mut news = held(&office.news);
+            held(&office.reports).keep(|door| news.table.row(door).is_some());
+            news.look(office.clock.now())
         };
         if let Some(quiet) = quiet {
-            log::info!("quiet: {}", quiet.len());
-            let mut known = held(&office.quiet);
-            *known = (known.0 + 1, quiet);
-            drop(known);
+            log::info!("quiet: {quiet}");
             office.change();
         }
     }
@@ -693,25 +639,15 @@
 async fn ask_one(office: Arc<Office>, at: SocketAddr) {
     let mut mark = Mark::default();
     loop {
-        let ask = NewsAsk {
-            row: None,
-            door: None,
-            mark,
-            sheet: (u64::MAX, 0),
-            quiet: u64::MAX,
-            hold_ms: HOLD.as_millis() as u32,
-            steward: true,
-            report: None,
-            gather: false,
-        };
-        match office.callers.to(at).call(Ask::News(ask), HOLD + LATE).await {
+        let ask = Ask::News(office::ask_of_steward(mark));
+        match office.callers.to(at).call(ask, Duration::from_nanos(office::HOLD + office::LATE)).await {
             Ok(Reply::News(reply)) => {
                 mark = reply.mark;
                 office.merge(&reply);
                 // Many small changes go together.
-                sleep(Duration::from_millis(20)).await;
+                sleep(Duration::from_nanos(office::GATHER)).await;
             }
-            _ => sleep(PAUSE).await,
+            _ => sleep(Duration::from_nanos(office::PAUSE)).await,
         }
     }
 }
--- a/balancer/src/mesh/wire.rs
+++ b/balancer/src/mesh/wire.rs
@@ -10,22 +10,18 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use ochreshed_mesh::budget::Report;
-use ochreshed_mesh::list::{Mark, Row};
-use ochreshed_mesh::words::{Got, Letter, Want};
+pub use ochreshed_mesh::calls::{Ask, NewsAsk, NewsReply, Reply};
+use ochreshed_mesh::calls::{Frame, MOST_FRAME, encode};
+use ochreshed_mesh::words::Letter;
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
-use super::parcels::{Parcel, Rank};
 use crate::link::held;
 
-/// No frame is larger than this.
-const MOST_FRAME: usize = 40 << 20;
 const CONNECT: Duration = Duration::from_millis(250);
 /// Bytes that nobody acknowledges for so long end the connection.
 const UNHEARD: Duration = Duration::from_millis(1_500);
@@ -35,80 +31,6 @@
 /// After a failed connection the next one waits this long.
 const PAUSE: Duration = Duration::from_millis(60);
 
-#[derive(Debug, Serialize, Deserialize)]
-pub enum Ask {
-    News(NewsAsk),
-    Core(Want),
-    Letter(Letter),
-    /// The newest configuration, from one that has the one of this rank.
-    Sheet(Rank),
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-pub enum Reply {
-    News(Box<NewsReply>),
-    Core(Got),
-    Sheet(Option<Arc<Parcel>>),
-}
-
-/// What a process has, and wants to be told when there is more.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct NewsAsk {
-    /// An attendant's own row.
-    pub row: Option<Row>,
-    /// An attendant's door, where its row is known.
-    pub door: Option<SocketAddr>,
-    pub mark: Mark,
-    /// Of the configuration that it has or has just asked for.
-    pub sheet: Rank,
-    /// The number of the quiet ones that the asker has.
-    pub quiet: u64,
-    /// Answered after so long though there is no news.
-    pub hold_ms: u32,
-    /// A steward asks: it wants to know how long ago attendants were heard.
-    pub steward: bool,
-    /// What an attendant tells of itself, where that has changed.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub report: Option<Report>,
-    /// A steward wants nothing but what was reported.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub gather: bool,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-pub struct NewsReply {
-    pub mark: Mark,
-    pub rows: Vec<Row>,
-    /// Of the newest configuration that is safe, if the asker has an older one.
-    pub sheet: Option<Rank>,
-    pub stewards: Vec<SocketAddr>,
-    /// Told when they have changed.
-    pub quiet: Option<(u64, Vec<SocketAddr>)>,
-    /// More than half of the core is heard here.
-    pub settled: bool,
-    /// The life under which the asker is known.
-    pub life: Option<u64>,
-    pub ages: Vec<(SocketAddr, u32)>,
-    /// Doors whose upstream's life an operator wants drained, and the ms for which an older program keeps that; to
-    /// stewards those of rows that changed, to an attendant its own until its row says that it was taken.
-    #[serde(default)]
-    pub drains: Vec<(SocketAddr, String, u32)>,
-    /// What doors' attendants reported and how many ms ago, and the ms in which this steward came to full service; told
-    /// where it was asked for.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub told: Option<Box<Told>>,
-}
-
-/// Reports by door with their ages in ms, and a steward's own time to full service in ms.
-pub type Told = (Vec<(SocketAddr, u32, Report)>, Option<u32>);
-
-#[derive(Serialize, Deserialize)]
-struct Frame<T> {
-    /// 0: no reply is wanted.
-    id: u64,
-    say: T,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallError {
     /// No connection came up, or none has room.
@@ -128,14 +50,6 @@
     }
 }
 
-fn encode<T: Serialize>(say: &T) -> Option<Vec<u8>> {
-    let mut bytes = vec![0; 4];
-    ciborium::into_writer(say, &mut bytes).ok()?;
-    let length = u32::try_from(bytes.len() - 4).ok().filter(|length| *length as usize <= MOST_FRAME)?;
-    bytes[..4].copy_from_slice(&length.to_be_bytes());
-    Some(bytes)
-}
-
 async fn read<T: DeserializeOwned>(from: &mut BufReader<OwnedReadHalf>) -> io::Result<T> {
     let length = from.read_u32().await? as usize;
     if length > MOST_FRAME {
@@ -332,34 +246,3 @@
     }
     writer.abort();
 }
-
-#[cfg(test)]
-mod tests {
-    use ochreshed_mesh::budget::{Figures, Spending};
-
-    use super::*;
-
-    /// Guards against news that costs more than it did with each of an attendant's asks, a few a second.
-    #[test]
-    fn the_bytes_of_an_ask() {
-        let door = SocketAddr::from(([10, 1, 0, 8], 8300));
-        let bytes = |spending: Option<Spending>| {
-            let mark = Mark { life: u64::MAX, number: 1_000 };
-            let ask = NewsAsk {
-                row: None,
-                door: Some(door),
-                mark,
-                sheet: (12, u64::MAX),
-                quiet: 3,
-                hold_ms: 500,
-                steward: false,
-                report: spending.map(|spending| Report { spending, full_ms: Some(812) }),
-                gather: false,
-            };
-            encode(&Frame { id: 9_000, say: Ask::News(ask) }).map(|bytes| bytes.len())
-        };
-        let figures = Figures { first: 2_000, again: 20, refused: 0 };
-        let spent = ["huvo11a", "kafi81c", "wuno96b"].map(|name| (name.into(), figures));
-        assert_eq!((bytes(None), bytes(Some(spent.to_vec()))), (Some(119), Some(176)));
-    }
-}
--- /dev/null
+++ b/mesh/src/calls.rs
@@ -0,0 +1,129 @@
+//! The words of the calls between the system's own processes, and their frames: CBOR behind its length. It owns their
+//! shapes, which older programs read too, and must never decide.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::budget::Report;
+use crate::list::{Mark, Row};
+use crate::parcels::{Parcel, Rank};
+use crate::words::{Got, Letter, Want};
+
+/// No frame is larger than this, in bytes.
+pub const MOST_FRAME: usize = 40 << 20;
+
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Ask {
+    News(NewsAsk),
+    Core(Want),
+    Letter(Letter),
+    /// The newest configuration, from one that has the one of this rank.
+    Sheet(Rank),
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Reply {
+    News(Box<NewsReply>),
+    Core(Got),
+    Sheet(Option<Arc<Parcel>>),
+}
+
+/// What a process has, and wants to be told when there is more.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct NewsAsk {
+    /// An attendant's own row.
+    pub row: Option<Row>,
+    /// An attendant's door, where its row is known.
+    pub door: Option<SocketAddr>,
+    pub mark: Mark,
+    /// Of the configuration that it has or has just asked for.
+    pub sheet: Rank,
+    /// The number of the quiet ones that the asker has.
+    pub quiet: u64,
+    /// Answered after so long though there is no news.
+    pub hold_ms: u32,
+    /// A steward asks: it wants to know how long ago attendants were heard.
+    pub steward: bool,
+    /// What an attendant tells of itself, where that has changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub report: Option<Report>,
+    /// A steward wants nothing but what was reported.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub gather: bool,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct NewsReply {
+    pub mark: Mark,
+    pub rows: Vec<Row>,
+    /// Of the newest configuration that is safe, if the asker has an older one.
+    pub sheet: Option<Rank>,
+    pub stewards: Vec<SocketAddr>,
+    /// Told when they have changed.
+    pub quiet: Option<(u64, Vec<SocketAddr>)>,
+    /// More than half of the core is heard here.
+    pub settled: bool,
+    /// The life under which the asker is known.
+    pub life: Option<u64>,
+    pub ages: Vec<(SocketAddr, u32)>,
+    /// Doors whose upstream's life an operator wants drained, and the ms for which an older program keeps that; to
+    /// stewards those of rows that changed, to an attendant its own until its row says that it was taken.
+    #[serde(default)]
+    pub drains: Vec<(SocketAddr, String, u32)>,
+    /// What doors' attendants reported and how many ms ago, and the ms in which this steward came to full service; told
+    /// where it was asked for.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub told: Option<Box<Told>>,
+}
+
+/// Reports by door with their ages in ms, and a steward's own time to full service in ms.
+pub type Told = (Vec<(SocketAddr, u32, Report)>, Option<u32>);
+
+#[derive(Serialize, Deserialize)]
+pub struct Frame<T> {
+    /// 0: no reply is wanted.
+    pub id: u64,
+    pub say: T,
+}
+
+/// A frame with its length before it; none where it would be larger than `MOST_FRAME`.
+pub fn encode<T: Serialize>(say: &T) -> Option<Vec<u8>> {
+    let mut bytes = vec![0; 4];
+    ciborium::into_writer(say, &mut bytes).ok()?;
+    let length = u32::try_from(bytes.len() - 4).ok().filter(|length| *length as usize <= MOST_FRAME)?;
+    bytes[..4].copy_from_slice(&length.to_be_bytes());
+    Some(bytes)
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::budget::{Figures, Spending};
+
+    use super::*;
+
+    /// Guards against news that costs more than it did with each of an attendant's asks, a few a second.
+    #[test]
+    fn the_bytes_of_an_ask() {
+        let door = SocketAddr::from(([10, 1, 0, 8], 8300));
+        let bytes = |spending: Option<Spending>| {
+            let mark = Mark { life: u64::MAX, number: 1_000 };
+            let ask = NewsAsk {
+                row: None,
+                door: Some(door),
+                mark,
+                sheet: (12, u64::MAX),
+                quiet: 3,
+                hold_ms: 500,
+                steward: false,
+                report: spending.map(|spending| Report { spending, full_ms: Some(812) }),
+                gather: false,
+            };
+            encode(&Frame { id: 9_000, say: Ask::News(ask) }).map(|bytes| bytes.len())
+        };
+        let figures = Figures { first: 2_000, again: 20, refused: 0 };
+        let spent = ["huvo11a", "kafi81c", "wuno96b"].map(|name| (name.into(), figures));
+        assert_eq!((bytes(None), bytes(Some(spent.to_vec()))), (Some(119), Some(176)));
+    }
+}
--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -4,9 +4,13 @@
 
 pub mod agree;
 pub mod budget;
+pub mod calls;
 pub mod delta;
 pub mod list;
+pub mod news;
+pub mod office;
 pub mod pace;
+pub mod parcels;
 pub mod slots;
 pub mod timetable;
 pub mod words;
--- /dev/null
+++ b/mesh/src/news.rs
@@ -0,0 +1,209 @@
+//! News as an attendant sees them: which steward each of its asks goes to, which is passed over, and what was told of
+//! rows and of who is quiet. It owns the marks of what each steward told. It must never go back to an older row, nor
+//! count as quiet whom a watcher that replies has heard.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+
+use ochreshed::Nanos;
+
+use crate::calls::{NewsAsk, NewsReply};
+use crate::list::{Mark, Row, place, watchers};
+use crate::parcels::Rank;
+use crate::words::Key;
+
+const MS: Nanos = 1_000_000;
+/// An ask is answered after so long though there is no news, and given up so much later.
+pub const HOLD: Nanos = 500 * MS;
+pub const LATE: Nanos = 600 * MS;
+/// From an ask that failed to the next.
+pub const PAUSE: Nanos = 80 * MS;
+/// A steward that gave no reply is passed over for so long.
+const ASIDE: Nanos = 1_500 * MS;
+/// One that replied to no claim, for so long.
+const CLAIMS_ASIDE: Nanos = 2_000 * MS;
+
+/// What one steward told last.
+#[derive(Default)]
+struct Heard {
+    mark: Mark,
+    quiet: (u64, HashSet<SocketAddr>),
+    row: (u64, u64),
+    aside: Option<Nanos>,
+}
+
+/// One of an attendant's open asks: the one whose turn is `which` of `many`.
+pub struct Asker {
+    which: usize,
+    many: usize,
+    heard: HashMap<SocketAddr, Heard>,
+}
+
+impl Asker {
+    pub fn new(which: usize, many: usize) -> Asker {
+        Asker { which, many: many.max(1), heard: HashMap::new() }
+    }
+
+    /// Who is asked now: of its own part of the ring first, so that no two ask the same while all reply.
+    pub fn next(&mut self, now: Nanos, door: SocketAddr, stewards: &[SocketAddr]) -> Option<SocketAddr> {
+        let ring = watchers(door, stewards, stewards.len());
+        self.heard.retain(|at, _| stewards.contains(at));
+        let until = |at: &SocketAddr| self.heard.get(at).and_then(|heard| heard.aside);
+        let aside = |at: &&SocketAddr| until(at).is_some_and(|until| until > now);
+        let mut mine = ring.iter().skip(self.which).step_by(self.many).chain(ring.iter());
+        mine.find(|at| !aside(at)).or(ring.iter().min_by_key(|at| until(at))).copied()
+    }
+
+    /// The ask to that steward: the row where it may not have it, and the versions it told.
+    pub fn ask(&mut self, steward: SocketAddr, row: Row, sheet: Rank) -> NewsAsk {
+        let known = self.heard.entry(steward).or_default();
+        NewsAsk {
+            door: Some(row.door),
+            row: (known.row != row.rank()).then_some(row),
+            mark: known.mark,
+            sheet,
+            quiet: known.quiet.0,
+            hold_ms: (HOLD / MS) as u32,
+            steward: false,
+            report: None,
+            gather: false,
+        }
+    }
+
+    /// A reply to an ask that went out with that row. `has_sheet`: the attendant has a configuration. Hands out whom that
+    /// steward holds for quiet.
+    pub fn replied(
+        &mut self,
+        now: Nanos,
+        steward: SocketAddr,
+        row: (u64, u64),
+        has_sheet: bool,
+        reply: &NewsReply,
+    ) -> HashSet<SocketAddr> {
+        let known = self.heard.entry(steward).or_default();
+        // One that is cut off from more than half of the core may not know the newest: others are asked first.
+        known.aside = (!reply.settled).then(|| now + aside(has_sheet));
+        // One that has forgotten us is told anew.
+        known.row = if reply.life.is_some() { row } else { (0, 0) };
+        known.mark = reply.mark;
+        if let Some((number, quiet)) = &reply.quiet {
+            known.quiet = (*number, quiet.iter().copied().collect());
+        }
+        known.quiet.1.clone()
+    }
+
+    /// No reply came.
+    pub fn failed(&mut self, now: Nanos, steward: SocketAddr, has_sheet: bool) {
+        let known = self.heard.entry(steward).or_default();
+        known.aside = Some(now + aside(has_sheet));
+        // It may have forgotten us.
+        known.row = (0, 0);
+    }
+}
+
+/// One that has no configuration yet asks everybody until it has.
+fn aside(has_sheet: bool) -> Nanos {
+    if has_sheet { ASIDE } else { PAUSE }
+}
+
+/// The rows as they were told, and who is quiet by each watcher.
+#[derive(Default)]
+pub struct Listing {
+    /// With the time at which each was told.
+    rows: HashMap<SocketAddr, (Row, Nanos)>,
+    quiet: HashMap<usize, HashSet<SocketAddr>>,
+}
+
+impl Listing {
+    /// Takes what the watcher whose turn is `which` told; whether anything changed.
+    pub fn take(&mut self, now: Nanos, which: usize, rows: Vec<Row>, quiet: HashSet<SocketAddr>) -> bool {
+        let mut changed = false;
+        for row in rows {
+            if self.rows.get(&row.door).is_none_or(|(was, _)| was.rank() < row.rank()) {
+                changed = true;
+                self.rows.insert(row.door, (row, now));
+            }
+        }
+        if self.quiet.get(&which) != Some(&quiet) {
+            changed = true;
+            self.quiet.insert(which, quiet);
+        }
+        changed
+    }
+
+    /// A watcher gives no reply: what it held for quiet counts no more.
+    pub fn silent(&mut self, which: usize) {
+        self.quiet.remove(&which);
+    }
+
+    /// Those whom every watcher that replies has not heard.
+    pub fn quiet(&self) -> HashSet<SocketAddr> {
+        let mut quiet: Option<HashSet<SocketAddr>> = None;
+        for told in self.quiet.values() {
+            quiet = Some(match quiet {
+                None => told.clone(),
+                Some(quiet) => quiet.intersection(told).copied().collect(),
+            });
+        }
+        quiet.unwrap_or_default()
+    }
+
+    /// With the time at which each was told.
+    pub fn rows(&self) -> impl Iterator<Item = &(Row, Nanos)> {
+        self.rows.values()
+    }
+
+    pub fn row(&self, door: SocketAddr) -> Option<&Row> {
+        self.rows.get(&door).map(|(row, _)| row)
+    }
+
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+}
+
+/// The stewards that are known, and until when those are passed over that gave no reply of late.
+#[derive(Default)]
+pub struct Known(Vec<(SocketAddr, Option<Nanos>)>);
+
+impl Known {
+    pub fn know(&mut self, all: impl IntoIterator<Item = SocketAddr>) {
+        let fresh: Vec<SocketAddr> = all.into_iter().collect();
+        self.0.retain(|(at, _)| fresh.contains(at));
+        for at in fresh {
+            if !self.0.iter().any(|(known, _)| *known == at) {
+                self.0.push((at, None));
+            }
+        }
+    }
+
+    pub fn all(&self) -> Vec<SocketAddr> {
+        self.0.iter().map(|(at, _)| *at).collect()
+    }
+
+    pub fn failed(&mut self, now: Nanos, steward: SocketAddr) {
+        if let Some(known) = self.0.iter_mut().find(|(at, _)| *at == steward) {
+            known.1 = Some(now + CLAIMS_ASIDE);
+        }
+    }
+
+    pub fn replied(&mut self, steward: SocketAddr) {
+        if let Some(known) = self.0.iter_mut().find(|(at, _)| *at == steward) {
+            known.1 = None;
+        }
+    }
+
+    /// In the order in which a key's duty falls to them: by key, those that gave no reply last.
+    pub fn by_key(&self, now: Nanos, key: Key) -> Vec<SocketAddr> {
+        let place_of = |(at, aside): &(SocketAddr, Option<Nanos>)| {
+            (aside.is_some_and(|until| until > now), place(*at, key), *at)
+        };
+        let mut order: Vec<(bool, u64, SocketAddr)> = self.0.iter().map(place_of).collect();
+        order.sort();
+        order.into_iter().map(|(_, _, at)| at).collect()
+    }
+}
--- /dev/null
+++ b/mesh/src/office.rs
@@ -0,0 +1,165 @@
+//! News as a steward gives them: the rows it was told, who has fallen quiet, whom a waiting ask is answered and with
+//! what. It owns the table and the number of the quiet ones. It must never keep an ask from news that it has.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use ochreshed::Nanos;
+
+use crate::calls::{NewsAsk, NewsReply, Told};
+use crate::list::{Mark, Row, Table};
+use crate::parcels::Rank;
+
+const MS: Nanos = 1_000_000;
+/// An attendant of whom nothing was heard for so long is quiet.
+pub const QUIET: Nanos = 1_700 * MS;
+/// From look to look at who has fallen quiet.
+pub const LOOK: Nanos = 200 * MS;
+/// How long other stewards hold a steward's asks; many small changes that come within `GATHER` go together.
+pub const HOLD: Nanos = 400 * MS;
+pub const GATHER: Nanos = 20 * MS;
+/// An ask among stewards is given up so long after its hold, and the next follows a pause.
+pub const LATE: Nanos = 600 * MS;
+pub const PAUSE: Nanos = 200 * MS;
+/// No ask is held for longer.
+const MOST_HOLD_MS: u32 = 5_000;
+const DRAIN_MS: u32 = 30_000;
+
+/// What the core has come to, as far as news tell it.
+#[derive(Clone, Copy, Debug)]
+pub struct Stand<'a> {
+    /// Of the newest configuration that is safe.
+    pub safe: Option<Rank>,
+    pub stewards: &'a [SocketAddr],
+    pub settled: bool,
+}
+
+/// An ask that waits for news.
+pub struct Waiting {
+    mark: Mark,
+    sheet: Rank,
+    quiet: u64,
+    steward: bool,
+    gather: bool,
+    door: Option<SocketAddr>,
+    /// The stewards that were known when it came.
+    stewards: Vec<SocketAddr>,
+    /// What its row said before: one that has just started knows no upstream.
+    before: Option<Row>,
+    /// It is answered after so long though there is no news.
+    pub hold: Nanos,
+}
+
+/// A steward's rows, and those of whom nothing was heard of late.
+pub struct Office {
+    pub table: Table,
+    quiet: (u64, Vec<SocketAddr>),
+}
+
+impl Office {
+    /// `life` differs from that of any table that stood here before.
+    pub fn new(life: u64) -> Office {
+        Office { table: Table::new(life), quiet: (0, Vec::new()) }
+    }
+
+    /// An ask came; whether it brought news for others.
+    pub fn came(&mut self, now: Nanos, ask: &NewsAsk, stand: Stand) -> (Waiting, bool) {
+        let (mut before, mut news) = (None, false);
+        if let Some(row) = &ask.row {
+            let was = self.table.row(row.door).filter(|was| was.life != row.life && row.id.is_empty());
+            before = was.filter(|was| !was.id.is_empty()).cloned();
+            news = self.table.take(now, row, 0);
+        }
+        let door = ask.row.as_ref().map(|row| row.door).or(ask.door);
+        if let Some(door) = door {
+            self.table.heard(now, door, 0);
+        }
+        let waiting = Waiting {
+            mark: ask.mark,
+            sheet: ask.sheet,
+            quiet: ask.quiet,
+            steward: ask.steward,
+            gather: ask.gather,
+            door,
+            stewards: stand.stewards.to_vec(),
+            before,
+            hold: Nanos::from(ask.hold_ms.min(MOST_HOLD_MS)) * MS,
+        };
+        (waiting, news)
+    }
+
+    /// Whether there is something to tell.
+    pub fn is_news(&self, waiting: &Waiting, stand: Stand) -> bool {
+        waiting.before.is_some()
+            || self.table.mark() != waiting.mark
+            || stand.safe.is_some_and(|rank| rank > waiting.sheet)
+            || !waiting.steward && self.quiet.0 != waiting.quiet
+            || stand.stewards != waiting.stewards
+    }
+
+    /// `told`: what was reported, for an ask that gathers.
+    pub fn reply(&self, now: Nanos, waiting: Waiting, stand: Stand, told: Option<Box<Told>>) -> NewsReply {
+        let since = if waiting.gather { Vec::new() } else { self.table.since(waiting.mark) };
+        let quiet = !waiting.steward && self.quiet.0 != waiting.quiet;
+        NewsReply {
+            mark: self.table.mark(),
+            rows: waiting.before.into_iter().chain(since).collect(),
+            sheet: stand.safe.filter(|rank| *rank > waiting.sheet),
+            stewards: stand.stewards.to_vec(),
+            quiet: quiet.then(|| self.quiet.clone()),
+            settled: stand.settled,
+            life: waiting.door.and_then(|door| self.table.life_of(door)),
+            ages: if waiting.steward { self.table.ages(now) } else { Vec::new() },
+            drains: drains(&self.table, waiting.door, waiting.steward.then_some(waiting.mark)),
+            told,
+        }
+    }
+
+    /// Takes what another steward holds; whether that is news.
+    pub fn merge(&mut self, now: Nanos, reply: &NewsReply) -> bool {
+        let ages: HashMap<SocketAddr, u32> = reply.ages.iter().copied().collect();
+        let mut news = false;
+        for row in &reply.rows {
+            let age = ages.get(&row.door).copied().unwrap_or(0);
+            news |= self.table.take(now, row, Nanos::from(age) * MS);
+        }
+        for (door, age) in ages {
+            self.table.heard(now, door, Nanos::from(age) * MS);
+        }
+        for (door, id, _) in &reply.drains {
+            news |= self.table.drain(*door, id);
+        }
+        news
+    }
+
+    /// Looks who has fallen quiet or is heard again; how many are quiet, where that is news.
+    pub fn look(&mut self, now: Nanos) -> Option<usize> {
+        if !self.table.look(now, QUIET) {
+            return None;
+        }
+        self.quiet = (self.quiet.0 + 1, self.table.quiet());
+        Some(self.quiet.1.len())
+    }
+}
+
+/// What a steward asks another for its rows.
+pub fn ask_of_steward(mark: Mark) -> NewsAsk {
+    NewsAsk {
+        row: None,
+        door: None,
+        mark,
+        sheet: (u64::MAX, 0),
+        quiet: u64::MAX,
+        hold_ms: (HOLD / MS) as u32,
+        steward: true,
+        report: None,
+        gather: false,
+    }
+}
+
+/// Lives to be drained: an attendant's own, or for a steward those that changed. Older programs keep them for so long.
+fn drains(table: &Table, door: Option<SocketAddr>, since: Option<Mark>) -> Vec<(SocketAddr, String, u32)> {
+    let own = door.and_then(|door| Some((door, table.drain_for(door)?.to_owned())));
+    let all = since.map(|mark| table.drained_since(mark)).unwrap_or_default();
+    own.into_iter().chain(all).map(|(door, id)| (door, id, DRAIN_MS)).collect()
+}
--- a/balancer/src/mesh/parcels.rs
+++ b/mesh/src/parcels.rs
@@ -5,16 +5,15 @@
 use std::collections::VecDeque;
 use std::fmt;
 use std::io::{Read, Write};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
-use ochreshed_mesh::delta::{self, Piece};
-use ochreshed_mesh::words::Sheet;
 use serde::{Deserialize, Serialize};
 
-use crate::link::held;
+use crate::delta::{self, Piece};
+use crate::words::Sheet;
 
 /// So many older ones are kept, of so many bytes together at most.
 const KEPT: usize = 4;
@@ -24,8 +23,13 @@
 /// An opened one has no more bytes than this.
 const MOST: u64 = 64 << 20;
 
+/// A configuration's version and digest.
 pub type Rank = (u64, u64);
 
+fn held<T>(lock: &Mutex<T>) -> MutexGuard<'_, T> {
+    lock.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A configuration, or what differs between it and an older one.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Parcel {
