Mesh: who waits inside a process that must end gets an answer; nobody new at the last

Ruled out: cut answers (none cut), the kill at the end of grace (no process was still there). Cause: attendant.rs let clients in until 5.4 s where they keep coming (few others of the zone are in) and dropped what was inside at 5.7 s. Change: nobody new from 4.8 s on, at 5.4 s whoever is left gets 503 or 502 (gate.rs), and no large answer is begun with less than 2.4 s to go. Test: who_is_inside_when_a_process_must_end_gets_an_answer.

--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -5,6 +5,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::pin::pin;
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
@@ -23,7 +24,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, watch};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::carry::{Flow, Line};
 use super::desk::{Desk, Plan, Told};
@@ -54,8 +55,9 @@
 const LINGER: Duration = Duration::from_millis(2_400);
 /// Within this all gates have heard that the door takes nothing more.
 const HEARD: Duration = Duration::from_millis(500);
-/// So long before the grace is over all is given up.
+/// So long before the grace is over all is given up, and so long before that nobody new is let in.
 const LAST: Duration = Duration::from_millis(600);
+const LAST_CALL: Duration = Duration::from_millis(600);
 const LOOK: Duration = Duration::from_millis(100);
 /// How often the settings file is looked at.
 const SETTINGS: Duration = Duration::from_secs(2);
@@ -116,6 +118,9 @@
     heard: AtomicU64,
     settled: AtomicU64,
     leaving: AtomicBool,
+    /// When all that is still inside is given up, known once this process has been asked to end; and that it is now.
+    ends_by: AtomicU64,
+    over: watch::Sender<bool>,
     /// From the start to full service, in ms.
     full: Full,
 }
@@ -159,6 +164,8 @@
             heard: AtomicU64::new(clock.now()),
             settled: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
+            ends_by: AtomicU64::new(Nanos::MAX),
+            over: watch::Sender::new(false),
             full: Full::default(),
             settings: ArcSwap::from_pointee(settings),
         });
@@ -222,6 +229,28 @@
         }
     }
 
+    /// This process has been asked to end, and gives up what is still inside after so long.
+    pub fn leave(&self, after: Duration) {
+        self.leaving.store(true, Relaxed);
+        self.ends_by.store(self.clock.now() + after.as_nanos() as Nanos, Relaxed);
+    }
+
+    /// What is inside by then is given up.
+    pub fn ends_by(&self) -> Nanos {
+        self.ends_by.load(Relaxed)
+    }
+
+    /// Nobody inside is waited for any more: each gets an answer of our own now.
+    pub fn give_up(&self) {
+        self.over.send_replace(true);
+    }
+
+    /// Returns once all that is inside is given up.
+    pub async fn over(&self) {
+        // The sender lives as long as this does.
+        let _ = self.over.subscribe().wait_for(|over| *over).await;
+    }
+
     /// The service of this machine, as the system sets it on reqs that began here.
     pub fn caller(&self) -> HeaderValue {
         let told = self.settings.load().line.clone();
@@ -521,24 +550,31 @@
     log::info!("asked to end, {} reqs inside", branch.inside.load(Relaxed) + door.busy());
     // Clients are sent elsewhere, and whoever still comes is served. The door stays in use for a while longer: what
     // the upstream can do is lost to all from then on.
-    branch.leaving.store(true, Relaxed);
-    ajar.send_replace(Ajar::Leaving);
     let began = Instant::now();
     let grace = branch.settings.load().bounds.grace.saturating_sub(LAST);
+    branch.leave(grace);
+    ajar.send_replace(Ajar::Leaving);
+    // Where clients come to the end, what they ask last still needs time.
+    let last_call = grace.saturating_sub(LAST_CALL);
     // Where its upstream has ended, this machine goes for good, and the platform may still send clients here when few
     // others of the zone are in: it stays for as long as it may.
-    let linger = if door.signed_off() { grace } else { LINGER.min(grace) };
+    let linger = if door.signed_off() { last_call } else { LINGER.min(last_call) };
     let busy = || branch.inside.load(Relaxed) + door.busy() > 0;
-    while began.elapsed() < grace && (began.elapsed() < linger || busy()) {
+    while began.elapsed() < last_call && (began.elapsed() < linger || busy()) {
         if began.elapsed() + HEARD >= linger && door.serving.swap(false, Relaxed) {
             door.touch();
         }
         sleep(LOOK).await;
     }
     ajar.send_replace(Ajar::Closed);
-    for door in doors {
-        let left = (grace + LAST / 2).saturating_sub(began.elapsed());
-        let _ = tokio::time::timeout(left, door).await;
+    let mut all = pin!(async {
+        for door in doors {
+            let _ = door.await;
+        }
+    });
+    if timeout_at(began + grace, all.as_mut()).await.is_err() {
+        branch.give_up();
+        let _ = timeout_at(began + grace + LAST / 2, all).await;
     }
     log::info!("ended after {} ms, {} reqs served", began.elapsed().as_millis(), branch.served.load(Relaxed));
     ExitCode::SUCCESS
--- a/balancer/src/mesh/gate.rs
+++ b/balancer/src/mesh/gate.rs
@@ -2,6 +2,7 @@
 //! final answer: route, service, key, the module's steps, the dispatches. It must never decide where a req goes (the
 //! module does), let one go on that the configuration in force here forbids, or hold back an answer it has.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,6 +32,8 @@
 const CLAIM_SILENT: Duration = Duration::from_millis(60);
 /// How a client is told to come back where the module says nothing of it.
 const COME_BACK: Nanos = 100 * MS;
+/// A large answer is not begun with less time than this before the process gives up what is inside.
+const LARGE_NEEDS: Nanos = 2_400 * MS;
 
 /// What a req came to here.
 enum Outcomes {
@@ -66,7 +69,11 @@
     for name in [&ADDRESSEE, &CALLER, &KNOCK, &WAY] {
         message.head.headers_mut().remove(name);
     }
-    let ends = (at + left.min(route.deadline_ms) * MS).saturating_sub(WAY_BACK);
+    let ends_by = branch.ends_by();
+    if route.kind == Kind::OutboundPost && ends_by < at + LARGE_NEEDS {
+        return deny(COME_BACK);
+    }
+    let ends = (at + left.min(route.deadline_ms) * MS).min(ends_by).saturating_sub(WAY_BACK);
     let aim = (at + route.target_ms * MS).saturating_sub(branch.used(&route.name, left) * MS + WAY_BACK);
     // A call keeps its caller's slot taken, and is of use for as long as that waits.
     let aim = if call.is_some() { aim.max(at + route.deadline_ms * MS * 7 / 10) } else { aim };
@@ -221,8 +228,13 @@
         let mut last: Option<(Parts, Flow)> = None;
         // A large answer is wanted from near: the first door may let it wait already.
         let (mut ran, mut sent, mut turned) = (false, 0, u32::from(large));
+        let mut over = pin!(self.branch.over());
         loop {
-            let step = turn.steps.recv().await;
+            let step = tokio::select! {
+                biased;
+                () = &mut over => None,
+                step = turn.steps.recv() => step,
+            };
             match step {
                 Some(Step::Send { number, srv, give_up }) => {
                     if sent >= self.route.tries {
@@ -304,6 +316,7 @@
         give_up: Nanos,
     ) -> Option<(End, Option<f64>)> {
         let work = self.send(place, turned, give_up.min(self.ends));
+        let mut over = pin!(self.branch.over());
         tokio::pin!(work);
         loop {
             tokio::select! {
@@ -316,7 +329,8 @@
                     }
                     None => return None,
                     Some(_) => {}
-                }
+                },
+                () = &mut over => return None,
             }
         }
     }
--- a/balancer/src/mesh/gate_tests.rs
+++ b/balancer/src/mesh/gate_tests.rs
@@ -118,6 +118,7 @@
         route("once", "one.example", "/once/", "once_only", "alpha"),
         route("deep", "one.example", "/once/deep/", "once_only", "omega"),
         route("keyed", "one.example", "/keyed/", "registered", "alpha"),
+        route("large", "one.example", "/large/", "outbound_post", "alpha"),
         route("other", "two.example", "/again/", "resendable", "omega"),
         r#"{"category":"mail_lines","label":{"name":"alpha"},"manifest":{"health":"/h","berth_cap":9}}"#
             .into(),
@@ -284,6 +285,37 @@
     }
 }
 
+/// Guards against connections that end without an answer when a process has to end: whoever still waits gets one, and a
+/// large answer is not begun that could not be brought to its end.
+#[tokio::test]
+async fn who_is_inside_when_a_process_must_end_gets_an_answer() {
+    use Does::Waits;
+    let mut all = String::new();
+    for (path, more) in [("/again/", ""), ("/once/", ""), ("/keyed/", "Ochreshed-Tracking-Key: k\r\n")] {
+        let rig = Rig::new(&[Waits(200, "late")], &[Got::Granted]).await;
+        let mut stream = rig.send(req(path, more).as_bytes()).await;
+        rig.until(|seen| !seen.came.is_empty()).await;
+        rig.branch.leave(Duration::from_secs(5));
+        let large = rig.call("/large/", "").await;
+        rig.branch.give_up();
+        let answer = read(&mut stream).await.expect("an answer");
+        let back = large.field("retry-after").is_some();
+        all += &format!("{path}: {}, large {}, come back {back}\n", answer.status(), large.status());
+        rig.until(|seen| seen.left == 1).await;
+    }
+    expect![[r#"
+        /again/: 502, large 200, come back false
+        /once/: 502, large 200, come back false
+        /keyed/: 502, large 200, come back false
+    "#]]
+    .assert_eq(&all);
+    // Less time is left than a large answer needs, and than the client would wait.
+    let rig = Rig::new(&[Waits(200, "late")], &[]).await;
+    rig.branch.leave(Duration::from_millis(300));
+    assert_eq!(rig.call("/large/", "").await.status(), "503");
+    assert_eq!(rig.call("/once/", "").await.status(), "504");
+}
+
 /// Guards against a promise that a req has not run where it may have, and against a second run of one that may run once.
 #[tokio::test]
 async fn a_promise_is_given_only_where_nothing_may_have_run() {
