Gate: an upstream's stamp never stands over a status that it did not give

Need: the status, body and stamp of the upstream are returned unchanged. Where a once-only or keyed req came to a 408, 421, 429 or 503 that did not say that it had not run, the gate sent that answer on as 502, under its stamp.

--- a/balancer/src/mesh/gate.rs
+++ b/balancer/src/mesh/gate.rs
@@ -261,12 +261,11 @@
                             turn.ended(number, How::Done, took, true, inside);
                             return Outcomes::Answer(head, flow);
                         }
-                        End::Ran(mut head, flow) => {
-                            if !self.route.kind.repeatable() && promises(head.status) {
-                                // It ran, and this answer would promise that it did not.
-                                head.status = StatusCode::BAD_GATEWAY;
-                            }
-                            (last, ran) = (Some((head, flow)), true);
+                        End::Ran(head, flow) => {
+                            ran = true;
+                            // It may have run, and such an answer would promise that it did not.
+                            let untrue = !self.route.kind.repeatable() && promises(head.status);
+                            last = (!untrue).then_some((head, flow));
                             How::Error
                         }
                         End::Full | End::Gone => How::Full,
