Door: large answers still being made count as before those that come; two at a time

Cause: whether a large answer could be in time was judged by what was on its way, not by the ones whose runs were about to end (door.rs, on_the_way), and three shared the link, so that each came as late as the last. Change: one that was let in counts from then on; what stands before goes while this one is made; two at a time.

--- a/balancer/src/mesh/carry.rs
+++ b/balancer/src/mesh/carry.rs
@@ -37,7 +37,7 @@
 const AHEAD_PIECES: usize = 64;
 const PIECE: usize = 16 * 1024;
 /// So many large answers go out to other machines at a time; a reader that stands still holds up no more than its turn.
-const AT_ONCE: usize = 3;
+const AT_ONCE: usize = 2;
 
 /// How an exchange failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/balancer/src/mesh/door.rs
+++ b/balancer/src/mesh/door.rs
@@ -158,6 +158,8 @@
     /// Where large answers to other machines go, and the mean size of one.
     lane: Arc<Lane>,
     large: Mutex<f64>,
+    /// Large answers to other machines that were let in and have not come out of the upstream yet.
+    large_inside: AtomicUsize,
     /// Bytes of answers read ahead of who takes them.
     ahead: Arc<Semaphore>,
     calls: AtomicBool,
@@ -226,6 +228,22 @@
     }
 }
 
+/// A large answer that will go out to another machine once the upstream has made it.
+struct Coming(Arc<Door>);
+
+impl Coming {
+    fn new(door: &Arc<Door>) -> Coming {
+        door.large_inside.fetch_add(1, Relaxed);
+        Coming(door.clone())
+    }
+}
+
+impl Drop for Coming {
+    fn drop(&mut self) {
+        self.0.large_inside.fetch_sub(1, Relaxed);
+    }
+}
+
 struct Inside(Arc<Door>, Vec<u8>);
 
 impl Drop for Inside {
@@ -251,6 +269,7 @@
             slots: Mutex::default(),
             lane: Lane::new(link_mbps, clock),
             large: Mutex::new(0.0),
+            large_inside: AtomicUsize::new(0),
             ahead: Arc::new(Semaphore::new(ahead)),
             calls: AtomicBool::new(false),
             runs: Mutex::default(),
@@ -570,10 +589,13 @@
         let Knock { message, meant, caller, turned, again, call, large, away, aim, until } = knock;
         let Some(to) = self.check(meant) else { return End::Gone };
         let now = self.clock.now();
-        // A large answer is late when its last byte is: what stands before it on the link, and its own part.
-        let (stands, span) = if large && away { self.on_the_way(now) } else { (0, 0) };
-        let aim = aim.saturating_sub(stands + span);
-        if stands > 0 && now + held(&self.slots).took() > aim {
+        // A large answer is late when its last byte is: what stands before it on the link, which goes while it is made,
+        // and its own part.
+        let paced = large && away;
+        let (stands, span) = if paced { self.on_the_way(now) } else { (0, 0) };
+        let took = held(&self.slots).took();
+        let aim = aim.saturating_sub(span + stands.saturating_sub(took));
+        if stands > 0 && now + took > aim {
             return End::Turned;
         }
         let waits = {
@@ -590,6 +612,7 @@
                 _ => return End::Turned,
             }
         };
+        let coming = paced.then(|| Coming::new(self));
         self.inside.fetch_add(1, Relaxed);
         let id = message.head.headers().get(&ID).cloned();
         let name = id.as_ref().map(|id| id.as_bytes().to_vec()).unwrap_or_default();
@@ -644,6 +667,8 @@
             *mean += (size as f64 - *mean) * if *mean > 0.0 { LARGE_PART } else { 1.0 };
         }
         let flow = if away { self.paced(flow) } else { flow };
+        // From here on it stands in the lane.
+        drop(coming);
         End::Ran(head, flow.holding(inside))
     }
 
@@ -657,8 +682,10 @@
 
     /// What stands before a large answer on the way to another machine, and how long it is on its way itself.
     fn on_the_way(&self, now: Nanos) -> (Nanos, Nanos) {
+        let mean = *held(&self.large);
+        let coming = self.large_inside.load(Relaxed) as f64 * mean;
         let pace = self.lane.pace();
-        (pace.wait(now), pace.span(*held(&self.large)))
+        (pace.wait(now) + pace.span(coming), pace.span(mean))
     }
 
     /// So many bytes go out to other machines, at once.
