--- a/balancer/tests/mesh/town.rs
+++ b/balancer/tests/mesh/town.rs
@@ -11,7 +11,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 
 use super::helper::{LONG, until};
 
@@ -25,6 +25,8 @@
 /// The service beside each attendant.
 const LINES: [&str; 4] = ["alpha", "alpha", "alpha", "omega"];
 pub const STEWARDS: usize = 3;
+/// How many reqs an upstream takes at a time.
+pub const SLOTS: usize = 8;
 
 pub const ID: &str = "ochreshed-consignment-id";
 pub const KEY: &str = "ochreshed-tracking-key";
@@ -185,9 +187,31 @@
     }
 }
 
+/// What is wrong with an upstream.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[allow(dead_code)]
+pub enum Trouble {
+    Nothing,
+    /// It answers once the ledger releases it, not before.
+    Slow,
+    /// Every second run ends in a 500.
+    Grey,
+    /// It answers half of what it says.
+    Cuts,
+    /// Whatever comes on a connection that has carried a req before is reset, unread.
+    Forgets,
+    /// Nothing listens, and its connections have ended.
+    Down,
+}
+
 /// A stand-in for an application's instance.
 pub struct Upstream {
+    /// In its first life.
     pub id: String,
+    life: AtomicU64,
+    trouble: Mutex<Trouble>,
+    ran: AtomicU64,
+    open: Mutex<Vec<TcpStream>>,
     line: &'static str,
     at: SocketAddr,
     gate: SocketAddr,
@@ -200,38 +224,99 @@
 
 impl Upstream {
     fn start(self) -> Arc<Upstream> {
-        let listener = TcpListener::bind(self.at).expect("its address");
         let upstream = Arc::new(self);
         let (serves, beats) = (upstream.clone(), upstream.clone());
+        let listener = TcpListener::bind(upstream.at).expect("its address");
         thread::spawn(move || {
-            for stream in listener.incoming() {
-                let (serves, mut stream) = (serves.clone(), BufReader::new(stream.expect("a stream")));
-                thread::spawn(move || {
-                    while let Ok(Some(req)) = read(&mut stream) {
-                        if stream.get_mut().write_all(&serves.answer(req)).is_err() {
-                            return;
-                        }
-                    }
-                });
+            let mut listener = Some(listener);
+            while !serves.over.load(Relaxed) {
+                let Some(listens) = &listener else {
+                    thread::sleep(Duration::from_millis(1));
+                    // Its address may be taken for as long as its last connections end.
+                    listener =
+                        (!serves.is(Trouble::Down)).then(|| TcpListener::bind(serves.at).ok()).flatten();
+                    continue;
+                };
+                let (stream, _) = listens.accept().expect("a stream");
+                if serves.is(Trouble::Down) {
+                    listener = None;
+                    continue;
+                }
+                let mut open = serves.open.lock().expect("streams");
+                open.retain(|stream| stream.peer_addr().is_ok());
+                open.push(stream.try_clone().expect("a stream"));
+                drop(open);
+                let serves = serves.clone();
+                thread::spawn(move || serves.serve(stream));
             }
         });
         thread::spawn(move || {
             while !beats.over.load(Relaxed) {
-                let _ = beats.beat();
+                if !beats.is(Trouble::Down) {
+                    let _ = beats.beat();
+                }
                 thread::sleep(BEAT);
             }
         });
         upstream
     }
 
+    fn serve(&self, stream: TcpStream) {
+        let mut stream = BufReader::new(stream);
+        while let Ok(Some(req)) = read(&mut stream) {
+            let answer = self.answer(req);
+            let cut = self.is(Trouble::Cuts);
+            let part = if cut { &answer[..answer.len() - answer.len().min(300_000) / 8] } else { &answer };
+            if stream.get_mut().write_all(part).is_err() || cut {
+                return;
+            }
+            if self.is(Trouble::Forgets) {
+                // What is unread at its end resets it.
+                let _ = stream.get_ref().peek(&mut [0]);
+                let _ = SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO));
+                return;
+            }
+        }
+    }
+
+    fn is(&self, trouble: Trouble) -> bool {
+        *self.trouble.lock().expect("its trouble") == trouble
+    }
+
+    /// From here on this is wrong with it.
+    #[allow(dead_code)]
+    pub fn has(&self, trouble: Trouble) {
+        *self.trouble.lock().expect("its trouble") = trouble;
+        if trouble == Trouble::Down {
+            // The listener takes one more, and ends.
+            drop(TcpStream::connect(self.at));
+            let streams = std::mem::take(&mut *self.open.lock().expect("streams"));
+            streams.iter().for_each(|stream| drop(stream.shutdown(std::net::Shutdown::Both)));
+            until("down", || TcpStream::connect(self.at).is_err());
+        }
+    }
+
+    /// Its name from here on is another one.
+    #[allow(dead_code)]
+    pub fn new_life(&self) {
+        self.life.fetch_add(1, Relaxed);
+    }
+
+    pub fn name(&self) -> String {
+        match self.life.load(Relaxed) {
+            0 => self.id.clone(),
+            life => format!("{}-{life}", self.id),
+        }
+    }
+
     fn beat(&self) -> io::Result<Message> {
         let state = if self.closing.load(Relaxed) { "closing" } else { "open_for_post" };
         let (at, line, number) = (self.at, self.line, self.beats.fetch_add(1, Relaxed));
         let body = format!(
-            r#"{{"address":"{at}","notice":{{"line":"{line}","edition":"v1","zone":"a","pigeonholes":8}},
+            r#"{{"address":"{at}","notice":{{"line":"{line}","edition":"v1","zone":"a","pigeonholes":{SLOTS}}},
                 "status":{{"state":"{state}","postmark_seq":{number},"cold_left_ms":0}}}}"#
         );
-        rpc(self.control, &format!("offices.beat&of={}", self.id), &body)
+        rpc(self.control, &format!("offices.beat&of={}", self.name()), &body)
     }
 
     /// Says that it closes, until that is acknowledged.
@@ -242,15 +327,17 @@
 
     fn answer(&self, req: Message) -> Vec<u8> {
         static NEXT: AtomicU64 = AtomicU64::new(1);
-        if req.field(ADDRESSEE) != self.id {
+        let name = self.name();
+        if req.field(ADDRESSEE) != name {
             return b"HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n".into();
         }
         let stamp = format!("3e1b.{:x}.c9", NEXT.fetch_add(1, Relaxed));
         let (id, path) = (req.field(ID).to_owned(), req.first.clone());
-        let run = Run { at: Instant::now(), by: self.id.clone(), line: self.line, req, stamp: stamp.clone() };
+        let run = Run { at: Instant::now(), by: name, line: self.line, req, stamp: stamp.clone() };
         self.ledger.runs.lock().expect("runs").push(run);
+        let nth = self.ran.fetch_add(1, Relaxed);
         let mut body = said(&id).into_bytes();
-        if path.contains("/held") {
+        if path.contains("/held") || self.is(Trouble::Slow) {
             until("released", || self.ledger.release.load(Relaxed));
         } else if path.contains("/work") {
             thread::sleep(Duration::from_millis(40));
@@ -264,7 +351,8 @@
             body = large();
         }
         let head = format!("Ochreshed-Consignment-Id: {id}\r\nOchreshed-Postmark: {stamp}\r\n");
-        let head = format!("HTTP/1.1 200 OK\r\n{head}Content-Length: {}\r\n\r\n", body.len());
+        let status = if self.is(Trouble::Grey) && nth.is_multiple_of(2) { "500 Broken" } else { "200 OK" };
+        let head = format!("HTTP/1.1 {status}\r\n{head}Content-Length: {}\r\n\r\n", body.len());
         [head.into_bytes(), body].concat()
     }
 }
@@ -460,6 +548,10 @@
             let at = |port: usize| town.at(&town.attendants[nth], port);
             let upstream = Upstream {
                 id: format!("i-{}", new_id()),
+                life: AtomicU64::new(0),
+                trouble: Mutex::new(Trouble::Nothing),
+                ran: AtomicU64::new(0),
+                open: Mutex::default(),
                 line,
                 at: at(APP),
                 gate: at(OUTBOUND),
