Timetable: a route may tell whose it is and what its reqs may take of what all share

Routes of members of a federation are to hold to a part of a service's allowance of repeats and of an upstream's slots. The reader of the operators' timetable leaves it empty.

--- a/mesh/src/timetable.rs
+++ b/mesh/src/timetable.rs
@@ -78,6 +78,18 @@
     pub tries: u32,
     /// Each service once, with its share; their sum is above 0.
     pub lines: Vec<(Name, f64)>,
+    /// Whose route it is and what it may take of what all share; none for the platform's own.
+    pub share: Option<Arc<Share>>,
+}
+
+/// What the reqs on a member's routes may take at most.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Share {
+    pub member: Name,
+    /// Of a service's allowance of repeats, from 0 to 1.
+    pub retry: f64,
+    /// Of an upstream's slots, from 0 to 1; one slot is left to it at least.
+    pub slots: f64,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -578,6 +590,7 @@
             rank: u32::try_from(rank?).ok()?,
             tries: u32::try_from(tries?).ok()?,
             lines: lines?,
+            share: None,
         })
     }
 
