--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -2,7 +2,7 @@
 //! immutable snapshots that are swapped whole, its four doors, and the order of its start and end. It must never take
 //! work before it has a configuration, nor end while it owes an answer and still may give it.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -15,7 +15,9 @@
 use hyper::header::HeaderValue;
 use ochreshed::{Name, Nanos};
 use ochreshed_mesh::budget::{Figures, MOST_SERVICES, Report, Spending};
+use ochreshed_mesh::fared::{Edition, Fared, Fares};
 use ochreshed_mesh::list::Row;
+use ochreshed_mesh::shares::{self, Line as Service, Members, Pool};
 use ochreshed_mesh::timetable::{Route, Timetable};
 use ochreshed_mesh::words::Sheet;
 use rand::{Rng, SeedableRng};
@@ -26,7 +28,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::carry::{Flow, Line};
-use super::desk::{Desk, Plan, Told};
+use super::desk::{self, Desk, Plan, Seat, Told};
 use super::door::{Door, Site};
 use super::entry::{self, Ajar, Bounds, Came, say};
 use super::full::Full;
@@ -72,12 +74,48 @@
 pub struct InForce {
     timetable: Timetable,
     plans: Vec<Plan>,
+    /// The shares of members in the allowance of services that their routes go to.
+    shares: BTreeMap<Service, Members>,
+    /// The edition in force here of each member's routes, and whether it is on trial.
+    editions: BTreeMap<Name, (u64, bool)>,
 }
 
 impl InForce {
-    fn new(timetable: Timetable) -> InForce {
-        let plans = Plan::all(&timetable);
-        InForce { timetable, plans }
+    pub fn new(timetable: Timetable, editions: BTreeMap<Name, (u64, bool)>) -> InForce {
+        let (plans, shares) = (Plan::all(&timetable), shares::of(&timetable));
+        InForce { timetable, plans, shares, editions }
+    }
+
+    /// Whose route it is, and the edition of it that is in force.
+    pub fn edition(&self, route: &Route) -> Option<Edition> {
+        let member = route.share.as_ref()?.member.clone();
+        let (number, trial) = self.editions.get(&member).copied().unwrap_or_default();
+        Some(Edition { member, number, trial })
+    }
+}
+
+/// The desks, and the allowances that are divided among several of them.
+#[derive(Default)]
+struct Seats {
+    desks: HashMap<Seat, Arc<Desk>>,
+    pools: BTreeMap<Service, Arc<Mutex<Pool>>>,
+}
+
+impl Seats {
+    /// Divides anew: each service's allowance where routes of members go to it, or went there of late.
+    fn divide(&mut self, now: Nanos, shares: &BTreeMap<Service, Members>) {
+        for line in shares.keys() {
+            self.pools.entry(line.clone()).or_default();
+        }
+        let none = Members::new();
+        self.pools.retain(|line, pool| {
+            let mut pool = held(pool);
+            pool.divide(now, shares.get(line).unwrap_or(&none));
+            !pool.over()
+        });
+        for ((name, large, _), desk) in &self.desks {
+            desk.draw_on(self.pools.get(&(name.clone(), *large)));
+        }
     }
 }
 
@@ -100,10 +138,11 @@
     rows: Mutex<Rows>,
     /// Doors whose attendants no watcher that replies has heard of late.
     quiet: ArcSwap<HashSet<SocketAddr>>,
-    /// By service, and whether for large answers.
-    desks: Mutex<HashMap<(Name, bool), Arc<Desk>>>,
-    /// The most time that a client had left, by route, and when that was.
-    lefts: Mutex<HashMap<Name, (u64, Nanos)>>,
+    seats: Mutex<Seats>,
+    /// How the reqs on members' routes fared here.
+    fares: Mutex<Fares>,
+    /// The most time that a client had left, by route and whose it is, and when that was.
+    lefts: Mutex<HashMap<(Name, Option<Name>), (u64, Nanos)>>,
     lines: Mutex<HashMap<SocketAddr, Arc<Line>>>,
     room: Arc<Semaphore>,
     pub door: Arc<Door>,
@@ -146,7 +185,8 @@
             sheet: Mutex::default(),
             rows: Mutex::default(),
             quiet: ArcSwap::default(),
-            desks: Mutex::default(),
+            seats: Mutex::default(),
+            fares: Mutex::new(Fares::over(settings.bounds.retry_window.as_nanos() as Nanos)),
             lefts: Mutex::default(),
             lines: Mutex::default(),
             room: Arc::new(Semaphore::new(sockets / 4)),
@@ -251,15 +291,20 @@
         route.lines.iter().rev().find(|(_, share)| *share > 0.0).map(|(name, _)| name.clone())
     }
 
-    pub fn desk(&self, line: &Name, large: bool) -> Option<Arc<Desk>> {
-        held(&self.desks).get(&(line.clone(), large)).cloned()
+    /// The desk for the reqs of a route that go to this service.
+    pub fn desk(&self, line: &Name, route: &Route) -> Option<Arc<Desk>> {
+        held(&self.seats).desks.get(&desk::seat(line, route)).cloned()
+    }
+
+    /// Counts how reqs on a member's routes fared.
+    pub fn fared(&self, of: &Edition, fared: Fared) {
+        held(&self.fares).add(self.clock.now(), of, fared);
     }
 
     /// What is told of this machine: what of each service was sent and sent again of late, where anything was.
     pub fn report(&self) -> Report {
-        let desks = held(&self.desks);
         let mut sums: HashMap<Name, Figures> = HashMap::new();
-        for ((name, _), desk) in desks.iter() {
+        for ((name, ..), desk) in &held(&self.seats).desks {
             let sum = sums.entry(name.clone()).or_default();
             *sum = sum.and(desk.figures());
         }
@@ -267,18 +312,20 @@
             sums.into_iter().filter(|(_, figures)| *figures != Figures::default()).collect();
         all.sort_by_key(|(name, figures)| (std::cmp::Reverse((figures.again, figures.first)), name.clone()));
         all.truncate(MOST_SERVICES);
-        Report { spending: all, full_ms: self.full.get().copied() }
+        let members = held(&self.fares).tell(self.clock.now());
+        Report { spending: all, full_ms: self.full.get().copied(), members }
     }
 
     /// How much of its time a client had used up before this try: the most that was left on this route of late, less
     /// what is left now.
-    pub fn used(&self, route: &Name, left: u64) -> u64 {
+    pub fn used(&self, route: &Route, left: u64) -> u64 {
         let now = self.clock.now();
         let mut lefts = held(&self.lefts);
         if lefts.len() > MOST_ROUTES {
             lefts.clear();
         }
-        let (most, at) = lefts.entry(route.clone()).or_insert((left, now));
+        let member = route.share.as_ref().map(|share| share.member.clone());
+        let (most, at) = lefts.entry((route.name.clone(), member)).or_insert((left, now));
         if left >= *most || now > *at + LEFT_FOR {
             (*most, *at) = (left, now);
         }
@@ -310,7 +357,7 @@
         match Timetable::read(&sheet.bytes) {
             Ok(timetable) => {
                 log::info!("timetable r{} in force, {} routes", sheet.version, timetable.routes().count());
-                self.timetable.store(Some(Arc::new(InForce::new(timetable))));
+                self.timetable.store(Some(Arc::new(InForce::new(timetable, BTreeMap::new()))));
                 here.0 = Some(Arc::new(sheet));
                 drop(here);
                 self.seat();
@@ -375,21 +422,23 @@
         let quiet = quiet.unwrap_or_default();
         self.quiet.store(Arc::new(quiet.clone()));
         let settings = self.settings.load();
-        let mut desks = held(&self.desks);
+        let mut seats = held(&self.seats);
         let mut kept = HashMap::new();
         for plan in &timetable.plans {
             let of = || rows.rows.values().filter(|(row, _)| *row.line == *plan.line);
             let calls = of().any(|(row, _)| row.calls);
             let told = Told::new(plan, gates, calls, &settings.bounds);
-            let key = (plan.line.clone(), plan.large);
-            let (was, told) = (desks.remove(&key), (plan.line.clone(), told));
+            let key = plan.seat();
+            let (was, told) = (seats.desks.remove(&key), (plan.line.clone(), told));
             let window = settings.bounds.retry_window.as_nanos() as Nanos;
             let desk = Desk::of(was, told, self.clock, || self.draw(), window);
             desk.list(of(), &quiet, &settings.zone);
             kept.insert(key, desk);
         }
-        *desks = kept;
-        drop(desks);
+        seats.desks = kept;
+        seats.divide(self.clock.now(), &timetable.shares);
+        drop(seats);
+        self.door.know_shares(&timetable);
         self.moor();
     }
 
--- a/balancer/src/mesh/desk.rs
+++ b/balancer/src/mesh/desk.rs
@@ -9,6 +9,7 @@
 use ochreshed_hands::{Act, End, Hands};
 use ochreshed_mesh::budget::{Figures, Spent, Tally, Terms};
 use ochreshed_mesh::list::{Row, Stand};
+use ochreshed_mesh::shares::Pool;
 use ochreshed_mesh::timetable::{Kind, Route, Timetable};
 use tokio::sync::{Notify, mpsc};
 use tokio::time::sleep_until;
@@ -36,26 +37,46 @@
     Abort,
 }
 
-/// What a configuration tells of the reqs for one service, those with large answers apart.
+/// Which desk: by service, whether for large answers, and whose routes.
+pub type Seat = (Name, bool, Option<Name>);
+
+/// Where the reqs of a route go for a service.
+pub fn seat(line: &Name, route: &Route) -> Seat {
+    let member = route.share.as_ref().map(|share| share.member.clone());
+    (line.clone(), route.kind == Kind::OutboundPost, member)
+}
+
+/// What a configuration tells of the reqs for one service, those with large answers and those of each member apart.
 #[derive(Clone, PartialEq, Debug)]
 pub struct Plan {
     pub line: Name,
     /// Reqs with large answers, which stay near while anyone near takes reqs: their bytes cost more than a refusal.
     pub large: bool,
+    /// Whose routes these are; none for the platform's.
+    pub member: Option<Name>,
     /// Kinds of req by what matters to the module: kind, target and rank.
     shapes: Vec<(String, bool, u64, u32)>,
     tries: u32,
 }
 
 impl Plan {
+    pub fn seat(&self) -> Seat {
+        (self.line.clone(), self.large, self.member.clone())
+    }
+
     /// For all services to which any route goes.
     pub fn all(timetable: &Timetable) -> Vec<Plan> {
-        let mut plans: BTreeMap<(Name, bool), Plan> = BTreeMap::new();
+        let mut plans: BTreeMap<Seat, Plan> = BTreeMap::new();
         for route in timetable.routes() {
-            let large = route.kind == Kind::OutboundPost;
             for (line, _) in &route.lines {
-                let none = || Plan { line: line.clone(), large, shapes: Vec::new(), tries: 1 };
-                let plan = plans.entry((line.clone(), large)).or_insert_with(none);
+                let seat = seat(line, route);
+                let plan = plans.entry(seat).or_insert_with_key(|(line, large, member)| Plan {
+                    line: line.clone(),
+                    large: *large,
+                    member: member.clone(),
+                    shapes: Vec::new(),
+                    tries: 1,
+                });
                 plan.shapes.push((shape(route), route.kind.repeatable(), route.target_ms, route.rank));
                 plan.tries = plan.tries.max(route.tries);
             }
@@ -156,6 +177,8 @@
     listed: HashMap<Name, Listed>,
     places: HashMap<Name, Place>,
     spent: Spent,
+    /// Where the service's allowance is divided among members and the platform.
+    pool: Option<Arc<Mutex<Pool>>>,
 }
 
 pub struct Desk {
@@ -205,6 +228,7 @@
             listed: HashMap::new(),
             places: HashMap::new(),
             spent,
+            pool: None,
         };
         let desk = Arc::new(Desk { line, told, clock, inner: Mutex::new(inner), woken: Notify::new() });
         tokio::spawn(Desk::tend(Arc::downgrade(&desk)));
@@ -228,9 +252,42 @@
         }
     }
 
+    /// From now on its part of an allowance that is divided is all it may send again; none: its own as it was told.
+    pub fn draw_on(&self, pool: Option<&Arc<Mutex<Pool>>>) {
+        let mut inner = held(&self.inner);
+        match pool {
+            Some(pool) => held(pool).join(self.told.plan.member.as_ref(), &inner.spent),
+            None if inner.pool.is_none() => return,
+            None => {
+                let Terms { part, floor, .. } = self.told.terms();
+                inner.hands.allow(part, floor);
+                inner.spent.allow(part, floor);
+            }
+        }
+        inner.pool = pool.cloned();
+    }
+
+    /// Tells the module what it may send again now, where that is divided.
+    fn allow(&self, inner: &mut Inner, now: Nanos) {
+        let Some(pool) = &inner.pool else { return };
+        let Terms { part, floor, .. } = self.told.terms();
+        let (sent, may) = held(pool).room(now, self.told.plan.member.as_ref(), (part, floor));
+        // What was sent again before the module last learnt anew it doesn't know.
+        let floor = may - sent + f64::from(inner.spent.of_module(now).again);
+        inner.hands.allow(0.0, floor);
+        inner.spent.allow(0.0, floor);
+    }
+
+    fn count(&self, inner: &Inner, now: Nanos, figures: Figures) {
+        if let Some(pool) = &inner.pool {
+            held(pool).count(now, self.told.plan.member.as_ref(), figures);
+        }
+    }
+
     fn settle(&self, inner: &mut Inner) -> Nanos {
         loop {
             let now = self.clock.now();
+            self.allow(inner, now);
             let wake = inner.hands.settle(now);
             let acts = inner.hands.acts();
             if acts.is_empty() {
@@ -275,7 +332,9 @@
         let tally = Tally::new(self.told.repeatable(&req.rule_set), req.ends);
         if req.again {
             inner.spent.called_again(now);
+            self.count(&inner, now, Figures { again: 1, ..Figures::default() });
         }
+        self.allow(&mut inner, now);
         inner.hands.take(now, req);
         self.settle_and_wake(&mut inner);
         Turn { desk: self.clone(), id, steps: got, over: false, tally }
@@ -340,9 +399,12 @@
 }
 
 impl Turn {
-    /// A dispatch goes on its way.
-    pub fn goes(&self) {
-        held(&self.desk.inner).spent.goes(self.desk.clock.now(), &self.tally);
+    /// A dispatch goes on its way. What was counted for it.
+    pub fn goes(&self) -> Figures {
+        let (mut inner, now) = (held(&self.desk.inner), self.desk.clock.now());
+        let counted = inner.spent.goes(now, &self.tally);
+        self.desk.count(&inner, now, counted);
+        counted
     }
 
     /// A dispatch has ended; `closed` when its req has had its final answer by that.
@@ -351,14 +413,15 @@
         self.tally.ended(how);
         self.over |= closed;
         let now = self.desk.clock.now();
+        self.desk.allow(&mut inner, now);
         inner.hands.ended(now, self.id, number, End { how, took, closed, report: inside.as_slice() });
         self.desk.settle_and_wake(&mut inner);
     }
 
-    /// The module has given the req up.
-    pub fn end(&mut self) {
+    /// The module has given the req up. What was counted for that.
+    pub fn end(&mut self) -> Figures {
         self.over = true;
-        held(&self.desk.inner).spent.given_up(self.desk.clock.now(), &self.tally);
+        held(&self.desk.inner).spent.given_up(self.desk.clock.now(), &self.tally)
     }
 }
 
--- a/balancer/src/mesh/door.rs
+++ b/balancer/src/mesh/door.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use hyper::body::Body as _;
 use hyper::header::{CONTENT_ENCODING, HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
@@ -15,7 +16,8 @@
 use jzon::JsonValue as Json;
 use ochreshed::Nanos;
 use ochreshed_mesh::list::{Row, Stand};
-use ochreshed_mesh::slots::{Asker, Slots, Way};
+use ochreshed_mesh::slots::{Asker, Part, Slots, Way};
+use ochreshed_mesh::timetable::{Name, Timetable};
 use tokio::sync::{Semaphore, oneshot};
 use tokio::time::timeout_at;
 
@@ -35,7 +37,8 @@
 const DELIVERED_BY: HeaderName = HeaderName::from_static("ochreshed-delivered-by");
 const NOT_RUN: HeaderName = HeaderName::from_static("ochreshed-not-delivered");
 /// Between a gate and a door: the ms until an answer is late, how many doors have turned the req away, and letters: `a`,
-/// it is sent again or called by a run that was; `c`, a run waits for it; `l`, its answer is large.
+/// it is sent again or called by a run that was; `c`, a run waits for it; `l`, its answer is large. On a member's route
+/// also the part of the slots that its reqs may have, and its name, which ends with the field.
 pub const KNOCK: HeaderName = HeaderName::from_static("ochreshed-knock");
 /// Between a door and a gate: how the door's part ended, and how many reqs are at its upstream or wait there.
 pub const WAY: HeaderName = HeaderName::from_static("ochreshed-way");
@@ -49,6 +52,7 @@
 /// Ids of lives that have ended.
 const MOST_PAST: usize = 32;
 const MOST_BEAT: u64 = 4 * 1024;
+const MOST_NAME: usize = 256;
 /// The longest that a client may say it waits, in ms.
 pub const MOST_LEFT: u64 = 86_400_000;
 /// What a message has on the wire beside its body, about.
@@ -154,7 +158,9 @@
     /// Reqs that wait for a slot or are in one.
     inside: AtomicUsize,
     /// Those at the upstream now, and who waits to be one of them.
-    slots: Mutex<Slots<oneshot::Sender<Slot>>>,
+    slots: Mutex<Slots<Waits>>,
+    /// What members may have of the slots, by the configuration in force here.
+    shares: ArcSwap<HashMap<Name, f64>>,
     /// Where large answers to other machines go, and the mean size of one.
     lane: Arc<Lane>,
     large: Mutex<f64>,
@@ -186,6 +192,18 @@
     /// When its answer is late, and when nobody waits for it any more.
     pub aim: Nanos,
     pub until: Nanos,
+    /// What the member whose route it came by may have here.
+    pub part: Option<Part>,
+}
+
+/// What a knock tells on the wire.
+struct Told {
+    aim_ms: u64,
+    turned: u32,
+    again: bool,
+    call: bool,
+    large: bool,
+    part: Option<Part>,
 }
 
 impl Knock<'_> {
@@ -198,27 +216,43 @@
                 .filter(|(is, _)| *is)
                 .map(|(_, c)| c),
         );
+        if let Some(part) = &self.part {
+            word += &format!(" {} {}", part.share, part.member);
+        }
         word
     }
 
-    /// Reads that again, with the ms until it is late in place of the time: (aim, turned, again, call, large).
-    fn read(word: &str, left: u64) -> (u64, u32, bool, bool, bool) {
-        let mut parts = word.split(' ');
-        let aim = parts.next().and_then(|part| part.parse().ok()).unwrap_or(left).min(MOST_LEFT);
+    /// Reads that again, with the ms until it is late in place of the time.
+    fn read(headers: &HeaderMap, left: u64) -> Told {
+        // A member's name may be in any script.
+        let word = headers.get(&KNOCK).and_then(|word| std::str::from_utf8(word.as_bytes()).ok());
+        let mut parts = word.unwrap_or_default().trim().splitn(5, ' ');
+        let aim_ms = parts.next().and_then(|part| part.parse().ok()).unwrap_or(left).min(MOST_LEFT);
         let turned = parts.next().and_then(|part| part.parse().ok()).unwrap_or(0);
         let letters = parts.next().unwrap_or_default();
-        (aim, turned, letters.contains('a'), letters.contains('c'), letters.contains('l'))
+        let [again, call, large] = ['a', 'c', 'l'].map(|letter| letters.contains(letter));
+        let share = parts.next().and_then(|part| part.parse().ok());
+        let member = parts.next().filter(|name| !name.is_empty() && name.len() <= MOST_NAME);
+        let part = share.zip(member).map(|(share, name)| Part { member: name.into(), share });
+        Told { aim_ms, turned, again, call, large, part }
     }
 }
 
 /// A place at the upstream, and since when; given back when its answer has come, or nobody waits for it any more.
-struct Slot(Arc<Door>, Nanos);
+struct Slot(Arc<Door>, Nanos, Option<Name>);
+
+/// Who waits for one, and the member whose part that will be of.
+type Waits = (oneshot::Sender<Slot>, Option<Name>);
 
 impl Drop for Slot {
     fn drop(&mut self) {
         let now = self.0.clock.now();
         let mut slots = held(&self.0.slots);
-        slots.leave((self.1 > 0).then(|| now.saturating_sub(self.1)));
+        let took = (self.1 > 0).then(|| now.saturating_sub(self.1));
+        match &self.2 {
+            None => slots.leave(took),
+            Some(member) => slots.leave_of(member, took),
+        }
         let handed = self.0.hand_on(&mut slots, now);
         drop(slots);
         // Whoever has gone gives its place back here, without the lock.
@@ -249,6 +283,7 @@
             berths: Berths::new(connections),
             inside: AtomicUsize::new(0),
             slots: Mutex::default(),
+            shares: ArcSwap::default(),
             lane: Lane::new(link_mbps, clock),
             large: Mutex::new(0.0),
             ahead: Arc::new(Semaphore::new(ahead)),
@@ -540,6 +575,22 @@
         }
     }
 
+    /// The configuration in force here tells what members may have of the slots.
+    pub fn know_shares(&self, timetable: &Timetable) {
+        let shares = timetable.routes().filter_map(|route| route.share.as_ref());
+        let shares: HashMap<Name, f64> = shares.map(|share| (share.member.clone(), share.slots)).collect();
+        if shares != **self.shares.load() {
+            self.shares.store(Arc::new(shares));
+        }
+    }
+
+    /// What a member may have here: the word of the configuration in force on this machine, else of the gate's. Guards
+    /// against gates that are cut off and don't know yet that the platform gave it less.
+    fn part(&self, told: Part) -> Part {
+        let share = self.shares.load().get(&told.member).copied();
+        Part { share: share.unwrap_or(told.share), ..told }
+    }
+
     /// How many reqs are inside.
     pub fn busy(&self) -> usize {
         self.inside.load(Relaxed)
@@ -552,22 +603,18 @@
     }
 
     /// Gives free places to those that wait, to be sent to them once the lock is free.
-    fn hand_on(
-        self: &Arc<Self>,
-        slots: &mut Slots<oneshot::Sender<Slot>>,
-        now: Nanos,
-    ) -> Vec<(oneshot::Sender<Slot>, Slot)> {
+    fn hand_on(self: &Arc<Self>, slots: &mut Slots<Waits>, now: Nanos) -> Vec<(oneshot::Sender<Slot>, Slot)> {
         let mut handed = Vec::new();
-        slots.forget(oneshot::Sender::is_closed);
-        while let Some(waiting) = slots.next(now) {
-            handed.push((waiting, Slot(self.clone(), 0)));
+        slots.forget(|(waiting, _)| waiting.is_closed());
+        while let Some((waiting, member)) = slots.next(now) {
+            handed.push((waiting, Slot(self.clone(), 0, member)));
         }
         handed
     }
 
     /// Lets a req through to the upstream, if it is the one that was meant.
     pub async fn pass(self: &Arc<Self>, knock: Knock<'_>) -> End {
-        let Knock { message, meant, caller, turned, again, call, large, away, aim, until } = knock;
+        let Knock { message, meant, caller, turned, again, call, large, away, aim, until, part } = knock;
         let Some(to) = self.check(meant) else { return End::Gone };
         let now = self.clock.now();
         // A large answer is late when its last byte is: what stands before it on the link, and its own part.
@@ -576,16 +623,18 @@
         if stands > 0 && now + held(&self.slots).took() > aim {
             return End::Turned;
         }
+        let part = part.map(|told| self.part(told));
+        let member = part.as_ref().map(|part| part.member.clone());
         let waits = {
             let mut wait = None;
             let asker = Asker { call, turned, aim, until };
-            let way = held(&self.slots).ask(now, &asker, || {
+            let way = held(&self.slots).ask_of(now, &asker, part.as_ref(), || {
                 let (send, waits) = oneshot::channel();
                 wait = Some(waits);
-                send
+                (send, member.clone())
             });
             match (way, wait) {
-                (Way::In, _) => Ok(Slot(self.clone(), 0)),
+                (Way::In, _) => Ok(Slot(self.clone(), 0, member)),
                 (Way::Waits(last), Some(wait)) => Err((last, wait)),
                 _ => return End::Turned,
             }
@@ -690,7 +739,7 @@
         let headers = came.req.headers();
         let meant = field(headers, &ADDRESSEE).to_owned();
         let left = field(headers, &LEFT).parse::<u64>().unwrap_or(0).min(MOST_LEFT);
-        let (aim, turned, again, call, large) = Knock::read(field(headers, &KNOCK), left);
+        let Told { aim_ms, turned, again, call, large, part } = Knock::read(headers, left);
         let caller = headers.get(&CALLER).cloned().unwrap_or(HeaderValue::from_static(""));
         let read = entry::message(came, &bodies, self.clock, u64::MAX, Duration::from_secs(10)).await;
         let (mut message, _room) = match read {
@@ -699,9 +748,9 @@
         };
         message.head.headers_mut().remove(&KNOCK);
         let (message, meant, caller, away) = (&Arc::new(message), &*meant, &caller, true);
-        let (aim, until) = (at + aim * MS, at + left * MS);
-        let end =
-            self.pass(Knock { message, meant, caller, turned, again, call, large, away, aim, until }).await;
+        let (aim, until) = (at + aim_ms * MS, at + left * MS);
+        let knock = Knock { message, meant, caller, turned, again, call, large, away, aim, until, part };
+        let end = self.pass(knock).await;
         let word = end.word();
         match end {
             End::Ran(head, flow) => self.way(Response::from_parts(head, flow), word),
@@ -773,6 +822,7 @@
                 away: false,
                 aim,
                 until,
+                part: None,
             };
             door.pass(knock).await.word()
         })
--- a/balancer/src/mesh/gate.rs
+++ b/balancer/src/mesh/gate.rs
@@ -9,6 +9,8 @@
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use ochreshed::{How, Name, Nanos, Req, seconds};
+use ochreshed_mesh::fared::{Edition, Fared};
+use ochreshed_mesh::slots::Part;
 use ochreshed_mesh::timetable::{Kind, Route};
 use ochreshed_mesh::words::{Answer, Got, Key, Outcome, Token};
 use tokio::sync::oneshot;
@@ -67,13 +69,14 @@
         message.head.headers_mut().remove(name);
     }
     let ends = (at + left.min(route.deadline_ms) * MS).saturating_sub(WAY_BACK);
-    let aim = (at + route.target_ms * MS).saturating_sub(branch.used(&route.name, left) * MS + WAY_BACK);
+    let aim = (at + route.target_ms * MS).saturating_sub(branch.used(&route, left) * MS + WAY_BACK);
     // A call keeps its caller's slot taken, and is of use for as long as that waits.
     let aim = if call.is_some() { aim.max(at + route.deadline_ms * MS * 7 / 10) } else { aim };
     let again = call == Some(true);
     let message = Arc::new(message);
     let (branch_of, route_of, call) = (branch.clone(), route.clone(), call.is_some());
-    let trip = Trip { branch: branch_of, route: route_of, message, ends, at, aim, again, call };
+    let edition = timetable.edition(&route);
+    let trip = Trip { branch: branch_of, route: route_of, edition, message, ends, at, aim, again, call };
     let answer = match key.filter(|_| route.kind == Kind::Registered) {
         Some(key) => {
             // Goes on to its end though its client goes: its outcome is its key's.
@@ -197,6 +200,8 @@
 struct Trip {
     branch: Arc<Branch>,
     route: Arc<Route>,
+    /// Whose routes it is counted with; none of the platform's.
+    edition: Option<Edition>,
     message: Arc<Message>,
     ends: Nanos,
     at: Nanos,
@@ -210,9 +215,22 @@
 
 impl Trip {
     async fn run(&self) -> Outcomes {
+        let outcome = self.go().await;
+        let well = matches!(&outcome, Outcomes::Answer(head, _) if well(head));
+        self.fared(Fared { well: well.into(), failed: (!well).into(), ..Fared::default() });
+        outcome
+    }
+
+    fn fared(&self, fared: impl Into<Fared>) {
+        if let Some(edition) = &self.edition {
+            self.branch.fared(edition, fared.into());
+        }
+    }
+
+    async fn go(&self) -> Outcomes {
         let Some(line) = self.branch.split(&self.route) else { return Outcomes::Deny(COME_BACK) };
         let large = self.route.kind == Kind::OutboundPost;
-        let Some(desk) = self.branch.desk(&line, large) else { return Outcomes::Deny(COME_BACK) };
+        let Some(desk) = self.branch.desk(&line, &self.route) else { return Outcomes::Deny(COME_BACK) };
         let rule_set: Name = desk::shape(&self.route).as_str().into();
         let mut req = Req::new(0, rule_set, "".into(), self.at, self.ends);
         req.again = self.again;
@@ -233,7 +251,7 @@
                         turn.ended(number, How::NotSent, 0, false, None);
                         continue;
                     };
-                    turn.goes();
+                    self.fared(turn.goes());
                     let Some((end, inside)) =
                         self.dispatch(&mut turn, &place, (turned, sent > 0, large), give_up).await
                     else {
@@ -242,7 +260,10 @@
                         continue;
                     };
                     sent += u32::from(!matches!(end, End::Turned));
-                    turned += u32::from(matches!(end, End::Turned));
+                    if matches!(end, End::Turned) {
+                        turned += 1;
+                        self.fared(Fared { turned: 1, ..Fared::default() });
+                    }
                     let took = self.branch.clock.now() - began;
                     let how = match end {
                         End::Ran(head, flow) if well(&head) => {
@@ -274,14 +295,14 @@
                 }
                 Some(Step::Recall) => {}
                 Some(Step::Deny { come_back }) => {
-                    turn.end();
+                    self.fared(turn.end());
                     if last.is_none() && !ran {
                         return Outcomes::Deny(come_back);
                     }
                     break;
                 }
                 Some(Step::Abort) | None => {
-                    turn.end();
+                    self.fared(turn.end());
                     break;
                 }
             }
@@ -330,6 +351,7 @@
         let (branch, again, now) = (&self.branch, again || self.again, self.branch.clock.now());
         let (caller, away) = (branch.caller(), place.door != branch.door_at());
         let (message, meant, aim) = (&self.message, &*place.id, self.aim);
+        let part = self.route.share.as_ref().map(|of| Part { member: of.member.clone(), share: of.slots });
         let knock = Knock {
             message,
             meant,
@@ -341,6 +363,7 @@
             away,
             aim,
             until,
+            part,
         };
         if !away {
             let end = branch.door.pass(knock).await;
--- a/balancer/src/mesh/news.rs
+++ b/balancer/src/mesh/news.rs
@@ -68,6 +68,7 @@
             quiet: known.quiet.0,
             hold_ms: HOLD.as_millis() as u32,
             steward: false,
+            members: report.as_ref().map(|report| report.members.clone()).unwrap_or_default(),
             report,
             gather: false,
         };
--- a/balancer/src/mesh/pages.rs
+++ b/balancer/src/mesh/pages.rs
@@ -650,7 +650,11 @@
     /// One gate told here and by another steward, one is not heard any more, and one's service is gone.
     fn gathered() -> Gathered {
         let figures = |first, again, refused| Figures { first, again, refused };
-        let told = |name: &str, of, full_ms| Report { spending: vec![(name.into(), of)], full_ms };
+        let told = |name: &str, of, full_ms| Report {
+            spending: vec![(name.into(), of)],
+            full_ms,
+            members: Vec::new(),
+        };
         let mut reports = Reports::default();
         reports.take(9_000 * MS, at(8, 8300), told("huvo11a", figures(400, 9, 2), Some(812)), 0);
         reports.take(9_000 * MS, at(8, 8300), told("huvo11a", figures(1, 0, 0), None), 3_000 * MS);
--- a/balancer/src/mesh/report.rs
+++ b/balancer/src/mesh/report.rs
@@ -2,13 +2,14 @@
 //! steward puts together what all were told. It owns when there is something to tell; the counts are of
 //! `ochreshed-mesh`. It must never make a gate ask more often than it does for its news.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use ochreshed::Nanos;
 use ochreshed_mesh::budget::{Report, Reports};
+use ochreshed_mesh::fared::Faring;
 use ochreshed_mesh::list::Mark;
 use tokio::time::Instant;
 
@@ -72,6 +73,7 @@
                 hold_ms: 0,
                 steward: true,
                 report: None,
+                members: Faring::new(),
                 gather: true,
             };
             (at, callers.to(at).call(Ask::News(ask), GATHER).await)
@@ -79,12 +81,17 @@
         .collect();
     while let Some((at, reply)) = asks.next().await {
         // An older program tells none.
-        let told = reply.ok().and_then(|reply| if let Reply::News(news) = reply { news.told } else { None });
-        let Some((reports, full_ms)) = told.map(|told| *told) else {
+        let told = reply.ok().and_then(|reply| match reply {
+            Reply::News(news) => Some((*news.told?, news.members)),
+            _ => None,
+        });
+        let Some(((reports, full_ms), members)) = told else {
             all.silent.push(at);
             continue;
         };
-        for (door, age, report) in reports {
+        let mut members: HashMap<SocketAddr, Faring> = members.into_iter().collect();
+        for (door, age, mut report) in reports {
+            report.members = members.remove(&door).unwrap_or_default();
             all.reports.take(now, door, report, Nanos::from(age) * 1_000_000);
         }
         all.full.extend(full_ms.map(|full_ms| (at, full_ms)));
@@ -103,7 +110,7 @@
 
     fn spending(first: u32) -> Report {
         let figures = Figures { first, ..Figures::default() };
-        Report { spending: vec![("a".into(), figures)], full_ms: None }
+        Report { spending: vec![("a".into(), figures)], ..Report::default() }
     }
 
     #[tokio::test(start_paused = true)]
--- a/balancer/src/mesh/steward.rs
+++ b/balancer/src/mesh/steward.rs
@@ -14,7 +14,7 @@
 use hyper::Response;
 use ochreshed::Nanos;
 use ochreshed_mesh::agree::{Config, Core};
-use ochreshed_mesh::budget::Reports;
+use ochreshed_mesh::budget::{Report, Reports};
 use ochreshed_mesh::list::{Mark, Table};
 use ochreshed_mesh::timetable::Timetable;
 use ochreshed_mesh::words::{Act, Got, Key, Letter, Record, Sheet, View, Want};
@@ -135,11 +135,16 @@
         if let Some(door) = door {
             held(&self.table).heard(self.clock.now(), door, 0);
         }
-        if let (Some(door), Some(report)) = (door, ask.report) {
+        if let (Some(door), Some(mut report)) = (door, ask.report) {
+            report.members = ask.members;
             held(&self.reports).take(self.clock.now(), door, report, 0);
         }
         let told = || (held(&self.reports).tell(self.clock.now()), self.full.get().copied());
         let told = ask.gather.then(|| Box::new(told()));
+        let beside = |(door, _, report): &(SocketAddr, u32, Report)| {
+            (!report.members.is_empty()).then(|| (*door, report.members.clone()))
+        };
+        let members: Vec<_> = told.iter().flat_map(|told| told.0.iter().filter_map(beside)).collect();
         loop {
             changed.mark_unchanged();
             let stand = self.stand.load_full();
@@ -164,6 +169,7 @@
                     ages: if ask.steward { table.ages(self.clock.now()) } else { Vec::new() },
                     drains: drains(&table, door, ask.steward.then_some(ask.mark)),
                     told,
+                    members,
                 };
             }
             let _ = tokio::time::timeout_at(until, changed.changed()).await;
@@ -702,6 +708,7 @@
             hold_ms: HOLD.as_millis() as u32,
             steward: true,
             report: None,
+            members: Vec::new(),
             gather: false,
         };
         match office.callers.to(at).call(Ask::News(ask), HOLD + LATE).await {
--- a/balancer/src/mesh/wire.rs
+++ b/balancer/src/mesh/wire.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use ochreshed_mesh::budget::Report;
+use ochreshed_mesh::fared::Faring;
 use ochreshed_mesh::list::{Mark, Row};
 use ochreshed_mesh::words::{Got, Letter, Want};
 use serde::de::DeserializeOwned;
@@ -70,6 +71,9 @@
     /// What an attendant tells of itself, where that has changed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub report: Option<Report>,
+    /// What of that report goes beside it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub members: Faring,
     /// A steward wants nothing but what was reported.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub gather: bool,
@@ -97,6 +101,9 @@
     /// where it was asked for.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub told: Option<Box<Told>>,
+    /// What of those reports goes beside them, where there is any.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub members: Vec<(SocketAddr, Faring)>,
 }
 
 /// Reports by door with their ages in ms, and a steward's own time to full service in ms.
@@ -353,7 +360,12 @@
                 quiet: 3,
                 hold_ms: 500,
                 steward: false,
-                report: spending.map(|spending| Report { spending, full_ms: Some(812) }),
+                report: spending.map(|spending| Report {
+                    spending,
+                    full_ms: Some(812),
+                    members: Faring::new(),
+                }),
+                members: Faring::new(),
                 gather: false,
             };
             encode(&Frame { id: 9_000, say: Ask::News(ask) }).map(|bytes| bytes.len())
--- a/hands/src/lib.rs
+++ b/hands/src/lib.rs
@@ -66,6 +66,11 @@
         Hands { balancer, reqs: BTreeMap::new(), due: BTreeSet::new(), acts: Vec::new() }
     }
 
+    /// What may be sent again from now on, as `Balancer::allow` has it.
+    pub fn allow(&mut self, part: f64, floor: f64) {
+        self.balancer.allow(part, floor);
+    }
+
     /// A new req, which gets exactly one final answer from here on.
     pub fn take(&mut self, now: Nanos, req: Req) {
         let id = req.id;
--- a/mesh/src/budget.rs
+++ b/mesh/src/budget.rs
@@ -8,13 +8,15 @@
 use ochreshed::{How, Name, Nanos};
 use serde::{Deserialize, Serialize};
 
+use crate::fared::{self, Edition, Fared, Faring};
+
 const BUCKETS: u64 = 10;
 /// The module holds its allowance over so long.
-const MODULE: Nanos = 10_000_000_000;
+pub(crate) const MODULE: Nanos = 10_000_000_000;
 /// A gate tells of no more services than these, those with the most sends again first.
 pub const MOST_SERVICES: usize = 64;
 const MOST_NAME: usize = 256;
-/// Services of all gates together that a steward keeps.
+/// Services and members of all gates together that a steward keeps.
 const MOST_KEPT: usize = 200_000;
 
 /// Of one service, in one window.
@@ -41,7 +43,7 @@
 }
 
 impl Figures {
-    const NONE: Figures = Figures { first: 0, again: 0, refused: 0 };
+    pub(crate) const NONE: Figures = Figures { first: 0, again: 0, refused: 0 };
 
     pub fn and(self, other: Figures) -> Figures {
         Figures {
@@ -62,11 +64,19 @@
     pub spending: Spending,
     /// From the start of its process to full service, in ms.
     pub full_ms: Option<u32>,
+    /// How members' reqs fared. Goes beside the report on the wire: an older program reads no more than two fields here.
+    pub members: Faring,
 }
 
 impl From<(Spending, Option<u32>)> for Report {
     fn from((spending, full_ms): (Spending, Option<u32>)) -> Report {
-        Report { spending, full_ms }
+        Report { spending, full_ms, members: Faring::new() }
+    }
+}
+
+impl Report {
+    fn size(&self) -> usize {
+        self.spending.len() + self.members.len()
     }
 }
 
@@ -76,30 +86,41 @@
     }
 }
 
+/// What can be summed up.
+pub(crate) trait Sum: Copy + Default {
+    fn and(self, other: Self) -> Self;
+}
+
+impl Sum for Figures {
+    fn and(self, other: Figures) -> Figures {
+        Figures::and(self, other)
+    }
+}
+
 /// Counts of the last buckets of time.
 #[derive(Clone, Debug)]
-struct Ring {
+pub(crate) struct Ring<T> {
     width: Nanos,
-    buckets: [(u64, Figures); BUCKETS as usize],
+    buckets: [(u64, T); BUCKETS as usize],
 }
 
-impl Ring {
-    fn over(span: Nanos) -> Ring {
-        Ring { width: (span / BUCKETS).max(1), buckets: [(0, Figures::NONE); BUCKETS as usize] }
+impl<T: Sum> Ring<T> {
+    pub(crate) fn over(span: Nanos) -> Ring<T> {
+        Ring { width: (span / BUCKETS).max(1), buckets: [(0, T::default()); BUCKETS as usize] }
     }
 
-    fn add(&mut self, now: Nanos, figures: Figures) {
+    pub(crate) fn add(&mut self, now: Nanos, more: T) {
         let turn = now / self.width;
         if let Some((of, sum)) = self.buckets.get_mut((turn % BUCKETS) as usize) {
-            *sum = if *of == turn { sum.and(figures) } else { figures };
+            *sum = if *of == turn { sum.and(more) } else { more };
             *of = turn;
         }
     }
 
-    fn sum(&self, now: Nanos) -> Figures {
+    pub(crate) fn sum(&self, now: Nanos) -> T {
         let turn = now / self.width;
         let live = self.buckets.iter().filter(|(of, _)| of + BUCKETS > turn);
-        live.fold(Figures::NONE, |sum, (_, figures)| sum.and(*figures))
+        live.fold(T::default(), |sum, (_, more)| sum.and(*more))
     }
 }
 
@@ -143,9 +164,9 @@
 #[derive(Clone, Debug)]
 pub struct Spent {
     terms: Terms,
-    told: Ring,
+    told: Ring<Figures>,
     /// As the module counts, since it last learnt anew.
-    module: Ring,
+    pub(crate) module: Ring<Figures>,
 }
 
 impl Spent {
@@ -176,17 +197,29 @@
         self.add(now, Figures { again: 1, ..Figures::NONE });
     }
 
-    /// A req goes on its way.
-    pub fn goes(&mut self, now: Nanos, of: &Tally) {
-        match of.last {
-            None => self.add(now, Figures { first: 1, ..Figures::NONE }),
-            Some(How::Turned) => {}
-            Some(_) => self.add(now, Figures { again: 1, ..Figures::NONE }),
-        }
+    /// What the module has counted since it last learnt anew.
+    pub fn of_module(&self, now: Nanos) -> Figures {
+        self.module.sum(now)
+    }
+
+    /// The module may send again otherwise from now on.
+    pub fn allow(&mut self, part: f64, floor: f64) {
+        (self.terms.part, self.terms.floor) = (part, floor);
+    }
+
+    /// A req goes on its way. What was counted for it.
+    pub fn goes(&mut self, now: Nanos, of: &Tally) -> Figures {
+        let counted = match of.last {
+            None => Figures { first: 1, ..Figures::NONE },
+            Some(How::Turned) => return Figures::NONE,
+            Some(_) => Figures { again: 1, ..Figures::NONE },
+        };
+        self.add(now, counted);
+        counted
     }
 
     /// The module gives a req up: counted where nothing but the allowance forbade to send it again.
-    pub fn given_up(&mut self, now: Nanos, of: &Tally) {
+    pub fn given_up(&mut self, now: Nanos, of: &Tally) -> Figures {
         let Terms { tries, last_tier, part, floor } = self.terms;
         let ours = match of.last {
             Some(How::NoConnection | How::Reset | How::Full) => true,
@@ -196,8 +229,11 @@
         let could = ours && of.sends < tries && now < of.ends && (of.repeatable || !of.ran);
         let Figures { first, again, .. } = self.module.sum(now);
         if could && f64::from(again) + 1.0 > f64::from(first) * part + floor {
-            self.add(now, Figures { refused: 1, ..Figures::NONE });
+            let refused = Figures { refused: 1, ..Figures::NONE };
+            self.add(now, refused);
+            return refused;
         }
+        Figures::NONE
     }
 }
 
@@ -216,9 +252,11 @@
         let at = now.saturating_sub(age);
         report.spending.retain(|(name, _)| name.len() <= MOST_NAME);
         report.spending.truncate(MOST_SERVICES);
+        report.members.retain(|(of, _)| of.member.len() <= MOST_NAME);
+        report.members.truncate(fared::MOST_MEMBERS);
         let before = self.gates.get(&door);
-        let had = before.map_or(0, |(_, told)| told.spending.len());
-        let more = report.spending.len();
+        let had = before.map_or(0, |(_, told)| told.size());
+        let more = report.size();
         let full = self.services - had + more > MOST_KEPT || self.gates.len() >= MOST_KEPT;
         if full || before.is_some_and(|(told, _)| *told > at) {
             return;
@@ -236,7 +274,7 @@
     /// Forgets the gates that are not known any more.
     pub fn keep(&mut self, known: impl Fn(SocketAddr) -> bool) {
         self.gates.retain(|door, _| known(*door));
-        self.services = self.gates.values().map(|(_, report)| report.spending.len()).sum();
+        self.services = self.gates.values().map(|(_, report)| report.size()).sum();
     }
 
     pub fn of(&self, door: SocketAddr) -> Option<&Report> {
@@ -256,4 +294,16 @@
         }
         (sums, gates)
     }
+
+    /// How members' reqs fared at the gates that count, by the edition that was in force there.
+    pub fn members(&self, counts: impl Fn(SocketAddr) -> bool) -> BTreeMap<Edition, Fared> {
+        let mut sums: BTreeMap<Edition, Fared> = BTreeMap::new();
+        for (_, (_, report)) in self.gates.iter().filter(|(door, _)| counts(**door)) {
+            for (of, fared) in &report.members {
+                let sum = sums.entry(of.clone()).or_default();
+                *sum = sum.and(*fared);
+            }
+        }
+        sums
+    }
 }
--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -5,8 +5,10 @@
 pub mod agree;
 pub mod budget;
 pub mod delta;
+pub mod fared;
 pub mod list;
 pub mod pace;
+pub mod shares;
 pub mod slots;
 pub mod timetable;
 pub mod words;
--- a/mesh/src/slots.rs
+++ b/mesh/src/slots.rs
@@ -4,10 +4,15 @@
 //!
 //! Calls of runs that are under way go first: each keeps a slot taken somewhere else, and failing it throws away a run.
 //! Among the others the one that is late first goes first; those that are late already come last.
+//!
+//! The reqs of a member of a federation hold a part of the slots and of the waiting places at most. Those of its reqs
+//! that wait for its own slots stand in nobody's way, and what its runs take is counted apart. What it leaves free
+//! others may use.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 
 use crate::agree::Nanos;
+use crate::timetable::Name;
 
 /// What a run takes goes into the mean with this part.
 const TOOK_PART: f64 = 0.05;
@@ -15,6 +20,8 @@
 const LEAST_LEFT: Nanos = 15_000_000;
 /// No more wait than this many times the slots.
 const MOST_WAITING: u32 = 3;
+/// Members that are neither in nor wait are forgotten beyond so many.
+const MOST_MEMBERS: usize = 64;
 
 /// A req that asks for a slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,12 +53,50 @@
     Turned,
 }
 
+/// What the reqs of a member may have here.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Part {
+    pub member: Name,
+    /// Of the slots and of the waiting places, from 0 to 1; rounded up, and one at least.
+    pub share: f64,
+}
+
+impl Part {
+    fn of(share: f64, all: u32) -> u32 {
+        // Guards against a share such as a third of three that comes out a hair above one.
+        let part = (f64::from(all) * share - 1e-9).ceil();
+        if part >= 1.0 { (part as u32).min(all.max(1)) } else { 1 }
+    }
+}
+
 struct Waiting<T> {
     order: (Class, Nanos),
     last: Nanos,
+    member: Option<Name>,
     who: T,
 }
 
+#[derive(Clone, Copy)]
+struct Member {
+    share: f64,
+    taken: u32,
+    /// As for all others.
+    took: f64,
+}
+
+/// Who waits, as one that comes sees it.
+#[derive(Default)]
+struct Queue {
+    /// Those that could have a slot, and those of them that would go first.
+    waiting: u32,
+    ahead: u32,
+    /// Slots of members of which others would go first, and wait for these.
+    apart: u32,
+    /// Of its own member: all, and those that would go first.
+    own: u32,
+    own_ahead: u32,
+}
+
 /// `T` is who waits.
 pub struct Slots<T> {
     slots: u32,
@@ -59,11 +104,12 @@
     waiting: VecDeque<Waiting<T>>,
     /// What a run takes on the mean of late, in seconds.
     took: f64,
+    members: HashMap<Name, Member>,
 }
 
 impl<T> Default for Slots<T> {
     fn default() -> Slots<T> {
-        Slots { slots: 0, taken: 0, waiting: VecDeque::new(), took: 0.0 }
+        Slots { slots: 0, taken: 0, waiting: VecDeque::new(), took: 0.0, members: HashMap::new() }
     }
 }
 
@@ -75,31 +121,115 @@
 
     /// A req comes; `who` is kept where it waits.
     pub fn ask(&mut self, now: Nanos, asker: &Asker, who: impl FnOnce() -> T) -> Way {
+        self.ask_of(now, asker, None, who)
+    }
+
+    /// A req comes that is a member's, or nobody's.
+    pub fn ask_of(&mut self, now: Nanos, asker: &Asker, part: Option<&Part>, who: impl FnOnce() -> T) -> Way {
+        let member = part.map(|part| self.member(part));
         // One slot is left for those that can still be in time.
-        let late = !asker.call && now + self.took() > asker.aim;
+        let late = !asker.call && now + nanos(member.map_or(self.took, |member| member.took)) > asker.aim;
         let free = self.slots.saturating_sub(u32::from(late && self.slots > 1));
-        if self.taken < free && self.waiting.is_empty() {
-            self.taken += 1;
+        let own_free = member.is_none_or(|member| self.left(&member) > 0);
+        if self.taken < free && own_free && !self.waiting.iter().any(|other| self.may_enter(other)) {
+            self.enter(part.map(|part| &part.member));
             return Way::In;
         }
-        let Some((order, last)) = self.may_wait(now, asker) else { return Way::Turned };
+        let Some((order, last)) = self.may_wait(now, asker, part) else { return Way::Turned };
         let at = self.waiting.partition_point(|other| other.order <= order);
-        self.waiting.insert(at, Waiting { order, last, who: who() });
+        let member = part.map(|part| part.member.clone());
+        self.waiting.insert(at, Waiting { order, last, member, who: who() });
         Way::Waits(last)
     }
 
-    /// Its place in the order and how long it may wait there, if that is of use.
-    fn may_wait(&self, now: Nanos, asker: &Asker) -> Option<((Class, Nanos), Nanos)> {
-        let waiting = self.waiting.len() as u32;
-        if waiting >= self.slots.saturating_mul(MOST_WAITING) {
-            return None;
+    /// What is known of a member, with the share that it has now.
+    fn member(&mut self, part: &Part) -> Member {
+        if self.members.len() > MOST_MEMBERS && !self.members.contains_key(&part.member) {
+            let waiting = &self.waiting;
+            let waits = |name: &Name| waiting.iter().any(|other| other.member.as_ref() == Some(name));
+            self.members.retain(|name, member| member.taken > 0 || waits(name));
+        }
+        let new = Member { share: part.share, taken: 0, took: self.took };
+        let member = self.members.entry(part.member.clone()).or_insert(new);
+        member.share = part.share;
+        *member
+    }
+
+    /// How many more slots a member may take.
+    fn left(&self, member: &Member) -> u32 {
+        Part::of(member.share, self.slots).saturating_sub(member.taken)
+    }
+
+    /// Whether one that waits may have a slot that is free.
+    fn may_enter(&self, waiting: &Waiting<T>) -> bool {
+        let member = waiting.member.as_ref().and_then(|name| self.members.get(name));
+        member.is_none_or(|member| self.left(member) > 0)
+    }
+
+    fn enter(&mut self, member: Option<&Name>) {
+        self.taken += 1;
+        if let Some(member) = member.and_then(|name| self.members.get_mut(name)) {
+            member.taken += 1;
+        }
+    }
+
+    fn queue(&self, order: (Class, Nanos), own: Option<&Name>) -> Queue {
+        let ahead = self.waiting.partition_point(|other| other.order <= order);
+        if self.members.is_empty() {
+            return Queue { waiting: self.waiting.len() as u32, ahead: ahead as u32, ..Queue::default() };
+        }
+        let mut queue = Queue::default();
+        let mut seen: HashMap<&Name, u32> = HashMap::new();
+        for (at, other) in self.waiting.iter().enumerate() {
+            let first = u32::from(at < ahead);
+            if let Some(name) = &other.member {
+                if own == Some(name) {
+                    queue.own += 1;
+                    queue.own_ahead += first;
+                }
+                if let Some(member) = self.members.get(name) {
+                    let (seen, left) = (seen.entry(name).or_default(), self.left(member));
+                    *seen += 1;
+                    if *seen > left {
+                        // The first of them that waits for its member's slots tells of these.
+                        let once = *seen == left + 1 && own != Some(name);
+                        queue.apart += if once { first * member.taken } else { 0 };
+                        continue;
+                    }
+                }
+            }
+            queue.waiting += 1;
+            queue.ahead += first;
         }
-        let took = self.took();
-        let each = took / Nanos::from(self.slots.max(1));
+        queue
+    }
+
+    /// Its place in the order and how long it may wait there, if that is of use.
+    fn may_wait(&self, now: Nanos, asker: &Asker, part: Option<&Part>) -> Option<((Class, Nanos), Nanos)> {
         let class = if asker.call { Class::Call } else { Class::InTime };
         let order = (class, asker.aim);
-        let ahead = self.waiting.partition_point(|other| other.order <= order) as u32;
-        let wait = Nanos::from(ahead + 1) * each;
+        let member = part.and_then(|part| Some((part, self.members.get(&part.member)?)));
+        let queue = self.queue(order, member.map(|(part, _)| &part.member));
+        let places = self.slots.saturating_mul(MOST_WAITING);
+        if queue.waiting >= places {
+            return None;
+        }
+        // Those that wait for their members' slots come to no more than all others may.
+        if let Some((part, _)) = member
+            && (queue.own >= Part::of(part.share, places)
+                || self.waiting.len() as u32 >= places.saturating_mul(2))
+        {
+            return None;
+        }
+        let took = nanos(member.map_or(self.took, |(_, member)| member.took));
+        let each = self.took() / Nanos::from(self.slots.saturating_sub(queue.apart).max(1));
+        // How long it is until so many of its own could have gone.
+        let own_wait = |before: u32| {
+            let Some((part, member)) = member else { return 0 };
+            let short = (before + 1).saturating_sub(self.left(member));
+            Nanos::from(short) * (took / Nanos::from(Part::of(part.share, self.slots)))
+        };
+        let wait = (Nanos::from(queue.ahead + 1) * each).max(own_wait(queue.own_ahead));
         let last = asker.until.saturating_sub(LEAST_LEFT);
         if now + wait + took <= asker.aim {
             // The first door leaves it to others, which may have a slot free; the last one is as good as any.
@@ -109,35 +239,52 @@
                 1 => self.slots / 2,
                 _ => self.slots * 2,
             };
+            let own_most = member.map_or(most, |(part, _)| most.min(Part::of(part.share, most)));
+            let may = queue.ahead < most && (member.is_none() || queue.own_ahead < own_most);
             // Who waits in vain is told while there is time to go elsewhere.
-            return (ahead < most).then(|| (order, last.min(asker.aim - took)));
+            return may.then(|| (order, last.min(asker.aim - took)));
         }
         let order = (Class::Late, asker.until);
-        let in_time = now + Nanos::from(waiting + 1) * each + took <= last;
-        (asker.turned > 0 && waiting == 0 && in_time).then_some((order, last))
+        let wait = (Nanos::from(queue.waiting + 1) * each).max(own_wait(queue.own));
+        let in_time = now + wait + took <= last;
+        (asker.turned > 0 && queue.waiting == 0 && queue.own == 0 && in_time).then_some((order, last))
     }
 
     /// What a run takes on the mean of late.
     pub fn took(&self) -> Nanos {
-        (self.took * 1e9) as Nanos
+        nanos(self.took)
     }
 
     /// A run has ended, after so long; without a time it tells nothing of how long runs take.
     pub fn leave(&mut self, took: Option<Nanos>) {
         self.taken = self.taken.saturating_sub(1);
-        if let Some(took) = took {
-            self.took += (took as f64 / 1e9 - self.took) * TOOK_PART;
+        learn(&mut self.took, took);
+    }
+
+    /// A member's run has ended; how long others' take it doesn't tell.
+    pub fn leave_of(&mut self, member: &Name, took: Option<Nanos>) {
+        self.taken = self.taken.saturating_sub(1);
+        if let Some(member) = self.members.get_mut(member) {
+            member.taken = member.taken.saturating_sub(1);
+            learn(&mut member.took, took);
         }
     }
 
-    /// Who has a slot now, of those that waited. One whose time to wait is over is dropped.
+    /// Who has a slot now, of those that waited. One whose time to wait is over is dropped, one whose member has its
+    /// part of the slots is passed over.
     pub fn next(&mut self, now: Nanos) -> Option<T> {
+        let mut at = 0;
         while self.taken < self.slots
-            && let Some(first) = self.waiting.pop_front()
+            && let Some(first) = self.waiting.get(at)
         {
-            if now <= first.last {
-                self.taken += 1;
+            if now > first.last {
+                self.waiting.remove(at);
+            } else if self.may_enter(first) {
+                let first = self.waiting.remove(at)?;
+                self.enter(first.member.as_ref());
                 return Some(first.who);
+            } else {
+                at += 1;
             }
         }
         None
@@ -157,6 +304,16 @@
     }
 }
 
+fn nanos(seconds: f64) -> Nanos {
+    (seconds * 1e9) as Nanos
+}
+
+fn learn(mean: &mut f64, took: Option<Nanos>) {
+    if let Some(took) = took {
+        *mean += (took as f64 / 1e9 - *mean) * TOOK_PART;
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/mesh/tests/budget.rs
+++ b/mesh/tests/budget.rs
@@ -16,7 +16,7 @@
 }
 
 fn report(spending: Vec<(ochreshed::Name, Figures)>) -> Report {
-    Report { spending, full_ms: None }
+    Report { spending, ..Report::default() }
 }
 
 /// One req that goes and fails, and whether the module lets it go again or gives it up.
