--- /dev/null
+++ b/mesh/src/timetable/refusal.rs
@@ -0,0 +1,123 @@
+//! Why a document of the operators' or of a member is refused, and where in it that stands. It owns the words and must
+//! never decide.
+
+use std::fmt;
+
+use super::read::MOST_DIGITS;
+
+/// Something that makes a configuration invalid, and where it stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    pub place: String,
+    pub why: Why,
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.place, self.why)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// More bytes than the number given.
+    Long(usize),
+    /// More entries or values than the number given.
+    Many(usize),
+    NotUtf8,
+    CutShort,
+    Stray {
+        ch: char,
+        line: usize,
+        column: usize,
+    },
+    Deep,
+    /// A number of more digits than any has.
+    Digits,
+    Missing,
+    /// Not of the kind named.
+    Not(&'static str),
+    Empty,
+    /// Holds a control character.
+    Control,
+    Version(String),
+    NoSlash,
+    /// A health path that can't stand in a request.
+    Path,
+    Kind(String),
+    NotPositive,
+    Negative,
+    Fraction,
+    Above(u64),
+    /// Neither `line` nor `split`.
+    NoLine,
+    /// A split whose shares come to nothing.
+    NoShare,
+    Unknown(String),
+    /// The entry of this number has the same host and prefix.
+    SamePlace(usize),
+    /// The entry of this number in the list named has this one's place or name.
+    Same(&'static str, usize),
+    /// The name of a member that is none.
+    Name,
+    /// Does not end with a slash.
+    NoLastSlash,
+    /// No SHA-256 in 64 hex digits.
+    Digest,
+    /// Lies within this place of another member.
+    Within(String),
+    /// Given before, and otherwise.
+    Twice,
+    /// Further refusals than those told.
+    More(usize),
+}
+
+impl fmt::Display for Why {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Why::Long(most) => write!(f, "is longer than {most} bytes"),
+            Why::Many(most) => write!(f, "holds more than {most}"),
+            Why::NotUtf8 => f.write_str("is not UTF-8"),
+            Why::CutShort => f.write_str("ends too early"),
+            Why::Stray { ch, line, column } => {
+                write!(f, "is no JSON: {ch:?} at line {line}, column {column}")
+            }
+            Why::Deep => f.write_str("is nested too deeply"),
+            Why::Digits => write!(f, "has a number of more than {MOST_DIGITS} digits"),
+            Why::Missing => f.write_str("is missing"),
+            Why::Not(kind) => write!(f, "is not {kind}"),
+            Why::Empty => f.write_str("is empty"),
+            Why::Control => f.write_str("holds a control character"),
+            Why::Version(text) => write!(f, "is {text}, not r and a number"),
+            Why::NoSlash => f.write_str("does not begin with a slash"),
+            Why::Path => f.write_str("is no path that can be asked for"),
+            Why::Kind(text) => {
+                write!(f, "is {text}, none of resendable, once_only, registered, outbound_post")
+            }
+            Why::NotPositive => f.write_str("is not above 0"),
+            Why::Negative => f.write_str("is below 0"),
+            Why::Fraction => f.write_str("is not a whole number"),
+            Why::Above(most) => write!(f, "is above {most}"),
+            Why::NoLine => f.write_str("has neither line nor split"),
+            Why::NoShare => f.write_str("has shares that come to 0"),
+            Why::Unknown(name) => write!(f, "names {name}, which is not among the mail_lines"),
+            Why::SamePlace(other) => write!(f, "has the host and the prefix of consignments[{other}]"),
+            Why::Same(list, other) => write!(f, "is that of {list}[{other}] too"),
+            Why::Name => f.write_str("is not 1 to 64 letters, digits, dots, dashes and underscores"),
+            Why::NoLastSlash => f.write_str("does not end with a slash"),
+            Why::Digest => f.write_str("is not a SHA-256 in 64 hex digits"),
+            Why::Within(other) => write!(f, "lies within {other}"),
+            Why::Twice => f.write_str("is given twice, and not alike"),
+            Why::More(count) => write!(f, "has {count} more errors"),
+        }
+    }
+}
+
+/// A stranger's text as it may stand in a line of a log.
+pub(crate) fn quoted(text: &str) -> String {
+    const MOST: usize = 64;
+    match text.char_indices().nth(MOST) {
+        Some((end, _)) => format!("{:?}...", text.get(..end).unwrap_or_default()),
+        None => format!("{text:?}"),
+    }
+}
