--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -17,7 +17,7 @@
 use ochreshed_mesh::budget::{Figures, MOST_SERVICES, Report, Spending};
 use ochreshed_mesh::fared::{Edition, Fared, Fares};
 use ochreshed_mesh::list::Row;
-use ochreshed_mesh::shares::{self, Line as Service, Members, Pool};
+use ochreshed_mesh::shares::{self, Shares};
 use ochreshed_mesh::timetable::{Route, Timetable};
 use ochreshed_mesh::words::Sheet;
 use rand::{Rng, SeedableRng};
@@ -34,6 +34,7 @@
 use super::full::Full;
 use super::keys::Stewards;
 use super::parcels::Rank;
+use super::seats::Seats;
 use super::settings::{Settings, SettingsError};
 use super::wire::Callers;
 use super::{full, gate, news, start};
@@ -70,19 +71,25 @@
     quiet: HashMap<usize, HashSet<SocketAddr>>,
 }
 
+impl Rows {
+    fn gates(&self) -> usize {
+        self.rows.values().filter(|(row, _)| row.serving).count()
+    }
+}
+
 /// A configuration as this machine goes by it.
 pub struct InForce {
     timetable: Timetable,
-    plans: Vec<Plan>,
-    /// The shares of members in the allowance of services that their routes go to.
-    shares: BTreeMap<Service, Members>,
+    plans: BTreeMap<Seat, Plan>,
+    shares: Arc<Shares>,
     /// The edition in force here of each member's routes, and whether it is on trial.
     editions: BTreeMap<Name, (u64, bool)>,
 }
 
 impl InForce {
     pub fn new(timetable: Timetable, editions: BTreeMap<Name, (u64, bool)>) -> InForce {
-        let (plans, shares) = (Plan::all(&timetable), shares::of(&timetable));
+        let plans = Plan::all(&timetable).into_iter().map(|plan| (plan.seat(), plan)).collect();
+        let shares = Arc::new(shares::of(&timetable));
         InForce { timetable, plans, shares, editions }
     }
 
@@ -94,31 +101,6 @@
     }
 }
 
-/// The desks, and the allowances that are divided among several of them.
-#[derive(Default)]
-struct Seats {
-    desks: HashMap<Seat, Arc<Desk>>,
-    pools: BTreeMap<Service, Arc<Mutex<Pool>>>,
-}
-
-impl Seats {
-    /// Divides anew: each service's allowance where routes of members go to it, or went there of late.
-    fn divide(&mut self, now: Nanos, shares: &BTreeMap<Service, Members>) {
-        for line in shares.keys() {
-            self.pools.entry(line.clone()).or_default();
-        }
-        let none = Members::new();
-        self.pools.retain(|line, pool| {
-            let mut pool = held(pool);
-            pool.divide(now, shares.get(line).unwrap_or(&none));
-            !pool.over()
-        });
-        for ((name, large, _), desk) in &self.desks {
-            desk.draw_on(self.pools.get(&(name.clone(), *large)));
-        }
-    }
-}
-
 impl std::ops::Deref for InForce {
     type Target = Timetable;
 
@@ -127,6 +109,9 @@
     }
 }
 
+/// A route by its name and whose it is.
+type OneRoute = (Name, Option<Name>);
+
 pub struct Branch {
     pub settings: ArcSwap<Settings>,
     pub clock: Clock,
@@ -141,8 +126,8 @@
     seats: Mutex<Seats>,
     /// How the reqs on members' routes fared here.
     fares: Mutex<Fares>,
-    /// The most time that a client had left, by route and whose it is, and when that was.
-    lefts: Mutex<HashMap<(Name, Option<Name>), (u64, Nanos)>>,
+    /// The most time that a client had left, by route, and when that was.
+    lefts: Mutex<HashMap<OneRoute, (u64, Nanos)>>,
     lines: Mutex<HashMap<SocketAddr, Arc<Line>>>,
     room: Arc<Semaphore>,
     pub door: Arc<Door>,
@@ -293,7 +278,34 @@
 
     /// The desk for the reqs of a route that go to this service.
     pub fn desk(&self, line: &Name, route: &Route) -> Option<Arc<Desk>> {
-        held(&self.seats).desks.get(&desk::seat(line, route)).cloned()
+        let seat = desk::seat(line, route);
+        let desk = held(&self.seats).desk(&seat);
+        if desk.is_some() || seat.2.is_none() {
+            return desk;
+        }
+        // The configuration is looked at under the locks: whoever brings in a later one seats all anew after that.
+        let rows = held(&self.rows);
+        let mut seats = held(&self.seats);
+        let timetable = self.timetable.load_full()?;
+        if let Some(desk) = seats.desk(&seat) {
+            return Some(desk);
+        }
+        let desk = self.make(&rows, rows.gates(), None, timetable.plans.get(&seat)?);
+        seats.add(seat, desk.clone());
+        seats.divide(self.clock.now(), &timetable.shares);
+        Some(desk)
+    }
+
+    /// The desk of a plan; the one that was, where it was told the same.
+    fn make(&self, rows: &Rows, gates: usize, was: Option<Arc<Desk>>, plan: &Plan) -> Arc<Desk> {
+        let settings = self.settings.load();
+        let of = || rows.rows.values().filter(|(row, _)| *row.line == *plan.line);
+        let calls = of().any(|(row, _)| row.calls);
+        let told = (plan.line.clone(), Told::new(plan, gates, calls, &settings.bounds));
+        let window = settings.bounds.retry_window.as_nanos() as Nanos;
+        let desk = Desk::of(was, told, self.clock, || self.draw(), window);
+        desk.list(of(), &self.quiet.load(), &settings.zone);
+        desk
     }
 
     /// Counts how reqs on a member's routes fared.
@@ -303,11 +315,7 @@
 
     /// What is told of this machine: what of each service was sent and sent again of late, where anything was.
     pub fn report(&self) -> Report {
-        let mut sums: HashMap<Name, Figures> = HashMap::new();
-        for ((name, ..), desk) in &held(&self.seats).desks {
-            let sum = sums.entry(name.clone()).or_default();
-            *sum = sum.and(desk.figures());
-        }
+        let sums = held(&self.seats).figures();
         let mut all: Spending =
             sums.into_iter().filter(|(_, figures)| *figures != Figures::default()).collect();
         all.sort_by_key(|(name, figures)| (std::cmp::Reverse((figures.again, figures.first)), name.clone()));
@@ -410,7 +418,6 @@
     fn seat(&self) {
         let Some(timetable) = self.timetable.load_full() else { return };
         let rows = held(&self.rows);
-        let gates = rows.rows.values().filter(|(row, _)| row.serving).count();
         // Quiet are those whom every watcher that replies has not heard.
         let mut quiet: Option<HashSet<SocketAddr>> = None;
         for told in rows.quiet.values() {
@@ -419,26 +426,12 @@
                 Some(quiet) => quiet.intersection(told).copied().collect(),
             });
         }
-        let quiet = quiet.unwrap_or_default();
-        self.quiet.store(Arc::new(quiet.clone()));
-        let settings = self.settings.load();
-        let mut seats = held(&self.seats);
-        let mut kept = HashMap::new();
-        for plan in &timetable.plans {
-            let of = || rows.rows.values().filter(|(row, _)| *row.line == *plan.line);
-            let calls = of().any(|(row, _)| row.calls);
-            let told = Told::new(plan, gates, calls, &settings.bounds);
-            let key = plan.seat();
-            let (was, told) = (seats.desks.remove(&key), (plan.line.clone(), told));
-            let window = settings.bounds.retry_window.as_nanos() as Nanos;
-            let desk = Desk::of(was, told, self.clock, || self.draw(), window);
-            desk.list(of(), &quiet, &settings.zone);
-            kept.insert(key, desk);
-        }
-        seats.desks = kept;
+        self.quiet.store(Arc::new(quiet.unwrap_or_default()));
+        let (gates, mut seats) = (rows.gates(), held(&self.seats));
+        seats.renew(&timetable.plans, |was, plan| self.make(&rows, gates, was, plan));
         seats.divide(self.clock.now(), &timetable.shares);
         drop(seats);
-        self.door.know_shares(&timetable);
+        self.door.know_shares(&timetable.shares);
         self.moor();
     }
 
@@ -621,6 +614,9 @@
         let now = branch.clock.now();
         branch.door.sweep();
         branch.moor();
+        if let Some(timetable) = branch.timetable.load_full() {
+            held(&branch.seats).tidy(now, &timetable.shares);
+        }
         held(&branch.lines).retain(|_, line| !line.sweep(now) || Arc::strong_count(line) > 1);
         if told || looked.elapsed() >= SETTINGS {
             looked = Instant::now();
--- a/balancer/src/mesh/desk.rs
+++ b/balancer/src/mesh/desk.rs
@@ -271,9 +271,9 @@
     fn allow(&self, inner: &mut Inner, now: Nanos) {
         let Some(pool) = &inner.pool else { return };
         let Terms { part, floor, .. } = self.told.terms();
-        let (sent, may) = held(pool).room(now, self.told.plan.member.as_ref(), (part, floor));
-        // What was sent again before the module last learnt anew it doesn't know.
-        let floor = may - sent + f64::from(inner.spent.of_module(now).again);
+        let left = held(pool).left(now, self.told.plan.member.as_ref(), (part, floor));
+        // The module goes by what it has sent again itself since it last learnt anew.
+        let floor = left + f64::from(inner.spent.of_module(now).again);
         inner.hands.allow(0.0, floor);
         inner.spent.allow(0.0, floor);
     }
--- a/balancer/src/mesh/door.rs
+++ b/balancer/src/mesh/door.rs
@@ -16,8 +16,9 @@
 use jzon::JsonValue as Json;
 use ochreshed::Nanos;
 use ochreshed_mesh::list::{Row, Stand};
+use ochreshed_mesh::shares::Shares;
 use ochreshed_mesh::slots::{Asker, Part, Slots, Way};
-use ochreshed_mesh::timetable::{Name, Timetable};
+use ochreshed_mesh::timetable::Name;
 use tokio::sync::{Semaphore, oneshot};
 use tokio::time::timeout_at;
 
@@ -160,7 +161,7 @@
     /// Those at the upstream now, and who waits to be one of them.
     slots: Mutex<Slots<Waits>>,
     /// What members may have of the slots, by the configuration in force here.
-    shares: ArcSwap<HashMap<Name, f64>>,
+    shares: ArcSwap<Shares>,
     /// Where large answers to other machines go, and the mean size of one.
     lane: Arc<Lane>,
     large: Mutex<f64>,
@@ -576,18 +577,14 @@
     }
 
     /// The configuration in force here tells what members may have of the slots.
-    pub fn know_shares(&self, timetable: &Timetable) {
-        let shares = timetable.routes().filter_map(|route| route.share.as_ref());
-        let shares: HashMap<Name, f64> = shares.map(|share| (share.member.clone(), share.slots)).collect();
-        if shares != **self.shares.load() {
-            self.shares.store(Arc::new(shares));
-        }
+    pub fn know_shares(&self, shares: &Arc<Shares>) {
+        self.shares.store(shares.clone());
     }
 
     /// What a member may have here: the word of the configuration in force on this machine, else of the gate's. Guards
     /// against gates that are cut off and don't know yet that the platform gave it less.
     fn part(&self, told: Part) -> Part {
-        let share = self.shares.load().get(&told.member).copied();
+        let share = self.shares.load().get(&told.member).map(|share| share.slots);
         Part { share: share.unwrap_or(told.share), ..told }
     }
 
