--- a/mesh/tests/slots.rs
+++ b/mesh/tests/slots.rs
@@ -48,7 +48,7 @@
         for (nth, (what, member, turned, call, soon)) in steps.into_iter().enumerate() {
             now += MS;
             match what {
-                0 | 1 | 2 => {
+                0..=2 => {
                     let aim = if soon { now + MS } else { now + 100 * S };
                     let asker = Asker { call, turned, aim, until: aim + 100 * S };
                     let allowed = model.of(member) < most(member, slots);
