--- /dev/null
+++ b/mesh/src/shares.rs
@@ -0,0 +1,84 @@
+//! One service's allowance of repeats at one gate, divided among the members whose reqs go there and the platform. It
+//! owns what each of them may still send again. It must never let them have more together than one that sends for all
+//! would have, nor a member more than its share, however often routes and shares change.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use ochreshed::Nanos;
+
+use crate::budget::{Figures, MODULE, Ring, Spent};
+use crate::timetable::{Name, Share, Timetable};
+
+/// By member.
+pub type Shares = BTreeMap<Name, Arc<Share>>;
+
+/// Of all members that have routes here.
+pub fn of(timetable: &Timetable) -> Shares {
+    let shares = timetable.routes().filter_map(|route| route.share.as_ref());
+    shares.map(|share| (share.member.clone(), share.clone())).collect()
+}
+
+/// Of one service. Times are of one clock.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    shares: Arc<Shares>,
+    /// What each has sent over the module's ring, the platform under no name.
+    sent: BTreeMap<Option<Name>, Ring<Figures>>,
+}
+
+impl Pool {
+    /// From now on these are the members' shares. What was sent stays counted.
+    pub fn divide(&mut self, now: Nanos, shares: &Arc<Shares>) {
+        self.shares = shares.clone();
+        self.sent.retain(|_, ring| ring.sum(now) != Figures::default());
+    }
+
+    /// Takes over what one has counted for itself so far, if it has counted nothing here.
+    pub fn join(&mut self, who: Option<&Name>, spent: &Spent) {
+        self.sent.entry(who.cloned()).or_insert_with(|| spent.module.clone());
+    }
+
+    /// Whether no member has sent anything over the ring. Holds after `divide`.
+    pub fn idle(&self) -> bool {
+        self.sent.keys().all(Option::is_none)
+    }
+
+    pub fn count(&mut self, now: Nanos, who: Option<&Name>, figures: Figures) {
+        self.sent.entry(who.cloned()).or_insert_with(|| Ring::over(MODULE)).add(now, figures);
+    }
+
+    /// How much more one may send again, where all together may send again a part of what was sent first and so many
+    /// more. A member may have its share of that. The platform has what the members that have sent anything leave, and
+    /// one at least: at quiet gates there is no more than one. More than all there is can't be given away: shares that
+    /// come to more are lowered alike.
+    pub fn left(&self, now: Nanos, who: Option<&Name>, (part, floor): (f64, f64)) -> f64 {
+        let (mut first, mut again, mut own, mut given, mut share) = (0.0, 0.0, 0.0, 0.0, 0.0);
+        for (name, ring) in &self.sent {
+            let sum = ring.sum(now);
+            first += f64::from(sum.first);
+            again += f64::from(sum.again);
+            let of = match name {
+                Some(name) if sum != Figures::default() || who == Some(name) => self.share(name),
+                _ => 0.0,
+            };
+            given += of;
+            if name.as_ref() == who {
+                (own, share) = (f64::from(sum.again), of);
+            }
+        }
+        let all = first * part + floor;
+        let may = match who {
+            None => (all * (1.0 - given)).max(1.0),
+            Some(_) => all * share / f64::max(given, 1.0),
+        };
+        // What others that have gone since, or had more before, have used up is gone for all.
+        (may - own).min(all - again)
+    }
+
+    fn share(&self, member: &Name) -> f64 {
+        let retry = self.shares.get(member).map_or(0.0, |share| share.retry);
+        // Not a number counts as none.
+        if retry > 0.0 { retry.min(1.0) } else { 0.0 }
+    }
+}
