--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,6 +17,7 @@
 //! 5. Cold budget: a cold srv gets from us no more than our share of what its least capacity takes.
 //! 6. Shares: a customer over its share goes last, and is denied while anyone waits.
 
+mod beside;
 #[cfg(test)]
 mod days;
 mod judge;
@@ -537,15 +538,4 @@
         };
         Wait::Until(self.watch_at.unwrap_or(Nanos::MAX).min(self.idle_at).min(poll))
     }
-
-    /// From now on owned failures are sent again within this part of our first sends and so many more, over the budget's
-    /// ring. For whoever divides one allowance among several balancers; what was counted stands.
-    pub fn allow(&mut self, part: f64, floor: f64) {
-        (self.told.tenth, self.told.floor) = (part, floor);
-    }
-
-    /// How many srvs the list names, and how many of those get nothing from us now.
-    pub fn standing(&self) -> (usize, usize) {
-        self.fleet.standing()
-    }
 }
