Mesh: an attendant without a configuration asks all stewards in turn, not one that is gone

Seen: the test of an attendant that starts while one steward of three is there failed in one run of four; it never got a configuration. Cause: news.rs passed a steward that gave no reply over for 80 ms and waited as long before it asked again, so the first of its part of the ring was asked for ever, and one at another place never. Where that falls is drawn by addresses. Change: without a configuration a steward is passed over until all others had their turn.

--- a/balancer/src/mesh/news.rs
+++ b/balancer/src/mesh/news.rs
@@ -94,8 +94,9 @@
                 take(&branch, (which, steward), *reply, known.quiet.1.clone());
             }
             _ => {
-                // One that has nothing yet asks everybody until it has.
-                let aside = if branch.timetable.load().is_some() { ASIDE } else { PAUSE };
+                // One that has nothing yet asks everybody until it has, one after the other.
+                let all = PAUSE * (stewards.len() as u32 + 1);
+                let aside = if branch.timetable.load().is_some() { ASIDE } else { all };
                 known.aside = Some(Instant::now() + aside);
                 // It may have forgotten us.
                 known.row = (0, 0);
