--- a/mesh/src/slots.rs
+++ b/mesh/src/slots.rs
@@ -90,8 +90,6 @@
     /// Those that could have a slot, and those of them that would go first.
     waiting: u32,
     ahead: u32,
-    /// Slots of members of which others would go first, and wait for these.
-    apart: u32,
     /// Of its own member: all, and those that would go first.
     own: u32,
     own_ahead: u32,
@@ -191,9 +189,6 @@
                     let (seen, left) = (seen.entry(name).or_default(), self.left(member));
                     *seen += 1;
                     if *seen > left {
-                        // The first of them that waits for its member's slots tells of these.
-                        let once = *seen == left + 1 && own != Some(name);
-                        queue.apart += if once { first * member.taken } else { 0 };
                         continue;
                     }
                 }
@@ -222,7 +217,7 @@
             return None;
         }
         let took = nanos(member.map_or(self.took, |(_, member)| member.took));
-        let each = self.took() / Nanos::from(self.slots.saturating_sub(queue.apart).max(1));
+        let each = self.took() / Nanos::from(self.slots.max(1));
         // How long it is until so many of its own could have gone.
         let own_wait = |before: u32| {
             let Some((part, member)) = member else { return 0 };
