--- a/mesh/src/budget.rs
+++ b/mesh/src/budget.rs
@@ -117,6 +117,16 @@
         }
     }
 
+    /// Adds what another one of the same width holds.
+    pub(crate) fn merge(&mut self, other: &Ring<T>) {
+        for ((of, sum), (turn, more)) in self.buckets.iter_mut().zip(&other.buckets) {
+            if *of <= *turn {
+                *sum = if *of == *turn { sum.and(*more) } else { *more };
+                *of = *turn;
+            }
+        }
+    }
+
     pub(crate) fn sum(&self, now: Nanos) -> T {
         let turn = now / self.width;
         let live = self.buckets.iter().filter(|(of, _)| of + BUCKETS > turn);
--- a/mesh/src/shares.rs
+++ b/mesh/src/shares.rs
@@ -20,23 +20,39 @@
 }
 
 /// Of one service. Times are of one clock.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Pool {
     shares: Arc<Shares>,
-    /// What each has sent over the module's ring, the platform under no name.
+    /// What each has sent over the module's ring, the platform under no name; and all of them.
     sent: BTreeMap<Option<Name>, Ring<Figures>>,
+    all: Ring<Figures>,
+    /// The sum of the shares of the members among them.
+    given: f64,
+}
+
+impl Default for Pool {
+    fn default() -> Pool {
+        Pool { shares: Arc::default(), sent: BTreeMap::new(), all: Ring::over(MODULE), given: 0.0 }
+    }
 }
 
 impl Pool {
-    /// From now on these are the members' shares. What was sent stays counted.
+    /// From now on these are the members' shares. What was sent stays counted. To be called now and then: until then a
+    /// member that has sent nothing for long keeps its share.
     pub fn divide(&mut self, now: Nanos, shares: &Arc<Shares>) {
         self.shares = shares.clone();
         self.sent.retain(|_, ring| ring.sum(now) != Figures::default());
+        self.give();
     }
 
     /// Takes over what one has counted for itself so far, if it has counted nothing here.
     pub fn join(&mut self, who: Option<&Name>, spent: &Spent) {
-        self.sent.entry(who.cloned()).or_insert_with(|| spent.module.clone());
+        let who = who.cloned();
+        if !self.sent.contains_key(&who) {
+            self.all.merge(&spent.module);
+            self.sent.insert(who, spent.module.clone());
+            self.give();
+        }
     }
 
     /// Whether no member has sent anything over the ring. Holds after `divide`.
@@ -45,7 +61,19 @@
     }
 
     pub fn count(&mut self, now: Nanos, who: Option<&Name>, figures: Figures) {
-        self.sent.entry(who.cloned()).or_insert_with(|| Ring::over(MODULE)).add(now, figures);
+        self.all.add(now, figures);
+        let who = who.cloned();
+        if let Some(ring) = self.sent.get_mut(&who) {
+            return ring.add(now, figures);
+        }
+        let mut ring = Ring::over(MODULE);
+        ring.add(now, figures);
+        self.sent.insert(who, ring);
+        self.give();
+    }
+
+    fn give(&mut self) {
+        self.given = self.sent.keys().flatten().map(|member| self.share(member)).sum();
     }
 
     /// How much more one may send again, where all together may send again a part of what was sent first and so many
@@ -53,27 +81,15 @@
     /// one at least: at quiet gates there is no more than one. More than all there is can't be given away: shares that
     /// come to more are lowered alike.
     pub fn left(&self, now: Nanos, who: Option<&Name>, (part, floor): (f64, f64)) -> f64 {
-        let (mut first, mut again, mut own, mut given, mut share) = (0.0, 0.0, 0.0, 0.0, 0.0);
-        for (name, ring) in &self.sent {
-            let sum = ring.sum(now);
-            first += f64::from(sum.first);
-            again += f64::from(sum.again);
-            let of = match name {
-                Some(name) if sum != Figures::default() || who == Some(name) => self.share(name),
-                _ => 0.0,
-            };
-            given += of;
-            if name.as_ref() == who {
-                (own, share) = (f64::from(sum.again), of);
-            }
-        }
-        let all = first * part + floor;
+        let sum = self.all.sum(now);
+        let own = self.sent.get(&who.cloned()).map_or(0, |ring| ring.sum(now).again);
+        let all = f64::from(sum.first) * part + floor;
         let may = match who {
-            None => (all * (1.0 - given)).max(1.0),
-            Some(_) => all * share / f64::max(given, 1.0),
+            None => (all * (1.0 - self.given)).max(1.0),
+            Some(member) => all * self.share(member) / self.given.max(1.0),
         };
         // What others that have gone since, or had more before, have used up is gone for all.
-        (may - own).min(all - again)
+        (may - f64::from(own)).min(all - f64::from(sum.again))
     }
 
     fn share(&self, member: &Name) -> f64 {
