--- a/balancer/src/mesh/gate_tests.rs
+++ b/balancer/src/mesh/gate_tests.rs
@@ -135,26 +135,28 @@
     Sheet::new(1, format!(r#"{{"edition":"r1","consignments":[{}]}}"#, all.join(",")).into_bytes())
 }
 
-/// That with the routes of two members laid over it, at places of their own and to one service with the platform.
-fn of_members() -> InForce {
-    let member = |name: &str| {
+/// That with routes of members laid over it, at places of their own and to one service with the platform: each with its
+/// name, its share of repeats and the target of its reqs in ms.
+fn of_members(members: &[(&str, f64, u64)]) -> InForce {
+    let member = |(name, share, _): &(&str, f64, u64)| {
         format!(
             r#"{{"name":"{name}","key_sha256":"{:064x}","places":[{{"host":"one.example","prefix":"/{name}/"}}],
-            "services":["alpha"],"limits":{{"deadline_ms":30000,"retry_share":0.2,"slot_share":0.5}}}}"#,
+            "services":["alpha"],"limits":{{"deadline_ms":30000,"retry_share":{share},"slot_share":0.5}}}}"#,
             name.len()
         )
     };
-    let register = format!(r#"{{"edition":"r1","members":[{},{}]}}"#, member("norte"), member("sul"));
+    let all: Vec<String> = members.iter().map(member).collect();
+    let register = format!(r#"{{"edition":"r1","members":[{}]}}"#, all.join(","));
     let register = Register::read(register.as_bytes()).expect("a register");
-    let doc = |name: &str| {
+    let doc = |(name, _, target): &(&str, f64, u64)| {
         let text = format!(
             r#"{{"edition":"r4","routes":[{{"name":"again","depot":"one.example","lane_prefix":"/{name}/",
-            "route_kind":"resendable","deadline_ms":30000,"target_ms":20000,"post_class":1,"line":"alpha","tries":2}}]}}"#
+            "route_kind":"resendable","deadline_ms":30000,"target_ms":{target},"post_class":1,"line":"alpha","tries":2}}]}}"#
         );
-        (Name::from(name), Arc::new(MemberDoc::read(text.as_bytes()).expect("a document")))
+        (Name::from(*name), Arc::new(MemberDoc::read(text.as_bytes()).expect("a document")))
     };
     let base = Timetable::read(&timetable().bytes).expect("a timetable");
-    let laid = lay(&base, &register, &["norte", "sul"].map(doc).into());
+    let laid = lay(&base, &register, &members.iter().map(doc).collect());
     assert_eq!(laid.trims, []);
     InForce::new(laid.timetable, [("norte".into(), (4, true))].into())
 }
@@ -627,7 +629,7 @@
 /// Guards against a member whose reqs all fail and that uses up what others' reqs are sent again by.
 #[tokio::test]
 async fn a_member_whose_reqs_all_fail_spends_only_its_own() {
-    let rig = Rig::over(&[], &[], Some(of_members())).await;
+    let rig = Rig::over(&[], &[], Some(of_members(&[("norte", 0.2, 20_000), ("sul", 0.2, 20_000)]))).await;
     held(&rig.seen).fails = Some("/norte/");
     let others = async |path: &str, first: Option<Does>| {
         held(&rig.seen).script.extend(first);
@@ -675,3 +677,37 @@
     ];
     assert_eq!(report.members, told);
 }
+
+/// Guards against a member's change that makes another's module, or the platform's, begin anew.
+#[tokio::test]
+async fn a_member_that_changes_its_routes_touches_no_desk_but_its_own() {
+    let rig = Rig::over(&[], &[], Some(of_members(&[("norte", 0.2, 20_000), ("sul", 0.2, 20_000)]))).await;
+    let paths = ["/again/x", "/sul/x", "/norte/x"];
+    let desks = || {
+        let timetable = rig.branch.timetable.load_full().expect("a timetable");
+        let desk = |path: &str| rig.branch.desk(&"alpha".into(), timetable.route("one.example", path)?);
+        paths.map(desk)
+    };
+    for path in paths {
+        assert_eq!(rig.call(path, "").await.status(), "200");
+    }
+    let before = desks();
+    assert!(before.iter().all(Option::is_some));
+    let mut quiet = 0;
+    let mut changed = |members: &[(&str, f64, u64)]| {
+        rig.branch.timetable.store(Some(Arc::new(of_members(members))));
+        quiet += 1;
+        rig.branch.take_rows(0, Vec::new(), [SocketAddr::from(([10, 0, 0, 1], quiet))].into());
+        let after = desks();
+        let same = |nth: usize| {
+            before[nth].as_ref().zip(after[nth].as_ref()).is_some_and(|(one, other)| Arc::ptr_eq(one, other))
+        };
+        [0, 1, 2].map(same)
+    };
+    assert_eq!(changed(&[("norte", 0.2, 9_000), ("sul", 0.2, 20_000)]), [true, true, false]);
+    // Another share of the allowance is no reason to begin anew.
+    assert_eq!(changed(&[("norte", 0.9, 9_000), ("sul", 0.1, 20_000)]), [true, true, false]);
+    assert_eq!(changed(&[("sul", 0.1, 20_000)]), [true, true, false]);
+    assert_eq!(changed(&[]), [true, false, false]);
+    assert_eq!(rig.call("/again/x", "").await.status(), "200");
+}
