Mesh: tests of what is laid of members' routes, over drawn timetables, registers and documents

Nobody reaches past what it was given, nobody's change alters another's routes, what passes the check is laid as written, and the order of the documents does not count: 512 drawn worlds each.

--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -1,6 +1,7 @@
-//! What the processes of a mesh decide in common. It owns the operators' timetable as it is read and checked, how members' routes are laid over it, the
-//! core's agreement on who is in it and on which keys have run, and the list of upstreams. It does no I/O and knows
-//! no clock: times are told, chance is drawn from a seed, and what is to be written or sent is handed out as acts.
+//! What the processes of a mesh decide in common. It owns the operators' timetable as it is read and checked, how
+//! members' routes are laid over it, the core's agreement on who is in it and on which keys have run, and the list of
+//! upstreams. It does no I/O and knows no clock: times are told, chance is drawn from a seed, and what is to be written
+//! or sent is handed out as acts.
 
 pub mod agree;
 pub mod budget;
--- /dev/null
+++ b/mesh/tests/lay.rs
@@ -0,0 +1,368 @@
+//! Members' routes laid over the platform's: whatever the documents, nobody reaches past what it was given, and nobody's
+//! change touches another's routes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use expect_test::expect;
+use ochreshed_mesh::lay::{Docs, check, in_force, lay, plan, reaches};
+use ochreshed_mesh::members::{MemberDoc, Register};
+use ochreshed_mesh::timetable::{Name, Route, Timetable};
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+const HOSTS: [&str; 2] = ["h0", "h1"];
+const PREFIXES: [&str; 9] = ["/", "/a/", "/a", "/a/b/", "/a/bc", "/b/", "/ab/", "/b/c/", "/b/c"];
+/// What a place may be; no two of them lie within each other, so each may be anybody's.
+const PLACES: [(&str, &str); 5] =
+    [("h0", "/a/"), ("h0", "/b/c/"), ("h0", "/ab/"), ("h1", "/a/b/"), ("h1", "/b/")];
+const SERVICES: [&str; 4] = ["s0", "s1", "s2", "s3"];
+const MEMBERS: [&str; 3] = ["m0", "m1", "m2"];
+
+/// A route's host, prefix, deadline, target, rank, tries, and the shares of the services.
+type Asked = (usize, usize, (u64, u64), (u32, u32), [u8; 4]);
+/// A member's room: limits of routes, tries, deadline and rank, and which services it has.
+type Room = (usize, u32, u64, u32, [bool; 4]);
+
+#[derive(Clone, Debug)]
+struct World {
+    platform: Vec<Asked>,
+    /// Which services there are.
+    services: [bool; 4],
+    /// Whose each place is; 3 is nobody.
+    owners: [usize; 5],
+    rooms: [Room; 3],
+    /// A member's routes; none has no document.
+    docs: [Option<Vec<Asked>>; 3],
+}
+
+fn asked() -> impl Strategy<Value = Asked> {
+    let shares = [0u8..3, 0u8..3, 0u8..3, 0u8..3];
+    (0..HOSTS.len(), 0..PREFIXES.len(), (1u64..6, 1u64..6), (0u32..4, 1u32..4), shares)
+}
+
+fn world() -> impl Strategy<Value = World> {
+    let room = || {
+        (1usize..6, 1u32..4, 1u64..6, 0u32..3, [any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>()])
+    };
+    let doc = || proptest::option::weighted(0.8, vec(asked(), 0..8));
+    let owners = [0usize..4, 0usize..4, 0usize..4, 0usize..4, 0usize..4];
+    let services = [any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>()];
+    (vec(asked(), 0..8), services, owners, [room(), room(), room()], [doc(), doc(), doc()]).prop_map(
+        |(platform, services, owners, rooms, docs)| World { platform, services, owners, rooms, docs },
+    )
+}
+
+/// Routes as they are written, one for each place, with those services only.
+fn routes(all: &[Asked], of: &str, there: [bool; 4]) -> Vec<String> {
+    let mut written = BTreeMap::new();
+    for (number, (host, prefix, (deadline, target), (rank, tries), shares)) in all.iter().enumerate() {
+        let split: Vec<String> = (0..4)
+            .filter(|at| there[*at])
+            .map(|at| format!(r#"{{"line":"{}","share":{}}}"#, SERVICES[at], shares[at]))
+            .collect();
+        if (0..4).all(|at| !there[at] || shares[at] == 0) {
+            continue;
+        }
+        let (host, prefix, split) = (HOSTS[*host], PREFIXES[*prefix], split.join(","));
+        let text = format!(
+            r#""depot":"{host}","lane_prefix":"{prefix}","route_kind":"once_only","deadline_ms":{deadline},
+            "target_ms":{target},"post_class":{rank},"tries":{tries},"split":[{split}]"#
+        );
+        written.entry((host, prefix)).or_insert((number, format!("{of}-{number}"), text));
+    }
+    let mut written: Vec<_> = written.into_values().collect();
+    written.sort();
+    let entry = |(_, name, text): (usize, String, String)| match of {
+        "p" => format!(r#"{{"category":"routes","label":{{"name":"{name}"}},"manifest":{{{text}}}}}"#),
+        _ => format!(r#"{{"name":"{name}",{text}}}"#),
+    };
+    written.into_iter().map(entry).collect()
+}
+
+impl World {
+    fn timetable(&self) -> Timetable {
+        let mut entries = routes(&self.platform, "p", self.services);
+        for (name, _) in SERVICES.iter().zip(self.services).filter(|(_, there)| *there) {
+            entries.push(format!(
+                r#"{{"category":"mail_lines","label":{{"name":"{name}"}},"manifest":{{"health":"/","berth_cap":1}}}}"#
+            ));
+        }
+        let text = format!(r#"{{"edition":"r1","consignments":[{}]}}"#, entries.join(","));
+        Timetable::read(text.as_bytes()).expect("a timetable")
+    }
+
+    fn places(&self, member: usize) -> Vec<(&'static str, &'static str)> {
+        let all = PLACES.into_iter().zip(self.owners);
+        all.filter(|(_, owner)| *owner == member).map(|(place, _)| place).collect()
+    }
+
+    fn holds(&self, member: usize, host: &str, path: &str) -> bool {
+        self.places(member).iter().any(|(at, prefix)| *at == host && path.starts_with(prefix))
+    }
+
+    /// In this order, which must not count.
+    fn register(&self, order: [usize; 3]) -> Register {
+        let member = |number: usize| {
+            let (routes, tries, deadline, rank, has) = self.rooms[number];
+            let places = self.places(number).into_iter();
+            let places: Vec<String> =
+                places.map(|(host, prefix)| format!(r#"{{"host":"{host}","prefix":"{prefix}"}}"#)).collect();
+            let services: Vec<&str> =
+                SERVICES.into_iter().zip(has).filter(|(_, has)| *has).map(|(name, _)| name).collect();
+            format!(
+                r#"{{"name":"m{number}","key_sha256":"{}","places":[{}],"services":{services:?},"limits":{{
+                "routes":{routes},"tries":{tries},"deadline_ms":{deadline},"rank":{rank},"retry_share":0.{number},
+                "slot_share":0.5}}}}"#,
+                "0".repeat(64),
+                places.join(","),
+            )
+        };
+        let text = format!(r#"{{"edition":"r1","members":[{}]}}"#, order.map(member).join(","));
+        Register::read(text.as_bytes()).expect("a register")
+    }
+
+    fn docs(&self) -> Docs {
+        let read = |(number, doc): (usize, &Option<Vec<Asked>>)| {
+            let routes = routes(doc.as_ref()?, MEMBERS[number], [true; 4]).join(",");
+            let text = format!(r#"{{"edition":"r1","routes":[{routes}]}}"#);
+            Some((MEMBERS[number].into(), Arc::new(MemberDoc::read(text.as_bytes()).expect("a document"))))
+        };
+        self.docs.iter().enumerate().filter_map(read).collect()
+    }
+}
+
+fn of(route: &Route) -> Option<usize> {
+    let share = route.share.as_ref()?;
+    MEMBERS.iter().position(|name| **name == *share.member)
+}
+
+/// Every path that is told apart.
+fn paths() -> impl Iterator<Item = (&'static str, String)> {
+    let paths = PREFIXES.iter().flat_map(|prefix| ["", "x", "/x"].map(|end| format!("{prefix}{end}")));
+    paths.flat_map(|path| HOSTS.map(|host| (host, path.clone())))
+}
+
+fn all(timetable: &Timetable) -> Vec<Arc<Route>> {
+    timetable.routes().cloned().collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn nobody_reaches_past_what_it_was_given(world in world()) {
+        let (base, register, docs) = (world.timetable(), world.register([0, 1, 2]), world.docs());
+        let laid = lay(&base, &register, &docs);
+        let mut counts = [0; 3];
+        for route in laid.timetable.routes() {
+            let Some(member) = of(route) else {
+                prop_assert!(base.routes().any(|one| one == route), "{route:?}");
+                continue;
+            };
+            let (routes, tries, deadline, rank, has) = world.rooms[member];
+            counts[member] += 1;
+            prop_assert!(counts[member] <= routes);
+            prop_assert!(world.holds(member, &route.host, &route.prefix));
+            prop_assert!(route.tries <= tries && route.deadline_ms <= deadline && route.target_ms <= deadline);
+            prop_assert!(route.rank >= rank && route.tries > 0 && route.deadline_ms > 0);
+            for (name, _) in &route.lines {
+                let at = SERVICES.iter().position(|one| **one == **name).expect("a service");
+                prop_assert!(has[at] && world.services[at]);
+            }
+            prop_assert!(route.lines.iter().any(|(_, share)| *share > 0.0));
+            let share = route.share.as_ref().expect("a share");
+            prop_assert_eq!((share.retry, share.slots), (member as f64 / 10.0, 0.5));
+        }
+        // The longest prefix holds, and outside all places what the platform has.
+        for (host, path) in paths() {
+            let found = laid.timetable.route(host, &path);
+            let longest = laid.timetable.routes().filter(|route| *route.host == *host && path.starts_with(&*route.prefix));
+            prop_assert_eq!(found, longest.max_by_key(|route| route.prefix.len()));
+            if (0..3).all(|member| !world.holds(member, host, &path)) {
+                prop_assert_eq!(found, base.route(host, &path));
+            }
+        }
+        // One of the platform's goes only where a member's stands in its stead.
+        for route in base.routes() {
+            let found = laid.timetable.routes().filter(|one| one.host == route.host && one.prefix == route.prefix);
+            let found: Vec<_> = found.collect();
+            prop_assert!(found.len() == 1 && (found[0] == route || found[0].share.is_some()));
+        }
+    }
+
+    #[test]
+    fn a_member_changes_nobody_elses_routes(world in world(), doc in vec(asked(), 0..8), who in 0usize..3) {
+        let (base, register, docs) = (world.timetable(), world.register([0, 1, 2]), world.docs());
+        let changed = World { docs: { let mut docs = world.docs.clone(); docs[who] = Some(doc); docs }, ..world.clone() };
+        let changed_docs = changed.docs();
+        let (before, after) = (lay(&base, &register, &docs), lay(&base, &register, &changed_docs));
+        let others = |timetable: &Timetable| {
+            let mut routes = all(timetable);
+            routes.retain(|route| !world.holds(who, &route.host, &route.prefix));
+            routes
+        };
+        prop_assert_eq!(others(&before.timetable), others(&after.timetable));
+        for (host, path) in paths().filter(|(host, path)| !world.holds(who, host, path)) {
+            prop_assert_eq!(before.timetable.route(host, &path), after.timetable.route(host, &path));
+        }
+        // What the plan tells is what changes.
+        let plan = plan(&base, &register, &docs, MEMBERS[who], &changed_docs[MEMBERS[who]]);
+        prop_assert_eq!(plan.changes.is_empty(), {
+            let sorted = |timetable: &Timetable| {
+                let mut routes = all(timetable);
+                routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
+                routes
+            };
+            sorted(&before.timetable) == sorted(&after.timetable)
+        });
+    }
+
+    #[test]
+    fn all_that_hold_the_same_lay_the_same(world in world()) {
+        let base = world.timetable();
+        let one = lay(&base, &world.register([0, 1, 2]), &world.docs());
+        let docs: Docs = world.docs().into_iter().rev().collect();
+        let other = lay(&base, &world.register([2, 0, 1]), &docs);
+        prop_assert_eq!(all(&one.timetable), all(&other.timetable));
+        prop_assert_eq!(one.trims, other.trims);
+    }
+
+    #[test]
+    fn what_passes_the_check_is_laid_as_it_is_written(world in world(), who in 0usize..3) {
+        let (base, register, docs) = (world.timetable(), world.register([0, 1, 2]), world.docs());
+        let Some(doc) = docs.get(MEMBERS[who]) else { return Ok(()) };
+        let laid = lay(&base, &register, &docs);
+        let cuts = check(&base, &register, MEMBERS[who], doc);
+        let trims: Vec<_> = laid.trims.iter().filter(|trim| *trim.member == *MEMBERS[who]).map(|trim| trim.cut.clone()).collect();
+        prop_assert_eq!(&cuts, &trims);
+        for (index, route) in doc.routes.iter().enumerate() {
+            let cut = cuts.iter().any(|cut| cut.route.as_ref().is_some_and(|(at, _)| *at == index));
+            let found = laid.timetable.routes().find(|one| one.host == route.host && one.prefix == route.prefix);
+            let as_written = found.is_some_and(|one| {
+                of(one) == Some(who) && Route { share: None, ..Route::clone(one) } == **route
+            });
+            prop_assert_eq!(as_written, !cut, "{:?}", route);
+        }
+    }
+
+    #[test]
+    fn a_larger_share_reaches_all_that_a_smaller_one_does(port in 1u16.., edition: u64, one in 0f64..1.0, more in 0f64..1.0) {
+        let door = SocketAddr::from(([10, 1, 0, 8], port));
+        prop_assert!(reaches(door, "m", edition, 1.0) && !reaches(door, "m", edition, 0.0));
+        prop_assert!(!reaches(door, "m", edition, one) || reaches(door, "m", edition, one + more));
+    }
+}
+
+#[test]
+fn a_share_reaches_its_part_of_the_nodes_alike_in_every_version() {
+    let door = |number: u32| SocketAddr::from((number.to_be_bytes(), 8300));
+    let reached = |member: &str, edition| -> Vec<u32> {
+        (0..2_000).filter(|number| reaches(door(*number), member, edition, 0.25)).collect()
+    };
+    let (one, other, later) = (reached("m0", 7), reached("m1", 7), reached("m0", 8));
+    // Others for another member and another edition.
+    assert!([&one, &other, &later].iter().all(|all| (440..560).contains(&all.len())));
+    assert!(one != other && one != later);
+    expect!["[9, 20, 22, 35, 36, 40, 53, 61]"].assert_eq(&format!("{:?}", &one[..8]));
+}
+
+#[test]
+fn a_trial_never_stands_above_what_was_settled_or_withdrawn() {
+    let doc = |version: u64, trial: f64| {
+        let text = format!(r#"{{"edition":"r{version}","trial":{trial},"routes":[]}}"#);
+        Arc::new(MemberDoc::read(text.as_bytes()).expect("a document"))
+    };
+    let door = SocketAddr::from(([10, 1, 0, 8], 8300));
+    let mut told = String::new();
+    for (settled, trial, withdrawn) in
+        [(None, 0, None), (None, 1, None), (None, 1, Some(1)), (Some(1), 2, None), (Some(1), 2, Some(1))]
+            .into_iter()
+            .chain([(Some(1), 2, Some(2)), (Some(2), 2, None), (Some(3), 2, Some(1))])
+    {
+        let held = settled.map(|version| doc(version, 1.0));
+        let edition = |share: f64| {
+            let trial = doc(trial, share);
+            in_force(door, "m", held.as_ref(), Some(&trial), withdrawn).map(|doc| doc.version)
+        };
+        let (reached, not) = (edition(1.0), edition(0.0));
+        told += &format!(
+            "settled {settled:?}, trial {trial}, withdrawn {withdrawn:?}: {reached:?}, elsewhere {not:?}\n"
+        );
+    }
+    expect![[r#"
+        settled None, trial 0, withdrawn None: Some(0), elsewhere None
+        settled None, trial 1, withdrawn None: Some(1), elsewhere None
+        settled None, trial 1, withdrawn Some(1): None, elsewhere None
+        settled Some(1), trial 2, withdrawn None: Some(2), elsewhere Some(1)
+        settled Some(1), trial 2, withdrawn Some(1): Some(2), elsewhere Some(1)
+        settled Some(1), trial 2, withdrawn Some(2): Some(1), elsewhere Some(1)
+        settled Some(2), trial 2, withdrawn None: Some(2), elsewhere Some(2)
+        settled Some(3), trial 2, withdrawn Some(1): Some(3), elsewhere Some(3)
+    "#]]
+    .assert_eq(&told);
+}
+
+#[test]
+fn a_plan_tells_what_changes_what_is_forbidden_and_what_is_trimmed() {
+    let base = r#"{"edition":"r1","consignments":[
+        {"category":"routes","label":{"name":"all"},"manifest":{"depot":"norte.example","lane_prefix":"/","route_kind":"once_only","deadline_ms":900,"post_class":1,"line":"agenda","tries":1}},
+        {"category":"mail_lines","label":{"name":"agenda"},"manifest":{"health":"/","berth_cap":1}},
+        {"category":"mail_lines","label":{"name":"caixa"},"manifest":{"health":"/","berth_cap":1}}]}"#;
+    let register = format!(
+        r#"{{"edition":"r1","members":[{{"name":"norte","key_sha256":"{}","places":[{{"host":"norte.example"}}],
+        "services":["agenda","velha"],"limits":{{"routes":2,"deadline_ms":1000}}}}]}}"#,
+        "0".repeat(64)
+    );
+    let route = |name: &str, prefix: &str, rest: &str| {
+        format!(
+            r#"{{"name":"{name}","depot":"norte.example","lane_prefix":"{prefix}","route_kind":"once_only",{rest}}}"#
+        )
+    };
+    let doc = |routes: &[String]| {
+        let text = format!(r#"{{"edition":"r1","routes":[{}]}}"#, routes.join(","));
+        Arc::new(MemberDoc::read(text.as_bytes()).expect("a document"))
+    };
+    let good = r#""deadline_ms":800,"post_class":1,"line":"agenda","tries":1"#;
+    let held = doc(&[route("cart", "/cart/", good), route("old", "/old/", good)]);
+    let new = doc(&[
+        route("root", "/", &good.replace("800", "700")),
+        route("cart", "/cart/", r#""deadline_ms":1200,"post_class":0,"line":"agenda","tries":3"#),
+        route("caixa", "/caixa/", &good.replace("agenda", "caixa")),
+        route("velha", "/velha/", &good.replace("agenda", "velha")),
+        route("more", "/more/", good),
+    ]);
+    let (base, register) = (Timetable::read(base.as_bytes()), Register::read(register.as_bytes()));
+    let (base, register) = (base.expect("a timetable"), register.expect("a register"));
+    let gone = doc(&[route("x", "/x/", good)]);
+    let docs: Docs = [(Name::from("norte"), held), (Name::from("gone"), gone)].into();
+    let plan = plan(&base, &register, &docs, "norte", &new);
+    let list = |all: Vec<String>| all.join("\n");
+    let page = [
+        list(plan.changes),
+        list(plan.forbidden.iter().map(ToString::to_string).collect()),
+        list(plan.trims.iter().map(ToString::to_string).collect()),
+    ];
+    expect![[r#"
+        route norte.example/: of from the platform to norte
+        route norte.example/: name from all to root
+        route norte.example/: deadline_ms from 900 to 700
+        route norte.example/: target_ms from 900 to 700
+        route norte.example/cart/: deadline_ms from 800 to 1000
+        route norte.example/cart/: target_ms from 800 to 1000
+        route norte.example/cart/: tries from 1 to 2
+        route norte.example/old/ removed: of norte, name old, route_kind once_only, deadline_ms 800, target_ms 800, post_class 1, tries 1, lines [agenda 1]
+        --
+        routes[1] (cart).tries: 3 is above this member's limit of 2
+        routes[1] (cart).deadline_ms: 1200 is above this member's limit of 1000
+        routes[1] (cart).target_ms: 1200 is above this member's limit of 1000
+        routes[1] (cart).post_class: 0 is a higher rank than this member's, 1 (0 is the highest)
+        routes[2] (caixa).split: "caixa" is not among this member's services
+        routes[2] (caixa).split: no service is left with a share
+        routes[3] (velha).split: "velha" is not among the platform's services
+        routes[3] (velha).split: no service is left with a share
+        routes[4] (more): comes after this member's limit of 2 routes
+        --
+        gone: document: is of no member that the register names"#]].assert_eq(&page.join("\n--\n"));
+}
