Client: the register of members, and a member's own routes: read, plan, replace, diff, status, undo

Platforms and their members need calls to steer with. Documents are checked before they are sent; a key comes from a file and is never shown; an undo that may have been taken is asked of nobody else.

--- a/balancer/src/asking.rs
+++ b/balancer/src/asking.rs
@@ -53,14 +53,25 @@
 
 /// The status and the body of the answer. `path` is sent as it is; with a body the method is POST.
 pub fn ask(at: SocketAddr, path: &str, body: Option<&[u8]>) -> Result<(u16, Vec<u8>), AskError> {
+    ask_with(at, path, body, None)
+}
+
+/// With one header more, its name and its value, which are sent as they are.
+pub fn ask_with(
+    at: SocketAddr,
+    path: &str,
+    body: Option<&[u8]>,
+    header: Option<(&str, &str)>,
+) -> Result<(u16, Vec<u8>), AskError> {
+    let header = header.map_or(String::new(), |(name, value)| format!("{name}: {value}\r\n"));
     let ends = Instant::now() + MOST;
     let no_connection = |why: std::io::Error| AskError::NoConnection(why.to_string());
     let mut stream = TcpStream::connect_timeout(&at, SILENCE).map_err(no_connection)?;
     let head = match body {
-        None => format!("GET {path} HTTP/1.1\r\nHost: {at}\r\nConnection: close\r\n\r\n"),
+        None => format!("GET {path} HTTP/1.1\r\nHost: {at}\r\n{header}Connection: close\r\n\r\n"),
         Some(body) => format!(
             "POST {path} HTTP/1.1\r\nHost: {at}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\
-             Connection: close\r\n\r\n",
+             {header}Connection: close\r\n\r\n",
             body.len()
         ),
     };
@@ -160,6 +171,13 @@
 /// What others hold out to a call in tests: one answer, as it is, to whoever comes.
 #[cfg(test)]
 pub fn stand_in(answers: Vec<Vec<u8>>) -> SocketAddr {
+    stand_in_that_tells(answers).0
+}
+
+/// As above, with the heads of what it was asked.
+#[cfg(test)]
+pub fn stand_in_that_tells(answers: Vec<Vec<u8>>) -> (SocketAddr, std::sync::mpsc::Receiver<String>) {
+    let (tell, told) = std::sync::mpsc::channel();
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a socket");
     let at = listener.local_addr().expect("an address");
     std::thread::spawn(move || {
@@ -181,12 +199,13 @@
                     _ => break,
                 }
             }
+            let _ = tell.send(String::from_utf8_lossy(&seen).into_owned());
             let _ = stream.write_all(&answer).and_then(|()| stream.shutdown(std::net::Shutdown::Write));
             // Guards against a reset in place of an end, where some of the request is left unread.
             let _ = std::io::copy(&mut stream, &mut std::io::sink());
         }
     });
-    at
+    (at, told)
 }
 
 #[cfg(test)]
--- a/balancer/src/mesh/client.rs
+++ b/balancer/src/mesh/client.rs
@@ -1,15 +1,19 @@
 //! The operators' client: asks a steward and says what it answers, as tables or as the JSON that came. It must never
 //! change anything that it was not told to, nor show as an answer what did not come whole.
 
+mod members;
+
 use std::fs::File;
 use std::io::{ErrorKind, Read, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use ochreshed_mesh::timetable::{Timetable, differences};
+use ochreshed_mesh::timetable::{Refusal, Timetable, differences};
 use serde_json::Value;
 
+use members::Key;
+
 use super::line::What;
 use super::settings::{Fault, Settings, SettingsError};
 use crate::asking::{self, AskError};
@@ -107,12 +111,14 @@
         What::Nodes => list(at, json, "nodes.list", "attendants", nodes)?,
         What::Upstreams => list(at, json, "upstreams.list", "upstreams", upstreams)?,
         What::TimetableRead => text(call(at, "timetable.read", None)?.1)?,
-        What::TimetableReplace(file) => return replace(at, json, &file),
+        What::TimetableReplace(file) => return replace(at, json, &file, &TIMETABLE),
         What::TimetableHistory => one(at, json, "timetable.history", history)?,
         What::TimetableDiff(file) => diff(at, json, &file)?,
         What::Keys(None) => one(at, json, "keys.count", keys)?,
         What::Keys(Some(key)) => one(at, json, &format!("keys.show&of={}", escaped(&key)), key_shown)?,
         What::Budget => one(at, json, "budget.list", budget)?,
+        What::Members(what) => return members::register(at, json, what),
+        What::Member { name, what, key } => return members::own(at, json, &name, what, key.as_deref()),
         What::Drain(id) => one(at, json, &format!("upstreams.drain&of={}", escaped(&id)), drained)?,
     };
     print(&page)?;
@@ -145,12 +151,30 @@
     }
 }
 
+/// A call and what goes with it.
+#[derive(Clone, Copy)]
+struct Call<'c> {
+    what: &'c str,
+    body: &'c [u8],
+    key: Option<&'c Key>,
+    /// Asked of no other once somebody may have taken it.
+    once: bool,
+}
+
 /// The body of the first answer; who gives none, or can't answer now, is passed over.
 fn call(at: &[SocketAddr], what: &str, body: Option<&[u8]>) -> Result<(SocketAddr, Vec<u8>), Failed> {
+    call_with(at, Call { what, body: body.unwrap_or_default(), key: None, once: false })
+}
+
+fn call_with(at: &[SocketAddr], call: Call) -> Result<(SocketAddr, Vec<u8>), Failed> {
     let mut failed = Failed { lines: Vec::new(), maybe: false };
     for at in at {
+        if call.once && failed.maybe {
+            break;
+        }
         // All calls of a steward are POST.
-        match asking::ask(*at, &format!("/api/rpc?call={what}"), Some(body.unwrap_or_default())) {
+        let path = format!("/api/rpc?call={}", call.what);
+        match asking::ask_with(*at, &path, Some(call.body), call.key.map(Key::header)) {
             Ok((200, body)) => return Ok((*at, body)),
             Ok((status, body)) => {
                 let said = String::from_utf8_lossy(&body);
@@ -215,81 +239,108 @@
     if json { Ok(all.to_string()) } else { Ok(page(&all)) }
 }
 
-/// A timetable from a file, or from the standard input for `-`; all that is wrong with it is told.
-fn timetable(file: &Path) -> Result<(Timetable, Vec<u8>), String> {
-    let (name, mut bytes) = (file.display(), Vec::new());
+/// A document that replaces another: how it is checked, and the calls that send it and read it back.
+struct Paper {
+    /// Its edition and what it holds, in words.
+    check: fn(&[u8]) -> Result<(u64, String), Vec<Refusal>>,
+    name: &'static str,
+    replace: &'static str,
+    read: &'static str,
+}
+
+const TIMETABLE: Paper = Paper {
+    check: |bytes| {
+        Timetable::read(bytes).map(|read| (read.version, format!("{} routes", read.routes().count())))
+    },
+    name: "timetable",
+    replace: "timetable.replace",
+    read: "timetable.read",
+};
+
+/// The bytes of a file, or of the standard input for `-`.
+fn bytes(file: &Path) -> Result<Vec<u8>, String> {
+    let mut bytes = Vec::new();
     let read = if file == Path::new("-") {
         std::io::stdin().take(MOST_FILE + 1).read_to_end(&mut bytes)
     } else {
         File::open(file).and_then(|file| file.take(MOST_FILE + 1).read_to_end(&mut bytes))
     };
-    read.map_err(|why| format!("{name}: {why}"))?;
-    let timetable = Timetable::read(&bytes).map_err(|refusals| {
+    read.map_err(|why| format!("{}: {why}", file.display()))?;
+    Ok(bytes)
+}
+
+/// What was read from a file, or all that is wrong with it.
+fn checked<T>(file: &Path, read: Result<T, Vec<Refusal>>) -> Result<T, String> {
+    read.map_err(|refusals| {
         let lines: Vec<String> = refusals.iter().map(|refusal| format!("\n  {refusal}")).collect();
-        format!("{name}: refused, {} errors{}", refusals.len(), lines.concat())
-    })?;
-    Ok((timetable, bytes))
+        format!("{}: refused, {} errors{}", file.display(), refusals.len(), lines.concat())
+    })
 }
 
-/// The one that is in force, as the core reads it back.
-fn in_force(at: &[SocketAddr]) -> Result<(Timetable, Vec<u8>), String> {
-    let (at, bytes) = call(at, "timetable.read", None)?;
-    let read = Timetable::read(&bytes);
-    let read = read.map_err(|why| match why.first() {
-        Some(first) => format!("{at}: the timetable there is refused by this build: {first}"),
-        None => format!("{at}: the timetable there is refused by this build"),
-    })?;
-    Ok((read, bytes))
+/// What the core reads back.
+fn known<T>(at: SocketAddr, name: &str, read: Result<T, Vec<Refusal>>) -> Result<T, String> {
+    read.map_err(|why| match why.first() {
+        Some(first) => format!("{at}: the {name} there is refused by this build: {first}"),
+        None => format!("{at}: the {name} there is refused by this build"),
+    })
 }
 
 fn diff(at: &[SocketAddr], json: bool, file: &Path) -> Result<String, String> {
-    let (new, _) = timetable(file)?;
-    let (old, _) = in_force(at)?;
-    let lines = differences(&old, &new);
-    let (from, to) = (format!("r{}", old.version), format!("r{}", new.version));
+    let new = checked(file, Timetable::read(&bytes(file)?))?;
+    let (at, held) = call(at, TIMETABLE.read, None)?;
+    let old = known(at, TIMETABLE.name, Timetable::read(&held))?;
+    Ok(differing(json, (old.version, new.version), differences(&old, &new)))
+}
+
+/// What differs between the one in force and a new one, of these versions.
+fn differing(json: bool, (old, new): (u64, u64), lines: Vec<String>) -> String {
+    let (from, to) = (format!("r{old}"), format!("r{new}"));
     if json {
-        return Ok(serde_json::json!({ "from": from, "to": to, "differences": lines }).to_string());
+        return serde_json::json!({ "from": from, "to": to, "differences": lines }).to_string();
     }
     let mut page: String = lines.iter().map(|line| shown_line(line) + "\n").collect();
     page += &format!("{} differences between {from}, in force, and {to}\n", lines.len());
-    if new.version <= old.version && !lines.is_empty() {
+    if new <= old && !lines.is_empty() {
         page += &format!("{to} is not above {from}: sent like this it would change nothing\n");
     }
-    Ok(page)
+    page
 }
 
-/// A version that is not above the one in force is acknowledged as well and changes nothing, so it is read back.
-fn replace(at: &[SocketAddr], json: bool, file: &Path) -> Result<ExitCode, String> {
-    let (new, bytes) = timetable(file)?;
-    let taken = call(at, "timetable.replace", Some(&bytes));
-    let (taker, answer) = taken.map_err(|mut failed| {
+/// Sends a change; where nobody answered well, whether it may hold all the same is told.
+fn send(at: &[SocketAddr], call: Call) -> Result<(SocketAddr, Vec<u8>), String> {
+    call_with(at, call).map_err(|mut failed| {
         if failed.maybe {
             // One steward may hold it, and others take it from there.
-            failed.lines.push("it may still come into force: send it again, unchanged".into());
+            let again = if call.once {
+                "see what holds before you send it again"
+            } else {
+                "send it again, unchanged"
+            };
+            failed.lines.push(format!("it may still come into force: {again}"));
         }
         String::from(failed)
-    })?;
-    let now = in_force(&[taker]);
-    let version = new.version;
-    let same = matches!(&now, Ok((_, held)) if *held == bytes);
+    })
+}
+
+/// A version that is not above the one in force is acknowledged as well and changes nothing, so it is read back.
+fn replace(at: &[SocketAddr], json: bool, file: &Path, paper: &Paper) -> Result<ExitCode, String> {
+    let sent = bytes(file)?;
+    let (version, holds) = checked(file, (paper.check)(&sent))?;
+    let (taker, answer) = send(at, Call { what: paper.replace, body: &sent, key: None, once: false })?;
+    let now = call(&[taker], paper.read, None).map_err(String::from);
+    let now = now.and_then(|(at, held)| Ok((known(at, paper.name, (paper.check)(&held))?.0, held)));
     match now {
-        Ok((now, _)) if !same && now.version > version => {
-            Err(format!("{taker} acknowledged r{version}, but r{} holds: nothing has changed", now.version))
-        }
-        Ok((now, _)) if !same && now.version == version => Err(format!(
-            "{taker} acknowledged r{version}, but another r{version} holds: give this one a higher number"
-        )),
         Err(why) => Err(format!("{taker} acknowledged r{version}; reading back what holds failed: {why}")),
-        Ok(_) if json => {
-            print(&text(answer)?)?;
+        Ok((_, held)) if held == sent => {
+            let safe = format!("r{version} is safe on more than half of the core, {holds}\n");
+            print(&if json { text(answer)? } else { safe })?;
             Ok(ExitCode::SUCCESS)
         }
-        Ok(_) => {
-            print(&format!(
-                "r{version} is safe on more than half of the core, {} routes\n",
-                new.routes().count()
-            ))?;
-            Ok(ExitCode::SUCCESS)
+        Ok((now, _)) if now == version => Err(format!(
+            "{taker} acknowledged r{version}, but another r{version} holds: give this one a higher number"
+        )),
+        Ok((now, _)) => {
+            Err(format!("{taker} acknowledged r{version}, but r{now} holds: nothing has changed"))
         }
     }
 }
@@ -651,7 +702,7 @@
         let write = |text: &str| std::fs::write(&file, text).expect("written");
         let said = |answers: Vec<Vec<u8>>| {
             let at = stand_in(answers);
-            let done = replace(&[at], false, &file);
+            let done = replace(&[at], false, &file, &TIMETABLE);
             let done = done.map(|_| "done".to_owned()).unwrap_or_else(|why| why);
             done.replace(&at.to_string(), "AT").replace(&folder.display().to_string(), "DIR")
         };
--- /dev/null
+++ b/balancer/src/mesh/client/members.rs
@@ -0,0 +1,308 @@
+//! The client's part for members of a platform: the register, and one member's own routes. It owns the pages shown and
+//! how a member's key is read from its file. It must never show a key, nor send one that can't stand in a header.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use ochreshed_mesh::members::{self, MemberDoc};
+use ochreshed_mesh::timetable::{Route, by_place};
+use serde_json::Value;
+
+use super::super::line::{Own, Register};
+use super::{
+    Call, Paper, bytes, call, call_with, cell, cells, checked, differing, escaped, history, known, print,
+    replace,
+};
+use super::{rows, send, shown_line, table, text, value};
+
+/// The header in which a member's calls bear its key.
+const HEADER: &str = "Ochreshed-Member-Key";
+const MOST_KEY: usize = 1_024;
+
+const REGISTER: Paper = Paper {
+    check: |bytes| {
+        let read = members::Register::read(bytes);
+        read.map(|read| (read.version, format!("{} members", read.members().count())))
+    },
+    name: "register",
+    replace: "members.replace",
+    read: "members.read",
+};
+
+/// A member's key, as it stands in its file.
+pub struct Key(String);
+
+impl Key {
+    fn read(file: &Path) -> Result<Key, String> {
+        let told = |why: &str| format!("{}: {why}", file.display());
+        let bytes = bytes(file)?;
+        let key = bytes.trim_ascii();
+        match std::str::from_utf8(key) {
+            Ok("") => Err(told("holds no key")),
+            Ok(key) if key.len() <= MOST_KEY && key.bytes().all(|byte| byte.is_ascii_graphic()) => {
+                Ok(Key(key.to_owned()))
+            }
+            _ => Err(told("holds no key of printable signs in one word, 1024 at most")),
+        }
+    }
+
+    pub fn header(&self) -> (&str, &str) {
+        (HEADER, &self.0)
+    }
+}
+
+pub fn register(at: &[SocketAddr], json: bool, what: Register) -> Result<ExitCode, String> {
+    let page = match what {
+        Register::Read => text(call(at, REGISTER.read, None)?.1)?,
+        Register::Replace(file) => return replace(at, json, &file, &REGISTER),
+        Register::Diff(file) => {
+            let new = checked(&file, members::Register::read(&bytes(&file)?))?;
+            let (at, held) = call(at, REGISTER.read, None)?;
+            let old = known(at, REGISTER.name, members::Register::read(&held))?;
+            differing(json, (old.version, new.version), members::differences(&old, &new))
+        }
+    };
+    print(&page)?;
+    Ok(ExitCode::SUCCESS)
+}
+
+pub fn own(
+    at: &[SocketAddr],
+    json: bool,
+    name: &str,
+    what: Own,
+    key: Option<&Path>,
+) -> Result<ExitCode, String> {
+    let key = key.map(Key::read).transpose()?;
+    let key = key.as_ref();
+    let call_of = |verb: &str| format!("member.{verb}&of={}", escaped(name));
+    let asked = |verb: &str, body: &[u8]| -> Result<(SocketAddr, Vec<u8>), String> {
+        Ok(call_with(at, Call { what: &call_of(verb), body, key, once: false })?)
+    };
+    let ask = |verb: &str| text(asked(verb, &[])?.1);
+    let change = |verb: &str, body: &[u8]| {
+        // Undone twice is something else than undone.
+        let call = Call { what: &call_of(verb), body, key, once: verb == "undo" };
+        text(send(at, call)?.1)
+    };
+    let shown = |answer: String, page: fn(&Value) -> String| -> Result<String, String> {
+        if json { Ok(answer) } else { Ok(page(&value(&answer)?)) }
+    };
+    let page = match what {
+        Own::Read => ask("read")?,
+        Own::Plan(file) => {
+            let sent = bytes(&file)?;
+            checked(&file, MemberDoc::read(&sent))?;
+            let answer = text(asked("plan", &sent)?.1)?;
+            let forbidden = !rows(&value(&answer)?, "forbidden").is_empty();
+            print(&shown(answer, plan)?)?;
+            return Ok(if forbidden { ExitCode::FAILURE } else { ExitCode::SUCCESS });
+        }
+        Own::Replace(file) => {
+            let sent = bytes(&file)?;
+            checked(&file, MemberDoc::read(&sent))?;
+            shown(change("replace", &sent)?, taken)?
+        }
+        Own::Diff(file) => {
+            let new = checked(&file, MemberDoc::read(&bytes(&file)?))?;
+            let (at, held) = asked("read", &[])?;
+            let old = known(at, "document", MemberDoc::read(&held))?;
+            differing(json, (old.version, new.version), apart(&old, &new))
+        }
+        Own::Status => shown(ask("status")?, status)?,
+        Own::History => shown(ask("history")?, history)?,
+        Own::Undo => shown(change("undo", &[])?, taken)?,
+        Own::Settle => shown(change("settle", &[])?, taken)?,
+        Own::Withdraw => shown(change("withdraw", &[])?, taken)?,
+    };
+    print(&page)?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn apart(old: &MemberDoc, new: &MemberDoc) -> Vec<String> {
+    let mut lines = Vec::new();
+    let trial = |doc: &MemberDoc| doc.trial.map_or("none".to_owned(), |share| share.to_string());
+    let (before, after) = (trial(old), trial(new));
+    if before != after {
+        lines.push(format!("trial from {before} to {after}"));
+    }
+    let routes = |doc: &MemberDoc| -> Vec<Arc<Route>> { doc.routes.clone() };
+    lines.extend(by_place(routes(old).iter(), routes(new).iter()));
+    lines
+}
+
+/// Texts of a list, a line for each.
+fn lines(of: &Value, name: &str) -> String {
+    let texts = rows(of, name).iter().filter_map(Value::as_str);
+    texts.map(|line| format!("  {}\n", shown_line(line))).collect()
+}
+
+fn plan(of: &Value) -> String {
+    let section = |name: &str, some: &str, none: &str| {
+        let lines = lines(of, name);
+        if lines.is_empty() { format!("{none}\n") } else { format!("{some}\n{lines}") }
+    };
+    section("changes", "would change:", "nothing would change")
+        + &section("forbidden", "FORBIDDEN, so that it would be refused:", "nothing forbids it")
+        + &section("trims", "trimmed now, before the change:", "nothing is trimmed now")
+}
+
+/// A change that was taken.
+fn taken(of: &Value) -> String {
+    let state = match of["state"].as_str() {
+        Some("trial") => "is safe on more than half of the core, on trial",
+        Some("withdrawn") => "is withdrawn: the document before it holds",
+        Some("settled") => "is safe on more than half of the core",
+        _ => "was answered, in a way that this build doesn't know",
+    };
+    format!("{} of {} {state}\n", cell(&of["edition"]), cell(&of["member"]))
+}
+
+fn status(of: &Value) -> String {
+    let mut page = format!("member     {}\n", cell(&of["member"]));
+    for name in ["settled", "trial", "withdrawn"] {
+        page += &format!("{name:<11}{}\n", cell(&of[name]));
+    }
+    let trims = lines(of, "trims");
+    page += &if trims.is_empty() { "trimmed    nothing\n".to_owned() } else { format!("trimmed:\n{trims}") };
+    let nodes =
+        rows(of, "nodes").iter().map(|row| cells(row, &["door", "edition", "trial", "quiet"])).collect();
+    page + "\n" + &table(&["NODE", "EDITION", "TRIAL", "QUIET"], nodes) + super::more(of)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::asking::stand_in;
+    use expect_test::expect;
+
+    fn answer(status: u16, body: &str) -> Vec<u8> {
+        format!("HTTP/1.1 {status} X\r\ncontent-length: {}\r\n\r\n{body}", body.len()).into_bytes()
+    }
+
+    #[test]
+    fn pages() {
+        let said = |page: fn(&Value) -> String, text: &str| page(&value(text).expect("JSON")) + "--\n";
+        let all = [
+            said(
+                plan,
+                r#"{"changes":["route n.example/cart/: tries from 1 to 2"],"forbidden":["routes[0] (a\u001b).tries: 3"],"trims":[]}"#,
+            ),
+            said(plan, r#"{"changes":[],"forbidden":[],"trims":["sul: routes[1] (b).deadline_ms: 1"]}"#),
+            said(taken, r#"{"member":"norte","edition":"r8","state":"trial"}"#),
+            said(taken, r#"{"member":"norte","edition":"r8","state":"settled"}"#),
+            said(taken, "{}"),
+            said(
+                status,
+                r#"{"member":"norte","settled":"r7","trial":"r8","withdrawn":null,"trims":["routes[0] (a).tries: 3"],
+                "nodes":[{"door":"10.1.0.8:8300","edition":"r8","trial":true,"quiet":false}]}"#,
+            ),
+            said(status, "{}"),
+        ];
+        expect![[r#"
+            would change:
+              route n.example/cart/: tries from 1 to 2
+            FORBIDDEN, so that it would be refused:
+              routes[0] (a\u{1b}).tries: 3
+            nothing is trimmed now
+            --
+            nothing would change
+            nothing forbids it
+            trimmed now, before the change:
+              sul: routes[1] (b).deadline_ms: 1
+            --
+            r8 of norte is safe on more than half of the core, on trial
+            --
+            r8 of norte is safe on more than half of the core
+            --
+            - of - was answered, in a way that this build doesn't know
+            --
+            member     norte
+            settled    r7
+            trial      r8
+            withdrawn  -
+            trimmed:
+              routes[0] (a).tries: 3
+
+            NODE           EDITION  TRIAL  QUIET
+            10.1.0.8:8300  r8       yes    no
+            --
+            member     -
+            settled    -
+            trial      -
+            withdrawn  -
+            trimmed    nothing
+
+            NODE  EDITION  TRIAL  QUIET
+            --
+        "#]].assert_eq(&all.concat());
+    }
+
+    /// A file of this text, which goes with it.
+    struct File(std::path::PathBuf);
+
+    impl File {
+        fn new(name: &str, text: &[u8]) -> File {
+            let path = std::env::temp_dir().join(format!("ochreshed-member-{}-{name}", std::process::id()));
+            std::fs::write(&path, text).expect("written");
+            File(path)
+        }
+    }
+
+    impl Drop for File {
+        fn drop(&mut self) {
+            let _ = std::fs::remove_file(&self.0);
+        }
+    }
+
+    #[test]
+    fn a_change_that_may_have_been_taken_is_not_undone_twice() {
+        let busy = stand_in(vec![answer(503, "not safe yet"); 2]);
+        let well = stand_in(vec![answer(200, r#"{"member":"norte","edition":"r9","state":"settled"}"#)]);
+        let dead = SocketAddr::from(([127, 0, 0, 1], 1));
+        let done = |at: &[SocketAddr], what: Own| match own(at, true, "norte", what, None) {
+            Ok(_) => "done".to_owned(),
+            Err(why) => why.replace(&busy.to_string(), "BUSY").replace(&dead.to_string(), "DEAD"),
+        };
+        let doc = File::new("doc", br#"{"edition":"r9","routes":[]}"#);
+        let all = [
+            done(&[dead, busy, well], Own::Undo),
+            done(&[busy, dead], Own::Replace(doc.0.clone())),
+            done(&[dead, well], Own::Undo),
+        ];
+        expect![[r#"
+            DEAD: Connection refused (os error 111)
+            BUSY: 503: not safe yet
+            it may still come into force: see what holds before you send it again
+            --
+            BUSY: 503: not safe yet
+            DEAD: Connection refused (os error 111)
+            it may still come into force: send it again, unchanged
+            --
+            done"#]].assert_eq(&all.join("\n--\n"));
+    }
+
+    #[test]
+    fn a_key_is_sent_whole_or_not_at_all_and_never_shown() {
+        let file = File::new("key", b"k-1 k-2\n");
+        let (at, seen) = crate::asking::stand_in_that_tells(vec![answer(200, "{}")]);
+        let told = |text: &[u8]| {
+            std::fs::write(&file.0, text).expect("written");
+            let done = own(&[at], true, "no rte", Own::Status, Some(&file.0));
+            done.map(|_| "done".to_owned())
+                .unwrap_or_else(|why| why.replace(&file.0.display().to_string(), "FILE"))
+        };
+        let all = [&b"k-1 k-2\n"[..], b"\n", b"k\r\nX: y", &[b'k'; 1_025], b"k-7\n"].map(told);
+        expect![[r#"
+            FILE: holds no key of printable signs in one word, 1024 at most
+            FILE: holds no key
+            FILE: holds no key of printable signs in one word, 1024 at most
+            FILE: holds no key of printable signs in one word, 1024 at most
+            done"#]].assert_eq(&all.join("\n"));
+        let head = seen.recv().expect("a request");
+        assert!(head.contains("call=member.status&of=no%20rte HTTP/1.1\r\n"), "{head}");
+        assert!(head.contains("\r\nOchreshed-Member-Key: k-7\r\n"), "{head}");
+    }
+}
--- a/balancer/src/mesh/line.rs
+++ b/balancer/src/mesh/line.rs
@@ -21,6 +21,11 @@
     ochreshed upstreams --at ADDRESS  the servers of each line, and how they do
     ochreshed timetable read|replace FILE|history|diff FILE --at ADDRESS
                                       the timetable in force, a new one, those before, or what a new one would change
+    ochreshed members read|replace FILE|diff FILE --at ADDRESS
+                                      the register of members, a new one, or what a new one would change
+    ochreshed member NAME read|plan FILE|replace FILE|diff FILE|status|history|undo|settle|withdraw
+                     --key FILE --at ADDRESS
+                                      a member's own routes, and how a change of them stands
     ochreshed keys [KEY] --at ADDRESS how a tracking key stands, or how many are open, unknown and done
     ochreshed budget --at ADDRESS     what is known of the allowance for retries
     ochreshed drain UPSTREAM --at ADDRESS
@@ -89,6 +94,44 @@
     -h, --help         this page
 ";
 
+const HELP_MEMBERS: &str = "\
+ochreshed members read --at ADDRESS [--at ADDRESS] [--json]
+ochreshed members replace FILE --at ADDRESS [--at ADDRESS] [--json]
+ochreshed members diff FILE --at ADDRESS [--at ADDRESS] [--json]
+
+Prints the platform's register of members, puts the one of FILE in its place, or prints what the one of FILE would
+change. FILE is checked before anything is sent; - is the standard input.
+
+    --at ADDRESS       the control gate of a steward, as 10.1.0.13:8306; of several, the first that answers is asked
+    --json             print JSON
+    -h, --help         this page
+";
+
+const HELP_MEMBER: &str = "\
+ochreshed member NAME read --key FILE --at ADDRESS [--at ADDRESS] [--json]
+ochreshed member NAME plan FILE --key FILE --at ADDRESS [--at ADDRESS] [--json]
+ochreshed member NAME replace FILE --key FILE --at ADDRESS [--at ADDRESS] [--json]
+ochreshed member NAME diff FILE --key FILE --at ADDRESS [--at ADDRESS] [--json]
+ochreshed member NAME status|history|undo|settle|withdraw --key FILE --at ADDRESS [--at ADDRESS] [--json]
+
+The routes of the member NAME:
+    read               print its document in force
+    plan FILE          print what the document of FILE would change and what forbids it; ends with 1 if anything does
+    replace FILE       put the document of FILE in its place; where it has a trial, on a share of the nodes first
+    diff FILE          print how the document of FILE differs from the one in force
+    status             print the editions in force, what is trimmed, and which nodes have which edition
+    history            print the editions on the disk of the steward that answers
+    undo               withdraw the running trial, or put the document before the current one in force again
+    settle             put the running trial in force everywhere, now
+    withdraw           take the running trial back, now
+FILE is checked before anything is sent; - is the standard input.
+
+    --key FILE         where the member's key stands, alone on a line; it is sent to the steward
+    --at ADDRESS       the control gate of a steward, as 10.1.0.13:8306; of several, the first that answers is asked
+    --json             print JSON
+    -h, --help         this page
+";
+
 const HELP_KEYS: &str = "\
 ochreshed keys [KEY] --at ADDRESS [--at ADDRESS] [--json]
 
@@ -123,13 +166,15 @@
 ";
 
 /// The mesh's words and their help.
-const WORDS: [(&str, &str); 9] = [
+const WORDS: [(&str, &str); 11] = [
     ("attendant", HELP_ATTENDANT),
     ("steward", HELP_STEWARD),
     ("settings", HELP_SETTINGS),
     ("nodes", HELP_NODES),
     ("upstreams", HELP_UPSTREAMS),
     ("timetable", HELP_TIMETABLE),
+    ("members", HELP_MEMBERS),
+    ("member", HELP_MEMBER),
     ("keys", HELP_KEYS),
     ("budget", HELP_BUDGET),
     ("drain", HELP_DRAIN),
@@ -137,6 +182,10 @@
 /// What the older command line answers to.
 const OLDER: [&str; 6] = ["serve", "fleet", "snapshot", "check", "version", "help"];
 const VERBS: [&str; 4] = ["read", "replace", "history", "diff"];
+const MEMBERS_VERBS: [&str; 3] = ["read", "replace", "diff"];
+const MEMBER_VERBS: [&str; 9] =
+    ["read", "plan", "replace", "diff", "status", "history", "undo", "settle", "withdraw"];
+const KEY: &str = "--key";
 const SETTINGS: &str = "--settings";
 const AT: &str = "--at";
 const JSON: &str = "--json";
@@ -162,6 +211,34 @@
     Keys(Option<String>),
     Budget,
     Drain(String),
+    Members(Register),
+    Member {
+        name: String,
+        what: Own,
+        key: Option<PathBuf>,
+    },
+}
+
+/// What is asked of the register of members.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Register {
+    Read,
+    Replace(PathBuf),
+    Diff(PathBuf),
+}
+
+/// What is asked of one member's own routes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Own {
+    Read,
+    Plan(PathBuf),
+    Replace(PathBuf),
+    Diff(PathBuf),
+    Status,
+    History,
+    Undo,
+    Settle,
+    Withdraw,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -287,7 +364,13 @@
         }
         let told = self.values(AT)?;
         let at = told.iter().map(|told| address(command, told)).collect::<Result<Vec<_>, _>>()?;
-        let mut words = self.words(&[AT, JSON])?.into_iter();
+        let key = if command == "member" { self.values(KEY)? } else { Vec::new() };
+        if key.len() > 1 {
+            return Err(LineError::Twice(command, KEY));
+        }
+        let key = key.into_iter().next().map(PathBuf::from);
+        let options: &[_] = if command == "member" { &[AT, JSON, KEY] } else { &[AT, JSON] };
+        let mut words = self.words(options)?.into_iter();
         let what = match command {
             "nodes" => What::Nodes,
             "upstreams" => What::Upstreams,
@@ -299,18 +382,31 @@
                 let upstream = words.next().ok_or(LineError::Wants(command, "an UPSTREAM"))?;
                 What::Drain(text(command, upstream, "an UPSTREAM")?)
             }
+            "members" => {
+                let verb = words.next().unwrap_or_default();
+                match verb.to_str() {
+                    Some("read") => What::Members(Register::Read),
+                    Some("replace") => What::Members(Register::Replace(file(command, &mut words, REPLACES)?)),
+                    Some("diff") => What::Members(Register::Diff(file(command, &mut words, COMPARES)?)),
+                    Some("") => return Err(LineError::Wants(command, "read, replace FILE or diff FILE")),
+                    _ => return Err(left(command, &verb, &MEMBERS_VERBS)),
+                }
+            }
+            "member" => {
+                let name = words.next().ok_or(LineError::Wants(command, "the NAME of a member"))?;
+                let name = text(command, name, "the NAME of a member")?;
+                let what = own(command, &mut words)?;
+                What::Member { name, what, key }
+            }
             // Timetable, the only one left.
             _ => {
                 let verb = words.next().unwrap_or_default();
-                let mut file = |wants| match words.next() {
-                    Some(file) if !file.is_empty() => Ok(PathBuf::from(file)),
-                    _ => Err(LineError::Wants(command, wants)),
-                };
+                let mut file = |wants| file(command, &mut words, wants);
                 match verb.to_str() {
                     Some("read") => What::TimetableRead,
-                    Some("replace") => What::TimetableReplace(file("a FILE to replace it with")?),
+                    Some("replace") => What::TimetableReplace(file(REPLACES)?),
                     Some("history") => What::TimetableHistory,
-                    Some("diff") => What::TimetableDiff(file("a FILE to compare it with")?),
+                    Some("diff") => What::TimetableDiff(file(COMPARES)?),
                     Some("") => {
                         return Err(LineError::Wants(command, "read, replace FILE, history or diff FILE"));
                     }
@@ -348,11 +444,45 @@
     }
 }
 
+const REPLACES: &str = "a FILE to replace it with";
+const COMPARES: &str = "a FILE to compare it with";
+
+fn file(
+    command: &'static str,
+    words: &mut impl Iterator<Item = OsString>,
+    wants: &'static str,
+) -> Result<PathBuf, LineError> {
+    match words.next() {
+        Some(file) if !file.is_empty() => Ok(PathBuf::from(file)),
+        _ => Err(LineError::Wants(command, wants)),
+    }
+}
+
+fn own(command: &'static str, words: &mut impl Iterator<Item = OsString>) -> Result<Own, LineError> {
+    let verb = words.next().unwrap_or_default();
+    Ok(match verb.to_str() {
+        Some("read") => Own::Read,
+        Some("plan") => Own::Plan(file(command, words, "a FILE to plan with")?),
+        Some("replace") => Own::Replace(file(command, words, REPLACES)?),
+        Some("diff") => Own::Diff(file(command, words, COMPARES)?),
+        Some("status") => Own::Status,
+        Some("history") => Own::History,
+        Some("undo") => Own::Undo,
+        Some("settle") => Own::Settle,
+        Some("withdraw") => Own::Withdraw,
+        Some("") => {
+            let wants = "read, plan FILE, replace FILE, diff FILE, status, history, undo, settle or withdraw";
+            return Err(LineError::Wants(command, wants));
+        }
+        _ => return Err(left(command, &verb, &MEMBER_VERBS)),
+    })
+}
+
 /// `--at=ADDRESS` is `--at ADDRESS`.
 fn apart(arg: OsString) -> Vec<OsString> {
     let pair = arg.to_str().and_then(|arg| arg.split_once('='));
     match pair {
-        Some((option, value)) if option == AT || option == SETTINGS => vec![option.into(), value.into()],
+        Some((option, value)) if [AT, SETTINGS, KEY].contains(&option) => vec![option.into(), value.into()],
         _ => vec![arg],
     }
 }
@@ -439,6 +569,9 @@
             "keys --at 10.1.0.13:8306 -- --json",
             "budget --at 10.1.0.13:8306",
             "drain i-7f3a91c2 --at 10.1.0.13:8306",
+            "members replace m.json --at 10.1.0.13:8306",
+            "member norte plan r7.json --key=k --at 10.1.0.13:8306",
+            "member norte undo --at 10.1.0.13:8306",
             "drain --help",
             "timetable replace -h --wrong",
         ];
@@ -460,6 +593,9 @@
             keys --at 10.1.0.13:8306 -- --json -> Client { at: [10.1.0.13:8306], json: false, what: Keys(Some("--json")) }
             budget --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: Budget }
             drain i-7f3a91c2 --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: Drain("i-7f3a91c2") }
+            members replace m.json --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: Members(Replace("m.json")) }
+            member norte plan r7.json --key=k --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: Member { name: "norte", what: Plan("r7.json"), key: Some("k") } }
+            member norte undo --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: Member { name: "norte", what: Undo, key: None } }
             drain --help -> help: ochreshed drain UPSTREAM --at ADDRESS [--at ADDRESS] [--json]
             timetable replace -h --wrong -> help: ochreshed timetable read --at ADDRESS [--at ADDRESS] [--json]
         "#]].assert_eq(&said(&lines));
@@ -488,6 +624,13 @@
             "timetable read r7.json --at 10.1.0.13:8306",
             "keys one two --at 10.1.0.13:8306",
             "drain --at 10.1.0.13:8306",
+            "members history --at 10.1.0.13:8306",
+            "members read --key k --at 10.1.0.13:8306",
+            "member --at 10.1.0.13:8306",
+            "member norte --at 10.1.0.13:8306",
+            "member norte plan --at 10.1.0.13:8306",
+            "member norte setle --key a --at 10.1.0.13:8306",
+            "member norte undo --key a --key b --at 10.1.0.13:8306",
         ];
         expect![[r#"
             attendant a.toml -> attendant has no a.toml; see `ochreshed attendant --help`
@@ -510,6 +653,13 @@
             timetable read r7.json --at 10.1.0.13:8306 -> timetable has no r7.json; see `ochreshed timetable --help`
             keys one two --at 10.1.0.13:8306 -> keys has no two; see `ochreshed keys --help`
             drain --at 10.1.0.13:8306 -> drain wants an UPSTREAM; see `ochreshed drain --help`
+            members history --at 10.1.0.13:8306 -> members has no history; see `ochreshed members --help`
+            members read --key k --at 10.1.0.13:8306 -> members has no --key; see `ochreshed members --help`
+            member --at 10.1.0.13:8306 -> member wants the NAME of a member; see `ochreshed member --help`
+            member norte --at 10.1.0.13:8306 -> member wants read, plan FILE, replace FILE, diff FILE, status, history, undo, settle or withdraw; see `ochreshed member --help`
+            member norte plan --at 10.1.0.13:8306 -> member wants a FILE to plan with; see `ochreshed member --help`
+            member norte setle --key a --at 10.1.0.13:8306 -> member has no setle; settle is near; see `ochreshed member --help`
+            member norte undo --key a --key b --at 10.1.0.13:8306 -> --key is given more than once; see `ochreshed member --help`
         "#]].assert_eq(&said(&lines));
     }
 
--- a/mesh/src/lay.rs
+++ b/mesh/src/lay.rs
@@ -142,7 +142,7 @@
     changed.insert(member.into(), doc.clone());
     let after = lay(base, register, &changed);
     Plan {
-        changes: by_place(&before.timetable, &after.timetable),
+        changes: by_place(before.timetable.routes(), after.timetable.routes()),
         forbidden: check(base, register, member, doc),
         trims: before.trims,
     }
--- a/mesh/src/members.rs
+++ b/mesh/src/members.rs
@@ -8,6 +8,7 @@
 
 use jzon::JsonValue;
 
+use crate::timetable::changes::{Fact, compare, paired};
 use crate::timetable::read::{self, Entry, MOST_ENTRIES, MOST_MS, Reader, cut, field};
 use crate::timetable::{Name, Refusal, Route, Why};
 
@@ -133,6 +134,39 @@
     }
 }
 
+/// What an operator would see change from one register to another, a line for each field.
+pub fn differences(old: &Register, new: &Register) -> Vec<String> {
+    let mut lines = Vec::new();
+    let edition = |register: &Register| Some(vec![("edition", format!("r{}", register.version))]);
+    compare(&mut lines, "register", edition(old), edition(new));
+    for (name, old, new) in paired(old.members.clone(), new.members.clone()) {
+        let facts = |member: Arc<Member>| facts(&member);
+        compare(&mut lines, &format!("member {name}"), old.map(facts), new.map(facts));
+    }
+    lines
+}
+
+/// Of the digest of the key its beginning is told.
+fn facts(member: &Member) -> Vec<Fact> {
+    let listed = |all: Vec<String>| format!("[{}]", all.join(", "));
+    let places = member.places.iter().map(|place| format!("{}{}", place.host, place.prefix)).collect();
+    let limits = &member.limits;
+    let key: String = member.key_sha256.iter().take(4).map(|byte| format!("{byte:02x}")).collect();
+    vec![
+        ("key_sha256", format!("{key}...")),
+        ("places", listed(places)),
+        ("services", listed(member.services.iter().map(ToString::to_string).collect())),
+        ("routes", limits.routes.to_string()),
+        ("tries", limits.tries.to_string()),
+        ("deadline_ms", limits.deadline_ms.to_string()),
+        ("rank", limits.rank.to_string()),
+        ("retry_share", limits.retry_share.to_string()),
+        ("slot_share", limits.slot_share.to_string()),
+        ("changes_per_minute", limits.changes_per_minute.to_string()),
+        ("trial_s", limits.trial_s.to_string()),
+    ]
+}
+
 fn document(reader: &mut Reader, document: &JsonValue) -> Option<MemberDoc> {
     let (version, entries) = reader.document(document, "routes", MOST_ENTRIES)?;
     let top = Entry::new("", 0, document);
--- a/mesh/src/timetable.rs
+++ b/mesh/src/timetable.rs
@@ -2,7 +2,7 @@
 //! whole (`read`), with what is refused (`refusal`) and what a change tells (`changes`). It owns which route a request
 //! takes. It must never take in a part of a document, nor change one once read.
 
-mod changes;
+pub(crate) mod changes;
 pub(crate) mod read;
 mod refusal;
 
--- a/mesh/src/timetable/changes.rs
+++ b/mesh/src/timetable/changes.rs
@@ -22,17 +22,19 @@
 }
 
 /// What changes where reqs go, a line for each field, by host and prefix: names may change hands.
-pub fn by_place(old: &Timetable, new: &Timetable) -> Vec<String> {
-    let places = |timetable: &Timetable| -> BTreeMap<(Name, Name), Arc<Route>> {
-        timetable.routes().map(|route| (route.place(), route.clone())).collect()
-    };
+pub fn by_place<'r>(
+    old: impl Iterator<Item = &'r Arc<Route>>,
+    new: impl Iterator<Item = &'r Arc<Route>>,
+) -> Vec<String> {
+    let old: BTreeMap<_, _> = old.map(|route| (route.place(), route)).collect();
+    let new: BTreeMap<_, _> = new.map(|route| (route.place(), route)).collect();
     let mut lines = Vec::new();
-    for ((host, prefix), old, new) in paired(places(old), places(new)) {
+    for ((host, prefix), old, new) in paired(old, new) {
         if old != new {
-            let facts = |route: Arc<Route>| {
-                let of = route.share.as_ref().map_or("the platform", |share| &share.member);
-                let mut facts = vec![("of", of.to_string()), ("name", route.name.to_string())];
-                facts.extend(route_facts(&route));
+            let facts = |route: &Arc<Route>| {
+                let of = route.share.as_ref().map_or("-", |share| &share.member);
+                let mut facts = vec![("member", of.to_string()), ("name", route.name.to_string())];
+                facts.extend(route_facts(route));
                 facts.retain(|(field, _)| !["depot", "lane_prefix"].contains(field));
                 facts
             };
@@ -43,7 +45,7 @@
 }
 
 /// A field and its value, as an operator reads them.
-type Fact = (&'static str, String);
+pub(crate) type Fact = (&'static str, String);
 
 /// Routes by name; a name may stand for several, told apart by their order.
 fn by_name(timetable: &Timetable) -> BTreeMap<(Name, usize), &Route> {
@@ -57,7 +59,7 @@
     routes
 }
 
-fn paired<K: Ord + Clone, V>(
+pub(crate) fn paired<K: Ord + Clone, V>(
     mut old: BTreeMap<K, V>,
     mut new: BTreeMap<K, V>,
 ) -> Vec<(K, Option<V>, Option<V>)> {
@@ -67,7 +69,7 @@
     keys.into_iter().map(|key| (key.clone(), old.remove(&key), new.remove(&key))).collect()
 }
 
-fn compare(lines: &mut Vec<String>, what: &str, old: Option<Vec<Fact>>, new: Option<Vec<Fact>>) {
+pub(crate) fn compare(lines: &mut Vec<String>, what: &str, old: Option<Vec<Fact>>, new: Option<Vec<Fact>>) {
     let all = |facts: Vec<Fact>| -> String {
         let facts: Vec<String> = facts.into_iter().map(|(field, value)| format!("{field} {value}")).collect();
         facts.join(", ")
