--- a/balancer/src/mesh/client.rs
+++ b/balancer/src/mesh/client.rs
@@ -239,10 +239,12 @@
     if json { Ok(all.to_string()) } else { Ok(page(&all)) }
 }
 
+type Check = fn(&[u8]) -> Result<(u64, String), Vec<Refusal>>;
+
 /// A document that replaces another: how it is checked, and the calls that send it and read it back.
 struct Paper {
     /// Its edition and what it holds, in words.
-    check: fn(&[u8]) -> Result<(u64, String), Vec<Refusal>>,
+    check: Check,
     name: &'static str,
     replace: &'static str,
     read: &'static str,
