--- a/balancer/src/mesh/client/members.rs
+++ b/balancer/src/mesh/client/members.rs
@@ -237,7 +237,8 @@
 
             NODE  EDITION  TRIAL  QUIET
             --
-        "#]].assert_eq(&all.concat());
+        "#]]
+        .assert_eq(&all.concat());
     }
 
     /// A file of this text, which goes with it.
@@ -281,7 +282,8 @@
             DEAD: Connection refused (os error 111)
             it may still come into force: send it again, unchanged
             --
-            done"#]].assert_eq(&all.join("\n--\n"));
+            done"#]]
+        .assert_eq(&all.join("\n--\n"));
     }
 
     #[test]
@@ -300,7 +302,8 @@
             FILE: holds no key
             FILE: holds no key of printable signs in one word, 1024 at most
             FILE: holds no key of printable signs in one word, 1024 at most
-            done"#]].assert_eq(&all.join("\n"));
+            done"#]]
+        .assert_eq(&all.join("\n"));
         let head = seen.recv().expect("a request");
         assert!(head.contains("call=member.status&of=no%20rte HTTP/1.1\r\n"), "{head}");
         assert!(head.contains("\r\nOchreshed-Member-Key: k-7\r\n"), "{head}");
