--- a/mesh/src/members.rs
+++ b/mesh/src/members.rs
@@ -13,12 +13,12 @@
 use crate::timetable::{Name, Refusal, Route, Why};
 
 /// The most members of a register.
-pub const MOST_MEMBERS: usize = 10_000;
+pub const MOST_MEMBERS: usize = 1_000;
 /// The most routes that a register may give to all its members together.
 pub const MOST_ROUTES: u64 = 200_000;
 const MOST_PLACES: usize = 1_000;
 const MOST_SERVICES: usize = 1_000;
-const MOST_NAME: usize = 64;
+const MOST_NAME: usize = 60;
 
 /// What a member may do at most. All of it holds on every node at all times.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -72,7 +72,7 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
-    /// 1 to 64 letters, digits, dots, dashes and underscores.
+    /// 1 to 60 letters, digits, dots, dashes and underscores.
     pub name: Name,
     /// Of the key that its calls bear.
     pub key_sha256: [u8; 32],
--- a/mesh/src/timetable/refusal.rs
+++ b/mesh/src/timetable/refusal.rs
@@ -103,7 +103,7 @@
             Why::Unknown(name) => write!(f, "names {name}, which is not among the mail_lines"),
             Why::SamePlace(other) => write!(f, "has the host and the prefix of consignments[{other}]"),
             Why::Same(list, other) => write!(f, "is that of {list}[{other}] too"),
-            Why::Name => f.write_str("is not 1 to 64 letters, digits, dots, dashes and underscores"),
+            Why::Name => f.write_str("is not 1 to 60 letters, digits, dots, dashes and underscores"),
             Why::NoLastSlash => f.write_str("does not end with a slash"),
             Why::Digest => f.write_str("is not a SHA-256 in 64 hex digits"),
             Why::Within(other) => write!(f, "lies within {other}"),
--- a/mesh/tests/lay.rs
+++ b/mesh/tests/lay.rs
@@ -366,3 +366,23 @@
         --
         gone: document: is of no member that the register names"#]].assert_eq(&page.join("\n--\n"));
 }
+
+/// The documents that the page shows: a timetable, a register, and a document for each of its members.
+#[test]
+fn the_pages_documents_are_laid_as_they_stand() {
+    let page = include_str!("../../docs/members.md");
+    let blocks = page.split("\n\n").filter(|block| block.starts_with("    {\"edition\""));
+    let blocks: Vec<&[u8]> = blocks.map(str::as_bytes).collect();
+    assert_eq!(blocks.len(), 8);
+    for example in blocks.chunks(4) {
+        let (base, register) = (Timetable::read(example[0]), Register::read(example[1]));
+        let (base, register) = (base.expect("a timetable"), register.expect("a register"));
+        let docs = example[2..].iter().map(|doc| Arc::new(MemberDoc::read(doc).expect("a document")));
+        let docs: Docs = register.members().map(|member| member.name.clone()).zip(docs).collect();
+        assert_eq!(docs.len(), 2);
+        let laid = lay(&base, &register, &docs);
+        assert_eq!(laid.trims, []);
+        let written: usize = docs.values().map(|doc| doc.routes.len()).sum();
+        assert_eq!(laid.timetable.routes().filter(|route| route.share.is_some()).count(), written);
+    }
+}
--- a/mesh/tests/members.rs
+++ b/mesh/tests/members.rs
@@ -68,7 +68,7 @@
         banco-sul -> banco-norte
             members[1] (banco-norte).name: is that of members[0] too
         banco-sul -> banco/sul
-            members[1] (banco/sul).name: is not 1 to 64 letters, digits, dots, dashes and underscores
+            members[1] (banco/sul).name: is not 1 to 60 letters, digits, dots, dashes and underscores
         ff112233 -> fg112233
             members[1] (banco-sul).key_sha256: is not a SHA-256 in 64 hex digits
         "prefix":"/sul/" -> "prefix":"/norte/"
