--- a/mesh/src/timetable.rs
+++ b/mesh/src/timetable.rs
@@ -7,7 +7,7 @@
 mod refusal;
 
 use std::borrow::Cow;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt;
 use std::sync::Arc;
 
@@ -168,10 +168,8 @@
         laid.routes.extend(over.into_iter().filter(|route| added.contains_key(&route.place())));
         for (name, over) in by_host {
             let mut host = self.hosts.get(&name).map_or_else(Host::default, |host| Host::clone(host));
-            for route in over {
-                host.remove(&route.prefix);
-                host.add(&route);
-            }
+            host.remove(&over.iter().map(|route| &*route.prefix).collect());
+            over.iter().for_each(|route| host.add(route));
             host.order();
             laid.hosts.insert(name, Arc::new(host));
         }
@@ -230,9 +228,9 @@
     }
 
     /// The longest prefix stays counted: it only bounds a search.
-    fn remove(&mut self, prefix: &str) {
-        self.slashed.retain(|route| *route.prefix != *prefix);
-        self.plain.retain(|route| *route.prefix != *prefix);
+    fn remove(&mut self, prefixes: &HashSet<&str>) {
+        self.slashed.retain(|route| !prefixes.contains(&*route.prefix));
+        self.plain.retain(|route| !prefixes.contains(&*route.prefix));
     }
 
     fn order(&mut self) {
