--- a/balancer/src/mesh/client/members.rs
+++ b/balancer/src/mesh/client/members.rs
@@ -1,6 +1,16 @@
 //! The client's part for members of a platform: the register, and one member's own routes. It owns the pages shown and
 //! how a member's key is read from its file. It must never show a key, nor send one that can't stand in a header.
 
+//!
+//! What stewards answer, in JSON but for `read`, which gives the document as it was sent. Editions are as `r7` or null:
+//!
+//! | call | fields |
+//! | --- | --- |
+//! | `member.plan` | `changes`, `forbidden`, `trims`: lists of lines |
+//! | `member.replace`, `undo`, `settle`, `withdraw` | `member`, `edition`, `state`: `trial`, `settled` or `withdrawn` |
+//! | `member.status` | `member`; `settled`, `trial`, `withdrawn`; `trims`: lines; `nodes`: `door`, `edition`, `trial`, `quiet` |
+//! | `member.history` | `versions`, as of `timetable.history` |
+
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
