--- a/balancer/src/mesh/client/members.rs
+++ b/balancer/src/mesh/client/members.rs
@@ -8,9 +8,11 @@
 //! | --- | --- |
 //! | `member.plan` | `changes`, `forbidden`, `trims`: lists of lines |
 //! | `member.replace`, `undo`, `settle`, `withdraw` | `member`, `edition`, `state`: `trial`, `settled` or `withdrawn` |
-//! | `member.status` | `member`; `settled`, `trial`, `withdrawn`; `trims`: lines; `nodes`: `door`, `edition`, `trial`, `quiet` |
+//! | `member.status` | `member`; `settled`, `trial`, `withdrawn`; `trims`: lines; `nodes`, `next` |
+//! | of a node | `door`, `edition`, `trial`, `quiet` |
 //! | `member.history` | `versions`, as of `timetable.history` |
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
@@ -177,9 +179,17 @@
     }
     let trims = lines(of, "trims");
     page += &if trims.is_empty() { "trimmed    nothing\n".to_owned() } else { format!("trimmed:\n{trims}") };
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for row in rows(of, "nodes") {
+        *counts.entry(cell(&row["edition"])).or_default() += 1;
+    }
+    page += "\n";
+    for (edition, count) in counts {
+        page += &format!("{edition} on {count} of these nodes\n");
+    }
     let nodes =
         rows(of, "nodes").iter().map(|row| cells(row, &["door", "edition", "trial", "quiet"])).collect();
-    page + "\n" + &table(&["NODE", "EDITION", "TRIAL", "QUIET"], nodes) + super::more(of)
+    page + &table(&["NODE", "EDITION", "TRIAL", "QUIET"], nodes) + super::more(of)
 }
 
 #[cfg(test)]
@@ -236,6 +246,7 @@
             trimmed:
               routes[0] (a).tries: 3
 
+            r8 on 1 of these nodes
             NODE           EDITION  TRIAL  QUIET
             10.1.0.8:8300  r8       yes    no
             --
--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod pace;
 pub mod slots;
 pub mod timetable;
+pub mod trial;
 pub mod words;
