--- a/mesh/tests/lay.rs
+++ b/mesh/tests/lay.rs
@@ -42,10 +42,11 @@
     (0..HOSTS.len(), 0..PREFIXES.len(), (1u64..6, 1u64..6), (0u32..4, 1u32..4), shares)
 }
 
+fn room() -> impl Strategy<Value = Room> {
+    (1usize..6, 1u32..4, 1u64..6, 0u32..3, [any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>()])
+}
+
 fn world() -> impl Strategy<Value = World> {
-    let room = || {
-        (1usize..6, 1u32..4, 1u64..6, 0u32..3, [any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>()])
-    };
     let doc = || proptest::option::weighted(0.8, vec(asked(), 0..8));
     let owners = [0usize..4, 0usize..4, 0usize..4, 0usize..4, 0usize..4];
     let services = [any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>()];
@@ -193,9 +194,12 @@
     }
 
     #[test]
-    fn a_member_changes_nobody_elses_routes(world in world(), doc in vec(asked(), 0..8), who in 0usize..3) {
+    fn a_member_changes_nobody_elses_routes(
+        world in world(), doc in vec(asked(), 0..8), room in room(), who in 0usize..3,
+    ) {
         let (base, register, docs) = (world.timetable(), world.register([0, 1, 2]), world.docs());
-        let changed = World { docs: { let mut docs = world.docs.clone(); docs[who] = Some(doc); docs }, ..world.clone() };
+        let mut changed = world.clone();
+        changed.docs[who] = Some(doc);
         let changed_docs = changed.docs();
         let (before, after) = (lay(&base, &register, &docs), lay(&base, &register, &changed_docs));
         let others = |timetable: &Timetable| {
@@ -207,6 +211,10 @@
         for (host, path) in paths().filter(|(host, path)| !world.holds(who, host, path)) {
             prop_assert_eq!(before.timetable.route(host, &path), after.timetable.route(host, &path));
         }
+        // Nor does what it is given.
+        changed.rooms[who] = room;
+        let given = lay(&base, &changed.register([0, 1, 2]), &changed_docs);
+        prop_assert_eq!(others(&before.timetable), others(&given.timetable));
         // What the plan tells is what changes.
         let plan = plan(&base, &register, &docs, MEMBERS[who], &changed_docs[MEMBERS[who]]);
         prop_assert_eq!(plan.changes.is_empty(), {
