--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -6,10 +6,12 @@
 pub mod agree;
 pub mod budget;
 pub mod delta;
+pub mod fared;
 pub mod lay;
 pub mod list;
 pub mod members;
 pub mod pace;
+pub mod shares;
 pub mod slots;
 pub mod timetable;
 pub mod trial;
