--- a/mesh/src/members.rs
+++ b/mesh/src/members.rs
@@ -170,10 +170,8 @@
 fn document(reader: &mut Reader, document: &JsonValue) -> Option<MemberDoc> {
     let (version, entries) = reader.document(document, "routes", MOST_ENTRIES)?;
     let top = Entry::new("", 0, document);
-    let trial = match field(document, "trial") {
-        None => None,
-        some => Some(share(reader, &top, "trial", some)?),
-    };
+    // Where it is wrong that is told, and the routes are read all the same.
+    let trial = top.get("trial").and_then(|_| share(reader, &top, "trial", top.get("trial")));
     let (mut routes, mut places) = (Vec::with_capacity(entries.len()), HashMap::new());
     for (index, value) in entries.iter().enumerate() {
         let Some(entry) = named(reader, "routes", index, value) else { continue };
--- a/mesh/tests/members.rs
+++ b/mesh/tests/members.rs
@@ -116,6 +116,7 @@
         (r#""trial":0.25"#, r#""trial":null"#),
         (r#""routes":["#, r#""consignments":["#),
         (r#""name":"cart","#, ""),
+        ("0.25,\"routes\":[\n{\"name\":\"cart\",", "2,\"routes\":[{"),
         (r#""tries":2"#, r#""tries":0"#),
         ("/list/", "/cart/"),
         (r#"{"line":"any","share":1}"#, r#"{"line":"any"}"#),
@@ -131,6 +132,9 @@
             routes: is missing
         "name":"cart", -> 
             routes[0].name: is missing
+        0.25,"routes":[
+        {"name":"cart", -> 2,"routes":[{
+            trial: is above 1; routes[0].name: is missing
         "tries":2 -> "tries":0
             routes[0] (cart).tries: is not above 0
         /list/ -> /cart/
