--- a/balancer/src/mesh/mod.rs
+++ b/balancer/src/mesh/mod.rs
@@ -19,6 +19,7 @@
 mod news;
 mod pages;
 mod report;
+mod seats;
 mod settings;
 mod start;
 mod steward;
--- a/balancer/src/mesh/news.rs
+++ b/balancer/src/mesh/news.rs
@@ -34,7 +34,11 @@
         let told = (which == 0).then(|| report.news(window, || branch.report())).flatten();
         let row = branch.door.row();
         let rank = row.rank();
-        let ask = NewsAsk { report: told, ..asker.ask(steward, row, branch.sheet_rank()) };
+        let ask = NewsAsk {
+            members: told.as_ref().map(|report| report.members.clone()).unwrap_or_default(),
+            report: told,
+            ..asker.ask(steward, row, branch.sheet_rank())
+        };
         let caller = branch.callers.to(steward);
         let changed = branch.door.changed.notified();
         let reply = tokio::select! {
@@ -50,7 +54,7 @@
                 take(&branch, (which, steward), *reply, quiet);
             }
             _ => {
-                asker.failed(now, steward, has_sheet);
+                asker.failed(now, steward, has_sheet, stewards.len());
                 report.answered(false);
                 branch.silent(which);
                 sleep(PAUSE).await;
--- a/balancer/src/mesh/steward.rs
+++ b/balancer/src/mesh/steward.rs
@@ -14,7 +14,7 @@
 use hyper::Response;
 use ochreshed::Nanos;
 use ochreshed_mesh::agree::{Config, Core};
-use ochreshed_mesh::budget::Reports;
+use ochreshed_mesh::budget::{Report, Reports};
 use ochreshed_mesh::list::Mark;
 use ochreshed_mesh::office;
 use ochreshed_mesh::parcels::{Parcel, Parcels, Rank};
@@ -124,11 +124,17 @@
             self.change();
         }
         let until = Instant::now() + Duration::from_nanos(waiting.hold);
-        if let (Some(door), Some(report)) = (ask.row.as_ref().map(|row| row.door).or(ask.door), ask.report) {
+        let door = ask.row.as_ref().map(|row| row.door).or(ask.door);
+        if let (Some(door), Some(mut report)) = (door, ask.report) {
+            report.members = ask.members;
             held(&self.reports).take(self.clock.now(), door, report, 0);
         }
         let told = || (held(&self.reports).tell(self.clock.now()), self.full.get().copied());
         let told = ask.gather.then(|| Box::new(told()));
+        let beside = |(door, _, report): &(SocketAddr, u32, Report)| {
+            (!report.members.is_empty()).then(|| (*door, report.members.clone()))
+        };
+        let members: Vec<_> = told.iter().flat_map(|told| told.0.iter().filter_map(beside)).collect();
         loop {
             changed.mark_unchanged();
             let stand = self.stand.load_full();
@@ -137,7 +143,8 @@
                 let due =
                     news.due(&waiting, stand.told()).map_or(until, |due| self.clock.instant(due).min(until));
                 if Instant::now() >= due {
-                    return news.reply(self.clock.now(), waiting, stand.told(), told);
+                    let reply = news.reply(self.clock.now(), waiting, stand.told(), told);
+                    return NewsReply { members, ..reply };
                 }
                 due
             };
--- a/emulator/src/mesh/gate.rs
+++ b/emulator/src/mesh/gate.rs
@@ -230,7 +230,8 @@
     pub fn failed(&mut self, id: u64, hand: &mut Hand) {
         match self.open.remove(&id) {
             Some(Open::News { which, steward, .. }) => {
-                self.turns[which].asker.failed(hand.now, steward, self.sheet.is_some());
+                let stewards = self.known.all().len();
+                self.turns[which].asker.failed(hand.now, steward, self.sheet.is_some(), stewards);
                 self.turns[which].open = None;
                 self.listing.silent(which);
                 hand.timer(news::PAUSE, Timer::Ask(which));
--- a/mesh/src/calls.rs
+++ b/mesh/src/calls.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::budget::Report;
+use crate::fared::Faring;
 use crate::list::{Mark, Row};
 use crate::parcels::{Parcel, Rank};
 use crate::words::{Got, Letter, Want};
@@ -49,6 +50,9 @@
     /// What an attendant tells of itself, where that has changed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub report: Option<Report>,
+    /// What of that report goes beside it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub members: Faring,
     /// A steward wants nothing but what was reported.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub gather: bool,
@@ -76,6 +80,9 @@
     /// where it was asked for.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub told: Option<Box<Told>>,
+    /// What of those reports goes beside them, where there is any.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub members: Vec<(SocketAddr, Faring)>,
 }
 
 /// Reports by door with their ages in ms, and a steward's own time to full service in ms.
@@ -117,7 +124,12 @@
                 quiet: 3,
                 hold_ms: 500,
                 steward: false,
-                report: spending.map(|spending| Report { spending, full_ms: Some(812) }),
+                report: spending.map(|spending| Report {
+                    spending,
+                    full_ms: Some(812),
+                    members: Faring::new(),
+                }),
+                members: Faring::new(),
                 gather: false,
             };
             encode(&Frame { id: 9_000, say: Ask::News(ask) }).map(|bytes| bytes.len())
--- a/mesh/src/news.rs
+++ b/mesh/src/news.rs
@@ -66,6 +66,7 @@
             hold_ms: (HOLD / MS) as u32,
             steward: false,
             report: None,
+            members: Vec::new(),
             gather: false,
         }
     }
@@ -82,7 +83,8 @@
     ) -> HashSet<SocketAddr> {
         let known = self.heard.entry(steward).or_default();
         // One that is cut off from more than half of the core may not know the newest: others are asked first.
-        known.aside = (!reply.settled).then(|| now + aside(has_sheet));
+        let aside = if has_sheet { ASIDE } else { PAUSE };
+        known.aside = (!reply.settled).then_some(now + aside);
         // One that has forgotten us is told anew.
         known.row = if reply.life.is_some() { row } else { (0, 0) };
         known.mark = reply.mark;
@@ -92,20 +94,17 @@
         known.quiet.1.clone()
     }
 
-    /// No reply came.
-    pub fn failed(&mut self, now: Nanos, steward: SocketAddr, has_sheet: bool) {
+    /// No reply came, of so many stewards that are known.
+    pub fn failed(&mut self, now: Nanos, steward: SocketAddr, has_sheet: bool, stewards: usize) {
         let known = self.heard.entry(steward).or_default();
-        known.aside = Some(now + aside(has_sheet));
+        // One that has nothing yet asks everybody until it has, one after the other.
+        let all = PAUSE * (stewards as Nanos + 1);
+        known.aside = Some(now + if has_sheet { ASIDE } else { all });
         // It may have forgotten us.
         known.row = (0, 0);
     }
 }
 
-/// One that has no configuration yet asks everybody until it has.
-fn aside(has_sheet: bool) -> Nanos {
-    if has_sheet { ASIDE } else { PAUSE }
-}
-
 /// The rows as they were told, and who is quiet by each watcher.
 #[derive(Default)]
 pub struct Listing {
@@ -148,6 +147,11 @@
         quiet.unwrap_or_default()
     }
 
+    /// How many attendants serve a gate.
+    pub fn gates(&self) -> usize {
+        self.rows.values().filter(|(row, _)| row.serving).count()
+    }
+
     /// With the time at which each was told.
     pub fn rows(&self) -> impl Iterator<Item = &(Row, Nanos)> {
         self.rows.values()
--- a/mesh/src/office.rs
+++ b/mesh/src/office.rs
@@ -136,6 +136,7 @@
             ages: if waiting.steward { self.table.ages(now) } else { Vec::new() },
             drains: drains(&self.table, waiting.door, waiting.steward.then_some(waiting.mark)),
             told,
+            members: Vec::new(),
         }
     }
 
@@ -177,6 +178,7 @@
         hold_ms: (HOLD / MS) as u32,
         steward: true,
         report: None,
+        members: Vec::new(),
         gather: false,
     }
 }
