--- a/balancer/src/mesh/store.rs
+++ b/balancer/src/mesh/store.rs
@@ -7,6 +7,7 @@
 //! - `timetable/r12-<digest>.json`: the bytes that the operator sent, as they came. The digest in the name says whether
 //!   they are whole; the highest whole one holds.
 //! - `claims/000001`, ..: frames that are only ever appended. One write and one sync for all claims of a call.
+//! - `sessions/`: a folder like this one, made with the first session, whose `claims` hold sessions.
 //!
 //! A frame is its length, a checksum over segment, length and bytes, and the bytes: records in CBOR, one after the
 //! other. One that is torn ends its segment: nothing is appended before all of what precedes is synced, so what stands
@@ -23,10 +24,13 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
-use ochreshed_mesh::words::{Ballots, Claim, Key, Record, Saved, Sheet, Token};
+use ochreshed_mesh::words::{Ballots, Claim, Entry, Key, Record, Saved, Session, Sheet, Token};
 
 const ROOT: &str = ".";
 const CLAIMS: &str = "claims";
+const SESSIONS: &str = "sessions";
+/// A session's last record is the one that holds, whoever had it written.
+const ANY: Token = 0;
 const TIMETABLE: &str = "timetable";
 const SLOTS: [&str; 2] = ["ballots.0", "ballots.1"];
 /// What can't be read is put aside under its name and this.
@@ -242,6 +246,21 @@
     Free(Key, Token),
 }
 
+/// Where the records of sessions go: a log of its own, which an older program does not see.
+enum Sessions {
+    /// This is that log.
+    Here,
+    /// There is none yet; where it would be.
+    None(PathBuf),
+    Kept(Box<Store>),
+}
+
+type Logged = (Vec<(Key, Claim)>, Vec<(Session, Entry)>);
+
+fn of_session(record: &Record) -> bool {
+    matches!(record, Record::Session(..) | Record::SessionOver(_))
+}
+
 pub struct Store {
     files: Box<dyn Files + Send>,
     limits: Limits,
@@ -265,14 +284,38 @@
     sheets: BTreeMap<(u64, u64), u64>,
     bad: u64,
     found: Vec<String>,
+    sessions: Sessions,
 }
 
 impl Store {
     /// Opens the folder, which is made if there is none, and reads what is whole. All of what it tells is safe. An
     /// error means that the disk can't be read or synced now: it may hold more than can be seen.
     pub fn open(dir: &Path) -> Result<(Store, Saved), StoreError> {
-        let folder = Folder { root: dir.to_owned(), handles: Vec::new() };
-        Store::start(Box::new(folder), LIMITS)
+        let folder = |root: PathBuf| Box::new(Folder { root, handles: Vec::new() });
+        let (mut store, mut saved) = Store::start(folder(dir.to_owned()), LIMITS)?;
+        let sessions = dir.join(SESSIONS);
+        if sessions.is_dir() {
+            let (log, told) = Store::start(folder(sessions.clone()), LIMITS)?;
+            saved.sessions = told.sessions;
+            store.sessions = Sessions::Kept(Box::new(log));
+        } else {
+            store.sessions = Sessions::None(sessions);
+        }
+        Ok((store, saved))
+    }
+
+    /// Where sessions are kept. Made with the first one: guards against a folder that nobody uses.
+    fn log_of_sessions(&mut self) -> Result<&mut Store, StoreError> {
+        if let Sessions::None(dir) = &self.sessions {
+            let folder = Folder { root: dir.clone(), handles: Vec::new() };
+            self.sessions = Sessions::Kept(Box::new(Store::start(Box::new(folder), LIMITS)?.0));
+            // Its own name must last as well.
+            self.sync_folder(ROOT)?;
+        }
+        match &mut self.sessions {
+            Sessions::Kept(log) => Ok(log),
+            _ => Err(StoreError::Form("no folder for sessions".into())),
+        }
     }
 
     /// All of these are safe on disk once this is well. Otherwise none, some or all may be, and the caller writes them
@@ -281,6 +324,10 @@
         if records.iter().any(|record| matches!(record, Record::Claim(..) | Record::Free(..))) {
             self.append(records)?;
         }
+        let sessions: Vec<Record> = records.iter().filter(|record| of_session(record)).cloned().collect();
+        if !sessions.is_empty() {
+            self.log_of_sessions()?.append(&sessions)?;
+        }
         let sheets = records.iter().filter_map(|record| match record {
             Record::Sheet(sheet) => Some(sheet),
             _ => None,
@@ -297,7 +344,12 @@
 
     /// On disk now.
     pub fn bytes(&self) -> u64 {
-        self.segment_bytes() + self.slots.iter().sum::<u64>() + self.sheets.values().sum::<u64>() + self.bad
+        let sessions = if let Sessions::Kept(log) = &self.sessions { log.bytes() } else { 0 };
+        sessions
+            + self.segment_bytes()
+            + self.slots.iter().sum::<u64>()
+            + self.sheets.values().sum::<u64>()
+            + self.bad
     }
 
     /// What was not whole, a line each.
@@ -322,15 +374,14 @@
             sheets: BTreeMap::new(),
             bad: 0,
             found: Vec::new(),
+            sessions: Sessions::Here,
         };
         for folder in [ROOT, CLAIMS, TIMETABLE] {
             store.files.folder(folder).map_err(|why| StoreError::Name(folder.to_owned(), why))?;
         }
-        let saved = Saved {
-            ballots: store.read_ballots()?,
-            sheet: store.read_sheets()?,
-            claims: store.read_claims()?,
-        };
+        let (ballots, sheet) = (store.read_ballots()?, store.read_sheets()?);
+        let (claims, sessions) = store.read_claims()?;
+        let saved = Saved { ballots, sheet, claims, sessions };
         // Names may be newer than what lasts: a process that was killed left them so.
         for folder in [ROOT, CLAIMS, TIMETABLE] {
             store.sync_folder(folder)?;
@@ -488,12 +539,12 @@
         self.segments.values().map(|segment| segment.len).sum()
     }
 
-    fn read_claims(&mut self) -> Result<Vec<(Key, Claim)>, StoreError> {
+    fn read_claims(&mut self) -> Result<Logged, StoreError> {
         let listed = self.list(CLAIMS)?;
         self.tidy(CLAIMS, &listed);
         let numbers: BTreeMap<u32, u64> =
             listed.iter().filter_map(|(name, len)| Some((number_of(name)?, *len))).collect();
-        let mut claims = HashMap::new();
+        let (mut claims, mut sessions) = (HashMap::new(), BTreeMap::new());
         for (number, len) in numbers {
             self.next = number + 1;
             let name = segment_name(number);
@@ -515,6 +566,8 @@
                         Record::Free(key, _) if !self.live.contains_key(&key) => {
                             claims.remove(&key);
                         }
+                        Record::Session(session, entry) => drop(sessions.insert(session, entry)),
+                        Record::SessionOver(session) => drop(sessions.remove(&session)),
                         _ => {}
                     }
                 }
@@ -529,7 +582,7 @@
         }
         let mut claims: Vec<(Key, Claim)> = claims.into_iter().collect();
         claims.sort_unstable_by_key(|(key, _)| *key);
-        Ok(claims)
+        Ok((claims, sessions.into_iter().collect()))
     }
 
     fn append(&mut self, records: &[Record]) -> Result<(), StoreError> {
@@ -542,7 +595,8 @@
             return Err(StoreError::TooLong);
         }
         let (moving, moved) = self.movable(number);
-        let batch = Batch::new(number, from, moving.iter().chain(records))?;
+        let batch =
+            Batch::new(number, from, moving.iter().chain(records), matches!(self.sessions, Sessions::Here))?;
         let name = segment_name(number);
         let written = self.put(&name, from, fresh, &batch.bytes);
         let len = from + batch.bytes.len() as u64;
@@ -634,11 +688,17 @@
         while let Some(payload) = frame(number, &bytes, at) {
             let Some(records) = records(payload) else { break };
             let here = from + at as u64;
-            moving.extend(records.into_iter().map(|(record, _)| record).filter(|record| match record {
-                Record::Claim(key, claim) => self.live.get(key).is_some_and(|place| {
-                    place.segment == number && u64::from(place.at) == here && place.token == claim.token
-                }),
-                _ => false,
+            moving.extend(records.into_iter().map(|(record, _)| record).filter(|record| {
+                match record {
+                    Record::Claim(key, claim) => self.live.get(key).is_some_and(|place| {
+                        place.segment == number && u64::from(place.at) == here && place.token == claim.token
+                    }),
+                    Record::Session(session, _) => self
+                        .live
+                        .get(session)
+                        .is_some_and(|place| place.segment == number && u64::from(place.at) == here),
+                    _ => false,
+                }
             }));
             at += HEAD + payload.len();
         }
@@ -682,6 +742,7 @@
         number: u32,
         from: u64,
         records: impl Iterator<Item = &'a Record>,
+        sessions: bool,
     ) -> Result<Batch, StoreError> {
         let mut batch = Batch { bytes: Vec::new(), marks: Vec::new() };
         let mut start = None;
@@ -689,7 +750,8 @@
             let (key, token) = match record {
                 Record::Claim(key, claim) => (*key, claim.token),
                 Record::Free(key, token) => (*key, *token),
-                Record::Ballots(_) | Record::Sheet(_) => continue,
+                Record::Session(session, _) | Record::SessionOver(session) if sessions => (*session, ANY),
+                _ => continue,
             };
             let at = *start.get_or_insert_with(|| {
                 batch.bytes.extend_from_slice(&[0; HEAD]);
@@ -701,7 +763,9 @@
             let size = u32::try_from(batch.bytes.len() - before).map_err(|_| StoreError::TooLong)?;
             let place = u32::try_from(from + at as u64).map_err(|_| StoreError::TooLong)?;
             batch.marks.push(match record {
-                Record::Claim(..) => Mark::Claim(key, Place { token, segment: number, at: place, size }),
+                Record::Claim(..) | Record::Session(..) => {
+                    Mark::Claim(key, Place { token, segment: number, at: place, size })
+                }
                 _ => Mark::Free(key, token),
             });
             if batch.bytes.len() - at >= FRAME {
@@ -722,7 +786,12 @@
             let (at, size) = (u32::try_from(at).ok()?, u32::try_from(size).ok()?);
             Some(Mark::Claim(*key, Place { token: claim.token, segment, at, size }))
         }
+        Record::Session(session, _) => {
+            let (at, size) = (u32::try_from(at).ok()?, u32::try_from(size).ok()?);
+            Some(Mark::Claim(*session, Place { token: ANY, segment, at, size }))
+        }
         Record::Free(key, token) => Some(Mark::Free(*key, *token)),
+        Record::SessionOver(session) => Some(Mark::Free(*session, ANY)),
         Record::Ballots(_) | Record::Sheet(_) => None,
     }
 }
@@ -1188,6 +1257,7 @@
                         self.claims.remove(key);
                     }
                 }
+                Record::Session(..) | Record::SessionOver(_) => {}
             }
         }
 
@@ -1572,4 +1642,31 @@
         assert!(dir.join("claims/000010").exists());
         fs::remove_dir_all(&dir).expect("removed");
     }
+
+    /// Guards against an older program that finds in its log what it can't read, and takes the rest for torn.
+    #[test]
+    fn sessions_have_a_log_of_their_own() {
+        let dir = std::env::temp_dir().join(format!("ochreshed-sessions-{}", std::process::id()));
+        let _ = fs::remove_dir_all(&dir);
+        let entry = |epoch| Entry { epoch, token: epoch, taken: None };
+        let (mut store, _) = Store::open(&dir).expect("opens");
+        store.write(&[Record::Claim(1, claim(1, None))]).expect("written");
+        assert!(!dir.join(SESSIONS).exists());
+        let before = store.bytes();
+        let records: Vec<Record> = (1..4_000).map(|i| Record::Session(i % 5, entry(i as u64))).collect();
+        for some in records.chunks(3) {
+            store.write(some).expect("written");
+        }
+        store.write(&[Record::SessionOver(2), Record::Claim(2, claim(2, None))]).expect("written");
+        println!("{} bytes for {} records of sessions", store.bytes() - before, records.len());
+        drop(store);
+        let (_, saved) = Store::open(&dir).expect("opens");
+        let held: Vec<(Session, u64)> = saved.sessions.iter().map(|(id, entry)| (*id, entry.epoch)).collect();
+        assert_eq!(held, [(0, 3_995), (1, 3_996), (3, 3_998), (4, 3_999)]);
+        assert_eq!(saved.claims.len(), 2);
+        let (_, alone) =
+            Store::start(Box::new(Folder { root: dir.clone(), handles: Vec::new() }), LIMITS).expect("opens");
+        assert_eq!((alone.claims.len(), alone.sessions.len()), (2, 0));
+        fs::remove_dir_all(&dir).expect("removed");
+    }
 }
--- a/mesh/src/agree.rs
+++ b/mesh/src/agree.rs
@@ -17,17 +17,20 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::words::{
-    Act, Ballot, Ballots, Body, Claim, Got, Grant, Key, Letter, Outcome, Record, Saved, Sheet, Station,
+    Act, Ballot, Ballots, Body, Claim, Got, Grant, Key, Letter, Outcome, Record, Said, Saved, Sheet, Station,
     Token, View, Want,
 };
 
 mod answers;
 mod keys;
+mod sessions;
 mod sheet;
 mod spread;
 mod undo;
 mod view;
 
+pub use sessions::{SESSION_IDLE, SessionCounts};
+
 pub type Nanos = u64;
 
 const MS: Nanos = 1_000_000;
@@ -144,6 +147,8 @@
     settles: Vec<(Key, Token, Option<Outcome>)>,
     grants: Vec<(u64, Key, Token, u32)>,
     granted: Vec<(u64, Grant)>,
+    session_asks: Vec<Said>,
+    session_replies: Vec<Said>,
 }
 
 /// A call that waits for its answer.
@@ -152,6 +157,7 @@
     Claim(keys::Asked),
     Replace(sheet::Replacing),
     Read(sheet::Reading),
+    Session(Box<sessions::Changing>),
 }
 
 #[derive(Clone, Debug)]
@@ -199,6 +205,7 @@
     askers: BTreeSet<(Key, SocketAddr)>,
     freed_order: VecDeque<(Nanos, Token)>,
     told: VecDeque<(Nanos, keys::Told)>,
+    sessions: sessions::Sessions,
 
     calls: BTreeMap<u64, Call>,
     sheet_calls: BTreeSet<u64>,
@@ -278,6 +285,7 @@
             askers: BTreeSet::new(),
             freed_order: VecDeque::new(),
             told: VecDeque::new(),
+            sessions: sessions::Sessions::default(),
             calls: BTreeMap::new(),
             sheet_calls: BTreeSet::new(),
             timers: BTreeSet::new(),
@@ -291,6 +299,9 @@
         for (key, claim) in saved.claims {
             core.put(key, claim);
         }
+        for (session, entry) in saved.sessions {
+            core.put_session(session, entry);
+        }
         core.shed(out);
         if fresh || station != ballots.me {
             core.keep_ballots(out);
@@ -342,8 +353,9 @@
             Body::WantState { from: place, round } if member || self.mutant == 9 => {
                 self.want_state(from, place, round, out);
             }
-            Body::State { round, part, next, sheet } if same || self.mutant == 9 => {
-                self.state(now, from, round, part, next, sheet, out);
+            Body::Sessions(list) => self.said_of_sessions(now, from, (same, member), list, out),
+            Body::State { round, part, next, sheet, sessions } if same || self.mutant == 9 => {
+                self.state(now, from, round, (part, sessions), next, sheet, out);
             }
             _ => {}
         }
@@ -360,6 +372,7 @@
             Want::Settle { key, token, outcome } => self.settle_wanted(now, call, key, token, outcome, out),
             Want::Replace(sheet) => self.replace_wanted(now, call, sheet, out),
             Want::Read => self.read_wanted(now, call, out),
+            Want::Session(session, wish) => self.session_wanted(now, call, session, wish, out),
         }
     }
 
@@ -383,6 +396,10 @@
                 self.timers.remove(&(reading.timer, call));
                 self.sheet_calls.remove(&call);
             }
+            Some(Call::Session(changing)) => {
+                self.timers.remove(&(changing.timer, call));
+                self.session_forgotten(call);
+            }
             None => {}
         }
     }
@@ -397,11 +414,13 @@
             self.timers.remove(&(at, call));
             match self.calls.get(&call) {
                 Some(Call::Claim(_)) => self.claim_timer(now, call, out),
+                Some(Call::Session(_)) => self.session_timer(now, call, out),
                 Some(_) => self.sheet_timer(now, call, out),
                 None => {}
             }
         }
         self.expire(now, out);
+        self.expire_sessions(now, out);
         self.catch_up(now, out);
         self.propose(now, out);
         if now >= self.next_beat {
@@ -435,6 +454,13 @@
                 let letter = self.letter(Body::Granted(part));
                 out.push(if self.mutant == 3 { Act::Now(at, letter) } else { Act::Send(at, letter) });
             }
+            for part in parts(post.session_asks, |_| 0) {
+                out.push(Act::Now(at, self.letter(Body::Sessions(part))));
+            }
+            for part in parts(post.session_replies, |_| 0) {
+                let letter = self.letter(Body::Sessions(part));
+                out.push(if self.mutant == 27 { Act::Now(at, letter) } else { Act::Send(at, letter) });
+            }
         }
         if std::mem::take(&mut self.tell) {
             let letter = self.beat();
@@ -537,7 +563,8 @@
     pub fn records(&self) -> Vec<Record> {
         let claims = self.claims.iter().map(|(key, kept)| Record::Claim(*key, kept.claim.clone()));
         let sheet = self.held.iter().map(|sheet| Record::Sheet(sheet.clone()));
-        [Record::Ballots(self.ballots())].into_iter().chain(sheet).chain(claims).collect()
+        let all = [Record::Ballots(self.ballots())].into_iter().chain(sheet).chain(claims);
+        all.chain(self.session_records()).collect()
     }
 
     fn is_member(&self, station: &Station) -> bool {
--- a/mesh/src/agree/view.rs
+++ b/mesh/src/agree/view.rs
@@ -2,6 +2,7 @@
 //! never answer for a view that it has left, nor vote with a disk that does not hold what the last one held.
 
 use super::*;
+use crate::words::{Entry, Session};
 
 /// How long a try to change the view has.
 const TRY: Nanos = 400 * MS;
@@ -33,6 +34,9 @@
     ask_all: Nanos,
 }
 
+/// Part of what one holds: keys' claims and sessions.
+type Held = (Vec<(Key, Claim)>, Vec<(Session, Entry)>);
+
 impl Core {
     pub(super) fn ballots(&self) -> Ballots {
         Ballots {
@@ -80,6 +84,7 @@
         self.enter(now, out);
         self.tell = true;
         self.claims_anew(now, out);
+        self.sessions_anew(out);
         self.sheets_anew(now, out);
     }
 
@@ -145,8 +150,10 @@
             bytes += super::weight(&kept.claim.outcome);
             part.push((*key, kept.claim.clone()));
         }
+        let (sessions, next) = self.sessions_from(place, next);
+        part.retain(|(key, _)| next.is_none_or(|next| *key < next));
         let sheet = if next.is_none() { self.held.clone() } else { None };
-        self.send(from.at, Body::State { round, part, next, sheet }, out);
+        self.send(from.at, Body::State { round, part, next, sheet, sessions }, out);
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -155,7 +162,7 @@
         now: Nanos,
         from: Station,
         round: u64,
-        part: Vec<(Key, Claim)>,
+        (part, sessions): Held,
         next: Option<Key>,
         sheet: Option<Arc<Sheet>>,
         out: &mut Vec<Act>,
@@ -176,6 +183,9 @@
         for (key, claim) in part {
             self.merge(key, claim, out);
         }
+        for (session, entry) in sessions {
+            self.merge_session(session, entry, out);
+        }
         if let Some(sheet) = sheet {
             self.hold(sheet, out);
         }
@@ -187,6 +197,7 @@
             self.send(self.me.at, Body::Held { ask: 0, rank: self.held_rank() }, out);
             self.tell = true;
             self.claims_anew(now, out);
+            self.sessions_anew(out);
             self.sheets_anew(now, out);
         } else if let (true, Some(place)) = (further, next) {
             self.now(from.at, Body::WantState { from: place, round }, out);
--- a/mesh/src/words.rs
+++ b/mesh/src/words.rs
@@ -5,6 +5,10 @@
 
 use serde::{Deserialize, Serialize};
 
+mod session;
+
+pub use session::*;
+
 /// A steward: where others reach it for calls between the system's own processes, and the life of its disk. The
 /// disk of a very first start is 0; one that came empty later has a number drawn by chance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -100,6 +104,8 @@
     Sheet(Arc<Sheet>),
     Claim(Key, Claim),
     Free(Key, Token),
+    Session(Session, Entry),
+    SessionOver(Session),
 }
 
 /// A steward's part in deciding the view that follows the one it holds.
@@ -132,20 +138,30 @@
     pub ballots: Option<Ballots>,
     pub sheet: Option<Arc<Sheet>>,
     pub claims: Vec<(Key, Claim)>,
+    pub sessions: Vec<(Session, Entry)>,
 }
 
 /// What an attendant or an operator wants of the core.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Want {
     /// The right to run this key's req. Answered with `Granted`, or with what the first one's claim came to.
-    Claim { key: Key, token: Token, left_ms: u32 },
+    Claim {
+        key: Key,
+        token: Token,
+        left_ms: u32,
+    },
     /// The one that claimed tells what came of it. `None`: it has not run and never will under this token, to be told
     /// as well after `Held` or `Unsure`. Any other only where the claim was granted: it is taken as proof of that.
-    Settle { key: Key, token: Token, outcome: Option<Outcome> },
+    Settle {
+        key: Key,
+        token: Token,
+        outcome: Option<Outcome>,
+    },
     /// A configuration that was read and found valid.
     Replace(Arc<Sheet>),
     /// The newest configuration.
     Read,
+    Session(Session, Wish),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -157,6 +173,8 @@
     /// Settled, or taken: safe where that is promised.
     Taken,
     Newest(Option<Arc<Sheet>>),
+    /// What a session has come to; nothing where nobody has it.
+    Session(Option<Agreed>),
     /// The core could not be had in time. A claim may or may not be held under the token.
     Unsure,
 }
@@ -226,7 +244,10 @@
         part: Vec<(Key, Claim)>,
         next: Option<u128>,
         sheet: Option<Arc<Sheet>>,
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        sessions: Vec<(Session, Entry)>,
     },
+    Sessions(Vec<Said>),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/mesh/tests/agree.rs
+++ b/mesh/tests/agree.rs
@@ -538,6 +538,19 @@
     fn outcome(chance: &mut ChaCha8Rng) -> Outcome {
         [Outcome::Open, Outcome::Unknown, Outcome::Done(answer(1))][chance.random_range(0..3)].clone()
     }
+    fn said(chance: &mut ChaCha8Rng) -> Said {
+        let (call, epoch, token, session) =
+            (number(chance), number(chance), number(chance), chance.random_range(0..2));
+        let agreed = Agreed { epoch, token, holding: Holding::default() };
+        match chance.random_range(0..6) {
+            0 => Said::Ask { call, session, epoch, token },
+            1 => Said::Heard { call, epoch, taken: Some(agreed) },
+            2 => Said::Hold { call, session, agreed },
+            3 => Said::Held { call, epoch },
+            4 => Said::Outbid { call, epoch },
+            _ => Said::Renew(session),
+        }
+    }
     let c = chance;
     let sheet = Arc::new(Sheet { version: number(c), digest: number(c), bytes: Vec::new() });
     let claim = Claim { token: number(c), left_ms: u32::MAX, outcome: outcome(c) };
@@ -565,11 +578,13 @@
         11 => Body::WantSheet { ask: number(c), have: rank },
         12 => Body::Held { ask: number(c), rank },
         13 => Body::WantState { from: key(c), round: number(c) },
+        14 => Body::Sessions(vec![said(c)]),
         _ => Body::State {
             round: number(c),
             part: vec![(key(c), claim)],
             next: c.random::<bool>().then(|| key(c)),
             sheet: Some(sheet),
+            sessions: vec![(key(c), Entry { epoch: number(c), token: number(c), taken: None })],
         },
     };
     Letter { from: station(c), view: number(c), body }
@@ -583,7 +598,8 @@
         for _ in 0..150 {
             let node = chance.random_range(0..4);
             let (key, token) = (7, chance.random_range(0..30));
-            match chance.random_range(0..8) {
+            match chance.random_range(0..9) {
+                8 => drop(world.want(node, Want::Session(1, Wish::Take { gate: at(9), above: 0 }))),
                 0 => drop(claim(&mut world, node, key, token)),
                 1 => drop(world.want(node, Want::Read)),
                 2 => settle(&mut world, node, key, token, None),
--- a/mesh/tests/stewards/mod.rs
+++ b/mesh/tests/stewards/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code)]
 
+pub mod people;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -32,6 +34,7 @@
     pub ballots: Option<Ballots>,
     pub sheet: Option<Arc<Sheet>>,
     pub claims: BTreeMap<Key, Claim>,
+    pub sessions: BTreeMap<Session, Entry>,
 }
 
 impl Disk {
@@ -42,6 +45,8 @@
             Record::Claim(key, claim) => {
                 self.claims.insert(key, claim);
             }
+            Record::Session(session, entry) => drop(self.sessions.insert(session, entry)),
+            Record::SessionOver(session) => drop(self.sessions.remove(&session)),
             Record::Free(key, token) => {
                 if self.claims.get(&key).is_some_and(|claim| claim.token == token) {
                     self.claims.remove(&key);
@@ -52,7 +57,8 @@
 
     fn saved(&self) -> Saved {
         let claims = self.claims.iter().map(|(key, claim)| (*key, claim.clone())).collect();
-        Saved { ballots: self.ballots.clone(), sheet: self.sheet.clone(), claims }
+        let sessions = self.sessions.iter().map(|(session, entry)| (*session, entry.clone())).collect();
+        Saved { ballots: self.ballots.clone(), sheet: self.sheet.clone(), claims, sessions }
     }
 }
 
@@ -78,6 +84,7 @@
     Settle,
     Replace((u64, u64)),
     Read { floor: (u64, u64) },
+    Session { session: Session, floor: Option<u64> },
 }
 
 pub struct World {
@@ -111,6 +118,7 @@
     /// Every read that begins from now on finds at least this.
     pub floor: (u64, u64),
     pub views: BTreeMap<u64, View>,
+    pub people: people::People,
     pub broken: Option<String>,
     pub steps: u64,
     pub seen: [u64; 9],
@@ -173,6 +181,7 @@
             sent: BTreeSet::new(),
             floor: (0, 0),
             views: BTreeMap::new(),
+            people: people::People::default(),
             broken: None,
             steps: 0,
             seen: [0; 9],
@@ -324,6 +333,7 @@
                 Asked::Replace(sheet.rank())
             }
             Want::Read => Asked::Read { floor: self.floor },
+            Want::Session(session, wish) => self.people.asks(*session, wish),
         };
         let life = self.nodes[node].life;
         self.calls.insert((node, life, call), asked);
@@ -360,7 +370,11 @@
                 Act::Now(to, letter) => self.fly(node, to, letter),
                 Act::Answer { call, got } => self.answered(node, call, got),
                 Act::Log(_) => {}
-                act => self.nodes[node].pending.push_back(act),
+                act => {
+                    let wrong = self.people.writes(&act);
+                    wrong.into_iter().for_each(|wrong| self.broke(wrong));
+                    self.nodes[node].pending.push_back(act);
+                }
             }
         }
         self.look(node);
@@ -416,6 +430,10 @@
                 self.floor = self.floor.max(rank);
             }
             (Asked::Settle, Got::Taken) => {}
+            (Asked::Session { session, floor }, Got::Session(agreed)) => {
+                let wrong = self.people.answered(session, floor, agreed);
+                wrong.into_iter().for_each(|wrong| self.broke(wrong));
+            }
             (_, Got::Unsure) => self.seen[UNSURE] += 1,
             (_, got) => self.broke(format!("{got:?} is no answer to that")),
         }
@@ -531,6 +549,7 @@
         Body::Grant(_) => "grant",
         Body::Granted(_) => "granted",
         Body::Settle(_) => "settle",
+        Body::Sessions(_) => "session",
         Body::Hold(_) => "hold",
         Body::Held { .. } | Body::WantSheet { .. } => "held",
         Body::WantState { .. } | Body::State { .. } => "state",
