--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -28,6 +28,7 @@
             ends: now + line.time("Budget")?,
             coming: false,
             work: line.time("CostGuess").ok(),
+            tie: None,
             dispatches: Vec::new(),
         };
         self.hands.take(now, req);
--- a/balancer/src/front.rs
+++ b/balancer/src/front.rs
@@ -637,6 +637,7 @@
             ends: came + ((budget * 1e9) as Nanos).saturating_sub(WAY_BACK),
             coming: false,
             work: cost.map(|ms| (ms * 1e6) as Nanos),
+            tie: None,
             dispatches: Vec::new(),
         };
         if body.size_hint().lower() > MOST_LONG {
--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -33,6 +33,7 @@
 use super::full::Full;
 use super::keys::Stewards;
 use super::parcels::Rank;
+use super::sessions::Sessions;
 use super::settings::{Settings, SettingsError};
 use super::wire::Callers;
 use super::{full, gate, news, start};
@@ -173,6 +174,11 @@
         branch
     }
 
+    /// What the gate of this machine holds of people's sessions; its door is told when they go elsewhere.
+    pub fn sessions(&self) -> &Sessions {
+        &self.door.sessions
+    }
+
     pub fn door_at(&self) -> SocketAddr {
         self.door_at
     }
--- a/balancer/src/mesh/desk.rs
+++ b/balancer/src/mesh/desk.rs
@@ -286,6 +286,11 @@
         held(&self.inner).spent.figures(self.clock.now())
     }
 
+    /// Whether this one is listed and takes reqs.
+    pub fn takes(&self, srv: &Name) -> bool {
+        held(&self.inner).listed.get(srv).is_some_and(|listed| listed.state == State::Up)
+    }
+
     pub fn place(&self, srv: &Name) -> Option<Place> {
         held(&self.inner).places.get(srv).cloned()
     }
--- a/balancer/src/mesh/door.rs
+++ b/balancer/src/mesh/door.rs
@@ -22,6 +22,8 @@
 use super::berths::Berths;
 use super::carry::{Fail, Flow, Lane, Line};
 use super::entry::{self, Bad, Came, field, say};
+use super::fence::{Fence, Pass};
+use super::sessions::Sessions;
 use crate::body::Message;
 use crate::clock::Clock;
 use crate::link::held;
@@ -35,11 +37,15 @@
 const DELIVERED_BY: HeaderName = HeaderName::from_static("ochreshed-delivered-by");
 const NOT_RUN: HeaderName = HeaderName::from_static("ochreshed-not-delivered");
 /// Between a gate and a door: the ms until an answer is late, how many doors have turned the req away, and letters: `a`,
-/// it is sent again or called by a run that was; `c`, a run waits for it; `l`, its answer is large.
+/// it is sent again or called by a run that was; `c`, a run waits for it; `l`, its answer is large. Behind them the
+/// session that it is of, where its route names one; or that a session has moved, and nothing else.
 pub const KNOCK: HeaderName = HeaderName::from_static("ochreshed-knock");
 /// Between a door and a gate: how the door's part ended, and how many reqs are at its upstream or wait there.
 pub const WAY: HeaderName = HeaderName::from_static("ochreshed-way");
 
+/// How a door says that a later holder of a session is known, and since when that holds it.
+const FENCED: &str = "fenced-";
+
 const MS: Nanos = 1_000_000;
 /// After its upstream has said that it closes, the door still takes what is on its way, for this part of the time
 /// that the rules give.
@@ -65,6 +71,8 @@
     /// Proved never to have come to the upstream.
     Turned,
     Gone,
+    /// Of a session that another gate holds since this epoch.
+    Fenced(u64),
     Unreachable,
     Unsent,
     /// It may have run.
@@ -79,6 +87,7 @@
             End::Full => "full",
             End::Turned => "turned",
             End::Gone => "gone",
+            End::Fenced(_) => "fenced",
             End::Unreachable => "unreachable",
             End::Unsent => "unsent",
             End::Reset => "reset",
@@ -92,6 +101,7 @@
             "full" => End::Full,
             "turned" => End::Turned,
             "gone" => End::Gone,
+            word if word.starts_with(FENCED) => End::Fenced(word[FENCED.len()..].parse().unwrap_or(0)),
             "unreachable" => End::Unreachable,
             "unsent" => End::Unsent,
             "late" => End::Late,
@@ -165,6 +175,9 @@
     runs: Mutex<HashMap<Vec<u8>, bool>>,
     pub serving: AtomicBool,
     pub changed: tokio::sync::Notify,
+    /// Sessions that the gate of this machine has, and what is let through of them here.
+    pub sessions: Sessions,
+    pub fence: Fence,
 }
 
 /// A req at a door.
@@ -183,6 +196,8 @@
     pub large: bool,
     /// Its answer goes to another machine.
     pub away: bool,
+    /// Its session, where its route names one.
+    pub pass: Option<Pass>,
     /// When its answer is late, and when nobody waits for it any more.
     pub aim: Nanos,
     pub until: Nanos,
@@ -198,16 +213,22 @@
                 .filter(|(is, _)| *is)
                 .map(|(_, c)| c),
         );
+        if let Some(pass) = &self.pass {
+            word.push(' ');
+            word.push_str(&pass.word());
+        }
         word
     }
 
-    /// Reads that again, with the ms until it is late in place of the time: (aim, turned, again, call, large).
-    fn read(word: &str, left: u64) -> (u64, u32, bool, bool, bool) {
+    /// Reads that again, with the ms until it is late in place of the time: (aim, turned, again, call, large), and
+    /// the session.
+    fn read(word: &str, left: u64) -> ((u64, u32, bool, bool, bool), Option<Pass>) {
         let mut parts = word.split(' ');
         let aim = parts.next().and_then(|part| part.parse().ok()).unwrap_or(left).min(MOST_LEFT);
         let turned = parts.next().and_then(|part| part.parse().ok()).unwrap_or(0);
         let letters = parts.next().unwrap_or_default();
-        (aim, turned, letters.contains('a'), letters.contains('c'), letters.contains('l'))
+        let pass = parts.next().and_then(Pass::read);
+        ((aim, turned, letters.contains('a'), letters.contains('c'), letters.contains('l')), pass)
     }
 }
 
@@ -256,6 +277,8 @@
             runs: Mutex::default(),
             serving: AtomicBool::new(false),
             changed: tokio::sync::Notify::new(),
+            sessions: Sessions::default(),
+            fence: Fence::default(),
         })
     }
 
@@ -400,6 +423,7 @@
                 self.sign_off(&of);
                 entry::json(200, "{}".into())
             }
+            ("sessions.count", _) => entry::json(200, self.sessions.page(self.fence.turned())),
             _ => say(404, "no such call here"),
         }
     }
@@ -567,9 +591,12 @@
 
     /// Lets a req through to the upstream, if it is the one that was meant.
     pub async fn pass(self: &Arc<Self>, knock: Knock<'_>) -> End {
-        let Knock { message, meant, caller, turned, again, call, large, away, aim, until } = knock;
+        let Knock { message, meant, caller, turned, again, call, large, away, pass, aim, until } = knock;
         let Some(to) = self.check(meant) else { return End::Gone };
         let now = self.clock.now();
+        if let Err(known) = self.lets(now, pass) {
+            return End::Fenced(known);
+        }
         // A large answer is late when its last byte is: what stands before it on the link, and its own part.
         let (stands, span) = if large && away { self.on_the_way(now) } else { (0, 0) };
         let aim = aim.saturating_sub(stands + span);
@@ -606,6 +633,10 @@
         if self.check(meant).is_none() {
             return End::Gone;
         }
+        // Its session may have moved while it waited.
+        if let Err(known) = self.lets(self.clock.now(), pass) {
+            return End::Fenced(known);
+        }
         let left = until.saturating_sub(self.clock.now()) / MS;
         if left == 0 {
             return End::Unsent;
@@ -666,6 +697,10 @@
         self.lane.pace().note(self.clock.now(), bytes as usize + HEAD_BYTES);
     }
 
+    fn lets(&self, now: Nanos, pass: Option<Pass>) -> Result<(), u64> {
+        pass.map_or(Ok(()), |pass| self.fence.check(now, pass))
+    }
+
     /// Whether this life takes reqs now, and where it is.
     fn check(&self, meant: &str) -> Option<Arc<Line>> {
         let state = held(&self.state);
@@ -677,7 +712,7 @@
         takes.then(|| upstream.to.clone())
     }
 
-    fn way(&self, mut answer: Response<Flow>, word: &'static str) -> Response<Flow> {
+    fn way(&self, mut answer: Response<Flow>, word: &str) -> Response<Flow> {
         if let Ok(word) = HeaderValue::try_from(format!("{word} {}", self.load())) {
             answer.headers_mut().insert(WAY, word);
         }
@@ -690,7 +725,10 @@
         let headers = came.req.headers();
         let meant = field(headers, &ADDRESSEE).to_owned();
         let left = field(headers, &LEFT).parse::<u64>().unwrap_or(0).min(MOST_LEFT);
-        let (aim, turned, again, call, large) = Knock::read(field(headers, &KNOCK), left);
+        if let Some(keys) = self.sessions.handed_over(field(headers, &KNOCK)) {
+            return self.way(Response::new(Flow::of(keys)), "ran");
+        }
+        let ((aim, turned, again, call, large), pass) = Knock::read(field(headers, &KNOCK), left);
         let caller = headers.get(&CALLER).cloned().unwrap_or(HeaderValue::from_static(""));
         let read = entry::message(came, &bodies, self.clock, u64::MAX, Duration::from_secs(10)).await;
         let (mut message, _room) = match read {
@@ -700,11 +738,13 @@
         message.head.headers_mut().remove(&KNOCK);
         let (message, meant, caller, away) = (&Arc::new(message), &*meant, &caller, true);
         let (aim, until) = (at + aim * MS, at + left * MS);
-        let end =
-            self.pass(Knock { message, meant, caller, turned, again, call, large, away, aim, until }).await;
+        let end = self
+            .pass(Knock { message, meant, caller, turned, again, call, large, away, pass, aim, until })
+            .await;
         let word = end.word();
         match end {
             End::Ran(head, flow) => self.way(Response::from_parts(head, flow), word),
+            End::Fenced(known) => self.way(say(503, word), &format!("{FENCED}{known}")),
             _ => self.way(say(503, word), word),
         }
     }
@@ -755,6 +795,16 @@
 
     /// Knocks with a req that is late after so many ms, turned away before as often as said.
     fn knock(door: &Arc<Door>, id: &str, turned: u32, late_ms: u64) -> tokio::task::JoinHandle<&'static str> {
+        knock_of(door, id, (turned, late_ms), None)
+    }
+
+    /// The same with the session that it is of.
+    fn knock_of(
+        door: &Arc<Door>,
+        id: &str,
+        (turned, late_ms): (u32, u64),
+        pass: Option<Pass>,
+    ) -> tokio::task::JoinHandle<&'static str> {
         let mut head = hyper::Request::new(());
         head.headers_mut().insert(ID, HeaderValue::try_from(id).expect("an id"));
         let message = Arc::new(Message { head, first: bytes::Bytes::new(), length: Some(0), long: None });
@@ -771,6 +821,7 @@
                 call: false,
                 large: false,
                 away: false,
+                pass,
                 aim,
                 until,
             };
@@ -841,6 +892,25 @@
         }
     }
 
+    /// Guards against a late message of the site that a person has left, also where it has waited here meanwhile.
+    #[tokio::test]
+    async fn what_a_gate_sends_that_has_lost_the_session_never_runs() {
+        let (door, upstream) = door(1).await;
+        let of = |since| Some(Pass { session: 7, since });
+        let first = knock_of(&door, "a", (0, 10_000), of(2));
+        let at_upstream = next(&upstream).await;
+        let waits = knock_of(&door, "b", (3, 9_000), of(2));
+        inside(&door, 2).await;
+        let moved = knock_of(&door, "c", (3, 10_000), of(5));
+        inside(&door, 3).await;
+        assert_eq!(knock_of(&door, "d", (0, 10_000), of(4)).await.expect("no panic"), "fenced");
+        answer(at_upstream).await;
+        let at_upstream = next(&upstream).await;
+        assert_eq!((first.await.expect("no panic"), &*at_upstream.0), ("ran", "c"));
+        answer(at_upstream).await;
+        assert_eq!((waits.await.expect("no panic"), moved.await.expect("no panic")), ("fenced", "ran"));
+    }
+
     #[tokio::test]
     async fn another_life_gets_nothing_that_was_meant_for_this_one() {
         let (door, upstream) = door(2).await;
--- /dev/null
+++ b/balancer/src/mesh/fence.rs
@@ -0,0 +1,100 @@
+//! The fence at a door: since when each person's session is held by the gate that a door last heard of. It owns that
+//! memory and its bounds. It must never let through what a gate sends that has lost the session, nor ask anybody.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Mutex;
+
+use ochreshed::Nanos;
+use ochreshed_mesh::agree::SESSION_IDLE;
+use ochreshed_mesh::words::Session;
+
+use crate::link::held;
+
+/// So many sessions; those that were not heard of for longest go.
+const MOST: usize = 20_000;
+/// Less than the core keeps a record: one that begins anew at a low epoch finds no higher one here. The core is told of a
+/// session that is used a minute later at most.
+const KEPT: Nanos = SESSION_IDLE - 180_000_000_000;
+
+/// Which session a dispatch is of, and the epoch since which its gate holds it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pass {
+    pub session: Session,
+    pub since: u64,
+}
+
+impl Pass {
+    /// As it goes on the wire.
+    pub fn word(&self) -> String {
+        format!("{:032x}.{}", self.session, self.since)
+    }
+
+    pub fn read(word: &str) -> Option<Pass> {
+        let (session, since) = word.split_once('.')?;
+        Some(Pass { session: Session::from_str_radix(session, 16).ok()?, since: since.parse().ok()? })
+    }
+}
+
+#[derive(Default)]
+pub struct Fence(Mutex<Known>);
+
+#[derive(Default)]
+struct Known {
+    /// Since when each is held, and until when that is kept.
+    all: HashMap<Session, (u64, Nanos)>,
+    order: BTreeSet<(Nanos, Session)>,
+    turned: u64,
+}
+
+impl Fence {
+    /// Whether this may pass; the later epoch that is known, where it may not.
+    pub fn check(&self, now: Nanos, pass: Pass) -> Result<(), u64> {
+        let mut known = held(&self.0);
+        while let Some(&(until, session)) = known.order.first()
+            && (until <= now || known.all.len() > MOST)
+        {
+            known.order.remove(&(until, session));
+            known.all.remove(&session);
+        }
+        let until = now.saturating_add(KEPT);
+        if let Some((since, before)) = known.all.get(&pass.session).copied() {
+            if since > pass.since {
+                known.turned += 1;
+                return Err(since);
+            }
+            known.order.remove(&(before, pass.session));
+        }
+        known.all.insert(pass.session, (pass.since, until));
+        known.order.insert((until, pass.session));
+        Ok(())
+    }
+
+    /// How many reqs were turned away in this life.
+    pub fn turned(&self) -> u64 {
+        held(&self.0).turned
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_gate_that_lost_a_session_does_not_pass_and_old_ones_are_forgotten() {
+        let fence = Fence::default();
+        let pass = |session, since| Pass { session, since };
+        assert_eq!(fence.check(1, pass(1, 4)), Ok(()));
+        assert_eq!(fence.check(2, pass(1, 3)), Err(4));
+        assert_eq!((fence.check(3, pass(1, 4)), fence.check(4, pass(1, 6))), (Ok(()), Ok(())));
+        assert_eq!((fence.check(5, pass(1, 5)), fence.check(5, pass(2, 1))), (Err(6), Ok(())));
+        for session in 3..MOST as u128 + 10 {
+            assert_eq!(fence.check(9, pass(session, 9)), Ok(()));
+        }
+        // Of too many the oldest are gone, and all of them after their time.
+        assert_eq!((fence.check(10, pass(1, 1)), fence.check(10, pass(400, 8))), (Ok(()), Err(9)));
+        assert_eq!(fence.check(10 + KEPT, pass(400, 8)), Ok(()));
+        assert!(held(&fence.0).all.len() < 3);
+        assert_eq!(Pass::read(&pass(7, 9).word()), Some(pass(7, 9)));
+        assert_eq!((Pass::read("7"), Pass::read("x.1"), Pass::read("1.")), (None, None, None));
+    }
+}
--- a/balancer/src/mesh/gate.rs
+++ b/balancer/src/mesh/gate.rs
@@ -19,7 +19,9 @@
 use super::desk::{self, Place, Step, Turn};
 use super::door::{ADDRESSEE, CALLER, End, ID, KEY, KNOCK, Knock, LEFT, MOST_LEFT, WAY};
 use super::entry::{self, Bad, Came, field, say};
+use super::fence::Pass;
 use super::keys;
+use super::sessions::{self, Bound};
 use crate::body::Message;
 
 const MS: Nanos = 1_000_000;
@@ -30,6 +32,8 @@
 /// How long the core is waited for, for a claim; where it has been silent before, a req is refused early rather than late.
 const CLAIM: Duration = Duration::from_millis(900);
 const CLAIM_SILENT: Duration = Duration::from_millis(60);
+/// A req at the upstream that it is tied to may wait there as one that so many doors have turned away.
+const TIED: u32 = 3;
 /// How a client is told to come back where the module says nothing of it.
 const COME_BACK: Nanos = 100 * MS;
 /// A large answer is not begun with less time than this before the process gives up what is inside.
@@ -55,6 +59,9 @@
     let Some(route) = timetable.route(&host, &path).cloned() else {
         return say(404, "no such route");
     };
+    let person =
+        route.session.as_ref().and_then(|name| headers.get(&**name)).and_then(|value| value.to_str().ok());
+    let person = person.filter(|person| !person.is_empty()).map(str::to_owned);
     let left = field(headers, &LEFT).parse::<u64>().unwrap_or(route.deadline_ms).min(MOST_LEFT);
     let key = Some(field(headers, &KEY)).filter(|key| !key.is_empty()).map(keys::key);
     let at = came.at;
@@ -80,7 +87,7 @@
     let again = call == Some(true);
     let message = Arc::new(message);
     let (branch_of, route_of, call) = (branch.clone(), route.clone(), call.is_some());
-    let trip = Trip { branch: branch_of, route: route_of, message, ends, at, aim, again, call };
+    let trip = Trip { branch: branch_of, route: route_of, message, ends, at, aim, again, call, key, person };
     let answer = match key.filter(|_| route.kind == Kind::Registered) {
         Some(key) => {
             // Goes on to its end though its client goes: its outcome is its key's.
@@ -213,6 +220,9 @@
     again: bool,
     /// It was called by a run.
     call: bool,
+    key: Option<Key>,
+    /// What names its session.
+    person: Option<String>,
 }
 
 impl Trip {
@@ -220,10 +230,15 @@
         let Some(line) = self.branch.split(&self.route) else { return Outcomes::Deny(COME_BACK) };
         let large = self.route.kind == Kind::OutboundPost;
         let Some(desk) = self.branch.desk(&line, large) else { return Outcomes::Deny(COME_BACK) };
+        let bound = self.session(&line).await;
+        let pass = bound.as_ref().map(|bound| bound.pass);
+        let _at_work =
+            pass.zip(self.key).map(|(pass, key)| sessions::at_work(&self.branch, pass.session, key));
         let rule_set: Name = desk::shape(&self.route).as_str().into();
         let mut req = Req::new(0, rule_set, "".into(), self.at, self.ends);
         req.again = self.again;
         req.coming = self.message.long.is_some();
+        req.tie = bound.as_ref().and_then(|bound| bound.tie.as_ref()).map(|tie| tie.id.as_str().into());
         let mut turn = desk.take(req);
         let mut last: Option<(Parts, Flow)> = None;
         // A large answer is wanted from near: the first door may let it wait already.
@@ -246,19 +261,25 @@
                         continue;
                     };
                     turn.goes();
+                    // The instance of its person lives there: it rather waits for a slot than goes elsewhere.
+                    let tied = bound.as_ref().is_some_and(|bound| bound.is_tied(&place.id));
+                    let waits = if tied { turned.max(TIED) } else { turned };
                     let Some((end, inside)) =
-                        self.dispatch(&mut turn, &place, (turned, sent > 0, large), give_up).await
+                        self.dispatch(&mut turn, &place, (waits, sent > 0, large, pass), give_up).await
                     else {
                         ran = true;
                         turn.ended(number, How::Recalled, 0, false, None);
                         continue;
                     };
-                    sent += u32::from(!matches!(end, End::Turned));
+                    sent += u32::from(!matches!(end, End::Turned | End::Fenced(_)));
                     turned += u32::from(matches!(end, End::Turned));
                     let took = self.branch.clock.now() - began;
                     let how = match end {
                         End::Ran(head, flow) if well(&head) => {
                             turn.ended(number, How::Done, took, true, inside);
+                            if let Some(bound) = bound.as_ref().filter(|_| !large) {
+                                sessions::served(&self.branch, &desk, bound, &place);
+                            }
                             return Outcomes::Answer(head, flow);
                         }
                         End::Ran(mut head, flow) => {
@@ -271,6 +292,13 @@
                         }
                         End::Full | End::Gone => How::Full,
                         End::Turned => How::Turned,
+                        End::Fenced(known) => {
+                            // Its session went on elsewhere: this is a late one, and whoever means it comes again.
+                            pass.into_iter().for_each(|pass| self.branch.sessions().fenced(pass, known));
+                            turn.ended(number, How::Turned, took, false, inside);
+                            turn.end();
+                            break;
+                        }
                         End::Unreachable => How::NoConnection,
                         End::Unsent => How::NotSent,
                         End::Reset => {
@@ -307,12 +335,18 @@
         }
     }
 
+    /// The session of the person that it is of, where its route names one.
+    async fn session(&self, line: &Name) -> Option<Bound> {
+        let (header, person) = (self.route.session.as_ref()?, self.person.as_ref()?);
+        sessions::take(&self.branch, sessions::name(line, header, person)).await
+    }
+
     /// One dispatch, and how many reqs its door has inside; nothing if the module recalled it.
     async fn dispatch(
         &self,
         turn: &mut Turn,
         place: &Place,
-        turned: (u32, bool, bool),
+        turned: (u32, bool, bool, Option<Pass>),
         give_up: Nanos,
     ) -> Option<(End, Option<f64>)> {
         let work = self.send(place, turned, give_up.min(self.ends));
@@ -338,7 +372,7 @@
     async fn send(
         &self,
         place: &Place,
-        (turned, again, large): (u32, bool, bool),
+        (turned, again, large, pass): (u32, bool, bool, Option<Pass>),
         until: Nanos,
     ) -> (End, Option<f64>) {
         let (branch, again, now) = (&self.branch, again || self.again, self.branch.clock.now());
@@ -353,6 +387,7 @@
             call: self.call,
             large,
             away,
+            pass,
             aim,
             until,
         };
--- a/balancer/src/mesh/mod.rs
+++ b/balancer/src/mesh/mod.rs
@@ -10,6 +10,7 @@
 mod desk_tests;
 mod door;
 mod entry;
+mod fence;
 mod full;
 mod gate;
 #[cfg(test)]
@@ -20,6 +21,7 @@
 mod pages;
 mod parcels;
 mod report;
+mod sessions;
 mod settings;
 mod start;
 mod steward;
--- /dev/null
+++ b/balancer/src/mesh/sessions.rs
@@ -0,0 +1,384 @@
+//! The sessions that this machine's gate has: whose reqs it sends on without asking, and under which fence. It owns what
+//! is held here, the asks to the core, and the hand-over between gates. It must never keep or tell the value that names a
+//! person, hold a session that the core gave to another, nor keep a req waiting for long: exactly once rests on keys.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use hyper::header::{HOST, HeaderMap, HeaderValue};
+use ochreshed::{Name, Nanos};
+use ochreshed_mesh::words::{Agreed, Got, Holder, Key, Session, Tie, Want, Wish};
+use sha2::{Digest, Sha256};
+use tokio::time::Instant;
+
+use super::attendant::Branch;
+use super::desk::{Desk, Place};
+use super::door::{KNOCK, WAY};
+use super::entry::field;
+use super::fence::Pass;
+use super::wire::{Ask, Reply};
+use crate::body::Message;
+use crate::link::held;
+
+const MS: Nanos = 1_000_000;
+/// A req waits so long for the core, and one steward is waited for so long.
+const WITHIN: Duration = Duration::from_millis(500);
+const ONE: Duration = Duration::from_millis(220);
+/// And so long for the gate that had the session; its keys are safe by their claims.
+const HAND_OVER: Nanos = 150 * MS;
+/// The core is told of a session that is used so often.
+const RENEW: Nanos = 60_000 * MS;
+/// What was not used for so long is asked for again: the core may have forgotten it.
+const UNUSED: Nanos = 600_000 * MS;
+/// So many are held; those that were not used for longest are asked for again.
+const MOST: usize = 20_000;
+/// Keys told of one session.
+const MOST_KEYS: usize = 64;
+/// Times of moves that are remembered.
+const TIMES: usize = 512;
+/// What a hand-over says in place of a knock.
+const MOVED: &str = "moved ";
+
+/// A person's session by its service, the header that names it and that header's value.
+pub fn name(service: &str, header: &str, value: &str) -> Session {
+    let mut sum = Sha256::new();
+    for part in [service, &header.to_ascii_lowercase(), value] {
+        sum.update((part.len() as u64).to_be_bytes());
+        sum.update(part);
+    }
+    let sum: [u8; 32] = sum.finalize().into();
+    sum.iter().take(16).fold(0, |all, byte| all << 8 | Session::from(*byte))
+}
+
+struct Held {
+    holder: Holder,
+    tie: Option<Tie>,
+    /// When the core was last told, and when it was last used.
+    told: Nanos,
+    used: Nanos,
+}
+
+#[derive(Default)]
+struct Inner {
+    held: HashMap<Session, Held>,
+    order: BTreeSet<(Nanos, Session)>,
+    /// Keys that are at work here.
+    keys: HashMap<Session, Vec<Key>>,
+    /// Doors know of a holder since then.
+    above: HashMap<Session, u64>,
+    counts: Counts,
+    times: Vec<Nanos>,
+}
+
+/// What this gate has seen of sessions since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Held now; taken that nobody had; moved here from another gate, and of these those whose gate did not answer.
+    pub held: usize,
+    pub begun: u64,
+    pub moves: u64,
+    pub unheard: u64,
+    /// Let go to another gate, and turned away at a door for that.
+    pub left: u64,
+    pub fenced: u64,
+    /// Reqs that went without one, for want of the core.
+    pub without: u64,
+    /// Reqs that went to the upstream of their tie, to another while that stood, and to a successor as it was gone.
+    pub kept: u64,
+    pub crowded: u64,
+    pub gone: u64,
+    /// Of a move, in ns: half and all but one in a hundred are faster.
+    pub move_half: Nanos,
+    pub move_most: Nanos,
+}
+
+#[derive(Default)]
+pub struct Sessions(Mutex<Inner>);
+
+/// A req's session.
+#[derive(Clone)]
+pub struct Bound {
+    pub pass: Pass,
+    pub tie: Option<Tie>,
+    holder: Holder,
+}
+
+impl Bound {
+    pub fn is_tied(&self, srv: &str) -> bool {
+        self.tie.as_ref().is_some_and(|tie| tie.id == srv)
+    }
+}
+
+/// A key at work in a session, until this is dropped.
+pub struct AtWork(Arc<Branch>, Session, Key);
+
+impl Drop for AtWork {
+    fn drop(&mut self) {
+        let mut inner = held(&self.0.sessions().0);
+        if let Some(keys) = inner.keys.get_mut(&self.1) {
+            keys.retain(|key| *key != self.2);
+            if keys.is_empty() {
+                inner.keys.remove(&self.1);
+            }
+        }
+    }
+}
+
+impl Inner {
+    fn ends(&mut self, session: Session) {
+        if let Some(was) = self.held.remove(&session) {
+            self.order.remove(&(was.used, session));
+        }
+    }
+
+    fn put(&mut self, now: Nanos, session: Session, agreed: &Agreed, holder: Holder) {
+        self.ends(session);
+        while self.held.len() >= MOST
+            && let Some(&(_, oldest)) = self.order.first()
+        {
+            self.ends(oldest);
+        }
+        let tie = agreed.holding.tie.clone();
+        self.held.insert(session, Held { holder, tie, told: now, used: now });
+        self.order.insert((now, session));
+    }
+
+    /// The hold that stands, and whether the core is to be told that it is used.
+    fn uses(&mut self, now: Nanos, session: Session) -> Option<(Bound, bool)> {
+        let has = self.held.get_mut(&session)?;
+        if now > has.used.saturating_add(UNUSED) {
+            self.ends(session);
+            return None;
+        }
+        self.order.remove(&(has.used, session));
+        has.used = now;
+        self.order.insert((now, session));
+        let renew = now > has.told.saturating_add(RENEW);
+        if renew {
+            has.told = now;
+        }
+        let pass = Pass { session, since: has.holder.since };
+        Some((Bound { pass, tie: has.tie.clone(), holder: has.holder }, renew))
+    }
+}
+
+impl Sessions {
+    pub fn counts(&self) -> Counts {
+        let inner = held(&self.0);
+        let mut times = inner.times.clone();
+        times.sort_unstable();
+        let at = |part: usize| times.get((times.len() * part / 100).min(times.len().saturating_sub(1)));
+        let (half, most) = (at(50).copied().unwrap_or(0), at(99).copied().unwrap_or(0));
+        Counts { held: inner.held.len(), move_half: half, move_most: most, ..inner.counts }
+    }
+
+    /// For operators, with how many reqs the door of this machine has turned away.
+    pub fn page(&self, fenced_here: u64) -> String {
+        let counts = self.counts();
+        let ms = |nanos: Nanos| nanos as f64 / 1e6;
+        jzon::stringify(jzon::object! {
+            "sessions": counts.held,
+            "begun": counts.begun,
+            "moves": counts.moves,
+            "moves_unheard": counts.unheard,
+            "move_ms": { "half": ms(counts.move_half), "all_but_1_of_100": ms(counts.move_most) },
+            "left": counts.left,
+            "without": counts.without,
+            "ties": { "kept": counts.kept, "crowded": counts.crowded, "gone": counts.gone },
+            "fenced": { "here": fenced_here, "elsewhere": counts.fenced },
+        })
+    }
+
+    /// Another gate has taken a session since that epoch: it is let go here. Told with the keys that are at work.
+    pub fn let_go(&self, pass: Pass) -> Vec<Key> {
+        let mut inner = held(&self.0);
+        if inner.held.get(&pass.session).is_some_and(|has| has.holder.since < pass.since) {
+            inner.ends(pass.session);
+            inner.counts.left += 1;
+        }
+        inner.keys.get(&pass.session).cloned().unwrap_or_default()
+    }
+
+    /// What a hand-over asks at a door, where the field is one.
+    pub fn handed_over(&self, knock: &str) -> Option<String> {
+        let pass = Pass::read(knock.strip_prefix(MOVED)?)?;
+        Some(self.let_go(pass).iter().map(|key| format!("{key:032x}\n")).collect())
+    }
+
+    /// A door turned a req away, for it knows of a later holder.
+    pub fn fenced(&self, pass: Pass, known: u64) {
+        let mut inner = held(&self.0);
+        inner.counts.fenced += 1;
+        if inner.held.get(&pass.session).is_some_and(|has| has.holder.since < known) {
+            inner.ends(pass.session);
+        }
+        if inner.above.len() >= MOST {
+            inner.above.clear();
+        }
+        inner.above.insert(pass.session, known);
+    }
+
+    fn learn(&self, now: Nanos, session: Session, got: &Agreed, me: SocketAddr) -> Option<Bound> {
+        let mut inner = held(&self.0);
+        let Some(holder) = got.holding.holder.filter(|holder| holder.gate == me) else {
+            inner.ends(session);
+            return None;
+        };
+        let newer = |has: &Held| has.holder.since > holder.since;
+        if !inner.held.get(&session).is_some_and(newer) {
+            inner.put(now, session, got, holder);
+        }
+        inner.above.remove(&session);
+        let pass = Pass { session, since: holder.since };
+        Some(Bound { pass, tie: got.holding.tie.clone(), holder })
+    }
+}
+
+/// Asks the core, one steward after the other.
+async fn ask(branch: &Branch, session: Session, wish: Wish) -> Option<Option<Agreed>> {
+    let until = Instant::now() + WITHIN;
+    for steward in branch.stewards.by_key(session) {
+        if Instant::now() >= until {
+            break;
+        }
+        let ask = Ask::Core(Want::Session(session, wish.clone()));
+        match branch.callers.to(steward).call(ask, ONE).await {
+            Ok(Reply::Core(Got::Session(agreed))) => {
+                branch.stewards.replied(steward);
+                return Some(agreed);
+            }
+            Ok(Reply::Core(_)) => {}
+            _ => branch.stewards.failed(steward),
+        }
+    }
+    None
+}
+
+/// The session of a req that came here, taken from whoever had it. None where the core is not there in time: the req
+/// goes on without, for what must run once does so by its key.
+pub async fn take(branch: &Arc<Branch>, session: Session) -> Option<Bound> {
+    let (now, me, all) = (branch.clock.now(), branch.door_at(), branch.sessions());
+    let used = held(&all.0).uses(now, session);
+    if let Some((bound, renew)) = used {
+        if renew {
+            tokio::spawn(renewal(branch.clone(), session, bound.holder));
+        }
+        return Some(bound);
+    }
+    let above = held(&all.0).above.get(&session).copied().unwrap_or(0);
+    let agreed = match branch.core_away() {
+        true => None,
+        false => ask(branch, session, Wish::Take { gate: me, above }).await.flatten(),
+    };
+    let Some(agreed) = agreed else {
+        held(&all.0).counts.without += 1;
+        return None;
+    };
+    let before = agreed.holding.before.filter(|before| before.gate != me);
+    let fresh = agreed.holding.holder.is_some_and(|holder| holder.since == agreed.epoch);
+    let bound = all.learn(now, session, &agreed, me)?;
+    match before.filter(|_| fresh) {
+        Some(before) => {
+            let heard = hand_over(branch, before.gate, bound.pass).await.is_some();
+            let took = branch.clock.now().saturating_sub(now);
+            let mut inner = held(&all.0);
+            inner.counts.moves += 1;
+            inner.counts.unheard += u64::from(!heard);
+            let at = inner.counts.moves as usize % TIMES;
+            match inner.times.get_mut(at) {
+                Some(time) => *time = took,
+                None => inner.times.push(took),
+            }
+        }
+        None => held(&all.0).counts.begun += u64::from(fresh),
+    }
+    Some(bound)
+}
+
+async fn renewal(branch: Arc<Branch>, session: Session, holder: Holder) {
+    if let Some(Some(agreed)) = ask(&branch, session, Wish::Renew(holder)).await
+        && let Some(other) = agreed.holding.holder
+        && other.since > holder.since
+    {
+        branch.sessions().let_go(Pass { session, since: other.since });
+    }
+}
+
+/// Asks the gate that had a session to let it go. Told with the keys at work there.
+async fn hand_over(branch: &Arc<Branch>, gate: SocketAddr, pass: Pass) -> Option<Vec<Key>> {
+    let mut head = hyper::Request::new(());
+    *head.method_mut() = hyper::Method::POST;
+    head.headers_mut().insert(HOST, HeaderValue::from_static("ochreshed"));
+    let message = Arc::new(Message { head, first: bytes::Bytes::new(), length: Some(0), long: None });
+    let mut fields = HeaderMap::new();
+    fields.insert(KNOCK, HeaderValue::try_from(format!("{MOVED}{}", pass.word())).ok()?);
+    let until = branch.clock.now() + HAND_OVER;
+    let ours = |head: &hyper::http::response::Parts| head.headers.contains_key(&WAY);
+    let answer = branch.line_to(gate).exchange(&message, &fields, until, None, ours).await;
+    let (head, flow) = answer.ok()?;
+    if field(&head.headers, &WAY).split(' ').next() != Some("ran") {
+        return None; // An older program, which holds no sessions.
+    }
+    let body = http_body_util::BodyExt::collect(flow).await.ok()?.to_bytes();
+    let keys = std::str::from_utf8(&body).ok()?.lines();
+    Some(keys.take(MOST_KEYS).filter_map(|key| Key::from_str_radix(key, 16).ok()).collect())
+}
+
+/// A key is at work in a session here.
+pub fn at_work(branch: &Arc<Branch>, session: Session, key: Key) -> AtWork {
+    let mut inner = held(&branch.sessions().0);
+    let keys = inner.keys.entry(session).or_default();
+    if keys.len() < MOST_KEYS {
+        keys.push(key);
+    }
+    AtWork(branch.clone(), session, key)
+}
+
+/// A req of a session ran well at this place: the tie is kept, or told anew where there was none or its upstream is gone.
+pub fn served(branch: &Arc<Branch>, desk: &Arc<Desk>, bound: &Bound, place: &Place) {
+    let was: Option<Name> = bound.tie.as_ref().map(|tie| tie.id.as_str().into());
+    {
+        let mut inner = held(&branch.sessions().0);
+        match &was {
+            Some(was) if *was == place.id => {
+                inner.counts.kept += 1;
+                return;
+            }
+            // The instance lives on there: it is but crowded, or failed this once.
+            Some(was) if desk.takes(was) => {
+                inner.counts.crowded += 1;
+                return;
+            }
+            Some(_) => inner.counts.gone += 1,
+            None => {}
+        }
+    }
+    let (branch, bound) = (branch.clone(), bound.clone());
+    let tie = Tie { id: place.id.to_string(), door: place.door };
+    tokio::spawn(async move {
+        let wish = Wish::Tie { holder: bound.holder, was: was.map(|was| was.to_string()), tie };
+        if let Some(Some(agreed)) = ask(&branch, bound.pass.session, wish).await {
+            branch.sessions().learn(branch.clock.now(), bound.pass.session, &agreed, branch.door_at());
+        }
+    });
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_session_is_named_by_all_three_and_each_by_itself() {
+        let names = [
+            name("cobro", "X-Person", "17"),
+            name("cobro", "X-Person", "18"),
+            name("cobro", "X-Other", "17"),
+            name("booking", "X-Person", "17"),
+            name("cobr", "oX-Person", "17"),
+        ];
+        assert_eq!(names.iter().collect::<BTreeSet<_>>().len(), names.len());
+        assert_eq!(names[0], name("cobro", "x-person", "17"));
+    }
+}
--- a/balancer/tests/mesh/town.rs
+++ b/balancer/tests/mesh/town.rs
@@ -551,6 +551,13 @@
         answer.and_then(|answer| serde_json::from_str(answer.text()).ok()).unwrap_or_default()
     }
 
+    /// What the operators' client asks of an attendant.
+    #[allow(dead_code)]
+    pub fn ask_attendant(&self, nth: usize, call: &str) -> serde_json::Value {
+        let answer = rpc(self.at(&self.attendants[nth], CONTROL), call, "").ok();
+        answer.and_then(|answer| serde_json::from_str(answer.text()).ok()).unwrap_or_default()
+    }
+
     /// Sends a configuration as the operator does, to one steward after the other, until it is acknowledged.
     pub fn replace(&self, first: usize, body: &str) {
         let turn = AtomicUsize::new(first);
--- /dev/null
+++ b/balancer/tests/sessions.rs
@@ -0,0 +1,149 @@
+//! People that walk among gates in the middle of payments, on loopback: three stewards, four attendants with stand-in
+//! upstreams that keep a ledger, and processes that are killed meanwhile. A payment that was begun at one gate and
+//! finished at another lands once, and goes to the upstream that its person is tied to.
+#![allow(dead_code)]
+
+mod helper;
+#[path = "mesh/town.rs"]
+mod town;
+
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::thread;
+
+use helper::until;
+use town::*;
+
+const PEOPLE: usize = 24;
+const PAYMENTS: usize = 16;
+
+fn with_sessions(version: u64) -> String {
+    let named = r#""tries":2,"session":"X-Person""#;
+    let pay = route("/pay/", "registered", "alpha").replacen(r#""tries":2"#, named, 1);
+    let look = route("/look/", "resendable", "alpha").replacen(r#""tries":2"#, named, 1);
+    timetable(version, &format!("{pay},{look}"))
+}
+
+fn fields(person: usize, key: &str) -> String {
+    format!("X-Person: person-{person}\r\n{KEY}: {key}\r\n")
+}
+
+/// Sends the first try and goes without its answer.
+fn begins(gate: SocketAddr, person: usize, key: &str) {
+    if let Ok(mut stream) = TcpStream::connect(gate) {
+        let _ = stream.write_all(&req("POST /pay/work", &new_id(), &fields(person, key), b"10.00"));
+    }
+}
+
+fn finishes(gate: SocketAddr, person: usize, key: &str) -> Message {
+    insisted(gate, "POST /pay/work", &fields(person, key), b"10.00").1
+}
+
+fn key(person: usize, payment: usize) -> String {
+    format!("pay-{person}-{payment}")
+}
+
+/// One person pays again and again, each time begun at one gate and finished at another.
+fn walks(gates: &[SocketAddr], person: usize, payments: std::ops::Range<usize>) -> usize {
+    let mut unknown = 0;
+    for payment in payments {
+        let (from, to) =
+            (gates[(person + payment) % gates.len()], gates[(person + payment + 1) % gates.len()]);
+        let key = key(person, payment);
+        let answer = match payment % 3 {
+            0 => {
+                begins(from, person, &key);
+                finishes(to, person, &key)
+            }
+            1 => thread::scope(|scope| {
+                let first = scope.spawn(|| finishes(from, person, &key));
+                let second = finishes(to, person, &key);
+                let first = first.join().expect("an answer");
+                assert_eq!(first.field(STAMP), second.field(STAMP), "{first:?} {second:?}");
+                second
+            }),
+            _ => {
+                finishes(from, person, &key);
+                finishes(to, person, &key)
+            }
+        };
+        unknown += usize::from(answer.status() != "200");
+    }
+    unknown
+}
+
+/// Of runs that follow another of the same person, while the upstream of that one lives: how many went there too.
+fn ties(town: &Town, lives: impl Fn(&str) -> bool) -> (usize, usize) {
+    let mut last: BTreeMap<String, String> = BTreeMap::new();
+    let (mut kept, mut all) = (0, 0);
+    for run in town.ledger.runs(|run| !run.req.field("x-person").is_empty()) {
+        let before = last.insert(run.req.field("x-person").to_owned(), run.by.clone());
+        if let Some(before) = before.filter(|before| lives(before)) {
+            all += 1;
+            kept += usize::from(before == run.by);
+        }
+    }
+    (kept, all)
+}
+
+fn sum(town: &Town, of: &[usize], pick: impl Fn(&serde_json::Value) -> u64) -> u64 {
+    of.iter().map(|nth| pick(&town.ask_attendant(*nth, "sessions.count"))).sum()
+}
+
+#[test]
+fn payments_begun_at_one_gate_and_finished_at_another_land_once_while_stewards_are_killed() {
+    let mut town = Town::start();
+    // Nothing is kept of a person while no route names a session.
+    keyed_insisted(town.gate(0), "/move/x", "before");
+    assert_eq!(sum(&town, &[0, 1, 2, 3], |page| page["begun"].as_u64().unwrap_or(9)), 0);
+    town.replace(0, &with_sessions(2));
+    town.until_in_force("/look/x");
+    let gates = town.gates();
+    let over = AtomicBool::new(false);
+    let unknown: usize = thread::scope(|scope| {
+        let people: Vec<_> = (0..PEOPLE)
+            .map(|person| {
+                scope.spawn({
+                    let gates = &gates;
+                    move || walks(gates, person, 0..PAYMENTS)
+                })
+            })
+            .collect();
+        let town = &mut town;
+        let over = &over;
+        let killer = scope.spawn(move || {
+            // One after the other, each there again before the next one goes.
+            for nth in (0..STEWARDS).cycle() {
+                if over.load(Relaxed) {
+                    return;
+                }
+                town.stewards[nth].kill();
+                thread::sleep(std::time::Duration::from_millis(300));
+                let before = town.stewards[nth].logged("full service");
+                town.start_steward(nth, false);
+                until("back", || town.stewards[nth].logged("full service") > before);
+                thread::sleep(std::time::Duration::from_millis(300));
+            }
+        });
+        let unknown = people.into_iter().map(|person| person.join().expect("a person")).sum();
+        over.store(true, Relaxed);
+        killer.join().expect("stewards");
+        unknown
+    });
+    for (person, payment) in
+        (0..PEOPLE).flat_map(|person| (0..PAYMENTS).map(move |payment| (person, payment)))
+    {
+        let runs = town.ledger.of_key(&key(person, payment));
+        assert_eq!(runs.len(), 1, "payment {payment} of {person}");
+    }
+    assert_eq!(unknown, 0);
+    let (kept, all) = ties(&town, |_| true);
+    let all_gates = [0, 1, 2, 3];
+    let moves = sum(&town, &all_gates, |page| page["moves"].as_u64().unwrap_or(0));
+    println!("{all} runs after another, {kept} at the same upstream, {moves} moves");
+    all_gates.iter().for_each(|nth| println!("{}", town.ask_attendant(*nth, "sessions.count")));
+    assert!(kept as f64 >= 0.99 * all as f64, "{kept} of {all}");
+    assert!(moves > 50, "{moves}");
+}
--- a/emulator/src/world.rs
+++ b/emulator/src/world.rs
@@ -471,6 +471,7 @@
             ends,
             coming: false,
             work: None,
+            tie: None,
             dispatches: Vec::new(),
         };
         self.instances[instance].chooser.take(now, req);
--- a/mesh/src/timetable.rs
+++ b/mesh/src/timetable.rs
@@ -20,6 +20,22 @@
 const MOST_IN_SPLIT: usize = 1_000;
 const MOST_REFUSALS: usize = 100;
 const NAME_BYTES: usize = 256;
+const SESSION_BYTES: usize = 64;
+const NOT_SESSION: [&str; 13] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+    "content-length",
+    "content-type",
+    "expect",
+    "date",
+    "x-call-id",
+];
 const PREFIX_BYTES: usize = 1_024;
 /// About 31 years; sums of such times stay far from overflow.
 const MOST_MS: u64 = 1_000_000_000_000;
@@ -78,6 +94,8 @@
     pub tries: u32,
     /// Each service once, with its share; their sum is above 0.
     pub lines: Vec<(Name, f64)>,
+    /// The header that names a person's session, in lower case.
+    pub session: Option<Name>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -259,6 +277,10 @@
     Control,
     Version(String),
     NoSlash,
+    /// No name of a header, or too long for one.
+    NoField,
+    /// One that is ours, or belongs to a connection.
+    OurField,
     /// A health path that can't stand in a request.
     Path,
     Kind(String),
@@ -297,6 +319,8 @@
             Why::Control => f.write_str("holds a control character"),
             Why::Version(text) => write!(f, "is {text}, not r and a number"),
             Why::NoSlash => f.write_str("does not begin with a slash"),
+            Why::NoField => write!(f, "is no header's name of up to {SESSION_BYTES} characters"),
+            Why::OurField => f.write_str("is a header that no client sets for itself"),
             Why::Path => f.write_str("is no path that can be asked for"),
             Why::Kind(text) => {
                 write!(f, "is {text}, none of resendable, once_only, registered, outbound_post")
@@ -568,6 +592,10 @@
         };
         let tries = self.whole(entry, "manifest.tries", get("tries"), 1, u32::MAX.into());
         let lines = self.lines(entry, get("line"), get("split"));
+        let session = match get("session") {
+            None => Some(None),
+            some => self.session(entry, some).map(Some),
+        };
         Some(Route {
             name: self.name(entry.name),
             host: host?,
@@ -578,6 +606,7 @@
             rank: u32::try_from(rank?).ok()?,
             tries: u32::try_from(tries?).ok()?,
             lines: lines?,
+            session: session?,
         })
     }
 
@@ -605,6 +634,20 @@
         Some(self.name(text))
     }
 
+    /// A field that clients set and that goes on to the upstream as it came.
+    fn session(&mut self, entry: &Entry, value: Option<&JsonValue>) -> Option<Name> {
+        const FIELD: &str = "manifest.session";
+        let text = self.word(entry, FIELD, value)?.to_ascii_lowercase();
+        let sign = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
+        if text.is_empty() || text.len() > SESSION_BYTES || !text.bytes().all(sign) {
+            return self.wrong(entry, FIELD, Why::NoField);
+        }
+        if text.starts_with("ochreshed-") || NOT_SESSION.contains(&&*text) {
+            return self.wrong(entry, FIELD, Why::OurField);
+        }
+        Some(self.name(&text))
+    }
+
     fn kind(&mut self, entry: &Entry, value: Option<&JsonValue>) -> Option<Kind> {
         const FIELD: &str = "manifest.route_kind";
         let text = self.text(entry, FIELD, value)?;
@@ -853,11 +896,18 @@
     };
     match (old, new) {
         (Some(old), Some(new)) => {
-            for ((field, old), (_, new)) in old.into_iter().zip(new) {
+            // A field that is not given stands for none.
+            let (old, mut new) = (old, new.into_iter().collect::<Vec<Fact>>());
+            let mut differs = |field: &str, old: &str, new: &str| {
                 if old != new {
                     lines.push(format!("{what}: {field} from {old} to {new}"));
                 }
+            };
+            for (field, old) in old {
+                let at = new.iter().position(|(other, _)| *other == field);
+                differs(field, &old, &at.map_or_else(|| "none".into(), |at| new.remove(at).1));
             }
+            new.iter().for_each(|(field, new)| differs(field, "none", new));
         }
         (Some(old), None) => lines.push(format!("{what} removed: {}", all(old))),
         (None, Some(new)) => lines.push(format!("{what} added: {}", all(new))),
@@ -867,7 +917,7 @@
 
 fn route_facts(route: &Route) -> Vec<Fact> {
     let lines: Vec<String> = route.lines.iter().map(|(name, share)| format!("{name} {share}")).collect();
-    vec![
+    let mut facts = vec![
         ("depot", route.host.to_string()),
         ("lane_prefix", route.prefix.to_string()),
         ("route_kind", route.kind.to_string()),
@@ -876,7 +926,9 @@
         ("post_class", route.rank.to_string()),
         ("tries", route.tries.to_string()),
         ("lines", format!("[{}]", lines.join(", "))),
-    ]
+    ];
+    facts.extend(route.session.iter().map(|session| ("session", session.to_string())));
+    facts
 }
 
 fn service_facts(service: &Service) -> Vec<Fact> {
--- a/mesh/tests/timetable.rs
+++ b/mesh/tests/timetable.rs
@@ -487,3 +487,24 @@
     }
     assert!(timetable.route("big.example", &"/".repeat(100_000)).is_none());
 }
+
+#[test]
+fn a_route_may_name_the_header_of_its_sessions() {
+    let with = |name: &str| altered(r#""tries":2"#, &format!(r#""tries":2,"session":{name}"#));
+    let named = read(&with(r#""X-Person""#));
+    let session = |timetable: &Timetable, path| {
+        timetable.route("jepu9.example", path).and_then(|route| route.session.clone())
+    };
+    assert_eq!(session(&named, "/lepu270/x").as_deref(), Some("x-person"));
+    assert_eq!(session(&named, "/lepu270/deep/x"), None);
+    let long = format!("\"{}\"", "x".repeat(65));
+    let wrong = ["7", r#""""#, r#""a b""#, r#""Ochreshed-Caller""#, r#""Connection""#, r#""host""#, &long];
+    for name in wrong {
+        let verdict = verdict(with(name).as_bytes());
+        assert!(verdict.contains("manifest.session: "), "{name}: {verdict}");
+    }
+    let (plain, other) = (read(VALID), read(&with(r#""x-other""#)));
+    assert_eq!(differences(&plain, &named), ["route r-ctn: session from none to x-person"]);
+    assert_eq!(differences(&named, &other), ["route r-ctn: session from x-person to x-other"]);
+    assert_eq!(differences(&other, &plain), ["route r-ctn: session from x-other to none"]);
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -244,9 +244,8 @@
         req.work.map_or(0.0, |work| seconds(work) - self.seen.works.mean(now))
     }
 
-    /// How much longer than others this req may take before it is late: by its own response target, and by
-    /// what it is told to cost. Guards against reqs that may take their time and count as their srvs'
-    /// failures.
+    /// How much longer than others this req may take before it is late: by its own response target and what
+    /// it is told to cost. Guards against reqs that may take their time and count as their srvs' failures.
     fn grace(&self, now: Nanos, req: &Req) -> Nanos {
         let set = self.told.rule_set(&req.rule_set);
         let more = set.map_or(1.0, |set| set.target as f64 / self.told.target as f64) - 1.0;
@@ -308,8 +307,7 @@
         if self.told.utility_by_work {
             return set.utility;
         }
-        // A rule set with few done yet goes by the time of all: its rank must be in the same measure as the
-        // others'.
+        // A rule set with few done yet goes by the time of all: all ranks must be in the same measure.
         let took = if set.took.count(now) < 3.0 { &self.seen.took } else { &set.took };
         set.utility / took.mean(now).max(1e-3)
     }
--- a/src/decide/pick.rs
+++ b/src/decide/pick.rs
@@ -1,7 +1,6 @@
 //! The pick: which srv a req goes to, by turns that skip those not fit. It owns the turns, the stretch of
-//! the list they go among, and what a srv is held against at the moment of a pick. It must never walk the
-//! list for a req: among a few srvs each is looked at; among more, one is looked at when its turn comes, and
-//! loses the turn if it is not fit then.
+//! the list they go among, and what a srv is held against at a pick. It must never walk the list for a req:
+//! among a few srvs each is looked at; among more, one when its turn comes, which it loses if not fit then.
 
 use super::*;
 use crate::fleet::{Means, Srv};
@@ -15,8 +14,7 @@
 const HEAR: f64 = 0.25;
 const TURNS_LEAST: f64 = 2.0;
 const TURNED_BY: f64 = 6.0;
-/// The part of its connections that an instance keeps for its turns: the others carry what is sent again, and
-/// reqs that come to one srv at once.
+/// The part of its connections that an instance keeps for its turns: the others carry repeats and bursts.
 const KEPT_WARM: f64 = 0.5;
 /// Deviations that a level leaves room for, at most this part of it: hundreds of instances with a level of
 /// one or two would go over by half. None of it is left when answers take this many unloaded times.
@@ -62,6 +60,11 @@
         let again = Some(req).filter(|req| !req.dispatches.is_empty());
         let set = self.told.health_at(&req.rule_set);
         let view = self.view(now, again.is_some(), set)?;
+        let tied = req.tie.as_ref().and_then(|tie| self.fleet.find(tie));
+        let tied = tied.filter(|who| !self.fleet.get(*who).aside);
+        if tied.is_some_and(|who| self.look(&view, who, set, again) <= Fit::Doubtful) {
+            return tied;
+        }
         if let Some(few) = self.few(now, again) {
             return self.turn_among(&view, set, again, &few);
         }
@@ -244,8 +247,7 @@
 
     /// The part of the level that a rule set may have: more where its utility is over the mean of what is
     /// asked for, less where it is under that and answers are slow. Guards against a queue too short to tell
-    /// ranks apart: of a quiet instance's two or three in flight the next is as likely the one of least
-    /// utility.
+    /// ranks apart: of a quiet instance's two or three the next is as likely the one of least utility.
     pub(super) fn worth(&self, now: Nanos, set: usize, calm: f64) -> f64 {
         match set.checked_sub(1).and_then(|at| self.told.rule_sets.get(at)) {
             Some(set) if self.told.tier == 0 && self.told.utility_by_work => (set.utility
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -68,14 +68,16 @@
     pub coming: bool,
     /// The work it is expected to be, where that is told.
     pub work: Option<Nanos>,
+    /// The srv that it would rather go to, where that one is fit.
+    pub tie: Option<Name>,
     pub dispatches: Vec<Dispatch>,
 }
 
 impl Req {
     /// One that is whole, no repeat, and of which no cost is told.
     pub fn new(id: u64, rule_set: Name, customer: Name, taken: Nanos, ends: Nanos) -> Req {
-        let (again, coming, work, dispatches) = (false, false, None, Vec::new());
-        Req { id, rule_set, customer, again, taken, ends, coming, work, dispatches }
+        let (again, coming, work, tie, dispatches) = (false, false, None, None, Vec::new());
+        Req { id, rule_set, customer, again, taken, ends, coming, work, tie, dispatches }
     }
 
     /// Whether its last dispatch was turned away before it came to a srv.
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -103,6 +103,7 @@
                 ends: self.now + 3_000 * MS,
                 coming: false,
                 work: self.work,
+                tie: None,
                 dispatches: Vec::new(),
             },
         );
--- a/tests/standing.rs
+++ b/tests/standing.rs
@@ -1,6 +1,6 @@
 //! What a balancer says of its list: how many srvs are listed, and how many of those it avoids.
 
-use ochreshed::{Balancer, Facts, How, Listed, Outcome, Place, Req, State, Value};
+use ochreshed::{Balancer, Facts, How, Listed, Name, Outcome, Place, Req, State, Value};
 
 fn entry(number: u64, state: State) -> Listed {
     let srv = format!("s{number}").into();
@@ -41,6 +41,7 @@
                 ends: 3_000_000_000,
                 coming,
                 work: None,
+                tie: None,
                 dispatches: Vec::new(),
             };
             placed += usize::from(matches!(balancer.place(10 + id, &mut req), Place::Send { .. }));
@@ -97,3 +98,28 @@
     }
     assert_eq!(denied, [0, 0]);
 }
+
+#[test]
+fn a_tied_req_goes_to_its_srv_while_that_is_up_and_elsewhere_when_it_is_not() {
+    const MS: u64 = 1_000_000;
+    let mut balancer = Balancer::new(1, 1, Facts::new());
+    let whole: Vec<Listed> = (0..6).map(|number| entry(number, State::Up)).collect();
+    balancer.after(2, Outcome::List { whole: true, old: false, entries: &whole });
+    let tie = whole[3].srv.clone();
+    let go = |balancer: &mut Balancer, now: u64, tie: &Name| {
+        let mut req = Req::new(now, "a".into(), "".into(), now, now + 3_000 * MS);
+        req.tie = Some(tie.clone());
+        let Place::Send { srv, .. } = balancer.place(now, &mut req) else { panic!("{now}") };
+        let (how, took) = (How::Done, 20 * MS);
+        let end = Outcome::Dispatch { req: &mut req, number: 0, how, took, closed: true, report: &[] };
+        balancer.after(now + took, end);
+        srv
+    };
+    let at = |nth: u64| (nth + 1) * 30 * MS;
+    assert!((0..40).all(|nth| go(&mut balancer, at(nth), &tie) == tie));
+    // One that nobody knows ties to nothing.
+    let free: Vec<Name> = (40..60).map(|nth| go(&mut balancer, at(nth), &"gone".into())).collect();
+    assert!(free.iter().any(|srv| *srv != free[0]));
+    balancer.after(at(60), Outcome::List { whole: false, old: false, entries: &[entry(3, State::Draining)] });
+    assert!((61..80).all(|nth| go(&mut balancer, at(nth), &tie) != tie));
+}
