--- a/balancer/src/mesh/gate.rs
+++ b/balancer/src/mesh/gate.rs
@@ -38,6 +38,8 @@
 const COME_BACK: Nanos = 100 * MS;
 /// A large answer is not begun with less time than this before the process gives up what is inside.
 const LARGE_NEEDS: Nanos = 2_400 * MS;
+/// Nobody is told to come back sooner: a burst that is refused at once would be here again at once.
+const BACK_AT_LEAST: Nanos = 10 * MS;
 
 /// What a req came to here.
 enum Outcomes {
@@ -109,7 +111,7 @@
 
 fn deny(come_back: Nanos) -> Response<Flow> {
     let mut answer = say(503, "not run: come back");
-    let back = if come_back == 0 { COME_BACK } else { come_back };
+    let back = if come_back == 0 { COME_BACK } else { BACK_AT_LEAST + come_back };
     if let Ok(value) = HeaderValue::try_from(format!("{:.3}", seconds(back))) {
         answer.headers_mut().insert(RETRY_AFTER, value);
     }
@@ -282,12 +284,11 @@
                             }
                             return Outcomes::Answer(head, flow);
                         }
-                        End::Ran(mut head, flow) => {
-                            if !self.route.kind.repeatable() && promises(head.status) {
-                                // It ran, and this answer would promise that it did not.
-                                head.status = StatusCode::BAD_GATEWAY;
-                            }
-                            (last, ran) = (Some((head, flow)), true);
+                        End::Ran(head, flow) => {
+                            ran = true;
+                            // It may have run, and such an answer would promise that it did not.
+                            let untrue = !self.route.kind.repeatable() && promises(head.status);
+                            last = (!untrue).then_some((head, flow));
                             How::Error
                         }
                         End::Full | End::Gone => How::Full,
