Sessions: tied before the first req runs, and others of the same person wait for that

A person's second req found no tie while the first one ran. Now the tie is agreed before anything is handed on; whoever lost the session meanwhile, or was beaten to the tie, says that it has not run.

--- a/balancer/src/mesh/gate.rs
+++ b/balancer/src/mesh/gate.rs
@@ -232,7 +232,7 @@
         let Some(line) = self.branch.split(&self.route) else { return Outcomes::Deny(COME_BACK) };
         let large = self.route.kind == Kind::OutboundPost;
         let Some(desk) = self.branch.desk(&line, large) else { return Outcomes::Deny(COME_BACK) };
-        let bound = self.session(&line).await;
+        let mut bound = self.session(&line, !large).await;
         let pass = bound.as_ref().map(|bound| bound.pass);
         let _at_work =
             pass.zip(self.key).map(|(pass, key)| sessions::at_work(&self.branch, pass.session, key));
@@ -262,6 +262,14 @@
                         turn.ended(number, How::NotSent, 0, false, None);
                         continue;
                     };
+                    if let Some(bound) = bound.as_mut().filter(|_| !large)
+                        && !sessions::begins(&self.branch, bound, &place).await
+                    {
+                        // It comes again, and finds where its person is.
+                        turn.ended(number, How::NotSent, 0, false, None);
+                        turn.end();
+                        break;
+                    }
                     turn.goes();
                     // The instance of its person lives there: it rather waits for a slot than goes elsewhere.
                     let tied = bound.as_ref().is_some_and(|bound| bound.is_tied(&place.id));
@@ -337,9 +345,9 @@
     }
 
     /// The session of the person that it is of, where its route names one.
-    async fn session(&self, line: &Name) -> Option<Bound> {
+    async fn session(&self, line: &Name, ties: bool) -> Option<Bound> {
         let (header, person) = (self.route.session.as_ref()?, self.person.as_ref()?);
-        sessions::take(&self.branch, sessions::name(line, header, person)).await
+        sessions::take(&self.branch, sessions::name(line, header, person), ties).await
     }
 
     /// One dispatch, and how many reqs its door has inside; nothing if the module recalled it.
--- a/balancer/src/mesh/sessions.rs
+++ b/balancer/src/mesh/sessions.rs
@@ -11,7 +11,8 @@
 use ochreshed::{Name, Nanos};
 use ochreshed_mesh::words::{Agreed, Got, Holder, Key, Session, Tie, Want, Wish};
 use sha2::{Digest, Sha256};
-use tokio::time::Instant;
+use tokio::sync::OwnedMutexGuard;
+use tokio::time::{Instant, timeout};
 
 use super::attendant::Branch;
 use super::desk::{Desk, Place};
@@ -34,6 +35,9 @@
 const UNUSED: Nanos = 600_000 * MS;
 /// So many are held; those that were not used for longest are asked for again.
 const MOST: usize = 20_000;
+/// Others wait so long for the first req of a session, and so many sessions have one.
+const FIRST: Duration = Duration::from_millis(300);
+const MOST_FIRSTS: usize = 4_096;
 /// Keys told of one session.
 const MOST_KEYS: usize = 64;
 /// Times of moves that are remembered.
@@ -66,6 +70,8 @@
     order: BTreeSet<(Nanos, Session)>,
     /// Keys that are at work here.
     keys: HashMap<Session, Vec<Key>>,
+    /// First reqs of sessions.
+    firsts: HashMap<Session, Arc<tokio::sync::Mutex<()>>>,
     /// Doors know of a holder since then.
     above: HashMap<Session, u64>,
     counts: Counts,
@@ -98,14 +104,22 @@
 pub struct Sessions(Mutex<Inner>);
 
 /// A req's session.
-#[derive(Clone)]
 pub struct Bound {
     pub pass: Pass,
     pub tie: Option<Tie>,
     holder: Holder,
+    /// It is the first of its session here: others wait until it is known where that lives.
+    first: Option<OwnedMutexGuard<()>>,
+    /// Its session was tied to nothing when it came.
+    untied: bool,
 }
 
 impl Bound {
+    fn new(pass: Pass, tie: Option<Tie>, holder: Holder) -> Bound {
+        let untied = tie.is_none();
+        Bound { pass, tie, holder, first: None, untied }
+    }
+
     pub fn is_tied(&self, srv: &str) -> bool {
         self.tie.as_ref().is_some_and(|tie| tie.id == srv)
     }
@@ -160,7 +174,7 @@
             has.told = now;
         }
         let pass = Pass { session, since: has.holder.since };
-        Some((Bound { pass, tie: has.tie.clone(), holder: has.holder }, renew))
+        Some((Bound::new(pass, has.tie.clone(), has.holder), renew))
     }
 }
 
@@ -232,7 +246,7 @@
         }
         inner.above.remove(&session);
         let pass = Pass { session, since: holder.since };
-        Some(Bound { pass, tie: got.holding.tie.clone(), holder })
+        Some(Bound::new(pass, got.holding.tie.clone(), holder))
     }
 }
 
@@ -258,15 +272,36 @@
 
 /// The session of a req that came here, taken from whoever had it. None where the core is not there in time: the req
 /// goes on without, for what must run once does so by its key.
-pub async fn take(branch: &Arc<Branch>, session: Session) -> Option<Bound> {
-    let (now, me, all) = (branch.clock.now(), branch.door_at(), branch.sessions());
-    let used = held(&all.0).uses(now, session);
-    if let Some((bound, renew)) = used {
+pub async fn take(branch: &Arc<Branch>, session: Session, ties: bool) -> Option<Bound> {
+    let known = || {
+        let (bound, renew) = held(&branch.sessions().0).uses(branch.clock.now(), session)?;
         if renew {
             tokio::spawn(renewal(branch.clone(), session, bound.holder));
         }
-        return Some(bound);
+        Some(bound)
+    };
+    let had = known();
+    if had.as_ref().is_some_and(|bound| bound.tie.is_some() || !ties) {
+        return had;
     }
+    let first = {
+        let mut inner = held(&branch.sessions().0);
+        if inner.firsts.len() >= MOST_FIRSTS {
+            inner.firsts.retain(|_, first| Arc::strong_count(first) > 1);
+        }
+        inner.firsts.entry(session).or_default().clone()
+    };
+    let first = timeout(FIRST, first.lock_owned()).await.ok();
+    let mut bound = match known() {
+        Some(bound) => bound,
+        None => ask_for(branch, session).await?,
+    };
+    bound.first = first.filter(|_| ties && bound.tie.is_none());
+    Some(bound)
+}
+
+async fn ask_for(branch: &Arc<Branch>, session: Session) -> Option<Bound> {
+    let (now, me, all) = (branch.clock.now(), branch.door_at(), branch.sessions());
     let above = held(&all.0).above.get(&session).copied().unwrap_or(0);
     let agreed = match branch.core_away() {
         true => None,
@@ -336,7 +371,24 @@
     AtWork(branch.clone(), session, key)
 }
 
-/// A req of a session ran well at this place: the tie is kept, or told anew where there was none or its upstream is gone.
+/// A req is about to go to this place. Where its session was tied to nothing it is from now on, before anything can have
+/// run there: whoever takes the session next finds that. False where somebody else has it now, or tied it elsewhere.
+pub async fn begins(branch: &Arc<Branch>, bound: &mut Bound, place: &Place) -> bool {
+    if !bound.untied || bound.is_tied(&place.id) {
+        return true;
+    }
+    let tie = Tie { id: place.id.to_string(), door: place.door };
+    let was = bound.tie.as_ref().map(|tie| tie.id.clone());
+    let wish = Wish::Tie { holder: bound.holder, was, tie: tie.clone() };
+    let Some(Some(agreed)) = ask(branch, bound.pass.session, wish).await else { return true };
+    branch.sessions().learn(branch.clock.now(), bound.pass.session, &agreed, branch.door_at());
+    bound.first = None;
+    let ours = agreed.holding.holder == Some(bound.holder) && agreed.holding.tie.as_ref() == Some(&tie);
+    bound.tie = agreed.holding.tie;
+    ours
+}
+
+/// A req of a session ran well at this place: the tie is kept, or told anew where its upstream is gone.
 pub fn served(branch: &Arc<Branch>, desk: &Arc<Desk>, bound: &Bound, place: &Place) {
     let was: Option<Name> = bound.tie.as_ref().map(|tie| tie.id.as_str().into());
     {
@@ -352,15 +404,15 @@
                 return;
             }
             Some(_) => inner.counts.gone += 1,
-            None => {}
+            None => return,
         }
     }
-    let (branch, bound) = (branch.clone(), bound.clone());
+    let (branch, holder, session) = (branch.clone(), bound.holder, bound.pass.session);
     let tie = Tie { id: place.id.to_string(), door: place.door };
     tokio::spawn(async move {
-        let wish = Wish::Tie { holder: bound.holder, was: was.map(|was| was.to_string()), tie };
-        if let Some(Some(agreed)) = ask(&branch, bound.pass.session, wish).await {
-            branch.sessions().learn(branch.clock.now(), bound.pass.session, &agreed, branch.door_at());
+        let wish = Wish::Tie { holder, was: was.map(|was| was.to_string()), tie };
+        if let Some(Some(agreed)) = ask(&branch, session, wish).await {
+            branch.sessions().learn(branch.clock.now(), session, &agreed, branch.door_at());
         }
     });
 }
