--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -2,7 +2,7 @@
 //! immutable snapshots that are swapped whole, its four doors, and the order of its start and end. It must never take
 //! work before it has a configuration, nor end while it owes an answer and still may give it.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::pin::pin;
@@ -16,7 +16,9 @@
 use hyper::header::HeaderValue;
 use ochreshed::{Name, Nanos};
 use ochreshed_mesh::budget::{Figures, MOST_SERVICES, Report, Spending};
+use ochreshed_mesh::fared::{Edition, Fared, Fares};
 use ochreshed_mesh::list::Row;
+use ochreshed_mesh::shares::{self, Shares};
 use ochreshed_mesh::timetable::{Route, Timetable};
 use ochreshed_mesh::words::Sheet;
 use rand::{Rng, SeedableRng};
@@ -27,12 +29,13 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::carry::{Flow, Line};
-use super::desk::{Desk, Plan, Told};
+use super::desk::{self, Desk, Plan, Seat, Told};
 use super::door::{Door, Site};
 use super::entry::{self, Ajar, Bounds, Came, say};
 use super::full::Full;
 use super::keys::Stewards;
 use super::parcels::Rank;
+use super::seats::Seats;
 use super::sessions::Sessions;
 use super::settings::{Settings, SettingsError};
 use super::wire::Callers;
@@ -71,16 +74,33 @@
     quiet: HashMap<usize, HashSet<SocketAddr>>,
 }
 
+impl Rows {
+    fn gates(&self) -> usize {
+        self.rows.values().filter(|(row, _)| row.serving).count()
+    }
+}
+
 /// A configuration as this machine goes by it.
 pub struct InForce {
     timetable: Timetable,
-    plans: Vec<Plan>,
+    plans: BTreeMap<Seat, Plan>,
+    shares: Arc<Shares>,
+    /// The edition in force here of each member's routes, and whether it is on trial.
+    editions: BTreeMap<Name, (u64, bool)>,
 }
 
 impl InForce {
-    fn new(timetable: Timetable) -> InForce {
-        let plans = Plan::all(&timetable);
-        InForce { timetable, plans }
+    pub fn new(timetable: Timetable, editions: BTreeMap<Name, (u64, bool)>) -> InForce {
+        let plans = Plan::all(&timetable).into_iter().map(|plan| (plan.seat(), plan)).collect();
+        let shares = Arc::new(shares::of(&timetable));
+        InForce { timetable, plans, shares, editions }
+    }
+
+    /// Whose route it is, and the edition of it that is in force.
+    pub fn edition(&self, route: &Route) -> Option<Edition> {
+        let member = route.share.as_ref()?.member.clone();
+        let (number, trial) = self.editions.get(&member).copied().unwrap_or_default();
+        Some(Edition { member, number, trial })
     }
 }
 
@@ -92,6 +112,9 @@
     }
 }
 
+/// A route by its name and whose it is.
+type OneRoute = (Name, Option<Name>);
+
 pub struct Branch {
     pub settings: ArcSwap<Settings>,
     pub clock: Clock,
@@ -103,10 +126,11 @@
     rows: Mutex<Rows>,
     /// Doors whose attendants no watcher that replies has heard of late.
     quiet: ArcSwap<HashSet<SocketAddr>>,
-    /// By service, and whether for large answers.
-    desks: Mutex<HashMap<(Name, bool), Arc<Desk>>>,
+    seats: Mutex<Seats>,
+    /// How the reqs on members' routes fared here.
+    fares: Mutex<Fares>,
     /// The most time that a client had left, by route, and when that was.
-    lefts: Mutex<HashMap<Name, (u64, Nanos)>>,
+    lefts: Mutex<HashMap<OneRoute, (u64, Nanos)>>,
     lines: Mutex<HashMap<SocketAddr, Arc<Line>>>,
     room: Arc<Semaphore>,
     pub door: Arc<Door>,
@@ -152,7 +176,8 @@
             sheet: Mutex::default(),
             rows: Mutex::default(),
             quiet: ArcSwap::default(),
-            desks: Mutex::default(),
+            seats: Mutex::default(),
+            fares: Mutex::new(Fares::over(settings.bounds.retry_window.as_nanos() as Nanos)),
             lefts: Mutex::default(),
             lines: Mutex::default(),
             room: Arc::new(Semaphore::new(sockets / 4)),
@@ -286,34 +311,64 @@
         route.lines.iter().rev().find(|(_, share)| *share > 0.0).map(|(name, _)| name.clone())
     }
 
-    pub fn desk(&self, line: &Name, large: bool) -> Option<Arc<Desk>> {
-        held(&self.desks).get(&(line.clone(), large)).cloned()
+    /// The desk for the reqs of a route that go to this service.
+    pub fn desk(&self, line: &Name, route: &Route) -> Option<Arc<Desk>> {
+        let seat = desk::seat(line, route);
+        let desk = held(&self.seats).desk(&seat);
+        if desk.is_some() || seat.2.is_none() {
+            return desk;
+        }
+        // The configuration is looked at under the locks: whoever brings in a later one seats all anew after that.
+        let rows = held(&self.rows);
+        let mut seats = held(&self.seats);
+        let timetable = self.timetable.load_full()?;
+        if let Some(desk) = seats.desk(&seat) {
+            return Some(desk);
+        }
+        let desk = self.make(&rows, rows.gates(), None, timetable.plans.get(&seat)?);
+        seats.add(seat, desk.clone());
+        seats.divide(self.clock.now(), &timetable.shares);
+        Some(desk)
+    }
+
+    /// The desk of a plan; the one that was, where it was told the same.
+    fn make(&self, rows: &Rows, gates: usize, was: Option<Arc<Desk>>, plan: &Plan) -> Arc<Desk> {
+        let settings = self.settings.load();
+        let of = || rows.rows.values().filter(|(row, _)| *row.line == *plan.line);
+        let calls = of().any(|(row, _)| row.calls);
+        let told = (plan.line.clone(), Told::new(plan, gates, calls, &settings.bounds));
+        let window = settings.bounds.retry_window.as_nanos() as Nanos;
+        let desk = Desk::of(was, told, self.clock, || self.draw(), window);
+        desk.list(of(), &self.quiet.load(), &settings.zone);
+        desk
+    }
+
+    /// Counts how reqs on a member's routes fared.
+    pub fn fared(&self, of: &Edition, fared: Fared) {
+        held(&self.fares).add(self.clock.now(), of, fared);
     }
 
     /// What is told of this machine: what of each service was sent and sent again of late, where anything was.
     pub fn report(&self) -> Report {
-        let desks = held(&self.desks);
-        let mut sums: HashMap<Name, Figures> = HashMap::new();
-        for ((name, _), desk) in desks.iter() {
-            let sum = sums.entry(name.clone()).or_default();
-            *sum = sum.and(desk.figures());
-        }
+        let sums = held(&self.seats).figures();
         let mut all: Spending =
             sums.into_iter().filter(|(_, figures)| *figures != Figures::default()).collect();
         all.sort_by_key(|(name, figures)| (std::cmp::Reverse((figures.again, figures.first)), name.clone()));
         all.truncate(MOST_SERVICES);
-        Report { spending: all, full_ms: self.full.get().copied() }
+        let members = held(&self.fares).tell(self.clock.now());
+        Report { spending: all, full_ms: self.full.get().copied(), members }
     }
 
     /// How much of its time a client had used up before this try: the most that was left on this route of late, less
     /// what is left now.
-    pub fn used(&self, route: &Name, left: u64) -> u64 {
+    pub fn used(&self, route: &Route, left: u64) -> u64 {
         let now = self.clock.now();
         let mut lefts = held(&self.lefts);
         if lefts.len() > MOST_ROUTES {
             lefts.clear();
         }
-        let (most, at) = lefts.entry(route.clone()).or_insert((left, now));
+        let member = route.share.as_ref().map(|share| share.member.clone());
+        let (most, at) = lefts.entry((route.name.clone(), member)).or_insert((left, now));
         if left >= *most || now > *at + LEFT_FOR {
             (*most, *at) = (left, now);
         }
@@ -345,7 +400,7 @@
         match Timetable::read(&sheet.bytes) {
             Ok(timetable) => {
                 log::info!("timetable r{} in force, {} routes", sheet.version, timetable.routes().count());
-                self.timetable.store(Some(Arc::new(InForce::new(timetable))));
+                self.timetable.store(Some(Arc::new(InForce::new(timetable, BTreeMap::new()))));
                 here.0 = Some(Arc::new(sheet));
                 drop(here);
                 self.seat();
@@ -398,7 +453,6 @@
     fn seat(&self) {
         let Some(timetable) = self.timetable.load_full() else { return };
         let rows = held(&self.rows);
-        let gates = rows.rows.values().filter(|(row, _)| row.serving).count();
         // Quiet are those whom every watcher that replies has not heard.
         let mut quiet: Option<HashSet<SocketAddr>> = None;
         for told in rows.quiet.values() {
@@ -407,24 +461,12 @@
                 Some(quiet) => quiet.intersection(told).copied().collect(),
             });
         }
-        let quiet = quiet.unwrap_or_default();
-        self.quiet.store(Arc::new(quiet.clone()));
-        let settings = self.settings.load();
-        let mut desks = held(&self.desks);
-        let mut kept = HashMap::new();
-        for plan in &timetable.plans {
-            let of = || rows.rows.values().filter(|(row, _)| *row.line == *plan.line);
-            let calls = of().any(|(row, _)| row.calls);
-            let told = Told::new(plan, gates, calls, &settings.bounds);
-            let key = (plan.line.clone(), plan.large);
-            let (was, told) = (desks.remove(&key), (plan.line.clone(), told));
-            let window = settings.bounds.retry_window.as_nanos() as Nanos;
-            let desk = Desk::of(was, told, self.clock, || self.draw(), window);
-            desk.list(of(), &quiet, &settings.zone);
-            kept.insert(key, desk);
-        }
-        *desks = kept;
-        drop(desks);
+        self.quiet.store(Arc::new(quiet.unwrap_or_default()));
+        let (gates, mut seats) = (rows.gates(), held(&self.seats));
+        seats.renew(&timetable.plans, |was, plan| self.make(&rows, gates, was, plan));
+        seats.divide(self.clock.now(), &timetable.shares);
+        drop(seats);
+        self.door.know_shares(&timetable.shares);
         self.moor();
     }
 
@@ -614,6 +656,9 @@
         let now = branch.clock.now();
         branch.door.sweep();
         branch.moor();
+        if let Some(timetable) = branch.timetable.load_full() {
+            held(&branch.seats).tidy(now, &timetable.shares);
+        }
         held(&branch.lines).retain(|_, line| !line.sweep(now) || Arc::strong_count(line) > 1);
         if told || looked.elapsed() >= SETTINGS {
             looked = Instant::now();
--- a/balancer/src/mesh/mod.rs
+++ b/balancer/src/mesh/mod.rs
@@ -21,6 +21,7 @@
 mod pages;
 mod parcels;
 mod report;
+mod seats;
 mod sessions;
 mod settings;
 mod start;
--- /dev/null
+++ b/balancer/src/mesh/seats.rs
@@ -0,0 +1,105 @@
+//! The desks of a gate: one for each service, those for large answers and for each member's routes apart. It owns which
+//! of them there are, and the division of a service's allowance among them. A member's desk is made when its first req
+//! comes. It must never let a member's changes touch a desk of the platform's or of another member.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex};
+
+use ochreshed::{Name, Nanos};
+use ochreshed_mesh::budget::Figures;
+use ochreshed_mesh::shares::{Pool, Shares};
+
+use super::desk::{Desk, Plan, Seat};
+use crate::link::held;
+
+/// Members' desks beyond so many go once they have had nothing for the budget's window.
+const MOST_IDLE: usize = 256;
+
+#[derive(Default)]
+pub struct Seats {
+    desks: HashMap<Seat, Arc<Desk>>,
+    /// Of services to which members' reqs go.
+    pools: HashMap<(Name, bool), Arc<Mutex<Pool>>>,
+}
+
+impl Seats {
+    pub fn desk(&self, seat: &Seat) -> Option<Arc<Desk>> {
+        self.desks.get(seat).cloned()
+    }
+
+    /// The desks by these plans, and no others; `make` has what stood before.
+    pub fn renew(
+        &mut self,
+        plans: &BTreeMap<Seat, Plan>,
+        mut make: impl FnMut(Option<Arc<Desk>>, &Plan) -> Arc<Desk>,
+    ) {
+        let mut was = std::mem::take(&mut self.desks);
+        for (seat, plan) in plans {
+            let was = was.remove(seat);
+            if was.is_some() || seat.2.is_none() {
+                self.desks.insert(seat.clone(), make(was, plan));
+            }
+        }
+    }
+
+    pub fn add(&mut self, seat: Seat, desk: Arc<Desk>) {
+        self.desks.insert(seat, desk);
+    }
+
+    /// Divides each service's allowance anew, where reqs of members go to it or went there of late.
+    pub fn divide(&mut self, now: Nanos, shares: &Arc<Shares>) {
+        let line = |seat: &Seat| (seat.0.clone(), seat.1);
+        let members = self.desks.keys().filter(|seat| seat.2.is_some());
+        for seat in members {
+            self.pools.entry(line(seat)).or_default();
+        }
+        if self.pools.is_empty() {
+            return;
+        }
+        for pool in self.pools.values() {
+            held(pool).divide(now, shares);
+        }
+        for (seat, desk) in &self.desks {
+            if let Some(pool) = self.pools.get(&line(seat)) {
+                desk.draw_on(Some(pool));
+            }
+        }
+    }
+
+    /// Ends what members' reqs have left behind and nobody needs any more.
+    pub fn tidy(&mut self, now: Nanos, shares: &Arc<Shares>) {
+        if self.pools.is_empty() {
+            return;
+        }
+        let mut many = self.desks.keys().filter(|seat| seat.2.is_some()).count();
+        self.desks.retain(|seat, desk| {
+            let idle =
+                seat.2.is_some() && Arc::strong_count(desk) == 1 && desk.figures() == Figures::default();
+            let goes = idle && many > MOST_IDLE;
+            many -= usize::from(goes);
+            !goes
+        });
+        let desks = &self.desks;
+        self.pools.retain(|(name, large), pool| {
+            let mut pool = held(pool);
+            pool.divide(now, shares);
+            let of_line = |seat: &&Seat| seat.0 == *name && seat.1 == *large;
+            let stays = !pool.idle() || desks.keys().filter(of_line).any(|seat| seat.2.is_some());
+            drop(pool);
+            if !stays && let Some(desk) = desks.get(&(name.clone(), *large, None)) {
+                desk.draw_on(None);
+            }
+            stays
+        });
+    }
+
+    /// What of each service was sent, sent again and refused for want of allowance in the budget's window.
+    pub fn figures(&self) -> HashMap<Name, Figures> {
+        let mut sums: HashMap<Name, Figures> = HashMap::new();
+        for ((name, ..), desk) in &self.desks {
+            let sum = sums.entry(name.clone()).or_default();
+            *sum = sum.and(desk.figures());
+        }
+        sums
+    }
+}
--- a/balancer/src/mesh/sessions.rs
+++ b/balancer/src/mesh/sessions.rs
@@ -16,7 +16,7 @@
 
 use super::attendant::Branch;
 use super::desk::{Desk, Place};
-use super::door::{KNOCK, WAY};
+use super::door::{FENCE, WAY};
 use super::entry::field;
 use super::fence::Pass;
 use super::wire::{Ask, Reply};
@@ -42,7 +42,7 @@
 const MOST_KEYS: usize = 64;
 /// Times of moves that are remembered.
 const TIMES: usize = 512;
-/// What a hand-over says in place of a knock.
+/// What a hand-over says in place of a req's session.
 const MOVED: &str = "moved ";
 
 /// A person's session by its service, the header that names it and that header's value.
@@ -216,8 +216,8 @@
     }
 
     /// What a hand-over asks at a door, where the field is one.
-    pub fn handed_over(&self, knock: &str) -> Option<String> {
-        let pass = Pass::read(knock.strip_prefix(MOVED)?)?;
+    pub fn handed_over(&self, word: &str) -> Option<String> {
+        let pass = Pass::read(word.strip_prefix(MOVED)?)?;
         Some(self.let_go(pass).iter().map(|key| format!("{key:032x}\n")).collect())
     }
 
@@ -348,7 +348,7 @@
     head.headers_mut().insert(HOST, HeaderValue::from_static("ochreshed"));
     let message = Arc::new(Message { head, first: bytes::Bytes::new(), length: Some(0), long: None });
     let mut fields = HeaderMap::new();
-    fields.insert(KNOCK, HeaderValue::try_from(format!("{MOVED}{}", pass.word())).ok()?);
+    fields.insert(FENCE, HeaderValue::try_from(format!("{MOVED}{}", pass.word())).ok()?);
     let until = branch.clock.now() + HAND_OVER;
     let ours = |head: &hyper::http::response::Parts| head.headers.contains_key(&WAY);
     let answer = branch.line_to(gate).exchange(&message, &fields, until, None, ours).await;
