Mesh: a connection that an upstream has forgotten costs one req at most

Cause: a door kept a connection for 4 s where its upstream told nothing of it. Where the upstream had forgotten it without a word, the next req was written and reset. Whether it ran can't be proved (the other side may read before it acknowledges), so a once-only req was lost to its client, and so was the next, for as long as the upstream behaved so.

Change: to the upstream on the same machine only connections that were idle for 1 s at most carry another req; and one that is reset without a byte of an answer teaches its line to keep a quarter of that time from then on, for this life of the upstream. No req is repeated by the door.

Result: door_tests.rs, a stand-in that ends or forgets kept connections: what ended while idle costs nothing, what was forgotten one req, told as one that may have run. It fails with either part taken out.

--- a/balancer/src/mesh/carry.rs
+++ b/balancer/src/mesh/carry.rs
@@ -5,6 +5,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -30,6 +31,8 @@
 const IDLE: Nanos = 4_000 * MS;
 const MARGIN: Nanos = 1_500 * MS;
 const MOST_IDLE: usize = 32;
+/// To the same machine a new connection costs little: less than a req lost to one that the other side has forgotten.
+const NEAR_IDLE: Nanos = 1_000 * MS;
 /// A long answer of which nothing comes for so long, or of which its reader takes nothing, is given up.
 const STANDS: Duration = Duration::from_secs(5);
 const READER_STANDS: Duration = Duration::from_secs(10);
@@ -52,11 +55,20 @@
     Late,
 }
 
+/// A connection that waits for its next req.
+struct Idle {
+    link: Link,
+    since: Nanos,
+    until: Nanos,
+}
+
 /// Connections to one address.
 pub struct Line {
     to: SocketAddr,
     clock: Clock,
-    idle: Mutex<Vec<(Link, Nanos)>>,
+    idle: Mutex<Vec<Idle>>,
+    /// No connection is used again that has been idle for longer: less than any that the other side had forgotten.
+    keeps: AtomicU64,
     room: Arc<Semaphore>,
     /// Bytes of long answers that may be read ahead of who takes them, for all lines that share it.
     ahead: Option<Arc<Semaphore>>,
@@ -65,7 +77,7 @@
 impl Line {
     /// `room` bounds the connections of all lines that share it.
     pub fn new(to: SocketAddr, clock: Clock, room: Arc<Semaphore>) -> Line {
-        Line { to, clock, idle: Mutex::default(), room, ahead: None }
+        Line { to, clock, idle: Mutex::default(), keeps: AtomicU64::new(Nanos::MAX), room, ahead: None }
     }
 
     /// Long answers are read as fast as they come, as long as there is room for it: whoever sends them has done with
@@ -74,6 +86,11 @@
         Line { ahead: Some(ahead), ..self }
     }
 
+    /// It leads to the same machine.
+    pub fn near(self) -> Line {
+        Line { keeps: AtomicU64::new(NEAR_IDLE), ..self }
+    }
+
     pub fn to(&self) -> SocketAddr {
         self.to
     }
@@ -81,7 +98,8 @@
     /// Closes what has been idle for long; whether none is left.
     pub fn sweep(&self, now: Nanos) -> bool {
         let mut idle = held(&self.idle);
-        idle.retain(|(_, until)| *until > now);
+        let keeps = self.keeps.load(Relaxed);
+        idle.retain(|idle| idle.until > now && now - idle.since <= keeps);
         idle.is_empty()
     }
 
@@ -89,20 +107,37 @@
         held(&self.idle).clear();
     }
 
-    fn reusable(&self) -> Option<Link> {
+    /// Its idle connections are so much older.
+    #[cfg(test)]
+    pub fn age(&self, by: Nanos) {
+        held(&self.idle).iter_mut().for_each(|idle| idle.since -= by);
+    }
+
+    /// A connection that is kept, and for how long it has been idle.
+    fn reusable(&self) -> Option<(Link, Nanos)> {
         let now = self.clock.now();
         loop {
-            let (mut link, until) = held(&self.idle).pop()?;
-            if now < until && link.sound() {
-                return Some(link);
+            let Idle { mut link, since, until } = held(&self.idle).pop()?;
+            let idle = now.saturating_sub(since);
+            if now < until && idle <= self.keeps.load(Relaxed) && link.sound() {
+                return Some((link, idle));
             }
         }
     }
 
     fn keep(&self, link: Link, until: Nanos) {
-        let mut idle = held(&self.idle);
-        if idle.len() < MOST_IDLE && until > self.clock.now() {
-            idle.push((link, until));
+        let (mut idle, since) = (held(&self.idle), self.clock.now());
+        if idle.len() < MOST_IDLE && until > since && self.keeps.load(Relaxed) > 0 {
+            idle.push(Idle { link, since, until });
+        }
+    }
+
+    /// A connection that had been idle for so long took a req and was reset with no word of an answer. Whether that req
+    /// ran can't be told; that others go the same way can be helped.
+    fn forgot(&self, idle: Nanos) {
+        let keeps = if idle < MS { 0 } else { idle / 4 };
+        if keeps < self.keeps.fetch_min(keeps, Relaxed) {
+            log::info!("{}: forgot a connection that was idle for {} ms", self.to, idle / MS);
         }
     }
 
@@ -131,8 +166,7 @@
         check: impl Fn(&Parts) -> bool,
     ) -> Result<(Parts, Flow), Fail> {
         let at = self.clock.instant(until);
-        let mut link = self.reusable();
-        let mut reused = link.is_some();
+        let (mut link, mut reused) = self.reusable().unzip();
         loop {
             let on = match &mut link {
                 Some(on) => on,
@@ -146,16 +180,21 @@
             for (name, value) in fields {
                 req.headers_mut().insert(name, value.clone());
             }
+            let sent_at = self.clock.now();
             let answer = timeout_at(at, exchange(on, req, message)).await;
             match answer {
                 Ok(Ok((head, _))) if !check(&head) => return Err(Fail::Reset),
                 Ok(Ok((head, body))) => return Ok(self.pass(link, head, body, hold)),
                 // A kept connection that turns out dead before a byte of this was written costs a new one.
-                Ok(Err(())) if reused && !on.began() && message.load_again() => {
-                    (link, reused) = (None, false)
+                Ok(Err(())) if reused.is_some() && !on.began() && message.load_again() => {
+                    (link, reused) = (None, None)
+                }
+                Ok(Err(())) => {
+                    if let Some(idle) = reused.filter(|_| on.last_read() < sent_at) {
+                        self.forgot(idle);
+                    }
+                    return Err(if on.sent_whole() { Fail::Reset } else { Fail::NoConnection });
                 }
-                Ok(Err(())) if on.sent_whole() => return Err(Fail::Reset),
-                Ok(Err(())) => return Err(Fail::NoConnection),
                 Err(_) if on.sent_whole() => return Err(Fail::Late),
                 Err(_) => return Err(Fail::NotSent),
             }
--- a/balancer/src/mesh/door.rs
+++ b/balancer/src/mesh/door.rs
@@ -483,7 +483,7 @@
     }
 
     fn line_to(&self, address: SocketAddr) -> Arc<Line> {
-        Arc::new(Line::new(address, self.clock, self.berths.room()).reading_ahead(self.ahead.clone()))
+        Arc::new(Line::new(address, self.clock, self.berths.room()).near().reading_ahead(self.ahead.clone()))
     }
 
     fn sign_off(&self, of: &str) {
--- a/balancer/src/mesh/door_tests.rs
+++ b/balancer/src/mesh/door_tests.rs
@@ -177,3 +177,69 @@
 async fn answer_next(upstream: &TcpListener) {
     answer(next(upstream).await).await;
 }
+
+/// Reads one req from a connection that stays open, and answers it.
+async fn answer_on(stream: &mut tokio::net::TcpStream) {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.expect("a head"));
+    }
+    let head = String::from_utf8(head).expect("text");
+    let id = head.lines().find_map(|line| line.strip_prefix("ochreshed-consignment-id: ")).expect("an id");
+    let fields = format!("ochreshed-consignment-id: {id}\r\nochreshed-postmark: s\r\ncontent-length: 0");
+    stream.write_all(format!("HTTP/1.1 200 OK\r\n{fields}\r\n\r\n").as_bytes()).await.expect("written");
+}
+
+/// Guards against a req that is lost to a kept connection where that can be known before it is written, against one that
+/// is told as unrun where it can't, and against a second one that goes the same way.
+#[tokio::test]
+async fn a_forgotten_connection_costs_one_req_at_most_and_that_may_have_run() {
+    let (door, upstream) = door(2).await;
+    let sent = |id: &str| knock(&door, id, 0, 10_000);
+    let accepted = || async {
+        let next = tokio::time::timeout(Duration::from_secs(10), upstream.accept()).await;
+        next.expect("a new connection").expect("a connection").0
+    };
+    let ran = |sent: tokio::task::JoinHandle<&'static str>| async { sent.await.expect("no panic") };
+    let age = |by| held(&door.state).upstream.as_ref().expect("an upstream").to.age(by);
+    // While it is used it is kept.
+    let first = sent("a");
+    let mut kept = accepted().await;
+    answer_on(&mut kept).await;
+    assert_eq!(ran(first).await, "ran");
+    let second = sent("b");
+    answer_on(&mut kept).await;
+    assert_eq!(ran(second).await, "ran");
+    // Ended while it was idle, in order or not: the next req goes on another.
+    for reset in [false, true] {
+        let linger = reset.then_some(Duration::ZERO);
+        socket2::SockRef::from(&kept).set_linger(linger).expect("an option");
+        drop(kept);
+        let next = sent("c");
+        kept = accepted().await;
+        answer_on(&mut kept).await;
+        assert_eq!(ran(next).await, "ran", "reset: {reset}");
+    }
+    // Idle for long: the next one does not go on it.
+    age(1_100 * MS);
+    let next = sent("d");
+    kept = accepted().await;
+    answer_on(&mut kept).await;
+    assert_eq!(ran(next).await, "ran");
+    age(100 * MS);
+    // Forgotten, and that shows only once something comes: it may have run, for all that can be told.
+    let lost = sent("e");
+    kept.peek(&mut [0]).await.expect("something comes");
+    socket2::SockRef::from(&kept).set_linger(Some(Duration::ZERO)).expect("an option");
+    drop(kept);
+    assert_eq!(ran(lost).await, "reset");
+    // None that has been idle for as long carries another.
+    let next = sent("f");
+    kept = accepted().await;
+    answer_on(&mut kept).await;
+    assert_eq!(ran(next).await, "ran");
+    age(500 * MS);
+    let next = sent("g");
+    answer_on(&mut accepted().await).await;
+    assert_eq!(ran(next).await, "ran");
+}
