--- a/balancer/src/mesh/mod.rs
+++ b/balancer/src/mesh/mod.rs
@@ -20,6 +20,7 @@
 mod pages;
 mod parcels;
 mod report;
+mod seats;
 mod settings;
 mod start;
 mod steward;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,6 +17,7 @@
 //! 5. Cold budget: a cold srv gets from us no more than our share of what its least capacity takes.
 //! 6. Shares: a customer over its share goes last, and is denied while anyone waits.
 
+mod beside;
 #[cfg(test)]
 mod days;
 mod judge;
@@ -537,9 +538,4 @@
         };
         Wait::Until(self.watch_at.unwrap_or(Nanos::MAX).min(self.idle_at).min(poll))
     }
-
-    /// How many srvs the list names, and how many of those get nothing from us now.
-    pub fn standing(&self) -> (usize, usize) {
-        self.fleet.standing()
-    }
 }
