--- a/balancer/tests/mesh/town.rs
+++ b/balancer/tests/mesh/town.rs
@@ -473,6 +473,13 @@
         fs::remove_dir_all(&data).and_then(|()| fs::create_dir(data)).expect("an empty folder");
     }
 
+    /// The first word of the first line of its log that holds this: when, in nanoseconds. For the bench.
+    #[allow(dead_code)]
+    pub fn logged_at(&self, what: &str) -> Option<u128> {
+        let log = self.log.lock().expect("a log");
+        log.iter().find(|line| line.contains(what))?.split_whitespace().next()?.parse().ok()
+    }
+
     /// Lines of its log that hold this.
     pub fn logged(&self, what: &str) -> usize {
         self.log.lock().expect("a log").iter().filter(|line| line.contains(what)).count()
@@ -527,7 +534,12 @@
 impl Town {
     /// All of it, with the first configuration in force everywhere.
     pub fn start() -> Town {
-        let (ips, ports) = places((STEWARDS + LINES.len()) as u8);
+        Town::of(STEWARDS, &LINES)
+    }
+
+    /// With so many stewards, and an attendant beside an upstream of each of these services.
+    pub fn of(stewards: usize, lines: &[&'static str]) -> Town {
+        let (ips, ports) = places((stewards + lines.len()) as u8);
         // In memory where there is such a folder: a sync must not wait for what others write to the disk.
         let memory = Some(PathBuf::from("/dev/shm")).filter(|folder| folder.is_dir());
         let folder = FOLDER.get().cloned().or(memory);
@@ -536,15 +548,15 @@
         let machine = |(nth, ip): (usize, &Ipv4Addr)| {
             let folder = folder.join(ip.to_string());
             fs::create_dir_all(folder.join("data")).expect("a folder");
-            let role = if nth < STEWARDS { "steward" } else { "attendant" };
+            let role = if nth < stewards { "steward" } else { "attendant" };
             Machine { ip: *ip, role, folder, process: None, log: Arc::default() }
         };
-        let mut stewards: Vec<Machine> = ips.iter().enumerate().map(machine).collect();
-        let attendants = stewards.split_off(STEWARDS);
+        let mut machines: Vec<Machine> = ips.iter().enumerate().map(machine).collect();
+        let attendants = machines.split_off(stewards);
         let (upstreams, ledger) = (Vec::new(), Ledger::default());
-        let mut town = Town { stewards, attendants, upstreams, ledger, folder, ports };
-        (0..STEWARDS).for_each(|nth| town.start_steward(nth, true));
-        for (nth, line) in LINES.into_iter().enumerate() {
+        let mut town = Town { stewards: machines, attendants, upstreams, ledger, folder, ports };
+        (0..stewards).for_each(|nth| town.start_steward(nth, true));
+        for (nth, line) in lines.iter().copied().enumerate() {
             let at = |port: usize| town.at(&town.attendants[nth], port);
             let upstream = Upstream {
                 id: format!("i-{}", new_id()),
@@ -570,7 +582,7 @@
         }
         let first = timetable(1, &route("/first/", "resendable", "omega"));
         town.replace(0, &first);
-        (0..STEWARDS).for_each(|steward| town.until_reads(steward, &first));
+        (0..stewards).for_each(|steward| town.until_reads(steward, &first));
         for (nth, gate) in town.gates().into_iter().enumerate() {
             until("ready", || town.look(nth) == "200");
             until("served", || ["/read/x", "/first/x"].iter().all(|path| get(gate, path).status() == "200"));
@@ -636,6 +648,12 @@
         self.at(&self.stewards[steward], INNER)
     }
 
+    /// Where the gate, the door and the upstream of a machine listen. For the bench.
+    #[allow(dead_code)]
+    pub fn listens(&self, nth: usize) -> [SocketAddr; 3] {
+        [OUTBOUND, INBOUND, APP].map(|port| self.at(&self.attendants[nth], port))
+    }
+
     /// What the operators' client asks of a steward: JSON, null where it gives none.
     pub fn ask(&self, steward: usize, call: &str) -> serde_json::Value {
         let answer = rpc(self.at(&self.stewards[steward], CONTROL), call, "");
@@ -647,7 +665,7 @@
     pub fn replace(&self, first: usize, body: &str) {
         let turn = AtomicUsize::new(first);
         until("acknowledged", || {
-            let steward = turn.fetch_add(1, Relaxed) % STEWARDS;
+            let steward = turn.fetch_add(1, Relaxed) % self.stewards.len();
             self.operate(steward, "replace", body).is_ok_and(|answer| answer.status() == "200")
         });
     }
