--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod shares;
 pub mod slots;
 pub mod timetable;
+pub mod trial;
 pub mod words;
