--- a/balancer/src/mesh/wire.rs
+++ b/balancer/src/mesh/wire.rs
@@ -343,6 +343,7 @@
 #[cfg(test)]
 mod tests {
     use ochreshed_mesh::budget::{Figures, Spending};
+    use ochreshed_mesh::fared::{Edition, Fared};
 
     use super::*;
 
@@ -374,4 +375,38 @@
         let spent = ["huvo11a", "kafi81c", "wuno96b"].map(|name| (name.into(), figures));
         assert_eq!((bytes(None), bytes(Some(spent.to_vec()))), (Some(119), Some(176)));
     }
+
+    /// Guards against a gate with members that an older steward can't read any more: it reads what it knows of.
+    #[test]
+    fn how_members_fared_goes_beside_what_older_programs_read() {
+        #[derive(Deserialize)]
+        struct Older {
+            report: Option<Report>,
+            gather: bool,
+        }
+        let of = Edition { member: "norte".into(), number: 4, trial: true };
+        let members: Faring = vec![(of, Fared { first: 9, failed: 2, ..Fared::default() })];
+        let report = Report { full_ms: Some(7), members: members.clone(), ..Report::default() };
+        let ask = NewsAsk {
+            row: None,
+            door: None,
+            mark: Mark::default(),
+            sheet: (1, 1),
+            quiet: 0,
+            hold_ms: 1,
+            steward: false,
+            report: Some(report),
+            members,
+            gather: true,
+        };
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&ask, &mut bytes).expect("written");
+        let older: Older = ciborium::from_reader(&*bytes).expect("read");
+        assert_eq!(
+            (older.report, older.gather),
+            (Some(Report { full_ms: Some(7), ..Report::default() }), true)
+        );
+        let newer: NewsAsk = ciborium::from_reader(&*bytes).expect("read");
+        assert_eq!(newer.members, ask.members);
+    }
 }
