--- a/balancer/src/mesh/door.rs
+++ b/balancer/src/mesh/door.rs
@@ -25,6 +25,8 @@
 use super::berths::Berths;
 use super::carry::{Fail, Flow, Lane, Line};
 use super::entry::{self, Bad, Came, field, say};
+use super::fence::{Fence, Pass};
+use super::sessions::Sessions;
 use crate::body::Message;
 use crate::clock::Clock;
 use crate::link::held;
@@ -41,9 +43,15 @@
 /// it is sent again or called by a run that was; `c`, a run waits for it; `l`, its answer is large. On a member's route
 /// also the part of the slots that its reqs may have, and its name, which ends with the field.
 pub const KNOCK: HeaderName = HeaderName::from_static("ochreshed-knock");
+/// Between a gate and a door: the session that a req is of and since when its gate holds that, where its route names one;
+/// or that a session has moved, and nothing else.
+pub const FENCE: HeaderName = HeaderName::from_static("ochreshed-fence");
 /// Between a door and a gate: how the door's part ended, and how many reqs are at its upstream or wait there.
 pub const WAY: HeaderName = HeaderName::from_static("ochreshed-way");
 
+/// How a door says that a later holder of a session is known, and since when that holds it.
+const FENCED: &str = "fenced-";
+
 const MS: Nanos = 1_000_000;
 /// After its upstream has said that it closes, the door still takes what is on its way, for this part of the time
 /// that the rules give.
@@ -70,6 +78,8 @@
     /// Proved never to have come to the upstream.
     Turned,
     Gone,
+    /// Of a session that another gate holds since this epoch.
+    Fenced(u64),
     Unreachable,
     Unsent,
     /// It may have run.
@@ -84,6 +94,7 @@
             End::Full => "full",
             End::Turned => "turned",
             End::Gone => "gone",
+            End::Fenced(_) => "fenced",
             End::Unreachable => "unreachable",
             End::Unsent => "unsent",
             End::Reset => "reset",
@@ -97,6 +108,7 @@
             "full" => End::Full,
             "turned" => End::Turned,
             "gone" => End::Gone,
+            word if word.starts_with(FENCED) => End::Fenced(word[FENCED.len()..].parse().unwrap_or(0)),
             "unreachable" => End::Unreachable,
             "unsent" => End::Unsent,
             "late" => End::Late,
@@ -174,6 +186,9 @@
     runs: Mutex<HashMap<Vec<u8>, bool>>,
     pub serving: AtomicBool,
     pub changed: tokio::sync::Notify,
+    /// Sessions that the gate of this machine has, and what is let through of them here.
+    pub sessions: Sessions,
+    pub fence: Fence,
 }
 
 /// A req at a door.
@@ -192,6 +207,8 @@
     pub large: bool,
     /// Its answer goes to another machine.
     pub away: bool,
+    /// Its session, where its route names one.
+    pub pass: Option<Pass>,
     /// When its answer is late, and when nobody waits for it any more.
     pub aim: Nanos,
     pub until: Nanos,
@@ -311,6 +328,8 @@
             runs: Mutex::default(),
             serving: AtomicBool::new(false),
             changed: tokio::sync::Notify::new(),
+            sessions: Sessions::default(),
+            fence: Fence::default(),
         })
     }
 
@@ -456,6 +475,7 @@
                 self.sign_off(&of);
                 entry::json(200, "{}".into())
             }
+            ("sessions.count", _) => entry::json(200, self.sessions.page(self.fence.turned())),
             _ => say(404, "no such call here"),
         }
     }
@@ -538,7 +558,7 @@
     }
 
     fn line_to(&self, address: SocketAddr) -> Arc<Line> {
-        Arc::new(Line::new(address, self.clock, self.berths.room()).reading_ahead(self.ahead.clone()))
+        Arc::new(Line::new(address, self.clock, self.berths.room()).near().reading_ahead(self.ahead.clone()))
     }
 
     fn sign_off(&self, of: &str) {
@@ -631,9 +651,13 @@
 
     /// Lets a req through to the upstream, if it is the one that was meant.
     pub async fn pass(self: &Arc<Self>, knock: Knock<'_>) -> End {
-        let Knock { message, meant, caller, turned, again, call, large, away, aim, until, part } = knock;
+        let Knock { message, meant, caller, turned, again, call, large, away, pass, aim, until, part } =
+            knock;
         let Some(to) = self.check(meant) else { return End::Gone };
         let now = self.clock.now();
+        if let Err(known) = self.lets(now, pass) {
+            return End::Fenced(known);
+        }
         // A large answer is late when its last byte is: what stands before it on the link, which goes while it is made,
         // and its own part.
         let paced = large && away;
@@ -676,6 +700,10 @@
         if self.check(meant).is_none() {
             return End::Gone;
         }
+        // Its session may have moved while it waited.
+        if let Err(known) = self.lets(self.clock.now(), pass) {
+            return End::Fenced(known);
+        }
         let left = until.saturating_sub(self.clock.now()) / MS;
         if left == 0 {
             return End::Unsent;
@@ -740,6 +768,10 @@
         self.lane.pace().note(self.clock.now(), bytes as usize + HEAD_BYTES);
     }
 
+    fn lets(&self, now: Nanos, pass: Option<Pass>) -> Result<(), u64> {
+        pass.map_or(Ok(()), |pass| self.fence.check(now, pass))
+    }
+
     /// Whether this life takes reqs now, and where it is.
     fn check(&self, meant: &str) -> Option<Arc<Line>> {
         let state = held(&self.state);
@@ -751,7 +783,7 @@
         takes.then(|| upstream.to.clone())
     }
 
-    fn way(&self, mut answer: Response<Flow>, word: &'static str) -> Response<Flow> {
+    fn way(&self, mut answer: Response<Flow>, word: &str) -> Response<Flow> {
         if let Ok(word) = HeaderValue::try_from(format!("{word} {}", self.load())) {
             answer.headers_mut().insert(WAY, word);
         }
@@ -764,6 +796,11 @@
         let headers = came.req.headers();
         let meant = field(headers, &ADDRESSEE).to_owned();
         let left = field(headers, &LEFT).parse::<u64>().unwrap_or(0).min(MOST_LEFT);
+        let fence = field(headers, &FENCE);
+        if let Some(keys) = self.sessions.handed_over(fence) {
+            return self.way(Response::new(Flow::of(keys)), "ran");
+        }
+        let pass = Pass::read(fence);
         let Told { aim_ms, turned, again, call, large, part } = Knock::read(headers, left);
         let caller = headers.get(&CALLER).cloned().unwrap_or(HeaderValue::from_static(""));
         let read = entry::message(came, &bodies, self.clock, u64::MAX, Duration::from_secs(10)).await;
@@ -772,13 +809,16 @@
             Err(Bad(status, line)) => return self.way(say(status, line), "unsent"),
         };
         message.head.headers_mut().remove(&KNOCK);
+        message.head.headers_mut().remove(&FENCE);
         let (message, meant, caller, away) = (&Arc::new(message), &*meant, &caller, true);
         let (aim, until) = (at + aim_ms * MS, at + left * MS);
-        let knock = Knock { message, meant, caller, turned, again, call, large, away, aim, until, part };
+        let knock =
+            Knock { message, meant, caller, turned, again, call, large, away, pass, aim, until, part };
         let end = self.pass(knock).await;
         let word = end.word();
         match end {
             End::Ran(head, flow) => self.way(Response::from_parts(head, flow), word),
+            End::Fenced(known) => self.way(say(503, word), &format!("{FENCED}{known}")),
             _ => self.way(say(503, word), word),
         }
     }
--- a/emulator/src/mesh/steward.rs
+++ b/emulator/src/mesh/steward.rs
@@ -26,6 +26,7 @@
     ballots: Option<Ballots>,
     sheet: Option<Arc<Sheet>>,
     claims: BTreeMap<Key, Claim>,
+    sessions: BTreeMap<Session, Entry>,
 }
 
 impl Kept {
@@ -36,6 +37,8 @@
             Record::Claim(key, claim) => {
                 self.claims.insert(key, claim);
             }
+            Record::Session(session, entry) => drop(self.sessions.insert(session, entry)),
+            Record::SessionOver(session) => drop(self.sessions.remove(&session)),
             Record::Free(key, token) => {
                 if self.claims.get(&key).is_some_and(|claim| claim.token == token) {
                     self.claims.remove(&key);
@@ -46,7 +49,8 @@
 
     fn saved(&self) -> Saved {
         let claims = self.claims.iter().map(|(key, claim)| (*key, claim.clone())).collect();
-        Saved { ballots: self.ballots.clone(), sheet: self.sheet.clone(), claims }
+        let sessions = self.sessions.iter().map(|(session, entry)| (*session, entry.clone())).collect();
+        Saved { ballots: self.ballots.clone(), sheet: self.sheet.clone(), claims, sessions }
     }
 }
 
