--- a/balancer/src/mesh/store.rs
+++ b/balancer/src/mesh/store.rs
@@ -6,6 +6,8 @@
 //!   one that holds is never written over, so a torn one costs nothing that was safe. One sync a write.
 //! - `timetable/r12-<digest>.json`: the bytes that the operator sent, as they came. The digest in the name says whether
 //!   they are whole; the highest whole one holds.
+//! - `papers/<name>.r12-<digest>.json`: the same for each paper by its name, in which all but small letters, digits and
+//!   `-` stands as `_` and two hex digits. The folder is made with the first of them.
 //! - `claims/000001`, ..: frames that are only ever appended. One write and one sync for all claims of a call.
 //!
 //! A frame is its length, a checksum over segment, length and bytes, and the bytes: records in CBOR, one after the
@@ -23,11 +25,12 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
-use ochreshed_mesh::words::{Ballots, Claim, Key, Record, Saved, Sheet, Token};
+use ochreshed_mesh::words::{Ballots, Claim, Key, Paper, Record, Saved, Sheet, Token};
 
 const ROOT: &str = ".";
 const CLAIMS: &str = "claims";
 const TIMETABLE: &str = "timetable";
+const PAPERS: &str = "papers";
 const SLOTS: [&str; 2] = ["ballots.0", "ballots.1"];
 /// What can't be read is put aside under its name and this.
 const BAD: &str = ".bad";
@@ -236,6 +239,9 @@
     size: u32,
 }
 
+/// The sheets of one register that are on disk, with their lengths.
+type Shelf = BTreeMap<(u64, u64), u64>;
+
 /// What a record that is safe changes.
 enum Mark {
     Claim(Key, Place),
@@ -261,8 +267,10 @@
     /// The slot that holds, and its count.
     newest: usize,
     count: u64,
-    /// Those on disk, with their lengths.
-    sheets: BTreeMap<(u64, u64), u64>,
+    /// Those on disk with their lengths, by folder and what their names begin with.
+    sheets: BTreeMap<String, Shelf>,
+    /// The folder of papers is there.
+    has_papers: bool,
     bad: u64,
     found: Vec<String>,
 }
@@ -286,7 +294,18 @@
             _ => None,
         });
         if let Some(sheet) = sheets.max_by_key(|sheet| sheet.rank()) {
-            self.keep_sheet(sheet)?;
+            self.keep_sheet(&shelf_of_timetable(), sheet)?;
+        }
+        let mut papers: BTreeMap<&str, &Sheet> = BTreeMap::new();
+        for record in records {
+            if let Record::Paper(paper) = record
+                && papers.get(&*paper.name).is_none_or(|sheet| sheet.rank() < paper.sheet.rank())
+            {
+                papers.insert(&paper.name, &paper.sheet);
+            }
+        }
+        for (name, sheet) in papers {
+            self.keep_sheet(&shelf_of(name), sheet)?;
         }
         let ballots = records.iter().rev().find_map(|record| match record {
             Record::Ballots(ballots) => Some(ballots),
@@ -297,7 +316,7 @@
 
     /// On disk now.
     pub fn bytes(&self) -> u64 {
-        self.segment_bytes() + self.slots.iter().sum::<u64>() + self.sheets.values().sum::<u64>() + self.bad
+        self.segment_bytes() + self.slots.iter().sum::<u64>() + self.sheet_bytes() + self.bad
     }
 
     /// What was not whole, a line each.
@@ -320,6 +339,7 @@
             newest: 0,
             count: 0,
             sheets: BTreeMap::new(),
+            has_papers: false,
             bad: 0,
             found: Vec::new(),
         };
@@ -328,11 +348,12 @@
         }
         let saved = Saved {
             ballots: store.read_ballots()?,
-            sheet: store.read_sheets()?,
+            sheet: store.read_sheets(TIMETABLE)?.into_values().next(),
             claims: store.read_claims()?,
+            papers: store.read_papers()?,
         };
         // Names may be newer than what lasts: a process that was killed left them so.
-        for folder in [ROOT, CLAIMS, TIMETABLE] {
+        for folder in [ROOT, CLAIMS, TIMETABLE].into_iter().chain(store.has_papers.then_some(PAPERS)) {
             store.sync_folder(folder)?;
         }
         Ok((store, saved))
@@ -432,32 +453,64 @@
 
     // Sheets.
 
-    fn read_sheets(&mut self) -> Result<Option<Arc<Sheet>>, StoreError> {
-        let listed = self.list(TIMETABLE)?;
-        self.tidy(TIMETABLE, &listed);
-        for (name, len) in &listed {
-            if let Some(rank) = rank_of(name) {
-                self.sheets.insert(rank, *len);
+    fn sheet_bytes(&self) -> u64 {
+        self.sheets.values().flat_map(Shelf::values).sum()
+    }
+
+    /// The highest whole one of each shelf in a folder.
+    fn read_sheets(&mut self, folder: &str) -> Result<BTreeMap<String, Arc<Sheet>>, StoreError> {
+        let listed = self.list(folder)?;
+        self.tidy(folder, &listed);
+        let mut shelves: BTreeMap<String, Shelf> = BTreeMap::new();
+        for (name, len) in listed {
+            if let Some((shelf, rank)) = rank_of(&format!("{folder}/{name}")) {
+                shelves.entry(shelf).or_default().insert(rank, len);
             }
         }
-        while let Some((&(version, digest), &len)) = self.sheets.last_key_value() {
-            let name = sheet_name((version, digest));
-            let sheet = Sheet::new(version, self.read(&name)?);
-            if sheet.digest == digest {
-                return Ok(Some(Arc::new(sheet)));
+        let mut best = BTreeMap::new();
+        for (shelf, mut sheets) in shelves {
+            while let Some((&(version, digest), &len)) = sheets.last_key_value() {
+                let name = sheet_name(&shelf, (version, digest));
+                let sheet = Sheet::new(version, self.read(&name)?);
+                if sheet.digest == digest {
+                    best.insert(shelf.clone(), Arc::new(sheet));
+                    break;
+                }
+                self.put_aside(&name, len);
+                sheets.remove(&(version, digest));
             }
-            self.put_aside(&name, len);
-            self.sheets.remove(&(version, digest));
+            self.sheets.insert(shelf, sheets);
         }
-        Ok(None)
+        Ok(best)
+    }
+
+    fn read_papers(&mut self) -> Result<Vec<Paper>, StoreError> {
+        // No other folder is looked for by its absence: this one is made with the first paper.
+        self.has_papers = match self.files.list(PAPERS) {
+            Ok(_) => true,
+            Err(why) if why.kind() == ErrorKind::NotFound => return Ok(Vec::new()),
+            Err(why) => return Err(StoreError::Read(PAPERS.to_owned(), why)),
+        };
+        let sheets = self.read_sheets(PAPERS)?;
+        Ok(sheets
+            .into_iter()
+            .filter_map(|(shelf, sheet)| Some(Paper { name: name_of(&shelf)?.into(), sheet }))
+            .collect())
     }
 
-    fn keep_sheet(&mut self, sheet: &Sheet) -> Result<(), StoreError> {
+    fn keep_sheet(&mut self, shelf: &str, sheet: &Sheet) -> Result<(), StoreError> {
         // A higher one, or this, is safe.
-        if self.sheets.last_key_value().is_some_and(|(rank, _)| *rank >= sheet.rank()) {
+        let newest = self.sheets.get(shelf).and_then(|sheets| sheets.last_key_value());
+        if newest.is_some_and(|(rank, _)| *rank >= sheet.rank()) {
             return Ok(());
         }
-        let name = sheet_name(sheet.rank());
+        let folder = shelf.split('/').next().unwrap_or_default();
+        if folder == PAPERS && !self.has_papers {
+            self.files.folder(PAPERS).map_err(|why| StoreError::Name(PAPERS.to_owned(), why))?;
+            self.sync_folder(ROOT)?;
+            self.has_papers = true;
+        }
+        let name = sheet_name(shelf, sheet.rank());
         let new = format!("{name}{NEW}");
         if let Err(why) = self.write_new(&new, &sheet.bytes) {
             // A full disk is not filled further.
@@ -465,12 +518,13 @@
             return Err(why);
         }
         self.files.rename(&new, &name).map_err(|why| StoreError::Name(name.clone(), why))?;
-        self.sync_folder(TIMETABLE)?;
-        self.sheets.insert(sheet.rank(), sheet.bytes.len() as u64);
-        while self.sheets.len() > SHEETS {
-            let Some((rank, _)) = self.sheets.pop_first() else { break };
+        self.sync_folder(folder)?;
+        let sheets = self.sheets.entry(shelf.to_owned()).or_default();
+        sheets.insert(sheet.rank(), sheet.bytes.len() as u64);
+        while sheets.len() > SHEETS {
+            let Some((rank, _)) = sheets.pop_first() else { break };
             // If it stays or comes back it is removed later: it is never the highest.
-            let _ = self.files.remove(&sheet_name(rank));
+            let _ = self.files.remove(&sheet_name(shelf, rank));
         }
         Ok(())
     }
@@ -689,7 +743,7 @@
             let (key, token) = match record {
                 Record::Claim(key, claim) => (*key, claim.token),
                 Record::Free(key, token) => (*key, *token),
-                Record::Ballots(_) | Record::Sheet(_) => continue,
+                Record::Ballots(_) | Record::Sheet(_) | Record::Paper(_) => continue,
             };
             let at = *start.get_or_insert_with(|| {
                 batch.bytes.extend_from_slice(&[0; HEAD]);
@@ -723,7 +777,7 @@
             Some(Mark::Claim(*key, Place { token: claim.token, segment, at, size }))
         }
         Record::Free(key, token) => Some(Mark::Free(*key, *token)),
-        Record::Ballots(_) | Record::Sheet(_) => None,
+        Record::Ballots(_) | Record::Sheet(_) | Record::Paper(_) => None,
     }
 }
 
@@ -781,14 +835,65 @@
     (number <= MOST_NUMBER && name == format!("{number:06}")).then_some(number)
 }
 
-fn sheet_name((version, digest): (u64, u64)) -> String {
-    format!("{TIMETABLE}/r{version}-{digest:016x}.json")
+fn shelf_of_timetable() -> String {
+    format!("{TIMETABLE}/")
 }
 
-fn rank_of(name: &str) -> Option<(u64, u64)> {
-    let (version, digest) = name.strip_prefix('r')?.strip_suffix(".json")?.split_once('-')?;
+/// What the names of a paper's files begin with.
+fn shelf_of(paper: &str) -> String {
+    let mut shelf = format!("{PAPERS}/");
+    for byte in paper.bytes() {
+        match byte {
+            b'a'..=b'z' | b'0'..=b'9' | b'-' => shelf.push(char::from(byte)),
+            byte => shelf.push_str(&format!("_{byte:02x}")),
+        }
+    }
+    shelf.push('.');
+    shelf
+}
+
+fn name_of(shelf: &str) -> Option<String> {
+    let mut rest = shelf.strip_prefix(PAPERS)?.strip_prefix('/')?.strip_suffix('.')?;
+    let mut bytes = Vec::new();
+    while let Some(first) = rest.chars().next() {
+        let long = if first == '_' { 3 } else { 1 };
+        let part = rest.get(..long)?;
+        bytes.push(if first == '_' { u8::from_str_radix(&part[1..], 16).ok()? } else { part.as_bytes()[0] });
+        rest = &rest[long..];
+    }
+    String::from_utf8(bytes).ok().filter(|name| shelf_of(name) == *shelf)
+}
+
+fn sheet_name(shelf: &str, (version, digest): (u64, u64)) -> String {
+    format!("{shelf}r{version}-{digest:016x}.json")
+}
+
+/// The shelf and rank of a file, by its name.
+fn rank_of(name: &str) -> Option<(String, (u64, u64))> {
+    let (folder, file) = name.split_once('/')?;
+    let start = if folder == PAPERS { file.find('.')? + 1 } else { 0 };
+    let (shelf, tail) = name.split_at(folder.len() + 1 + start);
+    let (version, digest) = tail.strip_prefix('r')?.strip_suffix(".json")?.split_once('-')?;
     let rank = (version.parse().ok()?, u64::from_str_radix(digest, 16).ok()?);
-    sheet_name(rank).strip_prefix(TIMETABLE)?.strip_prefix('/')?.eq(name).then_some(rank)
+    let ours = folder != PAPERS || name_of(shelf).is_some();
+    (ours && sheet_name(shelf, rank) == name).then(|| (shelf.to_owned(), rank))
+}
+
+/// The versions of a paper that this steward's folder has, the newest first, and the bytes of each.
+pub fn history(dir: &Path, paper: &str) -> io::Result<Vec<Sheet>> {
+    let shelf = shelf_of(paper);
+    let mut all = Vec::new();
+    for entry in fs::read_dir(dir.join(PAPERS))? {
+        let Ok(name) = entry?.file_name().into_string() else { continue };
+        let Some((of, (version, digest))) = rank_of(&format!("{PAPERS}/{name}")) else { continue };
+        if of == shelf {
+            // One that is removed meanwhile is not missed.
+            let read = fs::read(dir.join(PAPERS).join(&name)).map(|bytes| Sheet::new(version, bytes));
+            all.extend(read.ok().filter(|sheet| sheet.digest == digest));
+        }
+    }
+    all.sort_by_key(|sheet| std::cmp::Reverse(sheet.rank()));
+    Ok(all)
 }
 
 #[cfg(test)]
@@ -1152,6 +1257,11 @@
         Record::Sheet(Arc::new(Sheet::new(version, format!("{{\"version\":{version}}}").into_bytes())))
     }
 
+    fn paper(name: &str, version: u64) -> Record {
+        let sheet = Arc::new(Sheet::new(version, format!("{name} {version}").into_bytes()));
+        Record::Paper(Paper { name: name.into(), sheet })
+    }
+
     fn claim(token: Token, body: Option<usize>) -> Claim {
         let answer = |long| Answer {
             status: 200,
@@ -1168,12 +1278,15 @@
         ballots: Option<Ballots>,
         sheet: Option<Arc<Sheet>>,
         claims: BTreeMap<Key, Claim>,
+        papers: BTreeMap<String, Arc<Sheet>>,
     }
 
     impl Held {
         fn of(saved: &Saved) -> Held {
             let claims = saved.claims.iter().cloned().collect();
-            Held { ballots: saved.ballots.clone(), sheet: saved.sheet.clone(), claims }
+            let papers = saved.papers.iter().map(|paper| (paper.name.to_string(), paper.sheet.clone()));
+            let (ballots, sheet) = (saved.ballots.clone(), saved.sheet.clone());
+            Held { ballots, sheet, claims, papers: papers.collect() }
         }
 
         fn take(&mut self, record: &Record) {
@@ -1188,6 +1301,9 @@
                         self.claims.remove(key);
                     }
                 }
+                Record::Paper(paper) => {
+                    self.papers.insert(paper.name.to_string(), paper.sheet.clone());
+                }
             }
         }
 
@@ -1201,6 +1317,10 @@
             }
             assert!(steps.iter().any(|step| step.ballots == self.ballots), "{about}: {:?}", self.ballots);
             assert!(steps.iter().any(|step| step.sheet == self.sheet), "{about}: {:?}", self.sheet);
+            for name in self.papers.keys().chain(safe.papers.keys()) {
+                let (got, mut may) = (self.papers.get(name), steps.iter().map(|step| step.papers.get(name)));
+                assert!(may.any(|may| may == got), "{about}: {name} is {got:?}");
+            }
             let keys = self.claims.keys().chain(safe.claims.keys());
             for key in keys {
                 let (got, mut may) = (self.claims.get(key), steps.iter().map(|step| step.claims.get(key)));
@@ -1252,10 +1372,14 @@
             if turn % 6 == 2 {
                 records.insert(0, sheet(turn));
             }
+            if turn % 5 == 3 {
+                records.insert(0, paper(if turn % 2 == 0 { "m/a" } else { "w/A_" }, turn));
+            }
             if turn % 5 == 1 {
                 records.push(Record::Ballots(ballots(turn)));
             }
-            records.iter().filter(|r| matches!(r, Record::Sheet(_))).for_each(|record| held.take(record));
+            let sheets = |record: &&Record| matches!(record, Record::Sheet(_) | Record::Paper(_));
+            records.iter().filter(sheets).for_each(|record| held.take(record));
             records
         }
 
@@ -1413,6 +1537,7 @@
                     (told.claims == whole.claims, told.sheet == whole.sheet, told.ballots == whole.ballots);
                 assert!(claims || kind == CLAIMS, "{name} {at}");
                 assert!(sheet || kind == TIMETABLE, "{name} {at}");
+                assert!(told.papers == whole.papers || kind == PAPERS, "{name} {at}");
                 assert!(ballots || kind == "ballots", "{name} {at}");
                 for (key, claim) in &told.claims {
                     assert!(claim.token <= work.token && key >> 64 < 14, "{name} {at}");
@@ -1553,10 +1678,22 @@
             held.take(&sheet(version));
         }
         let rank = held.sheet.as_ref().map(|sheet| sheet.rank()).unwrap_or_default();
-        assert_eq!(fs::read(dir.join(sheet_name(rank))).expect("there"), b"{\"version\":19}");
+        assert_eq!(fs::read(dir.join(sheet_name("timetable/", rank))).expect("there"), b"{\"version\":19}");
         assert_eq!(fs::read_dir(dir.join(TIMETABLE)).expect("there").count(), SHEETS);
+        assert!(!dir.join(PAPERS).exists(), "nobody named a member");
+        for version in 1..9 {
+            let names = ["members", "m/A_b", "m/A_62"];
+            let records = names.map(|name| paper(name, version));
+            store.write(&records).expect("written");
+            records.iter().for_each(|record| held.take(record));
+        }
+        let versions: Vec<u64> =
+            history(&dir, "m/A_b").expect("there").iter().map(|sheet| sheet.version).collect();
+        assert_eq!(versions, [8, 7, 6, 5, 4]);
         drop(store);
         for name in [
+            "papers/members.r99-0000000000000000.json",
+            "papers/m_2g.r99-0000000000000000.json",
             "claims/7",
             "claims/000009",
             "claims/x",
@@ -1567,7 +1704,7 @@
         }
         let (mut store, saved) = Store::open(&dir).expect("opens");
         assert_eq!(Held::of(&saved), held);
-        assert_eq!(store.found().len(), 2, "{:?}", store.found());
+        assert_eq!(store.found().len(), 3, "{:?}", store.found());
         store.write(&[Record::Free(7, 9)]).expect("written");
         assert!(dir.join("claims/000010").exists());
         fs::remove_dir_all(&dir).expect("removed");
--- a/mesh/src/agree.rs
+++ b/mesh/src/agree.rs
@@ -1,5 +1,5 @@
-//! One steward's part in what the core agrees on: who votes (`view`), the newest configuration (`sheet`) and which
-//! keys were claimed (`keys`). It owns the beats, the pending calls and the letters that wait to be sent together.
+//! One steward's part in what the core agrees on: who votes (`view`), the newest configuration (`sheet`), named
+//! papers beside it (`papers`) and which keys were claimed (`keys`). It owns the beats, the pending calls and the letters that wait to be sent together.
 //! It does no I/O and knows no clock. It must never say yes before the write behind it is safe, which `Act::Send`
 //! sees to, and never count an answer that was given in another view than its own.
 //!
@@ -17,12 +17,13 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::words::{
-    Act, Ballot, Ballots, Body, Claim, Got, Grant, Key, Letter, Outcome, Record, Saved, Sheet, Station,
-    Token, View, Want,
+    Act, Ballot, Ballots, Body, Claim, Got, Grant, Key, Letter, Name, Outcome, Paper, Record, Saved, Sheet,
+    Station, Token, View, Want,
 };
 
 mod answers;
 mod keys;
+pub mod papers;
 mod sheet;
 mod spread;
 mod undo;
@@ -55,6 +56,9 @@
 
 type Rank = (u64, u64);
 
+/// The register without a name.
+const TIMETABLE: &str = "";
+
 #[derive(Clone, Debug)]
 pub struct Config {
     /// How long claims are kept.
@@ -86,8 +90,11 @@
     /// When it was last told or asked of views, and of sheets.
     told: Option<Nanos>,
     asked: Option<Nanos>,
-    pulled: Option<Nanos>,
-    pushed: Option<(Nanos, Rank)>,
+    pulled: BTreeMap<Name, Nanos>,
+    pushed: BTreeMap<Name, (Nanos, Rank)>,
+    /// When it was last asked which papers it holds, and all of ours that it was last found to hold as well.
+    listed: Option<Nanos>,
+    counted: u128,
 }
 
 impl Peer {
@@ -101,8 +108,10 @@
             zone: String::new(),
             told: None,
             asked: None,
-            pulled: None,
-            pushed: None,
+            pulled: BTreeMap::new(),
+            pushed: BTreeMap::new(),
+            listed: None,
+            counted: 0,
         }
     }
 
@@ -183,13 +192,9 @@
     told_new: bool,
     barred: bool,
 
-    held: Option<Arc<Sheet>>,
-    /// Held before, not yet known to be outdated.
-    earlier: VecDeque<Arc<Sheet>>,
-    safe: Option<Arc<Sheet>>,
-    safe_rank: Rank,
-    /// What the voters of this view said in it.
-    ranks: BTreeMap<Station, Rank>,
+    /// The newest configuration, and the papers by name.
+    sheet: sheet::Register,
+    papers: papers::Papers,
 
     claims: BTreeMap<Key, keys::Kept>,
     answers: answers::Answers,
@@ -266,11 +271,8 @@
             next_try: now,
             wishing: false,
             catching: None,
-            held: None,
-            earlier: VecDeque::new(),
-            safe: None,
-            safe_rank: (0, 0),
-            ranks: BTreeMap::new(),
+            sheet: sheet::Register::holding(saved.sheet),
+            papers: papers::Papers::holding(saved.papers),
             claims: BTreeMap::new(),
             answers: answers::Answers::default(),
             expiry: BTreeSet::new(),
@@ -287,7 +289,6 @@
             mutant: 0,
             hasty: false,
         };
-        core.held = saved.sheet;
         for (key, claim) in saved.claims {
             core.put(key, claim);
         }
@@ -313,13 +314,14 @@
         let same = view == self.view.number;
         let member = same && self.is_member(&from);
         match body {
-            Body::Beat { voter, sheet, safe, .. } => {
+            Body::Beat { voter, sheet, safe, papers, .. } => {
                 if member && voter {
-                    self.ranked(from, sheet);
+                    self.sheet.ranked(from, sheet);
                 }
-                self.told_safe(safe);
+                self.sheet.told_safe(safe);
                 self.look(now, from, sheet, out);
-                self.recount(out);
+                self.recount(TIMETABLE, out);
+                self.papers_there(now, from, member && voter, papers, out);
             }
             Body::Holds(view) => self.adopt(now, view, out),
             Body::Prepare(ballot) if same => self.prepare(from, ballot, out),
@@ -336,15 +338,21 @@
                     self.settle(now, key, token, outcome, out);
                 }
             }
-            Body::Hold(sheet) => self.offered(now, from, same, sheet, out),
+            Body::Hold(sheet) => self.offered(from, same, sheet, out),
             Body::WantSheet { ask, have } => self.want_sheet(from, same, ask, have, out),
             Body::Held { ask, rank } => self.held_there(now, from, member, ask, rank, out),
-            Body::WantState { from: place, round } if member || self.mutant == 9 => {
-                self.want_state(from, place, round, out);
+            Body::WantState { from: place, round, papers } if member || self.mutant == 9 => {
+                self.want_state(from, place, round, papers, out);
+            }
+            Body::State { round, part, next, sheet, papers, next_paper } if same || self.mutant == 9 => {
+                self.state(now, from, round, part, sheet, papers, (next, next_paper), out);
             }
-            Body::State { round, part, next, sheet } if same || self.mutant == 9 => {
-                self.state(now, from, round, part, next, sheet, out);
+            Body::HoldPapers(papers) => self.papers_offered(from, same, papers, out),
+            Body::WantPapers { ask, have } => self.want_papers(from, same, ask, have, out),
+            Body::PapersHeld { ask, voter, ranks, next } => {
+                self.papers_held(now, from, member && voter, ask, ranks, next, out);
             }
+            Body::ListPapers(place) => self.list_papers(from, &place, out),
             _ => {}
         }
     }
@@ -358,8 +366,13 @@
         match want {
             Want::Claim { key, token, left_ms } => self.claim_wanted(now, call, key, token, left_ms, out),
             Want::Settle { key, token, outcome } => self.settle_wanted(now, call, key, token, outcome, out),
-            Want::Replace(sheet) => self.replace_wanted(now, call, sheet, out),
-            Want::Read => self.read_wanted(now, call, out),
+            Want::Replace(sheet) => self.replace_wanted(now, call, TIMETABLE.into(), sheet, out),
+            Want::Read => self.read_wanted(now, call, TIMETABLE.into(), out),
+            Want::Paper(Paper { name, sheet }) if self.papers.has_room(&name, &sheet) => {
+                self.replace_wanted(now, call, name, sheet, out);
+            }
+            Want::Paper(_) => out.push(Act::Answer { call, got: Got::Full }),
+            Want::ReadPaper(name) => self.read_wanted(now, call, name, out),
         }
     }
 
@@ -471,12 +484,12 @@
 
     /// The newest configuration known to be on more than half of the voters' disks. Never goes back in a life.
     pub fn safe(&self) -> Option<&Arc<Sheet>> {
-        self.safe.as_ref()
+        self.sheet.safe.as_ref()
     }
 
     /// The newest one that this steward has, which may yet be lost.
     pub fn held(&self) -> Option<&Arc<Sheet>> {
-        self.held.as_ref()
+        self.sheet.held.as_ref()
     }
 
     pub fn me(&self) -> Station {
@@ -536,8 +549,9 @@
     /// All that the disk should hold, to write it anew.
     pub fn records(&self) -> Vec<Record> {
         let claims = self.claims.iter().map(|(key, kept)| Record::Claim(*key, kept.claim.clone()));
-        let sheet = self.held.iter().map(|sheet| Record::Sheet(sheet.clone()));
-        [Record::Ballots(self.ballots())].into_iter().chain(sheet).chain(claims).collect()
+        let sheet = self.sheet.held.iter().map(|sheet| Record::Sheet(sheet.clone()));
+        let papers = self.papers.from("").map(Record::Paper);
+        [Record::Ballots(self.ballots())].into_iter().chain(sheet).chain(papers).chain(claims).collect()
     }
 
     fn is_member(&self, station: &Station) -> bool {
@@ -577,10 +591,11 @@
     fn beat(&self) -> Letter {
         self.letter(Body::Beat {
             voter: self.voter,
-            sheet: self.held_rank(),
-            safe: self.safe_rank,
+            sheet: self.sheet.held_rank(),
+            safe: self.sheet.safe_rank,
             leaving: self.leaving,
             zone: if self.config.zones > 0 { self.config.zone.clone() } else { String::new() },
+            papers: self.papers.digest(),
         })
     }
 
--- /dev/null
+++ b/mesh/src/agree/papers.rs
@@ -0,0 +1,301 @@
+//! Papers: sheets by name, each name a register of its own (`sheet` has what all registers have in common). It owns the
+//! names, the bounds on them, and how stewards find out which of them differ. It must never let a paper of one name
+//! count for another, nor keep a new member from papers that were agreed, however many there are.
+//!
+//! Beats tell one number for all papers held. With the same number a voter holds just what this steward holds: what it
+//! said counts for each name. With another one it is asked for its list, and then for what is newer there.
+
+use std::ops::Bound;
+
+use super::*;
+
+/// So many names are taken, of so many bytes each, and sheets of so many bytes each and together.
+pub const MOST_NAMES: usize = 4_096;
+pub const MOST_NAME: usize = 64;
+pub const MOST_BYTES: usize = 4 << 20;
+pub const MOST_BYTES_TOGETHER: usize = 64 << 20;
+/// Several stewards may take some at once: what others took is held up to so many times that.
+const SLACK: usize = 2;
+
+#[derive(Clone, Debug, Default)]
+pub(super) struct Papers {
+    by_name: BTreeMap<Name, sheet::Register>,
+    digest: u128,
+    bytes: usize,
+    /// Goes up with all that is held or safe.
+    changes: u64,
+}
+
+fn digest(name: &str, sheet: &Sheet) -> u128 {
+    let mut bytes = Vec::with_capacity(name.len() + 16);
+    bytes.extend_from_slice(&sheet.version.to_be_bytes());
+    bytes.extend_from_slice(&sheet.digest.to_be_bytes());
+    bytes.extend_from_slice(name.as_bytes());
+    xxhash_rust::xxh3::xxh3_128(&bytes)
+}
+
+impl Papers {
+    pub fn holding(papers: Vec<Paper>) -> Papers {
+        let mut all = Papers::default();
+        for paper in papers {
+            if all.get(&paper.name).is_none_or(|held| held.held_rank() < paper.sheet.rank()) {
+                all.take(paper);
+            }
+        }
+        all
+    }
+
+    pub fn get(&self, name: &str) -> Option<&sheet::Register> {
+        self.by_name.get(name)
+    }
+
+    /// The same number, the same papers held.
+    pub fn digest(&self) -> u128 {
+        self.digest
+    }
+
+    /// Holds one that is newer than the one held.
+    pub fn take(&mut self, paper: Paper) {
+        let Paper { name, sheet } = paper;
+        let new = digest(&name, &sheet);
+        let register = self.by_name.entry(name.clone()).or_default();
+        if let Some(was) = &register.held {
+            self.digest = self.digest.wrapping_sub(digest(&name, was));
+            self.bytes = self.bytes.saturating_sub(was.bytes.len());
+        }
+        self.digest = self.digest.wrapping_add(new);
+        self.bytes += sheet.bytes.len();
+        self.changes += 1;
+        register.take(sheet);
+    }
+
+    pub fn recount(&mut self, name: &str, majority: usize) -> bool {
+        let grown = self.by_name.get_mut(name).is_some_and(|register| register.recount(majority));
+        self.changes += u64::from(grown);
+        grown
+    }
+
+    fn fits(&self, name: &str, sheet: &Sheet, times: usize) -> bool {
+        let held = self.by_name.get(name).and_then(|register| register.held.as_ref());
+        let before = held.map_or(0, |held| held.bytes.len());
+        (held.is_some() || self.by_name.len() < times * MOST_NAMES)
+            && !name.is_empty()
+            && name.len() <= MOST_NAME
+            && sheet.bytes.len() <= MOST_BYTES
+            && self.bytes - before + sheet.bytes.len() <= times * MOST_BYTES_TOGETHER
+    }
+
+    /// Whether it may be taken: there are not too many names, nor too many bytes.
+    pub fn has_room(&self, name: &str, sheet: &Sheet) -> bool {
+        self.fits(name, sheet, 1)
+    }
+
+    /// A voter of this view holds that much. Names that are not known here are, from now on, up to a bound.
+    fn ranked(&mut self, voter: Station, name: &Name, rank: Rank) {
+        let room = self.by_name.len() < SLACK * MOST_NAMES && name.len() <= MOST_NAME;
+        if room && rank > (0, 0) && !name.is_empty() {
+            self.by_name.entry(name.clone()).or_default().ranked(voter, rank);
+        } else if let Some(register) = self.by_name.get_mut(name) {
+            register.ranked(voter, rank);
+        }
+    }
+
+    /// A voter of this view holds all that is held here.
+    fn ranked_all(&mut self, voter: Station) {
+        for register in self.by_name.values_mut() {
+            let rank = register.held_rank();
+            register.ranked(voter, rank);
+        }
+    }
+
+    pub fn ranks_anew(&mut self) {
+        self.by_name.values_mut().for_each(sheet::Register::ranks_anew);
+    }
+
+    /// Those held from a name on.
+    pub fn from(&self, name: &str) -> impl Iterator<Item = Paper> {
+        let range = self.by_name.range::<str, _>((Bound::Included(name), Bound::Unbounded));
+        range.filter_map(|(name, register)| Some(Paper { name: name.clone(), sheet: register.held.clone()? }))
+    }
+
+    /// The ranks of those held from a name on, as many as fit a letter, and from where there are more.
+    pub fn ranks(&self, name: &str) -> (Vec<(Name, Rank)>, Option<Name>) {
+        let mut rest = self.from(name);
+        let ranks =
+            rest.by_ref().take(MOST_IN_LETTER).map(|paper| (paper.name, paper.sheet.rank())).collect();
+        (ranks, rest.next().map(|paper| paper.name))
+    }
+
+    /// Those held from a name on, as many as fit a letter that has so many bytes already, and from where there are more.
+    pub fn part(&self, name: &str, mut bytes: usize) -> (Vec<Paper>, Option<Name>) {
+        let mut part = Vec::new();
+        for paper in self.from(name) {
+            if part.len() >= MOST_IN_LETTER || bytes >= BYTES_IN_LETTER {
+                return (part, Some(paper.name));
+            }
+            bytes += paper.sheet.bytes.len();
+            part.push(paper);
+        }
+        (part, None)
+    }
+}
+
+/// Of a paper, what a steward has of it.
+#[derive(Clone, Debug)]
+pub struct Stands {
+    pub name: Name,
+    /// The newest known to be on more than half of the voters' disks. Never goes back in a life.
+    pub safe: Option<Arc<Sheet>>,
+    /// The newest that is held here, which may yet be lost.
+    pub held: Option<Arc<Sheet>>,
+}
+
+impl Core {
+    /// All papers by name.
+    pub fn papers(&self) -> impl Iterator<Item = Stands> {
+        self.papers.by_name.iter().map(|(name, register)| Stands {
+            name: name.clone(),
+            safe: register.safe.clone(),
+            held: register.held.clone(),
+        })
+    }
+
+    /// Goes up with every change of what `papers` tells.
+    pub fn papers_changes(&self) -> u64 {
+        self.papers.changes
+    }
+
+    pub(super) fn ranks_anew(&mut self) {
+        self.sheet.ranks_anew();
+        if self.mutant != 16 {
+            self.papers.ranks_anew();
+        }
+        self.peers.values_mut().for_each(|peer| peer.counted = 0);
+    }
+
+    /// Another told the number of all that it holds.
+    pub(super) fn papers_there(
+        &mut self,
+        now: Nanos,
+        from: Station,
+        counts: bool,
+        digest: u128,
+        out: &mut Vec<Act>,
+    ) {
+        if digest == 0 || from == self.me {
+            return;
+        }
+        let Some(peer) = self.peers.get_mut(&from) else { return };
+        if digest != self.papers.digest {
+            if due(&mut peer.listed, now, RARELY) {
+                self.now(from.at, Body::ListPapers(TIMETABLE.into()), out);
+            }
+        } else if counts && peer.counted != digest {
+            peer.counted = digest;
+            self.papers.ranked_all(from);
+            let names: Vec<Name> = self.papers.by_name.keys().cloned().collect();
+            names.iter().for_each(|name| self.recount(name, out));
+        }
+    }
+
+    pub(super) fn list_papers(&self, from: Station, place: &str, out: &mut Vec<Act>) {
+        let (ranks, next) = self.papers.ranks(place);
+        self.send(from.at, Body::PapersHeld { ask: 0, voter: self.voter, ranks, next }, out);
+    }
+
+    pub(super) fn papers_offered(
+        &mut self,
+        from: Station,
+        same: bool,
+        papers: Vec<Paper>,
+        out: &mut Vec<Act>,
+    ) {
+        let names: Vec<Name> = papers.iter().map(|paper| paper.name.clone()).collect();
+        for Paper { name, sheet } in papers {
+            if self.papers.fits(&name, &sheet, SLACK) {
+                self.hold(&name, sheet, out);
+            }
+        }
+        if same && self.voter && from != self.me {
+            self.say_held(from, 0, &names, out);
+        }
+        names.iter().for_each(|name| self.judge_sheets(name, out));
+    }
+
+    pub(super) fn want_papers(
+        &self,
+        from: Station,
+        same: bool,
+        ask: u64,
+        have: Vec<(Name, Rank)>,
+        out: &mut Vec<Act>,
+    ) {
+        let mut bytes = 0;
+        let newer = have.iter().take(MOST_IN_LETTER).filter_map(|(name, rank)| {
+            let sheet = self.papers.get(name)?.held.clone().filter(|sheet| sheet.rank() > *rank)?;
+            Some(Paper { name: name.clone(), sheet })
+        });
+        // What does not fit is asked for again.
+        let fits = |paper: &Paper| {
+            let before = bytes;
+            bytes += paper.sheet.bytes.len();
+            before < BYTES_IN_LETTER
+        };
+        let newer: Vec<Paper> = newer.take_while(fits).collect();
+        if !newer.is_empty() {
+            self.now(from.at, Body::HoldPapers(newer), out);
+        }
+        if same && self.voter {
+            let names: Vec<Name> = have.into_iter().map(|(name, _)| name).collect();
+            self.say_held(from, ask, &names, out);
+        }
+    }
+
+    fn say_held(&self, to: Station, ask: u64, names: &[Name], out: &mut Vec<Act>) {
+        let rank = |name: &Name| self.papers.get(name).map_or((0, 0), sheet::Register::held_rank);
+        let ranks = names.iter().take(MOST_IN_LETTER).map(|name| (name.clone(), rank(name))).collect();
+        let body = Body::PapersHeld { ask, voter: true, ranks, next: None };
+        if self.mutant == 18 {
+            self.now(to.at, body, out);
+        } else {
+            self.send(to.at, body, out);
+        }
+    }
+
+    /// Another tells the ranks of papers that it holds: what is newer is fetched. `counts`: it is a voter of this view.
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn papers_held(
+        &mut self,
+        now: Nanos,
+        from: Station,
+        counts: bool,
+        ask: u64,
+        ranks: Vec<(Name, Rank)>,
+        next: Option<Name>,
+        out: &mut Vec<Act>,
+    ) {
+        let mut have = Vec::new();
+        for (name, rank) in ranks.iter().take(MOST_IN_LETTER) {
+            if counts {
+                self.papers.ranked(from, name, *rank);
+                self.replied(from, name, ask, *rank);
+                if self.mutant == 17 {
+                    self.papers.ranked_all(from);
+                }
+            }
+            let here = self.papers.get(name).map_or((0, 0), sheet::Register::held_rank);
+            if *rank > here && name.len() <= MOST_NAME && self.may_pull(now, from, name) {
+                have.push((name.clone(), here));
+            }
+        }
+        if !have.is_empty() {
+            self.now(from.at, Body::WantPapers { ask: 0, have }, out);
+        }
+        for (name, _) in ranks.iter().take(MOST_IN_LETTER) {
+            self.recount(name, out);
+        }
+        if let Some(next) = next.filter(|next| ranks.last().is_some_and(|(last, _)| last < next)) {
+            self.now(from.at, Body::ListPapers(next), out);
+        }
+    }
+}
--- a/mesh/src/agree/sheet.rs
+++ b/mesh/src/agree/sheet.rs
@@ -1,14 +1,88 @@
-//! The newest configuration. It owns what this steward holds of it and what the voters said they hold. It must never
-//! call one safe that more than half of the voters have not said to hold, it or a newer one.
+//! Registers: the newest configuration, which has no name, and the papers by theirs. It owns what this steward holds of
+//! each and what the voters said they hold. It must never call a sheet safe that more than half of the voters have not
+//! said to hold, it or a newer one of the same register, nor let one register wait for another.
 
 use super::*;
 
 const REPLACE: Nanos = 3000 * MS;
 const READ: Nanos = 1500 * MS;
 const MOST_EARLIER: usize = 8;
+/// Of the calls on papers, so many may be for one name.
+const MOST_CALLS_OF_NAME: usize = 16;
+
+/// One line of sheets, the highest of which holds.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Register {
+    pub held: Option<Arc<Sheet>>,
+    /// Held before, not yet known to be outdated.
+    earlier: VecDeque<Arc<Sheet>>,
+    pub safe: Option<Arc<Sheet>>,
+    pub safe_rank: Rank,
+    /// What the voters of this view said in it.
+    ranks: BTreeMap<Station, Rank>,
+}
+
+impl Register {
+    pub fn holding(held: Option<Arc<Sheet>>) -> Register {
+        Register { held, ..Register::default() }
+    }
+
+    pub fn held_rank(&self) -> Rank {
+        self.held.as_ref().map_or((0, 0), |sheet| sheet.rank())
+    }
+
+    /// Holds a sheet that is newer than the one held.
+    pub fn take(&mut self, sheet: Arc<Sheet>) {
+        self.earlier.extend(self.held.replace(sheet));
+        if self.earlier.len() > MOST_EARLIER {
+            self.earlier.pop_front();
+        }
+        self.choose_safe();
+    }
+
+    /// A voter of this view holds that much on its disk.
+    pub fn ranked(&mut self, voter: Station, rank: Rank) {
+        let held = self.ranks.entry(voter).or_default();
+        *held = rank.max(*held);
+    }
+
+    /// What was said in the last view does not count any more.
+    pub fn ranks_anew(&mut self) {
+        self.ranks.clear();
+    }
+
+    pub fn told_safe(&mut self, rank: Rank) {
+        self.safe_rank = rank.max(self.safe_rank);
+        self.choose_safe();
+    }
+
+    /// What more than half of the voters hold may have grown; says whether it did.
+    pub fn recount(&mut self, majority: usize) -> bool {
+        let mut ranks: Vec<Rank> = self.ranks.values().copied().collect();
+        ranks.sort_unstable_by(|a, b| b.cmp(a));
+        let grown = ranks.get(majority - 1).is_some_and(|rank| *rank > self.safe_rank);
+        if grown {
+            self.told_safe(ranks[majority - 1]);
+        }
+        grown
+    }
+
+    fn choose_safe(&mut self) {
+        let rank = self.safe_rank;
+        let fits = self.earlier.iter().chain(&self.held).filter(|sheet| sheet.rank() <= rank);
+        if let Some(sheet) = fits.max_by_key(|sheet| sheet.rank())
+            && self.safe.as_ref().is_none_or(|safe| safe.rank() < sheet.rank())
+        {
+            self.safe = Some(sheet.clone());
+            let rank = sheet.rank();
+            self.earlier.retain(|sheet| sheet.rank() > rank);
+        }
+    }
+}
 
 #[derive(Clone, Debug)]
 pub(super) struct Replacing {
+    pub name: Name,
     rank: Rank,
     until: Nanos,
     pub timer: Nanos,
@@ -16,114 +90,163 @@
 
 #[derive(Clone, Debug)]
 pub(super) struct Reading {
+    pub name: Name,
     until: Nanos,
     pub timer: Nanos,
     /// What the voters said since the read began.
     answers: BTreeMap<Station, Rank>,
 }
 
+/// The words for each kind of register.
+fn hold(name: &str, sheet: Arc<Sheet>) -> Body {
+    match name {
+        TIMETABLE => Body::Hold(sheet),
+        name => Body::HoldPapers(vec![Paper { name: name.into(), sheet }]),
+    }
+}
+
+fn want(name: &str, ask: u64, have: Rank) -> Body {
+    match name {
+        TIMETABLE => Body::WantSheet { ask, have },
+        name => Body::WantPapers { ask, have: vec![(name.into(), have)] },
+    }
+}
+
+/// A voter says what it holds.
+fn held(name: &str, ask: u64, rank: Rank) -> Body {
+    match name {
+        TIMETABLE => Body::Held { ask, rank },
+        name => Body::PapersHeld { ask, voter: true, ranks: vec![(name.into(), rank)], next: None },
+    }
+}
+
 impl Core {
-    pub(super) fn held_rank(&self) -> Rank {
-        self.held.as_ref().map_or((0, 0), |sheet| sheet.rank())
+    pub(super) fn register(&self, name: &str) -> Option<&Register> {
+        if name == TIMETABLE { Some(&self.sheet) } else { self.papers.get(name) }
     }
 
-    pub(super) fn replace_wanted(&mut self, now: Nanos, call: u64, sheet: Arc<Sheet>, out: &mut Vec<Act>) {
-        if self.sheet_calls.len() >= MOST_SHEET_CALLS {
+    fn held_rank(&self, name: &str) -> Rank {
+        self.register(name).map_or((0, 0), Register::held_rank)
+    }
+
+    /// Whether one more call on that register can wait; otherwise it is answered.
+    fn may_wait(&self, call: u64, name: &str, out: &mut Vec<Act>) -> bool {
+        let of_name = |call: &&u64| self.name_of(**call).is_some_and(|of| **of == *name);
+        let may = self.sheet_calls.len() < MOST_SHEET_CALLS
+            && (name == TIMETABLE || self.sheet_calls.iter().filter(of_name).count() < MOST_CALLS_OF_NAME);
+        if !may {
             out.push(Act::Answer { call, got: Got::Unsure });
+        }
+        may
+    }
+
+    /// The register that a call is on.
+    fn name_of(&self, call: u64) -> Option<&Name> {
+        match self.calls.get(&call)? {
+            Call::Replace(replacing) => Some(&replacing.name),
+            Call::Read(reading) => Some(&reading.name),
+            Call::Claim(_) => None,
+        }
+    }
+
+    pub(super) fn replace_wanted(
+        &mut self,
+        now: Nanos,
+        call: u64,
+        name: Name,
+        sheet: Arc<Sheet>,
+        out: &mut Vec<Act>,
+    ) {
+        if !self.may_wait(call, &name, out) {
             return;
         }
         let rank = sheet.rank();
-        self.hold(sheet, out);
-        let timer = now.saturating_add(AGAIN);
-        self.calls.insert(call, Call::Replace(Replacing { rank, until: now.saturating_add(REPLACE), timer }));
+        self.hold(&name, sheet, out);
+        let (timer, until) = (now.saturating_add(AGAIN), now.saturating_add(REPLACE));
+        self.calls.insert(call, Call::Replace(Replacing { name: name.clone(), rank, until, timer }));
         self.sheet_calls.insert(call);
         self.timers.insert((timer, call));
-        self.push(now, out);
-        self.judge_sheets(out);
+        self.push(now, &name, out);
+        self.judge_sheets(&name, out);
     }
 
-    pub(super) fn read_wanted(&mut self, now: Nanos, call: u64, out: &mut Vec<Act>) {
-        if self.sheet_calls.len() >= MOST_SHEET_CALLS {
-            out.push(Act::Answer { call, got: Got::Unsure });
+    pub(super) fn read_wanted(&mut self, now: Nanos, call: u64, name: Name, out: &mut Vec<Act>) {
+        if !self.may_wait(call, &name, out) {
             return;
         }
-        let timer = now.saturating_add(AGAIN);
-        let reading = Reading { until: now.saturating_add(READ), timer, answers: BTreeMap::new() };
+        let (timer, until) = (now.saturating_add(AGAIN), now.saturating_add(READ));
+        let reading = Reading { name: name.clone(), until, timer, answers: BTreeMap::new() };
         self.calls.insert(call, Call::Read(reading));
         self.sheet_calls.insert(call);
         self.timers.insert((timer, call));
         self.ask(call, out);
-        self.judge_sheets(out);
+        self.judge_sheets(&name, out);
     }
 
     /// Holds a sheet if it is newer than the one held.
-    pub(super) fn hold(&mut self, sheet: Arc<Sheet>, out: &mut Vec<Act>) {
-        if sheet.rank() <= self.held_rank() {
+    pub(super) fn hold(&mut self, name: &str, sheet: Arc<Sheet>, out: &mut Vec<Act>) {
+        let rank = sheet.rank();
+        if rank <= self.held_rank(name) {
             return;
         }
-        out.push(Act::Write(Record::Sheet(sheet.clone())));
-        self.earlier.extend(self.held.replace(sheet));
-        if self.earlier.len() > MOST_EARLIER {
-            self.earlier.pop_front();
+        if name == TIMETABLE {
+            out.push(Act::Write(Record::Sheet(sheet.clone())));
+            self.sheet.take(sheet);
+        } else {
+            let paper = Paper { name: name.into(), sheet };
+            out.push(Act::Write(Record::Paper(paper.clone())));
+            self.papers.take(paper);
         }
-        self.choose_safe();
         if self.voter {
-            self.send(self.me.at, Body::Held { ask: 0, rank: self.held_rank() }, out);
+            self.send(self.me.at, held(name, 0, rank), out);
         }
     }
 
     /// Gives the sheet to the members that are not known to hold one as new.
-    fn push(&mut self, now: Nanos, out: &mut Vec<Act>) {
-        let Some(sheet) = self.held.clone() else { return };
+    fn push(&mut self, now: Nanos, name: &str, out: &mut Vec<Act>) {
+        let Some(register) = self.register(name) else { return };
+        let Some(sheet) = register.held.clone() else { return };
         let rank = sheet.rank();
-        for station in self.others() {
-            if self.ranks.get(&station).is_some_and(|held| *held >= rank) {
-                continue;
-            }
+        let holds = |station: &Station| register.ranks.get(station).is_some_and(|held| *held >= rank);
+        let behind: Vec<Station> = self.others().filter(|station| !holds(station)).collect();
+        for station in behind {
             let Some(peer) = self.peers.get_mut(&station) else { continue };
-            if peer.pushed.is_some_and(|(at, pushed)| pushed == rank && now < at.saturating_add(RARELY)) {
+            let pushed = peer.pushed.get(name);
+            if pushed.is_some_and(|(at, pushed)| *pushed == rank && now < at.saturating_add(RARELY)) {
                 continue;
             }
-            peer.pushed = Some((now, rank));
-            self.now(station.at, Body::Hold(sheet.clone()), out);
+            peer.pushed.insert(name.into(), (now, rank));
+            self.now(station.at, hold(name, sheet.clone()), out);
         }
     }
 
     /// Asks the voters that have not said yet what they hold.
     fn ask(&self, call: u64, out: &mut Vec<Act>) {
         let Some(Call::Read(reading)) = self.calls.get(&call) else { return };
-        let (ask, have) = (call ^ self.salt, self.held_rank());
+        let (ask, have) = (call ^ self.salt, self.held_rank(&reading.name));
         for station in self.view.members.iter().filter(|station| !reading.answers.contains_key(station)) {
             if *station != self.me {
-                self.now(station.at, Body::WantSheet { ask, have }, out);
+                self.now(station.at, want(&reading.name, ask, have), out);
             } else if self.voter {
-                self.send(self.me.at, Body::Held { ask, rank: have }, out);
+                self.send(self.me.at, held(&reading.name, ask, have), out);
             }
         }
     }
 
-    pub(super) fn offered(
-        &mut self,
-        now: Nanos,
-        from: Station,
-        same: bool,
-        sheet: Arc<Sheet>,
-        out: &mut Vec<Act>,
-    ) {
-        self.look(now, from, (0, 0), out);
-        self.hold(sheet, out);
+    pub(super) fn offered(&mut self, from: Station, same: bool, sheet: Arc<Sheet>, out: &mut Vec<Act>) {
+        self.hold(TIMETABLE, sheet, out);
         if same && self.voter && from != self.me {
-            self.send(from.at, Body::Held { ask: 0, rank: self.held_rank() }, out);
+            self.send(from.at, held(TIMETABLE, 0, self.sheet.held_rank()), out);
         }
-        self.judge_sheets(out);
+        self.judge_sheets(TIMETABLE, out);
     }
 
     pub(super) fn want_sheet(&self, from: Station, same: bool, ask: u64, have: Rank, out: &mut Vec<Act>) {
-        if let Some(sheet) = self.held.as_ref().filter(|sheet| sheet.rank() > have) {
+        if let Some(sheet) = self.sheet.held.as_ref().filter(|sheet| sheet.rank() > have) {
             self.now(from.at, Body::Hold(sheet.clone()), out);
         }
         if same && self.voter {
-            self.send(from.at, Body::Held { ask, rank: self.held_rank() }, out);
+            self.send(from.at, held(TIMETABLE, ask, self.sheet.held_rank()), out);
         }
     }
 
@@ -138,81 +261,78 @@
         out: &mut Vec<Act>,
     ) {
         if member {
-            self.ranked(from, rank);
-            if let Some(Call::Read(reading)) = self.calls.get_mut(&(ask ^ self.salt))
-                && ask != 0
-            {
-                reading.answers.insert(from, rank);
-            }
+            self.sheet.ranked(from, rank);
+            self.replied(from, TIMETABLE, ask, rank);
         }
         self.look(now, from, rank, out);
-        self.recount(out);
+        self.recount(TIMETABLE, out);
     }
 
-    /// Another holds a sheet of that rank: fetches it if it is newer.
-    pub(super) fn look(&mut self, now: Nanos, from: Station, rank: Rank, out: &mut Vec<Act>) {
-        let have = self.held_rank();
-        if rank > have
-            && let Some(peer) = self.peers.get_mut(&from)
-            && due(&mut peer.pulled, now, RARELY)
+    /// A voter of this view says what it holds of a register, maybe to a read of that very register.
+    pub(super) fn replied(&mut self, from: Station, name: &str, ask: u64, rank: Rank) {
+        if let Some(Call::Read(reading)) = self.calls.get_mut(&(ask ^ self.salt))
+            && ask != 0
+            && *reading.name == *name
         {
-            self.now(from.at, Body::WantSheet { ask: 0, have }, out);
+            reading.answers.insert(from, rank);
         }
     }
 
-    /// A voter of this view holds that much on its disk.
-    pub(super) fn ranked(&mut self, voter: Station, rank: Rank) {
-        let held = self.ranks.entry(voter).or_default();
-        *held = rank.max(*held);
-    }
-
-    pub(super) fn told_safe(&mut self, rank: Rank) {
-        self.safe_rank = rank.max(self.safe_rank);
-        self.choose_safe();
+    /// Another holds a configuration of that rank: fetches it if it is newer.
+    pub(super) fn look(&mut self, now: Nanos, from: Station, rank: Rank, out: &mut Vec<Act>) {
+        if rank > self.sheet.held_rank() && self.may_pull(now, from, TIMETABLE) {
+            self.now(from.at, want(TIMETABLE, 0, self.sheet.held_rank()), out);
+        }
     }
 
-    /// What more than half of the voters hold may have grown.
-    pub(super) fn recount(&mut self, out: &mut Vec<Act>) {
-        let mut ranks: Vec<Rank> = self.ranks.values().copied().collect();
-        ranks.sort_unstable_by(|a, b| b.cmp(a));
-        if let Some(rank) = ranks.get(self.majority() - 1)
-            && *rank > self.safe_rank
-        {
-            self.safe_rank = *rank;
-            self.choose_safe();
-            self.tell |= !self.sheet_calls.is_empty();
+    /// Whether another may be asked for the newest of a register; notes that it was.
+    pub(super) fn may_pull(&mut self, now: Nanos, from: Station, name: &str) -> bool {
+        let Some(peer) = self.peers.get_mut(&from) else { return false };
+        let mut last = peer.pulled.get(name).copied();
+        let may = due(&mut last, now, RARELY);
+        if may {
+            peer.pulled.insert(name.into(), now);
         }
-        self.judge_sheets(out);
+        may
     }
 
-    fn choose_safe(&mut self) {
-        let rank = self.safe_rank;
-        let fits = self.earlier.iter().chain(&self.held).filter(|sheet| sheet.rank() <= rank);
-        if let Some(sheet) = fits.max_by_key(|sheet| sheet.rank())
-            && self.safe.as_ref().is_none_or(|safe| safe.rank() < sheet.rank())
-        {
-            self.safe = Some(sheet.clone());
-            let rank = sheet.rank();
-            self.earlier.retain(|sheet| sheet.rank() > rank);
-        }
+    /// What more than half of the voters hold may have grown.
+    pub(super) fn recount(&mut self, name: &str, out: &mut Vec<Act>) {
+        let majority = self.majority();
+        let grown = if name == TIMETABLE {
+            self.sheet.recount(majority)
+        } else {
+            self.papers.recount(name, majority)
+        };
+        self.tell |= grown && !self.sheet_calls.is_empty();
+        self.judge_sheets(name, out);
     }
 
-    /// Answers the calls that can be answered now.
-    fn judge_sheets(&mut self, out: &mut Vec<Act>) {
-        for call in self.sheet_calls.clone() {
+    /// Answers the calls on a register that can be answered now.
+    pub(super) fn judge_sheets(&mut self, name: &str, out: &mut Vec<Act>) {
+        let calls = self.sheet_calls.iter().copied();
+        let calls: Vec<u64> =
+            calls.filter(|call| self.name_of(*call).is_some_and(|of| **of == *name)).collect();
+        for call in calls {
+            let empty = Register::default();
+            let register = self.register(name).unwrap_or(&empty);
             match self.calls.get(&call) {
-                Some(Call::Replace(replacing)) if self.safe_rank >= replacing.rank || self.mutant == 10 => {
+                Some(Call::Replace(replacing))
+                    if register.safe_rank >= replacing.rank || self.mutant == 10 =>
+                {
                     self.answer(call, Got::Taken, out);
                 }
                 Some(Call::Read(reading)) if reading.answers.len() >= self.majority() => {
                     let newest = reading.answers.values().copied().max().unwrap_or_default();
-                    let safe = self.safe.as_ref().map_or((0, 0), |sheet| sheet.rank());
+                    let safe = register.safe.as_ref().map_or((0, 0), |sheet| sheet.rank());
                     if safe >= newest {
-                        self.answer(call, Got::Newest(self.safe.clone()), out);
-                    } else if self.mutant == 7 && self.held_rank() >= newest {
-                        self.answer(call, Got::Newest(self.held.clone()), out);
+                        let got = Got::Newest(register.safe.clone());
+                        self.answer(call, got, out);
+                    } else if self.mutant == 7 && register.held_rank() >= newest {
+                        let got = Got::Newest(register.held.clone());
+                        self.answer(call, got, out);
                     } else {
-                        self.push(self.now, out);
+                        self.push(self.now, name, out);
                     }
                 }
                 _ => {}
@@ -222,9 +342,9 @@
 
     pub(super) fn sheet_timer(&mut self, now: Nanos, call: u64, out: &mut Vec<Act>) {
         let again = now.saturating_add(AGAIN);
-        let (timer, until) = match self.calls.get_mut(&call) {
-            Some(Call::Replace(replacing)) => (&mut replacing.timer, replacing.until),
-            Some(Call::Read(reading)) => (&mut reading.timer, reading.until),
+        let (name, timer, until) = match self.calls.get_mut(&call) {
+            Some(Call::Replace(replacing)) => (replacing.name.clone(), &mut replacing.timer, replacing.until),
+            Some(Call::Read(reading)) => (reading.name.clone(), &mut reading.timer, reading.until),
             _ => return,
         };
         if now >= until {
@@ -233,7 +353,7 @@
         }
         *timer = again.min(until);
         self.timers.insert((*timer, call));
-        self.push(now, out);
+        self.push(now, &name, out);
         self.ask(call, out);
     }
 
@@ -245,8 +365,24 @@
             }
             self.ask(call, out);
         }
-        if !self.sheet_calls.is_empty() {
-            self.push(now, out);
+        let names: BTreeSet<Name> =
+            self.sheet_calls.iter().filter_map(|call| self.name_of(*call)).cloned().collect();
+        for name in names {
+            self.push(now, &name, out);
+        }
+    }
+
+    /// A voter counts itself, with what is safe on its disk.
+    pub(super) fn tell_self(&self, out: &mut Vec<Act>) {
+        self.send(self.me.at, held(TIMETABLE, 0, self.sheet.held_rank()), out);
+        let mut place: Option<Name> = Some(TIMETABLE.into());
+        while let Some(name) = place {
+            let (ranks, next) = self.papers.ranks(&name);
+            place = next;
+            if !ranks.is_empty() {
+                let list = Body::PapersHeld { ask: 0, voter: true, ranks, next: None };
+                self.send(self.me.at, list, out);
+            }
         }
     }
 }
--- a/mesh/src/agree/view.rs
+++ b/mesh/src/agree/view.rs
@@ -22,12 +22,33 @@
     until: Nanos,
 }
 
+/// How far one has told a new member what it holds.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Place {
+    /// Claims from this key on are still to come, and all papers.
+    Claims(Key),
+    /// Papers from this name on.
+    Papers(Name),
+    All,
+}
+
+impl Place {
+    fn ask(&self, round: u64) -> Option<Body> {
+        let (from, papers) = match self {
+            Place::Claims(key) => (*key, None),
+            Place::Papers(name) => (Key::MAX, Some(name.clone())),
+            Place::All => return None,
+        };
+        Some(Body::WantState { from, round, papers })
+    }
+}
+
 /// What a new member has been told so far.
 #[derive(Clone, Debug)]
 pub(super) struct Catching {
     round: u64,
-    /// How far each one's claims are known; `None`: all.
-    sources: BTreeMap<Station, Option<Key>>,
+    /// How far each one's state is known.
+    sources: BTreeMap<Station, Place>,
     next_ask: Nanos,
     /// From then on one that left the view is asked as well: what it holds is whole, but may be outdated.
     ask_all: Nanos,
@@ -70,7 +91,7 @@
         self.accepted = None;
         self.attempt = None;
         self.wishing = false;
-        self.ranks.clear();
+        self.ranks_anew();
         if member && !self.voter {
             // Claims from an earlier membership may be long outdated; all that holds is told anew.
             self.drop_open(out);
@@ -90,9 +111,9 @@
         }
         self.catching = None;
         if self.voter {
-            self.send(self.me.at, Body::Held { ask: 0, rank: self.held_rank() }, out);
+            self.tell_self(out);
         } else if self.is_member(&self.me) {
-            let sources = self.others().map(|station| (station, Some(0))).collect();
+            let sources = self.others().map(|station| (station, Place::Claims(0))).collect();
             self.catching = Some(Catching {
                 round: self.chance.random(),
                 sources,
@@ -112,24 +133,31 @@
         if now >= catching.ask_all {
             for (station, peer) in &self.peers {
                 if peer.there(now) {
-                    catching.sources.entry(*station).or_insert(Some(0));
+                    catching.sources.entry(*station).or_insert(Place::Claims(0));
                 }
             }
         }
         let round = catching.round;
-        let open: Vec<(Station, Key)> = catching
+        let open: Vec<(Station, Body)> = catching
             .sources
             .iter()
-            .filter_map(|(station, place)| place.map(|place| (*station, place)))
+            .filter_map(|(station, place)| place.ask(round).map(|ask| (*station, ask)))
             .collect();
-        for (station, place) in open {
-            self.now(station.at, Body::WantState { from: place, round }, out);
+        for (station, ask) in open {
+            self.now(station.at, ask, out);
         }
     }
 
     /// A new member asks. Answered only in the view that is asked of, once that is safe here, and only by those that
     /// voted in the one before: any so many of them together hold all that was agreed in it.
-    pub(super) fn want_state(&mut self, from: Station, place: Key, round: u64, out: &mut Vec<Act>) {
+    pub(super) fn want_state(
+        &mut self,
+        from: Station,
+        place: Key,
+        round: u64,
+        papers: Option<Name>,
+        out: &mut Vec<Act>,
+    ) {
         if !self.voter && self.left != Some(self.view.number) && self.mutant != 9 {
             return;
         }
@@ -137,7 +165,7 @@
             return;
         }
         let (mut part, mut next, mut bytes) = (Vec::new(), None, 0);
-        for (key, kept) in self.claims.range(place..) {
+        for (key, kept) in self.claims.range(place..).filter(|_| papers.is_none()) {
             if part.len() >= MOST_IN_LETTER || bytes >= BYTES_IN_LETTER {
                 next = Some(*key);
                 break;
@@ -145,8 +173,12 @@
             bytes += super::weight(&kept.claim.outcome);
             part.push((*key, kept.claim.clone()));
         }
-        let sheet = if next.is_none() { self.held.clone() } else { None };
-        self.send(from.at, Body::State { round, part, next, sheet }, out);
+        let sheet = self.sheet.held.clone().filter(|_| next.is_none() && papers.is_none());
+        let (papers, next_paper) = match next {
+            None => self.papers.part(papers.as_deref().unwrap_or_default(), bytes),
+            Some(_) => (Vec::new(), None),
+        };
+        self.send(from.at, Body::State { round, part, next, sheet, papers, next_paper }, out);
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -156,8 +188,9 @@
         from: Station,
         round: u64,
         part: Vec<(Key, Claim)>,
-        next: Option<Key>,
         sheet: Option<Arc<Sheet>>,
+        papers: Vec<Paper>,
+        next: (Option<Key>, Option<Name>),
         out: &mut Vec<Act>,
     ) {
         let enough = self.view.members.len() + 1 - self.majority().min(self.view.members.len());
@@ -166,30 +199,40 @@
             return;
         }
         let Some(place) = catching.sources.get_mut(&from) else { return };
-        let Some(known) = *place else { return };
-        // Answers to earlier questions tell of claims from an earlier place on, so nothing is left out.
-        let further = next.is_none_or(|next| next > known);
+        if *place == Place::All {
+            return;
+        }
+        let next = match next {
+            (Some(key), _) => Place::Claims(key),
+            (None, Some(name)) => Place::Papers(name),
+            (None, _) => Place::All,
+        };
+        // Answers to earlier questions tell of what stands at an earlier place on, so nothing is left out.
+        let further = next > *place;
         if further {
-            *place = next;
+            *place = next.clone();
         }
-        let complete = catching.sources.values().filter(|place| place.is_none()).count() >= enough;
+        let complete = catching.sources.values().filter(|place| **place == Place::All).count() >= enough;
         for (key, claim) in part {
             self.merge(key, claim, out);
         }
         if let Some(sheet) = sheet {
-            self.hold(sheet, out);
+            self.hold(TIMETABLE, sheet, out);
+        }
+        for Paper { name, sheet } in papers.into_iter().take(if self.mutant == 15 { 0 } else { usize::MAX }) {
+            self.hold(&name, sheet, out);
         }
         if complete {
             self.catching = None;
             self.voter = true;
             self.keep_ballots(out);
             out.push(Act::Log(format!("core: caught up in view {}", self.view.number)));
-            self.send(self.me.at, Body::Held { ask: 0, rank: self.held_rank() }, out);
+            self.tell_self(out);
             self.tell = true;
             self.claims_anew(now, out);
             self.sheets_anew(now, out);
-        } else if let (true, Some(place)) = (further, next) {
-            self.now(from.at, Body::WantState { from: place, round }, out);
+        } else if let Some(ask) = next.ask(round).filter(|_| further) {
+            self.now(from.at, ask, out);
         }
     }
 
--- a/mesh/src/words.rs
+++ b/mesh/src/words.rs
@@ -55,6 +55,16 @@
     }
 }
 
+/// The name of a paper.
+pub type Name = Arc<str>;
+
+/// A named sheet. Each name has its own line of versions, and none waits for another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Paper {
+    pub name: Name,
+    pub sheet: Arc<Sheet>,
+}
+
 /// A tracking key, hashed.
 pub type Key = u128;
 
@@ -100,6 +110,7 @@
     Sheet(Arc<Sheet>),
     Claim(Key, Claim),
     Free(Key, Token),
+    Paper(Paper),
 }
 
 /// A steward's part in deciding the view that follows the one it holds.
@@ -132,6 +143,8 @@
     pub ballots: Option<Ballots>,
     pub sheet: Option<Arc<Sheet>>,
     pub claims: Vec<(Key, Claim)>,
+    /// The highest of each name.
+    pub papers: Vec<Paper>,
 }
 
 /// What an attendant or an operator wants of the core.
@@ -146,6 +159,10 @@
     Replace(Arc<Sheet>),
     /// The newest configuration.
     Read,
+    /// A paper that was read and found valid. `Full` where it is too long or there are too many.
+    Paper(Paper),
+    /// The newest paper of that name.
+    ReadPaper(Name),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -157,6 +174,8 @@
     /// Settled, or taken: safe where that is promised.
     Taken,
     Newest(Option<Arc<Sheet>>),
+    /// There is no room for it. It was not taken, and another steward may yet hold it if it was sent there.
+    Full,
     /// The core could not be had in time. A claim may or may not be held under the token.
     Unsure,
 }
@@ -180,6 +199,9 @@
         /// Told where views are to be spread over zones.
         #[serde(default, skip_serializing_if = "String::is_empty")]
         zone: String,
+        /// Tells of all papers that the sender holds: the same number, the same papers. 0 where it holds none.
+        #[serde(default, skip_serializing_if = "none")]
+        papers: u128,
     },
     /// The view that the sender holds.
     Holds(View),
@@ -220,13 +242,43 @@
     WantState {
         from: u128,
         round: u64,
+        /// It has been told all claims, and asks for the papers from this name on.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        papers: Option<Name>,
     },
     State {
         round: u64,
         part: Vec<(Key, Claim)>,
         next: Option<u128>,
         sheet: Option<Arc<Sheet>>,
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        papers: Vec<Paper>,
+        /// The name from which on papers are still to be told; told with and after the last part of the claims.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        next_paper: Option<Name>,
+    },
+    /// Papers to be held.
+    HoldPapers(Vec<Paper>),
+    /// Asks for papers newer than these. A voter also says what it holds of these names, with that `ask`.
+    WantPapers {
+        ask: u64,
+        have: Vec<(Name, (u64, u64))>,
     },
+    /// The ranks of those that the sender holds, safe on disk. `ask` is 0 where nobody asked.
+    PapersHeld {
+        ask: u64,
+        voter: bool,
+        ranks: Vec<(Name, (u64, u64))>,
+        /// There are more from this name on, where a list was asked for.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        next: Option<Name>,
+    },
+    /// Asks for the ranks of all papers from this name on, and gets as many as fit a letter.
+    ListPapers(Name),
+}
+
+fn none(papers: &u128) -> bool {
+    *papers == 0
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/mesh/tests/agree.rs
+++ b/mesh/tests/agree.rs
@@ -542,7 +542,9 @@
     let sheet = Arc::new(Sheet { version: number(c), digest: number(c), bytes: Vec::new() });
     let claim = Claim { token: number(c), left_ms: u32::MAX, outcome: outcome(c) };
     let rank = (number(c), number(c));
-    let body = match c.random_range(0..18) {
+    let name = ["m/a", "", "members"][c.random_range(0..3)].into();
+    let paper = Paper { name, sheet: sheet.clone() };
+    let body = match c.random_range(0..22) {
         16 => Body::Bar(ballot(c)),
         17 => Body::Barred { ballot: ballot(c), accepted: Some((ballot(c), view(c))) },
         0 => Body::Beat {
@@ -551,6 +553,7 @@
             safe: (number(c), number(c)),
             leaving: c.random(),
             zone: "z".into(),
+            papers: u128::from(number(c)),
         },
         1 => Body::Holds(view(c)),
         2 => Body::Prepare(ballot(c)),
@@ -564,12 +567,27 @@
         10 => Body::Hold(sheet),
         11 => Body::WantSheet { ask: number(c), have: rank },
         12 => Body::Held { ask: number(c), rank },
-        13 => Body::WantState { from: key(c), round: number(c) },
+        13 => Body::WantState {
+            from: key(c),
+            round: number(c),
+            papers: c.random::<bool>().then(|| "m/a".into()),
+        },
+        18 => Body::HoldPapers(vec![paper]),
+        19 => Body::WantPapers { ask: number(c), have: vec![("m/a".into(), rank), ("".into(), rank)] },
+        20 => Body::PapersHeld {
+            ask: number(c),
+            voter: c.random(),
+            ranks: vec![("m/b".into(), rank), ("".into(), rank)],
+            next: c.random::<bool>().then(|| "x".into()),
+        },
+        21 => Body::ListPapers("m/".into()),
         _ => Body::State {
             round: number(c),
             part: vec![(key(c), claim)],
             next: c.random::<bool>().then(|| key(c)),
             sheet: Some(sheet),
+            papers: vec![paper],
+            next_paper: c.random::<bool>().then(|| "x".into()),
         },
     };
     Letter { from: station(c), view: number(c), body }
--- a/mesh/tests/search.rs
+++ b/mesh/tests/search.rs
@@ -27,6 +27,9 @@
     slow_disks: bool,
     claims: u32,
     sheets: u32,
+    papers: u32,
+    /// Papers that fill a letter by twos.
+    bulky: bool,
     steps: usize,
     keys: Key,
     nodes: usize,
@@ -81,6 +84,8 @@
             reckless,
             hasty: reckless && chance.random(),
             zones: one(chance, &[0, 1]) as usize,
+            papers: one(chance, &[0, 10, 40]),
+            bulky: chance.random_range(0..4) == 0,
         }
     }
 
@@ -120,6 +125,8 @@
                 slow: (on == 10).then_some("back"),
                 ..plain
             }),
+            11 => Some(Mood { papers: 60, hurry: 30, wipe: 8, scarce: Some("hold"), bulky: true, ..plain }),
+            12 => Some(Mood { papers: 80, cut: 10, crash: 4, hurry: 40, nodes: 5, leaves: 1, ..plain }),
             _ => None,
         }
     }
@@ -148,6 +155,7 @@
         mood.claims,
         mood.sheets,
         mood.cut,
+        mood.papers,
     ];
     let mut pick = world.chance.random_range(0..weights.iter().sum());
     let kind = weights.iter().position(|weight| {
@@ -225,6 +233,19 @@
                 _ => {}
             }
         }
+        (Some(11), _) if world.up(node) => {
+            // One name is stormed, the others change now and then.
+            let name = ["m/a", "m/a", "m/a", "m/b", "t/a", "members"][world.chance.random_range(0..6)];
+            if world.chance.random_range(0..5) < 2 {
+                world.want(node, Want::ReadPaper(name.into()));
+            } else {
+                // Two may send the same version with texts that differ.
+                let floor = world.floors.get(name).map_or(0, |floor| floor.0);
+                let version = floor + world.chance.random_range(1..3);
+                let paper = world.paper(name, version);
+                world.want(node, Want::Paper(paper));
+            }
+        }
         _ => {}
     }
     // Beats are many; of too many letters the oldest ones are lost.
@@ -284,6 +305,7 @@
         if mood.answers > 0 {
             world.config.most_bytes = ANSWER * mood.answers;
         }
+        world.bulk = if mood.bulky { 300 << 10 } else { 0 };
     });
     let mut holders = Vec::new();
     if mood.leaves > 0 {
@@ -315,6 +337,8 @@
     world.calm(6_000 * MS);
     let floor = world.floor;
     let read = world.want(seed as usize % nodes, Want::Read);
+    let floors = world.floors.clone();
+    let papers: Vec<u64> = floors.keys().map(|name| world.want(0, Want::ReadPaper(name.clone()))).collect();
     let granted: Vec<Key> = world.granted.keys().copied().collect();
     for key in granted {
         let token = world.token();
@@ -329,7 +353,22 @@
             Some(Got::Newest(_)) => Some("what was safe is lost"),
             _ => Some("no read when all is well"),
         };
+        let got = papers.iter().zip(&floors).all(|(call, (_, floor))| match world.answers.get(call) {
+            Some(Got::Newest(sheet)) => sheet.as_ref().map_or((0, 0), |sheet| sheet.rank()) >= *floor,
+            _ => false,
+        });
+        let wrong = wrong.or((!got).then_some("a paper is lost or can't be read when all is well"));
+        // Whoever is there has come to hold the same, and knows all of it safe.
+        let known = |node: &stewards::Node| {
+            let core = node.core.as_ref()?;
+            let papers = core.papers().filter(|paper| paper.held.is_some());
+            Some(papers.map(|paper| (paper.name, paper.held == paper.safe, paper.held)).collect::<Vec<_>>())
+        };
+        let first = known(&world.nodes[0]).unwrap_or_default();
+        let same = world.nodes.iter().all(|node| known(node).as_ref() == Some(&first));
         let wrong = wrong
+            .or((!same).then_some("stewards hold papers that differ when all is well"))
+            .or((!first.iter().all(|(_, safe, _)| *safe)).then_some("a paper is held that never gets safe"))
             .or((world.calls_of_the_living() > 0).then_some("a call was never answered"))
             .or((voters != mood.want).then_some("not as many vote in the end as should"));
         let view = world.views.last_key_value().map(|(_, view)| view);
@@ -343,9 +382,9 @@
 /// Walks until one is broken, or so many times. Says which one and how.
 fn search(name: &str, mutant: u8, on: Option<u64>, walks: u64) -> Option<String> {
     let began = Instant::now();
-    let (mut steps, mut seen) = (0, [0; 9]);
+    let (mut steps, mut seen) = (0, [0; 11]);
     for seed in 0..walks {
-        let world = walk(seed, mutant, on.unwrap_or(seed % 12));
+        let world = walk(seed, mutant, on.unwrap_or(seed % 14));
         steps += world.steps;
         seen.iter_mut().zip(world.seen).for_each(|(sum, more)| *sum += more);
         if let Some(broken) = world.broken {
@@ -355,7 +394,7 @@
     }
     println!(
         "{name}: {walks} walks, {steps} steps, {:?}; granted {}, held {}, taken {}, read {}, views {}, unsure {}, \
-         letters {}, disks lost {}, views undone {}",
+         letters {}, disks lost {}, views undone {}, papers taken {}, read {}",
         began.elapsed(),
         seen[0],
         seen[1],
@@ -365,7 +404,9 @@
         seen[5],
         seen[6],
         seen[7],
-        seen[8]
+        seen[8],
+        seen[9],
+        seen[10]
     );
     None
 }
@@ -456,13 +497,33 @@
     assert!(search("tells_once_it_goes_back", 14, Some(10), walks(3000)).is_some());
 }
 
+#[test]
+fn notices_one_that_votes_before_it_was_told_all_papers() {
+    assert!(search("votes_before_it_was_told_all_papers", 15, Some(11), walks(3000)).is_some());
+}
+
+#[test]
+fn notices_one_that_counts_papers_across_views() {
+    assert!(search("counts_papers_across_views", 16, Some(12), walks(3000)).is_some());
+}
+
+#[test]
+fn notices_one_that_counts_one_papers_name_for_another() {
+    assert!(search("counts_one_papers_name_for_another", 17, Some(12), walks(3000)).is_some());
+}
+
+#[test]
+fn notices_one_that_says_papers_are_held_before_the_disk_is_safe() {
+    assert!(search("says_papers_are_held_before_the_disk_is_safe", 18, Some(12), walks(3000)).is_some());
+}
+
 /// Shows how one walk ends.
 #[test]
 #[ignore = "to look closer at a walk that broke: SEED, MUTANT and ON say which"]
 fn show() {
     let given = |name: &str| std::env::var(name).ok().and_then(|given| given.parse::<u64>().ok());
     let seed = given("SEED").unwrap_or(0);
-    let world = walk(seed, given("MUTANT").unwrap_or(0) as u8, given("ON").unwrap_or(seed % 12));
+    let world = walk(seed, given("MUTANT").unwrap_or(0) as u8, given("ON").unwrap_or(seed % 14));
     println!("{:?}", world.broken);
     for node in &world.nodes {
         let core = node.core.as_ref();
--- a/mesh/tests/stewards/mod.rs
+++ b/mesh/tests/stewards/mod.rs
@@ -32,6 +32,7 @@
     pub ballots: Option<Ballots>,
     pub sheet: Option<Arc<Sheet>>,
     pub claims: BTreeMap<Key, Claim>,
+    pub papers: BTreeMap<Name, Arc<Sheet>>,
 }
 
 impl Disk {
@@ -47,12 +48,17 @@
                     self.claims.remove(&key);
                 }
             }
+            Record::Paper(paper) => {
+                self.papers.insert(paper.name, paper.sheet);
+            }
         }
     }
 
     fn saved(&self) -> Saved {
         let claims = self.claims.iter().map(|(key, claim)| (*key, claim.clone())).collect();
-        Saved { ballots: self.ballots.clone(), sheet: self.sheet.clone(), claims }
+        let papers =
+            self.papers.iter().map(|(name, sheet)| Paper { name: name.clone(), sheet: sheet.clone() });
+        Saved { ballots: self.ballots.clone(), sheet: self.sheet.clone(), claims, papers: papers.collect() }
     }
 }
 
@@ -64,6 +70,7 @@
     pub life: u64,
     view: u64,
     safe: (u64, u64),
+    safe_papers: BTreeMap<Name, (u64, u64)>,
 }
 
 pub struct Flying {
@@ -78,6 +85,8 @@
     Settle,
     Replace((u64, u64)),
     Read { floor: (u64, u64) },
+    Paper(Name, (u64, u64)),
+    ReadPaper { name: Name, floor: (u64, u64) },
 }
 
 pub struct World {
@@ -110,10 +119,15 @@
     pub sent: BTreeSet<(u64, u64)>,
     /// Every read that begins from now on finds at least this.
     pub floor: (u64, u64),
+    /// The papers that were sent, and the rank that every read of a name finds from now on.
+    pub papers: BTreeSet<(Name, (u64, u64))>,
+    pub floors: BTreeMap<Name, (u64, u64)>,
+    /// The bytes of a paper.
+    pub bulk: usize,
     pub views: BTreeMap<u64, View>,
     pub broken: Option<String>,
     pub steps: u64,
-    pub seen: [u64; 9],
+    pub seen: [u64; 11],
 }
 
 pub const GRANTED: usize = 0;
@@ -125,6 +139,8 @@
 pub const LETTERS: usize = 6;
 pub const WIPES: usize = 7;
 pub const UNDONE: usize = 8;
+pub const PAPERS: usize = 9;
+pub const PAPERS_READ: usize = 10;
 
 impl World {
     /// So many nodes, of which the first ones are the first view.
@@ -172,10 +188,13 @@
             done: BTreeSet::new(),
             sent: BTreeSet::new(),
             floor: (0, 0),
+            papers: BTreeSet::new(),
+            floors: BTreeMap::new(),
+            bulk: 0,
             views: BTreeMap::new(),
             broken: None,
             steps: 0,
-            seen: [0; 9],
+            seen: [0; 11],
         };
         set(&mut world);
         for node in 0..nodes {
@@ -186,6 +205,7 @@
                 life: 0,
                 view: 0,
                 safe: (0, 0),
+                safe_papers: BTreeMap::new(),
             });
             world.start(node, true);
             world.sync(node, usize::MAX);
@@ -212,6 +232,7 @@
         self.nodes[node].core = Some(core);
         self.nodes[node].life += 1;
         self.nodes[node].safe = (0, 0);
+        self.nodes[node].safe_papers.clear();
         self.act(node, out);
     }
 
@@ -324,6 +345,11 @@
                 Asked::Replace(sheet.rank())
             }
             Want::Read => Asked::Read { floor: self.floor },
+            Want::Paper(paper) => {
+                self.papers.insert((paper.name.clone(), paper.sheet.rank()));
+                Asked::Paper(paper.name.clone(), paper.sheet.rank())
+            }
+            Want::ReadPaper(name) => Asked::ReadPaper { name: name.clone(), floor: self.floor_of(name) },
         };
         let life = self.nodes[node].life;
         self.calls.insert((node, life, call), asked);
@@ -354,6 +380,38 @@
         Arc::new(Sheet::new(self.next_version, vec![self.next_version as u8]))
     }
 
+    /// The text of each tells its name, so that none is taken for another's.
+    pub fn paper(&mut self, name: &str, version: u64) -> Paper {
+        let mut bytes = name.as_bytes().to_vec();
+        bytes.resize(bytes.len() + self.bulk, 0);
+        // Hashing that much would take most of a walk's time.
+        let digest = self.chance.random_range(1..4);
+        Paper { name: name.into(), sheet: Arc::new(Sheet { version, digest, bytes }) }
+    }
+
+    fn floor_of(&self, name: &str) -> (u64, u64) {
+        self.floors.get(name).copied().unwrap_or_default()
+    }
+
+    fn raise(&mut self, name: &Name, rank: (u64, u64)) {
+        let floor = self.floors.entry(name.clone()).or_default();
+        *floor = rank.max(*floor);
+    }
+
+    /// Whether more than half of the view that this node goes by have it on disk, or had until their disk was lost.
+    fn is_on_most_disks(&self, node: usize, name: &Name, rank: (u64, u64)) -> bool {
+        let Some(view) = self.nodes[node].core.as_ref().map(|core| core.view()) else { return true };
+        let holds = |member: &&Station| {
+            let disk =
+                self.nodes.iter().enumerate().find(|(i, _)| at(*i) == member.at).map(|(_, node)| &node.disk);
+            disk.is_some_and(|disk| {
+                disk.ballots.as_ref().is_none_or(|ballots| ballots.me != **member)
+                    || disk.papers.get(name).is_some_and(|sheet| sheet.rank() >= rank)
+            })
+        };
+        2 * view.members.iter().filter(holds).count() > view.members.len()
+    }
+
     fn act(&mut self, node: usize, out: Vec<Act>) {
         for act in out {
             match act {
@@ -415,6 +473,25 @@
                 }
                 self.floor = self.floor.max(rank);
             }
+            (Asked::Paper(name, rank), Got::Taken) => {
+                self.seen[PAPERS] += 1;
+                self.raise(&name, rank);
+                if !self.is_on_most_disks(node, &name, rank) {
+                    self.broke(format!("{name} {rank:?} acknowledged by fewer than more than half"));
+                }
+            }
+            (Asked::ReadPaper { name, floor }, Got::Newest(sheet)) => {
+                self.seen[PAPERS_READ] += 1;
+                let rank = sheet.as_ref().map_or((0, 0), |sheet| sheet.rank());
+                if rank < floor {
+                    self.broke(format!("read {name} {rank:?} where {floor:?} was known before it began"));
+                }
+                let own = sheet.is_none_or(|sheet| sheet.bytes.starts_with(name.as_bytes()));
+                if rank != (0, 0) && !(own && self.papers.contains(&(name.clone(), rank))) {
+                    self.broke(format!("read {name} {rank:?}, which nobody sent under that name"));
+                }
+                self.raise(&name, rank);
+            }
             (Asked::Settle, Got::Taken) => {}
             (_, Got::Unsure) => self.seen[UNSURE] += 1,
             (_, got) => self.broke(format!("{got:?} is no answer to that")),
@@ -426,6 +503,21 @@
         let Some(core) = &self.nodes[node].core else { return };
         let rank = core.safe().map_or((0, 0), |sheet| sheet.rank());
         let view = core.view().clone();
+        let safe = core.papers().filter_map(|paper| Some((paper.name, paper.safe?.rank())));
+        let safe: BTreeMap<Name, (u64, u64)> = safe.collect();
+        let was = std::mem::replace(&mut self.nodes[node].safe_papers, safe.clone());
+        if was.iter().any(|(name, rank)| safe.get(name).is_none_or(|safe| safe < rank)) {
+            self.broke("a safe paper went back".into());
+        }
+        for (name, rank) in &safe {
+            if !self.papers.contains(&(name.clone(), *rank)) {
+                self.broke(format!("safe is {name} {rank:?}, which nobody sent under that name"));
+            }
+            if was.get(name) != Some(rank) && !self.is_on_most_disks(node, name, *rank) {
+                self.broke(format!("safe is {name} {rank:?}, which fewer than more than half hold"));
+            }
+            self.raise(name, *rank);
+        }
         if rank < self.nodes[node].safe {
             self.broke("safe went back".into());
         }
@@ -531,8 +623,9 @@
         Body::Grant(_) => "grant",
         Body::Granted(_) => "granted",
         Body::Settle(_) => "settle",
-        Body::Hold(_) => "hold",
+        Body::Hold(_) | Body::HoldPapers(_) => "hold",
         Body::Held { .. } | Body::WantSheet { .. } => "held",
+        Body::PapersHeld { .. } | Body::WantPapers { .. } | Body::ListPapers(_) => "held",
         Body::WantState { .. } | Body::State { .. } => "state",
     }
 }
