Mesh: members' calls at the stewards, their documents in force at every attendant, trials

A member of a platform steers its own routes: stewards take its document by its key, check it against the newest timetable and register that a majority read gives, and keep it as papers. Attendants are told one number of all papers, fetch those that differ and lay them over the platform's timetable, swapped in whole. A trial is ended by the steward to whom its member falls.

--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -20,7 +20,7 @@
 use ochreshed_mesh::list::Row;
 use ochreshed_mesh::shares::{self, Shares};
 use ochreshed_mesh::timetable::{Route, Timetable};
-use ochreshed_mesh::words::Sheet;
+use ochreshed_mesh::words::{Paper, Sheet};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::net::TcpListener;
@@ -30,10 +30,12 @@
 
 use super::carry::{Flow, Line};
 use super::desk::{self, Desk, Plan, Seat, Told};
+use super::docs::Docs;
 use super::door::{Door, Site};
 use super::entry::{self, Ajar, Bounds, Came, say};
 use super::full::Full;
 use super::keys::Stewards;
+use super::members::Carried;
 use super::parcels::Rank;
 use super::seats::Seats;
 use super::settings::{Settings, SettingsError};
@@ -50,6 +52,8 @@
 const AHEAD: f64 = 0.15;
 /// So many routes are kept in mind.
 const MOST_ROUTES: usize = 20_000;
+/// So many lines tell of what is trimmed when documents come.
+const MOST_TRIMS: usize = 20;
 /// For how long the most time that a client had left counts.
 const LEFT_FOR: Nanos = 10_000_000_000;
 /// The core is silent when no steward has answered for so long, three asks' time.
@@ -120,6 +124,8 @@
     pub callers: Arc<Callers>,
     pub stewards: Arc<Stewards>,
     pub timetable: ArcSwapOption<InForce>,
+    /// The platform's configuration and the papers on members: what is in force is laid out of them.
+    bases: Mutex<(Option<Timetable>, Docs)>,
     /// The configuration in force as it was sent, and the rank of the one that is being fetched.
     sheet: Mutex<(Option<Arc<Sheet>>, Rank)>,
     rows: Mutex<Rows>,
@@ -172,6 +178,7 @@
             callers: Arc::default(),
             stewards: Arc::default(),
             timetable: ArcSwapOption::empty(),
+            bases: Mutex::default(),
             sheet: Mutex::default(),
             rows: Mutex::default(),
             quiet: ArcSwap::default(),
@@ -394,10 +401,10 @@
         match Timetable::read(&sheet.bytes) {
             Ok(timetable) => {
                 log::info!("timetable r{} in force, {} routes", sheet.version, timetable.routes().count());
-                self.timetable.store(Some(Arc::new(InForce::new(timetable, BTreeMap::new()))));
+                held(&self.bases).0 = Some(timetable);
                 here.0 = Some(Arc::new(sheet));
                 drop(here);
-                self.seat();
+                self.lay();
             }
             // The core checks by the same reader; this is a build that differs.
             Err(why) => {
@@ -407,6 +414,46 @@
         }
     }
 
+    /// Lays members' routes over the platform's, all at once. Under the lock, so that none goes back.
+    fn lay(&self) {
+        let bases = held(&self.bases);
+        let (Some(base), docs) = &*bases else { return };
+        let (laid, editions) = docs.laid(base, self.door_at);
+        for trim in laid.trims.iter().take(MOST_TRIMS) {
+            log::warn!("trimmed: {trim}");
+        }
+        self.timetable.store(Some(Arc::new(InForce::new(laid.timetable, editions))));
+        drop(bases);
+        self.seat();
+    }
+
+    /// Those of the papers told that are not here, with the ranks of what is.
+    pub fn papers_wanted(&self, told: &[(Name, Rank)]) -> Vec<(Name, Rank)> {
+        let bases = held(&self.bases);
+        let here = told.iter().map(|(name, rank)| (name, bases.1.rank(name), rank));
+        here.filter(|(_, here, rank)| here < rank).map(|(name, here, _)| (name.clone(), here)).collect()
+    }
+
+    /// Takes papers, those that are later; whether any was.
+    pub fn take_papers(&self, papers: &[Paper]) -> bool {
+        let taken = {
+            let mut bases = held(&self.bases);
+            papers.iter().filter(|paper| bases.1.take(&paper.name, &paper.sheet)).count()
+        };
+        if taken > 0 {
+            log::info!("{taken} papers taken");
+            self.lay();
+        }
+        taken > 0
+    }
+
+    /// The editions of members' routes that are in force here, and whether they are on trial.
+    pub fn carried(&self) -> Carried {
+        let timetable = self.timetable.load();
+        let editions = timetable.iter().flat_map(|timetable| &timetable.editions);
+        editions.map(|(member, (edition, trial))| (member.clone(), *edition, *trial)).collect()
+    }
+
     pub fn take_rows(&self, which: usize, rows: Vec<Row>, quiet: HashSet<SocketAddr>) {
         {
             let mut all = held(&self.rows);
--- a/balancer/src/mesh/mod.rs
+++ b/balancer/src/mesh/mod.rs
@@ -8,6 +8,7 @@
 mod desk;
 #[cfg(test)]
 mod desk_tests;
+mod docs;
 mod door;
 mod entry;
 mod full;
@@ -16,6 +17,7 @@
 mod gate_tests;
 mod keys;
 mod line;
+mod members;
 mod news;
 mod pages;
 mod parcels;
--- a/balancer/src/mesh/news.rs
+++ b/balancer/src/mesh/news.rs
@@ -6,10 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ochreshed::Name;
 use ochreshed_mesh::list::{Mark, watchers};
 use tokio::time::{Instant, sleep};
 
 use super::attendant::Branch;
+use super::members::Carried;
 use super::parcels::Rank;
 use super::report::Telling;
 use super::wire::{Ask, NewsAsk, NewsReply, Reply};
@@ -30,6 +32,9 @@
     row: (u64, u64),
     aside: Option<Instant>,
     report: Telling,
+    /// The number of the papers that it told of, once those are here.
+    papers: u64,
+    carried: Carried,
 }
 
 /// Asks one of the watchers, for good: the one whose turn is `which` among those that reply.
@@ -55,9 +60,12 @@
             row: (0, 0),
             aside: None,
             report: Telling::default(),
+            papers: 0,
+            carried: Carried::new(),
         });
         let window = branch.settings.load().bounds.retry_window;
         let report = (which == 0).then(|| known.report.news(window, || branch.report())).flatten();
+        let carried = branch.carried();
         let row = branch.door.row();
         let rank = row.rank();
         let news = NewsAsk {
@@ -70,6 +78,8 @@
             steward: false,
             members: report.as_ref().map(|report| report.members.clone()).unwrap_or_default(),
             report,
+            papers: known.papers,
+            carried: (known.carried != carried).then(|| carried.clone()),
             gather: false,
         };
         let caller = branch.callers.to(steward);
@@ -79,7 +89,16 @@
             () = changed => continue,
         };
         match reply {
-            Ok(Reply::News(reply)) => {
+            Ok(Reply::News(mut reply)) => {
+                // One that has forgotten us is told anew.
+                known.carried = if reply.life.is_some() { carried } else { Carried::new() };
+                if let Some((number, ranks)) = reply.papers.take() {
+                    if fetch_papers(&branch, steward, ranks).await {
+                        known.papers = number;
+                    } else {
+                        sleep(PAUSE).await;
+                    }
+                }
                 // One that is cut off from more than half of the core may not know the newest: others are asked first.
                 let aside = if branch.timetable.load().is_some() { ASIDE } else { PAUSE };
                 known.aside = (!reply.settled).then(|| Instant::now() + aside);
@@ -99,6 +118,7 @@
                 known.aside = Some(Instant::now() + aside);
                 // It may have forgotten us.
                 known.row = (0, 0);
+                known.carried.clear();
                 known.report.answered(false);
                 branch.silent(which);
                 sleep(PAUSE).await;
@@ -130,6 +150,21 @@
     branch.take_rows(which, reply.rows, quiet);
 }
 
+/// Gets the papers that are newer there, until none is; whether that was to be had.
+async fn fetch_papers(branch: &Arc<Branch>, steward: SocketAddr, ranks: Vec<(Name, Rank)>) -> bool {
+    loop {
+        let wanted = branch.papers_wanted(&ranks);
+        if wanted.is_empty() {
+            return true;
+        }
+        let reply = branch.callers.to(steward).call(Ask::Papers(wanted), FETCH).await;
+        let Ok(Reply::Papers(papers)) = reply else { return false };
+        if !branch.take_papers(&papers) {
+            return false;
+        }
+    }
+}
+
 /// Gets a configuration from the steward that told of it: what differs from the one that is here, and whole where that
 /// does not open. If it fails, the next news tells of it again.
 async fn fetch(branch: Arc<Branch>, steward: SocketAddr, rank: Rank) {
--- a/balancer/src/mesh/report.rs
+++ b/balancer/src/mesh/report.rs
@@ -74,6 +74,8 @@
                 steward: true,
                 report: None,
                 members: Faring::new(),
+                papers: 0,
+                carried: None,
                 gather: true,
             };
             (at, callers.to(at).call(Ask::News(ask), GATHER).await)
--- a/balancer/src/mesh/steward.rs
+++ b/balancer/src/mesh/steward.rs
@@ -12,12 +12,12 @@
 
 use arc_swap::ArcSwap;
 use hyper::Response;
-use ochreshed::Nanos;
+use ochreshed::{Name, Nanos};
 use ochreshed_mesh::agree::{Config, Core};
 use ochreshed_mesh::budget::{Report, Reports};
 use ochreshed_mesh::list::{Mark, Table};
 use ochreshed_mesh::timetable::Timetable;
-use ochreshed_mesh::words::{Act, Got, Key, Letter, Record, Sheet, View, Want};
+use ochreshed_mesh::words::{Act, Got, Key, Letter, Paper, Record, Sheet, View, Want};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
@@ -25,9 +25,11 @@
 
 use super::attendant::seeds;
 use super::carry::Flow;
+use super::docs;
 use super::door::call_of;
 use super::entry::{self, Ajar, Bad, Bounds, Came, json, say};
 use super::full::{self, Full};
+use super::members::{self, Members};
 use super::pages::{self, Facts, Query, Seen};
 use super::parcels::{Parcel, Parcels, Rank};
 use super::report::{self, Gathered};
@@ -51,10 +53,12 @@
 const LATE: Duration = Duration::from_millis(600);
 const PAUSE: Duration = Duration::from_millis(200);
 /// An operator's call is answered within this.
-const OPERATOR: Duration = Duration::from_millis(2_500);
+pub(super) const OPERATOR: Duration = Duration::from_millis(2_500);
 const UNSETTLED: Duration = Duration::from_millis(800);
 /// A refused write is tried again after this.
 const WRITE_AGAIN: Duration = Duration::from_millis(50);
+/// Of one reply with papers.
+const MOST_PAPERS: usize = 8 << 20;
 const MOST_BODY: u64 = 32 << 20;
 const EVENTS: usize = 16_384;
 /// How long the end waits for another steward to take the place.
@@ -73,20 +77,31 @@
 
 /// What the core has come to, for readers.
 #[derive(Clone, Default)]
-struct Stand {
-    safe: Option<Arc<Sheet>>,
-    stewards: Vec<SocketAddr>,
-    settled: bool,
+pub(super) struct Stand {
+    pub safe: Option<Arc<Sheet>>,
+    pub stewards: Vec<SocketAddr>,
+    pub settled: bool,
+    pub papers: Arc<Safe>,
     view: Option<View>,
     voter: bool,
     gone: bool,
 }
 
-struct Office {
-    clock: Clock,
-    at: SocketAddr,
-    settings: ArcSwap<Settings>,
-    stand: ArcSwap<Stand>,
+/// The papers that are safe.
+#[derive(Default)]
+pub(super) struct Safe {
+    pub all: Vec<Paper>,
+    pub number: u64,
+    /// Of the core, when they were taken from it.
+    changes: u64,
+}
+
+pub(super) struct Office {
+    pub clock: Clock,
+    pub at: SocketAddr,
+    pub settings: ArcSwap<Settings>,
+    pub stand: ArcSwap<Stand>,
+    pub members: Members,
     table: Mutex<Table>,
     quiet: Mutex<(u64, Vec<SocketAddr>)>,
     /// What gates told of themselves.
@@ -97,7 +112,7 @@
     /// Goes up with whatever readers may wait for.
     changed: watch::Sender<u64>,
     events: mpsc::Sender<Event>,
-    callers: Callers,
+    pub callers: Callers,
     parcels: Parcels,
     packing: tokio::sync::Mutex<()>,
 }
@@ -107,7 +122,16 @@
         self.changed.send_modify(|number| *number += 1);
     }
 
-    async fn want(&self, want: Want, within: Duration) -> Got {
+    pub fn watch(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Doors whose attendants were not heard of late.
+    pub fn quiet_doors(&self) -> Vec<SocketAddr> {
+        held(&self.quiet).1.clone()
+    }
+
+    pub async fn want(&self, want: Want, within: Duration) -> Got {
         let (reply, got) = oneshot::channel();
         if self.events.send(Event::Want(want, reply)).await.is_err() {
             return Got::Unsure;
@@ -139,6 +163,9 @@
             report.members = ask.members;
             held(&self.reports).take(self.clock.now(), door, report, 0);
         }
+        if let (Some(door), Some(carried)) = (door, ask.carried) {
+            self.members.carry(door, carried);
+        }
         let told = || (held(&self.reports).tell(self.clock.now()), self.full.get().copied());
         let told = ask.gather.then(|| Box::new(told()));
         let beside = |(door, _, report): &(SocketAddr, u32, Report)| {
@@ -151,7 +178,11 @@
             let sheet = stand.safe.as_ref().map(|sheet| sheet.rank()).filter(|rank| *rank > ask.sheet);
             let quiet =
                 Some(held(&self.quiet).clone()).filter(|(number, _)| !ask.steward && *number != ask.quiet);
-            let news = {
+            let papers = (!ask.steward && stand.papers.number != ask.papers).then(|| {
+                let ranks = stand.papers.all.iter().map(|paper| (paper.name.clone(), paper.sheet.rank()));
+                (stand.papers.number, ranks.collect())
+            });
+            let news = papers.is_some() || {
                 let table = held(&self.table);
                 table.mark() != ask.mark || sheet.is_some() || quiet.is_some() || stand.stewards != known
             };
@@ -169,6 +200,7 @@
                     ages: if ask.steward { table.ages(self.clock.now()) } else { Vec::new() },
                     drains: drains(&table, door, ask.steward.then_some(ask.mark)),
                     told,
+                    papers,
                     members,
                 };
             }
@@ -211,6 +243,11 @@
             Ask::News(ask) => Some(Reply::News(Box::new(self.news(ask).await))),
             Ask::Core(want) => Some(Reply::Core(self.want(want, Duration::from_secs(5)).await)),
             Ask::Sheet(have) => Some(Reply::Sheet(self.parcel(have).await)),
+            Ask::Papers(have) => {
+                let stand = self.stand.load();
+                Some(Reply::Papers(docs::newer(stand.papers.all.iter(), &have, MOST_PAPERS)))
+            }
+            Ask::Carried(member) => Some(Reply::Carried(self.members.nodes_of(&member))),
             Ask::Letter(letter) => {
                 let _ = self.events.send(Event::Letter(letter)).await;
                 None
@@ -220,20 +257,13 @@
 
     /// The operators' calls.
     async fn operator(self: Arc<Self>, came: Came, bodies: Arc<Semaphore>) -> Response<Flow> {
-        let (call, _) = call_of(came.req.uri());
+        let (call, of) = call_of(came.req.uri());
         match call.as_str() {
-            "timetable.replace" => {
-                let read =
-                    entry::message(came, &bodies, self.clock, MOST_BODY, Duration::from_secs(10)).await;
-                let bytes = match read {
-                    Ok((message, _room)) => match entry::whole(message, MOST_BODY).await {
-                        Ok(bytes) => bytes,
-                        Err(Bad(status, line)) => return say(status, line),
-                    },
-                    Err(Bad(status, line)) => return say(status, line),
-                };
-                self.replace(bytes).await
-            }
+            "timetable.replace" => match read_body(came, &bodies, self.clock).await {
+                Ok(bytes) => self.replace(bytes).await,
+                Err(bad) => bad,
+            },
+            call if call.starts_with("member") => members::call(self, call, of, came, bodies).await,
             "timetable.read" => match self.want(Want::Read, OPERATOR).await {
                 Got::Newest(Some(sheet)) => json(200, String::from_utf8_lossy(&sheet.bytes).into_owned()),
                 Got::Newest(None) => say(404, "no timetable was ever taken"),
@@ -289,7 +319,7 @@
     }
 
     /// What all gates told of themselves, here or to another steward.
-    async fn gather(&self, now: Nanos) -> Gathered {
+    pub async fn gather(&self, now: Nanos) -> Gathered {
         let full = self.full.get().map(|full_ms| (self.at, *full_ms));
         let reports = held(&self.reports).clone();
         let own = Gathered { reports, full: full.into_iter().collect(), silent: Vec::new() };
@@ -314,6 +344,18 @@
     }
 }
 
+/// The body of an operator's call.
+pub(super) async fn read_body(
+    came: Came,
+    bodies: &Arc<Semaphore>,
+    clock: Clock,
+) -> Result<Vec<u8>, Response<Flow>> {
+    let bad = |Bad(status, line)| say(status, line);
+    let (message, _room) =
+        entry::message(came, bodies, clock, MOST_BODY, Duration::from_secs(10)).await.map_err(bad)?;
+    entry::whole(message, MOST_BODY).await.map_err(bad)
+}
+
 pub fn run(path: Option<PathBuf>) -> Result<ExitCode, SettingsError> {
     let path = Settings::path(path)?;
     let settings = Settings::read(&path)?;
@@ -387,6 +429,7 @@
         clock,
         at,
         stand: ArcSwap::default(),
+        members: Members::default(),
         table: Mutex::new(Table::new(rand::random())),
         quiet: Mutex::default(),
         reports: Mutex::default(),
@@ -415,9 +458,12 @@
     tokio::spawn(ask_others(office.clone()));
     tokio::spawn(reread(office.clone(), path));
     tokio::spawn(full_service(office.clone()));
+    tokio::spawn(members::duty(office.clone()));
     let mut end = signal(SignalKind::terminate()).map_err(Failed::Signals)?;
     let disk = disk(store, events.clone(), office.written.clone());
-    let work = Work { office: office.clone(), core, disk, calls: HashMap::new(), next: 1, unsafe_writes: 0 };
+    let found = core.papers().filter_map(|paper| Some((paper.name, paper.held?.rank()))).collect();
+    let (office_of, calls) = (office.clone(), HashMap::new());
+    let work = Work { office: office_of, core, disk, calls, next: 1, found, unsafe_writes: 0 };
     let work = tokio::spawn(async move { work.go(&mut coming, out).await });
     end.recv().await;
     log::info!("asked to end");
@@ -505,6 +551,8 @@
     disk: Disk,
     calls: HashMap<u64, oneshot::Sender<Got>>,
     next: u64,
+    /// The papers that this disk held at the start: better than none until it is known which are safe.
+    found: HashMap<Name, Rank>,
     /// Batches that the disk has not brought back.
     unsafe_writes: usize,
 }
@@ -619,7 +667,8 @@
         let safe = self.core.safe().or(self.core.held());
         let same = was.safe.as_ref().map(|sheet| sheet.rank()) == safe.map(|sheet| sheet.rank())
             && was.view.as_ref() == Some(self.core.view())
-            && was.voter == self.core.voter();
+            && was.voter == self.core.voter()
+            && was.papers.changes == self.core.papers_changes();
         if same && !ticks {
             return;
         }
@@ -632,13 +681,16 @@
         if same && was.stewards == stewards {
             return;
         }
-        let news =
-            was.stewards != stewards || was.safe.as_ref().map(|sheet| sheet.rank()) != safe.map(|s| s.rank());
+        let papers = self.papers(&was.papers);
+        let news = was.papers.number != papers.number
+            || was.stewards != stewards
+            || was.safe.as_ref().map(|sheet| sheet.rank()) != safe.map(|s| s.rank());
         safe.into_iter().for_each(|safe| self.office.parcels.note(safe));
         self.office.stand.store(Arc::new(Stand {
             safe: safe.cloned(),
             stewards,
             settled: self.core.settled(now),
+            papers,
             view: Some(self.core.view().clone()),
             voter: self.core.voter(),
             gone: self.core.gone(),
@@ -649,6 +701,24 @@
     }
 }
 
+impl Work {
+    /// The papers that readers go by: those that are safe. After a start, and until it is known which are, those found
+    /// on this disk.
+    fn papers(&self, was: &Arc<Safe>) -> Arc<Safe> {
+        let changes = self.core.papers_changes();
+        if was.changes == changes {
+            return was.clone();
+        }
+        let all = self.core.papers().filter_map(|paper| {
+            let found = paper.held.filter(|held| self.found.get(&paper.name) == Some(&held.rank()));
+            Some(Paper { name: paper.name, sheet: paper.safe.or(found)? })
+        });
+        let all: Vec<Paper> = all.collect();
+        let number = docs::number(all.iter().map(|paper| (&*paper.name, paper.sheet.rank())));
+        Arc::new(Safe { all, number, changes })
+    }
+}
+
 /// Lives to be drained: an attendant's own, or for a steward those that changed. Older programs keep them for so long.
 fn drains(table: &Table, door: Option<SocketAddr>, since: Option<Mark>) -> Vec<(SocketAddr, String, u32)> {
     let own = door.and_then(|door| Some((door, table.drain_for(door)?.to_owned())));
@@ -665,6 +735,7 @@
         let quiet = {
             let mut table = held(&office.table);
             held(&office.reports).keep(|door| table.row(door).is_some());
+            office.members.keep(|door| table.row(door).is_some());
             table.look(office.clock.now(), QUIET).then(|| table.quiet())
         };
         if let Some(quiet) = quiet {
@@ -709,6 +780,8 @@
             steward: true,
             report: None,
             members: Vec::new(),
+            papers: 0,
+            carried: None,
             gather: false,
         };
         match office.callers.to(at).call(Ask::News(ask), HOLD + LATE).await {
--- a/balancer/src/mesh/store.rs
+++ b/balancer/src/mesh/store.rs
@@ -880,7 +880,6 @@
 }
 
 /// The versions of a paper that this steward's folder has, the newest first, and the bytes of each.
-#[cfg(test)]
 pub fn history(dir: &Path, paper: &str) -> io::Result<Vec<Sheet>> {
     let shelf = shelf_of(paper);
     let mut all = Vec::new();
--- a/balancer/src/mesh/wire.rs
+++ b/balancer/src/mesh/wire.rs
@@ -13,7 +13,7 @@
 use ochreshed_mesh::budget::Report;
 use ochreshed_mesh::fared::Faring;
 use ochreshed_mesh::list::{Mark, Row};
-use ochreshed_mesh::words::{Got, Letter, Want};
+use ochreshed_mesh::words::{Got, Letter, Name, Paper, Want};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
@@ -43,6 +43,10 @@
     Letter(Letter),
     /// The newest configuration, from one that has the one of this rank.
     Sheet(Rank),
+    /// Papers of these names that are newer than these.
+    Papers(Vec<(Name, Rank)>),
+    /// Which nodes told that they have which edition of a member's routes in force.
+    Carried(Name),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -50,6 +54,10 @@
     News(Box<NewsReply>),
     Core(Got),
     Sheet(Option<Arc<Parcel>>),
+    /// As many as go in one reply, and at least one if there are any.
+    Papers(Vec<Paper>),
+    /// Doors, the edition there, and whether it is on trial.
+    Carried(Vec<(SocketAddr, u64, bool)>),
 }
 
 /// What a process has, and wants to be told when there is more.
@@ -74,6 +82,13 @@
     /// What of that report goes beside it.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub members: Faring,
+    /// The number of the papers that the asker was told of last; 0 where there were none.
+    #[serde(default, skip_serializing_if = "is_none")]
+    pub papers: u64,
+    /// The editions of members' routes in force at an attendant, and whether they are on trial there, where that has
+    /// changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub carried: Option<Vec<(Name, u64, bool)>>,
     /// A steward wants nothing but what was reported.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub gather: bool,
@@ -101,11 +116,18 @@
     /// where it was asked for.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub told: Option<Box<Told>>,
+    /// The number of all papers that are safe, and their ranks, where it is another than the asker's.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub papers: Option<(u64, Vec<(Name, Rank)>)>,
     /// What of those reports goes beside them, where there is any.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub members: Vec<(SocketAddr, Faring)>,
 }
 
+fn is_none(papers: &u64) -> bool {
+    *papers == 0
+}
+
 /// Reports by door with their ages in ms, and a steward's own time to full service in ms.
 pub type Told = (Vec<(SocketAddr, u32, Report)>, Option<u32>);
 
@@ -366,6 +388,8 @@
                     members: Faring::new(),
                 }),
                 members: Faring::new(),
+                papers: 0,
+                carried: None,
                 gather: false,
             };
             encode(&Frame { id: 9_000, say: Ask::News(ask) }).map(|bytes| bytes.len())
--- a/balancer/tests/mesh/town.rs
+++ b/balancer/tests/mesh/town.rs
@@ -538,6 +538,16 @@
         rpc(self.at(&self.stewards[steward], CONTROL), &format!("timetable.{name}"), body)
     }
 
+    /// What one steward answers a call with further fields, each with its line's end; empty where it gives none. For
+    /// members.
+    #[allow(dead_code)]
+    pub fn call(&self, steward: usize, name: &str, fields: &str, body: &str) -> Message {
+        let to = self.at(&self.stewards[steward], CONTROL);
+        let head = format!("POST /api/rpc?call={name} HTTP/1.1\r\nHost: {to}\r\n{fields}");
+        let message = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
+        call(to, message.as_bytes()).unwrap_or_default()
+    }
+
     /// Where a steward is called by the system's own processes. For the bench.
     #[allow(dead_code)]
     pub fn inner(&self, steward: usize) -> SocketAddr {
