--- a/balancer/src/mesh/door_tests.rs
+++ b/balancer/src/mesh/door_tests.rs
@@ -33,14 +33,15 @@
 
 /// Knocks with a req that is late after so many ms, turned away before as often as said.
 fn knock(door: &Arc<Door>, id: &str, turned: u32, late_ms: u64) -> tokio::task::JoinHandle<&'static str> {
-    knock_of(door, id, turned, late_ms, None)
+    knock_of(door, id, (turned, late_ms), None, None)
 }
 
+/// The same of a session or a member.
 fn knock_of(
     door: &Arc<Door>,
     id: &str,
-    turned: u32,
-    late_ms: u64,
+    (turned, late_ms): (u32, u64),
+    pass: Option<Pass>,
     part: Option<Part>,
 ) -> tokio::task::JoinHandle<&'static str> {
     let mut head = hyper::Request::new(());
@@ -59,6 +60,7 @@
             call: false,
             large: false,
             away: false,
+            pass,
             aim,
             until,
             part,
@@ -129,6 +131,25 @@
     }
 }
 
+/// Guards against a late message of the site that a person has left, also where it has waited here meanwhile.
+#[tokio::test]
+async fn what_a_gate_sends_that_has_lost_the_session_never_runs() {
+    let (door, upstream) = door(1).await;
+    let of = |since| Some(Pass { session: 7, since });
+    let first = knock_of(&door, "a", (0, 10_000), of(2), None);
+    let at_upstream = next(&upstream).await;
+    let waits = knock_of(&door, "b", (3, 9_000), of(2), None);
+    inside(&door, 2).await;
+    let moved = knock_of(&door, "c", (3, 10_000), of(5), None);
+    inside(&door, 3).await;
+    assert_eq!(knock_of(&door, "d", (0, 10_000), of(4), None).await.expect("no panic"), "fenced");
+    answer(at_upstream).await;
+    let at_upstream = next(&upstream).await;
+    assert_eq!((first.await.expect("no panic"), &*at_upstream.0), ("ran", "c"));
+    answer(at_upstream).await;
+    assert_eq!((waits.await.expect("no panic"), moved.await.expect("no panic")), ("fenced", "ran"));
+}
+
 /// Guards against a member whose runs hang and keep others out, and against a gate that knows an older share.
 #[tokio::test]
 async fn a_members_reqs_hold_their_part_of_the_slots_as_the_door_knows_it() {
@@ -137,10 +158,10 @@
     let mut hang = Vec::new();
     let mut runs = Vec::new();
     for id in ["a", "b"] {
-        runs.push(knock_of(&door, id, 3, 10_000, part(0.5)));
+        runs.push(knock_of(&door, id, (3, 10_000), None, part(0.5)));
         hang.push(next(&upstream).await);
     }
-    runs.push(knock_of(&door, "c", 3, 10_000, part(0.5)));
+    runs.push(knock_of(&door, "c", (3, 10_000), None, part(0.5)));
     inside(&door, 3).await;
     // Two slots are free, and others take them at once.
     for id in ["d", "e"] {
@@ -151,7 +172,7 @@
     // The configuration in force here gives it less: one has to go before the one that waits may come in.
     let share = Share { member: "norte".into(), retry: 0.0, slots: 0.25 };
     door.know_shares(&Arc::new([(share.member.clone(), Arc::new(share))].into()));
-    runs.push(knock_of(&door, "f", 3, 9_000, part(0.5)));
+    runs.push(knock_of(&door, "f", (3, 9_000), None, part(0.5)));
     inside(&door, 4).await;
     answer(hang.remove(0)).await;
     assert_eq!(runs.remove(0).await.expect("no panic"), "ran");
--- a/balancer/src/mesh/mod.rs
+++ b/balancer/src/mesh/mod.rs
@@ -11,6 +11,7 @@
 mod docs;
 mod door;
 mod entry;
+mod fence;
 mod full;
 mod gate;
 #[cfg(test)]
@@ -23,6 +24,7 @@
 mod parcels;
 mod report;
 mod seats;
+mod sessions;
 mod settings;
 mod start;
 mod steward;
--- a/balancer/src/mesh/wire.rs
+++ b/balancer/src/mesh/wire.rs
@@ -393,6 +393,7 @@
                 part: Vec::new(),
                 next: Some(9),
                 sheet: None,
+                sessions: Vec::new(),
                 papers: Vec::new(),
                 next_paper: None,
             },
--- a/mesh/src/agree.rs
+++ b/mesh/src/agree.rs
@@ -17,18 +17,21 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::words::{
-    Act, Ballot, Ballots, Body, Claim, Got, Grant, Key, Letter, Name, Outcome, Paper, Record, Saved, Sheet,
-    Station, Token, View, Want,
+    Act, Ballot, Ballots, Body, Claim, Got, Grant, Key, Letter, Name, Outcome, Paper, Record, Said, Saved,
+    Sheet, Station, Token, View, Want,
 };
 
 mod answers;
 mod keys;
 pub mod papers;
+mod sessions;
 mod sheet;
 mod spread;
 mod undo;
 mod view;
 
+pub use sessions::{SESSION_IDLE, SessionCounts};
+
 pub type Nanos = u64;
 
 const MS: Nanos = 1_000_000;
@@ -156,6 +159,8 @@
     settles: Vec<(Key, Token, Option<Outcome>)>,
     grants: Vec<(u64, Key, Token, u32)>,
     granted: Vec<(u64, Grant)>,
+    session_asks: Vec<Said>,
+    session_replies: Vec<Said>,
 }
 
 /// A call that waits for its answer.
@@ -164,6 +169,7 @@
     Claim(keys::Asked),
     Replace(sheet::Replacing),
     Read(sheet::Reading),
+    Session(Box<sessions::Changing>),
 }
 
 #[derive(Clone, Debug)]
@@ -207,6 +213,7 @@
     askers: BTreeSet<(Key, SocketAddr)>,
     freed_order: VecDeque<(Nanos, Token)>,
     told: VecDeque<(Nanos, keys::Told)>,
+    sessions: sessions::Sessions,
 
     calls: BTreeMap<u64, Call>,
     sheet_calls: BTreeSet<u64>,
@@ -283,6 +290,7 @@
             askers: BTreeSet::new(),
             freed_order: VecDeque::new(),
             told: VecDeque::new(),
+            sessions: sessions::Sessions::default(),
             calls: BTreeMap::new(),
             sheet_calls: BTreeSet::new(),
             timers: BTreeSet::new(),
@@ -295,6 +303,9 @@
         for (key, claim) in saved.claims {
             core.put(key, claim);
         }
+        for (session, entry) in saved.sessions {
+            core.put_session(session, entry);
+        }
         core.shed(out);
         if fresh || station != ballots.me {
             core.keep_ballots(out);
@@ -347,8 +358,11 @@
             Body::WantState { from: place, round, papers } if member || self.mutant == 9 => {
                 self.want_state(from, place, round, papers, out);
             }
-            Body::State { round, part, next, sheet, papers, next_paper } if same || self.mutant == 9 => {
-                self.state(now, from, round, part, sheet, papers, (next, next_paper), out);
+            Body::Sessions(list) => self.said_of_sessions(now, from, (same, member), list, out),
+            Body::State { round, part, next, sheet, sessions, papers, next_paper }
+                if same || self.mutant == 9 =>
+            {
+                self.state(now, from, round, (part, sessions, papers), sheet, (next, next_paper), out);
             }
             Body::HoldPapers(papers) => self.papers_offered(from, same, papers, out),
             Body::WantPapers { ask, have } => self.want_papers(from, same, ask, have, out),
@@ -376,6 +390,7 @@
             }
             Want::Paper(_) => out.push(Act::Answer { call, got: Got::Full }),
             Want::ReadPaper(name) => self.read_wanted(now, call, name, out),
+            Want::Session(session, wish) => self.session_wanted(now, call, session, wish, out),
         }
     }
 
@@ -399,6 +414,10 @@
                 self.timers.remove(&(reading.timer, call));
                 self.sheet_calls.remove(&call);
             }
+            Some(Call::Session(changing)) => {
+                self.timers.remove(&(changing.timer, call));
+                self.session_forgotten(call);
+            }
             None => {}
         }
     }
@@ -413,11 +432,13 @@
             self.timers.remove(&(at, call));
             match self.calls.get(&call) {
                 Some(Call::Claim(_)) => self.claim_timer(now, call, out),
+                Some(Call::Session(_)) => self.session_timer(now, call, out),
                 Some(_) => self.sheet_timer(now, call, out),
                 None => {}
             }
         }
         self.expire(now, out);
+        self.expire_sessions(now, out);
         self.catch_up(now, out);
         self.propose(now, out);
         if now >= self.next_beat {
@@ -451,6 +472,13 @@
                 let letter = self.letter(Body::Granted(part));
                 out.push(if self.mutant == 3 { Act::Now(at, letter) } else { Act::Send(at, letter) });
             }
+            for part in parts(post.session_asks, |_| 0) {
+                out.push(Act::Now(at, self.letter(Body::Sessions(part))));
+            }
+            for part in parts(post.session_replies, |_| 0) {
+                let letter = self.letter(Body::Sessions(part));
+                out.push(if self.mutant == 27 { Act::Now(at, letter) } else { Act::Send(at, letter) });
+            }
         }
         if std::mem::take(&mut self.tell) {
             let letter = self.beat();
@@ -554,7 +582,8 @@
         let claims = self.claims.iter().map(|(key, kept)| Record::Claim(*key, kept.claim.clone()));
         let sheet = self.sheet.held.iter().map(|sheet| Record::Sheet(sheet.clone()));
         let papers = self.papers.from("").map(Record::Paper);
-        [Record::Ballots(self.ballots())].into_iter().chain(sheet).chain(papers).chain(claims).collect()
+        let all = [Record::Ballots(self.ballots())].into_iter().chain(sheet).chain(papers).chain(claims);
+        all.chain(self.session_records()).collect()
     }
 
     fn is_member(&self, station: &Station) -> bool {
--- a/mesh/src/agree/sheet.rs
+++ b/mesh/src/agree/sheet.rs
@@ -145,7 +145,7 @@
         match self.calls.get(&call)? {
             Call::Replace(replacing) => Some(&replacing.name),
             Call::Read(reading) => Some(&reading.name),
-            Call::Claim(_) => None,
+            Call::Claim(_) | Call::Session(_) => None,
         }
     }
 
--- a/mesh/src/agree/view.rs
+++ b/mesh/src/agree/view.rs
@@ -2,6 +2,7 @@
 //! never answer for a view that it has left, nor vote with a disk that does not hold what the last one held.
 
 use super::*;
+use crate::words::{Entry, Session};
 
 /// How long a try to change the view has.
 const TRY: Nanos = 400 * MS;
@@ -54,6 +55,9 @@
     ask_all: Nanos,
 }
 
+/// Part of what one holds: keys' claims and sessions.
+type Held = (Vec<(Key, Claim)>, Vec<(Session, Entry)>, Vec<Paper>);
+
 impl Core {
     pub(super) fn ballots(&self) -> Ballots {
         Ballots {
@@ -101,6 +105,7 @@
         self.enter(now, out);
         self.tell = true;
         self.claims_anew(now, out);
+        self.sessions_anew(out);
         self.sheets_anew(now, out);
     }
 
@@ -173,12 +178,17 @@
             bytes += super::weight(&kept.claim.outcome);
             part.push((*key, kept.claim.clone()));
         }
+        let (sessions, next) = match &papers {
+            None => self.sessions_from(place, next),
+            Some(_) => (Vec::new(), None),
+        };
+        part.retain(|(key, _)| next.is_none_or(|next| *key < next));
         let sheet = self.sheet.held.clone().filter(|_| next.is_none() && papers.is_none());
         let (papers, next_paper) = match next {
             None => self.papers.part(papers.as_deref().unwrap_or_default(), bytes),
             Some(_) => (Vec::new(), None),
         };
-        self.send(from.at, Body::State { round, part, next, sheet, papers, next_paper }, out);
+        self.send(from.at, Body::State { round, part, next, sheet, sessions, papers, next_paper }, out);
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -187,9 +197,8 @@
         now: Nanos,
         from: Station,
         round: u64,
-        part: Vec<(Key, Claim)>,
+        (part, sessions, papers): Held,
         sheet: Option<Arc<Sheet>>,
-        papers: Vec<Paper>,
         next: (Option<Key>, Option<Name>),
         out: &mut Vec<Act>,
     ) {
@@ -216,6 +225,9 @@
         for (key, claim) in part {
             self.merge(key, claim, out);
         }
+        for (session, entry) in sessions {
+            self.merge_session(session, entry, out);
+        }
         if let Some(sheet) = sheet {
             self.hold(TIMETABLE, sheet, out);
         }
@@ -230,6 +242,7 @@
             self.tell_self(out);
             self.tell = true;
             self.claims_anew(now, out);
+            self.sessions_anew(out);
             self.sheets_anew(now, out);
         } else if let Some(ask) = next.ask(round).filter(|_| further) {
             self.now(from.at, ask, out);
--- a/mesh/src/timetable/changes.rs
+++ b/mesh/src/timetable/changes.rs
@@ -76,11 +76,18 @@
     };
     match (old, new) {
         (Some(old), Some(new)) => {
-            for ((field, old), (_, new)) in old.into_iter().zip(new) {
+            // A field that is not given stands for none.
+            let mut new = new;
+            let mut differs = |field: &str, old: &str, new: &str| {
                 if old != new {
                     lines.push(format!("{what}: {field} from {old} to {new}"));
                 }
+            };
+            for (field, old) in old {
+                let at = new.iter().position(|(other, _)| *other == field);
+                differs(field, &old, &at.map_or_else(|| "none".into(), |at| new.remove(at).1));
             }
+            new.iter().for_each(|(field, new)| differs(field, "none", new));
         }
         (Some(old), None) => lines.push(format!("{what} removed: {}", all(old))),
         (None, Some(new)) => lines.push(format!("{what} added: {}", all(new))),
@@ -90,7 +97,7 @@
 
 fn route_facts(route: &Route) -> Vec<Fact> {
     let lines: Vec<String> = route.lines.iter().map(|(name, share)| format!("{name} {share}")).collect();
-    vec![
+    let mut facts = vec![
         ("depot", route.host.to_string()),
         ("lane_prefix", route.prefix.to_string()),
         ("route_kind", route.kind.to_string()),
@@ -99,7 +106,9 @@
         ("post_class", route.rank.to_string()),
         ("tries", route.tries.to_string()),
         ("lines", format!("[{}]", lines.join(", "))),
-    ]
+    ];
+    facts.extend(route.session.iter().map(|session| ("session", session.to_string())));
+    facts
 }
 
 fn service_facts(service: &Service) -> Vec<Fact> {
--- a/mesh/src/timetable/refusal.rs
+++ b/mesh/src/timetable/refusal.rs
@@ -3,7 +3,7 @@
 
 use std::fmt;
 
-use super::read::MOST_DIGITS;
+use super::read::{MOST_DIGITS, SESSION_BYTES};
 
 /// Something that makes a configuration invalid, and where it stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -42,6 +42,10 @@
     Control,
     Version(String),
     NoSlash,
+    /// No name of a header, or too long for one.
+    NoField,
+    /// One that is ours, or belongs to a connection.
+    OurField,
     /// A health path that can't stand in a request.
     Path,
     Kind(String),
@@ -90,6 +94,8 @@
             Why::Control => f.write_str("holds a control character"),
             Why::Version(text) => write!(f, "is {text}, not r and a number"),
             Why::NoSlash => f.write_str("does not begin with a slash"),
+            Why::NoField => write!(f, "is no header's name of up to {SESSION_BYTES} characters"),
+            Why::OurField => f.write_str("is a header that no client sets for itself"),
             Why::Path => f.write_str("is no path that can be asked for"),
             Why::Kind(text) => {
                 write!(f, "is {text}, none of resendable, once_only, registered, outbound_post")
--- a/mesh/src/words.rs
+++ b/mesh/src/words.rs
@@ -5,6 +5,10 @@
 
 use serde::{Deserialize, Serialize};
 
+mod session;
+
+pub use session::*;
+
 /// A steward: where others reach it for calls between the system's own processes, and the life of its disk. The
 /// disk of a very first start is 0; one that came empty later has a number drawn by chance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -111,6 +115,8 @@
     Claim(Key, Claim),
     Free(Key, Token),
     Paper(Paper),
+    Session(Session, Entry),
+    SessionOver(Session),
 }
 
 /// A steward's part in deciding the view that follows the one it holds.
@@ -145,16 +151,25 @@
     pub claims: Vec<(Key, Claim)>,
     /// The highest of each name.
     pub papers: Vec<Paper>,
+    pub sessions: Vec<(Session, Entry)>,
 }
 
 /// What an attendant or an operator wants of the core.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Want {
     /// The right to run this key's req. Answered with `Granted`, or with what the first one's claim came to.
-    Claim { key: Key, token: Token, left_ms: u32 },
+    Claim {
+        key: Key,
+        token: Token,
+        left_ms: u32,
+    },
     /// The one that claimed tells what came of it. `None`: it has not run and never will under this token, to be told
     /// as well after `Held` or `Unsure`. Any other only where the claim was granted: it is taken as proof of that.
-    Settle { key: Key, token: Token, outcome: Option<Outcome> },
+    Settle {
+        key: Key,
+        token: Token,
+        outcome: Option<Outcome>,
+    },
     /// A configuration that was read and found valid.
     Replace(Arc<Sheet>),
     /// The newest configuration.
@@ -163,6 +178,7 @@
     Paper(Paper),
     /// The newest paper of that name.
     ReadPaper(Name),
+    Session(Session, Wish),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -176,6 +192,8 @@
     Newest(Option<Arc<Sheet>>),
     /// There is no room for it. It was not taken, and another steward may yet hold it if it was sent there.
     Full,
+    /// What a session has come to; nothing where nobody has it.
+    Session(Option<Agreed>),
     /// The core could not be had in time. A claim may or may not be held under the token.
     Unsure,
 }
@@ -252,11 +270,14 @@
         next: Option<u128>,
         sheet: Option<Arc<Sheet>>,
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        sessions: Vec<(Session, Entry)>,
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
         papers: Vec<Paper>,
         /// The name from which on papers are still to be told; told with and after the last part of the claims.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         next_paper: Option<Name>,
     },
+    Sessions(Vec<Said>),
     /// Papers to be held.
     HoldPapers(Vec<Paper>),
     /// Asks for papers newer than these. A voter also says what it holds of these names, with that `ask`.
--- a/mesh/tests/stewards/mod.rs
+++ b/mesh/tests/stewards/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code)]
 
+pub mod people;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -33,6 +35,7 @@
     pub sheet: Option<Arc<Sheet>>,
     pub claims: BTreeMap<Key, Claim>,
     pub papers: BTreeMap<Name, Arc<Sheet>>,
+    pub sessions: BTreeMap<Session, Entry>,
 }
 
 impl Disk {
@@ -43,6 +46,8 @@
             Record::Claim(key, claim) => {
                 self.claims.insert(key, claim);
             }
+            Record::Session(session, entry) => drop(self.sessions.insert(session, entry)),
+            Record::SessionOver(session) => drop(self.sessions.remove(&session)),
             Record::Free(key, token) => {
                 if self.claims.get(&key).is_some_and(|claim| claim.token == token) {
                     self.claims.remove(&key);
@@ -56,9 +61,13 @@
 
     fn saved(&self) -> Saved {
         let claims = self.claims.iter().map(|(key, claim)| (*key, claim.clone())).collect();
-        let papers =
-            self.papers.iter().map(|(name, sheet)| Paper { name: name.clone(), sheet: sheet.clone() });
-        Saved { ballots: self.ballots.clone(), sheet: self.sheet.clone(), claims, papers: papers.collect() }
+        let sessions = self.sessions.iter().map(|(session, entry)| (*session, entry.clone())).collect();
+        let papers = self
+            .papers
+            .iter()
+            .map(|(name, sheet)| Paper { name: name.clone(), sheet: sheet.clone() })
+            .collect();
+        Saved { ballots: self.ballots.clone(), sheet: self.sheet.clone(), claims, sessions, papers }
     }
 }
 
@@ -87,6 +96,7 @@
     Read { floor: (u64, u64) },
     Paper(Name, (u64, u64)),
     ReadPaper { name: Name, floor: (u64, u64) },
+    Session { session: Session, floor: Option<u64> },
 }
 
 pub struct World {
@@ -125,6 +135,7 @@
     /// The bytes of a paper.
     pub bulk: usize,
     pub views: BTreeMap<u64, View>,
+    pub people: people::People,
     pub broken: Option<String>,
     pub steps: u64,
     pub seen: [u64; 11],
@@ -192,6 +203,7 @@
             floors: BTreeMap::new(),
             bulk: 0,
             views: BTreeMap::new(),
+            people: people::People::default(),
             broken: None,
             steps: 0,
             seen: [0; 11],
@@ -350,6 +362,7 @@
                 Asked::Paper(paper.name.clone(), paper.sheet.rank())
             }
             Want::ReadPaper(name) => Asked::ReadPaper { name: name.clone(), floor: self.floor_of(name) },
+            Want::Session(session, wish) => self.people.asks(*session, wish),
         };
         let life = self.nodes[node].life;
         self.calls.insert((node, life, call), asked);
@@ -419,7 +432,11 @@
                 Act::Now(to, letter) => self.fly(node, to, letter),
                 Act::Answer { call, got } => self.answered(node, call, got),
                 Act::Log(_) => {}
-                act => self.nodes[node].pending.push_back(act),
+                act => {
+                    let wrong = self.people.writes(&act);
+                    wrong.into_iter().for_each(|wrong| self.broke(wrong));
+                    self.nodes[node].pending.push_back(act);
+                }
             }
         }
         self.look(node);
@@ -494,6 +511,10 @@
                 self.raise(&name, rank);
             }
             (Asked::Settle, Got::Taken) | (Asked::Paper(..), Got::Full) => {}
+            (Asked::Session { session, floor }, Got::Session(agreed)) => {
+                let wrong = self.people.answered(session, floor, agreed);
+                wrong.into_iter().for_each(|wrong| self.broke(wrong));
+            }
             (_, Got::Unsure) => self.seen[UNSURE] += 1,
             (_, got) => self.broke(format!("{got:?} is no answer to that")),
         }
@@ -625,6 +646,7 @@
         Body::Granted(_) => "granted",
         Body::Settle(_) => "settle",
         Body::Hold(_) | Body::HoldPapers(_) => "hold",
+        Body::Sessions(_) => "session",
         Body::Held { .. } | Body::WantSheet { .. } => "held",
         Body::PapersHeld { .. } | Body::WantPapers { .. } | Body::ListPapers(_) => "held",
         Body::WantState { .. } | Body::State { .. } => "state",
