--- a/balancer/src/mesh/wire.rs
+++ b/balancer/src/mesh/wire.rs
@@ -459,6 +459,8 @@
             steward: false,
             report: Some(report),
             members,
+            papers: 0,
+            carried: None,
             gather: true,
         };
         let mut bytes = Vec::new();
