--- a/balancer/src/mesh/members.rs
+++ b/balancer/src/mesh/members.rs
@@ -17,6 +17,7 @@
 use ochreshed_mesh::lay;
 use ochreshed_mesh::members::{Member, MemberDoc, Register};
 use ochreshed_mesh::timetable::Timetable;
+use ochreshed_mesh::trial::{Ended, Verdict, verdict};
 use ochreshed_mesh::words::{Got, Paper, Sheet, Want};
 use serde_json::json;
 use sha2::{Digest, Sha256};
@@ -37,10 +38,6 @@
 /// Other stewards are waited for so long when nodes are asked for.
 const GATHER: Duration = Duration::from_millis(400);
 const MOST_NODES: usize = 1_000;
-/// A trial is withdrawn where more of its reqs fail than of the others: this many at least, and beyond chance by this
-/// part of all.
-const FEW: u32 = 3;
-const BEYOND: f64 = 0.02;
 
 /// Which editions a node told it has in force.
 pub type Carried = Vec<(Name, u64, bool)>;
@@ -414,14 +411,13 @@
         let counts = |of: &&Edition| {
             *of.member == *member && (of.trial && of.number == edition) == on_trial && of.trial == on_trial
         };
-        all.keys().filter(counts).fold((0, 0), |(failed, reqs), of| {
-            let fared = all.get(of).copied().unwrap_or_default();
-            (failed + fared.failed, reqs + fared.failed + fared.well)
+        let fared = all.keys().filter(counts).filter_map(|of| all.get(of));
+        fared.fold(Ended::default(), |sum, fared| Ended {
+            well: sum.well + u64::from(fared.well),
+            failed: sum.failed + u64::from(fared.failed),
         })
     };
-    let part = |(failed, reqs): (u32, u32)| f64::from(failed) / f64::from(reqs.max(1));
-    let (trial, others) = (of(true), of(false));
-    trial.0 >= FEW && part(trial) > part(others) + BEYOND
+    verdict(of(true), of(false), true) == Verdict::Withdraw
 }
 
 /// Keeps what is read of the papers as new as what is safe here, and ends the trials that fall to this steward.
