--- a/balancer/src/mesh/mod.rs
+++ b/balancer/src/mesh/mod.rs
@@ -10,6 +10,7 @@
 mod desk_tests;
 mod door;
 mod entry;
+mod fence;
 mod full;
 mod gate;
 #[cfg(test)]
@@ -21,6 +22,7 @@
 mod parcels;
 mod report;
 mod seats;
+mod sessions;
 mod settings;
 mod start;
 mod steward;
