--- a/balancer/src/mesh/client.rs
+++ b/balancer/src/mesh/client.rs
@@ -10,7 +10,8 @@
 use ochreshed_mesh::timetable::{Timetable, differences};
 use serde_json::Value;
 
-use super::line::What;
+use super::line::{SessionCall, What};
+use super::sessions;
 use super::settings::{Fault, Settings, SettingsError};
 use crate::asking::{self, AskError};
 
@@ -112,6 +113,13 @@
         What::TimetableDiff(file) => diff(at, json, &file)?,
         What::Keys(None) => one(at, json, "keys.count", keys)?,
         What::Keys(Some(key)) => one(at, json, &format!("keys.show&of={}", escaped(&key)), key_shown)?,
+        What::Session(None) => one(at, json, "sessions.count", session_counts)?,
+        What::Session(Some(SessionCall { verb, id, service, header, to })) => {
+            // The value that names a person goes no further than this.
+            let of = sessions::name(&service, &header, &id);
+            let to = to.map(|to| format!("&to={to}")).unwrap_or_default();
+            one(at, json, &format!("sessions.{verb}&of={of:032x}{to}"), session_shown)?
+        }
         What::Budget => one(at, json, "budget.list", budget)?,
         What::Drain(id) => one(at, json, &format!("upstreams.drain&of={}", escaped(&id)), drained)?,
     };
@@ -431,6 +439,24 @@
     table(&head, vec![all])
 }
 
+fn session_counts(of: &Value) -> String {
+    let head = ["SESSIONS", "MOVES", "TIES", "DROPPED"];
+    table(&head, vec![cells(of, &["sessions", "moves", "ties", "dropped"])])
+}
+
+fn session_shown(of: &Value) -> String {
+    let head = ["EPOCH", "HELD AT", "SINCE", "BEFORE AT", "UPSTREAM", "ITS DOOR"];
+    let all = [
+        &of["epoch"],
+        &of["holder"]["door"],
+        &of["holder"]["since"],
+        &of["before"]["door"],
+        &of["tie"]["upstream"],
+        &of["tie"]["door"],
+    ];
+    table(&head, vec![all.iter().map(|value| cell(value)).collect()])
+}
+
 fn key_shown(of: &Value) -> String {
     let state = match of["state"].as_str() {
         Some("none") => "not known to this steward",
--- a/balancer/src/mesh/line.rs
+++ b/balancer/src/mesh/line.rs
@@ -23,6 +23,8 @@
                                       the timetable in force, a new one, those before, or what a new one would change
     ochreshed keys [KEY] --at ADDRESS how a tracking key stands, or how many are open, unknown and done
     ochreshed budget --at ADDRESS     what is known of the allowance for retries
+    ochreshed session show|move|forget ID --service S --header H --at ADDRESS
+                                      where a person's session is; have another gate take it; begin it anew
     ochreshed drain UPSTREAM --at ADDRESS
                                       send nothing new to that server
                                       each of these has --help; without --settings OCHRESHED_SETTINGS names the file
@@ -111,6 +113,24 @@
     -h, --help         this page
 ";
 
+const HELP_SESSION: &str = "\
+ochreshed session count --at ADDRESS [--at ADDRESS] [--json]
+ochreshed session show ID --service S --header H --at ADDRESS [--at ADDRESS] [--json]
+ochreshed session move ID --to DOOR --service S --header H --at ADDRESS [--at ADDRESS] [--json]
+ochreshed session forget ID --service S --header H --at ADDRESS [--at ADDRESS] [--json]
+
+Prints how many sessions the steward holds, or where the one is whose header H says ID to the service S; has the gate of
+the machine with the inbound gate DOOR take it; or drops it, so that its next req is tied anew. ID is hashed here and not
+sent. An ID that begins with - goes after --.
+
+    --service S        the line that the route sends to
+    --header H         the header that the route names as its session
+    --to DOOR          the inbound gate of the machine that is to have it
+    --at ADDRESS       the control gate of a steward, as 10.1.0.13:8306; of several, the first that answers is asked
+    --json             print JSON
+    -h, --help         this page
+";
+
 const HELP_DRAIN: &str = "\
 ochreshed drain UPSTREAM --at ADDRESS [--at ADDRESS] [--json]
 
@@ -123,7 +143,7 @@
 ";
 
 /// The mesh's words and their help.
-const WORDS: [(&str, &str); 9] = [
+const WORDS: [(&str, &str); 10] = [
     ("attendant", HELP_ATTENDANT),
     ("steward", HELP_STEWARD),
     ("settings", HELP_SETTINGS),
@@ -132,6 +152,7 @@
     ("timetable", HELP_TIMETABLE),
     ("keys", HELP_KEYS),
     ("budget", HELP_BUDGET),
+    ("session", HELP_SESSION),
     ("drain", HELP_DRAIN),
 ];
 /// What the older command line answers to.
@@ -140,6 +161,10 @@
 const SETTINGS: &str = "--settings";
 const AT: &str = "--at";
 const JSON: &str = "--json";
+const SERVICE: &str = "--service";
+const HEADER: &str = "--header";
+const TO: &str = "--to";
+const SESSION_VERBS: [&str; 4] = ["count", "show", "move", "forget"];
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Command {
@@ -160,10 +185,22 @@
     TimetableDiff(PathBuf),
     /// One key, or all.
     Keys(Option<String>),
+    /// One session, or figures of all.
+    Session(Option<SessionCall>),
     Budget,
     Drain(String),
 }
 
+/// A person's session, and what is to be done about it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SessionCall {
+    pub verb: &'static str,
+    pub id: String,
+    pub service: String,
+    pub header: String,
+    pub to: Option<SocketAddr>,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LineError {
     /// No error: the page that was asked for, for standard output.
@@ -287,6 +324,10 @@
         }
         let told = self.values(AT)?;
         let at = told.iter().map(|told| address(command, told)).collect::<Result<Vec<_>, _>>()?;
+        let session = match command {
+            "session" => [SERVICE, HEADER, TO].map(|option| self.values(option)),
+            _ => [const { Ok(Vec::new()) }; 3],
+        };
         let mut words = self.words(&[AT, JSON])?.into_iter();
         let what = match command {
             "nodes" => What::Nodes,
@@ -295,6 +336,7 @@
             "keys" => {
                 What::Keys(words.next().map(|key| text(command, key, "a KEY that is not empty")).transpose()?)
             }
+            "session" => What::Session(session_call(command, session, &mut words)?),
             "drain" => {
                 let upstream = words.next().ok_or(LineError::Wants(command, "an UPSTREAM"))?;
                 What::Drain(text(command, upstream, "an UPSTREAM")?)
@@ -376,6 +418,39 @@
     }
 }
 
+fn session_call(
+    command: &'static str,
+    [service, header, to]: [Result<Vec<OsString>, LineError>; 3],
+    words: &mut impl Iterator<Item = OsString>,
+) -> Result<Option<SessionCall>, LineError> {
+    let verb = words.next().ok_or(LineError::Wants(command, "count, show ID, move ID or forget ID"))?;
+    let Some(verb) = SESSION_VERBS.into_iter().find(|known| verb == *known) else {
+        return Err(left(command, &verb, &SESSION_VERBS));
+    };
+    if verb == "count" {
+        return Ok(None);
+    }
+    let one = |told: Result<Vec<OsString>, LineError>, option, wants| {
+        let mut told = told?;
+        match (told.pop(), told.is_empty()) {
+            (Some(told), true) => Ok(told),
+            (None, _) => Err(LineError::Wants(command, wants)),
+            _ => Err(LineError::Twice(command, option)),
+        }
+    };
+    let id = words.next().ok_or(LineError::Wants(command, "an ID"))?;
+    let id = text(command, id, "an ID that is not empty")?;
+    let wants = "--service S, the line that the route sends to";
+    let service = text(command, one(service, SERVICE, wants)?, wants)?;
+    let wants = "--header H, which the route names";
+    let header = text(command, one(header, HEADER, wants)?, wants)?;
+    let to = match verb {
+        "move" => Some(address(command, &one(to, TO, "--to DOOR, an inbound gate")?)?),
+        _ => None,
+    };
+    Ok(Some(SessionCall { verb, id, service, header, to }))
+}
+
 /// Names all that is left.
 fn nothing_left(command: &'static str, words: impl Iterator<Item = OsString>) -> Result<(), LineError> {
     let words: Vec<_> = words.map(|word| shown(&word)).collect();
@@ -438,6 +513,9 @@
             "keys k-5512 --at [::1]:8306",
             "keys --at 10.1.0.13:8306 -- --json",
             "budget --at 10.1.0.13:8306",
+            "session count --at 10.1.0.13:8306",
+            "session show p-17 --service cobro --header X-Person --at 10.1.0.13:8306",
+            "session move p-17 --to 10.1.0.14:8300 --service cobro --header X-Person --at 10.1.0.13:8306",
             "drain i-7f3a91c2 --at 10.1.0.13:8306",
             "drain --help",
             "timetable replace -h --wrong",
@@ -459,6 +537,9 @@
             keys k-5512 --at [::1]:8306 -> Client { at: [[::1]:8306], json: false, what: Keys(Some("k-5512")) }
             keys --at 10.1.0.13:8306 -- --json -> Client { at: [10.1.0.13:8306], json: false, what: Keys(Some("--json")) }
             budget --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: Budget }
+            session count --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: Session(None) }
+            session show p-17 --service cobro --header X-Person --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: Session(Some(SessionCall { verb: "show", id: "p-17", service: "cobro", header: "X-Person", to: None })) }
+            session move p-17 --to 10.1.0.14:8300 --service cobro --header X-Person --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: Session(Some(SessionCall { verb: "move", id: "p-17", service: "cobro", header: "X-Person", to: Some(10.1.0.14:8300) })) }
             drain i-7f3a91c2 --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: Drain("i-7f3a91c2") }
             drain --help -> help: ochreshed drain UPSTREAM --at ADDRESS [--at ADDRESS] [--json]
             timetable replace -h --wrong -> help: ochreshed timetable read --at ADDRESS [--at ADDRESS] [--json]
--- a/balancer/src/mesh/mod.rs
+++ b/balancer/src/mesh/mod.rs
@@ -22,6 +22,7 @@
 mod parcels;
 mod report;
 mod seats;
+mod session_calls;
 mod sessions;
 mod settings;
 mod start;
--- a/balancer/src/mesh/pages.rs
+++ b/balancer/src/mesh/pages.rs
@@ -8,7 +8,7 @@
 use std::time::UNIX_EPOCH;
 
 use ochreshed::{Name, Nanos};
-use ochreshed_mesh::agree::{Core, Known};
+use ochreshed_mesh::agree::{Core, Known, SessionCounts};
 use ochreshed_mesh::fared::{Edition, Fared};
 use ochreshed_mesh::list::{Row, Stand, Table};
 use ochreshed_mesh::words::{Claim, Key, Outcome};
@@ -182,6 +182,7 @@
     /// Bytes of kept answers, how many may be, and answers dropped for want of room.
     pub answers: (usize, usize, u64),
     pub oldest_open: Option<Nanos>,
+    pub sessions: SessionCounts,
     /// Of the key that was asked for, and for how long it is known here.
     pub claim: Option<(Claim, Nanos)>,
 }
@@ -197,6 +198,7 @@
             keys: core.keys(),
             answers: core.answers(),
             oldest_open: core.oldest_open(),
+            sessions: core.session_counts(),
             claim,
         }
     }
@@ -661,6 +663,7 @@
                 stewards: vec![known(13, true, Some(0)), known(14, false, None)],
                 keys: (2, 1, 40),
                 answers: (12_040, 51_200_000, 3),
+                sessions: SessionCounts::default(),
                 oldest_open: Some(1_250 * MS),
                 claim: None,
             },
--- a/balancer/src/mesh/steward.rs
+++ b/balancer/src/mesh/steward.rs
@@ -31,6 +31,7 @@
 use super::pages::{self, Facts, Query, Seen};
 use super::parcels::{Parcel, Parcels, Rank};
 use super::report::{self, Gathered};
+use super::session_calls;
 use super::settings::{Settings, SettingsError};
 use super::start;
 use super::store::{Store, StoreError};
@@ -239,6 +240,23 @@
                 Got::Newest(None) => say(404, "no timetable was ever taken"),
                 _ => say(503, "more than half of the core is not reached"),
             },
+            "sessions.count" => {
+                let (reply, seen) = oneshot::channel();
+                let _ = self.events.send(Event::Look(None, reply)).await;
+                match timeout(OPERATOR, seen).await {
+                    Ok(Ok(seen)) => json(200, session_calls::counts(&seen.sessions)),
+                    _ => say(503, "busy: ask again"),
+                }
+            }
+            "sessions.show" | "sessions.move" | "sessions.forget" => {
+                match session_calls::read(came.req.uri()) {
+                    Ok(want) => match session_calls::told(&self.want(want, OPERATOR).await) {
+                        (200, text) => json(200, text),
+                        (status, line) => say(status, &line),
+                    },
+                    Err(why) => say(400, why),
+                }
+            }
             _ => match Query::read(came.req.uri()) {
                 Ok(query) => self.page(query).await,
                 Err(why) => say(why.status(), why.line()),
--- a/balancer/tests/sessions.rs
+++ b/balancer/tests/sessions.rs
@@ -147,3 +147,43 @@
     assert!(kept as f64 >= 0.99 * all as f64, "{kept} of {all}");
     assert!(moves > 50, "{moves}");
 }
+
+/// Guards against people who are stuck with the gate or the upstream that they had. What was under way at a gate that is
+/// killed may stay unknown; nothing runs twice, and what is begun after lands once.
+#[test]
+fn people_go_on_elsewhere_when_their_gate_and_their_upstream_are_gone() {
+    let mut town = Town::start();
+    town.replace(0, &with_sessions(2));
+    town.until_in_force("/look/x");
+    let gates = town.gates();
+    let all = |gates: &[SocketAddr], payments: std::ops::Range<usize>| -> usize {
+        thread::scope(|scope| {
+            let people: Vec<_> = (0..PEOPLE)
+                .map(|person| {
+                    let payments = payments.clone();
+                    scope.spawn(move || walks(gates, person, payments))
+                })
+                .collect();
+            people.into_iter().map(|person| person.join().expect("a person")).sum()
+        })
+    };
+    assert_eq!(all(&gates, 0..3), 0);
+    let (gone, left) = (town.upstreams[0].id.clone(), [gates[1], gates[2], gates[3]]);
+    let tied = town.ledger.runs(|run| run.by == gone && !run.req.field("x-person").is_empty()).len();
+    // Its people are in the middle of a payment.
+    (0..PEOPLE).for_each(|person| begins(gates[0], person, &key(person, 100)));
+    town.attendants[0].kill();
+    assert_eq!(all(&left, 3..6), 0);
+    assert!(tied > 0);
+    for (person, payment) in (0..PEOPLE).flat_map(|person| (0..6).map(move |payment| (person, payment))) {
+        assert_eq!(town.ledger.of_key(&key(person, payment)).len(), 1, "payment {payment} of {person}");
+    }
+    let twice = (0..PEOPLE).filter(|person| town.ledger.of_key(&key(*person, 100)).len() > 1).count();
+    assert_eq!(twice, 0);
+    let (kept, all) = ties(&town, |upstream| upstream != gone);
+    let gone = sum(&town, &[1, 2, 3], |page| page["ties"]["gone"].as_u64().unwrap_or(0));
+    println!("{all} runs after another, {kept} at the same upstream, {gone} successors");
+    assert!(kept as f64 >= 0.99 * all as f64, "{kept} of {all}");
+    assert!(gone > 0);
+    until("held", || town.ask(1, "sessions.count")["sessions"] == PEOPLE);
+}
