--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -36,6 +36,7 @@
 use super::keys::Stewards;
 use super::parcels::Rank;
 use super::seats::Seats;
+use super::sessions::Sessions;
 use super::settings::{Settings, SettingsError};
 use super::wire::Callers;
 use super::{full, gate, news, start};
@@ -198,6 +199,11 @@
         branch
     }
 
+    /// What the gate of this machine holds of people's sessions; its door is told when they go elsewhere.
+    pub fn sessions(&self) -> &Sessions {
+        &self.door.sessions
+    }
+
     pub fn door_at(&self) -> SocketAddr {
         self.door_at
     }
--- a/mesh/src/timetable.rs
+++ b/mesh/src/timetable.rs
@@ -69,6 +69,8 @@
     pub tries: u32,
     /// Each service once, with its share; their sum is above 0.
     pub lines: Vec<(Name, f64)>,
+    /// The header that names a person's session, in lower case.
+    pub session: Option<Name>,
     /// Whose route it is and what it may take of what all share; none for the platform's own.
     pub share: Option<Arc<Share>>,
 }
--- a/mesh/src/timetable/read.rs
+++ b/mesh/src/timetable/read.rs
@@ -18,6 +18,21 @@
 const MOST_IN_SPLIT: usize = 1_000;
 const MOST_REFUSALS: usize = 100;
 const NAME_BYTES: usize = 256;
+pub const SESSION_BYTES: usize = 64;
+/// Fields of a connection or of a body, which no person has.
+const NOT_SESSION: [&str; 11] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+    "content-length",
+    "content-type",
+    "expect",
+];
 const PREFIX_BYTES: usize = 1_024;
 /// About 31 years; sums of such times stay far from overflow.
 pub(crate) const MOST_MS: u64 = 1_000_000_000_000;
@@ -309,6 +324,10 @@
         };
         let tries = self.whole(entry, "tries", get("tries"), 1, u32::MAX.into());
         let lines = self.lines(entry, get("line"), get("split"));
+        let session = match get("session") {
+            None => Some(None),
+            some => self.session(entry, some).map(Some),
+        };
         Some(Route {
             name: self.name(entry.name),
             host: host?,
@@ -319,10 +338,25 @@
             rank: u32::try_from(rank?).ok()?,
             tries: u32::try_from(tries?).ok()?,
             lines: lines?,
+            session: session?,
             share: None,
         })
     }
 
+    /// A field that clients set and that goes on to the upstream as it came.
+    pub fn session(&mut self, entry: &Entry, value: Option<&JsonValue>) -> Option<Name> {
+        const FIELD: &str = "session";
+        let text = self.word(entry, FIELD, value)?.to_ascii_lowercase();
+        let sign = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
+        if text.is_empty() || text.len() > SESSION_BYTES || !text.bytes().all(sign) {
+            return self.wrong(entry, FIELD, Why::NoField);
+        }
+        if text.starts_with("ochreshed-") || NOT_SESSION.contains(&&*text) {
+            return self.wrong(entry, FIELD, Why::OurField);
+        }
+        Some(self.name(&text))
+    }
+
     pub fn host(&mut self, entry: &Entry, place: &str, value: Option<&JsonValue>) -> Option<Name> {
         let text = self.word(entry, place, value)?;
         let host = bare(text);
