--- a/balancer/src/mesh/line.rs
+++ b/balancer/src/mesh/line.rs
@@ -28,6 +28,8 @@
                                       a member's own routes, and how a change of them stands
     ochreshed keys [KEY] --at ADDRESS how a tracking key stands, or how many are open, unknown and done
     ochreshed budget --at ADDRESS     what is known of the allowance for retries
+    ochreshed session show|move|forget ID --service S --header H --at ADDRESS
+                                      where a person's session is; have another gate take it; begin it anew
     ochreshed drain UPSTREAM --at ADDRESS
                                       send nothing new to that server
                                       each of these has --help; without --settings OCHRESHED_SETTINGS names the file
@@ -154,6 +156,24 @@
     -h, --help         this page
 ";
 
+const HELP_SESSION: &str = "\
+ochreshed session count --at ADDRESS [--at ADDRESS] [--json]
+ochreshed session show ID --service S --header H --at ADDRESS [--at ADDRESS] [--json]
+ochreshed session move ID --to DOOR --service S --header H --at ADDRESS [--at ADDRESS] [--json]
+ochreshed session forget ID --service S --header H --at ADDRESS [--at ADDRESS] [--json]
+
+Prints how many sessions the steward holds, or where the one is whose header H says ID to the service S; has the gate
+of the machine with the inbound gate DOOR take it; or drops it, so that its next req is tied anew. ID is hashed here
+and not sent. An ID that begins with - goes after --.
+
+    --service S        the line that the route sends to
+    --header H         the header that the route names as its session
+    --to DOOR          the inbound gate of the machine that is to have it
+    --at ADDRESS       the control gate of a steward, as 10.1.0.13:8306; of several, the first that answers is asked
+    --json             print JSON
+    -h, --help         this page
+";
+
 const HELP_DRAIN: &str = "\
 ochreshed drain UPSTREAM --at ADDRESS [--at ADDRESS] [--json]
 
@@ -166,7 +186,7 @@
 ";
 
 /// The mesh's words and their help.
-const WORDS: [(&str, &str); 11] = [
+const WORDS: [(&str, &str); 12] = [
     ("attendant", HELP_ATTENDANT),
     ("steward", HELP_STEWARD),
     ("settings", HELP_SETTINGS),
@@ -177,6 +197,7 @@
     ("member", HELP_MEMBER),
     ("keys", HELP_KEYS),
     ("budget", HELP_BUDGET),
+    ("session", HELP_SESSION),
     ("drain", HELP_DRAIN),
 ];
 /// What the older command line answers to.
@@ -189,6 +210,10 @@
 const SETTINGS: &str = "--settings";
 const AT: &str = "--at";
 const JSON: &str = "--json";
+const SERVICE: &str = "--service";
+const HEADER: &str = "--header";
+const TO: &str = "--to";
+const SESSION_VERBS: [&str; 4] = ["count", "show", "move", "forget"];
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Command {
@@ -209,6 +234,8 @@
     TimetableDiff(PathBuf),
     /// One key, or all.
     Keys(Option<String>),
+    /// One session, or figures of all.
+    Session(Option<SessionCall>),
     Budget,
     Drain(String),
     Members(Register),
@@ -241,6 +268,16 @@
     Withdraw,
 }
 
+/// A person's session, and what is to be done about it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SessionCall {
+    pub verb: &'static str,
+    pub id: String,
+    pub service: String,
+    pub header: String,
+    pub to: Option<SocketAddr>,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LineError {
     /// No error: the page that was asked for, for standard output.
@@ -364,12 +401,20 @@
         }
         let told = self.values(AT)?;
         let at = told.iter().map(|told| address(command, told)).collect::<Result<Vec<_>, _>>()?;
+        let session = match command {
+            "session" => [SERVICE, HEADER, TO].map(|option| self.values(option)),
+            _ => [const { Ok(Vec::new()) }; 3],
+        };
         let key = if command == "member" { self.values(KEY)? } else { Vec::new() };
         if key.len() > 1 {
             return Err(LineError::Twice(command, KEY));
         }
         let key = key.into_iter().next().map(PathBuf::from);
-        let options: &[_] = if command == "member" { &[AT, JSON, KEY] } else { &[AT, JSON] };
+        let options: &[_] = match command {
+            "member" => &[AT, JSON, KEY],
+            "session" => &[AT, JSON, SERVICE, HEADER, TO],
+            _ => &[AT, JSON],
+        };
         let mut words = self.words(options)?.into_iter();
         let what = match command {
             "nodes" => What::Nodes,
@@ -378,6 +423,7 @@
             "keys" => {
                 What::Keys(words.next().map(|key| text(command, key, "a KEY that is not empty")).transpose()?)
             }
+            "session" => What::Session(session_call(command, session, &mut words)?),
             "drain" => {
                 let upstream = words.next().ok_or(LineError::Wants(command, "an UPSTREAM"))?;
                 What::Drain(text(command, upstream, "an UPSTREAM")?)
@@ -506,6 +552,39 @@
     }
 }
 
+fn session_call(
+    command: &'static str,
+    [service, header, to]: [Result<Vec<OsString>, LineError>; 3],
+    words: &mut impl Iterator<Item = OsString>,
+) -> Result<Option<SessionCall>, LineError> {
+    let verb = words.next().ok_or(LineError::Wants(command, "count, show ID, move ID or forget ID"))?;
+    let Some(verb) = SESSION_VERBS.into_iter().find(|known| verb == *known) else {
+        return Err(left(command, &verb, &SESSION_VERBS));
+    };
+    if verb == "count" {
+        return Ok(None);
+    }
+    let one = |told: Result<Vec<OsString>, LineError>, option, wants| {
+        let mut told = told?;
+        match (told.pop(), told.is_empty()) {
+            (Some(told), true) => Ok(told),
+            (None, _) => Err(LineError::Wants(command, wants)),
+            _ => Err(LineError::Twice(command, option)),
+        }
+    };
+    let id = words.next().ok_or(LineError::Wants(command, "an ID"))?;
+    let id = text(command, id, "an ID that is not empty")?;
+    let wants = "--service S, the line that the route sends to";
+    let service = text(command, one(service, SERVICE, wants)?, wants)?;
+    let wants = "--header H, which the route names";
+    let header = text(command, one(header, HEADER, wants)?, wants)?;
+    let to = match verb {
+        "move" => Some(address(command, &one(to, TO, "--to DOOR, an inbound gate")?)?),
+        _ => None,
+    };
+    Ok(Some(SessionCall { verb, id, service, header, to }))
+}
+
 /// Names all that is left.
 fn nothing_left(command: &'static str, words: impl Iterator<Item = OsString>) -> Result<(), LineError> {
     let words: Vec<_> = words.map(|word| shown(&word)).collect();
@@ -568,6 +647,9 @@
             "keys k-5512 --at [::1]:8306",
             "keys --at 10.1.0.13:8306 -- --json",
             "budget --at 10.1.0.13:8306",
+            "session count --at 10.1.0.13:8306",
+            "session show p-17 --service cobro --header X-Person --at 10.1.0.13:8306",
+            "session move p-17 --to 10.1.0.14:8300 --service cobro --header X-Person --at 10.1.0.13:8306",
             "drain i-7f3a91c2 --at 10.1.0.13:8306",
             "members replace m.json --at 10.1.0.13:8306",
             "member norte plan r7.json --key=k --at 10.1.0.13:8306",
@@ -592,6 +674,9 @@
             keys k-5512 --at [::1]:8306 -> Client { at: [[::1]:8306], json: false, what: Keys(Some("k-5512")) }
             keys --at 10.1.0.13:8306 -- --json -> Client { at: [10.1.0.13:8306], json: false, what: Keys(Some("--json")) }
             budget --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: Budget }
+            session count --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: Session(None) }
+            session show p-17 --service cobro --header X-Person --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: Session(Some(SessionCall { verb: "show", id: "p-17", service: "cobro", header: "X-Person", to: None })) }
+            session move p-17 --to 10.1.0.14:8300 --service cobro --header X-Person --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: Session(Some(SessionCall { verb: "move", id: "p-17", service: "cobro", header: "X-Person", to: Some(10.1.0.14:8300) })) }
             drain i-7f3a91c2 --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: Drain("i-7f3a91c2") }
             members replace m.json --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: Members(Replace("m.json")) }
             member norte plan r7.json --key=k --at 10.1.0.13:8306 -> Client { at: [10.1.0.13:8306], json: false, what: Member { name: "norte", what: Plan("r7.json"), key: Some("k") } }
--- a/balancer/src/mesh/news.rs
+++ b/balancer/src/mesh/news.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ochreshed::Name;
 use ochreshed_mesh::news::{self, Asker};
 use ochreshed_mesh::parcels::Rank;
 use tokio::time::sleep;
@@ -21,6 +22,7 @@
 /// Asks one of the watchers, for good: the one whose turn is `which` among those that reply.
 pub async fn ask(branch: Arc<Branch>, which: usize, many: usize) {
     let mut asker = Asker::new(which, many);
+    let has_sheet = || branch.timetable.load().is_some();
     let mut reports: HashMap<SocketAddr, Telling> = HashMap::new();
     loop {
         let stewards = branch.stewards.all();
@@ -37,7 +39,7 @@
         let ask = NewsAsk {
             members: told.as_ref().map(|report| report.members.clone()).unwrap_or_default(),
             report: told,
-            ..asker.ask(steward, row, branch.sheet_rank())
+            ..asker.ask(steward, row, branch.sheet_rank(), branch.carried())
         };
         let caller = branch.callers.to(steward);
         let changed = branch.door.changed.notified();
@@ -45,16 +47,22 @@
             reply = caller.call(Ask::News(ask), Duration::from_nanos(news::HOLD + news::LATE)) => reply,
             () = changed => continue,
         };
-        let (now, has_sheet) = (branch.clock.now(), branch.timetable.load().is_some());
         match reply {
-            Ok(Reply::News(reply)) => {
+            Ok(Reply::News(mut reply)) => {
+                if let Some((number, ranks)) = reply.papers.take() {
+                    if fetch_papers(&branch, steward, ranks).await {
+                        asker.has_papers(steward, number);
+                    } else {
+                        sleep(PAUSE).await;
+                    }
+                }
                 branch.heard_core(reply.settled);
                 report.answered(reply.life.is_some());
-                let quiet = asker.replied(now, steward, rank, has_sheet, &reply);
+                let quiet = asker.replied(branch.clock.now(), steward, rank, has_sheet(), &reply);
                 take(&branch, (which, steward), *reply, quiet);
             }
             _ => {
-                asker.failed(now, steward, has_sheet, stewards.len());
+                asker.failed(branch.clock.now(), steward, has_sheet(), stewards.len());
                 report.answered(false);
                 branch.silent(which);
                 sleep(PAUSE).await;
@@ -86,6 +94,21 @@
     branch.take_rows(which, reply.rows, quiet);
 }
 
+/// Gets the papers that are newer there, until none is; whether that was to be had.
+async fn fetch_papers(branch: &Arc<Branch>, steward: SocketAddr, ranks: Vec<(Name, Rank)>) -> bool {
+    loop {
+        let wanted = branch.papers_wanted(&ranks);
+        if wanted.is_empty() {
+            return true;
+        }
+        let reply = branch.callers.to(steward).call(Ask::Papers(wanted), FETCH).await;
+        let Ok(Reply::Papers(papers)) = reply else { return false };
+        if !branch.take_papers(&papers) {
+            return false;
+        }
+    }
+}
+
 /// Gets a configuration from the steward that told of it: what differs from the one that is here, and whole where that
 /// does not open. If it fails, the next news tells of it again.
 async fn fetch(branch: Arc<Branch>, steward: SocketAddr, rank: Rank) {
--- a/balancer/src/mesh/report.rs
+++ b/balancer/src/mesh/report.rs
@@ -11,6 +11,7 @@
 use ochreshed_mesh::budget::{Report, Reports};
 use ochreshed_mesh::fared::Faring;
 use ochreshed_mesh::list::Mark;
+use ochreshed_mesh::office;
 use tokio::time::Instant;
 
 use super::wire::{Ask, Callers, NewsAsk, Reply};
@@ -64,18 +65,8 @@
     let mut asks: FuturesUnordered<_> = others
         .into_iter()
         .map(|at| async move {
-            let ask = NewsAsk {
-                row: None,
-                door: None,
-                mark: Mark::default(),
-                sheet: (u64::MAX, 0),
-                quiet: u64::MAX,
-                hold_ms: 0,
-                steward: true,
-                report: None,
-                members: Faring::new(),
-                gather: true,
-            };
+            let whole = office::ask_of_steward(Mark::default());
+            let ask = NewsAsk { hold_ms: 0, gather: true, ..whole };
             (at, callers.to(at).call(Ask::News(ask), GATHER).await)
         })
         .collect();
--- a/emulator/src/mesh/count.rs
+++ b/emulator/src/mesh/count.rs
@@ -45,11 +45,13 @@
             Ask::News(news) if news.row.is_some() || follows => Cause::Rows,
             Ask::News(_) => Cause::Asks,
             Ask::Core(Want::Claim { .. } | Want::Settle { .. }) => Cause::Claims,
-            Ask::Core(_) | Ask::Sheet(_) => Cause::Configurations,
+            Ask::Core(_) | Ask::Sheet(_) | Ask::Papers(_) | Ask::Carried(_) => Cause::Configurations,
             Ask::Letter(letter) => match letter.body {
                 Body::Beat { .. } => Cause::Beats,
                 Body::Grant(_) | Body::Granted(_) | Body::Settle(_) => Cause::Claims,
                 Body::Hold(_) | Body::WantSheet { .. } | Body::Held { .. } => Cause::Configurations,
+                Body::HoldPapers(_) | Body::WantPapers { .. } => Cause::Configurations,
+                Body::PapersHeld { .. } | Body::ListPapers(_) => Cause::Configurations,
                 _ => Cause::Views,
             },
         }
--- a/emulator/src/mesh/gate.rs
+++ b/emulator/src/mesh/gate.rs
@@ -188,7 +188,7 @@
             hand.timer(news::PAUSE, Timer::Ask(which));
             return;
         };
-        let ask = turn.asker.ask(steward, self.row.clone(), sheet);
+        let ask = turn.asker.ask(steward, self.row.clone(), sheet, Vec::new());
         let id = hand.ask(steward, Ask::News(ask), turn.follows);
         turn.open = Some(id);
         self.open.insert(id, Open::News { which, steward, row: self.row.rank() });
--- a/emulator/src/mesh/steward.rs
+++ b/emulator/src/mesh/steward.rs
@@ -20,12 +20,16 @@
 /// So many waiting asks look at a time whether there is news for them.
 const READERS: usize = 8;
 
+/// No member is played, so that nobody writes or asks for one.
+const NO_PAPERS: (u64, &[Paper]) = (0, &[]);
+
 /// What the disk holds, synced.
 #[derive(Clone, Default)]
 pub struct Kept {
     ballots: Option<Ballots>,
     sheet: Option<Arc<Sheet>>,
     claims: BTreeMap<Key, Claim>,
+    papers: BTreeMap<Name, Arc<Sheet>>,
     sessions: BTreeMap<Session, Entry>,
 }
 
@@ -37,6 +41,7 @@
             Record::Claim(key, claim) => {
                 self.claims.insert(key, claim);
             }
+            Record::Paper(paper) => drop(self.papers.insert(paper.name, paper.sheet)),
             Record::Session(session, entry) => drop(self.sessions.insert(session, entry)),
             Record::SessionOver(session) => drop(self.sessions.remove(&session)),
             Record::Free(key, token) => {
@@ -50,7 +55,9 @@
     fn saved(&self) -> Saved {
         let claims = self.claims.iter().map(|(key, claim)| (*key, claim.clone())).collect();
         let sessions = self.sessions.iter().map(|(session, entry)| (*session, entry.clone())).collect();
-        Saved { ballots: self.ballots.clone(), sheet: self.sheet.clone(), claims, sessions }
+        let paper = |(name, sheet): (&Name, &Arc<Sheet>)| Paper { name: name.clone(), sheet: sheet.clone() };
+        let papers = self.papers.iter().map(paper).collect();
+        Saved { ballots: self.ballots.clone(), sheet: self.sheet.clone(), claims, papers, sessions }
     }
 }
 
@@ -154,7 +161,7 @@
 
     fn stand(&self) -> Stand<'_> {
         let safe = self.safe.as_ref().map(|sheet| sheet.rank());
-        Stand { safe, stewards: &self.stewards, settled: self.settled }
+        Stand { safe, stewards: &self.stewards, settled: self.settled, papers: NO_PAPERS }
     }
 
     pub fn ask(&mut self, from: usize, id: u64, ask: Ask, cause: Cause, hand: &mut Hand) {
@@ -169,9 +176,11 @@
                 let parcel = self.parcels.newest(have);
                 hand.reply(from, id, Reply::Sheet(parcel), Cause::Configurations);
             }
+            Ask::Papers(_) | Ask::Carried(_) => {}
             Ask::News(ask) => {
                 let safe = self.safe.as_ref().map(|sheet| sheet.rank());
-                let stand = Stand { safe, stewards: &self.stewards, settled: self.settled };
+                let stand =
+                    Stand { safe, stewards: &self.stewards, settled: self.settled, papers: NO_PAPERS };
                 let (waiting, news) = self.office.came(hand.now, &ask, stand);
                 let due = self.office.due(&waiting, self.stand());
                 if due.is_some_and(|due| due <= hand.now) {
--- a/mesh/src/calls.rs
+++ b/mesh/src/calls.rs
@@ -10,7 +10,7 @@
 use crate::fared::Faring;
 use crate::list::{Mark, Row};
 use crate::parcels::{Parcel, Rank};
-use crate::words::{Got, Letter, Want};
+use crate::words::{Got, Letter, Name, Paper, Want};
 
 /// No frame is larger than this, in bytes.
 pub const MOST_FRAME: usize = 40 << 20;
@@ -22,6 +22,10 @@
     Letter(Letter),
     /// The newest configuration, from one that has the one of this rank.
     Sheet(Rank),
+    /// Papers of these names that are newer than these.
+    Papers(Vec<(Name, Rank)>),
+    /// Which nodes told that they have which edition of a member's routes in force.
+    Carried(Name),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -29,6 +33,10 @@
     News(Box<NewsReply>),
     Core(Got),
     Sheet(Option<Arc<Parcel>>),
+    /// As many as go in one reply, and at least one if there are any.
+    Papers(Vec<Paper>),
+    /// Doors, the edition there, and whether it is on trial.
+    Carried(Vec<(SocketAddr, u64, bool)>),
 }
 
 /// What a process has, and wants to be told when there is more.
@@ -53,6 +61,13 @@
     /// What of that report goes beside it.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub members: Faring,
+    /// The number of the papers that the asker was told of last; 0 where there were none.
+    #[serde(default, skip_serializing_if = "is_none")]
+    pub papers: u64,
+    /// The editions of members' routes in force at an attendant, and whether they are on trial there, where that has
+    /// changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub carried: Option<Carried>,
     /// A steward wants nothing but what was reported.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub gather: bool,
@@ -80,11 +95,21 @@
     /// where it was asked for.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub told: Option<Box<Told>>,
+    /// The number of all papers that are safe, and their ranks, where it is another than the asker's.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub papers: Option<(u64, Vec<(Name, Rank)>)>,
     /// What of those reports goes beside them, where there is any.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub members: Vec<(SocketAddr, Faring)>,
 }
 
+fn is_none(papers: &u64) -> bool {
+    *papers == 0
+}
+
+/// The editions of members' routes in force at an attendant, and whether they are on trial there.
+pub type Carried = Vec<(Name, u64, bool)>;
+
 /// Reports by door with their ages in ms, and a steward's own time to full service in ms.
 pub type Told = (Vec<(SocketAddr, u32, Report)>, Option<u32>);
 
@@ -111,6 +136,44 @@
 
     use super::*;
 
+    /// Guards against letters that an older program doesn't read, or that cost more though no paper is held.
+    #[test]
+    fn without_papers_letters_are_as_they_were() {
+        use crate::words::{Body, Claim, Key, Sheet};
+        #[derive(Debug, Serialize, Deserialize)]
+        enum Older {
+            Beat { voter: bool, sheet: Rank, safe: Rank, leaving: bool },
+            WantState { from: u128, round: u64 },
+            State { round: u64, part: Vec<(Key, Claim)>, next: Option<u128>, sheet: Option<Arc<Sheet>> },
+        }
+        let rank = (3, u64::MAX);
+        let older = [
+            Older::Beat { voter: true, sheet: rank, safe: rank, leaving: false },
+            Older::WantState { from: u128::MAX, round: 7 },
+            Older::State { round: 7, part: Vec::new(), next: Some(9), sheet: None },
+        ];
+        let zone = String::new();
+        let newer = [
+            Body::Beat { voter: true, sheet: rank, safe: rank, leaving: false, zone, papers: 0 },
+            Body::WantState { from: u128::MAX, round: 7, papers: None },
+            Body::State {
+                round: 7,
+                part: Vec::new(),
+                next: Some(9),
+                sheet: None,
+                sessions: Vec::new(),
+                papers: Vec::new(),
+                next_paper: None,
+            },
+        ];
+        for (older, newer) in older.iter().zip(&newer) {
+            let bytes = encode(older).expect("a frame");
+            assert_eq!(encode(newer).as_ref(), Some(&bytes));
+            let read: Body = ciborium::from_reader(&bytes[4..]).expect("read");
+            assert_eq!(encode(&read), Some(bytes));
+        }
+    }
+
     /// Guards against news that costs more than it did with each of an attendant's asks, a few a second.
     #[test]
     fn the_bytes_of_an_ask() {
@@ -131,6 +194,8 @@
                     members: Faring::new(),
                 }),
                 members: Faring::new(),
+                papers: 0,
+                carried: None,
                 gather: false,
             };
             encode(&Frame { id: 9_000, say: Ask::News(ask) }).map(|bytes| bytes.len())
@@ -161,6 +226,8 @@
             steward: false,
             report: Some(report),
             members,
+            papers: 0,
+            carried: None,
             gather: true,
         };
         let mut bytes = Vec::new();
--- a/mesh/src/news.rs
+++ b/mesh/src/news.rs
@@ -7,7 +7,7 @@
 
 use ochreshed::Nanos;
 
-use crate::calls::{NewsAsk, NewsReply};
+use crate::calls::{Carried, NewsAsk, NewsReply};
 use crate::list::{Mark, Row, place, watchers};
 use crate::parcels::Rank;
 use crate::words::Key;
@@ -30,6 +30,11 @@
     quiet: (u64, HashSet<SocketAddr>),
     row: (u64, u64),
     aside: Option<Nanos>,
+    /// The number of the papers that it told of, once those are here.
+    papers: u64,
+    /// The editions that it was told, and those that went with the last ask.
+    carried: Carried,
+    out: Carried,
 }
 
 /// One of an attendant's open asks: the one whose turn is `which` of `many`.
@@ -54,9 +59,10 @@
         mine.find(|at| !aside(at)).or(ring.iter().min_by_key(|at| until(at))).copied()
     }
 
-    /// The ask to that steward: the row where it may not have it, and the versions it told.
-    pub fn ask(&mut self, steward: SocketAddr, row: Row, sheet: Rank) -> NewsAsk {
+    /// The ask to that steward: the row and the editions where it may not have them, and the versions it told.
+    pub fn ask(&mut self, steward: SocketAddr, row: Row, sheet: Rank, carried: Carried) -> NewsAsk {
         let known = self.heard.entry(steward).or_default();
+        known.out = carried;
         NewsAsk {
             door: Some(row.door),
             row: (known.row != row.rank()).then_some(row),
@@ -67,6 +73,8 @@
             steward: false,
             report: None,
             members: Vec::new(),
+            papers: known.papers,
+            carried: (known.carried != known.out).then(|| known.out.clone()),
             gather: false,
         }
     }
@@ -87,6 +95,8 @@
         known.aside = (!reply.settled).then_some(now + aside);
         // One that has forgotten us is told anew.
         known.row = if reply.life.is_some() { row } else { (0, 0) };
+        let out = std::mem::take(&mut known.out);
+        known.carried = if reply.life.is_some() { out } else { Carried::new() };
         known.mark = reply.mark;
         if let Some((number, quiet)) = &reply.quiet {
             known.quiet = (*number, quiet.iter().copied().collect());
@@ -94,6 +104,11 @@
         known.quiet.1.clone()
     }
 
+    /// The papers of that number, which that steward told of, are here.
+    pub fn has_papers(&mut self, steward: SocketAddr, number: u64) {
+        self.heard.entry(steward).or_default().papers = number;
+    }
+
     /// No reply came, of so many stewards that are known.
     pub fn failed(&mut self, now: Nanos, steward: SocketAddr, has_sheet: bool, stewards: usize) {
         let known = self.heard.entry(steward).or_default();
@@ -102,6 +117,7 @@
         known.aside = Some(now + if has_sheet { ASIDE } else { all });
         // It may have forgotten us.
         known.row = (0, 0);
+        known.carried.clear();
     }
 }
 
@@ -211,3 +227,32 @@
         order.into_iter().map(|(_, _, at)| at).collect()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against an asker that asks the first of its part of the ring for ever though another steward is there.
+    #[test]
+    fn without_a_configuration_everybody_is_asked_in_turn() {
+        let at = |number: u8| SocketAddr::from(([10, 0, 0, number], 8202));
+        let stewards = [at(1), at(2), at(3)];
+        let door = SocketAddr::from(([10, 1, 0, 1], 8300));
+        let ring = watchers(door, &stewards, stewards.len());
+        for which in 0..2 {
+            for there in &ring {
+                let mut asker = Asker::new(which, 2);
+                let mut now = 0;
+                let asked = (0..4).map(|_| {
+                    let steward = asker.next(now, door, &stewards).expect("a steward");
+                    asker.failed(now, steward, false, stewards.len());
+                    // What a refusal takes, and the pause after it.
+                    now += PAUSE + MS;
+                    steward
+                });
+                let asked: Vec<SocketAddr> = asked.collect();
+                assert!(asked.contains(there), "{there} of {ring:?} is not among {asked:?}");
+            }
+        }
+    }
+}
--- a/mesh/src/office.rs
+++ b/mesh/src/office.rs
@@ -9,6 +9,7 @@
 use crate::calls::{NewsAsk, NewsReply, Told};
 use crate::list::{Mark, Row, Table};
 use crate::parcels::Rank;
+use crate::words::Paper;
 
 const MS: Nanos = 1_000_000;
 /// An attendant of whom nothing was heard for so long is quiet.
@@ -37,6 +38,8 @@
     pub safe: Option<Rank>,
     pub stewards: &'a [SocketAddr],
     pub settled: bool,
+    /// The papers that are safe, and their number.
+    pub papers: (u64, &'a [Paper]),
 }
 
 /// An ask that waits for news.
@@ -44,6 +47,7 @@
     mark: Mark,
     sheet: Rank,
     quiet: u64,
+    papers: u64,
     steward: bool,
     gather: bool,
     door: Option<SocketAddr>,
@@ -56,6 +60,13 @@
     pub hold: Nanos,
 }
 
+impl Waiting {
+    /// An attendant that has other papers than those that are safe.
+    fn lacks_papers(&self, stand: Stand) -> bool {
+        !self.steward && stand.papers.0 != self.papers
+    }
+}
+
 /// A steward's rows, and those of whom nothing was heard of late.
 pub struct Office {
     pub table: Table,
@@ -84,6 +95,7 @@
             mark: ask.mark,
             sheet: ask.sheet,
             quiet: ask.quiet,
+            papers: ask.papers,
             steward: ask.steward,
             gather: ask.gather,
             door,
@@ -113,6 +125,7 @@
         if waiting.before.is_some()
             || stand.safe.is_some_and(|rank| rank > waiting.sheet)
             || stand.stewards != waiting.stewards
+            || waiting.lacks_papers(stand)
             || rows && (self.table.mark().life != waiting.mark.life || drain())
         {
             return Some(waiting.came);
@@ -125,6 +138,10 @@
     pub fn reply(&self, now: Nanos, waiting: Waiting, stand: Stand, told: Option<Box<Told>>) -> NewsReply {
         let since = if waiting.gather { Vec::new() } else { self.table.since(waiting.mark) };
         let quiet = !waiting.steward && self.quiet.0 != waiting.quiet;
+        let papers = waiting.lacks_papers(stand).then(|| {
+            let (number, papers) = stand.papers;
+            (number, papers.iter().map(|paper| (paper.name.clone(), paper.sheet.rank())).collect())
+        });
         NewsReply {
             mark: self.table.mark(),
             rows: waiting.before.into_iter().chain(since).collect(),
@@ -136,10 +153,16 @@
             ages: if waiting.steward { self.table.ages(now) } else { Vec::new() },
             drains: drains(&self.table, waiting.door, waiting.steward.then_some(waiting.mark)),
             told,
+            papers,
             members: Vec::new(),
         }
     }
 
+    /// Doors of whom nothing was heard of late.
+    pub fn quiet(&self) -> &[SocketAddr] {
+        &self.quiet.1
+    }
+
     /// Takes what another steward holds; whether that is news.
     pub fn merge(&mut self, now: Nanos, reply: &NewsReply) -> bool {
         let ages: HashMap<SocketAddr, u32> = reply.ages.iter().copied().collect();
@@ -179,6 +202,8 @@
         steward: true,
         report: None,
         members: Vec::new(),
+        papers: 0,
+        carried: None,
         gather: false,
     }
 }
--- a/mesh/tests/office.rs
+++ b/mesh/tests/office.rs
@@ -21,14 +21,14 @@
 #[test]
 fn news_of_rows_wait_for_each_other_in_a_large_mesh_and_nothing_else_does() {
     let steward = SocketAddr::from(([10, 0, 0, 1], 8202));
-    let stand = |safe| Stand { safe, stewards: &[], settled: true };
+    let stand = |safe| Stand { safe, stewards: &[], settled: true, papers: (0, &[]) };
     for (rows, pace) in [(100, 0), (200, 100), (1_000, 400)] {
         let mut office = Office::new(7);
         (0..rows).for_each(|at| assert!(office.table.take(0, &row(at, 1), 0)));
         let mut asker = Asker::new(0, 2);
         let reader = row(0, 1);
         let mut ask = |office: &mut Office, now: u64| -> (NewsAsk, Option<u64>) {
-            let ask = asker.ask(steward, reader.clone(), (1, 1));
+            let ask = asker.ask(steward, reader.clone(), (1, 1), Vec::new());
             let (waiting, _) = office.came(now, &ask, stand(None));
             let due = office.due(&waiting, stand(None));
             if due.is_some_and(|due| due <= now) {
