The door judges its upstream by outcomes, for all gates: coarse levels in its row

Cause: a gate of many sees few reqs of each upstream, so one that fails half of them, or takes many times as long, is not set aside by it; the door beside it sees all of them and told nobody. Nobody is shut out: without news a level better after 1.5 s.

--- a/balancer/src/mesh/desk_tests.rs
+++ b/balancer/src/mesh/desk_tests.rs
@@ -45,6 +45,7 @@
         cold_ms: 0,
         calls: false,
         serving: true,
+        ill: Default::default(),
     }
 }
 
--- a/balancer/src/mesh/door.rs
+++ b/balancer/src/mesh/door.rs
@@ -15,6 +15,7 @@
 use hyper::{Response, StatusCode};
 use jzon::JsonValue as Json;
 use ochreshed::Nanos;
+use ochreshed_mesh::health::{Health, Ran};
 use ochreshed_mesh::list::{Row, Stand};
 use ochreshed_mesh::shares::Shares;
 use ochreshed_mesh::slots::{Asker, Part, Slots, Way};
@@ -172,6 +173,8 @@
     inside: AtomicUsize,
     /// Those at the upstream now, and who waits to be one of them.
     slots: Mutex<Slots<Waits>>,
+    /// How the upstream does, by how its runs end.
+    health: Mutex<Health>,
     /// What members may have of the slots, by the configuration in force here.
     shares: ArcSwap<Shares>,
     /// Where large answers to other machines go, and the mean size of one.
@@ -296,6 +299,23 @@
     }
 }
 
+/// A run at the upstream that is out. Dropped before it has ended, nobody waits for it any more.
+struct Run(Arc<Door>, u64);
+
+impl Run {
+    fn ended(self, ran: Ran) {
+        let now = self.0.clock.now();
+        held(&self.0.health).end(now, self.1, ran);
+        self.0.look(now);
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        held(&self.0.health).end(self.0.clock.now(), self.1, Ran::Nothing);
+    }
+}
+
 struct Inside(Arc<Door>, Vec<u8>);
 
 impl Drop for Inside {
@@ -319,6 +339,7 @@
             berths: Berths::new(connections),
             inside: AtomicUsize::new(0),
             slots: Mutex::default(),
+            health: Mutex::default(),
             shares: ArcSwap::default(),
             lane: Lane::new(link_mbps, clock),
             large: Mutex::new(0.0),
@@ -349,6 +370,7 @@
             cold_ms: 0,
             calls: self.calls.load(Relaxed),
             serving: self.serving.load(Relaxed),
+            ill: held(&self.health).ill(),
         };
         if let Some(upstream) = &state.upstream {
             row.line = upstream.line.clone();
@@ -546,6 +568,9 @@
         }
         state.upstream = Some(upstream);
         drop(state);
+        if was.is_none_or(|was| was.id != of) {
+            held(&self.health).anew();
+        }
         if !same {
             let mut all = held(&self.slots);
             all.set(slots);
@@ -593,6 +618,7 @@
 
     /// Closes connections that have been idle for long, and tells when the upstream is cold no more.
     pub fn sweep(&self) {
+        self.look(self.clock.now());
         let warm = {
             let mut state = held(&self.state);
             let Some(upstream) = &mut state.upstream else { return };
@@ -717,26 +743,41 @@
         // An answer that names another req belongs to that one.
         let ours = |head: &Parts| head.headers.get(&ID) == id.as_ref();
         slot.1 = self.clock.now();
+        let run = self.begins(slot.1);
         let answer = to.exchange(message, &fields, until, Some(Box::new(slot)), ours).await;
         let (mut head, flow) = match answer {
             Ok(answer) => answer,
-            Err(Fail::NoConnection) => return End::Unreachable,
-            Err(Fail::NotSent) => return End::Unsent,
-            Err(Fail::Reset) => return End::Reset,
-            Err(Fail::Late) => return End::Late,
+            Err(fail) => {
+                let (ran, end) = match fail {
+                    Fail::NoConnection => (Ran::NoConnection, End::Unreachable),
+                    Fail::NotSent => (Ran::Nothing, End::Unsent),
+                    Fail::Reset => (Ran::Failed, End::Reset),
+                    Fail::Late => (Ran::Nothing, End::Late),
+                };
+                run.ended(ran);
+                return end;
+            }
         };
         head.headers.remove(&WAY);
         if head.status == StatusCode::MISDIRECTED_REQUEST {
             return End::Gone;
         }
         if head.headers.contains_key(&NOT_RUN) {
+            run.ended(Ran::Failed);
             return End::Full;
         }
         let stamped = head.headers.contains_key(&STAMP);
         let coded = head.headers.contains_key(CONTENT_ENCODING);
         if coded || (head.status.is_success() && !stamped) {
+            run.ended(Ran::Failed);
             return End::Reset;
         }
+        run.ended(match head.status {
+            // At its deadline a run has failed for want of time.
+            StatusCode::GATEWAY_TIMEOUT => Ran::Nothing,
+            status if status.is_server_error() => Ran::Failed,
+            _ => Ran::Well,
+        });
         if large && let Some(size) = flow.size_hint().exact() {
             let mut mean = held(&self.large);
             *mean += (size as f64 - *mean) * if *mean > 0.0 { LARGE_PART } else { 1.0 };
@@ -747,6 +788,24 @@
         End::Ran(head, flow.holding(inside))
     }
 
+    fn begins(self: &Arc<Self>, now: Nanos) -> Run {
+        let run = held(&self.health).begin(now);
+        self.look(now);
+        Run(self.clone(), run)
+    }
+
+    /// Tells how the upstream does where that has changed.
+    fn look(&self, now: Nanos) {
+        let mut health = held(&self.health);
+        let (was, ill) = (health.ill(), health.look(now));
+        drop(health);
+        if was != ill {
+            let name = self.line().unwrap_or_default();
+            log::info!("upstream of {name}: fails at level {}, slow at level {}", ill.fails, ill.slow);
+            self.touch();
+        }
+    }
+
     fn paced(&self, flow: Flow) -> Flow {
         let flow = flow.paced(&self.lane);
         if let Flow::Whole(body) = &flow {
--- a/balancer/src/mesh/gate_tests.rs
+++ b/balancer/src/mesh/gate_tests.rs
@@ -197,6 +197,7 @@
                 cold_ms: 0,
                 calls: false,
                 serving: true,
+                ill: Default::default(),
             });
         }
         let (inner, steward) = listen().await;
--- a/balancer/src/mesh/pages.rs
+++ b/balancer/src/mesh/pages.rs
@@ -640,6 +640,7 @@
             cold_ms: 0,
             calls: false,
             serving: true,
+            ill: Default::default(),
         }
     }
 
--- a/emulator/src/mesh/gate.rs
+++ b/emulator/src/mesh/gate.rs
@@ -95,6 +95,7 @@
             cold_ms: 0,
             calls: false,
             serving: true,
+            ill: Default::default(),
         };
         let turn = |which| Turn { asker: Asker::new(which, many), open: None, follows: false };
         (0..many).for_each(|which| hand.timer(0, Timer::Ask(which)));
--- /dev/null
+++ b/mesh/src/health.rs
@@ -0,0 +1,331 @@
+//! How an upstream does, by the outcomes of what it was sent and by nothing it says of itself. It owns what the door beside
+//! it counts, the two coarse levels that the door's row tells of that, and what part of its weight an upstream keeps among
+//! the others of its service. It must never shut one out by time, by a health answer or by what others have concluded:
+//! each door tells what it saw itself, and each gate compares.
+//!
+//! A gate of many sees few reqs of each upstream, the door beside it sees all. Levels are coarse, so that rows seldom
+//! change, and count only against those of the other upstreams: what fails everywhere is nobody's own fault.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::agree::Nanos;
+
+const MS: Nanos = 1_000_000;
+/// What one outcome counts in the part that fails, and in the time that runs take of late and for long.
+const FAIL_PART: f64 = 1.0 / 16.0;
+const LATE_PART: f64 = 1.0 / 12.0;
+const LONG_PART: f64 = 1.0 / 400.0;
+/// No connection tells more than an error: it counts as so many.
+const NO_CONNECTION: u32 = 4;
+/// The part that fails at which the first level begins; each further level begins at twice the one before.
+const FIRST: f64 = 0.1;
+const MOST_FAILS: u8 = 4;
+/// Runs take so many times what they took for long at which the first and the second level begin.
+const SLOW: [f64; 2] = [2.5, 5.0];
+/// A level is left again below this part of where it begins.
+const LEAVES: f64 = 0.6;
+/// A run is overdue after so many times what runs took for long, and not before.
+const OVERDUE: f64 = 7.0;
+const OVERDUE_LEAST: Nanos = 100 * MS;
+/// So many runs must have told how long they take before one is held against that.
+const KNOWN: u32 = 30;
+/// An upstream that is told to be ill and is sent nothing for so long is tried again, a level better.
+const TRY_AGAIN: Nanos = 1_500 * MS;
+/// A better level is told no sooner than this after the last one.
+const BETTER: Nanos = 500 * MS;
+
+/// How many levels worse than the others an upstream fails, and what part of its weight it keeps: from none to a few reqs,
+/// which tell whether it does well again.
+const FAILS_KEEP: [f64; 3] = [1.0, 1.0, 0.05];
+/// Even one of another zone is better than one that fails so much more often than the others.
+const FAILS_LEAST: f64 = 0.0001;
+const SLOW_KEEP: [f64; 3] = [1.0, 0.3, 0.05];
+/// An upstream that keeps less than this part is no one that a zone can rely on.
+const WELL: f64 = 0.1;
+
+/// What a door tells of its upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Ill {
+    /// How much fails: 0 below a tenth, then from a tenth, a fifth, two fifths and four fifths on.
+    pub fails: u8,
+    /// How much longer runs take than they did for long: 0, from 2.5 times, from five times on.
+    pub slow: u8,
+}
+
+impl Ill {
+    pub fn is_well(&self) -> bool {
+        *self == Ill::default()
+    }
+}
+
+/// How a run at the upstream ended, as the door saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ran {
+    Well,
+    /// An error, a reset, bytes that are no answer, or a refusal though it had a slot free.
+    Failed,
+    NoConnection,
+    /// Nobody waits for it any more, or its time was over: tells nothing but what it took so far.
+    Nothing,
+}
+
+struct Run {
+    since: Nanos,
+    overdue: bool,
+}
+
+/// What a door counts of the upstream beside it, in one life of that.
+#[derive(Default)]
+pub struct Health {
+    runs: BTreeMap<u64, Run>,
+    next: u64,
+    failing: f64,
+    /// What a run takes of late and for long, in seconds, and how many have told.
+    late: f64,
+    long: f64,
+    told: u32,
+    ill: Ill,
+    changed: Nanos,
+    heard: Nanos,
+}
+
+impl Health {
+    /// Another life of the upstream: nothing of the one before counts, nor do runs of it that are still out.
+    pub fn anew(&mut self) {
+        *self = Health { next: self.next, ..Health::default() };
+    }
+
+    /// A run begins at the upstream.
+    pub fn begin(&mut self, now: Nanos) -> u64 {
+        self.next += 1;
+        self.runs.insert(self.next, Run { since: now, overdue: false });
+        self.next
+    }
+
+    /// It has ended; what was counted as overdue is not counted as failed again.
+    pub fn end(&mut self, now: Nanos, run: u64, ran: Ran) {
+        let Some(Run { since, overdue }) = self.runs.remove(&run) else { return };
+        let took = now.saturating_sub(since);
+        match ran {
+            Ran::Nothing => return,
+            Ran::NoConnection => (0..NO_CONNECTION).for_each(|_| self.failed(true)),
+            Ran::Failed if !overdue => self.failed(true),
+            Ran::Failed => {}
+            Ran::Well if overdue => {}
+            Ran::Well => self.failed(false),
+        }
+        self.heard = now;
+        if ran == Ran::Well {
+            let took = took as f64 / 1e9;
+            self.told = self.told.saturating_add(1);
+            let learn = |mean: &mut f64, took: f64, part: f64| {
+                *mean += (took - *mean) * part.max(1.0 / f64::from(self.told));
+            };
+            learn(&mut self.late, took, LATE_PART);
+            // What is far above what runs took for long is held against that, and must not become it soon.
+            let most = if self.told <= KNOWN { f64::MAX } else { self.long * 2.0 };
+            learn(&mut self.long, took.min(most), LONG_PART);
+        }
+    }
+
+    fn failed(&mut self, failed: bool) {
+        self.failing += (f64::from(u8::from(failed)) - self.failing) * FAIL_PART;
+    }
+
+    /// What is to be told now; looks at runs that are out for too long.
+    pub fn look(&mut self, now: Nanos) -> Ill {
+        if self.told >= KNOWN {
+            let overdue = ((self.long * OVERDUE * 1e9) as Nanos).max(OVERDUE_LEAST);
+            let mut count = 0;
+            for run in self.runs.values_mut().filter(|run| !run.overdue) {
+                // The older ones come first.
+                if now.saturating_sub(run.since) <= overdue {
+                    break;
+                }
+                (run.overdue, count) = (true, count + 1);
+            }
+            (0..count).for_each(|_| self.failed(true));
+            if count > 0 {
+                self.heard = now;
+            }
+        }
+        let ratio = if self.told >= KNOWN && self.long > 0.0 { self.late / self.long } else { 1.0 };
+        let mut ill = Ill {
+            fails: level(self.failing, self.ill.fails, |at| FIRST * 2f64.powi(i32::from(at)), MOST_FAILS),
+            slow: level(ratio, self.ill.slow, |at| SLOW[usize::from(at)], SLOW.len() as u8),
+        };
+        let was = self.ill;
+        if !was.is_well() && now.saturating_sub(self.heard.max(self.changed)) >= TRY_AGAIN {
+            ill = Ill { fails: was.fails.saturating_sub(1), slow: was.slow.saturating_sub(1) };
+            // What it was says no more than that; the next outcomes tell.
+            self.failing = self.failing.min(FIRST * 2f64.powi(i32::from(ill.fails)) * LEAVES);
+            if ill.slow < was.slow {
+                self.late = self.long * if ill.slow == 0 { 1.0 } else { SLOW[0] };
+            }
+        }
+        let worse = ill.fails > was.fails || ill.slow > was.slow;
+        if ill != was && (worse || now >= self.changed + BETTER) {
+            (self.ill, self.changed) = (ill, now);
+        }
+        self.ill
+    }
+
+    /// As it was told last.
+    pub fn ill(&self) -> Ill {
+        self.ill
+    }
+}
+
+/// The level of a value: up where it reaches the next one's beginning, down only well below its own.
+fn level(value: f64, was: u8, begins: impl Fn(u8) -> f64, most: u8) -> u8 {
+    let up = (0..most).filter(|at| value >= begins(*at)).count() as u8;
+    let stays = (0..was.min(most)).filter(|at| value >= begins(*at) * LEAVES).count() as u8;
+    up.max(stays)
+}
+
+/// What part of its weight each upstream of a service keeps, by what the doors of those that take reqs tell. Half of them
+/// at least keep all of it: each is held against the middle one, of two middle ones against the better.
+pub fn parts(all: &[Ill]) -> Vec<f64> {
+    let middle = |of: fn(&Ill) -> u8| {
+        let mut levels: Vec<u8> = all.iter().map(of).collect();
+        levels.sort_unstable();
+        levels.get(levels.len().saturating_sub(1) / 2).copied().unwrap_or(0)
+    };
+    let (fails, slow) = (middle(|ill| ill.fails), middle(|ill| ill.slow));
+    let part = |ill: &Ill| {
+        let worse = usize::from(ill.fails.saturating_sub(fails));
+        let slower = usize::from(ill.slow.saturating_sub(slow));
+        let keeps = |table: &[f64], at: usize, least: f64| table.get(at).copied().unwrap_or(least);
+        keeps(&FAILS_KEEP, worse, FAILS_LEAST).min(keeps(&SLOW_KEEP, slower, SLOW_KEEP[2]))
+    };
+    all.iter().map(part).collect()
+}
+
+/// Whether one that keeps this part is as good as any.
+pub fn is_relied_on(part: f64) -> bool {
+    part >= WELL
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    /// One run of so many ms after another, each with its outcome.
+    fn run(
+        health: &mut Health,
+        now: &mut Nanos,
+        took_ms: u64,
+        outcomes: impl IntoIterator<Item = Ran>,
+    ) -> Ill {
+        for ran in outcomes {
+            let id = health.begin(*now);
+            *now += took_ms * MS;
+            health.end(*now, id, ran);
+            health.look(*now);
+        }
+        health.ill()
+    }
+
+    fn well() -> (Health, Nanos) {
+        let (mut health, mut now) = (Health::default(), MS);
+        assert_eq!(run(&mut health, &mut now, 50, [Ran::Well; 100]), Ill::default());
+        (health, now)
+    }
+
+    #[test]
+    fn half_that_fail_are_told_within_a_dozen_runs_and_taken_back_by_steps() {
+        let (mut health, mut now) = well();
+        let half = [Ran::Failed, Ran::Well].into_iter().cycle();
+        assert!(run(&mut health, &mut now, 50, half.clone().take(12)).fails >= 2);
+        assert_eq!(run(&mut health, &mut now, 50, half.take(40)).fails, 3);
+        // Nothing more is sent there: a level better after each time without news, until it is sent some again.
+        let mut levels = Vec::new();
+        for _ in 0..5 {
+            now += TRY_AGAIN;
+            levels.push(health.look(now).fails);
+        }
+        assert_eq!(levels, [2, 1, 0, 0, 0]);
+        // It fails as before: told at once, again.
+        assert!(run(&mut health, &mut now, 50, [Ran::Failed; 6]).fails >= 2);
+        assert_eq!(run(&mut health, &mut now, 50, [Ran::Well; 60]), Ill::default());
+    }
+
+    #[test]
+    fn slow_runs_are_told_against_what_they_took_for_long() {
+        let (mut health, mut now) = well();
+        assert_eq!(run(&mut health, &mut now, 100, [Ran::Well; 30]).slow, 0, "twice is no illness");
+        let (mut health, mut now) = well();
+        assert_eq!(run(&mut health, &mut now, 230, [Ran::Well; 30]).slow, 1);
+        assert_eq!(run(&mut health, &mut now, 600, [Ran::Well; 30]).slow, 2);
+        assert_eq!(run(&mut health, &mut now, 50, [Ran::Well; 60]).slow, 0);
+    }
+
+    #[test]
+    fn runs_that_hang_fail_before_they_end_and_only_once() {
+        let (mut health, mut now) = well();
+        let runs: Vec<u64> = (0..6).map(|_| health.begin(now)).collect();
+        now += 400 * MS;
+        let ill = health.look(now);
+        assert!(ill.fails >= 2, "{ill:?}");
+        let failing = health.failing;
+        runs.into_iter().for_each(|run| health.end(now, run, Ran::Failed));
+        assert_eq!(health.failing, failing);
+    }
+
+    #[test]
+    fn no_connection_tells_at_once() {
+        let (mut health, mut now) = well();
+        assert!(run(&mut health, &mut now, 1, [Ran::NoConnection; 2]).fails >= 2);
+    }
+
+    #[test]
+    fn what_fails_everywhere_is_nobodys_own_fault() {
+        let ill = |fails, slow| Ill { fails, slow };
+        assert_eq!(parts(&[ill(3, 0); 5]), [1.0; 5]);
+        assert_eq!(parts(&[ill(3, 0), ill(0, 0), ill(1, 0)]), [0.05, 1.0, 1.0]);
+        assert_eq!(parts(&[ill(3, 0), ill(0, 0)]), [FAILS_LEAST, 1.0]);
+        assert_eq!(parts(&[ill(0, 2), ill(0, 1), ill(0, 0), ill(0, 0)]), [0.05, 0.3, 1.0, 1.0]);
+        assert_eq!(parts(&[]), Vec::<f64>::new());
+    }
+
+    proptest! {
+        /// Whatever is told, half of them keep all, and nobody is shut out.
+        #[test]
+        fn half_of_them_keep_their_weight(all in prop::collection::vec((0u8..=4, 0u8..=2), 1..40)) {
+            let all: Vec<Ill> = all.into_iter().map(|(fails, slow)| Ill { fails, slow }).collect();
+            let parts = parts(&all);
+            prop_assert!(parts.iter().all(|part| *part > 0.0 && *part <= 1.0));
+            let fails_only: Vec<Ill> = all.iter().map(|ill| Ill { slow: 0, ..*ill }).collect();
+            let whole = super::parts(&fails_only).iter().filter(|part| **part == 1.0).count();
+            prop_assert!(2 * whole >= all.len());
+        }
+
+        /// Whatever comes in whatever order, no run is kept for ever, and all well for long is told as well.
+        #[test]
+        fn it_heals(steps in prop::collection::vec((0u8..6, 0u64..400), 0..200)) {
+            let (mut health, mut now, mut open) = (Health::default(), MS, Vec::new());
+            for (what, ms) in steps {
+                now += ms * MS;
+                match what {
+                    0 | 1 => open.push(health.begin(now)),
+                    _ => if let Some(run) = open.pop() {
+                        let ran = [Ran::Well, Ran::Failed, Ran::NoConnection, Ran::Nothing][usize::from(what - 2)];
+                        health.end(now, run, ran);
+                    }
+                }
+                let ill = health.look(now);
+                prop_assert!(ill.fails <= MOST_FAILS && usize::from(ill.slow) <= SLOW.len());
+                prop_assert_eq!(health.runs.len(), open.len());
+            }
+            open.into_iter().for_each(|run| health.end(now, run, Ran::Nothing));
+            for _ in 0..12 {
+                now += TRY_AGAIN;
+                health.look(now);
+            }
+            prop_assert!(health.look(now).is_well());
+        }
+    }
+}
--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod calls;
 pub mod delta;
 pub mod fared;
+pub mod health;
 pub mod lay;
 pub mod list;
 pub mod members;
--- a/mesh/src/list.rs
+++ b/mesh/src/list.rs
@@ -12,6 +12,8 @@
 use ochreshed::Nanos;
 use serde::{Deserialize, Serialize};
 
+use crate::health::Ill;
+
 /// A row of which nothing was heard for so long is forgotten.
 const FORGET: Nanos = 90_000_000_000;
 /// More rows than these are not kept.
@@ -47,6 +49,9 @@
     pub calls: bool,
     /// The attendant is there and serves its gate.
     pub serving: bool,
+    /// How the upstream does by what its door saw. Older programs neither tell nor read it.
+    #[serde(default, skip_serializing_if = "Ill::is_well")]
+    pub ill: Ill,
 }
 
 impl Row {
--- a/mesh/tests/list.rs
+++ b/mesh/tests/list.rs
@@ -23,6 +23,7 @@
         cold_ms: 0,
         calls: false,
         serving: true,
+        ill: Default::default(),
     }
 }
 
--- a/mesh/tests/office.rs
+++ b/mesh/tests/office.rs
@@ -15,7 +15,21 @@
     let (line, id, edition) = ("a".into(), format!("i-{at}"), "v1".into());
     let (zone, stand) = ("z".into(), Up::Open);
     let (slots, cold_ms, calls, serving) = (8, 0, false, true);
-    Row { door, life: 1, number, zone, line, id, edition, stand, slots, cold_ms, calls, serving }
+    Row {
+        door,
+        life: 1,
+        number,
+        zone,
+        line,
+        id,
+        edition,
+        stand,
+        slots,
+        cold_ms,
+        calls,
+        serving,
+        ill: Default::default(),
+    }
 }
 
 #[test]
--- a/mesh/tests/quiet.rs
+++ b/mesh/tests/quiet.rs
@@ -21,6 +21,7 @@
         cold_ms: 0,
         calls: false,
         serving: true,
+        ill: Default::default(),
     }
 }
 
