--- a/balancer/src/mesh/door_tests.rs
+++ b/balancer/src/mesh/door_tests.rs
@@ -81,9 +81,13 @@
     (id.to_owned(), stream)
 }
 
-async fn answer((id, mut stream): (String, tokio::net::TcpStream)) {
+async fn answer(came: (String, tokio::net::TcpStream)) {
+    answer_with(came, "200 OK").await;
+}
+
+async fn answer_with((id, mut stream): (String, tokio::net::TcpStream), status: &str) {
     let fields = format!("ochreshed-consignment-id: {id}\r\nochreshed-postmark: s\r\nconnection: close");
-    let answer = format!("HTTP/1.1 200 OK\r\n{fields}\r\ncontent-length: 0\r\n\r\n");
+    let answer = format!("HTTP/1.1 {status}\r\n{fields}\r\ncontent-length: 0\r\n\r\n");
     stream.write_all(answer.as_bytes()).await.expect("written");
 }
 
@@ -211,6 +215,31 @@
     assert_eq!(read(&format!("250 0 c 0.5 {}", "x".repeat(257))).5, None);
 }
 
+/// Guards against an upstream that fails half of its reqs while it says that it is well: each gate alone sees few of them.
+#[tokio::test]
+async fn the_row_tells_that_the_upstream_fails_and_another_life_begins_anew() {
+    let (door, upstream) = door(2).await;
+    let ran = async |count: usize, status: &dyn Fn(usize) -> &'static str| {
+        for nth in 0..count {
+            let sent = knock(&door, "a", 0, 10_000);
+            answer_with(next(&upstream).await, status(nth)).await;
+            assert_eq!(sent.await.expect("no panic"), "ran");
+        }
+    };
+    ran(40, &|_| "200 OK").await;
+    let number = door.row().number;
+    assert!(door.row().ill.is_well());
+    ran(24, &|nth| ["500 Broken", "200 OK"][nth % 2]).await;
+    let row = door.row();
+    assert!(row.ill.fails >= 2 && row.number > number, "{row:?}");
+    // Beats say that it is well, and count for nothing here.
+    let app = upstream.local_addr().expect("its address");
+    beat(&door, app, "i-1", 2, 2, "open_for_post");
+    assert_eq!(door.row().ill, row.ill);
+    beat(&door, app, "i-2", 1, 2, "open_for_post");
+    assert!(door.row().ill.is_well());
+}
+
 #[tokio::test]
 async fn another_life_gets_nothing_that_was_meant_for_this_one() {
     let (door, upstream) = door(2).await;
