An upstream is ill only if it does ill by all that use it: members are counted apart

Cause: a member whose own reqs all fail would have had an upstream set aside for the platform and the other members. Change: outcomes at the door are counted by member; the level told is that of whoever it does best by, of all of whom enough is known of late. A refused connection counts for all. Measured: a test in which one member's reqs all fail, which fails where all are counted together.

--- a/balancer/src/mesh/door.rs
+++ b/balancer/src/mesh/door.rs
@@ -743,7 +743,7 @@
         // An answer that names another req belongs to that one.
         let ours = |head: &Parts| head.headers.get(&ID) == id.as_ref();
         slot.1 = self.clock.now();
-        let run = self.begins(slot.1);
+        let run = self.begins(slot.1, slot.2.as_ref());
         let answer = to.exchange(message, &fields, until, Some(Box::new(slot)), ours).await;
         let (mut head, flow) = match answer {
             Ok(answer) => answer,
@@ -788,8 +788,8 @@
         End::Ran(head, flow.holding(inside))
     }
 
-    fn begins(self: &Arc<Self>, now: Nanos) -> Run {
-        let run = held(&self.health).begin(now);
+    fn begins(self: &Arc<Self>, now: Nanos, member: Option<&Name>) -> Run {
+        let run = held(&self.health).begin(now, member);
         self.look(now);
         Run(self.clone(), run)
     }
--- a/mesh/src/health.rs
+++ b/mesh/src/health.rs
@@ -4,13 +4,15 @@
 //! each door tells what it saw itself, and each gate compares.
 //!
 //! A gate of many sees few reqs of each upstream, the door beside it sees all. Levels are coarse, so that rows seldom
-//! change, and count only against those of the other upstreams: what fails everywhere is nobody's own fault.
+//! change, and count only against those of the other upstreams: what fails everywhere is nobody's own fault. Nor is what
+//! fails for one member of a federation while the upstream does well by another, or by the platform.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use serde::{Deserialize, Serialize};
 
 use crate::agree::Nanos;
+use crate::timetable::Name;
 
 const MS: Nanos = 1_000_000;
 /// What one outcome counts in the part that fails, and in the time that runs take of late and for long.
@@ -35,6 +37,11 @@
 const TRY_AGAIN: Nanos = 1_500 * MS;
 /// A better level is told no sooner than this after the last one.
 const BETTER: Nanos = 500 * MS;
+/// How long outcomes make somebody count among those that an upstream may do well by, and how many it takes.
+const FADE: f64 = 3.0;
+const COUNTS: f64 = 6.0;
+/// Members of whom nothing was run of late are forgotten beyond so many.
+const MOST_MEMBERS: usize = 64;
 
 /// How many levels worse than the others an upstream fails, and what part of its weight it keeps: from none to a few reqs,
 /// which tell whether it does well again.
@@ -74,18 +81,70 @@
 struct Run {
     since: Nanos,
     overdue: bool,
+    member: Option<Name>,
 }
 
-/// What a door counts of the upstream beside it, in one life of that.
+/// How the runs of one member went, or those of the platform's routes.
 #[derive(Default)]
-pub struct Health {
-    runs: BTreeMap<u64, Run>,
-    next: u64,
+struct Fares {
     failing: f64,
     /// What a run takes of late and for long, in seconds, and how many have told.
     late: f64,
     long: f64,
     told: u32,
+    /// How many have ended of late, and when the last did.
+    many: f64,
+    heard: Nanos,
+}
+
+impl Fares {
+    fn failed(&mut self, now: Nanos, failed: bool) {
+        self.failing += (f64::from(u8::from(failed)) - self.failing) * FAIL_PART;
+        (self.many, self.heard) = (self.many(now) + 1.0, now);
+    }
+
+    fn many(&self, now: Nanos) -> f64 {
+        self.many * (-(now.saturating_sub(self.heard) as f64 / 1e9) / FADE).exp()
+    }
+
+    fn took(&mut self, took: f64) {
+        self.told = self.told.saturating_add(1);
+        let learn = |mean: &mut f64, took: f64, part: f64| {
+            *mean += (took - *mean) * part.max(1.0 / f64::from(self.told));
+        };
+        learn(&mut self.late, took, LATE_PART);
+        // What is far above what runs took for long is held against that, and must not become it soon.
+        let most = if self.told <= KNOWN { f64::MAX } else { self.long * 2.0 };
+        learn(&mut self.long, took.min(most), LONG_PART);
+    }
+
+    /// From when on a run that goes on for so long is overdue.
+    fn overdue(&self) -> Option<Nanos> {
+        (self.told >= KNOWN).then(|| ((self.long * OVERDUE * 1e9) as Nanos).max(OVERDUE_LEAST))
+    }
+
+    fn levels(&self, was: Ill) -> Ill {
+        let ratio = if self.told >= KNOWN && self.long > 0.0 { self.late / self.long } else { 1.0 };
+        Ill {
+            fails: level(self.failing, was.fails, |at| FIRST * 2f64.powi(i32::from(at)), MOST_FAILS),
+            slow: level(ratio, was.slow, |at| SLOW[usize::from(at)], SLOW.len() as u8),
+        }
+    }
+
+    /// It was no worse than this; the next outcomes tell.
+    fn at_most(&mut self, ill: Ill) {
+        self.failing = self.failing.min(FIRST * 2f64.powi(i32::from(ill.fails)) * LEAVES);
+        let most = if ill.slow == 0 { 1.0 } else { SLOW[usize::from(ill.slow) - 1] };
+        self.late = self.late.min(self.long * most);
+    }
+}
+
+/// What a door counts of the upstream beside it, in one life of that.
+#[derive(Default)]
+pub struct Health {
+    runs: BTreeMap<u64, Run>,
+    next: u64,
+    by: HashMap<Option<Name>, Fares>,
     ill: Ill,
     changed: Nanos,
     heard: Nanos,
@@ -97,73 +156,72 @@
         *self = Health { next: self.next, ..Health::default() };
     }
 
-    /// A run begins at the upstream.
-    pub fn begin(&mut self, now: Nanos) -> u64 {
+    /// A run begins at the upstream, by a route of this member's or the platform's.
+    pub fn begin(&mut self, now: Nanos, member: Option<&Name>) -> u64 {
         self.next += 1;
-        self.runs.insert(self.next, Run { since: now, overdue: false });
+        self.runs.insert(self.next, Run { since: now, overdue: false, member: member.cloned() });
         self.next
     }
 
     /// It has ended; what was counted as overdue is not counted as failed again.
     pub fn end(&mut self, now: Nanos, run: u64, ran: Ran) {
-        let Some(Run { since, overdue }) = self.runs.remove(&run) else { return };
-        let took = now.saturating_sub(since);
-        match ran {
-            Ran::Nothing => return,
-            Ran::NoConnection => (0..NO_CONNECTION).for_each(|_| self.failed(true)),
-            Ran::Failed if !overdue => self.failed(true),
-            Ran::Failed => {}
-            Ran::Well if overdue => {}
-            Ran::Well => self.failed(false),
+        let Some(Run { since, overdue, member }) = self.runs.remove(&run) else { return };
+        if ran == Ran::Nothing {
+            return;
         }
         self.heard = now;
+        let fares = self.fares(now, member);
+        match ran {
+            Ran::Failed if !overdue => fares.failed(now, true),
+            Ran::Well if !overdue => fares.failed(now, false),
+            _ => {}
+        }
         if ran == Ran::Well {
-            let took = took as f64 / 1e9;
-            self.told = self.told.saturating_add(1);
-            let learn = |mean: &mut f64, took: f64, part: f64| {
-                *mean += (took - *mean) * part.max(1.0 / f64::from(self.told));
-            };
-            learn(&mut self.late, took, LATE_PART);
-            // What is far above what runs took for long is held against that, and must not become it soon.
-            let most = if self.told <= KNOWN { f64::MAX } else { self.long * 2.0 };
-            learn(&mut self.long, took.min(most), LONG_PART);
+            fares.took(now.saturating_sub(since) as f64 / 1e9);
+        }
+        if ran == Ran::NoConnection {
+            // That is nobody's doing but the upstream's own.
+            for fares in self.by.values_mut() {
+                (0..NO_CONNECTION).for_each(|_| fares.failed(now, true));
+            }
         }
     }
 
-    fn failed(&mut self, failed: bool) {
-        self.failing += (f64::from(u8::from(failed)) - self.failing) * FAIL_PART;
+    fn fares(&mut self, now: Nanos, member: Option<Name>) -> &mut Fares {
+        if self.by.len() > MOST_MEMBERS {
+            self.by.retain(|_, fares| fares.many(now) >= 1.0);
+        }
+        self.by.entry(member).or_default()
     }
 
     /// What is to be told now; looks at runs that are out for too long.
     pub fn look(&mut self, now: Nanos) -> Ill {
-        if self.told >= KNOWN {
-            let overdue = ((self.long * OVERDUE * 1e9) as Nanos).max(OVERDUE_LEAST);
-            let mut count = 0;
-            for run in self.runs.values_mut().filter(|run| !run.overdue) {
-                // The older ones come first.
-                if now.saturating_sub(run.since) <= overdue {
-                    break;
-                }
-                (run.overdue, count) = (true, count + 1);
-            }
-            (0..count).for_each(|_| self.failed(true));
-            if count > 0 {
-                self.heard = now;
+        let (by, mut late) = (&mut self.by, false);
+        for run in self.runs.values_mut().filter(|run| !run.overdue) {
+            let Some(fares) = by.get_mut(&run.member) else { continue };
+            if fares.overdue().is_some_and(|after| now.saturating_sub(run.since) > after) {
+                run.overdue = true;
+                late = true;
+                fares.failed(now, true);
             }
         }
-        let ratio = if self.told >= KNOWN && self.long > 0.0 { self.late / self.long } else { 1.0 };
-        let mut ill = Ill {
-            fails: level(self.failing, self.ill.fails, |at| FIRST * 2f64.powi(i32::from(at)), MOST_FAILS),
-            slow: level(ratio, self.ill.slow, |at| SLOW[usize::from(at)], SLOW.len() as u8),
-        };
+        if late {
+            self.heard = now;
+        }
         let was = self.ill;
+        // As it does by those that it does best by, of all of whom enough is known; else by the one of whom most is.
+        let enough = |fares: &&Fares| fares.many(now) >= COUNTS;
+        let best = |all: &mut dyn Iterator<Item = &Fares>| {
+            let levels = all.map(|fares| fares.levels(was));
+            levels.reduce(|a, b| Ill { fails: a.fails.min(b.fails), slow: a.slow.min(b.slow) })
+        };
+        let most = |fares: &&Fares| (fares.many(now) * 1e6) as u64;
+        let ill = best(&mut self.by.values().filter(enough));
+        let mut ill =
+            ill.or_else(|| Some(self.by.values().max_by_key(most)?.levels(was))).unwrap_or_default();
         if !was.is_well() && now.saturating_sub(self.heard.max(self.changed)) >= TRY_AGAIN {
             ill = Ill { fails: was.fails.saturating_sub(1), slow: was.slow.saturating_sub(1) };
-            // What it was says no more than that; the next outcomes tell.
-            self.failing = self.failing.min(FIRST * 2f64.powi(i32::from(ill.fails)) * LEAVES);
-            if ill.slow < was.slow {
-                self.late = self.long * if ill.slow == 0 { 1.0 } else { SLOW[0] };
-            }
+            self.by.values_mut().for_each(|fares| fares.at_most(ill));
         }
         let worse = ill.fails > was.fails || ill.slow > was.slow;
         if ill != was && (worse || now >= self.changed + BETTER) {
@@ -221,7 +279,7 @@
         outcomes: impl IntoIterator<Item = Ran>,
     ) -> Ill {
         for ran in outcomes {
-            let id = health.begin(*now);
+            let id = health.begin(*now, None);
             *now += took_ms * MS;
             health.end(*now, id, ran);
             health.look(*now);
@@ -266,13 +324,13 @@
     #[test]
     fn runs_that_hang_fail_before_they_end_and_only_once() {
         let (mut health, mut now) = well();
-        let runs: Vec<u64> = (0..6).map(|_| health.begin(now)).collect();
+        let runs: Vec<u64> = (0..6).map(|_| health.begin(now, None)).collect();
         now += 400 * MS;
         let ill = health.look(now);
         assert!(ill.fails >= 2, "{ill:?}");
-        let failing = health.failing;
+        let failing = health.by[&None].failing;
         runs.into_iter().for_each(|run| health.end(now, run, Ran::Failed));
-        assert_eq!(health.failing, failing);
+        assert_eq!(health.by[&None].failing, failing);
     }
 
     #[test]
@@ -281,6 +339,27 @@
         assert!(run(&mut health, &mut now, 1, [Ran::NoConnection; 2]).fails >= 2);
     }
 
+    /// Guards against a member whose own reqs all fail, or take long, and that has an upstream taken from the others.
+    #[test]
+    fn what_fails_by_one_member_only_is_not_the_upstreams_fault() {
+        let (mut health, mut now) = well();
+        let norte: Name = "norte".into();
+        let mut both = |ran: Ran, others: Ran| {
+            for _ in 0..60 {
+                for (member, ran) in [(Some(&norte), ran), (None, others)] {
+                    let id = health.begin(now, member);
+                    now += 25 * MS;
+                    health.end(now, id, ran);
+                    health.look(now);
+                }
+            }
+            health.ill().fails
+        };
+        assert_eq!(both(Ran::Failed, Ran::Well), 0);
+        assert_eq!(both(Ran::Failed, Ran::Failed), 4);
+        assert_eq!(both(Ran::Well, Ran::Failed), 0);
+    }
+
     #[test]
     fn what_fails_everywhere_is_nobodys_own_fault() {
         let ill = |fails, slow| Ill { fails, slow };
@@ -305,12 +384,13 @@
 
         /// Whatever comes in whatever order, no run is kept for ever, and all well for long is told as well.
         #[test]
-        fn it_heals(steps in prop::collection::vec((0u8..6, 0u64..400), 0..200)) {
+        fn it_heals(steps in prop::collection::vec((0u8..6, 0u64..400, 0u8..3), 0..200)) {
             let (mut health, mut now, mut open) = (Health::default(), MS, Vec::new());
-            for (what, ms) in steps {
+            let members = [None, Some(Name::from("norte")), Some(Name::from("sul"))];
+            for (what, ms, member) in steps {
                 now += ms * MS;
                 match what {
-                    0 | 1 => open.push(health.begin(now)),
+                    0 | 1 => open.push(health.begin(now, members[usize::from(member)].as_ref())),
                     _ => if let Some(run) = open.pop() {
                         let ran = [Ran::Well, Ran::Failed, Ran::NoConnection, Ran::Nothing][usize::from(what - 2)];
                         health.end(now, run, ran);
