--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -415,6 +415,12 @@
         for trim in laid.trims.iter().take(MOST_TRIMS) {
             log::warn!("trimmed: {trim}");
         }
+        let before = self.timetable.load();
+        let was = |member: &Name| before.as_ref().and_then(|before| before.editions.get(member));
+        let fresh = editions.iter().filter(|(member, edition)| was(member) != Some(*edition));
+        for (member, (edition, trial)) in fresh.take(MOST_TRIMS) {
+            log::info!("member {member} r{edition} in force{}", if *trial { ", on trial" } else { "" });
+        }
         self.timetable.store(Some(Arc::new(InForce::new(laid.timetable, editions))));
         drop(bases);
         self.seat();
@@ -434,7 +440,6 @@
             papers.iter().filter(|paper| bases.1.take(&paper.name, &paper.sheet)).count()
         };
         if taken > 0 {
-            log::info!("{taken} papers taken");
             self.lay();
         }
         taken > 0
--- a/balancer/tests/mesh/town.rs
+++ b/balancer/tests/mesh/town.rs
@@ -344,7 +344,8 @@
             body = large();
         }
         let head = format!("Ochreshed-Consignment-Id: {id}\r\nOchreshed-Postmark: {stamp}\r\n");
-        let status = if self.is(Trouble::Grey) && nth.is_multiple_of(2) { "500 Broken" } else { "200 OK" };
+        let broken = path.contains("/fail") || self.is(Trouble::Grey) && nth.is_multiple_of(2);
+        let status = if broken { "500 Broken" } else { "200 OK" };
         let head = format!("HTTP/1.1 {status}\r\n{head}Content-Length: {}\r\n\r\n", body.len());
         [head.into_bytes(), body].concat()
     }
