--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 	cargo bench -p ochreshed-hands --bench req
 	cargo bench -p ochreshed-balancer --bench sockets
 	cargo bench -p ochreshed-balancer --bench claims
+	cargo bench -p ochreshed-balancer --bench federation
 
 # A mesh on this machine, to look at, until Enter is pressed.
 mesh:
