--- a/balancer/tests/mesh/federation.rs
+++ b/balancer/tests/mesh/federation.rs
@@ -21,22 +21,6 @@
 /// From one change of `norte` to the next.
 const CHANGE: Duration = Duration::from_millis(1_000);
 
-/// What is drawn, by a seed.
-pub struct Draw(u64);
-
-impl Draw {
-    pub fn new(seed: u64) -> Draw {
-        Draw(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1)
-    }
-
-    pub fn below(&mut self, bound: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0 % bound.max(1)
-    }
-}
-
 pub fn register(edition: u64, services: &str, limits: &str) -> String {
     let member = |name: &str, hash: &str, services: &str, limits: &str| {
         format!(
--- a/balancer/tests/mesh/town.rs
+++ b/balancer/tests/mesh/town.rs
@@ -102,7 +102,13 @@
 
 /// Sends on a new connection, and gives the answer.
 pub fn call(to: SocketAddr, message: &[u8]) -> io::Result<Message> {
+    call_within(to, message, LONG)
+}
+
+/// The same where nothing may stand still for longer than this.
+pub fn call_within(to: SocketAddr, message: &[u8], within: Duration) -> io::Result<Message> {
     let mut stream = connect(to)?;
+    stream.get_ref().set_read_timeout(Some(within))?;
     stream.get_mut().write_all(message)?;
     read(&mut stream)?.ok_or_else(cut)
 }
@@ -395,6 +401,24 @@
 /// Where folders of machines are made, if not in memory: a disk, to be measured.
 pub static FOLDER: OnceLock<PathBuf> = OnceLock::new();
 
+/// What is drawn, by a seed.
+#[allow(dead_code)]
+pub struct Draw(u64);
+
+#[allow(dead_code)]
+impl Draw {
+    pub fn new(seed: u64) -> Draw {
+        Draw(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1)
+    }
+
+    pub fn below(&mut self, bound: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0 % bound.max(1)
+    }
+}
+
 /// A process of the program on a machine; killed when it is dropped.
 pub struct Machine {
     ip: Ipv4Addr,
@@ -455,6 +479,13 @@
         assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill").success());
     }
 
+    /// It stands still (STOP) or wakes (CONT).
+    #[allow(dead_code)]
+    pub fn signal(&self, name: &str) {
+        let pid = self.number().to_string();
+        assert!(Command::new("kill").args([&format!("-{name}"), &pid]).status().expect("kill").success());
+    }
+
     /// Whether it has ended by itself, and if so, well.
     pub fn ended(&mut self) -> Option<bool> {
         let status = self.process.as_mut().expect("a process").try_wait().expect("its state");
--- a/balancer/tests/sessions.rs
+++ b/balancer/tests/sessions.rs
@@ -6,6 +6,8 @@
 mod helper;
 #[path = "mesh/town.rs"]
 mod town;
+#[path = "mesh/walkers.rs"]
+mod walkers;
 
 use std::collections::BTreeMap;
 use std::io::Write;
@@ -16,23 +18,13 @@
 
 use helper::until;
 use town::*;
+use walkers::{Walk, fields, with_sessions};
 
 const PEOPLE: usize = 24;
 /// As many as the upstreams that are left take at once.
 const FEWER: usize = 10;
 const PAYMENTS: usize = 16;
 
-fn with_sessions(version: u64) -> String {
-    let named = r#""tries":2,"session":"X-Person""#;
-    let pay = route("/pay/", "registered", "alpha").replacen(r#""tries":2"#, named, 1);
-    let look = route("/look/", "resendable", "alpha").replacen(r#""tries":2"#, named, 1);
-    timetable(version, &format!("{pay},{look}"))
-}
-
-fn fields(person: usize, key: &str) -> String {
-    format!("X-Person: person-{person}\r\n{KEY}: {key}\r\n")
-}
-
 /// Sends the first try and goes without its answer.
 fn begins(gate: SocketAddr, person: usize, key: &str) {
     if let Ok(mut stream) = TcpStream::connect(gate) {
@@ -209,3 +201,13 @@
     }
     assert!(sum(&town, &[1], |page| page["without"].as_u64().unwrap_or(0)) > 0);
 }
+
+/// Guards against operations that a gate which stood still and wakes sends once more, or that are lost with a steward.
+#[test]
+fn people_walk_among_sites_that_stand_still_and_each_operation_lands_once() {
+    let walk = Walk { seed: 5, people: 40, operations: 800, sites: &["alpha"; 4], faults: true };
+    let walked = walk.play();
+    assert_eq!((walked.doubled, walked.untrue, walked.mixed), (0, 0, 0), "{walked:?}");
+    assert_eq!(walked.landed + walked.unknown + walked.not_run, walked.operations, "{walked:?}");
+    assert!(walked.landed * 100 >= walked.operations * 95, "{walked:?}");
+}
