--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 	cargo bench -p ochreshed-balancer --bench sockets
 	cargo bench -p ochreshed-balancer --bench claims
 	cargo bench -p ochreshed-balancer --bench federation
+	cargo bench -p ochreshed-balancer --bench walkers
 
 # A mesh on this machine, to look at, until Enter is pressed.
 mesh:
--- a/balancer/src/mesh/door.rs
+++ b/balancer/src/mesh/door.rs
@@ -15,7 +15,7 @@
 use hyper::{Response, StatusCode};
 use jzon::JsonValue as Json;
 use ochreshed::Nanos;
-use ochreshed_mesh::health::{Health, Ran};
+use ochreshed_mesh::health::{Health, Ran, Sort};
 use ochreshed_mesh::list::{Row, Stand};
 use ochreshed_mesh::shares::Shares;
 use ochreshed_mesh::slots::{Asker, Part, Slots, Way};
@@ -743,7 +743,7 @@
         // An answer that names another req belongs to that one.
         let ours = |head: &Parts| head.headers.get(&ID) == id.as_ref();
         slot.1 = self.clock.now();
-        let run = self.begins(slot.1, slot.2.as_ref());
+        let run = self.begins(slot.1, Sort { member: slot.2.clone(), call, large });
         let answer = to.exchange(message, &fields, until, Some(Box::new(slot)), ours).await;
         let (mut head, flow) = match answer {
             Ok(answer) => answer,
@@ -788,8 +788,8 @@
         End::Ran(head, flow.holding(inside))
     }
 
-    fn begins(self: &Arc<Self>, now: Nanos, member: Option<&Name>) -> Run {
-        let run = held(&self.health).begin(now, member);
+    fn begins(self: &Arc<Self>, now: Nanos, sort: Sort) -> Run {
+        let run = held(&self.health).begin(now, sort);
         self.look(now);
         Run(self.clone(), run)
     }
