--- a/balancer/src/mesh/client.rs
+++ b/balancer/src/mesh/client.rs
@@ -463,6 +463,12 @@
         } else if row["serving"] == false {
             cells[4] += ", leaving";
         }
+        // What its door saw of it, in levels of two.
+        for (what, level) in [("fails", &row["ill"]["fails"]), ("slow", &row["ill"]["slow"])] {
+            if let Some(level) = level.as_u64().filter(|level| *level > 0) {
+                cells[4] += &format!(", {what} {level}");
+            }
+        }
         let cold = row["cold_ms"].as_u64().filter(|cold| *cold > 0);
         cells.push(cold.map_or("-".into(), |ms| format!("{ms} ms")));
         cells.push(cell(&row["door"]));
@@ -619,7 +625,7 @@
                 upstreams,
                 r#"{"upstreams":[
                 {"id":"i-2","line":"b","zone":"quito-a","edition":"v1","state":"open","slots":6,"cold_ms":900,
-                 "door":"10.1.0.9:8300","serving":true,"quiet":true},
+                 "ill":{"fails":2,"slow":0},"door":"10.1.0.9:8300","serving":true,"quiet":true},
                 {"id":"i-1","line":"a","zone":"quito-a","edition":"","state":"closing","slots":6,"cold_ms":0,
                  "door":"10.1.0.8:8300","serving":false,"quiet":false}],"next":"10.1.0.9:8300"}"#,
             ),
@@ -659,9 +665,9 @@
             ATTENDANT      ZONE     SERVES  QUIET  HEARD   SERVICE  UPSTREAM      FULL AFTER
             10.1.0.8:8300  quito-a  yes     no     120 ms  huvo11a  i-1\u{1b}[2J  812 ms
             --
-            SERVICE  UPSTREAM  ZONE     EDITION  STATE             SLOTS  COLD    DOOR
-            a        i-1       quito-a  -        closing, leaving  6      -       10.1.0.8:8300
-            b        i-2       quito-a  v1       open, quiet       6      900 ms  10.1.0.9:8300
+            SERVICE  UPSTREAM  ZONE     EDITION  STATE                 SLOTS  COLD    DOOR
+            a        i-1       quito-a  -        closing, leaving      6      -       10.1.0.8:8300
+            b        i-2       quito-a  v1       open, quiet, fails 2  6      900 ms  10.1.0.9:8300
             there are more than these
             --
             EDITION  DIGEST  BYTES  WRITTEN                  IN FORCE
--- a/balancer/src/mesh/pages.rs
+++ b/balancer/src/mesh/pages.rs
@@ -10,6 +10,7 @@
 use ochreshed::{Name, Nanos};
 use ochreshed_mesh::agree::{Core, Known, SessionCounts};
 use ochreshed_mesh::fared::{Edition, Fared};
+use ochreshed_mesh::health::Ill;
 use ochreshed_mesh::list::{Row, Stand, Table};
 use ochreshed_mesh::words::{Claim, Key, Outcome};
 use serde::Serialize;
@@ -333,6 +334,9 @@
     state: &'static str,
     slots: u32,
     cold_ms: u64,
+    /// How much fails there and how slow it has become, by what its door saw; told where either is.
+    #[serde(skip_serializing_if = "Ill::is_well")]
+    ill: Ill,
     door: SocketAddr,
     serving: bool,
     quiet: bool,
@@ -565,6 +569,7 @@
         state: state(of.row.stand),
         slots: of.row.slots,
         cold_ms: of.row.cold_ms,
+        ill: of.row.ill,
         door: of.row.door,
         serving: of.row.serving,
         quiet: of.quiet,
--- a/balancer/tests/members.rs
+++ b/balancer/tests/members.rs
@@ -152,3 +152,61 @@
     assert_eq!((came.lost, came.doubled, came.mixed), (0, 0, 0), "{came:?}");
     assert!(came.operations >= 100 && came.taken >= 1 && came.refused >= 1, "{came:?}");
 }
+
+struct Over<'a>(&'a AtomicBool);
+
+impl Drop for Over<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Relaxed);
+    }
+}
+
+/// Guards against a trial that fails and is settled all the same, or that is taken back though it does as well as the rest.
+#[test]
+fn a_trial_whose_reqs_fail_is_taken_back_by_itself() {
+    let town = Town::start();
+    name_members(&town, &register(1, r#""alpha","omega""#, r#""trial_s":12"#));
+    change(&town, "replace", "norte", "norte-key", &routes("norte", 1, "", &[("go", "alpha")]));
+    town.until_in_force("/norte/go/x");
+    // What it tries is a service whose only upstream fails every other req.
+    town.upstreams[3].has(Trouble::Grey);
+    let over = AtomicBool::new(false);
+    thread::scope(|scope| {
+        // Its clients end also where this fails.
+        let _over = Over(&over);
+        for gate in town.gates() {
+            let over = &over;
+            scope.spawn(move || {
+                while !over.load(Relaxed) {
+                    get(gate, "/norte/go/x");
+                }
+            });
+        }
+        let trial = routes("norte", 2, r#""trial":0.5,"#, &[("go", "omega")]);
+        change(&town, "replace", "norte", "norte-key", &trial);
+        until("taken back", || status(&town, 0, "withdrawn") == "r2");
+    });
+    assert_eq!((status(&town, 0, "settled"), status(&town, 0, "trial").is_null()), ("r1".into(), true));
+    let tried = town.ledger.runs(|run| run.line == "omega" && run.req.first.contains("/norte/go/")).len();
+    assert!(tried > 0);
+    for gate in town.gates() {
+        until("as before", || {
+            let answer = get(gate, "/norte/go/x");
+            answer.status() == "200" && town.ledger.of_id(answer.field(ID))[0].line == "alpha"
+        });
+    }
+    // The same edition is no way back in; a good one is settled.
+    assert_eq!(
+        said_to(&town, 1, "replace", "norte", "norte-key", &routes("norte", 2, "", &[])).status(),
+        "409"
+    );
+    town.upstreams[3].has(Trouble::Nothing);
+    change(
+        &town,
+        "replace",
+        "norte",
+        "norte-key",
+        &routes("norte", 3, r#""trial":0.5,"#, &[("go", "omega")]),
+    );
+    until("settled", || status(&town, 0, "settled") == "r3");
+}
--- a/balancer/tests/mesh/walkers.rs
+++ b/balancer/tests/mesh/walkers.rs
@@ -30,6 +30,8 @@
     pub seed: u64,
     pub people: usize,
     pub operations: usize,
+    /// How long a person pauses after each, in the mean; none where all the mesh can do is wanted.
+    pub pause: Duration,
     /// The service beside each site's gate.
     pub sites: &'static [&'static str],
     /// Whether stewards are killed and gates stand still.
@@ -126,6 +128,8 @@
                 took,
             });
             at = to;
+            let pause = self.pause.as_micros() as u64;
+            thread::sleep(Duration::from_micros(pause / 2 + draw.below(pause)));
         }
     }
 }
--- a/balancer/tests/sessions.rs
+++ b/balancer/tests/sessions.rs
@@ -209,6 +209,7 @@
         seed: 5,
         people: 40,
         operations: 800,
+        pause: Duration::from_millis(10),
         sites: &["alpha", "alpha", "alpha", "omega"],
         faults: true,
     };
