--- a/balancer/benches/federation.rs
+++ b/balancer/benches/federation.rs
@@ -78,5 +78,6 @@
     args.into_iter().filter(|arg| arg.parse::<u64>().is_err()).for_each(|binary| drop(PROGRAM.set(binary)));
     drills(seconds.unwrap_or(SECONDS));
     spread(12, 3);
+    spread(12, 4);
     spread(75, 4);
 }
--- a/mesh/src/agree/sheet.rs
+++ b/mesh/src/agree/sheet.rs
@@ -196,6 +196,9 @@
             let paper = Paper { name: name.into(), sheet };
             out.push(Act::Write(Record::Paper(paper.clone())));
             self.papers.take(paper);
+            // Whoever it was sent to may have no vote, and others go by what the voters hold: they need not wait for the next
+            // beat. The configuration's is told with the beat of whoever knows that it is safe.
+            self.tell |= self.voter;
         }
         if self.voter {
             self.send(self.me.at, held(name, 0, rank), out);
