--- a/mesh/tests/agree.rs
+++ b/mesh/tests/agree.rs
@@ -318,6 +318,23 @@
     assert!(all.len() == 40 && (0..4).all(|node| holds(&world, node) == all));
 }
 
+/// Guards against a change that waits for beats where it is taken by a steward without a vote: no clock goes on here.
+#[test]
+fn what_a_steward_without_a_vote_takes_is_known_as_safe_by_all_at_once() {
+    let mut world = World::new(1, 4, 3, 3, 0);
+    world.calm(600 * MS);
+    assert!(!core(&world, 3).voter());
+    for version in 1..4 {
+        let (call, paper) = keep(&mut world, 3, "m/a", version);
+        world.settle_down();
+        assert_eq!(world.answers[&call], Got::Taken);
+        for node in 0..4 {
+            let safe = core(&world, node).papers().find_map(|of| of.safe).map(|sheet| sheet.rank());
+            assert_eq!(safe, Some(paper.sheet.rank()), "{node}");
+        }
+    }
+}
+
 /// Guards against members that fill the core's memory.
 #[test]
 fn no_more_papers_than_there_is_room_for() {
