--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -464,11 +464,6 @@
         }
     }
 
-    /// Whether that ask may go without news of rows.
-    pub fn has_rows_without(&self, which: usize) -> bool {
-        held(&self.rows).has_rows_without(which)
-    }
-
     fn health_of(&self, line: &str) -> String {
         let timetable = self.timetable.load();
         let service = timetable.as_ref().and_then(|timetable| timetable.service(line));
--- a/balancer/src/mesh/news.rs
+++ b/balancer/src/mesh/news.rs
@@ -39,7 +39,6 @@
         let ask = NewsAsk {
             members: told.as_ref().map(|report| report.members.clone()).unwrap_or_default(),
             report: told,
-            no_rows: branch.has_rows_without(which),
             ..asker.ask(steward, row, branch.sheet_rank(), branch.carried())
         };
         let caller = branch.callers.to(steward);
--- a/emulator/src/mesh/gate.rs
+++ b/emulator/src/mesh/gate.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use ochreshed_mesh::calls::{Ask, NewsAsk, NewsReply, Reply};
+use ochreshed_mesh::calls::{Ask, NewsReply, Reply};
 use ochreshed_mesh::list::{Row, Stand};
 use ochreshed_mesh::news::{self, Asker, Known, Listing};
 use ochreshed_mesh::parcels::Rank;
@@ -189,8 +189,7 @@
             hand.timer(news::PAUSE, Timer::Ask(which));
             return;
         };
-        let no_rows = self.listing.has_rows_without(which);
-        let ask = NewsAsk { no_rows, ..turn.asker.ask(steward, self.row.clone(), sheet, Vec::new()) };
+        let ask = turn.asker.ask(steward, self.row.clone(), sheet, Vec::new());
         let id = hand.ask(steward, Ask::News(ask), turn.follows);
         turn.open = Some(id);
         self.open.insert(id, Open::News { which, steward, row: self.row.rank() });
--- a/mesh/src/calls.rs
+++ b/mesh/src/calls.rs
@@ -71,9 +71,6 @@
     /// A steward wants nothing but what was reported.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub gather: bool,
-    /// An attendant that is told news of rows by another ask: it wants all else. Its mark stays where it is.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub no_rows: bool,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -200,7 +197,6 @@
                 papers: 0,
                 carried: None,
                 gather: false,
-                no_rows: false,
             };
             encode(&Frame { id: 9_000, say: Ask::News(ask) }).map(|bytes| bytes.len())
         };
@@ -233,7 +229,6 @@
             papers: 0,
             carried: None,
             gather: true,
-            no_rows: false,
         };
         let mut bytes = Vec::new();
         ciborium::into_writer(&ask, &mut bytes).expect("written");
--- a/mesh/src/news.rs
+++ b/mesh/src/news.rs
@@ -9,7 +9,6 @@
 
 use crate::calls::{Carried, NewsAsk, NewsReply};
 use crate::list::{Mark, Row, place, watchers};
-use crate::office::UNPACED;
 use crate::parcels::Rank;
 use crate::words::Key;
 
@@ -77,7 +76,6 @@
             papers: known.papers,
             carried: (known.carried != known.out).then(|| known.out.clone()),
             gather: false,
-            no_rows: false,
         }
     }
 
@@ -153,12 +151,6 @@
         self.quiet.remove(&which);
     }
 
-    /// Whether an ask may go without news of rows: the first one has them from a watcher that replies, and there are so many
-    /// that telling each of them twice is what costs a core most.
-    pub fn has_rows_without(&self, which: usize) -> bool {
-        which > 0 && self.quiet.contains_key(&0) && self.rows.len() > UNPACED
-    }
-
     /// Those whom every watcher that replies has not heard.
     pub fn quiet(&self) -> HashSet<SocketAddr> {
         let mut quiet: Option<HashSet<SocketAddr>> = None;
--- a/mesh/src/office.rs
+++ b/mesh/src/office.rs
@@ -24,7 +24,7 @@
 pub const LATE: Nanos = 600 * MS;
 pub const PAUSE: Nanos = 200 * MS;
 /// Above so many rows, news of rows are told to one reader so far apart at least for each row more, and no further.
-pub const UNPACED: usize = 100;
+const UNPACED: usize = 100;
 const PACE: Nanos = MS;
 const MOST_PACE: Nanos = 400 * MS;
 /// No ask is held for longer.
@@ -50,7 +50,6 @@
     papers: u64,
     steward: bool,
     gather: bool,
-    no_rows: bool,
     door: Option<SocketAddr>,
     /// The stewards that were known when it came.
     stewards: Vec<SocketAddr>,
@@ -99,7 +98,6 @@
             papers: ask.papers,
             steward: ask.steward,
             gather: ask.gather,
-            no_rows: ask.no_rows,
             door,
             stewards: stand.stewards.to_vec(),
             before,
@@ -128,25 +126,24 @@
             || stand.safe.is_some_and(|rank| rank > waiting.sheet)
             || stand.stewards != waiting.stewards
             || waiting.lacks_papers(stand)
-            || rows && (!waiting.no_rows && self.table.mark().life != waiting.mark.life || drain())
+            || rows && (self.table.mark().life != waiting.mark.life || drain())
         {
             return Some(waiting.came);
         }
         let quiet = !waiting.steward && self.quiet.0 != waiting.quiet;
-        (rows && !waiting.no_rows || quiet).then(|| waiting.came + self.pace())
+        (rows || quiet).then(|| waiting.came + self.pace())
     }
 
     /// `told`: what was reported, for an ask that gathers.
     pub fn reply(&self, now: Nanos, waiting: Waiting, stand: Stand, told: Option<Box<Told>>) -> NewsReply {
-        let without = waiting.gather || waiting.no_rows;
-        let since = if without { Vec::new() } else { self.table.since(waiting.mark) };
+        let since = if waiting.gather { Vec::new() } else { self.table.since(waiting.mark) };
         let quiet = !waiting.steward && self.quiet.0 != waiting.quiet;
         let papers = waiting.lacks_papers(stand).then(|| {
             let (number, papers) = stand.papers;
             (number, papers.iter().map(|paper| (paper.name.clone(), paper.sheet.rank())).collect())
         });
         NewsReply {
-            mark: if waiting.no_rows { waiting.mark } else { self.table.mark() },
+            mark: self.table.mark(),
             rows: waiting.before.into_iter().chain(since).collect(),
             sheet: stand.safe.filter(|rank| *rank > waiting.sheet),
             stewards: stand.stewards.to_vec(),
@@ -208,7 +205,6 @@
         papers: 0,
         carried: None,
         gather: false,
-        no_rows: false,
     }
 }
 
--- a/mesh/tests/office.rs
+++ b/mesh/tests/office.rs
@@ -5,7 +5,7 @@
 
 use ochreshed_mesh::calls::NewsAsk;
 use ochreshed_mesh::list::{Row, Stand as Up};
-use ochreshed_mesh::news::{Asker, Listing};
+use ochreshed_mesh::news::Asker;
 use ochreshed_mesh::office::{Office, Stand};
 
 const MS: u64 = 1_000_000;
@@ -64,43 +64,3 @@
         assert_eq!(office.due(&waiting, stand(None)), Some(2 * MS));
     }
 }
-
-/// Guards against news of rows that cost a core twice where another ask tells them, and against those that are missed once
-/// that one is silent.
-#[test]
-fn an_ask_without_rows_waits_for_all_else_and_misses_none_later() {
-    let steward = SocketAddr::from(([10, 0, 0, 1], 8202));
-    let stand = |safe| Stand { safe, stewards: &[], settled: true, papers: (0, &[]) };
-    let mut office = Office::new(7);
-    (0..200).for_each(|at| assert!(office.table.take(0, &row(at, 1), 0)));
-    let (reader, mut asker, mut listing) = (row(0, 1), Asker::new(1, 2), Listing::default());
-    let mut told = |office: &mut Office, now: u64, no_rows: bool| {
-        let ask = NewsAsk { no_rows, ..asker.ask(steward, reader.clone(), (1, 1), Vec::new()) };
-        let (waiting, _) = office.came(now, &ask, stand(None));
-        let due = office.due(&waiting, stand(None));
-        assert_eq!(office.due(&waiting, stand(Some((2, 0)))), Some(now), "a configuration does not wait");
-        let reply = office.reply(now, waiting, stand(None), None);
-        asker.replied(now, steward, reader.rank(), true, &reply);
-        (due.is_some(), reply.rows.len())
-    };
-    assert_eq!(told(&mut office, MS, true), (false, 0));
-    assert_eq!(told(&mut office, 2 * MS, false), (true, 200));
-    assert!(office.table.take(3 * MS, &row(5, 2), 0) && office.table.take(3 * MS, &row(6, 2), 0));
-    assert_eq!(told(&mut office, 4 * MS, true), (false, 0));
-    // Its own drain, and who falls quiet, are told it all the same.
-    assert!(office.table.drain(reader.door, "i-0"));
-    assert_eq!(told(&mut office, 5 * MS, true), (true, 0));
-    assert!(office.look(3_000 * MS).is_some());
-    assert!(told(&mut office, 3_001 * MS, true).0);
-    assert_eq!(told(&mut office, 3_002 * MS, false), (true, 3));
-    // Only beside a first ask that is replied to, and where there are many.
-    let many: Vec<Row> = (0..101).map(|at| row(at, 1)).collect();
-    assert!(listing.take(MS, 1, many.clone(), [].into()) && !listing.has_rows_without(1));
-    listing.take(MS, 0, Vec::new(), [].into());
-    assert_eq!([0, 1].map(|which| listing.has_rows_without(which)), [false, true]);
-    listing.silent(0);
-    assert!(!listing.has_rows_without(1));
-    let mut few = Listing::default();
-    (0..2).for_each(|which| assert!(few.take(MS, which, many[..100].to_vec(), [].into())));
-    assert!(!few.has_rows_without(1));
-}
