--- a/balancer/src/mesh/desk.rs
+++ b/balancer/src/mesh/desk.rs
@@ -8,7 +8,6 @@
 use ochreshed::{Balancer, Facts, How, Listed, Name, Nanos, Outcome, Req, State, Value};
 use ochreshed_hands::{Act, End, Hands};
 use ochreshed_mesh::budget::{Figures, Spent, Tally, Terms};
-use ochreshed_mesh::health::{self, Ill};
 use ochreshed_mesh::list::{Row, Stand};
 use ochreshed_mesh::shares::Pool;
 use ochreshed_mesh::timetable::{Kind, Route, Timetable};
@@ -366,14 +365,7 @@
         let now = self.clock.now();
         let rows: Vec<&(Row, Nanos)> = rows.filter(|(row, _)| !row.id.is_empty()).collect();
         let takes = |row: &Row| row.serving && row.stand == Stand::Open && !quiet.contains(&row.door);
-        // What part of its weight each keeps, by how it does beside the others that take reqs.
-        let ills: Vec<(SocketAddr, Ill)> =
-            rows.iter().filter(|(row, _)| takes(row)).map(|(row, _)| (row.door, row.ill)).collect();
-        let parts = health::parts(&ills.iter().map(|(_, ill)| *ill).collect::<Vec<Ill>>());
-        let parts: HashMap<SocketAddr, f64> = ills.iter().map(|(door, _)| *door).zip(parts).collect();
-        let part = |row: &Row| parts.get(&row.door).copied().unwrap_or(1.0);
-        let near =
-            rows.iter().any(|(row, _)| row.zone == zone && takes(row) && health::is_relied_on(part(row)));
+        let near = rows.iter().any(|(row, _)| row.zone == zone && takes(row));
         let mut fresh = HashMap::new();
         let wanted = |row: &Row| !(self.told.plan.large && near) || row.zone == zone;
         for (row, told) in rows.into_iter().filter(|(row, _)| wanted(row)) {
@@ -390,7 +382,7 @@
             let warm_at = told + row.cold_ms * MS;
             let came_up = came_up.or((warm_at > now).then(|| warm_at.saturating_sub(COLD)));
             let far = near && row.zone != zone;
-            let weight = f64::from(row.slots.max(1)) * part(row) * if far { FAR } else { 1.0 };
+            let weight = f64::from(row.slots.max(1)) * if far { FAR } else { 1.0 };
             let site: Name = row.zone.as_str().into();
             let listed = Listed { srv: srv.clone(), state, came_up, weight, site: site.clone(), cell: 0 };
             fresh.insert(srv.clone(), (listed, Place { door: row.door, id: srv, zone: site }));
