--- a/mesh/src/health.rs
+++ b/mesh/src/health.rs
@@ -1,11 +1,10 @@
-//! How an upstream does, by the outcomes of what it was sent and by nothing it says of itself. It owns what the door beside
-//! it counts, the two coarse levels that the door's row tells of that, and what part of its weight an upstream keeps among
-//! the others of its service. It must never shut one out by time, by a health answer or by what others have concluded:
-//! each door tells what it saw itself, and each gate compares.
+//! How an upstream does, by the outcomes of what it was sent and by nothing it says of itself. It owns what the door
+//! beside it counts and the two coarse levels that the door's row tells of that. It must never call one ill by a health
+//! answer, nor by what others have concluded: each door tells what it saw itself.
 //!
 //! A gate of many sees few reqs of each upstream, the door beside it sees all. Levels are coarse, so that rows seldom
-//! change, and count only against those of the other upstreams: what fails everywhere is nobody's own fault. Nor is what
-//! fails for one member of a federation while the upstream does well by another, or by the platform.
+//! change. What fails for one member of a federation, for calls or for large answers, while the upstream does well by
+//! others, is not its fault.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -49,17 +48,6 @@
 /// Sorts of which nothing was run of late are forgotten beyond so many.
 const MOST_SORTS: usize = 64;
 
-/// How many levels worse than the others an upstream fails, and what part of its weight it keeps: all, or a few reqs,
-/// which tell whether it does well again.
-const FAILS_KEEP: [f64; 2] = [1.0, 0.06];
-/// Even one of another zone is better than one that fails so much more often than the others.
-const FAILS_LEAST: f64 = 0.0001;
-/// Of so many one at most may keep less, unless it is the only one.
-const MOST_LESS: usize = 3;
-const SLOW_KEEP: [f64; 3] = [1.0, 0.3, 0.05];
-/// An upstream that keeps less than this part is no one that a zone can rely on.
-const WELL: f64 = 0.1;
-
 /// What a door tells of its upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Ill {
@@ -280,33 +268,6 @@
     up.max(stays)
 }
 
-/// What part of its weight each upstream of a service keeps, by what the doors of those that take reqs tell: each is held
-/// against the middle one, of two middle ones against the better. Where more than a third would keep less, all keep all of
-/// it, but of two: what so many have has its cause elsewhere, and the others could not take their reqs.
-pub fn parts(all: &[Ill]) -> Vec<f64> {
-    let middle = |of: fn(&Ill) -> u8| {
-        let mut levels: Vec<u8> = all.iter().map(of).collect();
-        levels.sort_unstable();
-        levels.get(levels.len().saturating_sub(1) / 2).copied().unwrap_or(0)
-    };
-    let (fails, slow) = (middle(|ill| ill.fails), middle(|ill| ill.slow));
-    let part = |ill: &Ill| {
-        let worse = usize::from(ill.fails.saturating_sub(fails));
-        let slower = usize::from(ill.slow.saturating_sub(slow));
-        let keeps = |table: &[f64], at: usize, least: f64| table.get(at).copied().unwrap_or(least);
-        keeps(&FAILS_KEEP, worse, FAILS_LEAST).min(keeps(&SLOW_KEEP, slower, SLOW_KEEP[2]))
-    };
-    let parts: Vec<f64> = all.iter().map(part).collect();
-    let less = parts.iter().filter(|part| **part < 1.0).count();
-    let common = less > 1 && less * MOST_LESS > all.len();
-    if common { vec![1.0; all.len()] } else { parts }
-}
-
-/// Whether one that keeps this part is as good as any.
-pub fn is_relied_on(part: f64) -> bool {
-    part >= WELL
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -421,28 +382,7 @@
         assert_eq!(both(Ran::Well, Ran::Failed), 0);
     }
 
-    #[test]
-    fn what_fails_everywhere_is_nobodys_own_fault() {
-        let ill = |fails, slow| Ill { fails, slow };
-        assert_eq!(parts(&[ill(2, 0); 5]), [1.0; 5]);
-        assert_eq!(parts(&[ill(1, 0), ill(0, 0), ill(0, 0)]), [0.06, 1.0, 1.0]);
-        assert_eq!(parts(&[ill(2, 0), ill(0, 0)]), [FAILS_LEAST, 1.0]);
-        assert_eq!(parts(&[ill(0, 0), ill(0, 1), ill(0, 0), ill(0, 0)]), [1.0, 0.3, 1.0, 1.0]);
-        assert_eq!(parts(&[ill(1, 0), ill(0, 0), ill(1, 0), ill(0, 0)]), [1.0; 4]);
-        assert_eq!(parts(&[]), Vec::<f64>::new());
-    }
-
     proptest! {
-        /// Whatever is told, two thirds of them keep all, and nobody is shut out.
-        #[test]
-        fn most_of_them_keep_their_weight(all in prop::collection::vec((0u8..=2, 0u8..=2), 1..40)) {
-            let all: Vec<Ill> = all.into_iter().map(|(fails, slow)| Ill { fails, slow }).collect();
-            let parts = parts(&all);
-            prop_assert!(parts.iter().all(|part| *part > 0.0 && *part <= 1.0));
-            let less = parts.iter().filter(|part| **part < 1.0).count();
-            prop_assert!(less <= 1 && all.len() > 1 || 3 * less <= all.len());
-        }
-
         /// Whatever comes in whatever order, no run is kept for ever, and all well for long is told as well.
         #[test]
         fn it_heals(steps in prop::collection::vec((0u8..6, 0u64..400, 0u8..3), 0..200)) {
