A lost answer is no forgotten connection: lines go on using theirs

Change: mesh/src/idle.rs: a loss on a connection in use says that age is no matter; one on an idle one holds for 2 s, longer each time it happens again.

--- a/balancer/src/mesh/carry.rs
+++ b/balancer/src/mesh/carry.rs
@@ -5,7 +5,6 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -17,6 +16,7 @@
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap};
 use hyper::http::response::Parts;
 use ochreshed::Nanos;
+use ochreshed_mesh::idle;
 use ochreshed_mesh::pace::Pace;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Sleep, sleep_until, timeout, timeout_at};
@@ -67,8 +67,8 @@
     to: SocketAddr,
     clock: Clock,
     idle: Mutex<Vec<Idle>>,
-    /// No connection is used again that has been idle for longer: less than any that the other side had forgotten.
-    keeps: AtomicU64,
+    /// How long one may have been idle that is used again, by what was lost.
+    keeps: Mutex<idle::Idle>,
     room: Arc<Semaphore>,
     /// Bytes of long answers that may be read ahead of who takes them, for all lines that share it.
     ahead: Option<Arc<Semaphore>>,
@@ -77,7 +77,8 @@
 impl Line {
     /// `room` bounds the connections of all lines that share it.
     pub fn new(to: SocketAddr, clock: Clock, room: Arc<Semaphore>) -> Line {
-        Line { to, clock, idle: Mutex::default(), keeps: AtomicU64::new(Nanos::MAX), room, ahead: None }
+        let keeps = Mutex::new(idle::Idle::new(Nanos::MAX));
+        Line { to, clock, idle: Mutex::default(), keeps, room, ahead: None }
     }
 
     /// Long answers are read as fast as they come, as long as there is room for it: whoever sends them has done with
@@ -88,7 +89,7 @@
 
     /// It leads to the same machine.
     pub fn near(self) -> Line {
-        Line { keeps: AtomicU64::new(NEAR_IDLE), ..self }
+        Line { keeps: Mutex::new(idle::Idle::new(NEAR_IDLE)), ..self }
     }
 
     pub fn to(&self) -> SocketAddr {
@@ -98,7 +99,7 @@
     /// Closes what has been idle for long; whether none is left.
     pub fn sweep(&self, now: Nanos) -> bool {
         let mut idle = held(&self.idle);
-        let keeps = self.keeps.load(Relaxed);
+        let keeps = held(&self.keeps).limit(now);
         idle.retain(|idle| idle.until > now && now - idle.since <= keeps);
         idle.is_empty()
     }
@@ -119,7 +120,7 @@
         loop {
             let Idle { mut link, since, until } = held(&self.idle).pop()?;
             let idle = now.saturating_sub(since);
-            if now < until && idle <= self.keeps.load(Relaxed) && link.sound() {
+            if now < until && idle <= held(&self.keeps).limit(now) && link.sound() {
                 return Some((link, idle));
             }
         }
@@ -127,17 +128,16 @@
 
     fn keep(&self, link: Link, until: Nanos) {
         let (mut idle, since) = (held(&self.idle), self.clock.now());
-        if idle.len() < MOST_IDLE && until > since && self.keeps.load(Relaxed) > 0 {
+        if idle.len() < MOST_IDLE && until > since {
             idle.push(Idle { link, since, until });
         }
     }
 
-    /// A connection that had been idle for so long took a req and was reset with no word of an answer. Whether that req
+    /// A req was reset with no word of an answer, on a connection that had been idle for so long or a new one. Whether it
     /// ran can't be told; that others go the same way can be helped.
-    fn forgot(&self, idle: Nanos) {
-        let keeps = if idle < MS { 0 } else { idle / 4 };
-        if keeps < self.keeps.fetch_min(keeps, Relaxed) {
-            log::info!("{}: forgot a connection that was idle for {} ms", self.to, idle / MS);
+    fn lost(&self, idle: Option<Nanos>) {
+        if held(&self.keeps).lost(self.clock.now(), idle) {
+            log::info!("{}: forgot a connection that was idle for {} ms", self.to, idle.unwrap_or(0) / MS);
         }
     }
 
@@ -190,8 +190,8 @@
                     (link, reused) = (None, None)
                 }
                 Ok(Err(())) => {
-                    if let Some(idle) = reused.filter(|_| on.last_read() < sent_at) {
-                        self.forgot(idle);
+                    if on.last_read() < sent_at {
+                        self.lost(reused);
                     }
                     return Err(if on.sent_whole() { Fail::Reset } else { Fail::NoConnection });
                 }
--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod delta;
 pub mod fared;
 pub mod health;
+pub mod idle;
 pub mod lay;
 pub mod list;
 pub mod members;
