One content for each version of a register, decided by a ballot before any replica holds it

Change: a replica that is asked to replace a register first decides the content of that version among the members by single-decree ballots (mesh/src/agree/versions.rs); only decided content is held. What was accepted is told to new members; ballots on versions are kept in the ballot slots on disk. Other content under a decided version is refused (409), the same content again is acknowledged.

--- a/balancer/src/mesh/members.rs
+++ b/balancer/src/mesh/members.rs
@@ -198,6 +198,7 @@
     let paper = Paper { name, sheet: Arc::new(Sheet::new(version, bytes)) };
     match office.want(Want::Paper(paper), OPERATOR).await {
         Got::Taken => Ok(()),
+        Got::Conflict => Err(Refused::new(409, "another document was taken under this edition")),
         Got::Full => Err(Refused::new(413, "too long, or the core holds too many documents")),
         _ => Err(Refused::new(503, "not safe on more than half of the core yet: send it again")),
     }
--- a/balancer/src/mesh/steward.rs
+++ b/balancer/src/mesh/steward.rs
@@ -314,6 +314,7 @@
         let within = if self.stand.load().settled { OPERATOR } else { UNSETTLED };
         match self.want(Want::Replace(Arc::new(Sheet::new(version, bytes))), within).await {
             Got::Taken => json(200, "{}".into()),
+            Got::Conflict => say(409, "another configuration was taken under this edition"),
             _ => say(503, "not safe on more than half of the core yet: send it again"),
         }
     }
--- a/balancer/src/mesh/store.rs
+++ b/balancer/src/mesh/store.rs
@@ -3,7 +3,9 @@
 //! something is safe before it is synced, tell at the start what is not, or decide what any of it means.
 //!
 //! - `ballots.0`, `ballots.1`: one frame each, written in turn and in place; the one with the higher count holds. The
-//!   one that holds is never written over, so a torn one costs nothing that was safe. One sync a write.
+//!   one that holds is never written over, so a torn one costs nothing that was safe. One sync a write. A frame is the
+//!   count, the ballots on the view and, where there are any, those on versions of registers. Both are lost together,
+//!   so that a replica that has forgotten a promise of either kind has no identity left to break it with.
 //! - `timetable/r12-<digest>.json`: the bytes that the operator sent, as they came. The digest in the name says whether
 //!   they are whole; the highest whole one holds.
 //! - `papers/<name>.r12-<digest>.json`: the same for each paper by its name, in which all but small letters, digits and
@@ -26,7 +28,9 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
-use ochreshed_mesh::words::{Ballots, Claim, Entry, Key, Paper, Record, Saved, Session, Sheet, Token};
+use ochreshed_mesh::words::{
+    Ballots, Claim, Entry, Key, Paper, Record, Saved, Session, Sheet, Token, VersionBallot,
+};
 
 const ROOT: &str = ".";
 const CLAIMS: &str = "claims";
@@ -286,6 +290,9 @@
     /// The slot that holds, and its count.
     newest: usize,
     count: u64,
+    /// What it holds.
+    ballots: Option<Ballots>,
+    version_ballots: Vec<VersionBallot>,
     /// Those on disk with their lengths, by folder and what their names begin with.
     sheets: BTreeMap<String, Shelf>,
     /// The folder of papers is there.
@@ -355,10 +362,19 @@
             self.keep_sheet(&shelf_of(name), sheet)?;
         }
         let ballots = records.iter().rev().find_map(|record| match record {
-            Record::Ballots(ballots) => Some(ballots),
+            Record::Ballots(ballots) => Some(ballots.clone()),
             _ => None,
         });
-        ballots.map_or(Ok(()), |ballots| self.keep_ballots(ballots))
+        let version_ballots = records.iter().rev().find_map(|record| match record {
+            Record::VersionBallots(ballots) => Some(ballots.clone()),
+            _ => None,
+        });
+        if ballots.is_none() && version_ballots.is_none() {
+            return Ok(());
+        }
+        let ballots = ballots.or_else(|| self.ballots.clone());
+        let ballots = ballots.ok_or_else(|| StoreError::Form("ballots on versions of nobody".into()))?;
+        self.keep_ballots(ballots, version_ballots.unwrap_or_else(|| self.version_ballots.clone()))
     }
 
     /// On disk now.
@@ -386,6 +402,8 @@
             slots: [0; 2],
             newest: 0,
             count: 0,
+            ballots: None,
+            version_ballots: Vec::new(),
             sheets: BTreeMap::new(),
             has_papers: false,
             bad: 0,
@@ -395,10 +413,12 @@
         for folder in [ROOT, CLAIMS, TIMETABLE] {
             store.files.folder(folder).map_err(|why| StoreError::Name(folder.to_owned(), why))?;
         }
-        let ballots = store.read_ballots()?;
+        store.read_ballots()?;
+        let (ballots, version_ballots) = (store.ballots.clone(), store.version_ballots.clone());
         let sheet = store.read_sheets(TIMETABLE)?.into_values().next();
         let (claims, sessions) = store.read_claims()?;
-        let saved = Saved { ballots, sheet, claims, sessions, papers: store.read_papers()? };
+        let papers = store.read_papers()?;
+        let saved = Saved { ballots, version_ballots, sheet, claims, sessions, papers };
         // Names may be newer than what lasts: a process that was killed left them so.
         for folder in [ROOT, CLAIMS, TIMETABLE].into_iter().chain(store.has_papers.then_some(PAPERS)) {
             store.sync_folder(folder)?;
@@ -447,27 +467,26 @@
 
     // Ballots.
 
-    fn read_ballots(&mut self) -> Result<Option<Ballots>, StoreError> {
+    fn read_ballots(&mut self) -> Result<(), StoreError> {
         let listed = self.list(ROOT)?;
         self.tidy(ROOT, &listed);
-        let mut best: Option<Ballots> = None;
+        let mut best: Option<(Ballots, Vec<VersionBallot>)> = None;
         for (i, slot) in SLOTS.iter().enumerate() {
             let Some((_, len)) = listed.iter().find(|(name, _)| name == slot) else { continue };
             self.slots[i] = *len;
             let bytes = self.read(slot)?;
-            let read = frame(0, &bytes, 0).and_then(|whole| ciborium::from_reader(whole).ok());
-            let Some((count, ballots)) = read else {
+            let Some((count, ballots, versions)) = frame(0, &bytes, 0).and_then(ballots_of) else {
                 self.found.push(format!("{slot}: not whole"));
                 continue;
             };
             if best.is_none() || count > self.count {
-                (best, self.count, self.newest) = (Some(ballots), count, i);
+                (best, self.count, self.newest) = (Some((ballots, versions)), count, i);
             }
         }
-        match &best {
+        match best {
             // Guards against telling what is lost with the next loss of power. A sync would not do: one that failed
             // before, under another process, may leave bytes behind that no later one takes along.
-            Some(ballots) => self.keep_ballots(ballots)?,
+            Some((ballots, versions)) => self.keep_ballots(ballots, versions)?,
             None => {
                 for (i, slot) in SLOTS.iter().enumerate() {
                     if self.slots[i] > 0 {
@@ -477,14 +496,19 @@
                 }
             }
         }
-        Ok(best)
+        Ok(())
     }
 
-    fn keep_ballots(&mut self, ballots: &Ballots) -> Result<(), StoreError> {
+    fn keep_ballots(&mut self, ballots: Ballots, versions: Vec<VersionBallot>) -> Result<(), StoreError> {
         let count = self.count.saturating_add(1);
         let mut bytes = vec![0; HEAD];
-        ciborium::into_writer(&(count, ballots), &mut bytes)
-            .map_err(|why| StoreError::Form(why.to_string()))?;
+        // Without any of versions, as programs before them have it.
+        let written = if versions.is_empty() {
+            ciborium::into_writer(&(count, &ballots), &mut bytes)
+        } else {
+            ciborium::into_writer(&(count, &ballots, &versions), &mut bytes)
+        };
+        written.map_err(|why| StoreError::Form(why.to_string()))?;
         close(0, &mut bytes, 0)?;
         let slot = 1 - self.newest;
         let name = SLOTS[slot];
@@ -495,6 +519,7 @@
         }
         self.slots[slot] = self.slots[slot].max(bytes.len() as u64);
         (self.newest, self.count) = (slot, count);
+        (self.ballots, self.version_ballots) = (Some(ballots), versions);
         Ok(())
     }
 
@@ -842,10 +867,19 @@
         }
         Record::Free(key, token) => Some(Mark::Free(*key, *token)),
         Record::SessionOver(session) => Some(Mark::Free(*session, ANY)),
-        Record::Ballots(_) | Record::Sheet(_) | Record::Paper(_) => None,
+        Record::Ballots(_) | Record::Sheet(_) | Record::Paper(_) | Record::VersionBallots(_) => None,
     }
 }
 
+/// The count and what a slot holds; programs before the ballots on versions wrote none of them.
+fn ballots_of(payload: &[u8]) -> Option<(u64, Ballots, Vec<VersionBallot>)> {
+    let older = || {
+        let (count, ballots) = ciborium::from_reader(payload).ok()?;
+        Some((count, ballots, Vec::new()))
+    };
+    ciborium::from_reader(payload).ok().or_else(older)
+}
+
 /// Over the segment's number too: a frame of another segment is none here.
 fn checksum(number: u32, len: &[u8], payload: &[u8]) -> u32 {
     let sum = crc32c::crc32c(&number.to_le_bytes());
@@ -967,7 +1001,7 @@
     use std::ops::Range;
     use std::sync::{Mutex, MutexGuard, PoisonError};
 
-    use ochreshed_mesh::words::{Answer, Ballot, Outcome, Station, View};
+    use ochreshed_mesh::words::{Answer, Ballot, Outcome, Station, VersionBallot, View};
 
     use super::*;
 
@@ -1318,6 +1352,14 @@
         Ballots { me, view, voter: true, promised, accepted, told_new: true, barred: round.is_multiple_of(2) }
     }
 
+    fn version_ballots(turn: u64) -> Record {
+        let promised = Ballot { round: turn, by: 9 };
+        let sheet = Arc::new(Sheet::new(turn, vec![turn as u8; 40]));
+        let accepted = turn.is_multiple_of(2).then_some((promised, sheet));
+        let one = VersionBallot { name: "m/a".into(), version: turn, promised, accepted };
+        Record::VersionBallots(vec![one; turn as usize % 3])
+    }
+
     fn sheet(version: u64) -> Record {
         Record::Sheet(Arc::new(Sheet::new(version, format!("{{\"version\":{version}}}").into_bytes())))
     }
@@ -1341,6 +1383,7 @@
     #[derive(Clone, Default, Debug, PartialEq)]
     struct Held {
         ballots: Option<Ballots>,
+        version_ballots: Vec<VersionBallot>,
         sheet: Option<Arc<Sheet>>,
         claims: BTreeMap<Key, Claim>,
         papers: BTreeMap<String, Arc<Sheet>>,
@@ -1351,7 +1394,8 @@
             let claims = saved.claims.iter().cloned().collect();
             let papers = saved.papers.iter().map(|paper| (paper.name.to_string(), paper.sheet.clone()));
             let (ballots, sheet) = (saved.ballots.clone(), saved.sheet.clone());
-            Held { ballots, sheet, claims, papers: papers.collect() }
+            let version_ballots = saved.version_ballots.clone();
+            Held { ballots, version_ballots, sheet, claims, papers: papers.collect() }
         }
 
         fn take(&mut self, record: &Record) {
@@ -1369,6 +1413,7 @@
                 Record::Paper(paper) => {
                     self.papers.insert(paper.name.to_string(), paper.sheet.clone());
                 }
+                Record::VersionBallots(ballots) => self.version_ballots = ballots.clone(),
                 Record::Session(..) | Record::SessionOver(_) => {}
             }
         }
@@ -1382,6 +1427,8 @@
                 steps.push(step);
             }
             assert!(steps.iter().any(|step| step.ballots == self.ballots), "{about}: {:?}", self.ballots);
+            let versions = |step: &Held| step.version_ballots == self.version_ballots;
+            assert!(steps.iter().any(versions), "{about}: {:?}", self.version_ballots);
             assert!(steps.iter().any(|step| step.sheet == self.sheet), "{about}: {:?}", self.sheet);
             for name in self.papers.keys().chain(safe.papers.keys()) {
                 let (got, mut may) = (self.papers.get(name), steps.iter().map(|step| step.papers.get(name)));
@@ -1444,6 +1491,9 @@
             if turn % 5 == 1 {
                 records.push(Record::Ballots(ballots(turn)));
             }
+            if turn % 5 == 4 {
+                records.push(version_ballots(turn));
+            }
             let sheets = |record: &&Record| matches!(record, Record::Sheet(_) | Record::Paper(_));
             records.iter().filter(sheets).for_each(|record| held.take(record));
             records
--- a/emulator/src/mesh/count.rs
+++ b/emulator/src/mesh/count.rs
@@ -50,6 +50,7 @@
                 Body::Beat { .. } => Cause::Beats,
                 Body::Grant(_) | Body::Granted(_) | Body::Settle(_) => Cause::Claims,
                 Body::Hold(_) | Body::WantSheet { .. } | Body::Held { .. } => Cause::Configurations,
+                Body::Version(_) => Cause::Configurations,
                 Body::HoldPapers(_) | Body::WantPapers { .. } => Cause::Configurations,
                 Body::PapersHeld { .. } | Body::ListPapers(_) => Cause::Configurations,
                 _ => Cause::Views,
--- a/emulator/src/mesh/steward.rs
+++ b/emulator/src/mesh/steward.rs
@@ -27,6 +27,7 @@
 #[derive(Clone, Default)]
 pub struct Kept {
     ballots: Option<Ballots>,
+    version_ballots: Vec<VersionBallot>,
     sheet: Option<Arc<Sheet>>,
     claims: BTreeMap<Key, Claim>,
     papers: BTreeMap<Name, Arc<Sheet>>,
@@ -44,6 +45,7 @@
             Record::Paper(paper) => drop(self.papers.insert(paper.name, paper.sheet)),
             Record::Session(session, entry) => drop(self.sessions.insert(session, entry)),
             Record::SessionOver(session) => drop(self.sessions.remove(&session)),
+            Record::VersionBallots(ballots) => self.version_ballots = ballots,
             Record::Free(key, token) => {
                 if self.claims.get(&key).is_some_and(|claim| claim.token == token) {
                     self.claims.remove(&key);
@@ -57,7 +59,8 @@
         let sessions = self.sessions.iter().map(|(session, entry)| (*session, entry.clone())).collect();
         let paper = |(name, sheet): (&Name, &Arc<Sheet>)| Paper { name: name.clone(), sheet: sheet.clone() };
         let papers = self.papers.iter().map(paper).collect();
-        Saved { ballots: self.ballots.clone(), sheet: self.sheet.clone(), claims, papers, sessions }
+        let (ballots, version_ballots) = (self.ballots.clone(), self.version_ballots.clone());
+        Saved { ballots, version_ballots, sheet: self.sheet.clone(), claims, papers, sessions }
     }
 }
 
--- a/mesh/src/agree.rs
+++ b/mesh/src/agree.rs
@@ -28,6 +28,7 @@
 mod sheet;
 mod spread;
 mod undo;
+mod versions;
 mod view;
 
 pub use sessions::{SESSION_IDLE, SessionCounts};
@@ -204,6 +205,8 @@
     /// The newest configuration, and the papers by name.
     sheet: sheet::Register,
     papers: papers::Papers,
+    /// The agreement on one content for each version of these.
+    versions: versions::Versions,
 
     claims: BTreeMap<Key, keys::Kept>,
     answers: answers::Answers,
@@ -283,6 +286,7 @@
             catching: None,
             sheet: sheet::Register::holding(saved.sheet),
             papers: papers::Papers::holding(saved.papers),
+            versions: versions::Versions::default(),
             claims: BTreeMap::new(),
             answers: answers::Answers::default(),
             expiry: BTreeSet::new(),
@@ -306,6 +310,7 @@
         for (session, entry) in saved.sessions {
             core.put_session(session, entry);
         }
+        core.load_version_ballots(saved.version_ballots);
         core.shed(out);
         if fresh || station != ballots.me {
             core.keep_ballots(out);
@@ -359,11 +364,13 @@
                 self.want_state(from, place, round, papers, out);
             }
             Body::Sessions(list) => self.said_of_sessions(now, from, (same, member), list, out),
-            Body::State { round, part, next, sheet, sessions, papers, next_paper }
+            Body::State { round, part, next, sheet, sessions, papers, next_paper, version_ballots }
                 if same || self.mutant == 9 =>
             {
-                self.state(now, from, round, (part, sessions, papers), sheet, (next, next_paper), out);
+                let held = (part, sessions, papers, version_ballots);
+                self.state(now, from, round, held, sheet, (next, next_paper), out);
             }
+            Body::Version(message) => self.version_message(now, from, (same, member), message, out),
             Body::HoldPapers(papers) => self.papers_offered(from, same, papers, out),
             Body::WantPapers { ask, have } => self.want_papers(from, same, ask, have, out),
             Body::PapersHeld { ask, voter, ranks, next } => {
@@ -441,6 +448,7 @@
         self.expire_sessions(now, out);
         self.catch_up(now, out);
         self.propose(now, out);
+        self.drive_proposals(now, out);
         if now >= self.next_beat {
             self.tell = true;
             self.next_beat = now.saturating_add(BEAT);
@@ -450,7 +458,8 @@
         }
         self.flush(out);
         let next = self.timers.first().map_or(Nanos::MAX, |(at, _)| *at);
-        next.min(self.next_beat).min(now.saturating_add(TICK)).max(now.saturating_add(1))
+        let next = next.min(self.next_beat).min(self.next_proposal());
+        next.min(now.saturating_add(TICK)).max(now.saturating_add(1))
     }
 
     /// Hands out what waited to go out together; to be called after each batch of `hear` and `want`.
@@ -582,7 +591,9 @@
         let claims = self.claims.iter().map(|(key, kept)| Record::Claim(*key, kept.claim.clone()));
         let sheet = self.sheet.held.iter().map(|sheet| Record::Sheet(sheet.clone()));
         let papers = self.papers.from("").map(Record::Paper);
-        let all = [Record::Ballots(self.ballots())].into_iter().chain(sheet).chain(papers).chain(claims);
+        let versions = Record::VersionBallots(self.version_ballots());
+        let all = [Record::Ballots(self.ballots()), versions].into_iter();
+        let all = all.chain(sheet).chain(papers).chain(claims);
         all.chain(self.session_records()).collect()
     }
 
--- a/mesh/src/agree/sheet.rs
+++ b/mesh/src/agree/sheet.rs
@@ -1,12 +1,15 @@
 //! Registers: the newest configuration, which has no name, and the papers by theirs. It owns what this steward holds of
 //! each and what the voters said they hold. It must never call a sheet safe that more than half of the voters have not
-//! said to hold, it or a newer one of the same register, nor let one register wait for another.
+//! said to hold, it or a newer one of the same register, nor let one register wait for another. Only content that was
+//! decided for its version (`versions`) is held, so two replicas never hold different content under one version.
 
 use super::*;
 
 const REPLACE: Nanos = 3000 * MS;
 const READ: Nanos = 1500 * MS;
 const MOST_EARLIER: usize = 8;
+/// Digests of so many versions that were held are remembered, to tell an order that is sent again from another one.
+const MAX_PAST: usize = 64;
 /// Of the calls on papers, so many may be for one name.
 const MOST_CALLS_OF_NAME: usize = 16;
 
@@ -16,6 +19,8 @@
     pub held: Option<Arc<Sheet>>,
     /// Held before, not yet known to be outdated.
     earlier: VecDeque<Arc<Sheet>>,
+    /// Versions and digests that were held in this life, the oldest first.
+    past: VecDeque<Rank>,
     pub safe: Option<Arc<Sheet>>,
     pub safe_rank: Rank,
     /// What the voters of this view said in it.
@@ -24,7 +29,18 @@
 
 impl Register {
     pub fn holding(held: Option<Arc<Sheet>>) -> Register {
-        Register { held, ..Register::default() }
+        let past = held.iter().map(|sheet| sheet.rank()).collect();
+        Register { held, past, ..Register::default() }
+    }
+
+    /// The digest of the content decided for a version, where it was held here.
+    pub fn digest_of(&self, version: u64) -> Option<u64> {
+        self.past.iter().rev().find(|(held, _)| *held == version).map(|(_, digest)| *digest)
+    }
+
+    /// Whether a version is above the one held.
+    pub fn is_newer(&self, version: u64) -> bool {
+        self.held.as_ref().is_none_or(|held| version > held.version)
     }
 
     pub fn held_rank(&self) -> Rank {
@@ -33,6 +49,10 @@
 
     /// Holds a sheet that is newer than the one held.
     pub fn take(&mut self, sheet: Arc<Sheet>) {
+        self.past.push_back(sheet.rank());
+        if self.past.len() > MAX_PAST {
+            self.past.pop_front();
+        }
         self.earlier.extend(self.held.replace(sheet));
         if self.earlier.len() > MOST_EARLIER {
             self.earlier.pop_front();
@@ -83,7 +103,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Replacing {
     pub name: Name,
-    rank: Rank,
+    pub sheet: Arc<Sheet>,
     until: Nanos,
     pub timer: Nanos,
 }
@@ -160,12 +180,14 @@
         if !self.may_wait(call, &name, out) {
             return;
         }
-        let rank = sheet.rank();
-        self.hold(&name, sheet, out);
+        if self.mutant == 30 {
+            self.hold(&name, sheet.clone(), out);
+        }
         let (timer, until) = (now.saturating_add(AGAIN), now.saturating_add(REPLACE));
-        self.calls.insert(call, Call::Replace(Replacing { name: name.clone(), rank, until, timer }));
+        self.calls.insert(call, Call::Replace(Replacing { name: name.clone(), sheet, until, timer }));
         self.sheet_calls.insert(call);
         self.timers.insert((timer, call));
+        self.propose_version(now, &name, out);
         self.push(now, &name, out);
         self.judge_sheets(&name, out);
     }
@@ -183,7 +205,7 @@
         self.judge_sheets(&name, out);
     }
 
-    /// Holds a sheet if it is newer than the one held.
+    /// Holds a sheet, which was decided for its version, if it is newer than the one held.
     pub(super) fn hold(&mut self, name: &str, sheet: Arc<Sheet>, out: &mut Vec<Act>) {
         let rank = sheet.rank();
         if rank <= self.held_rank(name) {
@@ -203,10 +225,11 @@
         if self.voter {
             self.send(self.me.at, held(name, 0, rank), out);
         }
+        self.version_held(name, rank.0);
     }
 
     /// Gives the sheet to the members that are not known to hold one as new.
-    fn push(&mut self, now: Nanos, name: &str, out: &mut Vec<Act>) {
+    pub(super) fn push(&mut self, now: Nanos, name: &str, out: &mut Vec<Act>) {
         let Some(register) = self.register(name) else { return };
         let Some(sheet) = register.held.clone() else { return };
         let rank = sheet.rank();
@@ -284,10 +307,15 @@
     /// Another holds a configuration of that rank: fetches it if it is newer.
     pub(super) fn look(&mut self, now: Nanos, from: Station, rank: Rank, out: &mut Vec<Act>) {
         if rank > self.sheet.held_rank() && self.may_pull(now, from, TIMETABLE) {
-            self.now(from.at, want(TIMETABLE, 0, self.sheet.held_rank()), out);
+            self.pull(from, TIMETABLE, out);
         }
     }
 
+    /// Asks another for what it holds of a register, if that is newer.
+    pub(super) fn pull(&self, from: Station, name: &str, out: &mut Vec<Act>) {
+        self.now(from.at, want(name, 0, self.held_rank(name)), out);
+    }
+
     /// Whether another may be asked for the newest of a register; notes that it was.
     pub(super) fn may_pull(&mut self, now: Nanos, from: Station, name: &str) -> bool {
         let Some(peer) = self.peers.get_mut(&from) else { return false };
@@ -320,10 +348,21 @@
             let empty = Register::default();
             let register = self.register(name).unwrap_or(&empty);
             match self.calls.get(&call) {
-                Some(Call::Replace(replacing))
-                    if register.safe_rank >= replacing.rank || self.mutant == 10 =>
-                {
-                    self.answer(call, Got::Taken, out);
+                Some(Call::Replace(replacing)) => {
+                    let (version, digest) = replacing.sheet.rank();
+                    let told = Some(register.safe_rank).filter(|safe| safe.0 == version && safe.1 != 0);
+                    let decided = register.digest_of(version).or(told.map(|safe| safe.1));
+                    let refused = if self.mutant == 31 {
+                        decided.is_some()
+                    } else {
+                        decided.is_some_and(|other| other != digest) && self.mutant != 30
+                    };
+                    let safe = register.safe_rank.0 >= version && register.safe_rank != (0, 0);
+                    if refused {
+                        self.answer(call, Got::Conflict, out);
+                    } else if safe || self.mutant == 10 {
+                        self.answer(call, Got::Taken, out);
+                    }
                 }
                 Some(Call::Read(reading)) if reading.answers.len() >= self.majority() => {
                     let newest = reading.answers.values().copied().max().unwrap_or_default();
@@ -341,6 +380,9 @@
                 _ => {}
             }
         }
+        if !self.sheet_calls.is_empty() {
+            self.propose_version(self.now, &name.into(), out);
+        }
     }
 
     pub(super) fn sheet_timer(&mut self, now: Nanos, call: u64, out: &mut Vec<Act>) {
@@ -368,6 +410,7 @@
             }
             self.ask(call, out);
         }
+        self.proposals_anew(now, out);
         let names: BTreeSet<Name> =
             self.sheet_calls.iter().filter_map(|call| self.name_of(*call)).cloned().collect();
         for name in names {
--- a/mesh/src/agree/view.rs
+++ b/mesh/src/agree/view.rs
@@ -2,7 +2,7 @@
 //! never answer for a view that it has left, nor vote with a disk that does not hold what the last one held.
 
 use super::*;
-use crate::words::{Entry, Session};
+use crate::words::{Entry, Session, VersionBallot};
 
 /// How long a try to change the view has.
 const TRY: Nanos = 400 * MS;
@@ -55,8 +55,8 @@
     ask_all: Nanos,
 }
 
-/// Part of what one holds: keys' claims and sessions.
-type Held = (Vec<(Key, Claim)>, Vec<(Session, Entry)>, Vec<Paper>);
+/// Part of what one holds: keys' claims, sessions, papers, and what it accepted for versions being decided.
+type Held = (Vec<(Key, Claim)>, Vec<(Session, Entry)>, Vec<Paper>, Vec<VersionBallot>);
 
 impl Core {
     pub(super) fn ballots(&self) -> Ballots {
@@ -183,12 +183,15 @@
             Some(_) => (Vec::new(), None),
         };
         part.retain(|(key, _)| next.is_none_or(|next| *key < next));
-        let sheet = self.sheet.held.clone().filter(|_| next.is_none() && papers.is_none());
+        let last_of_claims = next.is_none() && papers.is_none();
+        let sheet = self.sheet.held.clone().filter(|_| last_of_claims);
+        let version_ballots = if last_of_claims { self.accepted_versions() } else { Vec::new() };
         let (papers, next_paper) = match next {
             None => self.papers.part(papers.as_deref().unwrap_or_default(), bytes),
             Some(_) => (Vec::new(), None),
         };
-        self.send(from.at, Body::State { round, part, next, sheet, sessions, papers, next_paper }, out);
+        let state = Body::State { round, part, next, sheet, sessions, papers, next_paper, version_ballots };
+        self.send(from.at, state, out);
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -197,7 +200,7 @@
         now: Nanos,
         from: Station,
         round: u64,
-        (part, sessions, papers): Held,
+        (part, sessions, papers, version_ballots): Held,
         sheet: Option<Arc<Sheet>>,
         next: (Option<Key>, Option<Name>),
         out: &mut Vec<Act>,
@@ -231,6 +234,7 @@
         if let Some(sheet) = sheet {
             self.hold(TIMETABLE, sheet, out);
         }
+        self.merge_version_ballots(version_ballots, out);
         for Paper { name, sheet } in papers.into_iter().take(if self.mutant == 15 { 0 } else { usize::MAX }) {
             self.hold(&name, sheet, out);
         }
--- a/mesh/src/calls.rs
+++ b/mesh/src/calls.rs
@@ -164,6 +164,7 @@
                 sessions: Vec::new(),
                 papers: Vec::new(),
                 next_paper: None,
+                version_ballots: Vec::new(),
             },
         ];
         for (older, newer) in older.iter().zip(&newer) {
--- a/mesh/src/words.rs
+++ b/mesh/src/words.rs
@@ -117,6 +117,8 @@
     Paper(Paper),
     Session(Session, Entry),
     SessionOver(Session),
+    /// All versions of registers that are being decided, in the place of those written before.
+    VersionBallots(Vec<VersionBallot>),
 }
 
 /// A steward's part in deciding the view that follows the one it holds.
@@ -143,10 +145,65 @@
     pub by: u64,
 }
 
+/// What a replica has promised and accepted for one version of a register, above the version that it holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionBallot {
+    /// The register; empty for the operator's configuration.
+    pub name: Name,
+    pub version: u64,
+    pub promised: Ballot,
+    pub accepted: Option<(Ballot, Arc<Sheet>)>,
+}
+
+/// One message of the single-decree agreement on the content of one version of a register.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum VersionMessage {
+    /// Asks for the promise to accept nothing below this ballot.
+    Prepare {
+        name: Name,
+        version: u64,
+        ballot: Ballot,
+    },
+    /// The promise, with what was accepted so far.
+    Promise {
+        name: Name,
+        version: u64,
+        ballot: Ballot,
+        accepted: Option<(Ballot, Arc<Sheet>)>,
+    },
+    /// Asks for this content to be accepted.
+    Accept {
+        name: Name,
+        ballot: Ballot,
+        sheet: Arc<Sheet>,
+    },
+    Accepted {
+        name: Name,
+        version: u64,
+        ballot: Ballot,
+    },
+    /// A higher ballot was promised.
+    Outbid {
+        name: Name,
+        version: u64,
+        ballot: Ballot,
+        promised: Ballot,
+    },
+    /// The sender holds this version or a later one, which was decided.
+    Superseded {
+        name: Name,
+        version: u64,
+        ballot: Ballot,
+        /// The digest of the content decided for that version, where the sender knows it.
+        digest: Option<u64>,
+    },
+}
+
 /// What a disk held at the start.
 #[derive(Clone, Debug, Default)]
 pub struct Saved {
     pub ballots: Option<Ballots>,
+    pub version_ballots: Vec<VersionBallot>,
     pub sheet: Option<Arc<Sheet>>,
     pub claims: Vec<(Key, Claim)>,
     /// The highest of each name.
@@ -190,6 +247,8 @@
     /// Settled, or taken: safe where that is promised.
     Taken,
     Newest(Option<Arc<Sheet>>),
+    /// Other content was decided under that version; this one is not and never will be in force.
+    Conflict,
     /// There is no room for it. It was not taken, and another steward may yet hold it if it was sent there.
     Full,
     /// What a session has come to; nothing where nobody has it.
@@ -276,8 +335,12 @@
         /// The name from which on papers are still to be told; told with and after the last part of the claims.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         next_paper: Option<Name>,
+        /// What was accepted for versions that are being decided; told with the last part of the claims.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        version_ballots: Vec<VersionBallot>,
     },
     Sessions(Vec<Said>),
+    Version(VersionMessage),
     /// Papers to be held.
     HoldPapers(Vec<Paper>),
     /// Asks for papers newer than these. A voter also says what it holds of these names, with that `ask`.
--- a/mesh/tests/agree.rs
+++ b/mesh/tests/agree.rs
@@ -279,6 +279,87 @@
     assert_eq!(core(&world, 2).view().number, 1);
 }
 
+/// Two operators send different content under one version through two replicas, then again through any of them, also
+/// after all were restarted: one is in force, the other is refused every time, nothing else changes.
+#[test]
+fn of_two_contents_under_one_version_one_is_taken_wherever_it_is_sent() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 4, 3, 3, 0);
+        world.calm(300 * MS);
+        for version in [3, 4, 9] {
+            let sheets = [b"one", b"two"].map(|text| Arc::new(Sheet::new(version, text.to_vec())));
+            let first = [0, 1].map(|n| {
+                let node = (seed as usize + n) % 4;
+                world.want(node, Want::Replace(sheets[n].clone()))
+            });
+            world.calm(800 * MS);
+            let won = usize::from(world.answers[&first[1]] == Got::Taken);
+            assert_eq!(world.answers[&first[won]], Got::Taken, "r{version}");
+            assert_eq!(world.answers[&first[1 - won]], Got::Conflict, "r{version}");
+            for round in 0..2 {
+                for node in 0..4 {
+                    let calls = [0, 1].map(|n| world.want(node, Want::Replace(sheets[n].clone())));
+                    world.calm(400 * MS);
+                    assert_eq!(world.answers[&calls[won]], Got::Taken, "r{version} at {node}");
+                    assert_eq!(world.answers[&calls[1 - won]], Got::Conflict, "r{version} at {node}");
+                    let read = world.want(node, Want::Read);
+                    world.calm(200 * MS);
+                    assert_eq!(world.answers[&read], Got::Newest(Some(sheets[won].clone())));
+                }
+                if round == 0 {
+                    (0..4).for_each(|node| world.crash(node));
+                    world.bag.clear();
+                    world.calm(600 * MS);
+                }
+            }
+        }
+        assert_eq!(world.broken, None);
+    }
+}
+
+/// Content was decided and hardly anybody holds it; one that accepted it loses its disk and comes back. Returns what a
+/// second content under that version comes to.
+fn second_content_after_a_lost_disk(mutant: u8) -> (Option<Got>, Option<String>) {
+    let mut world = World::new(1, 4, 3, 3, mutant);
+    world.calm(300 * MS);
+    let first = Arc::new(Sheet::new(5, b"one".to_vec()));
+    world.want(3, Want::Replace(first));
+    // The spare proposes; member 2 hears nothing of it, and nobody hears from the spare once it is decided.
+    while core(&world, 3).held().is_none() {
+        (0..4).for_each(|node| world.sync(node, usize::MAX));
+        world.bag.retain(|flying| flying.to != 2 || flying.letter.from.at != at(3));
+        assert!(!world.bag.is_empty(), "the ballot ends");
+        world.deliver(0);
+    }
+    world.bag.clear();
+    world.crash(3);
+    world.wipe(1);
+    world.start(1, false);
+    let others = [0, 1, 2];
+    let go = |world: &mut World, ms: u64, nodes: &[usize]| {
+        let end = world.now + ms * MS;
+        while world.now < end {
+            world.now += 50 * MS;
+            nodes.iter().for_each(|node| world.tick(*node));
+            world.settle_down();
+        }
+    };
+    go(&mut world, 3_000, &others);
+    assert!(core(&world, 1).voter() && core(&world, 1).view().number == 2);
+    // The other one that accepted it is away.
+    world.crash(0);
+    let second = world.want(2, Want::Replace(Arc::new(Sheet::new(5, b"two".to_vec()))));
+    go(&mut world, 1_000, &[1, 2]);
+    (world.answers.get(&second).cloned(), world.broken)
+}
+
+#[test]
+fn a_new_member_is_told_what_was_accepted_for_a_version() {
+    assert_eq!(second_content_after_a_lost_disk(0), (Some(Got::Conflict), None));
+    let (_, broken) = second_content_after_a_lost_disk(32);
+    assert_eq!(broken.as_deref(), Some(" r5: two contents are held"), "a mutant that does not tell");
+}
+
 fn keep(world: &mut World, node: usize, name: &str, version: u64) -> (u64, Paper) {
     let paper = world.paper(name, version);
     (world.want(node, Want::Paper(paper.clone())), paper)
@@ -626,6 +707,22 @@
     assert_eq!(world.answers[&again], Got::Held(Outcome::Open));
 }
 
+fn garbage_of_versions(chance: &mut ChaCha8Rng, sheet: Arc<Sheet>) -> VersionMessage {
+    let mut number = || [0, 1, 2, u64::MAX - 1, u64::MAX][chance.random_range(0..5)];
+    let ballot = Ballot { round: number(), by: number() };
+    let (version, digest) = (number(), Some(number()));
+    let promised = Ballot { round: number(), by: number() };
+    let name: Name = ["m/a", "", &"x".repeat(100)][chance.random_range(0..3)].into();
+    match chance.random_range(0..6) {
+        0 => VersionMessage::Prepare { name, version, ballot },
+        1 => VersionMessage::Promise { name, version, ballot, accepted: Some((promised, sheet)) },
+        2 => VersionMessage::Accept { name, ballot, sheet },
+        3 => VersionMessage::Accepted { name, version, ballot },
+        4 => VersionMessage::Outbid { name, version, ballot, promised },
+        _ => VersionMessage::Superseded { name, version, ballot, digest },
+    }
+}
+
 /// Any letter whatever, with numbers at their ends and ones that fit.
 fn garbage(chance: &mut ChaCha8Rng) -> Letter {
     fn number(chance: &mut ChaCha8Rng) -> u64 {
@@ -667,7 +764,8 @@
     let rank = (number(c), number(c));
     let name = ["m/a", "", "members"][c.random_range(0..3)].into();
     let paper = Paper { name, sheet: sheet.clone() };
-    let body = match c.random_range(0..22) {
+    let body = match c.random_range(0..24) {
+        22 | 23 => Body::Version(garbage_of_versions(c, sheet)),
         16 => Body::Bar(ballot(c)),
         17 => Body::Barred { ballot: ballot(c), accepted: Some((ballot(c), view(c))) },
         0 => Body::Beat {
@@ -713,6 +811,12 @@
             papers: vec![paper],
             next_paper: c.random::<bool>().then(|| "x".into()),
             sessions: vec![(key(c), Entry { epoch: number(c), token: number(c), taken: None })],
+            version_ballots: vec![VersionBallot {
+                name: "m/a".into(),
+                version: number(c),
+                promised: ballot(c),
+                accepted: Some((ballot(c), Arc::new(Sheet::new(1, Vec::new())))),
+            }],
         },
     };
     Letter { from: station(c), view: number(c), body }
--- a/mesh/tests/search.rs
+++ b/mesh/tests/search.rs
@@ -127,6 +127,7 @@
             }),
             11 => Some(Mood { papers: 60, hurry: 30, wipe: 8, scarce: Some("hold"), bulky: true, ..plain }),
             12 => Some(Mood { papers: 80, cut: 10, crash: 4, hurry: 40, nodes: 5, leaves: 1, ..plain }),
+            14 => Some(Mood { sheets: 60, papers: 60, lose: 15, double: 10, hurry: 40, crash: 6, ..plain }),
             _ => None,
         }
     }
@@ -215,8 +216,9 @@
         (Some(7), _) => world.leave(node),
         (Some(8), _) if world.up(node) => claimant(world, mood, node, holders),
         (Some(9), _) if world.up(node) => {
-            let want = match world.chance.random_range(0..2) {
+            let want = match world.chance.random_range(0..4) {
                 0 => Want::Replace(world.sheet()),
+                1 => Want::Replace(world.other_sheet()),
                 _ => Want::Read,
             };
             world.want(node, want);
@@ -382,9 +384,9 @@
 /// Walks until one is broken, or so many times. Says which one and how.
 fn search(name: &str, mutant: u8, on: Option<u64>, walks: u64) -> Option<String> {
     let began = Instant::now();
-    let (mut steps, mut seen) = (0, [0; 11]);
+    let (mut steps, mut seen) = (0, [0; 12]);
     for seed in 0..walks {
-        let world = walk(seed, mutant, on.unwrap_or(seed % 14));
+        let world = walk(seed, mutant, on.unwrap_or(seed % 15));
         steps += world.steps;
         seen.iter_mut().zip(world.seen).for_each(|(sum, more)| *sum += more);
         if let Some(broken) = world.broken {
@@ -394,7 +396,8 @@
     }
     println!(
         "{name}: {walks} walks, {steps} steps, {:?}; granted {}, held {}, taken {}, read {}, views {}, unsure {}, \
-         letters {}, disks lost {}, views undone {}, papers taken {}, read {}",
+         letters {}, disks lost {}, views undone {}, papers taken {}, read {}, \
+         refused {}",
         began.elapsed(),
         seen[0],
         seen[1],
@@ -406,7 +409,8 @@
         seen[7],
         seen[8],
         seen[9],
-        seen[10]
+        seen[10],
+        seen[11]
     );
     None
 }
@@ -517,13 +521,38 @@
     assert!(search("says_papers_are_held_before_the_disk_is_safe", 18, Some(12), walks(3000)).is_some());
 }
 
+#[test]
+fn notices_one_that_holds_content_that_was_not_decided() {
+    assert!(search("holds_content_that_was_not_decided", 30, Some(14), walks(3000)).is_some());
+}
+
+#[test]
+fn notices_one_that_refuses_what_was_taken() {
+    assert!(search("refuses_what_was_taken", 31, Some(14), walks(3000)).is_some());
+}
+
+#[test]
+fn notices_one_that_breaks_a_promise_on_a_version() {
+    assert!(search("breaks_a_promise_on_a_version", 33, Some(14), walks(3000)).is_some());
+}
+
+#[test]
+fn notices_one_that_takes_part_in_a_ballot_on_a_version_it_holds() {
+    assert!(search("takes_part_though_it_holds", 34, Some(14), walks(3000)).is_some());
+}
+
+#[test]
+fn notices_one_that_forgets_what_was_accepted_for_a_version() {
+    assert!(search("forgets_what_was_accepted_for_a_version", 35, Some(14), walks(3000)).is_some());
+}
+
 /// Shows how one walk ends.
 #[test]
 #[ignore = "to look closer at a walk that broke: SEED, MUTANT and ON say which"]
 fn show() {
     let given = |name: &str| std::env::var(name).ok().and_then(|given| given.parse::<u64>().ok());
     let seed = given("SEED").unwrap_or(0);
-    let world = walk(seed, given("MUTANT").unwrap_or(0) as u8, given("ON").unwrap_or(seed % 14));
+    let world = walk(seed, given("MUTANT").unwrap_or(0) as u8, given("ON").unwrap_or(seed % 15));
     println!("{:?}", world.broken);
     for node in &world.nodes {
         let core = node.core.as_ref();
--- a/mesh/tests/stewards/mod.rs
+++ b/mesh/tests/stewards/mod.rs
@@ -32,6 +32,7 @@
 #[derive(Clone, Default)]
 pub struct Disk {
     pub ballots: Option<Ballots>,
+    pub version_ballots: Vec<VersionBallot>,
     pub sheet: Option<Arc<Sheet>>,
     pub claims: BTreeMap<Key, Claim>,
     pub papers: BTreeMap<Name, Arc<Sheet>>,
@@ -42,6 +43,7 @@
     fn write(&mut self, record: Record) {
         match record {
             Record::Ballots(ballots) => self.ballots = Some(ballots),
+            Record::VersionBallots(ballots) => self.version_ballots = ballots,
             Record::Sheet(sheet) => self.sheet = Some(sheet),
             Record::Claim(key, claim) => {
                 self.claims.insert(key, claim);
@@ -67,7 +69,8 @@
             .iter()
             .map(|(name, sheet)| Paper { name: name.clone(), sheet: sheet.clone() })
             .collect();
-        Saved { ballots: self.ballots.clone(), sheet: self.sheet.clone(), claims, sessions, papers }
+        let (ballots, version_ballots) = (self.ballots.clone(), self.version_ballots.clone());
+        Saved { ballots, version_ballots, sheet: self.sheet.clone(), claims, sessions, papers }
     }
 }
 
@@ -135,10 +138,12 @@
     /// The bytes of a paper.
     pub bulk: usize,
     pub views: BTreeMap<u64, View>,
+    /// The one content that was ever held of each version of a register.
+    pub decided: BTreeMap<(Name, u64), u64>,
     pub people: people::People,
     pub broken: Option<String>,
     pub steps: u64,
-    pub seen: [u64; 11],
+    pub seen: [u64; 12],
 }
 
 pub const GRANTED: usize = 0;
@@ -152,6 +157,7 @@
 pub const UNDONE: usize = 8;
 pub const PAPERS: usize = 9;
 pub const PAPERS_READ: usize = 10;
+pub const REFUSED: usize = 11;
 
 impl World {
     /// So many nodes, of which the first ones are the first view.
@@ -203,10 +209,11 @@
             floors: BTreeMap::new(),
             bulk: 0,
             views: BTreeMap::new(),
+            decided: BTreeMap::new(),
             people: people::People::default(),
             broken: None,
             steps: 0,
-            seen: [0; 11],
+            seen: [0; 12],
         };
         set(&mut world);
         for node in 0..nodes {
@@ -393,6 +400,12 @@
         Arc::new(Sheet::new(self.next_version, vec![self.next_version as u8]))
     }
 
+    /// Another content under the version of the last one.
+    pub fn other_sheet(&mut self) -> Arc<Sheet> {
+        let content = [self.next_version as u8, self.chance.random_range(1..4)];
+        Arc::new(Sheet::new(self.next_version, content.to_vec()))
+    }
+
     /// The text of each tells its name, so that none is taken for another's.
     pub fn paper(&mut self, name: &str, version: u64) -> Paper {
         let mut bytes = name.as_bytes().to_vec();
@@ -415,11 +428,15 @@
     /// one before, in which it was found safe: whoever joins is told of it.
     fn is_on_most_disks(&self, node: usize, name: &Name, rank: (u64, u64)) -> bool {
         let Some(number) = self.nodes[node].core.as_ref().map(|core| core.view().number) else { return true };
+        let sheet_of = |disk: &Disk, name: &Name| match &**name {
+            "" => disk.sheet.clone(),
+            name => disk.papers.get(name).cloned(),
+        };
         let holds = |member: &&Station| {
             let node = self.nodes.iter().enumerate().find(|(node, _)| at(*node) == member.at);
             node.is_some_and(|(_, Node { disk, .. })| {
                 disk.ballots.as_ref().is_none_or(|ballots| ballots.me != **member)
-                    || disk.papers.get(name).is_some_and(|sheet| sheet.rank() >= rank)
+                    || sheet_of(disk, name).is_some_and(|sheet| sheet.rank() >= rank)
             })
         };
         let most = |view: &View| 2 * view.members.iter().filter(holds).count() > view.members.len();
@@ -427,6 +444,7 @@
     }
 
     fn act(&mut self, node: usize, out: Vec<Act>) {
+        self.look_at_held(node);
         for act in out {
             match act {
                 Act::Now(to, letter) => self.fly(node, to, letter),
@@ -478,8 +496,11 @@
             }
             (Asked::Replace(rank), Got::Taken) => {
                 self.seen[TAKEN] += 1;
+                self.confirmed(node, &"".into(), rank);
                 self.floor = self.floor.max(rank);
             }
+            (Asked::Replace(rank), Got::Conflict) => self.refused(&"".into(), rank),
+            (Asked::Paper(name, rank), Got::Conflict) => self.refused(&name, rank),
             (Asked::Read { floor }, Got::Newest(sheet)) => {
                 self.seen[READ] += 1;
                 let rank = sheet.map_or((0, 0), |sheet| sheet.rank());
@@ -493,6 +514,7 @@
             }
             (Asked::Paper(name, rank), Got::Taken) => {
                 self.seen[PAPERS] += 1;
+                self.confirmed(node, &name, rank);
                 self.raise(&name, rank);
                 if !self.is_on_most_disks(node, &name, rank) {
                     self.broke(format!("{name} {rank:?} acknowledged by fewer than more than half"));
@@ -520,6 +542,41 @@
         }
     }
 
+    /// An order was confirmed: it is the content decided under its version, or a later version is on most disks.
+    fn confirmed(&mut self, node: usize, name: &Name, (version, digest): (u64, u64)) {
+        let decided = self.decided.get(&(name.clone(), version)).copied();
+        if decided == Some(digest) {
+            return;
+        }
+        let of_name = (name.clone(), version + 1)..=(name.clone(), u64::MAX);
+        let later: Vec<(u64, u64)> =
+            self.decided.range(of_name).map(|((_, later), digest)| (*later, *digest)).collect();
+        if !later.into_iter().any(|rank| self.is_on_most_disks(node, name, rank)) {
+            self.broke(format!("{name} r{version} confirmed, where {decided:?} was decided"));
+        }
+    }
+
+    /// An order was refused: other content must have been decided under its version.
+    fn refused(&mut self, name: &Name, (version, digest): (u64, u64)) {
+        self.seen[REFUSED] += 1;
+        if self.decided.get(&(name.clone(), version)).is_none_or(|decided| *decided == digest) {
+            self.broke(format!("{name} r{version} refused, which was taken or may yet be"));
+        }
+    }
+
+    /// Whatever a steward holds is the only content of its version.
+    fn look_at_held(&mut self, node: usize) {
+        let Some(core) = &self.nodes[node].core else { return };
+        let configuration = core.held().map(|sheet| ("".into(), sheet.rank()));
+        let papers = core.papers().filter_map(|paper| Some((paper.name, paper.held?.rank())));
+        for (name, (version, digest)) in configuration.into_iter().chain(papers).collect::<Vec<_>>() {
+            let decided = *self.decided.entry((name.clone(), version)).or_insert(digest);
+            if decided != digest {
+                self.broke(format!("{name} r{version}: two contents are held"));
+            }
+        }
+    }
+
     /// What must hold of a steward at all times.
     fn look(&mut self, node: usize) {
         let Some(core) = &self.nodes[node].core else { return };
@@ -628,9 +685,9 @@
     }
 }
 
-pub const KINDS: [&str; 13] = [
+pub const KINDS: [&str; 14] = [
     "beat", "holds", "prepare", "promise", "accept", "accepted", "back", "grant", "granted", "settle",
-    "hold", "held", "state",
+    "hold", "held", "state", "version",
 ];
 
 fn kind(body: &Body) -> &'static str {
@@ -647,6 +704,7 @@
         Body::Settle(_) => "settle",
         Body::Hold(_) | Body::HoldPapers(_) => "hold",
         Body::Sessions(_) => "session",
+        Body::Version(_) => "version",
         Body::Held { .. } | Body::WantSheet { .. } => "held",
         Body::PapersHeld { .. } | Body::WantPapers { .. } | Body::ListPapers(_) => "held",
         Body::WantState { .. } | Body::State { .. } => "state",
