--- a/balancer/tests/mesh.rs
+++ b/balancer/tests/mesh.rs
@@ -336,3 +336,33 @@
     load.go_on(200);
     load.end();
 }
+
+/// Guards against two operators who are both told 200 under one number: of eight contents under each version, sent to
+/// three stewards in turn, one is taken, the others are refused, and what is read back stays what it was.
+#[test]
+fn of_many_contents_under_one_version_one_is_confirmed_and_read_back() {
+    let town = Town::start();
+    for version in 2..8 {
+        let contents: Vec<String> =
+            (0..8).map(|n| timetable(version, &route(&format!("/v{n}/"), "resendable", "alpha"))).collect();
+        // The first two at once, as two operators do.
+        let both = Barrier::new(2);
+        let at_once = |n: usize| {
+            both.wait();
+            town.operate(n, "replace", &contents[n]).expect("an answer").status().to_owned()
+        };
+        let first = thread::scope(|scope| {
+            let other = scope.spawn(|| at_once(1));
+            [at_once(0), other.join().expect("an answer")]
+        });
+        let one = first.iter().filter(|status| **status == "200").count();
+        assert!(one == 1 && first.iter().any(|status| status == "409"), "r{version}: {first:?}");
+        let won = usize::from(first[1] == "200");
+        for n in (0..8).chain(0..2) {
+            let answer = town.operate(n % STEWARDS, "replace", &contents[n]).expect("an answer");
+            assert_eq!(answer.status(), if n == won { "200" } else { "409" }, "r{version}, content {n}");
+            let read = town.operate((n + 1) % STEWARDS, "read", "").expect("an answer");
+            assert_eq!((read.status(), read.text() == contents[won]), ("200", true), "r{version}, {n}");
+        }
+    }
+}
