--- a/mesh/tests/stewards/mod.rs
+++ b/mesh/tests/stewards/mod.rs
@@ -29,7 +29,7 @@
     Arc::new(Answer { status: 200, headers: Vec::new(), body: token.to_be_bytes().to_vec() })
 }
 
-#[derive(Clone, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Disk {
     pub ballots: Option<Ballots>,
     pub version_ballots: Vec<VersionBallot>,
@@ -74,6 +74,7 @@
     }
 }
 
+#[derive(Clone)]
 pub struct Node {
     pub core: Option<Core>,
     pub disk: Disk,
@@ -85,6 +86,7 @@
     safe_papers: BTreeMap<Name, (u64, u64)>,
 }
 
+#[derive(Clone)]
 pub struct Flying {
     pub to: usize,
     /// Letters to oneself end with the life.
@@ -92,6 +94,7 @@
     pub letter: Letter,
 }
 
+#[derive(Clone)]
 pub enum Asked {
     Claim(Key, Token),
     Settle,
@@ -102,6 +105,7 @@
     Session { session: Session, floor: Option<u64> },
 }
 
+#[derive(Clone)]
 pub struct World {
     pub now: u64,
     pub nodes: Vec<Node>,
--- a/mesh/tests/stewards/people.rs
+++ b/mesh/tests/stewards/people.rs
@@ -7,7 +7,7 @@
 
 use super::Asked;
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct People {
     /// All that any steward ever took, and all that was agreed.
     taken: BTreeMap<(Session, u64), Agreed>,
--- a/mesh/tests/worst_days.rs
+++ b/mesh/tests/worst_days.rs
@@ -80,7 +80,7 @@
     go_on(&mut world, 600, |_| {});
     let mut came = Cutoff::default();
     let mut calls: Vec<(u64, usize, Option<Arc<Sheet>>)> = Vec::new();
-    let mut operate = |world: &mut World, calls: &mut Vec<(u64, usize, Option<Arc<Sheet>>)>| {
+    let operate = |world: &mut World, calls: &mut Vec<(u64, usize, Option<Arc<Sheet>>)>| {
         let node = world.chance.random_range(0..4);
         if !world.up(node) {
             return;
