--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -502,6 +502,11 @@
         }
     }
 
+    /// How many records of other places it has.
+    pub fn records(&self) -> usize {
+        held(&self.rows).len()
+    }
+
     fn ready(&self) -> bool {
         !self.leaving.load(Relaxed)
             && !self.core_silent()
--- a/balancer/src/mesh/door.rs
+++ b/balancer/src/mesh/door.rs
@@ -536,7 +536,8 @@
         }
     }
 
-    fn beat(self: &Arc<Self>, of: &str, body: &[u8]) -> Result<(), &'static str> {
+    /// What the upstream tells of itself.
+    pub fn beat(self: &Arc<Self>, of: &str, body: &[u8]) -> Result<(), &'static str> {
         let text = std::str::from_utf8(body).map_err(|_| "not UTF-8")?;
         let beat = jzon::parse(text).map_err(|_| "no JSON")?;
         let (notice, status) = (&beat["notice"], &beat["status"]);
--- /dev/null
+++ b/balancer/src/mesh/hollow.rs
@@ -0,0 +1,234 @@
+//! Hollow attendants: a load tool for the control plane. Many attendants in one process that watch, send heartbeats,
+//! report and claim keys by the same code as a real one, each with its own connections and its own copy of the endpoint
+//! table, but without a data plane: no socket listens, no request is served, and the upstream beside each is made up.
+//!
+//! Commands come on standard input, a line each: `changes N` (endpoint records that change a second, of all together),
+//! `claims N` (keys claimed and settled a second, of all together), `figures` (prints a line), `end`.
+
+use std::io::BufRead;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed};
+use std::time::{Duration, SystemTime};
+
+use ochreshed_mesh::words::{Got, Outcome, Token};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::attendant::Branch;
+use super::settings::{Settings, SettingsError};
+use super::{keys, news, start};
+use crate::clock::Clock;
+
+/// How often it is looked whether all have a configuration.
+const LOOK: Duration = Duration::from_millis(5);
+/// How long a claim may take.
+const CLAIM: Duration = Duration::from_millis(900);
+/// As many attendants are started at a time, and how long after them the next ones are.
+const STARTED_AT_ONCE: usize = 20;
+const START_PAUSE: Duration = Duration::from_millis(50);
+/// Slots of each made-up upstream.
+const SLOTS: u32 = 6;
+
+/// What is asked for on the command line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Wanted {
+    /// How many attendants.
+    pub count: usize,
+    /// The number of the first one, so that several processes have different ones.
+    pub first: usize,
+    /// Control addresses of stewards.
+    pub seeds: Vec<SocketAddr>,
+    /// The port that the system's own processes use on all machines.
+    pub inner: u16,
+    /// How many services the upstreams are of.
+    pub services: usize,
+}
+
+/// All hollow attendants of this process.
+struct Fleet {
+    branches: Vec<Arc<Branch>>,
+    wanted: Wanted,
+    changes_per_s: AtomicUsize,
+    claims_per_s: AtomicUsize,
+    claimed: AtomicU64,
+    /// Claims that were not granted in their time.
+    missed: AtomicU64,
+    /// Nanoseconds that claims took, together.
+    claim_time: AtomicU64,
+}
+
+pub fn run(wanted: Wanted) -> Result<ExitCode, SettingsError> {
+    let settings = Settings::parse(&settings_of(&wanted)).map_err(SettingsError::Bad)?;
+    start::logs();
+    log::set_max_level(log::LevelFilter::Warn);
+    Ok(start::block_on(load(wanted, settings)))
+}
+
+fn settings_of(wanted: &Wanted) -> String {
+    let seeds: Vec<String> = wanted.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+    format!(
+        "station = \"hollow\"\nrole = \"hollow\"\nip = \"127.0.0.1\"\nzone = \"a\"\nregion = \"r\"\n\
+         inner_ports = [{inner}, {inner}]\nseed_stations = [{seeds}]\nline = \"s0\"\napp = \"127.0.0.1:1\"\n\
+         [tolerate]\nmachines = 1\n",
+        inner = wanted.inner,
+        seeds = seeds.join(", "),
+    )
+}
+
+/// An address that no socket has: the records of hollow attendants are told apart by it.
+fn address(number: usize) -> SocketAddr {
+    let [_, b, c, d] = (number as u32).to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(127, 200 + b, c, d), 9))
+}
+
+async fn load(wanted: Wanted, settings: Settings) -> ExitCode {
+    let clock = Clock::new();
+    let branches = (0..wanted.count).map(|nth| {
+        let branch = Branch::new(settings.clone(), address(wanted.first + nth), clock);
+        branch.door.serving.store(true, Relaxed);
+        branch
+    });
+    let fleet = Arc::new(Fleet {
+        branches: branches.collect(),
+        wanted,
+        changes_per_s: AtomicUsize::new(0),
+        claims_per_s: AtomicUsize::new(0),
+        claimed: AtomicU64::new(0),
+        missed: AtomicU64::new(0),
+        claim_time: AtomicU64::new(0),
+    });
+    tokio::spawn(fleet.clone().start());
+    tokio::spawn(fleet.clone().tell_versions());
+    tokio::spawn(fleet.clone().change());
+    tokio::spawn(fleet.clone().claim());
+    let mut commands = commands();
+    while let Some(line) = commands.recv().await {
+        let (word, number) = line.split_once(' ').unwrap_or((&line, "0"));
+        let number = number.trim().parse().unwrap_or(0);
+        match word {
+            "changes" => fleet.changes_per_s.store(number, Relaxed),
+            "claims" => fleet.claims_per_s.store(number, Relaxed),
+            "figures" => println!("{}", fleet.figures()),
+            "end" => break,
+            _ => eprintln!("not known: {line}"),
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+/// Lines of standard input; its end ends the process.
+fn commands() -> mpsc::UnboundedReceiver<String> {
+    let (send, lines) = mpsc::unbounded_channel();
+    std::thread::spawn(move || {
+        for line in std::io::stdin().lock().lines().map_while(Result::ok) {
+            if send.send(line).is_err() {
+                return;
+            }
+        }
+    });
+    lines
+}
+
+impl Fleet {
+    async fn start(self: Arc<Self>) {
+        for (nth, branch) in self.branches.iter().enumerate() {
+            self.new_life(nth, 0);
+            let many = 2;
+            (0..many).for_each(|which| drop(tokio::spawn(news::ask(branch.clone(), which, many))));
+            if nth % STARTED_AT_ONCE == STARTED_AT_ONCE - 1 {
+                sleep(START_PAUSE).await;
+            }
+        }
+    }
+
+    /// The upstream beside an attendant begins another life.
+    fn new_life(&self, nth: usize, life: u64) {
+        let number = self.wanted.first + nth;
+        let beat = format!(
+            r#"{{"address":"127.0.0.1:1","notice":{{"line":"s{}","edition":"v1","zone":"a","pigeonholes":{SLOTS}}},
+            "status":{{"state":"open_for_post","postmark_seq":1,"cold_left_ms":0}}}}"#,
+            number % self.wanted.services
+        );
+        if let Err(why) = self.branches[nth].door.beat(&format!("h-{number}-{life}"), beat.as_bytes()) {
+            eprintln!("a beat was refused: {why}");
+        }
+    }
+
+    /// Prints each version once all have it in force, with the time of day in ms.
+    async fn tell_versions(self: Arc<Self>) {
+        let version =
+            |branch: &Arc<Branch>| branch.timetable.load().as_ref().map_or(0, |timetable| timetable.version);
+        let mut told = 0;
+        loop {
+            let least = self.branches.iter().map(version).min().unwrap_or(0);
+            if least > told {
+                told = least;
+                let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+                println!("version {least} {}", now.as_millis());
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Changes records one after the other, at the pace that was asked for.
+    async fn change(self: Arc<Self>) {
+        let (mut next, mut life, mut nth) = (Instant::now(), 1, 0);
+        loop {
+            let per_s = self.changes_per_s.load(Relaxed);
+            next = paced(next, per_s).await;
+            if per_s > 0 {
+                self.new_life(nth, life);
+                nth += 1;
+                if nth == self.branches.len() {
+                    (nth, life) = (0, life + 1);
+                }
+            }
+        }
+    }
+
+    async fn claim(self: Arc<Self>) {
+        let (mut next, mut number) = (Instant::now(), 0_u64);
+        loop {
+            let per_s = self.claims_per_s.load(Relaxed);
+            next = paced(next, per_s).await;
+            if per_s > 0 {
+                number += 1;
+                tokio::spawn(self.clone().claim_one(number));
+            }
+        }
+    }
+
+    async fn claim_one(self: Arc<Self>, number: u64) {
+        let branch = &self.branches[number as usize % self.branches.len()];
+        let token: Token = branch.draw();
+        let key = u128::from(token) << 64 | u128::from(number);
+        let began = Instant::now();
+        let got = keys::claim(&branch.stewards, &branch.callers, (key, token), 900, CLAIM).await;
+        self.claim_time.fetch_add(began.elapsed().as_nanos() as u64, Relaxed);
+        self.claimed.fetch_add(1, Relaxed);
+        if got == Got::Granted {
+            let settled = Some(Outcome::Unknown);
+            keys::settle(branch.stewards.clone(), branch.callers.clone(), (key, token), settled);
+        } else {
+            self.missed.fetch_add(1, Relaxed);
+        }
+    }
+
+    /// Attendants, those of whose tables the least is told, claims, those missed, and the mean of a claim in us.
+    fn figures(&self) -> String {
+        let records = self.branches.iter().map(|branch| branch.records()).min().unwrap_or(0);
+        let (claimed, missed) = (self.claimed.load(Relaxed), self.missed.load(Relaxed));
+        let mean_us = self.claim_time.load(Relaxed) / 1_000 / claimed.max(1);
+        format!("figures {} {records} {claimed} {missed} {mean_us}", self.branches.len())
+    }
+}
+
+/// Waits for the next of so many a second, and tells when it was; looks again soon where there are none.
+async fn paced(last: Instant, per_s: usize) -> Instant {
+    let step = if per_s == 0 { LOOK * 10 } else { Duration::from_secs(1) / per_s as u32 };
+    let next = (last + step).max(Instant::now() - Duration::from_millis(200));
+    sleep_until(next).await;
+    next
+}
--- a/balancer/src/mesh/line.rs
+++ b/balancer/src/mesh/line.rs
@@ -10,6 +10,8 @@
 
 use pico_args::Arguments;
 
+use super::hollow;
+
 /// The mesh's part of `ochreshed help`.
 pub const HELP: &str = "    ochreshed attendant [--settings FILE]
                                       serve a branch of the mesh until SIGTERM
@@ -17,6 +19,8 @@
                                       serve a sorting machine of the mesh until SIGTERM
     ochreshed settings [--settings FILE]
                                       read and check the settings of a mesh process, say what they amount to, and exit
+    ochreshed hollow --count N --inner PORT --seed ADDRESS
+                                      load a mesh with attendants that have no data plane, to measure its control plane
     ochreshed nodes --at ADDRESS      the stewards and attendants that the steward there knows
     ochreshed upstreams --at ADDRESS  the servers of each line, and how they do
     ochreshed timetable read|replace FILE|history|diff FILE --at ADDRESS
@@ -62,6 +66,23 @@
     -h, --help         this page
 ";
 
+const HELP_HOLLOW: &str = "\
+ochreshed hollow --count N --inner PORT --seed ADDRESS [--seed ADDRESS] [--first K] [--services S]
+
+Loads a mesh of one's own with N attendants in one process that watch, send heartbeats, report and claim keys, and have
+no data plane. Not for a mesh in service: their upstreams do not exist, and requests sent there fail.
+
+Commands on standard input, a line each: changes N (records that change a second), claims N (keys a second), figures
+(prints: figures ATTENDANTS RECORDS CLAIMS MISSED MEAN_US), end. Prints `version V MS` once all have a configuration.
+
+    --count N          how many attendants, 1 to 5000
+    --inner PORT       the first of the mesh's inner_ports
+    --seed ADDRESS     the control gate of a steward, as 10.1.0.13:8306
+    --first K          the number of the first one, where several processes load one mesh; 0 without it
+    --services S       how many services their upstreams are of, 1 to 1000; 10 without it
+    -h, --help         this page
+";
+
 const HELP_NODES: &str = "\
 ochreshed nodes --at ADDRESS [--at ADDRESS] [--json]
 
@@ -186,10 +207,11 @@
 ";
 
 /// The mesh's words and their help.
-const WORDS: [(&str, &str); 12] = [
+const WORDS: [(&str, &str); 13] = [
     ("attendant", HELP_ATTENDANT),
     ("steward", HELP_STEWARD),
     ("settings", HELP_SETTINGS),
+    ("hollow", HELP_HOLLOW),
     ("nodes", HELP_NODES),
     ("upstreams", HELP_UPSTREAMS),
     ("timetable", HELP_TIMETABLE),
@@ -209,6 +231,11 @@
 const KEY: &str = "--key";
 const SETTINGS: &str = "--settings";
 const AT: &str = "--at";
+const SEED: &str = "--seed";
+const COUNT: &str = "--count";
+const INNER: &str = "--inner";
+const FIRST: &str = "--first";
+const SERVICES: &str = "--services";
 const JSON: &str = "--json";
 const SERVICE: &str = "--service";
 const HEADER: &str = "--header";
@@ -220,6 +247,7 @@
     Attendant { settings: Option<PathBuf> },
     Steward { settings: Option<PathBuf> },
     Settings { settings: Option<PathBuf> },
+    Hollow(hollow::Wanted),
     Client { at: Vec<SocketAddr>, json: bool, what: What },
 }
 
@@ -294,6 +322,8 @@
     Wants(&'static str, &'static str),
     /// Of that command, what is given as --at and is no address.
     NoAddress(&'static str, String),
+    /// Of that command, an option with a value that it can't have.
+    Value(&'static str, &'static str, String),
     /// Of that command, a word that is no text.
     NoText(&'static str, String),
 }
@@ -328,6 +358,10 @@
                 write!(f, "--at wants an IP number and a port, and {told} is none")?;
                 command
             }
+            LineError::Value(command, option, told) => {
+                write!(f, "{option} can't be {told}")?;
+                command
+            }
             LineError::NoText(command, told) => {
                 write!(f, "{told} is no text in UTF-8")?;
                 command
@@ -377,6 +411,7 @@
             "attendant" => self.process(|settings| Command::Attendant { settings }),
             "steward" => self.process(|settings| Command::Steward { settings }),
             "settings" => self.process(|settings| Command::Settings { settings }),
+            "hollow" => self.hollow(),
             _ => self.client(),
         }
     }
@@ -393,6 +428,42 @@
         Ok(of(file.map(PathBuf::from)))
     }
 
+    fn hollow(mut self) -> Result<Command, LineError> {
+        let command = self.command;
+        let told = self.values(SEED)?;
+        let bad_seed = |told: &OsString| LineError::Value(command, SEED, told.to_string_lossy().into_owned());
+        let seed = |told: &OsString| address(command, told).map_err(|_| bad_seed(told));
+        let seeds = told.iter().map(seed).collect::<Result<Vec<_>, _>>()?;
+        let count = self.number(COUNT, 1..=5_000)?.ok_or(LineError::Wants(command, COUNT))?;
+        let inner = self.number(INNER, 1..=65_535)?.ok_or(LineError::Wants(command, INNER))?;
+        let first = self.number(FIRST, 0..=1_000_000)?.unwrap_or(0);
+        let services = self.number(SERVICES, 1..=1_000)?.unwrap_or(10);
+        if seeds.is_empty() {
+            return Err(LineError::Wants(command, SEED));
+        }
+        let words = self.words(&[SEED, COUNT, INNER, FIRST, SERVICES])?;
+        nothing_left(command, words.into_iter())?;
+        let inner = inner as u16;
+        Ok(Command::Hollow(hollow::Wanted { count, first, seeds, inner, services }))
+    }
+
+    /// An option's number, which may be told once.
+    fn number(
+        &mut self,
+        name: &'static str,
+        within: std::ops::RangeInclusive<usize>,
+    ) -> Result<Option<usize>, LineError> {
+        let mut told = self.values(name)?;
+        if told.len() > 1 {
+            return Err(LineError::Twice(self.command, name));
+        }
+        let Some(text) = told.pop() else { return Ok(None) };
+        let number = text.to_str().and_then(|text| text.parse().ok());
+        let number = number.filter(|number| within.contains(number));
+        let bad = || LineError::Value(self.command, name, text.to_string_lossy().into_owned());
+        number.ok_or_else(bad).map(Some)
+    }
+
     fn client(mut self) -> Result<Command, LineError> {
         let command = self.command;
         let mut json = false;
--- a/balancer/src/mesh/mod.rs
+++ b/balancer/src/mesh/mod.rs
@@ -16,6 +16,7 @@
 mod gate;
 #[cfg(test)]
 mod gate_tests;
+mod hollow;
 mod keys;
 mod line;
 mod members;
@@ -42,6 +43,7 @@
         Ok(Command::Attendant { settings }) => attendant::run(settings).map_err(|why| why.to_string()),
         Ok(Command::Steward { settings }) => steward::run(settings).map_err(|why| why.to_string()),
         Ok(Command::Settings { settings }) => client::settings(settings).map_err(|why| why.to_string()),
+        Ok(Command::Hollow(wanted)) => hollow::run(wanted).map_err(|why| why.to_string()),
         Ok(Command::Client { at, json, what }) => client::ask(&at, json, what),
         Err(LineError::Help(text)) => {
             print!("{text}");
