Crates consensus and storage out of mesh and balancer; tests of kept connections; glossary

Need: the map of names and layout; one store of 1,800 lines with its tests inside, the agreement in the crate of the tables. Change: consensus/ (membership, registers, leases, sessions, version ballots: files renamed to the field's terms, code as it was), storage/ (error, folder, frame, store with ballots, registers, lease log; tests in their file). docs/consensus.md, mesh-rules.md, glossary.md; packages in deploy/system.toml. One hop against an upstream that is silent, resets, half-closes, answers twice, late, early or for another.

Measured: behaviour unchanged, all tests of consensus, storage, mesh and the program pass; of nine cases on kept connections each arrives once; without the look at the id the wrong answer is taken.

--- a/balancer/benches/claims.rs
+++ b/balancer/benches/claims.rs
@@ -18,7 +18,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use ochreshed_mesh::words::{Answer, Got, Key, Outcome, Token, Want};
+use ochreshed_consensus::messages::{Answer, Got, Key, Outcome, Token, Want};
 use serde::{Deserialize, Serialize};
 use town::*;
 
--- a/balancer/src/mesh/docs.rs
+++ b/balancer/src/mesh/docs.rs
@@ -7,11 +7,11 @@
 use std::sync::Arc;
 
 use ochreshed::Name;
+use ochreshed_consensus::messages::{Paper, Sheet};
 use ochreshed_mesh::lay::{self, Laid};
 use ochreshed_mesh::members::{MemberDoc, Register};
 use ochreshed_mesh::parcels::Rank;
 use ochreshed_mesh::timetable::Timetable;
-use ochreshed_mesh::words::{Paper, Sheet};
 
 /// The register's name; a member's documents are named by a letter and the member.
 pub const REGISTER: &str = "members";
--- a/balancer/src/mesh/fence.rs
+++ b/balancer/src/mesh/fence.rs
@@ -5,8 +5,8 @@
 use std::sync::Mutex;
 
 use ochreshed::Nanos;
-use ochreshed_mesh::agree::SESSION_IDLE;
-use ochreshed_mesh::words::Session;
+use ochreshed_consensus::core::SESSION_IDLE;
+use ochreshed_consensus::messages::Session;
 
 use crate::link::held;
 
--- a/balancer/src/mesh/gate.rs
+++ b/balancer/src/mesh/gate.rs
@@ -10,10 +10,10 @@
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use ochreshed::{How, Name, Nanos, Req, seconds};
+use ochreshed_consensus::messages::{Answer, Got, Key, Outcome, Token};
 use ochreshed_mesh::fared::{Edition, Fared};
 use ochreshed_mesh::slots::Part;
 use ochreshed_mesh::timetable::{Kind, Route};
-use ochreshed_mesh::words::{Answer, Got, Key, Outcome, Token};
 use tokio::sync::oneshot;
 
 use super::attendant::{Branch, Inside};
--- a/balancer/src/mesh/gate_tests.rs
+++ b/balancer/src/mesh/gate_tests.rs
@@ -8,12 +8,12 @@
 
 use expect_test::expect;
 use ochreshed::Name;
+use ochreshed_consensus::messages::{Answer, Got, Outcome, Sheet, Want};
 use ochreshed_mesh::fared::{Edition, Fared};
 use ochreshed_mesh::lay::lay;
 use ochreshed_mesh::list::{Row, Stand};
 use ochreshed_mesh::members::{MemberDoc, Register};
 use ochreshed_mesh::timetable::Timetable;
-use ochreshed_mesh::words::{Answer, Got, Outcome, Sheet, Want};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
--- a/balancer/src/mesh/hollow.rs
+++ b/balancer/src/mesh/hollow.rs
@@ -12,7 +12,7 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::time::{Duration, SystemTime};
 
-use ochreshed_mesh::words::{Got, Outcome, Token};
+use ochreshed_consensus::messages::{Got, Outcome, Token};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, sleep_until};
 
--- a/balancer/src/mesh/keys.rs
+++ b/balancer/src/mesh/keys.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
+use ochreshed_consensus::messages::{Got, Key, Outcome, Token, Want};
 use ochreshed_mesh::news::Known;
-use ochreshed_mesh::words::{Got, Key, Outcome, Token, Want};
 use tokio::time::{sleep, sleep_until};
 use xxhash_rust::xxh3::xxh3_128;
 
--- a/balancer/src/mesh/members.rs
+++ b/balancer/src/mesh/members.rs
@@ -13,13 +13,13 @@
 use hyper::Response;
 use hyper::header::HeaderValue;
 use ochreshed::Name;
+use ochreshed_consensus::messages::{Got, Paper, Sheet, Want};
 use ochreshed_mesh::calls::Carried;
 use ochreshed_mesh::fared::{Edition, Fared};
 use ochreshed_mesh::lay;
 use ochreshed_mesh::members::{Member, MemberDoc, Register};
 use ochreshed_mesh::timetable::Timetable;
 use ochreshed_mesh::trial::{Ended, Verdict, verdict};
-use ochreshed_mesh::words::{Got, Paper, Sheet, Want};
 use serde_json::json;
 use sha2::{Digest, Sha256};
 use tokio::sync::Semaphore;
@@ -29,7 +29,6 @@
 use super::docs::{self, Docs, Own, REGISTER};
 use super::entry::{Came, json as answer, say};
 use super::steward::{OPERATOR, Office, read_body};
-use super::store;
 use super::wire::{Ask, Reply};
 use crate::link::held;
 
@@ -360,7 +359,7 @@
 async fn versions(office: &Office, name: &str) -> Result<Vec<Sheet>, Refused> {
     let Some(dir) = office.settings.load().data_dir.clone() else { return Ok(Vec::new()) };
     let paper = docs::settled(name);
-    let read = tokio::task::spawn_blocking(move || store::history(&dir, &paper)).await;
+    let read = tokio::task::spawn_blocking(move || ochreshed_storage::history(&dir, &paper)).await;
     read.ok().and_then(Result::ok).ok_or_else(|| Refused::new(503, "the disk can't be read now"))
 }
 
--- a/balancer/src/mesh/mod.rs
+++ b/balancer/src/mesh/mod.rs
@@ -4,6 +4,8 @@
 mod attendant;
 mod berths;
 mod carry;
+#[cfg(test)]
+mod carry_tests;
 mod client;
 mod desk;
 #[cfg(test)]
@@ -29,7 +31,6 @@
 mod settings;
 mod start;
 mod steward;
-mod store;
 mod wire;
 
 use std::process::ExitCode;
--- a/balancer/src/mesh/pages.rs
+++ b/balancer/src/mesh/pages.rs
@@ -8,11 +8,11 @@
 use std::time::UNIX_EPOCH;
 
 use ochreshed::{Name, Nanos};
-use ochreshed_mesh::agree::{Core, Known, SessionCounts};
+use ochreshed_consensus::core::{Core, Known, SessionCounts};
+use ochreshed_consensus::messages::{Claim, Key, Outcome};
 use ochreshed_mesh::fared::{Edition, Fared};
 use ochreshed_mesh::health::Ill;
 use ochreshed_mesh::list::{Row, Stand, Table};
-use ochreshed_mesh::words::{Claim, Key, Outcome};
 use serde::Serialize;
 
 use super::keys;
@@ -623,8 +623,8 @@
 mod tests {
     use super::*;
     use expect_test::expect;
+    use ochreshed_consensus::messages::{Answer, Station};
     use ochreshed_mesh::budget::{Figures, Report, Reports};
-    use ochreshed_mesh::words::{Answer, Station};
     use std::sync::Arc;
 
     fn at(host: u8, port: u16) -> SocketAddr {
--- a/balancer/src/mesh/session_calls.rs
+++ b/balancer/src/mesh/session_calls.rs
@@ -3,8 +3,8 @@
 
 use std::net::SocketAddr;
 
-use ochreshed_mesh::agree::SessionCounts;
-use ochreshed_mesh::words::{Agreed, Got, Holder, Session, Want, Wish};
+use ochreshed_consensus::core::SessionCounts;
+use ochreshed_consensus::messages::{Agreed, Got, Holder, Session, Want, Wish};
 
 /// What is wanted of one session: `sessions.show`, `sessions.forget`, and `sessions.move`, which wants the door `to` as
 /// well; `of` is the session in hex.
--- a/balancer/src/mesh/sessions.rs
+++ b/balancer/src/mesh/sessions.rs
@@ -9,7 +9,7 @@
 
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use ochreshed::{Name, Nanos};
-use ochreshed_mesh::words::{Agreed, Got, Holder, Key, Session, Tie, Want, Wish};
+use ochreshed_consensus::messages::{Agreed, Got, Holder, Key, Session, Tie, Want, Wish};
 use sha2::{Digest, Sha256};
 use tokio::sync::OwnedMutexGuard;
 use tokio::time::{Instant, timeout};
--- a/balancer/src/mesh/wire.rs
+++ b/balancer/src/mesh/wire.rs
@@ -10,9 +10,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use ochreshed_consensus::messages::Letter;
 pub use ochreshed_mesh::calls::{Ask, NewsAsk, NewsReply, Reply};
 use ochreshed_mesh::calls::{Frame, MOST_FRAME, encode};
-use ochreshed_mesh::words::Letter;
 use serde::de::DeserializeOwned;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
--- a/mesh/src/agree.rs
+++ b/consensus/src/core.rs
@@ -16,20 +16,20 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::words::{
+use crate::messages::{
     Act, Ballot, Ballots, Body, Claim, Got, Grant, Key, Letter, Name, Outcome, Paper, Record, Said, Saved,
     Sheet, Station, Token, View, Want,
 };
 
-mod answers;
-mod keys;
-pub mod papers;
+mod kept_answers;
+mod leases;
+mod membership;
+pub mod named_registers;
+mod registers;
+mod rollback;
 mod sessions;
-mod sheet;
-mod spread;
-mod undo;
-mod versions;
-mod view;
+mod version_ballots;
+mod zones;
 
 pub use sessions::{SESSION_IDLE, SessionCounts};
 
@@ -167,9 +167,9 @@
 /// A call that waits for its answer.
 #[derive(Clone, Debug)]
 enum Call {
-    Claim(keys::Asked),
-    Replace(sheet::Replacing),
-    Read(sheet::Reading),
+    Claim(leases::Asked),
+    Replace(registers::Replacing),
+    Read(registers::Reading),
     Session(Box<sessions::Changing>),
 }
 
@@ -190,12 +190,12 @@
     voter: bool,
     promised: Ballot,
     accepted: Option<(Ballot, View)>,
-    attempt: Option<view::Attempt>,
+    attempt: Option<membership::Attempt>,
     next_try: Nanos,
     /// A change of the view is wished, and was a moment ago.
     wishing: bool,
     top_round: u64,
-    catching: Option<view::Catching>,
+    catching: Option<membership::Catching>,
     /// It voted until this view began, and may tell its new member what it held.
     left: Option<u64>,
     /// It told another in this view what it holds; or it never will.
@@ -203,19 +203,19 @@
     barred: bool,
 
     /// The newest configuration, and the papers by name.
-    sheet: sheet::Register,
-    papers: papers::Papers,
+    sheet: registers::Register,
+    papers: named_registers::Papers,
     /// The agreement on one content for each version of these.
-    versions: versions::Versions,
+    versions: version_ballots::Versions,
 
-    claims: BTreeMap<Key, keys::Kept>,
-    answers: answers::Answers,
+    claims: BTreeMap<Key, leases::Kept>,
+    answers: kept_answers::Answers,
     expiry: BTreeSet<(Nanos, Key)>,
     freed: BTreeMap<Token, Nanos>,
     /// Who asked for a key while another's claim of it was open.
     askers: BTreeSet<(Key, SocketAddr)>,
     freed_order: VecDeque<(Nanos, Token)>,
-    told: VecDeque<(Nanos, keys::Told)>,
+    told: VecDeque<(Nanos, leases::Told)>,
     sessions: sessions::Sessions,
 
     calls: BTreeMap<u64, Call>,
@@ -284,11 +284,11 @@
             next_try: now,
             wishing: false,
             catching: None,
-            sheet: sheet::Register::holding(saved.sheet),
-            papers: papers::Papers::holding(saved.papers),
-            versions: versions::Versions::default(),
+            sheet: registers::Register::holding(saved.sheet),
+            papers: named_registers::Papers::holding(saved.papers),
+            versions: version_ballots::Versions::default(),
             claims: BTreeMap::new(),
-            answers: answers::Answers::default(),
+            answers: kept_answers::Answers::default(),
             expiry: BTreeSet::new(),
             freed: BTreeMap::new(),
             askers: BTreeSet::new(),
--- a/mesh/src/agree/answers.rs
+++ b/consensus/src/core/kept_answers.rs
@@ -74,14 +74,14 @@
     }
 
     /// Keeps what the others were told for a while, within as many entries and bytes.
-    pub(super) fn remember(&mut self, now: Nanos, told: keys::Told) {
+    pub(super) fn remember(&mut self, now: Nanos, told: leases::Told) {
         self.answers.told += told.outcome().map_or(0, size);
         self.told.push_back((now, told));
         let most = self.config.most_bytes / TOLD_PART;
         while let Some((at, first)) = self.told.front()
-            && (self.told.len() > keys::MOST_TOLD
+            && (self.told.len() > leases::MOST_TOLD
                 || self.answers.told > most
-                || at.saturating_add(keys::TOLD_FOR) < now)
+                || at.saturating_add(leases::TOLD_FOR) < now)
         {
             self.answers.told = self.answers.told.saturating_sub(first.outcome().map_or(0, size));
             self.told.pop_front();
--- a/mesh/src/agree/keys.rs
+++ b/consensus/src/core/leases.rs
@@ -141,7 +141,7 @@
         if matches!(outcome, Some(Outcome::Done(_))) {
             // An answer is kept by as many as it takes to outlive what may be lost, not by all: those nearest to the
             // key. Whoever is asked in its stead finds it there while gathering grants.
-            others.sort_by_key(|station| crate::list::place(station.at, key));
+            others.sort_by_key(|station| crate::placement::place(station.at, key));
             others.truncate(self.view.members.len() / 2);
         }
         for station in others {
@@ -176,7 +176,7 @@
             let away = |station: &Station| self.peers.get(station).is_none_or(|peer| !peer.there(self.now));
             ask.sort_by_key(|station| {
                 let me = *station == self.me;
-                (!me || !self.voter, !me && away(station), crate::list::place(station.at, key))
+                (!me || !self.voter, !me && away(station), crate::placement::place(station.at, key))
             });
             ask.truncate(self.majority());
         }
--- a/mesh/src/agree/view.rs
+++ b/consensus/src/core/membership.rs
@@ -2,7 +2,7 @@
 //! never answer for a view that it has left, nor vote with a disk that does not hold what the last one held.
 
 use super::*;
-use crate::words::{Entry, Session, VersionBallot};
+use crate::messages::{Entry, Session, VersionBallot};
 
 /// How long a try to change the view has.
 const TRY: Nanos = 400 * MS;
--- a/mesh/src/agree/papers.rs
+++ b/consensus/src/core/named_registers.rs
@@ -19,7 +19,7 @@
 
 #[derive(Clone, Debug, Default)]
 pub(super) struct Papers {
-    by_name: BTreeMap<Name, sheet::Register>,
+    by_name: BTreeMap<Name, registers::Register>,
     digest: u128,
     bytes: usize,
     /// Goes up with all that is held or safe.
@@ -45,7 +45,7 @@
         all
     }
 
-    pub fn get(&self, name: &str) -> Option<&sheet::Register> {
+    pub fn get(&self, name: &str) -> Option<&registers::Register> {
         self.by_name.get(name)
     }
 
@@ -109,7 +109,7 @@
     }
 
     pub fn ranks_anew(&mut self) {
-        self.by_name.values_mut().for_each(sheet::Register::ranks_anew);
+        self.by_name.values_mut().for_each(registers::Register::ranks_anew);
     }
 
     /// Those held from a name on.
@@ -228,7 +228,7 @@
             return;
         }
         let papers = &self.papers;
-        let here = |name: &str| papers.get(name).map_or((0, 0), sheet::Register::held_rank);
+        let here = |name: &str| papers.get(name).map_or((0, 0), registers::Register::held_rank);
         peer.wanted.retain(|name, rank| !came.contains(name) && here(name) < *rank);
         let have: Vec<(Name, Rank)> = peer.wanted.keys().map(|name| (name.clone(), here(name))).collect();
         if !have.is_empty() {
@@ -266,7 +266,7 @@
     }
 
     fn say_held(&self, to: Station, ask: u64, names: &[Name], out: &mut Vec<Act>) {
-        let rank = |name: &Name| self.papers.get(name).map_or((0, 0), sheet::Register::held_rank);
+        let rank = |name: &Name| self.papers.get(name).map_or((0, 0), registers::Register::held_rank);
         let ranks = names.iter().take(MOST_IN_LETTER).map(|name| (name.clone(), rank(name))).collect();
         let body = Body::PapersHeld { ask, voter: true, ranks, next: None };
         if self.mutant == 18 {
@@ -297,7 +297,7 @@
                     self.papers.ranked_all(from);
                 }
             }
-            let here = self.papers.get(name).map_or((0, 0), sheet::Register::held_rank);
+            let here = self.papers.get(name).map_or((0, 0), registers::Register::held_rank);
             if *rank > here && name.len() <= MOST_NAME && self.may_pull(now, from, name) {
                 have.push((name.clone(), here));
             }
--- a/mesh/src/agree/sessions.rs
+++ b/consensus/src/core/sessions.rs
@@ -9,7 +9,7 @@
 //! highest of what it is told, and where it is told of two tokens at one epoch it gives that epoch to neither.
 
 use super::*;
-use crate::words::{Agreed, Entry, Holder, Holding, Said, Session, Wish};
+use crate::messages::{Agreed, Entry, Holder, Holding, Said, Session, Wish};
 
 /// A session that nobody has used for so long is forgotten.
 pub const SESSION_IDLE: Nanos = 900_000 * MS;
--- a/mesh/src/agree/versions.rs
+++ b/consensus/src/core/version_ballots.rs
@@ -13,7 +13,7 @@
 //! never holds less than before, so no second content can find a majority.
 
 use super::*;
-use crate::words::{VersionBallot, VersionMessage};
+use crate::messages::{VersionBallot, VersionMessage};
 
 /// From one sending of a message that was not answered to the next.
 const RESEND: Nanos = 120 * MS;
@@ -254,7 +254,7 @@
         sheet: Option<Arc<Sheet>>,
         out: &mut Vec<Act>,
     ) {
-        if !self.voter || name.len() > papers::MOST_NAME {
+        if !self.voter || name.len() > named_registers::MOST_NAME {
             return;
         }
         if !self.is_newer(&name, version) && self.mutant != 34 {
--- a/mesh/tests/agree.rs
+++ b/consensus/tests/agree.rs
@@ -4,8 +4,8 @@
 
 use std::sync::Arc;
 
-use ochreshed_mesh::agree::Core;
-use ochreshed_mesh::words::*;
+use ochreshed_consensus::core::Core;
+use ochreshed_consensus::messages::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use stewards::{MS, World, answer, at};
@@ -419,7 +419,7 @@
 /// Guards against members that fill the core's memory.
 #[test]
 fn no_more_papers_than_there_is_room_for() {
-    use ochreshed_mesh::agree::papers::*;
+    use ochreshed_consensus::core::named_registers::*;
     let mut world = World::new(1, 1, 1, 1, 0);
     let full = |world: &mut World, name: &str, bytes: usize| {
         world.next_version += 1;
--- a/mesh/tests/exhaustive.rs
+++ b/consensus/tests/exhaustive.rs
@@ -14,7 +14,7 @@
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
-use ochreshed_mesh::words::*;
+use ochreshed_consensus::messages::*;
 use stewards::{MS, World, at};
 
 /// What else may happen in a scope, each so often.
--- a/mesh/tests/search.rs
+++ b/consensus/tests/search.rs
@@ -6,7 +6,7 @@
 
 use std::time::Instant;
 
-use ochreshed_mesh::words::*;
+use ochreshed_consensus::messages::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use stewards::{KINDS, MS, World, answer};
--- a/mesh/tests/sessions.rs
+++ b/consensus/tests/sessions.rs
@@ -6,8 +6,8 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use ochreshed_mesh::agree::SESSION_IDLE;
-use ochreshed_mesh::words::*;
+use ochreshed_consensus::core::SESSION_IDLE;
+use ochreshed_consensus::messages::*;
 use rand::Rng;
 use stewards::{MS, World, at};
 
--- a/mesh/tests/stewards/mod.rs
+++ b/consensus/tests/stewards/mod.rs
@@ -9,8 +9,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use ochreshed_mesh::agree::{Config, Core};
-use ochreshed_mesh::words::*;
+use ochreshed_consensus::core::{Config, Core};
+use ochreshed_consensus::messages::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
--- a/mesh/tests/stewards/people.rs
+++ b/consensus/tests/stewards/people.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use ochreshed_mesh::words::*;
+use ochreshed_consensus::messages::*;
 
 use super::Asked;
 
--- a/mesh/tests/worst_days.rs
+++ b/consensus/tests/worst_days.rs
@@ -7,8 +7,8 @@
 
 use std::sync::Arc;
 
-use ochreshed_mesh::agree::Core;
-use ochreshed_mesh::words::*;
+use ochreshed_consensus::core::Core;
+use ochreshed_consensus::messages::*;
 use rand::Rng;
 use stewards::{MS, World, at};
 
--- a/emulator/src/mesh/audit.rs
+++ b/emulator/src/mesh/audit.rs
@@ -3,8 +3,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use ochreshed_consensus::messages::{Key, Token};
 use ochreshed_mesh::parcels::Rank;
-use ochreshed_mesh::words::{Key, Token};
 
 use crate::Nanos;
 
--- a/emulator/src/mesh/count.rs
+++ b/emulator/src/mesh/count.rs
@@ -1,8 +1,8 @@
 //! What goes to whose account: messages, bytes, wake-ups and processor by cause, and each second's load of a machine.
 //! It owns the books and must never change what happens.
 
+use ochreshed_consensus::messages::{Body, Want};
 use ochreshed_mesh::calls::{Ask, NewsReply, Reply};
-use ochreshed_mesh::words::{Body, Want};
 use serde::Serialize;
 
 use crate::{Nanos, S};
--- a/emulator/src/mesh/gate.rs
+++ b/emulator/src/mesh/gate.rs
@@ -6,11 +6,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use ochreshed_consensus::messages::{Answer, Got, Key, Outcome, Sheet, Token, Want};
 use ochreshed_mesh::calls::{Ask, NewsReply, Reply};
 use ochreshed_mesh::list::{Row, Stand};
 use ochreshed_mesh::news::{self, Asker, Known, Listing};
 use ochreshed_mesh::parcels::Rank;
-use ochreshed_mesh::words::{Answer, Got, Key, Outcome, Sheet, Token, Want};
 
 use super::count::{Cause, is_news};
 use super::hand::{Hand, Note, Step, Timer};
--- a/emulator/src/mesh/hand.rs
+++ b/emulator/src/mesh/hand.rs
@@ -3,9 +3,9 @@
 
 use std::net::SocketAddr;
 
+use ochreshed_consensus::messages::{Key, Letter, Token};
 use ochreshed_mesh::calls::{Ask, Reply};
 use ochreshed_mesh::parcels::Rank;
-use ochreshed_mesh::words::{Key, Letter, Token};
 
 use super::count::Cause;
 use crate::Nanos;
--- a/emulator/src/mesh/steward.rs
+++ b/emulator/src/mesh/steward.rs
@@ -6,12 +6,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use ochreshed_mesh::agree::{Config, Core};
+use ochreshed_consensus::core::{Config, Core};
+use ochreshed_consensus::messages::*;
 use ochreshed_mesh::calls::{Ask, NewsReply, Reply};
 use ochreshed_mesh::list::Mark;
 use ochreshed_mesh::office::{self, Office, Stand, Waiting};
 use ochreshed_mesh::parcels::Parcels;
-use ochreshed_mesh::words::*;
 
 use super::count::Cause;
 use super::hand::{Hand, Note, Timer};
--- a/emulator/src/mesh/world.rs
+++ b/emulator/src/mesh/world.rs
@@ -6,9 +6,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use ochreshed_mesh::agree::Config;
+use ochreshed_consensus::core::Config;
+use ochreshed_consensus::messages::{Key, Sheet, Token, Want};
 use ochreshed_mesh::calls::{Ask, Frame, Reply, encode};
-use ochreshed_mesh::words::{Key, Sheet, Token, Want};
 
 use super::audit::Audit;
 use super::count::{Books, CAUSES, Cause};
--- a/mesh/src/calls.rs
+++ b/mesh/src/calls.rs
@@ -10,7 +10,7 @@
 use crate::fared::Faring;
 use crate::list::{Mark, Row};
 use crate::parcels::{Parcel, Rank};
-use crate::words::{Got, Letter, Name, Paper, Want};
+use ochreshed_consensus::messages::{Got, Letter, Name, Paper, Want};
 
 /// No frame is larger than this, in bytes.
 pub const MOST_FRAME: usize = 40 << 20;
@@ -139,7 +139,7 @@
     /// Guards against letters that an older program doesn't read, or that cost more though no paper is held.
     #[test]
     fn without_papers_letters_are_as_they_were() {
-        use crate::words::{Body, Claim, Key, Sheet};
+        use ochreshed_consensus::messages::{Body, Claim, Key, Sheet};
         #[derive(Debug, Serialize, Deserialize)]
         enum Older {
             Beat { voter: bool, sheet: Rank, safe: Rank, leaving: bool },
--- a/mesh/src/health.rs
+++ b/mesh/src/health.rs
@@ -10,8 +10,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::agree::Nanos;
 use crate::timetable::Name;
+use ochreshed_consensus::core::Nanos;
 
 const MS: Nanos = 1_000_000;
 /// What one outcome counts in the part that fails, and in the time that runs take of late and for long.
--- a/mesh/src/idle.rs
+++ b/mesh/src/idle.rs
@@ -6,7 +6,7 @@
 //! lose answers whatever the connection's age. One loss on a connection that was idle makes connections be given up
 //! earlier for a short while, and for longer where it happens again; a loss on one that was not says that age is no matter.
 
-use crate::agree::Nanos;
+use ochreshed_consensus::core::Nanos;
 
 const MS: Nanos = 1_000_000;
 /// A connection that was idle for less was in use.
--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -3,7 +3,6 @@
 //! upstreams. It does no I/O and knows no clock: times are told, chance is drawn from a seed, and what is to be written
 //! or sent is handed out as acts.
 
-pub mod agree;
 pub mod budget;
 pub mod calls;
 pub mod delta;
@@ -21,4 +20,3 @@
 pub mod slots;
 pub mod timetable;
 pub mod trial;
-pub mod words;
--- a/mesh/src/list.rs
+++ b/mesh/src/list.rs
@@ -252,10 +252,7 @@
     }
 }
 
-/// Where a steward stands for a key: its duty falls to the one with the lowest place.
-pub fn place(at: SocketAddr, key: u128) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(format!("{at} {key:x}").as_bytes())
-}
+pub use ochreshed_consensus::placement::place;
 
 /// The watchers of a place on the ring: the first so many stewards at or behind it.
 pub fn watchers(place: SocketAddr, stewards: &[SocketAddr], many: usize) -> Vec<SocketAddr> {
--- a/mesh/src/news.rs
+++ b/mesh/src/news.rs
@@ -10,7 +10,7 @@
 use crate::calls::{Carried, NewsAsk, NewsReply};
 use crate::list::{Mark, Row, place, watchers};
 use crate::parcels::Rank;
-use crate::words::Key;
+use ochreshed_consensus::messages::Key;
 
 const MS: Nanos = 1_000_000;
 /// An ask is answered after so long though there is no news, and given up so much later.
--- a/mesh/src/office.rs
+++ b/mesh/src/office.rs
@@ -9,7 +9,7 @@
 use crate::calls::{NewsAsk, NewsReply, Told};
 use crate::list::{Mark, Row, Table};
 use crate::parcels::Rank;
-use crate::words::Paper;
+use ochreshed_consensus::messages::Paper;
 
 const MS: Nanos = 1_000_000;
 /// An attendant of whom nothing was heard for so long is quiet.
--- a/mesh/src/pace.rs
+++ b/mesh/src/pace.rs
@@ -1,7 +1,7 @@
 //! The pace at which a machine sends large answers, so that small ones don't queue behind them on its link. It owns the
 //! time at which the next piece may go. It must never hold back a piece while the link has been idle.
 
-use crate::agree::Nanos;
+use ochreshed_consensus::core::Nanos;
 
 /// All that is sent may come to this part of the link.
 const PART: f64 = 0.95;
--- a/mesh/src/parcels.rs
+++ b/mesh/src/parcels.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::delta::{self, Piece};
-use crate::words::Sheet;
+use ochreshed_consensus::messages::Sheet;
 
 /// So many older ones are kept, of so many bytes together at most.
 const KEPT: usize = 4;
--- a/mesh/src/slots.rs
+++ b/mesh/src/slots.rs
@@ -11,8 +11,8 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use crate::agree::Nanos;
 use crate::timetable::Name;
+use ochreshed_consensus::core::Nanos;
 
 /// What a run takes goes into the mean with this part.
 const TOOK_PART: f64 = 0.05;
