An order does not wait for the disk of the replica that was asked

Cause: the new ballots' messages left after the sync of the replica that proposes, so that an order failed where that disk hung, though two others were enough. Change: a proposal leaves at once; its ballot is drawn by chance in each life and promises nothing of that disk.

--- a/consensus/src/core/version_ballots.rs
+++ b/consensus/src/core/version_ballots.rs
@@ -203,8 +203,14 @@
             None => proposal.promises.contains_key(station),
             Some(_) => proposal.accepts.contains(station),
         };
+        // A proposal promises nothing of this replica's disk, and its ballot is drawn anew in each life: others need not
+        // wait until what was written here is safe. What it says to itself is answered by its own acceptor.
         for station in self.view.members.iter().filter(|station| !answered(station)) {
-            self.send_version(*station, message.clone(), out);
+            if *station == self.me {
+                self.send_version(*station, message.clone(), out);
+            } else {
+                self.now(station.at, Body::Version(message.clone()), out);
+            }
         }
         self.versions.proposals.insert(name.clone(), proposal);
     }
--- a/consensus/tests/agree.rs
+++ b/consensus/tests/agree.rs
@@ -317,6 +317,21 @@
     }
 }
 
+/// Guards against orders that wait for the one disk that stands still, where those of the others are enough.
+#[test]
+fn an_order_is_taken_though_the_disk_of_the_replica_that_was_asked_stands_still() {
+    let mut world = World::new(1, 3, 3, 3, 0);
+    world.calm(300 * MS);
+    let sheet = world.sheet();
+    let order = world.want(0, Want::Replace(sheet));
+    for _ in 0..20 {
+        [1, 2].into_iter().for_each(|node| world.sync(node, usize::MAX));
+        (0..world.bag.len()).for_each(|_| world.deliver(0));
+    }
+    assert_eq!(world.answers.get(&order), Some(&Got::Taken));
+    assert!(world.nodes[0].disk.sheet.is_none() && world.broken.is_none());
+}
+
 /// Content was decided and hardly anybody holds it; one that accepted it loses its disk and comes back. Returns what a
 /// second content under that version comes to.
 fn second_content_after_a_lost_disk(mutant: u8) -> (Option<Got>, Option<String>) {
