--- a/consensus/src/core.rs
+++ b/consensus/src/core.rs
@@ -1,5 +1,6 @@
-//! One steward's part in what the core agrees on: who votes (`view`), the newest configuration (`sheet`), named
-//! papers beside it (`papers`) and which keys were claimed (`keys`). It owns the beats, the pending calls and the letters that wait to be sent together.
+//! One replica's part in what the control plane agrees on: who votes (`membership`, `rollback`, `zones`), the newest
+//! configuration and other registers (`registers`, `named_registers`, `version_ballots`), leases on keys (`leases`,
+//! `kept_answers`) and sessions. It owns the heartbeats, the pending calls and the messages that wait to be sent together.
 //! It does no I/O and knows no clock. It must never say yes before the write behind it is safe, which `Act::Send`
 //! sees to, and never count an answer that was given in another view than its own.
 //!
--- a/consensus/src/core/named_registers.rs
+++ b/consensus/src/core/named_registers.rs
@@ -1,4 +1,4 @@
-//! Papers: sheets by name, each name a register of its own (`sheet` has what all registers have in common). It owns the
+//! Papers: sheets by name, each name a register of its own (`registers` has what all have in common). It owns the
 //! names, the bounds on them, and how stewards find out which of them differ. It must never let a paper of one name
 //! count for another, nor keep a new member from papers that were agreed, however many there are.
 //!
--- a/consensus/src/core/registers.rs
+++ b/consensus/src/core/registers.rs
@@ -1,7 +1,7 @@
 //! Registers: the newest configuration, which has no name, and the papers by theirs. It owns what this steward holds of
 //! each and what the voters said they hold. It must never call a sheet safe that more than half of the voters have not
 //! said to hold, it or a newer one of the same register, nor let one register wait for another. Only content that was
-//! decided for its version (`versions`) is held, so two replicas never hold different content under one version.
+//! decided for its version (`version_ballots`) is held, so two replicas never hold different content under one version.
 
 use super::*;
 
--- a/consensus/src/core/version_ballots.rs
+++ b/consensus/src/core/version_ballots.rs
@@ -3,7 +3,7 @@
 //!
 //! A replica that is asked to replace a register proposes the content to the members by a ballot: a majority promises
 //! (`Prepare`), the accepted content of the highest ballot among the promises binds the proposer, a majority accepts
-//! (`Accept`). Only then does any replica hold it (`sheet`), from where it spreads as before.
+//! (`Accept`). Only then does any replica hold it (`registers`), from where it spreads as before.
 //!
 //! Why it holds. For one version and one membership this is Paxos. Across memberships: what a majority accepted is held
 //! by at least one of those that a new member must be told by, who tell it what they accepted (`merge_version_ballots`),
