Ties: a successor is agreed before its request runs, late ones wait where they live

A successor of a lost upstream was told to the core after the answer, so the next gate took the session first and chose another. And a steward that is killed holds claims up for 0.27 to 0.4 s; the requests were late then (target 0.3 s), and doors turn late ones away while anybody waits. A third cause was the test's: people began before all gates knew all upstreams, so that at times nobody was tied to the one that is killed. Change: begins() writes a successor like a first tie, before the request is handed on; a door is told that a request's session lives there (letter t) and lets it wait late, behind all in time, for half of its time. The drills wait until each gate has reached each upstream.

--- a/balancer/src/mesh/door.rs
+++ b/balancer/src/mesh/door.rs
@@ -215,6 +215,8 @@
     pub caller: &'a HeaderValue,
     /// How many doors have turned it away before.
     pub turned: u32,
+    /// Its session lives at this upstream.
+    pub tied: bool,
     /// It is sent again, or called by a run that was.
     pub again: bool,
     /// A run waits for its answer.
@@ -236,6 +238,7 @@
 struct Told {
     aim_ms: u64,
     turned: u32,
+    tied: bool,
     again: bool,
     call: bool,
     large: bool,
@@ -247,7 +250,7 @@
     pub fn word(&self, now: Nanos) -> String {
         let mut word = format!("{} {} ", self.aim.saturating_sub(now) / MS, self.turned);
         word.extend(
-            [(self.again, 'a'), (self.call, 'c'), (self.large, 'l')]
+            [(self.again, 'a'), (self.call, 'c'), (self.large, 'l'), (self.tied, 't')]
                 .iter()
                 .filter(|(is, _)| *is)
                 .map(|(_, c)| c),
@@ -266,11 +269,11 @@
         let aim_ms = parts.next().and_then(|part| part.parse().ok()).unwrap_or(left).min(MOST_LEFT);
         let turned = parts.next().and_then(|part| part.parse().ok()).unwrap_or(0);
         let letters = parts.next().unwrap_or_default();
-        let [again, call, large] = ['a', 'c', 'l'].map(|letter| letters.contains(letter));
+        let [again, call, large, tied] = ['a', 'c', 'l', 't'].map(|letter| letters.contains(letter));
         let share = parts.next().and_then(|part| part.parse().ok());
         let member = parts.next().filter(|name| !name.is_empty() && name.len() <= MOST_NAME);
         let part = share.zip(member).map(|(share, name)| Part { member: name.into(), share });
-        Told { aim_ms, turned, again, call, large, part }
+        Told { aim_ms, turned, tied, again, call, large, part }
     }
 }
 
@@ -709,8 +712,7 @@
 
     /// Lets a req through to the upstream, if it is the one that was meant.
     pub async fn pass(self: &Arc<Self>, knock: Knock<'_>) -> End {
-        let Knock { message, meant, caller, turned, again, call, large, away, pass, aim, until, part } =
-            knock;
+        let Knock { message, meant, caller, again, call, large, away, pass, aim, until, part, .. } = knock;
         let Some(to) = self.check(meant) else { return End::Gone };
         let now = self.clock.now();
         if let Err(known) = self.lets(now, pass) {
@@ -725,11 +727,12 @@
         if stands > 0 && now + took > aim {
             return End::Turned;
         }
+        let (turned, tied) = (knock.turned, knock.tied);
         let part = part.map(|told| self.part(told));
         let member = part.as_ref().map(|part| part.member.clone());
         let waits = {
             let mut wait = None;
-            let asker = Asker { call, turned, aim, until };
+            let asker = Asker { call, turned, tied, aim, until };
             let way = held(&self.slots).ask_of(now, &asker, part.as_ref(), || {
                 let (send, waits) = oneshot::channel();
                 wait = Some(waits);
@@ -892,7 +895,7 @@
             return self.way(Response::new(Flow::of(keys)), "ran");
         }
         let pass = Pass::read(fence);
-        let Told { aim_ms, turned, again, call, large, part } = Knock::read(headers, left);
+        let Told { aim_ms, turned, tied, again, call, large, part } = Knock::read(headers, left);
         let caller = headers.get(&CALLER).cloned().unwrap_or(HeaderValue::from_static(""));
         let read = entry::message(came, &bodies, self.clock, u64::MAX, Duration::from_secs(10)).await;
         let (mut message, _room) = match read {
@@ -904,7 +907,7 @@
         let (message, meant, caller, away) = (&Arc::new(message), &*meant, &caller, true);
         let (aim, until) = (at + aim_ms * MS, at + left * MS);
         let knock =
-            Knock { message, meant, caller, turned, again, call, large, away, pass, aim, until, part };
+            Knock { message, meant, caller, turned, tied, again, call, large, away, pass, aim, until, part };
         let end = self.pass(knock).await;
         let word = end.word();
         match end {
--- a/balancer/src/mesh/door_tests.rs
+++ b/balancer/src/mesh/door_tests.rs
@@ -56,6 +56,7 @@
             meant: "i-1",
             caller: &caller,
             turned,
+            tied: false,
             again: false,
             call: false,
             large: false,
@@ -201,11 +202,13 @@
             KNOCK,
             HeaderValue::from_str(word).or(HeaderValue::from_bytes(word.as_bytes())).expect("a field"),
         );
-        let Told { aim_ms, turned, again, call, large, part } = Knock::read(&headers, 700);
+        let Told { aim_ms, turned, tied, again, call, large, part } = Knock::read(&headers, 700);
+        assert_eq!(tied, word.split(' ').nth(2).is_some_and(|letters| letters.contains('t')), "{word}");
         (aim_ms, turned, again, call, large, part.map(|part| (part.share, part.member.to_string())))
     };
     let of = |share, name: &str| Some((share, name.to_owned()));
     assert_eq!(read("250 2 acl"), (250, 2, true, true, true, None));
+    assert_eq!(read("250 2 at"), (250, 2, true, false, false, None));
     assert_eq!(read("250 0 "), (250, 0, false, false, false, None));
     assert_eq!(read("250 0  0.5 norte"), (250, 0, false, false, false, of(0.5, "norte")));
     assert_eq!(read("250 1 c 0.25 são  joão"), (250, 1, false, true, false, of(0.25, "são  joão")));
--- a/balancer/src/mesh/gate.rs
+++ b/balancer/src/mesh/gate.rs
@@ -18,7 +18,7 @@
 
 use super::attendant::{Branch, Inside};
 use super::carry::{Fail, Flow};
-use super::desk::{self, Place, Step, Turn};
+use super::desk::{self, Desk, Place, Step, Turn};
 use super::door::{ADDRESSEE, CALLER, End, FENCE, ID, KEY, KNOCK, Knock, LEFT, MOST_LEFT, WAY};
 use super::entry::{self, Bad, Came, field, say};
 use super::fence::Pass;
@@ -34,8 +34,6 @@
 /// How long the core is waited for, for a claim; where it has been silent before, a req is refused early rather than late.
 const CLAIM: Duration = Duration::from_millis(900);
 const CLAIM_SILENT: Duration = Duration::from_millis(60);
-/// A req at the upstream that it is tied to may wait there as one that so many doors have turned away.
-const TIED: u32 = 3;
 /// How a client is told to come back where the module says nothing of it.
 const COME_BACK: Nanos = 100 * MS;
 /// A large answer is not begun with less time than this before the process gives up what is inside.
@@ -224,6 +222,20 @@
     !head.status.is_server_error() && !promises(head.status)
 }
 
+/// One attempt of a request, as the door is told of it.
+#[derive(Clone, Copy)]
+struct Attempt {
+    /// How many doors have turned it away before.
+    turned: u32,
+    /// Its session lives there: it rather waits for a slot than goes elsewhere.
+    tied: bool,
+    /// It was sent before.
+    again: bool,
+    /// Its answer is a large one.
+    large: bool,
+    pass: Option<Pass>,
+}
+
 /// A req on its way.
 struct Trip {
     branch: Arc<Branch>,
@@ -262,7 +274,7 @@
         let Some(line) = self.branch.split(&self.route) else { return Outcomes::Deny(COME_BACK) };
         let large = self.route.kind == Kind::OutboundPost;
         let Some(desk) = self.branch.desk(&line, &self.route) else { return Outcomes::Deny(COME_BACK) };
-        let mut bound = self.session(&line, !large).await;
+        let mut bound = self.session(&desk, &line, !large).await;
         let pass = bound.as_ref().map(|bound| bound.pass);
         let _at_work =
             pass.zip(self.key).map(|(pass, key)| sessions::at_work(&self.branch, pass.session, key));
@@ -293,7 +305,7 @@
                         continue;
                     };
                     if let Some(bound) = bound.as_mut().filter(|_| !large)
-                        && !sessions::begins(&self.branch, bound, &place).await
+                        && !sessions::begins(&self.branch, &desk, bound, &place).await
                     {
                         // It comes again, and finds where its person is.
                         turn.ended(number, How::NotSent, 0, false, None);
@@ -301,12 +313,9 @@
                         break;
                     }
                     self.fared(turn.goes());
-                    // The instance of its person lives there: it rather waits for a slot than goes elsewhere.
                     let tied = bound.as_ref().is_some_and(|bound| bound.is_tied(&place.id));
-                    let waits = if tied { turned.max(TIED) } else { turned };
-                    let Some((end, inside)) =
-                        self.dispatch(&mut turn, &place, (waits, sent > 0, large, pass), give_up).await
-                    else {
+                    let attempt = Attempt { turned, tied, again: sent > 0, large, pass };
+                    let Some((end, inside)) = self.dispatch(&mut turn, &place, attempt, give_up).await else {
                         ran = true;
                         turn.ended(number, How::Recalled, 0, false, None);
                         continue;
@@ -321,7 +330,7 @@
                         End::Ran(head, flow) if well(&head) => {
                             turn.ended(number, How::Done, took, true, inside);
                             if let Some(bound) = bound.as_ref().filter(|_| !large) {
-                                sessions::served(&self.branch, &desk, bound, &place);
+                                sessions::served(&self.branch, bound, &place);
                             }
                             return Outcomes::Answer(head, flow);
                         }
@@ -378,9 +387,9 @@
     }
 
     /// The session of the person that it is of, where its route names one.
-    async fn session(&self, line: &Name, ties: bool) -> Option<Bound> {
+    async fn session(&self, desk: &Desk, line: &Name, ties: bool) -> Option<Bound> {
         let (header, person) = (self.route.session.as_ref()?, self.person.as_ref()?);
-        sessions::take(&self.branch, sessions::name(line, header, person), ties).await
+        sessions::take(&self.branch, desk, sessions::name(line, header, person), ties).await
     }
 
     /// One dispatch, and how many reqs its door has inside; nothing if the module recalled it.
@@ -388,10 +397,10 @@
         &self,
         turn: &mut Turn,
         place: &Place,
-        turned: (u32, bool, bool, Option<Pass>),
+        attempt: Attempt,
         give_up: Nanos,
     ) -> Option<(End, Option<f64>)> {
-        let work = self.send(place, turned, give_up.min(self.ends));
+        let work = self.send(place, attempt, give_up.min(self.ends));
         let mut over = pin!(self.branch.over());
         tokio::pin!(work);
         loop {
@@ -411,13 +420,9 @@
         }
     }
 
-    async fn send(
-        &self,
-        place: &Place,
-        (turned, again, large, pass): (u32, bool, bool, Option<Pass>),
-        until: Nanos,
-    ) -> (End, Option<f64>) {
-        let (branch, again, now) = (&self.branch, again || self.again, self.branch.clock.now());
+    async fn send(&self, place: &Place, attempt: Attempt, until: Nanos) -> (End, Option<f64>) {
+        let Attempt { turned, tied, large, pass, .. } = attempt;
+        let (branch, again, now) = (&self.branch, attempt.again || self.again, self.branch.clock.now());
         let (caller, away) = (branch.caller(), place.door != branch.door_at());
         let (message, meant, aim) = (&self.message, &*place.id, self.aim);
         let part = self.route.share.as_ref().map(|of| Part { member: of.member.clone(), share: of.slots });
@@ -426,6 +431,7 @@
             meant,
             caller: &caller,
             turned,
+            tied,
             again,
             call: self.call,
             large,
--- a/balancer/src/mesh/sessions.rs
+++ b/balancer/src/mesh/sessions.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use hyper::header::{HOST, HeaderMap, HeaderValue};
-use ochreshed::{Name, Nanos};
+use ochreshed::Nanos;
 use ochreshed_consensus::messages::{Agreed, Got, Holder, Key, Session, Tie, Want, Wish};
 use sha2::{Digest, Sha256};
 use tokio::sync::OwnedMutexGuard;
@@ -91,7 +91,8 @@
     pub fenced: u64,
     /// Reqs that went without one, for want of the core.
     pub without: u64,
-    /// Reqs that went to the upstream of their tie, to another while that stood, and to a successor as it was gone.
+    /// Requests that ran at the upstream of their tie, and at another while that stood; ties that passed to a successor,
+    /// as their upstream was gone.
     pub kept: u64,
     pub crowded: u64,
     pub gone: u64,
@@ -110,14 +111,18 @@
     holder: Holder,
     /// It is the first of its session here: others wait until it is known where that lives.
     first: Option<OwnedMutexGuard<()>>,
-    /// Its session was tied to nothing when it came.
-    untied: bool,
+    /// Its session was tied to no open upstream when it came: it writes the tie before it is sent.
+    unplaced: bool,
 }
 
 impl Bound {
     fn new(pass: Pass, tie: Option<Tie>, holder: Holder) -> Bound {
-        let untied = tie.is_none();
-        Bound { pass, tie, holder, first: None, untied }
+        Bound { pass, tie, holder, first: None, unplaced: false }
+    }
+
+    /// Whether its session is tied to an upstream that takes requests.
+    fn is_placed(&self, desk: &Desk) -> bool {
+        self.tie.as_ref().is_some_and(|tie| desk.takes(&tie.id.as_str().into()))
     }
 
     pub fn is_tied(&self, srv: &str) -> bool {
@@ -272,7 +277,7 @@
 
 /// The session of a req that came here, taken from whoever had it. None where the core is not there in time: the req
 /// goes on without, for what must run once does so by its key.
-pub async fn take(branch: &Arc<Branch>, session: Session, ties: bool) -> Option<Bound> {
+pub async fn take(branch: &Arc<Branch>, desk: &Desk, session: Session, ties: bool) -> Option<Bound> {
     let known = || {
         let (bound, renew) = held(&branch.sessions().0).uses(branch.clock.now(), session)?;
         if renew {
@@ -281,7 +286,7 @@
         Some(bound)
     };
     let had = known();
-    if had.as_ref().is_some_and(|bound| bound.tie.is_some() || !ties) {
+    if had.as_ref().is_some_and(|bound| bound.is_placed(desk) || !ties) {
         return had;
     }
     let first = {
@@ -296,7 +301,8 @@
         Some(bound) => bound,
         None => ask_for(branch, session).await?,
     };
-    bound.first = first.filter(|_| ties && bound.tie.is_none());
+    bound.unplaced = ties && !bound.is_placed(desk);
+    bound.first = first.filter(|_| bound.unplaced);
     Some(bound)
 }
 
@@ -371,50 +377,38 @@
     AtWork(branch.clone(), session, key)
 }
 
-/// A req is about to go to this place. Where its session was tied to nothing it is from now on, before anything can have
-/// run there: whoever takes the session next finds that. False where somebody else has it now, or tied it elsewhere.
-pub async fn begins(branch: &Arc<Branch>, bound: &mut Bound, place: &Place) -> bool {
-    if !bound.untied || bound.is_tied(&place.id) {
+/// A request is about to go to this place. Where its session is tied to nothing, or to an upstream that is gone, it is
+/// tied here from now on, before anything can have run there: whoever takes the session next finds that. False where
+/// somebody else has it now, or tied it elsewhere.
+pub async fn begins(branch: &Arc<Branch>, desk: &Desk, bound: &mut Bound, place: &Place) -> bool {
+    bound.unplaced |= !bound.is_placed(desk);
+    if !bound.unplaced || bound.is_tied(&place.id) {
         return true;
     }
     let tie = Tie { id: place.id.to_string(), door: place.door };
     let was = bound.tie.as_ref().map(|tie| tie.id.clone());
+    let succeeds = was.is_some() && !bound.is_placed(desk);
     let wish = Wish::Tie { holder: bound.holder, was, tie: tie.clone() };
     let Some(Some(agreed)) = ask(branch, bound.pass.session, wish).await else { return true };
     branch.sessions().learn(branch.clock.now(), bound.pass.session, &agreed, branch.door_at());
     bound.first = None;
     let ours = agreed.holding.holder == Some(bound.holder) && agreed.holding.tie.as_ref() == Some(&tie);
+    if ours && succeeds {
+        held(&branch.sessions().0).counts.gone += 1;
+    }
     bound.tie = agreed.holding.tie;
     ours
 }
 
-/// A req of a session ran well at this place: the tie is kept, or told anew where its upstream is gone.
-pub fn served(branch: &Arc<Branch>, desk: &Arc<Desk>, bound: &Bound, place: &Place) {
-    let was: Option<Name> = bound.tie.as_ref().map(|tie| tie.id.as_str().into());
-    {
-        let mut inner = held(&branch.sessions().0);
-        match &was {
-            Some(was) if *was == place.id => {
-                inner.counts.kept += 1;
-                return;
-            }
-            // The instance lives on there: it is but crowded, or failed this once.
-            Some(was) if desk.takes(was) => {
-                inner.counts.crowded += 1;
-                return;
-            }
-            Some(_) => inner.counts.gone += 1,
-            None => return,
-        }
+/// Counts a request of a session that ran well at this place.
+pub fn served(branch: &Branch, bound: &Bound, place: &Place) {
+    let counts = &mut held(&branch.sessions().0).counts;
+    match &bound.tie {
+        Some(tie) if *tie.id == *place.id => counts.kept += 1,
+        // The instance lives on there: it is but at capacity, or failed this once.
+        Some(_) => counts.crowded += 1,
+        None => {}
     }
-    let (branch, holder, session) = (branch.clone(), bound.holder, bound.pass.session);
-    let tie = Tie { id: place.id.to_string(), door: place.door };
-    tokio::spawn(async move {
-        let wish = Wish::Tie { holder, was: was.map(|was| was.to_string()), tie };
-        if let Some(Some(agreed)) = ask(&branch, session, wish).await {
-            branch.sessions().learn(branch.clock.now(), session, &agreed, branch.door_at());
-        }
-    });
 }
 
 #[cfg(test)]
--- a/balancer/tests/sessions.rs
+++ b/balancer/tests/sessions.rs
@@ -9,14 +9,15 @@
 #[path = "mesh/walkers.rs"]
 mod walkers;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use helper::until;
+use sha2::{Digest, Sha256};
 use town::*;
 use walkers::{fields, with_sessions};
 
@@ -24,6 +25,8 @@
 /// As many as the upstreams that are left take at once.
 const FEWER: usize = 10;
 const PAYMENTS: usize = 16;
+/// Upstreams of the service that sessions are tied to.
+const ALPHAS: usize = 3;
 
 /// Sends the first try and goes without its answer.
 fn begins(gate: SocketAddr, person: usize, key: &str) {
@@ -83,6 +86,18 @@
     (kept, all)
 }
 
+/// Until each gate has sent to each upstream of the service: who is not known yet has nobody tied to it.
+fn until_all_are_known(town: &Town) {
+    for (nth, gate) in town.gates().into_iter().enumerate() {
+        let path = format!("/look/from-{nth}");
+        until("all upstreams known", || {
+            get(gate, &path);
+            let runs = town.ledger.runs(|run| run.req.first.contains(&path));
+            runs.into_iter().map(|run| run.by).collect::<BTreeSet<_>>().len() == ALPHAS
+        });
+    }
+}
+
 fn sum(town: &Town, of: &[usize], pick: impl Fn(&serde_json::Value) -> u64) -> u64 {
     of.iter().map(|nth| pick(&town.ask_attendant(*nth, "sessions.count"))).sum()
 }
@@ -95,6 +110,7 @@
     assert_eq!(sum(&town, &[0, 1, 2, 3], |page| page["begun"].as_u64().unwrap_or(9)), 0);
     town.replace(0, &with_sessions(2));
     town.until_in_force("/look/x");
+    until_all_are_known(&town);
     let gates = town.gates();
     let over = AtomicBool::new(false);
     let unknown: usize = thread::scope(|scope| {
@@ -143,6 +159,45 @@
     assert!(moves > 50, "{moves}");
 }
 
+/// A person's session, as operators' calls name it.
+fn session(person: usize) -> String {
+    let mut sum = Sha256::new();
+    for part in ["alpha", "x-person", &format!("person-{person}")] {
+        sum.update((part.len() as u64).to_be_bytes());
+        sum.update(part);
+    }
+    sum.finalize().iter().take(16).map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Guards against a successor that the core hears of after the answer: whoever takes the session next would not find it.
+#[test]
+fn a_successor_is_agreed_before_its_first_answer() {
+    let mut town = Town::start();
+    town.replace(0, &with_sessions(2));
+    town.until_in_force("/look/x");
+    until_all_are_known(&town);
+    let (gates, gone) = (town.gates(), town.upstreams[0].id.clone());
+    let tied = |person: &usize| {
+        finishes(gates[1], *person, &key(*person, 0));
+        town.ledger.of_key(&key(*person, 0)).iter().any(|run| run.by == gone)
+    };
+    let mut tied: Vec<usize> = (0..PEOPLE).filter(tied).collect();
+    let scout = tied.pop().expect("a person at that upstream");
+    assert!(tied.len() > 2, "{tied:?}");
+    town.attendants[0].kill();
+    let payment = AtomicUsize::new(1);
+    until("known to be gone", || {
+        finishes(gates[1], scout, &key(scout, payment.fetch_add(1, Relaxed)));
+        sum(&town, &[1], |page| page["ties"]["gone"].as_u64().unwrap_or(0)) > 0
+    });
+    for person in tied {
+        finishes(gates[1], person, &key(person, 1));
+        let shown = town.ask(1, &format!("sessions.show&of={}", session(person)));
+        let ran = town.ledger.of_key(&key(person, 1));
+        assert_eq!((ran.len(), &shown["tie"]["upstream"]), (1, &ran[0].by.clone().into()), "{shown}");
+    }
+}
+
 /// Guards against people who are stuck with the gate or the upstream that they had. What was under way at a gate that is
 /// killed may stay unknown; nothing runs twice, and what is begun after lands once.
 #[test]
@@ -150,6 +205,7 @@
     let mut town = Town::start();
     town.replace(0, &with_sessions(2));
     town.until_in_force("/look/x");
+    until_all_are_known(&town);
     let gates = town.gates();
     let all = |gates: &[SocketAddr], payments: std::ops::Range<usize>| -> usize {
         thread::scope(|scope| {
--- a/mesh/src/slots.rs
+++ b/mesh/src/slots.rs
@@ -3,7 +3,8 @@
 //! that is unlikely to be answered before it is late while others could be.
 //!
 //! Calls of runs that are under way go first: each keeps a slot taken somewhere else, and failing it throws away a run.
-//! Among the others the one that is late first goes first; those that are late already come last.
+//! Among the others the one that is late first goes first; those that are late already come last, and wait only where
+//! nobody else does, or where their session lives here.
 //!
 //! The reqs of a member of a federation hold a part of the slots and of the waiting places at most. Those of its reqs
 //! that wait for its own slots stand in nobody's way, and what its runs take is counted apart. What it leaves free
@@ -30,6 +31,8 @@
     pub call: bool,
     /// How many doors have turned it away before.
     pub turned: u32,
+    /// Its session lives at this upstream: elsewhere is worse than later.
+    pub tied: bool,
     /// When its answer is late, and when nobody waits for it any more.
     pub aim: Nanos,
     pub until: Nanos,
@@ -229,7 +232,7 @@
         if now + wait + took <= asker.aim {
             // The first door leaves it to others, which may have a slot free; the last one is as good as any.
             let most = match asker.turned {
-                _ if asker.call => self.slots * 2,
+                _ if asker.call || asker.tied => self.slots * 2,
                 0 | 2 => self.slots / 4,
                 1 => self.slots / 2,
                 _ => self.slots * 2,
@@ -242,6 +245,11 @@
         let order = (Class::Late, asker.until);
         let wait = (Nanos::from(queue.waiting + 1) * each).max(own_wait(queue.own));
         let in_time = now + wait + took <= last;
+        if asker.tied {
+            // Behind all others; half of its time is left for another upstream.
+            let half = now + asker.until.saturating_sub(now) / 2;
+            return (in_time && now + wait <= half).then_some((order, last.min(half)));
+        }
         (asker.turned > 0 && queue.waiting == 0 && queue.own == 0 && in_time).then_some((order, last))
     }
 
@@ -316,7 +324,7 @@
     const MS: Nanos = 1_000_000;
 
     fn asker(call: bool, turned: u32, aim_ms: u64) -> Asker {
-        Asker { call, turned, aim: aim_ms * MS, until: (aim_ms + 500) * MS }
+        Asker { call, turned, tied: false, aim: aim_ms * MS, until: (aim_ms + 500) * MS }
     }
 
     /// Slots all of which are taken, and whose runs take 100 ms.
--- a/mesh/tests/slots.rs
+++ b/mesh/tests/slots.rs
@@ -50,7 +50,7 @@
             match what {
                 0..=2 => {
                     let aim = if soon { now + MS } else { now + 100 * S };
-                    let asker = Asker { call, turned, aim, until: aim + 100 * S };
+                    let asker = Asker { call, turned, tied: nth % 3 == 0, aim, until: aim + 100 * S };
                     let allowed = model.of(member) < most(member, slots);
                     match all.ask_of(now, &asker, part(member).as_ref(), || (nth, member)) {
                         Way::In => {
@@ -97,7 +97,7 @@
 }
 
 fn asker(turned: u32) -> Asker {
-    Asker { call: false, turned, aim: S + 400 * MS, until: 20 * S }
+    Asker { call: false, turned, tied: false, aim: S + 400 * MS, until: 20 * S }
 }
 
 /// A door of six slots whose runs take 50 ms, and where a member that floods it, and whose own runs take so long, has
@@ -164,3 +164,32 @@
         assert_ne!(come(&mut all, share), Way::In);
     }
 }
+
+/// Guards against sessions that lose their upstream because the core stood still for longer than their requests' target.
+#[test]
+fn a_late_request_waits_where_its_session_lives_and_behind_those_in_time() {
+    let mut slots: Slots<&'static str> = Slots::default();
+    slots.set(2);
+    for _ in 0..200 {
+        assert_eq!(slots.ask(0, &asker(0), || ""), Way::In);
+        slots.leave(Some(50 * MS));
+    }
+    for _ in 0..2 {
+        assert_eq!(slots.ask(S, &asker(0), || ""), Way::In);
+    }
+    let late = Asker { tied: true, aim: S - MS, until: 3 * S, ..asker(0) };
+    // Half of its time is left for another upstream.
+    assert_eq!(slots.ask(S, &late, || "tied, first"), Way::Waits(2 * S));
+    assert_eq!(slots.ask(S, &late, || "tied, second"), Way::Waits(2 * S));
+    assert_eq!(slots.ask(S, &Asker { tied: false, ..late }, || "untied"), Way::Turned);
+    assert!(matches!(slots.ask(S, &asker(3), || "in time"), Way::Waits(_)));
+    let mut went = Vec::new();
+    for _ in 0..3 {
+        slots.leave(None);
+        went.extend(slots.next(S + MS));
+    }
+    assert_eq!(went, ["in time", "tied, first", "tied, second"]);
+    // No more wait than the upstream can serve in time.
+    let short = Asker { until: S + 120 * MS, ..late };
+    assert_eq!(slots.ask(S, &Asker { until: S + 40 * MS, ..short }, || "in vain"), Way::Turned);
+}
