A proposal for a version is numbered by its epoch first: no second decision after a change

Cause, found by reading: rounds of ballots on a version were compared across epochs. Change: ProposalNumber { epoch, ballot } in promises, acceptances and messages; acceptors answer numbers of their own epoch only. Sessions were reviewed for the same: they hold.

--- a/consensus/src/core/sessions.rs
+++ b/consensus/src/core/sessions.rs
@@ -6,7 +6,8 @@
 //! the latest of that is what it changes. Then it has more than half hold the change. A voter gives an epoch to one
 //! token, so of two that change a session at once at most one has it; the other sees what came of it and goes on above.
 //! Whatever more than half hold is therefore among what each later change is told. A new member of a view takes the
-//! highest of what it is told, and where it is told of two tokens at one epoch it gives that epoch to neither.
+//! highest of what it is told, promises too: else what one voter alone took in an earlier view could come back with a
+//! higher epoch than what was agreed since. Where it is told of two tokens at one epoch it gives that epoch to neither.
 
 use super::*;
 use crate::messages::{Agreed, Entry, Holder, Holding, Said, Session, Wish};
@@ -337,7 +338,7 @@
 
     /// Takes over what another voter holds.
     pub(super) fn merge_session(&mut self, session: Session, theirs: Entry, out: &mut Vec<Act>) {
-        if self.mutant == 25 {
+        if self.mutant == 25 || self.mutant == 40 && theirs.taken.is_none() {
             return;
         }
         let mine = self.sessions.kept.get(&session).map_or_else(Entry::default, |(entry, _)| entry.clone());
--- a/consensus/src/core/version_ballots.rs
+++ b/consensus/src/core/version_ballots.rs
@@ -8,12 +8,15 @@
 //! Why it holds. For one version and one membership this is Paxos. Across memberships: what a majority accepted is held
 //! by at least one of those that a new member must be told by, who tell it what they accepted (`merge_version_ballots`),
 //! so every majority of the next membership has one that accepted it or holds the version. Promises need not be told: a
-//! proposer counts answers of its own membership only and begins anew in the next one. A ballot state is dropped once
+//! proposer counts answers of its own membership only and begins anew in the next one, and a number begins with its
+//! epoch. Without that, content that one replica accepted in an earlier epoch, and that no majority did, could come back
+//! with a higher round and win over what was decided since by replicas that never promised it anything. So the highest
+//! number that a majority reports is of the decision or of a proposal that followed it. A ballot state is dropped once
 //! the replica holds that version or a later one; from then on it refuses ballots on it for good, because a replica
 //! never holds less than before, so no second content can find a majority.
 
 use super::*;
-use crate::messages::{VersionBallot, VersionMessage};
+use crate::messages::{ProposalNumber, VersionBallot, VersionMessage};
 
 /// From one sending of a message that was not answered to the next.
 const RESEND: Nanos = 120 * MS;
@@ -28,9 +31,9 @@
 /// A proposal of this replica for one register.
 #[derive(Clone, Debug)]
 pub(super) struct Proposal {
-    ballot: Ballot,
+    number: ProposalNumber,
     sheet: Arc<Sheet>,
-    promises: BTreeMap<Station, Option<(Ballot, Arc<Sheet>)>>,
+    promises: BTreeMap<Station, Option<(ProposalNumber, Arc<Sheet>)>>,
     /// What a majority is asked to accept, once a majority has promised.
     chosen: Option<Arc<Sheet>>,
     accepts: BTreeSet<Station>,
@@ -64,7 +67,7 @@
     pub(super) fn load_version_ballots(&mut self, saved: Vec<VersionBallot>) {
         for ballot in saved {
             if self.is_newer(&ballot.name, ballot.version) {
-                self.versions.top_round = self.versions.top_round.max(ballot.promised.round);
+                self.versions.top_round = self.versions.top_round.max(ballot.promised.ballot.round);
                 self.versions.open.insert((ballot.name.clone(), ballot.version), ballot);
             }
         }
@@ -88,14 +91,14 @@
     pub(super) fn merge_version_ballots(&mut self, told: Vec<VersionBallot>, out: &mut Vec<Act>) {
         let mut changed = false;
         for VersionBallot { name, version, accepted, .. } in told {
-            let Some((ballot, sheet)) = accepted else { continue };
+            let Some((number, sheet)) = accepted else { continue };
             if !self.is_newer(&name, version) {
                 continue;
             }
             let open = self.open_version(&name, version);
-            if open.accepted.as_ref().is_none_or(|(mine, _)| *mine < ballot) {
-                open.accepted = Some((ballot, sheet));
-                open.promised = open.promised.max(ballot);
+            if open.accepted.as_ref().is_none_or(|(mine, _)| *mine < number) {
+                open.accepted = Some((number, sheet));
+                open.promised = open.promised.max(number);
                 changed = true;
             }
         }
@@ -108,7 +111,7 @@
         self.versions.open.entry((name.clone(), version)).or_insert_with(|| VersionBallot {
             name: name.clone(),
             version,
-            promised: Ballot::default(),
+            promised: ProposalNumber::default(),
             accepted: None,
         })
     }
@@ -135,7 +138,7 @@
         let newer = calls.filter(|sheet| self.is_newer(name, sheet.version));
         let Some(sheet) = newer.max_by_key(|sheet| sheet.version).cloned() else { return };
         let proposal = Proposal {
-            ballot: Ballot::default(),
+            number: ProposalNumber::default(),
             sheet,
             promises: BTreeMap::new(),
             chosen: None,
@@ -148,6 +151,10 @@
         self.drive_proposal(now, name, out);
     }
 
+    fn proposal_epoch(&self) -> u64 {
+        if self.mutant == 39 { 0 } else { self.view.number }
+    }
+
     pub(super) fn next_proposal(&self) -> Nanos {
         self.versions.proposals.values().map(|proposal| proposal.next_send).min().unwrap_or(Nanos::MAX)
     }
@@ -186,18 +193,19 @@
         }
         if proposal.outbid {
             self.versions.top_round = self.versions.top_round.saturating_add(1);
-            proposal.ballot =
+            let ballot =
                 Ballot { round: self.versions.top_round, by: self.chance.random_range(1..=u64::MAX) };
+            proposal.number = ProposalNumber { epoch: self.proposal_epoch(), ballot };
             proposal.outbid = false;
             proposal.chosen = None;
             proposal.promises.clear();
             proposal.accepts.clear();
         }
         proposal.next_send = now.saturating_add(RESEND);
-        let (ballot, version) = (proposal.ballot, proposal.sheet.version);
+        let (number, version) = (proposal.number, proposal.sheet.version);
         let message = match &proposal.chosen {
-            None => VersionMessage::Prepare { name: name.clone(), version, ballot },
-            Some(sheet) => VersionMessage::Accept { name: name.clone(), ballot, sheet: sheet.clone() },
+            None => VersionMessage::Prepare { name: name.clone(), version, number },
+            Some(sheet) => VersionMessage::Accept { name: name.clone(), number, sheet: sheet.clone() },
         };
         let answered = |station: &Station| match &proposal.chosen {
             None => proposal.promises.contains_key(station),
@@ -228,20 +236,20 @@
         out: &mut Vec<Act>,
     ) {
         match message {
-            VersionMessage::Prepare { name, version, ballot } if same => {
-                self.asked_version(from, name, version, ballot, None, out);
+            VersionMessage::Prepare { name, version, number } if same => {
+                self.asked_version(from, name, version, number, None, out);
             }
-            VersionMessage::Accept { name, ballot, sheet } if same => {
-                self.asked_version(from, name, sheet.version, ballot, Some(sheet), out);
+            VersionMessage::Accept { name, number, sheet } if same => {
+                self.asked_version(from, name, sheet.version, number, Some(sheet), out);
             }
-            VersionMessage::Promise { name, version, ballot, accepted } if member => {
-                self.version_promised(now, from, name, version, ballot, accepted, out);
+            VersionMessage::Promise { name, version, number, accepted } if member => {
+                self.version_promised(now, from, name, version, number, accepted, out);
             }
-            VersionMessage::Accepted { name, version, ballot } if member => {
-                self.version_accepted(now, from, name, version, ballot, out);
+            VersionMessage::Accepted { name, version, number } if member => {
+                self.version_accepted(now, from, name, version, number, out);
             }
-            VersionMessage::Outbid { name, version, ballot, promised } if member => {
-                self.version_outbid(now, name, version, ballot, promised);
+            VersionMessage::Outbid { name, version, number, promised } if member => {
+                self.version_outbid(now, name, version, number, promised);
             }
             VersionMessage::Superseded { name, version, digest, .. } if member => {
                 self.version_superseded(now, from, name, version, digest, out);
@@ -250,22 +258,22 @@
         }
     }
 
-    /// A member is asked to promise a ballot, or to accept content under it. No word where this one may not vote.
+    /// A member is asked to promise a number, or to accept content under it. No word where this one may not vote.
     fn asked_version(
         &mut self,
         from: Station,
         name: Name,
         version: u64,
-        ballot: Ballot,
+        number: ProposalNumber,
         sheet: Option<Arc<Sheet>>,
         out: &mut Vec<Act>,
     ) {
-        if !self.voter || name.len() > named_registers::MOST_NAME {
+        if !self.voter || name.len() > named_registers::MOST_NAME || number.epoch != self.proposal_epoch() {
             return;
         }
         if !self.is_newer(&name, version) && self.mutant != 34 {
             let digest = self.register(&name).and_then(|register| register.digest_of(version));
-            let superseded = VersionMessage::Superseded { name, version, ballot, digest };
+            let superseded = VersionMessage::Superseded { name, version, number, digest };
             self.send_version(from, superseded, out);
             return;
         }
@@ -276,23 +284,23 @@
         {
             return;
         }
-        self.versions.top_round = self.versions.top_round.max(ballot.round);
+        self.versions.top_round = self.versions.top_round.max(number.ballot.round);
         let ignores_promises = self.mutant == 33;
         let open = self.open_version(&name, version);
-        if ballot < open.promised && !ignores_promises {
-            let outbid = VersionMessage::Outbid { name, version, ballot, promised: open.promised };
+        if number < open.promised && !ignores_promises {
+            let outbid = VersionMessage::Outbid { name, version, number, promised: open.promised };
             self.send_version(from, outbid, out);
             return;
         }
-        let mut changed = ballot > open.promised;
-        open.promised = ballot.max(open.promised);
+        let mut changed = number > open.promised;
+        open.promised = number.max(open.promised);
         let reply = match sheet {
             Some(sheet) => {
-                changed |= open.accepted.as_ref().is_none_or(|(accepted, _)| *accepted != ballot);
-                open.accepted = Some((ballot, sheet));
-                VersionMessage::Accepted { name, version, ballot }
+                changed |= open.accepted.as_ref().is_none_or(|(accepted, _)| *accepted != number);
+                open.accepted = Some((number, sheet));
+                VersionMessage::Accepted { name, version, number }
             }
-            None => VersionMessage::Promise { name, version, ballot, accepted: open.accepted.clone() },
+            None => VersionMessage::Promise { name, version, number, accepted: open.accepted.clone() },
         };
         if changed {
             self.keep_version_ballots(out);
@@ -301,9 +309,9 @@
     }
 
     /// The proposal that an answer belongs to.
-    fn proposal_of(&mut self, name: &Name, version: u64, ballot: Ballot) -> Option<&mut Proposal> {
+    fn proposal_of(&mut self, name: &Name, version: u64, number: ProposalNumber) -> Option<&mut Proposal> {
         let proposal = self.versions.proposals.get_mut(name)?;
-        (proposal.sheet.version == version && proposal.ballot == ballot && !proposal.outbid)
+        (proposal.sheet.version == version && proposal.number == number && !proposal.outbid)
             .then_some(proposal)
     }
 
@@ -314,17 +322,17 @@
         from: Station,
         name: Name,
         version: u64,
-        ballot: Ballot,
-        accepted: Option<(Ballot, Arc<Sheet>)>,
+        number: ProposalNumber,
+        accepted: Option<(ProposalNumber, Arc<Sheet>)>,
         out: &mut Vec<Act>,
     ) {
         let (majority, forgets) = (self.majority(), self.mutant == 35);
-        let Some(proposal) = self.proposal_of(&name, version, ballot) else { return };
+        let Some(proposal) = self.proposal_of(&name, version, number) else { return };
         proposal.promises.insert(from, accepted);
         if proposal.chosen.is_some() || proposal.promises.len() < majority {
             return;
         }
-        let binding = proposal.promises.values().flatten().max_by_key(|(ballot, _)| *ballot);
+        let binding = proposal.promises.values().flatten().max_by_key(|(number, _)| *number);
         let binding = binding.map(|(_, sheet)| sheet.clone()).filter(|_| !forgets);
         proposal.chosen = Some(binding.unwrap_or_else(|| proposal.sheet.clone()));
         self.drive_proposal(now, &name, out);
@@ -336,11 +344,11 @@
         from: Station,
         name: Name,
         version: u64,
-        ballot: Ballot,
+        number: ProposalNumber,
         out: &mut Vec<Act>,
     ) {
         let majority = self.majority();
-        let Some(proposal) = self.proposal_of(&name, version, ballot) else { return };
+        let Some(proposal) = self.proposal_of(&name, version, number) else { return };
         let Some(chosen) = proposal.chosen.clone() else { return };
         proposal.accepts.insert(from);
         if proposal.accepts.len() < majority {
@@ -351,10 +359,17 @@
         self.judge_sheets(&name, out);
     }
 
-    fn version_outbid(&mut self, now: Nanos, name: Name, version: u64, ballot: Ballot, promised: Ballot) {
-        self.versions.top_round = self.versions.top_round.max(promised.round);
+    fn version_outbid(
+        &mut self,
+        now: Nanos,
+        name: Name,
+        version: u64,
+        number: ProposalNumber,
+        promised: ProposalNumber,
+    ) {
+        self.versions.top_round = self.versions.top_round.max(promised.ballot.round);
         let spread = self.chance.random_range(0..=BACKOFF);
-        let Some(proposal) = self.proposal_of(&name, version, ballot) else { return };
+        let Some(proposal) = self.proposal_of(&name, version, number) else { return };
         let doublings = proposal.tries.min(MAX_BACKOFF_DOUBLINGS);
         proposal.tries += 1;
         proposal.outbid = true;
--- a/consensus/src/messages.rs
+++ b/consensus/src/messages.rs
@@ -150,14 +150,24 @@
     pub by: u64,
 }
 
+/// Numbers a proposal for a version of a register. One of a later epoch is higher than all of earlier ones, whatever
+/// their rounds: majorities of two epochs that are not next to each other need not meet, so a ballot of an earlier one may
+/// bind nobody in a later one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ProposalNumber {
+    /// Of the membership in which it was begun.
+    pub epoch: u64,
+    pub ballot: Ballot,
+}
+
 /// What a replica has promised and accepted for one version of a register, above the version that it holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionBallot {
     /// The register; empty for the operator's configuration.
     pub name: Name,
     pub version: u64,
-    pub promised: Ballot,
-    pub accepted: Option<(Ballot, Arc<Sheet>)>,
+    pub promised: ProposalNumber,
+    pub accepted: Option<(ProposalNumber, Arc<Sheet>)>,
 }
 
 /// One message of the single-decree agreement on the content of one version of a register.
@@ -167,38 +177,38 @@
     Prepare {
         name: Name,
         version: u64,
-        ballot: Ballot,
+        number: ProposalNumber,
     },
     /// The promise, with what was accepted so far.
     Promise {
         name: Name,
         version: u64,
-        ballot: Ballot,
-        accepted: Option<(Ballot, Arc<Sheet>)>,
+        number: ProposalNumber,
+        accepted: Option<(ProposalNumber, Arc<Sheet>)>,
     },
     /// Asks for this content to be accepted.
     Accept {
         name: Name,
-        ballot: Ballot,
+        number: ProposalNumber,
         sheet: Arc<Sheet>,
     },
     Accepted {
         name: Name,
         version: u64,
-        ballot: Ballot,
+        number: ProposalNumber,
     },
     /// A higher ballot was promised.
     Outbid {
         name: Name,
         version: u64,
-        ballot: Ballot,
-        promised: Ballot,
+        number: ProposalNumber,
+        promised: ProposalNumber,
     },
     /// The sender holds this version or a later one, which was decided.
     Superseded {
         name: Name,
         version: u64,
-        ballot: Ballot,
+        number: ProposalNumber,
         /// The digest of the content decided for that version, where the sender knows it.
         digest: Option<u64>,
     },
--- a/consensus/tests/agree.rs
+++ b/consensus/tests/agree.rs
@@ -724,17 +724,17 @@
 
 fn garbage_of_versions(chance: &mut ChaCha8Rng, sheet: Arc<Sheet>) -> VersionMessage {
     let mut number = || [0, 1, 2, u64::MAX - 1, u64::MAX][chance.random_range(0..5)];
-    let ballot = Ballot { round: number(), by: number() };
+    let at = ProposalNumber { epoch: number(), ballot: Ballot { round: number(), by: number() } };
     let (version, digest) = (number(), Some(number()));
-    let promised = Ballot { round: number(), by: number() };
+    let promised = ProposalNumber { epoch: number(), ballot: Ballot { round: number(), by: number() } };
     let name: Name = ["m/a", "", &"x".repeat(100)][chance.random_range(0..3)].into();
     match chance.random_range(0..6) {
-        0 => VersionMessage::Prepare { name, version, ballot },
-        1 => VersionMessage::Promise { name, version, ballot, accepted: Some((promised, sheet)) },
-        2 => VersionMessage::Accept { name, ballot, sheet },
-        3 => VersionMessage::Accepted { name, version, ballot },
-        4 => VersionMessage::Outbid { name, version, ballot, promised },
-        _ => VersionMessage::Superseded { name, version, ballot, digest },
+        0 => VersionMessage::Prepare { name, version, number: at },
+        1 => VersionMessage::Promise { name, version, number: at, accepted: Some((promised, sheet)) },
+        2 => VersionMessage::Accept { name, number: at, sheet },
+        3 => VersionMessage::Accepted { name, version, number: at },
+        4 => VersionMessage::Outbid { name, version, number: at, promised },
+        _ => VersionMessage::Superseded { name, version, number: at, digest },
     }
 }
 
@@ -829,8 +829,11 @@
             version_ballots: vec![VersionBallot {
                 name: "m/a".into(),
                 version: number(c),
-                promised: ballot(c),
-                accepted: Some((ballot(c), Arc::new(Sheet::new(1, Vec::new())))),
+                promised: ProposalNumber { epoch: number(c), ballot: ballot(c) },
+                accepted: Some((
+                    ProposalNumber { epoch: number(c), ballot: ballot(c) },
+                    Arc::new(Sheet::new(1, Vec::new())),
+                )),
             }],
         },
     };
--- a/storage/src/store/tests.rs
+++ b/storage/src/store/tests.rs
@@ -4,7 +4,7 @@
 use std::ops::Range;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use ochreshed_consensus::messages::{Answer, Ballot, Outcome, Station, VersionBallot, View};
+use ochreshed_consensus::messages::{Answer, Ballot, Outcome, ProposalNumber, Station, VersionBallot, View};
 
 use super::ballots::SLOTS;
 use super::lease_log::segment_name;
@@ -358,7 +358,7 @@
 }
 
 fn version_ballots(turn: u64) -> Record {
-    let promised = Ballot { round: turn, by: 9 };
+    let promised = ProposalNumber { epoch: turn / 2, ballot: Ballot { round: turn, by: 9 } };
     let sheet = Arc::new(Sheet::new(turn, vec![turn as u8; 40]));
     let accepted = turn.is_multiple_of(2).then_some((promised, sheet));
     let one = VersionBallot { name: "m/a".into(), version: turn, promised, accepted };
