--- a/consensus/tests/exhaustive.rs
+++ b/consensus/tests/exhaustive.rs
@@ -6,7 +6,10 @@
 //! A message from a replica to itself is delivered at once, as the shipped program does after the sync. Letters that no
 //! version hangs on are left out; with three members and more also those that offer what was decided, which only end
 //! ballots earlier. A message whose delivery would change nothing and cause none is dropped: ballots are not used twice,
-//! so an answer to one that is over stays without effect.
+//! so an answer to one that is over stays without effect. One of a later epoch than its receiver's is kept.
+//!
+//! A change of members is one step, in which one member may be out of reach: all of it but for the ballots on the version
+//! happens in a fixed order, and who was out of reach learns of the new epoch by a message like any other.
 
 mod stewards;
 
@@ -15,6 +18,8 @@
 use std::sync::Arc;
 
 use ochreshed_consensus::messages::*;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use stewards::{MS, World, at};
 
 /// What else may happen in a scope, each so often.
@@ -26,12 +31,18 @@
     doubles: u8,
     /// Time goes on past the next resending, for all.
     resends: u8,
+    /// The first member leaves, and the spare takes its place.
+    changes: u8,
 }
 
 struct Scope {
+    seed: u64,
     members: usize,
+    spares: usize,
     /// The replica that each content under the one version is sent to.
     orders: &'static [usize],
+    /// And one that further content is sent to once the members have changed.
+    order_after: Option<usize>,
     faults: Faults,
     /// What was decided is offered to the others as well.
     spreads: bool,
@@ -50,12 +61,19 @@
 
 fn matters(letter: &Letter, spreads: bool) -> bool {
     let offers = matches!(letter.body, Body::Hold(_) | Body::Held { .. } | Body::WantSheet { .. });
-    matches!(letter.body, Body::Version(_)) || spreads && offers
+    matches!(letter.body, Body::Version(_) | Body::Holds(_)) || spreads && offers
+}
+
+fn epoch(world: &World, node: usize) -> u64 {
+    world.nodes[node].core.as_ref().map_or(0, |core| core.view().number)
 }
 
 /// Whether delivering it changes nothing and causes no message.
 fn is_inert(world: &World, letter: usize) -> bool {
     let (to, before) = (world.bag[letter].to, world.bag.len());
+    if world.bag[letter].letter.view > epoch(world, to) {
+        return false;
+    }
     let mut after = world.clone();
     after.deliver(letter);
     let same = hash_of(&after.nodes[to].core) == hash_of(&world.nodes[to].core);
@@ -73,6 +91,8 @@
             None => break,
         }
     }
+    let mut seen = HashSet::new();
+    world.bag.retain(|flying| seen.insert(hash_of(&(flying.to, flying.life, &flying.letter))));
     let inert: Vec<bool> = (0..world.bag.len()).map(|letter| is_inert(world, letter)).collect();
     let mut inert = inert.into_iter();
     world.bag.retain(|_| !inert.next().unwrap_or(false));
@@ -96,9 +116,50 @@
     hasher.finish()
 }
 
+/// The version that all orders are for.
+const VERSION: u64 = 5;
+const LEAVER: usize = 0;
+/// The epoch after the change.
+const CHANGED: u64 = 2;
+/// More than a new member takes that has to ask those that left.
+const CHANGE_STEPS: usize = 150;
+
+/// The spare takes the place of the first member, while `away` neither hears nor is heard.
+fn change_members(world: &mut World, away: Option<usize>, order_after: Option<usize>) {
+    let mut versions = std::mem::take(&mut world.bag);
+    let present: Vec<usize> = (0..world.nodes.len()).filter(|node| Some(*node) != away).collect();
+    world.leave(LEAVER);
+    for _ in 0..CHANGE_STEPS {
+        world.now += 10 * MS;
+        present.iter().for_each(|node| world.tick(*node));
+        present.iter().for_each(|node| world.sync(*node, usize::MAX));
+        while !world.bag.is_empty() {
+            let (held_back, rest) = std::mem::take(&mut world.bag).into_iter().partition(|flying| {
+                Some(flying.to) == away || matches!(flying.letter.body, Body::Version(_))
+            });
+            versions.extend::<Vec<_>>(held_back);
+            world.bag = rest;
+            (0..world.bag.len()).for_each(|_| world.deliver(0));
+            present.iter().for_each(|node| world.sync(*node, usize::MAX));
+        }
+        if present.iter().all(|node| epoch(world, *node) == CHANGED) {
+            let joined = world.nodes.last().and_then(|node| node.core.as_ref());
+            if joined.is_some_and(|core| core.voter()) {
+                break;
+            }
+        }
+    }
+    // What was under way in the last epoch is lost: in this one it counts for nothing.
+    versions.retain(|flying| flying.letter.view == CHANGED);
+    world.bag = versions;
+    if let Some(node) = order_after {
+        world.want(node, Want::Replace(Arc::new(Sheet::new(VERSION, b"after".into()))));
+    }
+}
+
 /// Everything that may come next.
-fn next(world: &World, faults: Faults, spreads: bool) -> Vec<(World, Faults)> {
-    let mut all = Vec::new();
+fn next(world: &World, faults: Faults, scope: &Scope) -> Vec<(World, Faults)> {
+    let (mut all, spreads) = (Vec::new(), scope.spreads);
     let mut add = |faults: Faults, change: &dyn Fn(&mut World)| {
         let mut world = world.clone();
         change(&mut world);
@@ -132,22 +193,37 @@
             (0..world.nodes.len()).for_each(|node| world.tick(node));
         });
     }
+    if faults.changes > 0 {
+        let one_less = Faults { changes: faults.changes - 1, ..faults };
+        for away in [None, Some(1), Some(2)] {
+            add(one_less, &|world| change_members(world, away, scope.order_after));
+        }
+    }
     all
 }
 
+/// How often a walk goes on from any open state in place of the last one.
+const ELSEWHERE: f64 = 0.2;
+
 fn walk(scope: &Scope) -> Walked {
-    let mut world = World::new(1, scope.members, scope.members, scope.members, scope.mutant);
+    let replicas = scope.members + scope.spares;
+    let mut world = World::new(scope.seed, replicas, scope.members, scope.members, scope.mutant);
     world.calm(300 * MS);
     world.bag.clear();
     for (nth, node) in scope.orders.iter().enumerate() {
-        world.want(*node, Want::Replace(Arc::new(Sheet::new(5, vec![nth as u8]))));
+        world.want(*node, Want::Replace(Arc::new(Sheet::new(VERSION, vec![nth as u8]))));
     }
     settle(&mut world, scope.spreads);
     let mut seen = HashSet::from([state_of(&world, &scope.faults)]);
     let mut walked = Walked { states: 1, steps: 0, whole: true, broken: None };
     let mut open = vec![(world, scope.faults)];
-    while let Some((world, faults)) = open.pop() {
-        for (world, faults) in next(&world, faults, scope.spreads) {
+    let mut chance = ChaCha8Rng::seed_from_u64(scope.seed);
+    while !open.is_empty() {
+        // Deep first, but not always: what a step early on leads to is met before all that follows a late one.
+        let last = open.len() - 1;
+        let at = if chance.random_bool(ELSEWHERE) { chance.random_range(0..=last) } else { last };
+        let (world, faults) = open.swap_remove(at);
+        for (world, faults) in next(&world, faults, scope) {
             walked.steps += 1;
             if world.broken.is_some() {
                 return Walked { broken: world.broken, ..walked };
@@ -171,11 +247,23 @@
     std::env::var("STATES").ok().and_then(|most| most.parse().ok()).unwrap_or(otherwise)
 }
 
-const NONE: Faults = Faults { kills: 0, doubles: 0, resends: 0 };
+const NONE: Faults = Faults { kills: 0, doubles: 0, resends: 0, changes: 0 };
 
 fn holds(name: &str, members: usize, orders: &'static [usize], faults: Faults) -> Walked {
     let spreads = members == 2;
-    let walked = walk(&Scope { members, orders, faults, spreads, mutant: 0, most: most(5_000) });
+    let (spares, seed) = (usize::from(faults.changes > 0), 1);
+    let order_after = (faults.changes > 0).then_some(1);
+    let walked = walk(&Scope {
+        seed,
+        members,
+        spares,
+        orders,
+        order_after,
+        faults,
+        spreads,
+        mutant: 0,
+        most: most(5_000),
+    });
     println!("{name}: {walked:?}");
     assert_eq!(walked.broken, None, "{name}");
     walked
@@ -220,15 +308,48 @@
     holds("four members, two contents", 4, &[0, 1], NONE);
 }
 
+#[test]
+fn three_members_of_which_one_is_replaced() {
+    holds("three members, one replaced", 3, &[2], Faults { changes: 1, ..NONE });
+}
+
 /// Each rule that is broken must be found in one of the scopes.
 #[test]
 fn mutants_are_found() {
     // Undecided content is held, a promise is broken, what was accepted is forgotten.
     for (mutant, members) in [(30, 2), (33, 2), (35, 2)] {
         let faults = Faults { resends: 1, ..NONE };
-        let scope = Scope { members, orders: &[0, 1], faults, spreads: false, mutant, most: 20_000 };
+        let orders = &[0, 1];
+        let scope = Scope {
+            seed: 1,
+            members,
+            spares: 0,
+            orders,
+            order_after: None,
+            faults,
+            spreads: false,
+            mutant,
+            most: 20_000,
+        };
         let walked = walk(&scope);
         println!("mutant {mutant}: {walked:?}");
         assert!(walked.broken.is_some(), "mutant {mutant}: {walked:?}");
     }
+    // Numbers without their epoch, in a draw in which the content of the earlier epoch has the higher one.
+    let (orders, faults) = (&[2], Faults { changes: 1, ..NONE });
+    let (spares, order_after) = (1, Some(1));
+    let scope = Scope {
+        seed: 2,
+        members: 3,
+        spares,
+        orders,
+        order_after,
+        faults,
+        spreads: false,
+        mutant: 39,
+        most: 10_000,
+    };
+    let walked = walk(&scope);
+    println!("mutant 39: {walked:?}");
+    assert!(walked.broken.is_some(), "mutant 39: {walked:?}");
 }
