A claim left unanswered is given up early, and a circuit breaker refuses the next ones soon

Cause: while most of the core is dark a keyed request waited up to 0.9 s for its claim, longer than the 0.6 s that some have in all, until the gate had not heard of a majority for 1.5 s, which other replicas report for 1 s longer: held to their end, some told 504. Change: mesh/src/claim_breaker.rs: 0.4 of what is left, 0.9 s at most; after one that was left unanswered 60 ms, with a probe in full each 0.25 s.

--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -18,6 +18,7 @@
 use ochreshed_consensus::messages::{Paper, Sheet};
 use ochreshed_mesh::budget::{Figures, MOST_SERVICES, Report, Spending};
 use ochreshed_mesh::calls::Carried;
+use ochreshed_mesh::claim_breaker::ClaimBreaker;
 use ochreshed_mesh::fared::{Edition, Fared, Fares};
 use ochreshed_mesh::list::Row;
 use ochreshed_mesh::news::Listing;
@@ -110,6 +111,8 @@
     pub settings: ArcSwap<Settings>,
     pub clock: Clock,
     pub callers: Arc<Callers>,
+    /// How long claims of keys are waited for.
+    pub claims: Mutex<ClaimBreaker>,
     pub stewards: Arc<Stewards>,
     pub timetable: ArcSwapOption<InForce>,
     /// The platform's configuration and the papers on members: what is in force is laid out of them.
@@ -164,6 +167,7 @@
         let branch = Arc::new(Branch {
             clock,
             callers: Arc::default(),
+            claims: Mutex::default(),
             stewards: Arc::new(Stewards::new(clock)),
             timetable: ArcSwapOption::empty(),
             bases: Mutex::default(),
--- a/balancer/src/mesh/gate.rs
+++ b/balancer/src/mesh/gate.rs
@@ -25,15 +25,13 @@
 use super::keys;
 use super::sessions::{self, Bound};
 use crate::body::Message;
+use crate::link::held;
 
 const MS: Nanos = 1_000_000;
 /// What an answer may need on its way back to the client.
 const WAY_BACK: Nanos = 12 * MS;
 /// A body of an answer that is longer is not kept with its key.
 const MOST_KEPT: usize = 64 * 1024;
-/// How long the core is waited for, for a claim; where it has been silent before, a req is refused early rather than late.
-const CLAIM: Duration = Duration::from_millis(900);
-const CLAIM_SILENT: Duration = Duration::from_millis(60);
 /// How a client is told to come back where the module says nothing of it.
 const COME_BACK: Nanos = 100 * MS;
 /// A large answer is not begun with less time than this before the process gives up what is inside.
@@ -151,10 +149,17 @@
     let token: Token = branch.draw();
     let now = branch.clock.now();
     let left = trip.ends.saturating_sub(now);
-    let claim = if branch.core_away() { CLAIM_SILENT } else { CLAIM };
-    let within = claim.min(Duration::from_nanos(left));
+    let wait = held(&branch.claims).wait(now, left, branch.core_away());
     let left_ms = (left / MS).min(u64::from(u32::MAX)) as u32;
+    let within = Duration::from_nanos(wait);
     let got = keys::claim(&branch.stewards, &branch.callers, (key, token), left_ms, within).await;
+    match got {
+        Got::Unsure => {
+            let ended = branch.clock.now();
+            held(&branch.claims).unanswered(ended, ended - now);
+        }
+        _ => held(&branch.claims).answered(),
+    }
     let settle =
         |outcome| keys::settle(branch.stewards.clone(), branch.callers.clone(), (key, token), outcome);
     match got {
--- a/balancer/src/mesh/gate_tests.rs
+++ b/balancer/src/mesh/gate_tests.rs
@@ -494,6 +494,31 @@
     assert_eq!(held(&rig.seen).asked, 0);
 }
 
+/// Guards against requests that are held to their end because the control plane is there and does not answer: the first is
+/// refused while its client has most of its time left, the next ones at once.
+#[tokio::test]
+async fn keyed_requests_are_refused_soon_while_claims_stay_unanswered() {
+    let rig = Rig::new(&[], &[]).await;
+    let silent = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    rig.branch.know_stewards(vec![silent.local_addr().expect("its address")]);
+    let took = async |key: &str| {
+        let began = tokio::time::Instant::now();
+        let fields = format!("Ochreshed-Tracking-Key: {key}\r\nOchreshed-Time-Left-Ms: 2000\r\n");
+        let answer = rig.call("/keyed/", &fields).await;
+        assert_eq!((answer.status(), answer.field("retry-after").is_some()), ("503", true));
+        began.elapsed()
+    };
+    let first = took("k-1").await;
+    assert!(Duration::from_millis(700) < first && first < Duration::from_millis(1_400), "{first:?}");
+    // One in a while waits in full, to find out.
+    let mut soon = 0;
+    for nth in 2..10 {
+        soon += u32::from(took(&format!("k-{nth}")).await < first / 2);
+    }
+    assert!(soon >= 4, "{soon}");
+    assert!(rig.came().is_empty());
+}
+
 /// Guards against reqs that go to another route's service, or on where there is no route.
 #[tokio::test]
 async fn the_route_is_that_of_the_host_with_the_longest_prefix() {
--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod budget;
 pub mod calls;
+pub mod claim_breaker;
 pub mod delta;
 pub mod fared;
 pub mod health;
--- /dev/null
+++ b/mesh/tests/claim_breaker.rs
@@ -0,0 +1,47 @@
+//! Waiting for a control plane that does not answer.
+
+use ochreshed_mesh::claim_breaker::ClaimBreaker;
+
+const MS: u64 = 1_000_000;
+
+/// Guards against requests that are held to their end because no majority of the control plane is there.
+#[test]
+fn a_claim_leaves_its_client_time_to_go_elsewhere() {
+    let mut breaker = ClaimBreaker::default();
+    assert_eq!(breaker.wait(0, 600 * MS, false), 240 * MS);
+    assert_eq!(breaker.wait(0, 20_000 * MS, false), 900 * MS);
+    assert_eq!(breaker.wait(0, 600 * MS, true), 60 * MS);
+    assert_eq!(breaker.wait(0, 50 * MS, true), 20 * MS);
+    assert_eq!(breaker.wait(0, 0, false), 0);
+}
+
+#[test]
+fn after_one_that_was_left_unanswered_the_others_are_refused_soon() {
+    let mut breaker = ClaimBreaker::default();
+    breaker.unanswered(240 * MS, 240 * MS);
+    let waits: Vec<u64> =
+        (0..10).map(|nth| breaker.wait((240 + 50 * nth) * MS, 600 * MS, false) / MS).collect();
+    // One in a while finds out whether it answers again.
+    assert_eq!(waits, [60, 60, 60, 60, 60, 240, 60, 60, 60, 60]);
+    breaker.answered();
+    assert_eq!(breaker.wait(800 * MS, 600 * MS, false), 240 * MS);
+    // One that had hardly any time tells nothing.
+    breaker.unanswered(900 * MS, 30 * MS);
+    assert_eq!(breaker.wait(900 * MS, 600 * MS, false), 240 * MS);
+}
+
+/// Guards against a breaker that stays open because a slow control plane answers later than the short wait.
+#[test]
+fn a_slow_control_plane_closes_it_again() {
+    let (mut breaker, answers_after) = (ClaimBreaker::default(), 100 * MS);
+    breaker.unanswered(0, 240 * MS);
+    let mut granted = 0;
+    for nth in 0..20 {
+        let now = nth * 50 * MS;
+        if breaker.wait(now, 600 * MS, false) >= answers_after {
+            granted += 1;
+            breaker.answered();
+        }
+    }
+    assert_eq!(granted, 15);
+}
