--- a/balancer/src/mesh/carry_tests.rs
+++ b/balancer/src/mesh/carry_tests.rs
@@ -13,7 +13,7 @@
 use tokio::sync::Semaphore;
 
 use super::carry::{Fail, Line};
-use super::door::ID;
+use super::headers::ID;
 use crate::body::Message;
 use crate::clock::Clock;
 
--- a/balancer/src/mesh/door.rs
+++ b/balancer/src/mesh/door.rs
@@ -10,7 +10,7 @@
 
 use arc_swap::ArcSwap;
 use hyper::body::Body as _;
-use hyper::header::{CONTENT_ENCODING, HOST, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{CONTENT_ENCODING, HOST, HeaderMap, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use jzon::JsonValue as Json;
@@ -27,29 +27,13 @@
 use super::carry::{Fail, Flow, Lane, Line};
 use super::entry::{self, Bad, Came, field, say};
 use super::fence::{Fence, Pass};
+use super::headers::*;
+use super::inbound_request::{InboundRequest, MAX_LEFT_MS, Terms};
 use super::sessions::Sessions;
 use crate::body::Message;
 use crate::clock::Clock;
 use crate::link::held;
 
-pub const ID: HeaderName = HeaderName::from_static("ochreshed-consignment-id");
-pub const LEFT: HeaderName = HeaderName::from_static("ochreshed-time-left-ms");
-pub const ADDRESSEE: HeaderName = HeaderName::from_static("ochreshed-addressee");
-pub const CALLER: HeaderName = HeaderName::from_static("ochreshed-caller");
-pub const KEY: HeaderName = HeaderName::from_static("ochreshed-tracking-key");
-pub const STAMP: HeaderName = HeaderName::from_static("ochreshed-postmark");
-const DELIVERED_BY: HeaderName = HeaderName::from_static("ochreshed-delivered-by");
-const NOT_RUN: HeaderName = HeaderName::from_static("ochreshed-not-delivered");
-/// Between a gate and a door: the ms until an answer is late, how many doors have turned the req away, and letters: `a`,
-/// it is sent again or called by a run that was; `c`, a run waits for it; `l`, its answer is large. On a member's route
-/// also the part of the slots that its reqs may have, and its name, which ends with the field.
-pub const KNOCK: HeaderName = HeaderName::from_static("ochreshed-knock");
-/// Between a gate and a door: the session that a req is of and since when its gate holds that, where its route names one;
-/// or that a session has moved, and nothing else.
-pub const FENCE: HeaderName = HeaderName::from_static("ochreshed-fence");
-/// Between a door and a gate: how the door's part ended, and how many reqs are at its upstream or wait there.
-pub const WAY: HeaderName = HeaderName::from_static("ochreshed-way");
-
 /// How a door says that a later holder of a session is known, and since when that holds it.
 const FENCED: &str = "fenced-";
 
@@ -62,9 +46,6 @@
 /// Ids of lives that have ended.
 const MOST_PAST: usize = 32;
 const MOST_BEAT: u64 = 4 * 1024;
-const MOST_NAME: usize = 256;
-/// The longest that a client may say it waits, in ms.
-pub const MOST_LEFT: u64 = 86_400_000;
 /// What a message has on the wire beside its body, about.
 const HEAD_BYTES: usize = 400;
 /// How much of the last large answer's size goes into the mean.
@@ -207,76 +188,6 @@
     pub fence: Fence,
 }
 
-/// A req at a door.
-pub struct Knock<'a> {
-    pub message: &'a Arc<Message>,
-    /// The life of the upstream that is meant.
-    pub meant: &'a str,
-    pub caller: &'a HeaderValue,
-    /// How many doors have turned it away before.
-    pub turned: u32,
-    /// Its session lives at this upstream.
-    pub tied: bool,
-    /// It is sent again, or called by a run that was.
-    pub again: bool,
-    /// A run waits for its answer.
-    pub call: bool,
-    /// Its answer is a large one.
-    pub large: bool,
-    /// Its answer goes to another machine.
-    pub away: bool,
-    /// Its session, where its route names one.
-    pub pass: Option<Pass>,
-    /// When its answer is late, and when nobody waits for it any more.
-    pub aim: Nanos,
-    pub until: Nanos,
-    /// What the member whose route it came by may have here.
-    pub part: Option<Part>,
-}
-
-/// What a knock tells on the wire.
-struct Told {
-    aim_ms: u64,
-    turned: u32,
-    tied: bool,
-    again: bool,
-    call: bool,
-    large: bool,
-    part: Option<Part>,
-}
-
-impl Knock<'_> {
-    /// What of it goes on the wire; the door's part of its time is told by another field.
-    pub fn word(&self, now: Nanos) -> String {
-        let mut word = format!("{} {} ", self.aim.saturating_sub(now) / MS, self.turned);
-        word.extend(
-            [(self.again, 'a'), (self.call, 'c'), (self.large, 'l'), (self.tied, 't')]
-                .iter()
-                .filter(|(is, _)| *is)
-                .map(|(_, c)| c),
-        );
-        if let Some(part) = &self.part {
-            word += &format!(" {} {}", part.share, part.member);
-        }
-        word
-    }
-
-    /// Reads that again, with the ms until it is late in place of the time.
-    fn read(headers: &HeaderMap, left: u64) -> Told {
-        // A member's name may be in any script.
-        let word = headers.get(&KNOCK).and_then(|word| std::str::from_utf8(word.as_bytes()).ok());
-        let mut parts = word.unwrap_or_default().trim().splitn(5, ' ');
-        let aim_ms = parts.next().and_then(|part| part.parse().ok()).unwrap_or(left).min(MOST_LEFT);
-        let turned = parts.next().and_then(|part| part.parse().ok()).unwrap_or(0);
-        let letters = parts.next().unwrap_or_default();
-        let [again, call, large, tied] = ['a', 'c', 'l', 't'].map(|letter| letters.contains(letter));
-        let share = parts.next().and_then(|part| part.parse().ok());
-        let member = parts.next().filter(|name| !name.is_empty() && name.len() <= MOST_NAME);
-        let part = share.zip(member).map(|(share, name)| Part { member: name.into(), share });
-        Told { aim_ms, turned, tied, again, call, large, part }
-    }
-}
-
 /// A place at the upstream, and since when; given back when its answer has come, or nobody waits for it any more.
 struct Slot(Arc<Door>, Nanos, Option<Name>);
 
@@ -711,8 +622,10 @@
     }
 
     /// Lets a req through to the upstream, if it is the one that was meant.
-    pub async fn pass(self: &Arc<Self>, knock: Knock<'_>) -> End {
-        let Knock { message, meant, caller, again, call, large, away, pass, aim, until, part, .. } = knock;
+    pub async fn pass(self: &Arc<Self>, request: InboundRequest<'_>) -> End {
+        let InboundRequest {
+            message, meant, caller, again, call, large, away, pass, aim, until, part, ..
+        } = request;
         let Some(to) = self.check(meant) else { return End::Gone };
         let now = self.clock.now();
         if let Err(known) = self.lets(now, pass) {
@@ -727,7 +640,7 @@
         if stands > 0 && now + took > aim {
             return End::Turned;
         }
-        let (turned, tied) = (knock.turned, knock.tied);
+        let (turned, tied) = (request.turned, request.tied);
         let part = part.map(|told| self.part(told));
         let member = part.as_ref().map(|part| part.member.clone());
         let waits = {
@@ -889,26 +802,39 @@
         let at = came.at;
         let headers = came.req.headers();
         let meant = field(headers, &ADDRESSEE).to_owned();
-        let left = field(headers, &LEFT).parse::<u64>().unwrap_or(0).min(MOST_LEFT);
-        let fence = field(headers, &FENCE);
+        let left = field(headers, &LEFT).parse::<u64>().unwrap_or(0).min(MAX_LEFT_MS);
+        let fence = field(headers, &SESSION_FENCE);
         if let Some(keys) = self.sessions.handed_over(fence) {
             return self.way(Response::new(Flow::of(keys)), "ran");
         }
         let pass = Pass::read(fence);
-        let Told { aim_ms, turned, tied, again, call, large, part } = Knock::read(headers, left);
+        let Terms { aim_ms, turned, tied, again, call, large, part } = Terms::read(headers, left);
         let caller = headers.get(&CALLER).cloned().unwrap_or(HeaderValue::from_static(""));
         let read = entry::message(came, &bodies, self.clock, u64::MAX, Duration::from_secs(10)).await;
         let (mut message, _room) = match read {
             Ok(read) => read,
             Err(Bad(status, line)) => return self.way(say(status, line), "unsent"),
         };
-        message.head.headers_mut().remove(&KNOCK);
-        message.head.headers_mut().remove(&FENCE);
+        message.head.headers_mut().remove(&TERMS);
+        message.head.headers_mut().remove(&SESSION_FENCE);
         let (message, meant, caller, away) = (&Arc::new(message), &*meant, &caller, true);
         let (aim, until) = (at + aim_ms * MS, at + left * MS);
-        let knock =
-            Knock { message, meant, caller, turned, tied, again, call, large, away, pass, aim, until, part };
-        let end = self.pass(knock).await;
+        let request = InboundRequest {
+            message,
+            meant,
+            caller,
+            turned,
+            tied,
+            again,
+            call,
+            large,
+            away,
+            pass,
+            aim,
+            until,
+            part,
+        };
+        let end = self.pass(request).await;
         let word = end.word();
         match end {
             End::Ran(head, flow) => self.way(Response::from_parts(head, flow), word),
--- a/balancer/src/mesh/door_tests.rs
+++ b/balancer/src/mesh/door_tests.rs
@@ -51,7 +51,7 @@
     tokio::spawn(async move {
         let (caller, now) = (HeaderValue::from_static("y"), door.clock.now());
         let (aim, until) = (now + late_ms * MS, now + 20_000 * MS);
-        let knock = Knock {
+        let request = InboundRequest {
             message: &message,
             meant: "i-1",
             caller: &caller,
@@ -66,7 +66,7 @@
             until,
             part,
         };
-        door.pass(knock).await.word()
+        door.pass(request).await.word()
     })
 }
 
@@ -199,10 +199,10 @@
     let read = |word: &str| {
         let mut headers = HeaderMap::new();
         headers.insert(
-            KNOCK,
+            TERMS,
             HeaderValue::from_str(word).or(HeaderValue::from_bytes(word.as_bytes())).expect("a field"),
         );
-        let Told { aim_ms, turned, tied, again, call, large, part } = Knock::read(&headers, 700);
+        let Terms { aim_ms, turned, tied, again, call, large, part } = Terms::read(&headers, 700);
         assert_eq!(tied, word.split(' ').nth(2).is_some_and(|letters| letters.contains('t')), "{word}");
         (aim_ms, turned, again, call, large, part.map(|part| (part.share, part.member.to_string())))
     };
--- a/balancer/src/mesh/gate.rs
+++ b/balancer/src/mesh/gate.rs
@@ -19,9 +19,11 @@
 use super::attendant::{Branch, Inside};
 use super::carry::{Fail, Flow};
 use super::desk::{self, Desk, Place, Step, Turn};
-use super::door::{ADDRESSEE, CALLER, End, FENCE, ID, KEY, KNOCK, Knock, LEFT, MOST_LEFT, WAY};
+use super::door::End;
 use super::entry::{self, Bad, Came, field, say};
 use super::fence::Pass;
+use super::headers::{ADDRESSEE, CALLER, ID, KEY, LEFT, SESSION_FENCE, TERMS, WAY};
+use super::inbound_request::{InboundRequest, MAX_LEFT_MS};
 use super::keys;
 use super::sessions::{self, Bound};
 use crate::body::Message;
@@ -62,7 +64,7 @@
     let person =
         route.session.as_ref().and_then(|name| headers.get(&**name)).and_then(|value| value.to_str().ok());
     let person = person.filter(|person| !person.is_empty()).map(str::to_owned);
-    let left = field(headers, &LEFT).parse::<u64>().unwrap_or(route.deadline_ms).min(MOST_LEFT);
+    let left = field(headers, &LEFT).parse::<u64>().unwrap_or(route.deadline_ms).min(MAX_LEFT_MS);
     let key = Some(field(headers, &KEY)).filter(|key| !key.is_empty()).map(keys::key);
     let at = came.at;
     let call = branch.saw(&id);
@@ -73,7 +75,7 @@
         Ok(read) => read,
         Err(Bad(status, line)) => return say(status, line),
     };
-    for name in [&ADDRESSEE, &CALLER, &KNOCK, &FENCE, &WAY] {
+    for name in [&ADDRESSEE, &CALLER, &TERMS, &SESSION_FENCE, &WAY] {
         message.head.headers_mut().remove(name);
     }
     let ends_by = branch.ends_by();
@@ -431,7 +433,7 @@
         let (caller, away) = (branch.caller(), place.door != branch.door_at());
         let (message, meant, aim) = (&self.message, &*place.id, self.aim);
         let part = self.route.share.as_ref().map(|of| Part { member: of.member.clone(), share: of.slots });
-        let knock = Knock {
+        let request = InboundRequest {
             message,
             meant,
             caller: &caller,
@@ -447,7 +449,7 @@
             part,
         };
         if !away {
-            let end = branch.door.pass(knock).await;
+            let end = branch.door.pass(request).await;
             return (end, Some(branch.door.load() as f64));
         }
         let left = until.saturating_sub(now) / MS;
@@ -459,11 +461,11 @@
         if let Ok(id) = HeaderValue::try_from(&*place.id) {
             fields.insert(ADDRESSEE, id);
         }
-        if let Ok(word) = HeaderValue::try_from(knock.word(now)) {
-            fields.insert(KNOCK, word);
+        if let Ok(word) = HeaderValue::try_from(request.terms(now)) {
+            fields.insert(TERMS, word);
         }
         if let Some(Ok(word)) = pass.map(|pass| HeaderValue::try_from(pass.word())) {
-            fields.insert(FENCE, word);
+            fields.insert(SESSION_FENCE, word);
         }
         fields.insert(CALLER, caller);
         branch.door.goes_out(message.length.unwrap_or(0));
--- a/balancer/src/mesh/mod.rs
+++ b/balancer/src/mesh/mod.rs
@@ -18,7 +18,9 @@
 mod gate;
 #[cfg(test)]
 mod gate_tests;
+mod headers;
 mod hollow;
+mod inbound_request;
 mod keys;
 mod line;
 mod members;
--- a/balancer/src/mesh/sessions.rs
+++ b/balancer/src/mesh/sessions.rs
@@ -16,9 +16,9 @@
 
 use super::attendant::Branch;
 use super::desk::{Desk, Place};
-use super::door::{FENCE, WAY};
 use super::entry::field;
 use super::fence::Pass;
+use super::headers::{SESSION_FENCE, WAY};
 use super::wire::{Ask, Reply};
 use crate::body::Message;
 use crate::link::held;
@@ -354,7 +354,7 @@
     head.headers_mut().insert(HOST, HeaderValue::from_static("ochreshed"));
     let message = Arc::new(Message { head, first: bytes::Bytes::new(), length: Some(0), long: None });
     let mut fields = HeaderMap::new();
-    fields.insert(FENCE, HeaderValue::try_from(format!("{MOVED}{}", pass.word())).ok()?);
+    fields.insert(SESSION_FENCE, HeaderValue::try_from(format!("{MOVED}{}", pass.word())).ok()?);
     let until = branch.clock.now() + HAND_OVER;
     let ours = |head: &hyper::http::response::Parts| head.headers.contains_key(&WAY);
     let answer = branch.line_to(gate).exchange(&message, &fields, until, None, ours).await;
