--- a/balancer/src/mesh/attendant.rs
+++ b/balancer/src/mesh/attendant.rs
@@ -43,7 +43,7 @@
 use super::sessions::Sessions;
 use super::settings::{Settings, SettingsError};
 use super::wire::Callers;
-use super::{full, gate, news, start};
+use super::{full, gate, metrics, news, start};
 use crate::clock::Clock;
 use crate::link::held;
 
@@ -511,6 +511,36 @@
         held(&self.rows).len()
     }
 
+    /// This machine's figures, for operators' tools.
+    fn metrics(&self) -> Response<Flow> {
+        let now = self.clock.now();
+        let age = |since: &AtomicU64| now.saturating_sub(since.load(Relaxed)) as f64 / 1e9;
+        let version = self.timetable.load().as_ref().map_or(0, |timetable| timetable.version);
+        let sums = held(&self.seats).figures();
+        let sum = |of: fn(&Figures) -> u32| sums.values().map(|figures| f64::from(of(figures))).sum();
+        let sessions = self.door.sessions.counts();
+        metrics::Figures::of("attendant")
+            .gauge("ready", "1 while it is ready", f64::from(u8::from(self.ready())))
+            .gauge("configuration_version", "Version of the configuration in force", version as f64)
+            .gauge("endpoint_records", "Records of upstreams that are known", self.records() as f64)
+            .gauge("unreachable", "Machines that nobody heard of late", self.quiet.load().len() as f64)
+            .gauge("control_heard_seconds", "Since a replica of the control plane answered", age(&self.heard))
+            .gauge(
+                "quorum_heard_seconds",
+                "Since a replica that hears a majority answered",
+                age(&self.settled),
+            )
+            .gauge("requests_inside", "Requests in hand", self.inside.load(Relaxed) as f64)
+            .gauge("upstream_load", "Requests at the upstream or waiting there", self.door.load() as f64)
+            .gauge("window_first_sends", "First sends in the budget's window", sum(|of| of.first))
+            .gauge("window_retries", "Sent again in the budget's window", sum(|of| of.again))
+            .gauge("window_retries_refused", "Not sent again for want of budget", sum(|of| of.refused))
+            .gauge("sessions", "Sessions held", sessions.held as f64)
+            .counter("sessions_moved", "Sessions that came from another gate", sessions.moves)
+            .counter("requests", "Requests answered", self.served.load(Relaxed))
+            .page()
+    }
+
     fn ready(&self) -> bool {
         !self.leaving.load(Relaxed)
             && !self.core_silent()
@@ -606,7 +636,13 @@
             count(),
             move |came: Came| {
                 let (branch, door) = (branch.clone(), door.clone());
-                async move { if control { door.control(came).await } else { look(&branch, &came) } }
+                async move {
+                    match control {
+                        true if came.req.uri().path() == metrics::PATH => branch.metrics(),
+                        true => door.control(came).await,
+                        false => look(&branch, &came),
+                    }
+                }
             },
         ));
     }
--- a/balancer/src/mesh/mod.rs
+++ b/balancer/src/mesh/mod.rs
@@ -24,6 +24,7 @@
 mod keys;
 mod line;
 mod members;
+mod metrics;
 mod news;
 mod pages;
 mod report;
--- a/balancer/src/mesh/steward.rs
+++ b/balancer/src/mesh/steward.rs
@@ -33,6 +33,7 @@
 use super::entry::{self, Ajar, Bad, Bounds, Came, json, say};
 use super::full::{self, Full};
 use super::members::{self, Members};
+use super::metrics::{self, Figures};
 use super::pages::{self, Facts, Query, Seen};
 use super::report::{self, Gathered};
 use super::session_calls;
@@ -223,6 +224,9 @@
 
     /// The operators' calls.
     async fn operator(self: Arc<Self>, came: Came, bodies: Arc<Semaphore>) -> Response<Flow> {
+        if came.req.uri().path() == metrics::PATH {
+            return self.metrics().await;
+        }
         let (call, of) = call_of(came.req.uri());
         match call.as_str() {
             "timetable.replace" => match read_body(came, &bodies, self.clock).await {
@@ -259,6 +263,46 @@
         }
     }
 
+    /// This replica's figures, for operators' tools.
+    async fn metrics(&self) -> Response<Flow> {
+        let (reply, seen) = oneshot::channel();
+        let _ = self.events.send(Event::Look(None, reply)).await;
+        let Ok(Ok(seen)) = timeout(OPERATOR, seen).await else { return say(503, "busy: ask again") };
+        let members = seen.stewards.iter().filter(|known| known.member);
+        let voters = members.clone().filter(|known| known.voter);
+        let flag = |is: bool| f64::from(u8::from(is));
+        let (open, unknown, done) = seen.keys;
+        let (records, unreachable) = {
+            let news = held(&self.news);
+            (news.table.len(), news.quiet().len())
+        };
+        Figures::of("steward")
+            .gauge("epoch", "Number of the membership", seen.view as f64)
+            .gauge("members", "Members of the control plane", members.count() as f64)
+            .gauge("voters", "Members that vote, as this one knows", voters.count() as f64)
+            .gauge("quorum", "1 while a majority is heard", flag(seen.settled))
+            .gauge(
+                "configuration_version",
+                "Newest that a majority holds",
+                seen.safe.map_or(0, |safe| safe.0) as f64,
+            )
+            .gauge("leases_open", "Keys at work", open as f64)
+            .gauge("leases_unknown", "Keys of unknown outcome", unknown as f64)
+            .gauge("leases_done", "Keys with a kept outcome", done as f64)
+            .gauge(
+                "lease_oldest_open_seconds",
+                "Age of the oldest key at work",
+                seen.oldest_open.unwrap_or(0) as f64 / 1e9,
+            )
+            .gauge("kept_answer_bytes", "Bytes of kept answers", seen.answers.0 as f64)
+            .gauge("sessions", "Sessions held", seen.sessions.sessions as f64)
+            .gauge("endpoint_records", "Records of upstreams", records as f64)
+            .gauge("unreachable", "Machines not heard of late", unreachable as f64)
+            .counter("disk_writes", "Writes to the disk, each with a sync", self.written.writes.load(Relaxed))
+            .counter("disk_records", "Records written", self.written.records.load(Relaxed))
+            .page()
+    }
+
     /// What the operators' client asks. A drain is answered once the upstream's row says that it was taken.
     async fn page(&self, query: Query) -> Response<Flow> {
         let until = Instant::now() + OPERATOR;
--- a/balancer/tests/mesh.rs
+++ b/balancer/tests/mesh.rs
@@ -366,3 +366,41 @@
         }
     }
 }
+
+/// The value of one of a role's figures, as operators' tools fetch them.
+fn figure(page: &Message, name: &str) -> Option<f64> {
+    let line = page.text().lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    line.and_then(|value| value.parse().ok())
+}
+
+#[test]
+fn each_role_tells_its_figures_as_text() {
+    let mut town = Town::start();
+    town.replace(0, &timetable(2, &route("/later/", "resendable", "alpha")));
+    town.until_in_force("/later/x");
+    for nth in 0..STEWARDS {
+        let page = get(town.control(nth), "/metrics");
+        let of = |name: &str| figure(&page, &format!("ochreshed_steward_{name}"));
+        assert!(page.status() == "200" && page.text().ends_with("# EOF\n"), "{page:?}");
+        assert_eq!((of("epoch"), of("members"), of("quorum")), (Some(1.0), Some(3.0), Some(1.0)));
+        assert!(of("disk_writes_total") > Some(0.0), "{}", page.text());
+        until("told", || {
+            let page = get(town.control(nth), "/metrics");
+            figure(&page, "ochreshed_steward_configuration_version") == Some(2.0)
+        });
+    }
+    let page = get(town.control_of_attendant(0), "/metrics");
+    let of = |name: &str| figure(&page, &format!("ochreshed_attendant_{name}"));
+    assert_eq!(
+        (of("ready"), of("configuration_version"), of("unreachable")),
+        (Some(1.0), Some(2.0), Some(0.0))
+    );
+    assert_eq!(of("endpoint_records"), Some(4.0));
+    // Without a quorum it says so.
+    town.stewards[1].kill();
+    town.stewards[2].kill();
+    until("no quorum", || {
+        let page = get(town.control(0), "/metrics");
+        figure(&page, "ochreshed_steward_quorum") == Some(0.0)
+    });
+}
--- a/balancer/tests/mesh/town.rs
+++ b/balancer/tests/mesh/town.rs
@@ -705,6 +705,12 @@
         answer.and_then(|answer| serde_json::from_str(answer.text()).ok()).unwrap_or_default()
     }
 
+    /// The control gate of an attendant.
+    #[allow(dead_code)]
+    pub fn control_of_attendant(&self, nth: usize) -> SocketAddr {
+        self.at(&self.attendants[nth], CONTROL)
+    }
+
     /// What the operators' client asks of an attendant.
     #[allow(dead_code)]
     pub fn ask_attendant(&self, nth: usize, call: &str) -> serde_json::Value {
