A replica waits a third of a request's time for a key at work, less than gates wait

Change: a third, 0.7 s at most as before. Sessions: no request waits for a tie while the core is away.

--- a/balancer/src/mesh/sessions.rs
+++ b/balancer/src/mesh/sessions.rs
@@ -382,7 +382,8 @@
 /// somebody else has it now, or tied it elsewhere.
 pub async fn begins(branch: &Arc<Branch>, desk: &Desk, bound: &mut Bound, place: &Place) -> bool {
     bound.unplaced |= !bound.is_placed(desk);
-    if !bound.unplaced || bound.is_tied(&place.id) {
+    // Without the core nobody is kept waiting for it, as in `ask_for`.
+    if !bound.unplaced || bound.is_tied(&place.id) || branch.core_away() {
         return true;
     }
     let tie = Tie { id: place.id.to_string(), door: place.door };
--- a/consensus/src/core.rs
+++ b/consensus/src/core.rs
@@ -32,6 +32,7 @@
 mod version_ballots;
 mod zones;
 
+pub use leases::outcome_wait;
 pub use sessions::{SESSION_IDLE, SessionCounts};
 
 pub type Nanos = u64;
--- a/consensus/src/core/leases.rs
+++ b/consensus/src/core/leases.rs
@@ -7,8 +7,10 @@
 const HEDGE: Nanos = 50 * MS;
 /// A call gathers grants for so long.
 const GATHER: Nanos = 1000 * MS;
-/// A call waits for another claim's outcome half the time that its req has left, of at most so many ms.
-const MOST_WAIT_MS: u32 = 1_400;
+/// A call waits for another claim's outcome for so long at most, and for this part of the time that its request has left:
+/// less than outbound proxies wait for a claim (`mesh/src/claim_breaker.rs`), so that they are told that the key is at work.
+const MAX_OUTCOME_WAIT: Nanos = 700 * MS;
+const OUTCOME_WAIT_DIVISOR: Nanos = 3;
 pub(super) const TOLD_FOR: Nanos = 20_000 * MS;
 pub(super) const MOST_TOLD: usize = 4096;
 const MOST_FREED: usize = 20_000;
@@ -51,6 +53,11 @@
     no: BTreeMap<Station, Option<Claim>>,
 }
 
+/// How long a call waits for another claim's outcome, whose request has so many ms left.
+pub fn outcome_wait(left_ms: u32) -> Nanos {
+    (u64::from(left_ms) * MS / OUTCOME_WAIT_DIVISOR).min(MAX_OUTCOME_WAIT)
+}
+
 fn grade(outcome: &Outcome) -> u8 {
     match outcome {
         Outcome::Open => 0,
@@ -109,7 +116,7 @@
             token,
             left_ms,
             began: now,
-            wait_until: now.saturating_add(u64::from(left_ms.min(MOST_WAIT_MS)) * MS / 2),
+            wait_until: now.saturating_add(outcome_wait(left_ms)),
             timer: now.saturating_add(HEDGE),
             few: true,
             yes: BTreeSet::new(),
--- a/mesh/tests/claim_breaker.rs
+++ b/mesh/tests/claim_breaker.rs
@@ -45,3 +45,13 @@
     }
     assert_eq!(granted, 15);
 }
+
+/// Guards against a key that is at work and is taken for a control plane that does not answer.
+#[test]
+fn a_claim_waits_longer_than_the_control_plane_waits_for_a_key_at_work() {
+    for left_ms in [60, 100, 250, 600, 1_000, 2_000, 2_500, 6_000, 60_000] {
+        let wait = ClaimBreaker::default().wait(0, u64::from(left_ms) * MS, false);
+        let outcome = ochreshed_consensus::core::outcome_wait(left_ms);
+        assert!(wait >= outcome + 4 * MS, "{left_ms}: {wait} {outcome}");
+    }
+}
