--- a/review/harness/lost.rs
+++ b/review/harness/lost.rs
@@ -1,4 +1,4 @@
-//! Case 2: a sound upstream that pauses in the middle of its answer is broken off after a SIGTERM.
+//! Case 3: a sound upstream that pauses in the middle of its answer is broken off after a SIGTERM.
 
 #[path = "mesh.rs"]
 #[allow(dead_code)]
