Review case 1: a longer pause in the client's body

Cause: on a slow machine the body could be whole before the reset. Change: 400 ms in place of 300, ten clients.

--- a/review/harness/twice.rs
+++ b/review/harness/twice.rs
@@ -15,11 +15,11 @@
 use mesh::*;
 
 const REQUESTS: usize = 120;
-const CLIENTS: usize = 8;
+const CLIENTS: usize = 10;
 const DEADLINE_MS: u64 = 2_500;
 const BODY_BYTES: usize = 200_000;
 /// The client's pause in the middle of its body.
-const PAUSE_MS: u64 = 300;
+const PAUSE_MS: u64 = 400;
 const WORK_MS: u64 = 120;
 /// One of the two upstreams of the service loses the answer of every 20th request that it runs, for four seconds:
 /// `share` 0.5, `x` 0.05 and `for_s` 4, as the site file says.
