--- a/review/harness/mesh.rs
+++ b/review/harness/mesh.rs
@@ -569,11 +569,21 @@
 
 /// A configuration of routes (prefix, kind, service), all with a deadline of 2,500 ms and a target of 400 ms.
 pub fn configuration(version: u64, routes: &[(&str, &str, &str)]) -> String {
+    configuration_within(version, routes, 2_500, 400)
+}
+
+/// A configuration of routes (prefix, kind, service), all with this deadline and target in ms.
+pub fn configuration_within(
+    version: u64,
+    routes: &[(&str, &str, &str)],
+    deadline: u64,
+    target: u64,
+) -> String {
     let mut entries: Vec<String> = routes
         .iter()
         .map(|(prefix, kind, service)| {
             format!(
-                r#"{{"category":"routes","label":{{"name":"r{}"}},"manifest":{{"depot":"{HOST}","lane_prefix":"{prefix}","route_kind":"{kind}","deadline_ms":2500,"target_ms":400,"post_class":1,"line":"{service}","tries":2}}}}"#,
+                r#"{{"category":"routes","label":{{"name":"r{}"}},"manifest":{{"depot":"{HOST}","lane_prefix":"{prefix}","route_kind":"{kind}","deadline_ms":{deadline},"target_ms":{target},"post_class":1,"line":"{service}","tries":2}}}}"#,
                 prefix.replace('/', "-")
             )
         })
