Count failed exchanges by receiver and cause, in metrics and the log

Change: ResponseError is typed; each failed exchange and each long response that is broken off is counted by hop and cause (exchange_failures_total), and the log has one line a second while a count rises. No decision changes.

--- a/balancer/src/connection.rs
+++ b/balancer/src/connection.rs
@@ -3,6 +3,7 @@
 //! Each connection drives its own hyper connection. It never sends a request a second time by itself, and it
 //! never reports a request as not sent once its last byte has been written to the socket.
 
+use std::fmt;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -41,6 +42,36 @@
 /// short.
 const UNSIZED_BUFFERING_TIME: Duration = Duration::from_millis(1_200);
 
+/// Why a response was not received completely.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ResponseError {
+    /// The connection ended, or the peer's bytes are not a valid response.
+    Connection(String),
+    /// The body is longer than this number of bytes.
+    TooLarge(u64),
+    /// No data of the body came for as long as its reader waits.
+    Stalled,
+    /// The process has no memory left for the body.
+    OutOfMemory,
+}
+
+impl fmt::Display for ResponseError {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            ResponseError::Connection(reason) => f.write_str(reason),
+            ResponseError::TooLarge(max_bytes) => write!(f, "response body exceeds {max_bytes} bytes"),
+            ResponseError::Stalled => f.write_str("response body stalled"),
+            ResponseError::OutOfMemory => f.write_str("no memory for the response body"),
+        }
+    }
+}
+
+impl From<hyper::Error> for ResponseError {
+    fn from(error: hyper::Error) -> ResponseError {
+        ResponseError::Connection(error.to_string())
+    }
+}
+
 /// What was written to and read from a socket, recorded by the socket itself.
 #[derive(Default)]
 pub struct SocketMeter {
@@ -311,7 +342,7 @@
         &mut self,
         request: Request<RequestBody>,
         message: Option<&Arc<RequestMessage>>,
-    ) -> Result<Response<Incoming>, String> {
+    ) -> Result<Response<Incoming>, ResponseError> {
         self.meter.bytes_written.store(0, Relaxed);
         let length = message.map_or(Some(0), |message| message.body_length);
         self.request_bytes = length.map_or(UNKNOWN_LENGTH, |length| min_request_bytes(&request, length));
@@ -322,7 +353,7 @@
         if self.unsized_request.is_some() && self.is_request_sent() {
             self.metrics.iter().for_each(|metrics| metrics.count_dispatch());
         }
-        response.map_err(|e| e.to_string())
+        Ok(response?)
     }
 
     /// Ends an exchange whose response was received completely. Returns whether the connection can be reused.
@@ -340,7 +371,7 @@
         request: Request<()>,
         max_bytes: usize,
         memory: &Arc<Semaphore>,
-    ) -> Result<(Response<Bytes>, bool), String> {
+    ) -> Result<(Response<Bytes>, bool), ResponseError> {
         let (head, body) =
             self.send_request(request.map(|()| RequestBody::empty()), None).await?.into_parts();
         let body = drive(&mut self.connection, read_whole_body(body, max_bytes, memory)).await?;
@@ -349,10 +380,10 @@
     }
 
     /// Returns the next chunk of a response body, or None at its end.
-    pub async fn next_chunk(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, String> {
+    pub async fn next_chunk(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, ResponseError> {
         let chunk = async {
             while let Some(frame) = body.frame().await {
-                if let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() {
+                if let Ok(data) = frame?.into_data() {
                     return Ok(Some(data));
                 }
             }
@@ -362,11 +393,11 @@
     }
 
     /// Reads a whole response body, or the first part of a large one.
-    pub async fn read_body(&mut self, mut body: Incoming) -> Result<ReceivedBody, String> {
+    pub async fn read_body(&mut self, mut body: Incoming) -> Result<ReceivedBody, ResponseError> {
         let length = body.size_hint().exact();
         match length {
             Some(length) if length > MAX_STREAMED_BODY_BYTES => {
-                return Err(format!("response body of {length} bytes is too large"));
+                return Err(ResponseError::TooLarge(MAX_STREAMED_BODY_BYTES));
             }
             Some(length) if length > MAX_BUFFERED_BODY_BYTES as u64 => {
                 return Ok(ReceivedBody::Partial(Bytes::new(), Some(length), body));
@@ -384,7 +415,7 @@
                     None => return Ok(ReceivedBody::Complete(bytes.into())),
                 },
                 Err(_) if length.is_none() => return Ok(ReceivedBody::Partial(bytes.into(), None, body)),
-                Err(_) => return Err("response body stalled".into()),
+                Err(_) => return Err(ResponseError::Stalled),
             }
             if bytes.len() > MAX_BUFFERED_BODY_BYTES {
                 return Ok(ReceivedBody::Partial(bytes.into(), None, body));
@@ -406,20 +437,21 @@
     mut body: Incoming,
     max_bytes: usize,
     memory: &Arc<Semaphore>,
-) -> Result<Bytes, String> {
+) -> Result<Bytes, ResponseError> {
     let length = body.size_hint().exact().map_or(max_bytes, |length| length.min(usize::MAX as u64) as usize);
     if length > max_bytes && body.size_hint().exact().is_some() {
-        return Err(format!("response body of {length} bytes is too large"));
+        return Err(ResponseError::TooLarge(max_bytes as u64));
     }
     let (mut bytes, mut permit) = (Vec::with_capacity(length.min(MAX_BUFFERED_BODY_BYTES)), None);
-    while let Some(frame) = timeout(STALL_TIMEOUT, body.frame()).await.map_err(|_| "response body stalled")? {
-        let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() else { continue };
+    while let Some(frame) = timeout(STALL_TIMEOUT, body.frame()).await.map_err(|_| ResponseError::Stalled)? {
+        let Ok(data) = frame?.into_data() else { continue };
         if bytes.len() + data.len() > max_bytes {
-            return Err(format!("response body exceeds {max_bytes} bytes"));
+            return Err(ResponseError::TooLarge(max_bytes as u64));
         }
         if bytes.len() + data.len() > MAX_BUFFERED_BODY_BYTES && permit.is_none() {
             let permits = length.min(u32::MAX as usize) as u32;
-            permit = Some(memory.clone().acquire_many_owned(permits).await.map_err(|e| e.to_string())?);
+            let acquired = memory.clone().acquire_many_owned(permits).await;
+            permit = Some(acquired.map_err(|_| ResponseError::OutOfMemory)?);
         }
         bytes.extend_from_slice(&data);
     }
--- a/balancer/src/discovery.rs
+++ b/balancer/src/discovery.rs
@@ -177,8 +177,9 @@
                     opening.await.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?
                 }
             };
-        let (response, reusable) =
-            connection.exchange(request.map_err(|e| e.to_string())?, MAX_LIST_BYTES, &self.memory).await?;
+        let exchange =
+            connection.exchange(request.map_err(|e| e.to_string())?, MAX_LIST_BYTES, &self.memory).await;
+        let (response, reusable) = exchange.map_err(|e| e.to_string())?;
         self.connection = Some(connection).filter(|_| reusable);
         if response.status() != StatusCode::OK {
             return Err(format!("discovery answered {}", response.status()));
--- a/balancer/src/endpoint_pool.rs
+++ b/balancer/src/endpoint_pool.rs
@@ -23,7 +23,7 @@
 
 use crate::body::{self, ChunkSender, RequestMessage, ResponseBody, ResponseStream};
 use crate::clock::Clock;
-use crate::connection::{OutboundConnection, ReceivedBody};
+use crate::connection::{OutboundConnection, ReceivedBody, ResponseError};
 use crate::decision_actor::DecisionEvent;
 use crate::metrics::Metrics;
 use crate::start_facts::{MAX_BUFFERED_BODY_BYTES, STREAMED_BODY_BUFFER_BYTES};
@@ -334,7 +334,7 @@
         connection: &mut OutboundConnection,
         request: Request<body::RequestBody>,
         message: &Arc<RequestMessage>,
-    ) -> Result<DispatchResponse, String> {
+    ) -> Result<DispatchResponse, ResponseError> {
         let (head, body) = connection.send_request(request, Some(message)).await?.into_parts();
         // A response that arrives before the request is written completely ends its connection.
         let is_sent = connection.is_request_sent();
@@ -347,7 +347,7 @@
                 // A streamed response takes its share of the memory for large responses.
                 let permit =
                     self.context.response_memory.clone().acquire_many_owned(STREAMED_BODY_BUFFER_BYTES).await;
-                let permit = permit.map_err(|e| e.to_string())?;
+                let permit = permit.map_err(|_| ResponseError::OutOfMemory)?;
                 let response = Response::from_parts(head, first);
                 Ok(DispatchResponse { response, reusable: false, rest: Some((length, rest, permit)) })
             }
--- a/balancer/src/mesh/proxy/connection_pool.rs
+++ b/balancer/src/mesh/proxy/connection_pool.rs
@@ -31,7 +31,8 @@
 
 use crate::body::{ChunkSender, RequestMessage, ResponseStream};
 use crate::clock::Clock;
-use crate::connection::{OutboundConnection, ReceivedBody, lock, remove_hop_by_hop_headers};
+use crate::connection::{OutboundConnection, ReceivedBody, ResponseError, lock, remove_hop_by_hop_headers};
+use crate::mesh::proxy::exchange_failures::{ExchangeFailure, ExchangeFailureCounts};
 
 const MS: Nanos = 1_000_000;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -86,6 +87,7 @@
     permits: Arc<Semaphore>,
     /// Budget in bytes for reading long responses ahead, for all pools that share it; none without read-ahead.
     read_ahead: Option<Arc<Semaphore>>,
+    failure_counts: Arc<ExchangeFailureCounts>,
 }
 
 impl std::fmt::Debug for ConnectionPool {
@@ -98,7 +100,20 @@
     /// Creates an empty pool. `permits` bounds the connections of all pools that share it.
     pub fn new(address: SocketAddr, clock: Clock, permits: Arc<Semaphore>) -> ConnectionPool {
         let idle_limit = Mutex::new(idle_limit::IdleLimit::new(Nanos::MAX));
-        ConnectionPool { address, clock, idle: Mutex::default(), idle_limit, permits, read_ahead: None }
+        ConnectionPool {
+            address,
+            clock,
+            idle: Mutex::default(),
+            idle_limit,
+            permits,
+            read_ahead: None,
+            failure_counts: Arc::default(),
+        }
+    }
+
+    /// Counts failed exchanges in `failure_counts`, for all pools that share it.
+    pub fn with_failure_counts(self, failure_counts: Arc<ExchangeFailureCounts>) -> ConnectionPool {
+        ConnectionPool { failure_counts, ..self }
     }
 
     /// Reads long responses as fast as they arrive, within the byte budget `read_ahead`, so that a slow reader doesn't keep the
@@ -183,10 +198,26 @@
             .await
         {
             Ok(Ok(connection)) => Ok(connection),
-            _ => Err(ExchangeError::ConnectFailed),
+            _ => {
+                self.failure_counts.record(ExchangeFailure::Connect);
+                Err(ExchangeError::ConnectFailed)
+            }
         }
     }
 
+    /// Counts a request that was sent at `sent_at`, or a part of it, without a valid response.
+    fn record_failure(&self, connection: &OutboundConnection, sent_at: Nanos, end: ExchangeEnd) {
+        let response_began = connection.last_read_at() >= sent_at;
+        self.failure_counts.record(match (end, response_began) {
+            (ExchangeEnd::Mismatch, _) => ExchangeFailure::Mismatched,
+            (ExchangeEnd::Failure(ResponseError::Stalled), _) => ExchangeFailure::Stalled,
+            (ExchangeEnd::Failure(_), false) => ExchangeFailure::LostBeforeResponse,
+            (ExchangeEnd::Failure(_), true) => ExchangeFailure::LostInResponse,
+            (ExchangeEnd::Deadline, false) => ExchangeFailure::DeadlineBeforeResponse,
+            (ExchangeEnd::Deadline, true) => ExchangeFailure::DeadlineInResponse,
+        });
+    }
+
     /// Sends a request once, with `added_headers`, and waits for the response until `deadline`. `is_match` says whether a
     /// response belongs to this request; if not, that counts as [`ExchangeError::Reset`] and the connection is closed. `guard`
     /// is dropped when the peer has sent the whole response.
@@ -216,15 +247,17 @@
             let sent_at = self.clock.now();
             let response = timeout_at(deadline, exchange_on(connection, request, message)).await;
             match response {
-                Ok(Ok((head, _))) if !is_match(&head) => return Err(ExchangeError::Reset),
+                Ok(Ok((head, _))) if !is_match(&head) => {
+                    self.record_failure(connection, sent_at, ExchangeEnd::Mismatch);
+                    return Err(ExchangeError::Reset);
+                }
                 Ok(Ok((head, body))) => return Ok(self.response_body(established, head, body, guard)),
                 // The idle connection was closed before a byte of this request was written, so a new one is opened.
-                Ok(Err(()))
-                    if idle_time.is_some() && !connection.has_written() && message.can_send_body() =>
-                {
+                Ok(Err(_)) if idle_time.is_some() && !connection.has_written() && message.can_send_body() => {
                     (established, idle_time) = (None, None)
                 }
-                Ok(Err(())) => {
+                Ok(Err(error)) => {
+                    self.record_failure(connection, sent_at, ExchangeEnd::Failure(error));
                     if connection.last_read_at() < sent_at {
                         self.record_lost_request(idle_time);
                     }
@@ -234,8 +267,14 @@
                         ExchangeError::ConnectFailed
                     });
                 }
-                Err(_) if connection.is_request_sent() => return Err(ExchangeError::TimedOut),
-                Err(_) => return Err(ExchangeError::NotSent),
+                Err(_) => {
+                    self.record_failure(connection, sent_at, ExchangeEnd::Deadline);
+                    return Err(if connection.is_request_sent() {
+                        ExchangeError::TimedOut
+                    } else {
+                        ExchangeError::NotSent
+                    });
+                }
             }
         }
     }
@@ -290,7 +329,11 @@
         let mut remaining = length.unwrap_or(u64::MAX);
         loop {
             let chunk = tokio::select! {
-                chunk = timeout(UPSTREAM_READ_TIMEOUT, connection.next_chunk(&mut rest)) => chunk.ok()?.ok()?,
+                chunk = timeout(UPSTREAM_READ_TIMEOUT, connection.next_chunk(&mut rest)) => match chunk {
+                    Ok(Ok(chunk)) => chunk,
+                    Ok(Err(_)) => return self.abort_stream(ExchangeFailure::LostInResponse),
+                    Err(_) => return self.abort_stream(ExchangeFailure::Stalled),
+                },
                 // A reader that knows the length stops listening after the last byte, which doesn't abort the response.
                 () = sender.closed(), if remaining > 0 => return None,
             };
@@ -312,6 +355,12 @@
         }
     }
 
+    /// Counts a long response that ended before its last byte.
+    fn abort_stream(&self, failure: ExchangeFailure) -> Option<()> {
+        self.failure_counts.record(failure);
+        None
+    }
+
     /// When the connection expires, from the response's headers; `None` if it must be closed.
     fn connection_expiry(&self, head: &Parts) -> Option<Nanos> {
         let header = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
@@ -348,14 +397,22 @@
     Some(Bytes::from_owner(ReadAheadChunk { bytes: chunk, _permit: permit }))
 }
 
+/// How an exchange without a valid response ended.
+enum ExchangeEnd {
+    /// The response belongs to another request.
+    Mismatch,
+    Failure(ResponseError),
+    Deadline,
+}
+
 /// Sends a request on a connection and reads the response, or the first part of a long one.
 async fn exchange_on(
     connection: &mut OutboundConnection,
     request: Request<crate::body::RequestBody>,
     message: &Arc<RequestMessage>,
-) -> Result<(Parts, ReceivedBody), ()> {
-    let (head, body) = connection.send_request(request, Some(message)).await.map_err(drop)?.into_parts();
-    let body = connection.read_body(body).await.map_err(drop)?;
+) -> Result<(Parts, ReceivedBody), ResponseError> {
+    let (head, body) = connection.send_request(request, Some(message)).await?.into_parts();
+    let body = connection.read_body(body).await?;
     Ok((head, body))
 }
 
--- a/balancer/src/mesh/proxy/inbound.rs
+++ b/balancer/src/mesh/proxy/inbound.rs
@@ -43,6 +43,7 @@
 use crate::connection::lock;
 use crate::mesh::proxy::connection_limit::ConnectionLimit;
 use crate::mesh::proxy::connection_pool::{ConnectionPool, ExchangeError, LargeResponseShaper, ResponseBody};
+use crate::mesh::proxy::exchange_failures::ExchangeFailureCounts;
 use crate::mesh::proxy::fencing::{FencingTable, FencingToken};
 use crate::mesh::proxy::headers::{
     ATTEMPT_OUTCOME, CALLER_SERVICE, EXECUTION_STAMP, FENCING_TOKEN, NOT_RUN, REQUEST_ID, REQUEST_PARAMETERS,
@@ -287,6 +288,8 @@
     pub sessions: SessionTable,
     /// The latest owners of sessions that this inbound proxy has seen.
     pub fencing_table: FencingTable,
+    /// Failed exchanges with the upstream.
+    pub upstream_failures: Arc<ExchangeFailureCounts>,
 }
 
 /// The right to run one request at the upstream. It is dropped when the response has arrived or the request is abandoned,
@@ -439,6 +442,7 @@
             record_changes: tokio::sync::Notify::new(),
             sessions: SessionTable::default(),
             fencing_table: FencingTable::default(),
+            upstream_failures: Arc::default(),
         })
     }
 
@@ -735,7 +739,8 @@
         Arc::new(
             ConnectionPool::new(address, self.clock, self.connection_limit.permits())
                 .for_local_upstream()
-                .with_read_ahead(self.read_ahead.clone()),
+                .with_read_ahead(self.read_ahead.clone())
+                .with_failure_counts(self.upstream_failures.clone()),
         )
     }
 
@@ -770,9 +775,12 @@
         }
     }
 
-    /// Periodic work, to be called about once a second: closes connections that were idle for too long, updates the health,
-    /// and publishes the record when the upstream has warmed up.
+    /// Periodic work, to be called about once a second: logs failed exchanges, closes connections that were idle for too long,
+    /// updates the health, and publishes the record when the upstream has warmed up.
     pub fn run_housekeeping(&self) {
+        if let Some(failures) = self.upstream_failures.take_increase() {
+            log::info!("exchanges with the upstream failed: {failures}");
+        }
         self.update_health(self.clock.now());
         let warmed_up = {
             let mut state = lock(&self.state);
--- a/balancer/src/mesh/proxy/mod.rs
+++ b/balancer/src/mesh/proxy/mod.rs
@@ -9,6 +9,7 @@
 pub(super) mod connection_limit;
 pub(super) mod connection_pool;
 pub(super) mod control_plane_watch;
+pub(super) mod exchange_failures;
 pub(super) mod fencing;
 pub(super) mod headers;
 pub(super) mod inbound;
--- a/balancer/src/mesh/proxy/node.rs
+++ b/balancer/src/mesh/proxy/node.rs
@@ -48,6 +48,7 @@
 use crate::connection::lock;
 use crate::mesh::proxy::connection_pool::{ConnectionPool, ResponseBody};
 use crate::mesh::proxy::control_plane_watch;
+use crate::mesh::proxy::exchange_failures::{ExchangeFailure, ExchangeFailureCounts};
 use crate::mesh::proxy::inbound::{InboundProxy, InboundSettings};
 use crate::mesh::proxy::lease_client::ReplicaPool;
 use crate::mesh::proxy::listener::{self, ListenerLimits, ListenerState, ReceivedRequest, plain_response};
@@ -199,6 +200,8 @@
     max_times_left: Mutex<HashMap<RouteKey, MaxTimeLeft>>,
     /// Connections to other nodes' inbound proxies.
     connection_pools: Mutex<HashMap<SocketAddr, Arc<ConnectionPool>>>,
+    /// Failed exchanges with inbound proxies of other nodes.
+    peer_failures: Arc<ExchangeFailureCounts>,
     /// Bounds the connections of all these pools together.
     connection_permits: Arc<Semaphore>,
     pub inbound: Arc<InboundProxy>,
@@ -258,6 +261,7 @@
             )),
             max_times_left: Mutex::default(),
             connection_pools: Mutex::default(),
+            peer_failures: Arc::default(),
             connection_permits: Arc::new(Semaphore::new(max_sockets / INBOUND_PROXY_SOCKET_DIVISOR)),
             inbound: InboundProxy::new(inbound_settings, clock, incarnation_ms),
             inbound_address,
@@ -488,8 +492,10 @@
 
     /// The connections to another node's inbound proxy.
     pub fn connection_pool(&self, inbound_proxy: SocketAddr) -> Arc<ConnectionPool> {
-        let new_pool =
-            || Arc::new(ConnectionPool::new(inbound_proxy, self.clock, self.connection_permits.clone()));
+        let new_pool = || {
+            let pool = ConnectionPool::new(inbound_proxy, self.clock, self.connection_permits.clone());
+            Arc::new(pool.with_failure_counts(self.peer_failures.clone()))
+        };
         lock(&self.connection_pools).entry(inbound_proxy).or_insert_with(new_pool).clone()
     }
 
@@ -676,6 +682,13 @@
             attempt_counts.values().map(|counts| f64::from(field(counts))).sum()
         };
         let sessions = self.inbound.sessions.counts();
+        let hops = [("upstream", &self.inbound.upstream_failures), ("node", &self.peer_failures)];
+        let exchange_failures = hops.into_iter().flat_map(|(hop, counts)| {
+            ExchangeFailure::ALL.map(|failure| {
+                let labels = vec![("hop", hop), ("cause", failure.name())];
+                (labels, counts.count(failure))
+            })
+        });
         metrics::MetricsPage::for_role("attendant")
             .gauge("ready", "1 while it is ready", f64::from(u8::from(self.is_ready())))
             .gauge("configuration_version", "Version of the configuration in force", version as f64)
@@ -698,6 +711,11 @@
             .gauge("window_retries_refused", "Not sent again for want of budget", sum(|counts| counts.denied))
             .gauge("sessions", "Sessions held", sessions.owned_sessions as f64)
             .counter("sessions_moved", "Sessions that came from another gate", sessions.moves)
+            .labelled_counter(
+                "exchange_failures",
+                "Requests sent on without a valid response, by receiver and cause",
+                exchange_failures,
+            )
             .counter("requests", "Requests answered", self.requests_received.load(Relaxed))
             .into_response()
     }
@@ -931,6 +949,9 @@
         };
         let now = node.clock.now();
         node.inbound.run_housekeeping();
+        if let Some(failures) = node.peer_failures.take_increase() {
+            log::info!("exchanges with other nodes failed: {failures}");
+        }
         node.update_connection_limit();
         if let Some(configuration) = node.configuration.load_full() {
             lock(&node.schedulers).remove_idle(now, &configuration.shares);
--- a/balancer/src/mesh/shared/metrics.rs
+++ b/balancer/src/mesh/shared/metrics.rs
@@ -7,7 +7,8 @@
 use hyper::Response;
 use hyper::header::HeaderValue;
 use prometheus_client::encoding::text::encode;
-use prometheus_client::metrics::counter::ConstCounter;
+use prometheus_client::metrics::counter::{ConstCounter, Counter};
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::ConstGauge;
 use prometheus_client::registry::Registry;
 
@@ -43,6 +44,22 @@
         self
     }
 
+    /// Adds a counter with one value for each set of labels.
+    #[must_use]
+    pub fn labelled_counter(
+        mut self,
+        name: &str,
+        help: &str,
+        values: impl IntoIterator<Item = (Vec<(&'static str, &'static str)>, u64)>,
+    ) -> MetricsPage {
+        let family = Family::<Vec<(&'static str, &'static str)>, Counter>::default();
+        for (labels, value) in values {
+            family.get_or_create(&labels).inc_by(value);
+        }
+        self.0.register(name, help, family);
+        self
+    }
+
     /// Encodes the page as the response to the scrape.
     pub fn into_response(self) -> Response<ResponseBody> {
         let mut text = String::new();
