Wait for an upstream that pauses within its response until the deadline

Cause: read_body took a response of known length for lost after 1 s without data, and stream_body a long one after 5 s. The inbound proxy closed the connection, the upstream dropped the run.

Change: ReadTimeout accepts any silence until the request's deadline, for short and long responses, on both hops. serve keeps its limit of 1 s here. This works because the deadline already bounds each exchange: nothing can wait longer than before, and an upstream's silence alone proves no failure.

--- a/balancer/src/connection.rs
+++ b/balancer/src/connection.rs
@@ -36,7 +36,7 @@
 pub const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// Stands in for the request size when the body length is unknown; larger than any request.
 const UNKNOWN_LENGTH: u64 = u64::MAX - 1;
-/// Without data for this long, a response that is read completely has stalled.
+/// Without data for this long, a response to a call of this program's own, such as a probe, has stalled.
 const STALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long the start of a response of unknown length is buffered, because the response may turn out to be
 /// short.
@@ -72,6 +72,23 @@
     }
 }
 
+/// How long the reader of a response body waits for data. Silence alone is no failure: the server may still be at work, so
+/// the reader waits at least until `earliest`.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadTimeout {
+    /// Longest silence after `earliest`.
+    pub max_silence: Duration,
+    /// Until then, any silence is accepted.
+    pub earliest: Instant,
+}
+
+impl ReadTimeout {
+    /// When the body counts as stalled if no data arrives from now on.
+    pub fn expires_at(&self) -> Instant {
+        self.earliest.max(Instant::now() + self.max_silence)
+    }
+}
+
 /// What was written to and read from a socket, recorded by the socket itself.
 #[derive(Default)]
 pub struct SocketMeter {
@@ -393,7 +410,11 @@
     }
 
     /// Reads a whole response body, or the first part of a large one.
-    pub async fn read_body(&mut self, mut body: Incoming) -> Result<ReceivedBody, ResponseError> {
+    pub async fn read_body(
+        &mut self,
+        mut body: Incoming,
+        read_timeout: ReadTimeout,
+    ) -> Result<ReceivedBody, ResponseError> {
         let length = body.size_hint().exact();
         match length {
             Some(length) if length > MAX_STREAMED_BODY_BYTES => {
@@ -407,8 +428,7 @@
         let mut bytes = Vec::new();
         let buffered_until = Instant::now() + UNSIZED_BUFFERING_TIME;
         loop {
-            let stalled_at = Instant::now() + STALL_TIMEOUT;
-            let until = if length.is_none() { buffered_until } else { stalled_at };
+            let until = if length.is_none() { buffered_until } else { read_timeout.expires_at() };
             match timeout_at(until, self.next_chunk(&mut body)).await {
                 Ok(chunk) => match chunk? {
                     Some(data) => bytes.extend_from_slice(&data),
@@ -431,8 +451,8 @@
     Partial(Bytes, Option<u64>, Incoming),
 }
 
-/// Reads a whole response body. Guards against a body that claims to be endless, and against one that stops
-/// half-way on an open connection: nothing more will come, and the request can still be retried.
+/// Reads the whole response body of a call of this program's own. Guards against a body that claims to be endless, and
+/// against one that stops half-way on an open connection.
 async fn read_whole_body(
     mut body: Incoming,
     max_bytes: usize,
--- a/balancer/src/endpoint_pool.rs
+++ b/balancer/src/endpoint_pool.rs
@@ -19,11 +19,11 @@
 use ochreshed::{DispatchOutcome, Name, Nanos, to_seconds};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio::task::yield_now;
-use tokio::time::{sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::body::{self, ChunkSender, RequestMessage, ResponseBody, ResponseStream};
 use crate::clock::Clock;
-use crate::connection::{OutboundConnection, ReceivedBody, ResponseError};
+use crate::connection::{OutboundConnection, ReadTimeout, ReceivedBody, ResponseError};
 use crate::decision_actor::DecisionEvent;
 use crate::metrics::Metrics;
 use crate::start_facts::{MAX_BUFFERED_BODY_BYTES, STREAMED_BODY_BUFFER_BYTES};
@@ -33,6 +33,8 @@
 /// An idle connection is not reused during this last part of its idle timeout.
 const IDLE_MARGIN: Nanos = 1_000_000_000;
 const MAX_IDLE_CONNECTIONS: usize = 32;
+/// Without data for this long, a response that is read completely has stalled.
+const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// A streamed response is given up when the endpoint sends nothing, or the client takes nothing, for this
 /// long.
 const ENDPOINT_STALL_TIMEOUT: Duration = Duration::from_secs(5);
@@ -338,7 +340,8 @@
         let (head, body) = connection.send_request(request, Some(message)).await?.into_parts();
         // A response that arrives before the request is written completely ends its connection.
         let is_sent = connection.is_request_sent();
-        match connection.read_body(body).await? {
+        let read_timeout = ReadTimeout { max_silence: RESPONSE_STALL_TIMEOUT, earliest: Instant::now() };
+        match connection.read_body(body, read_timeout).await? {
             ReceivedBody::Complete(bytes) => {
                 let reusable = connection.finish_exchange(head.version) && is_sent;
                 Ok(DispatchResponse { response: Response::from_parts(head, bytes), reusable, rest: None })
--- a/balancer/src/mesh/proxy/connection_pool.rs
+++ b/balancer/src/mesh/proxy/connection_pool.rs
@@ -8,6 +8,7 @@
 //! Invariants:
 //! - A request is written a second time only if no byte of it was written on the first connection.
 //! - A request counts as not sent only if its last byte can't have been written.
+//! - An upstream that pauses within its response is waited for until the deadline.
 //! - A connection is reused only after the previous response was read completely.
 
 use std::future::Future;
@@ -31,7 +32,9 @@
 
 use crate::body::{ChunkSender, RequestMessage, ResponseStream};
 use crate::clock::Clock;
-use crate::connection::{OutboundConnection, ReceivedBody, ResponseError, lock, remove_hop_by_hop_headers};
+use crate::connection::{
+    OutboundConnection, ReadTimeout, ReceivedBody, ResponseError, lock, remove_hop_by_hop_headers,
+};
 use crate::mesh::proxy::exchange_failures::{ExchangeFailure, ExchangeFailureCounts};
 
 const MS: Nanos = 1_000_000;
@@ -44,7 +47,7 @@
 /// Longest idle time of a connection to the upstream on the same node. A new connection costs little there: less than a
 /// request that is lost because the upstream has silently dropped the old one.
 const UPSTREAM_MAX_IDLE_TIME: Nanos = 1_000 * MS;
-/// A long response is aborted if nothing of it arrives for this long.
+/// A response is aborted if nothing of it arrives for this long and the request's deadline has passed.
 const UPSTREAM_READ_TIMEOUT: Duration = Duration::from_secs(5);
 /// A long response is aborted if its reader accepts nothing for this long.
 const CLIENT_WRITE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -230,6 +233,7 @@
         is_match: impl Fn(&Parts) -> bool,
     ) -> Result<(Parts, ResponseBody), ExchangeError> {
         let deadline = self.clock.instant(deadline);
+        let read_timeout = ReadTimeout { max_silence: UPSTREAM_READ_TIMEOUT, earliest: deadline };
         let (mut established, mut idle_time) = self.take_idle().unzip();
         loop {
             let connection = match &mut established {
@@ -245,13 +249,16 @@
                 request.headers_mut().insert(name, value.clone());
             }
             let sent_at = self.clock.now();
-            let response = timeout_at(deadline, exchange_on(connection, request, message)).await;
+            let response =
+                timeout_at(deadline, exchange_on(connection, request, message, read_timeout)).await;
             match response {
                 Ok(Ok((head, _))) if !is_match(&head) => {
                     self.record_failure(connection, sent_at, ExchangeEnd::Mismatch);
                     return Err(ExchangeError::Reset);
                 }
-                Ok(Ok((head, body))) => return Ok(self.response_body(established, head, body, guard)),
+                Ok(Ok((head, body))) => {
+                    return Ok(self.response_body(established, head, body, read_timeout, guard));
+                }
                 // The idle connection was closed before a byte of this request was written, so a new one is opened.
                 Ok(Err(_)) if idle_time.is_some() && !connection.has_written() && message.can_send_body() => {
                     (established, idle_time) = (None, None)
@@ -285,6 +292,7 @@
         connection: Option<OutboundConnection>,
         mut head: Parts,
         body: ReceivedBody,
+        read_timeout: ReadTimeout,
         guard: Option<ResponseGuard>,
     ) -> (Parts, ResponseBody) {
         let usable_until = self.connection_expiry(&head);
@@ -309,7 +317,8 @@
                     let (pool, version) = (self.clone(), head.version);
                     tokio::spawn(async move {
                         let _guard = guard;
-                        pool.stream_body(connection, version, (remaining, rest), sender, usable_until).await
+                        let rest = StreamedRest { body: rest, length: remaining, read_timeout };
+                        pool.stream_body(connection, version, rest, sender, usable_until).await
                     });
                 }
                 (head, ResponseBody::Streaming { chunks, guard: None, pacing: None })
@@ -322,14 +331,15 @@
         self: Arc<Self>,
         mut connection: OutboundConnection,
         version: hyper::Version,
-        (length, mut rest): (Option<u64>, Incoming),
+        rest: StreamedRest,
         sender: ChunkSender,
         usable_until: Option<Nanos>,
     ) -> Option<()> {
+        let StreamedRest { mut body, length, read_timeout } = rest;
         let mut remaining = length.unwrap_or(u64::MAX);
         loop {
             let chunk = tokio::select! {
-                chunk = timeout(UPSTREAM_READ_TIMEOUT, connection.next_chunk(&mut rest)) => match chunk {
+                chunk = timeout_at(read_timeout.expires_at(), connection.next_chunk(&mut body)) => match chunk {
                     Ok(Ok(chunk)) => chunk,
                     Ok(Err(_)) => return self.abort_stream(ExchangeFailure::LostInResponse),
                     Err(_) => return self.abort_stream(ExchangeFailure::Stalled),
@@ -378,6 +388,14 @@
     }
 }
 
+/// The part of a long response that has not been read yet.
+struct StreamedRest {
+    body: Incoming,
+    /// Its length, if known.
+    length: Option<u64>,
+    read_timeout: ReadTimeout,
+}
+
 /// A chunk that was read ahead, with the permit for its bytes.
 struct ReadAheadChunk {
     bytes: Bytes,
@@ -410,9 +428,10 @@
     connection: &mut OutboundConnection,
     request: Request<crate::body::RequestBody>,
     message: &Arc<RequestMessage>,
+    read_timeout: ReadTimeout,
 ) -> Result<(Parts, ReceivedBody), ResponseError> {
     let (head, body) = connection.send_request(request, Some(message)).await?.into_parts();
-    let body = connection.read_body(body).await?;
+    let body = connection.read_body(body, read_timeout).await?;
     Ok((head, body))
 }
 
--- a/balancer/src/mesh/proxy/tests/connection_pool_tests.rs
+++ b/balancer/src/mesh/proxy/tests/connection_pool_tests.rs
@@ -192,3 +192,56 @@
         assert_eq!(run_exchanges(behavior, false).await.0, Ok(wrong.to_owned()), "{behavior:?}");
     }
 }
+
+/// Responds to one request with a body of this length, and pauses for this long after its first half.
+async fn respond_with_pause(listener: TcpListener, body_bytes: usize, pause: Duration) {
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    read_request(&mut stream, true).await.expect("a request");
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {body_bytes}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    let half = vec![b'x'; body_bytes / 2];
+    stream.write_all(&half).await.expect("sent");
+    tokio::time::sleep(pause).await;
+    let _ = stream.write_all(&half).await;
+    // The connection stays open.
+    tokio::time::sleep(Duration::from_secs(30)).await;
+}
+
+/// The number of bytes of the response, or the error, and how long the exchange took.
+async fn exchange_with_pause(
+    body_bytes: usize,
+    pause: Duration,
+    time_left: Duration,
+) -> (Result<usize, ExchangeError>, Duration) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("its address");
+    let upstream = tokio::spawn(respond_with_pause(listener, body_bytes, pause));
+    let clock = Clock::new();
+    let (pool, started_at) =
+        (Arc::new(ConnectionPool::new(address, clock, Arc::new(Semaphore::new(1)))), clock.now());
+    let deadline = started_at + time_left.as_nanos() as u64;
+    let response = pool.exchange(&message("one", 3), &HeaderMap::new(), deadline, None, |_| true).await;
+    let received = match response {
+        Ok((_, body)) => {
+            body.collect().await.map(|body| body.to_bytes().len()).map_err(|_| ExchangeError::Reset)
+        }
+        Err(error) => Err(error),
+    };
+    upstream.abort();
+    (received, Duration::from_nanos(clock.now() - started_at))
+}
+
+/// Guards against responses that are broken off before the deadline because their upstream pauses.
+#[tokio::test]
+async fn a_response_that_pauses_is_awaited_until_the_deadline() {
+    let seconds = Duration::from_secs_f64;
+    let (short, long) = (1_000, 200_000);
+    let ((buffered, _), (streamed, _), (late, late_after)) = tokio::join!(
+        exchange_with_pause(short, seconds(1.3), seconds(4.0)),
+        exchange_with_pause(long, seconds(5.4), seconds(8.0)),
+        exchange_with_pause(short, seconds(3.0), seconds(1.6)),
+    );
+    assert_eq!((buffered, streamed), (Ok(short), Ok(long)));
+    assert_eq!(late, Err(ExchangeError::TimedOut));
+    assert!(late_after >= seconds(1.6) && late_after < seconds(2.6), "{late_after:?}");
+}
--- a/balancer/tests/mesh.rs
+++ b/balancer/tests/mesh.rs
@@ -386,6 +386,31 @@
     load.stop_and_check();
 }
 
+/// Guards against requests that are broken off after a SIGTERM because their upstream pauses within its response.
+#[test]
+fn responses_that_pause_are_completed_after_sigterm() {
+    let cluster = MeshCluster::start_default();
+    let proxy = cluster.outbound_proxy(0);
+    thread::scope(|scope| {
+        let send = |number: usize| match number % 2 {
+            0 => send_keyed(proxy, "/move/pause", &format!("pause-{number}")),
+            _ => {
+                let message = request_bytes("GET /read/pause", &format!("pause-{number}"), "", b"");
+                send_message(proxy, &message).unwrap_or_default()
+            }
+        };
+        let requests: Vec<_> = (0..8).map(|number| scope.spawn(move || send(number))).collect();
+        let is_pausing = |run: &RunRecord| run.request.start_line.contains("/pause");
+        wait_until("all requests run", || cluster.run_log.runs_where(is_pausing).len() == requests.len());
+        cluster.attendants[0].terminate();
+        for request in requests {
+            let response = request.join().expect("a response");
+            assert_eq!(response.status(), "200", "{response:?}");
+            assert!(response.text().starts_with("ran ") && !response.header(STAMP_HEADER).is_empty());
+        }
+    });
+}
+
 /// Guards against two operators who both get a 200 for different configurations with the same version. Of eight
 /// contents for each version, sent to three stewards in turn, one is accepted and the others are rejected, and reading
 /// returns the accepted one from then on.
