serve: wait for a pausing response of a request that must not run twice

What callers saw: 502 after 1 s for a request of a rule set that must not be repeated, while its server was at work and paused within the response.

Cause: the limit of 1 s exists so that a response that will never be complete can be tried elsewhere; a request that must not run twice can't be, so for it the limit only ends runs.

Change: the pool's dispatch of such a request accepts silence until it is given up.

Result: a_response_that_pauses_is_completed_for_a_request_that_must_not_run_twice failed before (502) and passes; tests of sockets and streaming bodies pass.

--- a/balancer/src/endpoint_pool.rs
+++ b/balancer/src/endpoint_pool.rs
@@ -19,7 +19,7 @@
 use ochreshed::{DispatchOutcome, Name, Nanos, to_seconds};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio::task::yield_now;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::body::{self, ChunkSender, RequestMessage, ResponseBody, ResponseStream};
 use crate::clock::Clock;
@@ -33,7 +33,7 @@
 /// An idle connection is not reused during this last part of its idle timeout.
 const IDLE_MARGIN: Nanos = 1_000_000_000;
 const MAX_IDLE_CONNECTIONS: usize = 32;
-/// Without data for this long, a response that is read completely has stalled.
+/// Without data for this long, a response to a request that may be sent again has stalled.
 const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// A streamed response is given up when the endpoint sends nothing, or the client takes nothing, for this
 /// long.
@@ -177,11 +177,15 @@
         dispatch: PoolDispatch,
         reused: Option<OutboundConnection>,
     ) -> Option<OutboundConnection> {
-        let PoolDispatch { id, dispatch_index, give_up_at, message, mut cancelled, .. } = dispatch;
+        let PoolDispatch { id, dispatch_index, give_up_at, message, run_once, mut cancelled } = dispatch;
         let (clock, started_at) = (self.context.clock, self.context.clock.now());
+        // Only a request that may be sent again gains from giving up a response that pauses: the server may still be at work.
+        let pause_allowed_until = if run_once { give_up_at } else { started_at };
+        let read_timeout =
+            ReadTimeout { max_silence: RESPONSE_STALL_TIMEOUT, earliest: clock.instant(pause_allowed_until) };
         let mut connection = reused;
         let result = {
-            let mut response = pin!(self.dispatch(&mut connection, &message, give_up_at));
+            let mut response = pin!(self.dispatch(&mut connection, &message, read_timeout, give_up_at));
             tokio::select! {
                 biased;
                 Ok(()) = &mut cancelled => Err(DispatchOutcome::Cancelled),
@@ -300,6 +304,7 @@
         &self,
         connection: &mut Option<OutboundConnection>,
         message: &Arc<RequestMessage>,
+        read_timeout: ReadTimeout,
         give_up_at: Nanos,
     ) -> Result<DispatchResponse, DispatchOutcome> {
         let mut reused = connection.is_some();
@@ -316,7 +321,7 @@
             let sent_at = self.context.clock.now();
             // A large body that was partly sent to another endpoint can't be sent again.
             let request = self.address_request(message, remaining).ok_or(DispatchOutcome::NotSent)?;
-            let response = self.exchange(current, request, message).await;
+            let response = self.exchange(current, request, message, read_timeout).await;
             if reused {
                 self.context.reuse_failures.record(
                     response.is_err() && current.is_request_sent() && current.last_read_at() < sent_at,
@@ -336,11 +341,11 @@
         connection: &mut OutboundConnection,
         request: Request<body::RequestBody>,
         message: &Arc<RequestMessage>,
+        read_timeout: ReadTimeout,
     ) -> Result<DispatchResponse, ResponseError> {
         let (head, body) = connection.send_request(request, Some(message)).await?.into_parts();
         // A response that arrives before the request is written completely ends its connection.
         let is_sent = connection.is_request_sent();
-        let read_timeout = ReadTimeout { max_silence: RESPONSE_STALL_TIMEOUT, earliest: Instant::now() };
         match connection.read_body(body, read_timeout).await? {
             ReceivedBody::Complete(bytes) => {
                 let reusable = connection.finish_exchange(head.version) && is_sent;
--- a/balancer/tests/streaming_bodies.rs
+++ b/balancer/tests/streaming_bodies.rs
@@ -248,3 +248,19 @@
         silent: HTTP/1.1 408 Request Timeout | connection: close | content-length: 14 | body too slow
     "#]]);
 }
+
+/// Guards against a request that must not run twice being aborted because its endpoint pauses within the response.
+#[test]
+fn a_response_that_pauses_is_completed_for_a_request_that_must_not_run_twice() {
+    let endpoint = bind_listener();
+    let balancer = Balancer::start("a@x", &endpoint);
+    let mut client = balancer.send_message(&request("POST", "/pay", "2.5", "x"));
+    let mut endpoint_stream = accept_stream(&endpoint);
+    read_message(&mut endpoint_stream);
+    let (first_half, second_half) = OK_RESPONSE.split_at(OK_RESPONSE.len() - 2);
+    write_message(&mut endpoint_stream, first_half);
+    thread::sleep(std::time::Duration::from_millis(1_300));
+    write_message(&mut endpoint_stream, second_half);
+    let response = read_message(&mut client);
+    assert!(response.starts_with("HTTP/1.1 200") && response.ends_with("good"), "{response}");
+}
