Take a request for not run only if no byte of it was written

Cause: the pool took a request for not run unless its last byte was written, the rule of serve's servers. The mesh's upstreams may begin with the head, and a body above 64 KiB is passed on while it arrives. The deadline and the hop between proxies had the same flaw.

Change: has_written decides in the mesh's pool, at a reset and at the deadline, on both hops. It works because nothing but the upstream's own word shows that it has not begun, and a byte that was not written can't have reached it.

--- a/balancer/src/connection.rs
+++ b/balancer/src/connection.rs
@@ -1,7 +1,8 @@
 //! An HTTP/1.1 connection to a server: the socket, the counters on it, and one exchange at a time.
 //!
-//! Each connection drives its own hyper connection. It never sends a request a second time by itself, and it
-//! never reports a request as not sent once its last byte has been written to the socket.
+//! Each connection drives its own hyper connection. It never sends a request a second time by itself. Which part of a
+//! request must have been written before the request may have run depends on the server's protocol: see
+//! [`OutboundConnection::has_written`] and [`OutboundConnection::is_request_sent`].
 
 use std::fmt;
 use std::future::Future;
@@ -335,12 +336,14 @@
             && self.connection.is_some()
     }
 
-    /// Whether any byte of the current request has been written.
+    /// Whether any byte of the current request has been written. Decides whether the request may have run where a server may
+    /// begin with its head, as in the mesh.
     pub fn has_written(&self) -> bool {
         self.request_bytes != u64::MAX && self.meter.bytes_written.load(Relaxed) > 0
     }
 
-    /// Whether the last byte of the current request has been written. In doubt, it counts as sent.
+    /// Whether the last byte of the current request has been written. In doubt, it counts as sent. Decides whether the
+    /// request may have run where servers begin with its last byte, as those of `serve` do.
     pub fn is_request_sent(&self) -> bool {
         let received = |message: &Arc<RequestMessage>| {
             message.remainder.as_ref().is_some_and(|remainder| remainder.received_at().is_some())
--- a/balancer/src/mesh/proxy/connection_pool.rs
+++ b/balancer/src/mesh/proxy/connection_pool.rs
@@ -7,7 +7,8 @@
 //!
 //! Invariants:
 //! - A request is written a second time only if no byte of it was written on the first connection.
-//! - A request counts as not sent only if its last byte can't have been written.
+//! - A request counts as not sent only if no byte of it was written: an upstream may begin with the first one, and only its
+//!   own statement says that it hasn't.
 //! - An upstream that pauses within its response is waited for until the deadline.
 //! - A connection is reused only after the previous response was read completely.
 
@@ -62,13 +63,13 @@
 /// Why an exchange failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ExchangeError {
-    /// No connection was established, or it ended before the request was written completely: the request has not run.
+    /// No connection was established, or it ended before a byte of the request was written: the request has not run.
     ConnectFailed,
-    /// The deadline passed, or no connection was available, before the request was written completely: it has not run.
+    /// The deadline passed, or no connection was available, before a byte of the request was written: it has not run.
     NotSent,
-    /// The request was written completely, and no complete and valid response came: it may have run.
+    /// The request was written at least in part, and no complete and valid response came: it may have run.
     Reset,
-    /// The request was written completely, and the deadline passed: it may have run.
+    /// The request was written at least in part, and the deadline passed: it may have run.
     TimedOut,
 }
 
@@ -268,7 +269,7 @@
                     if connection.last_read_at() < sent_at {
                         self.record_lost_request(idle_time);
                     }
-                    return Err(if connection.is_request_sent() {
+                    return Err(if connection.has_written() {
                         ExchangeError::Reset
                     } else {
                         ExchangeError::ConnectFailed
@@ -276,7 +277,7 @@
                 }
                 Err(_) => {
                     self.record_failure(connection, sent_at, ExchangeEnd::Deadline);
-                    return Err(if connection.is_request_sent() {
+                    return Err(if connection.has_written() {
                         ExchangeError::TimedOut
                     } else {
                         ExchangeError::NotSent
--- a/balancer/src/mesh/proxy/inbound.rs
+++ b/balancer/src/mesh/proxy/inbound.rs
@@ -97,13 +97,13 @@
     NotAccepting,
     /// Another outbound proxy has owned the session since this term; the request has not run.
     Fenced(u64),
-    /// No connection to the upstream, or the request was not written completely; it has not run.
+    /// No connection to the upstream, or no byte of the request was written; it has not run.
     ConnectFailed,
-    /// The deadline passed, or no connection was available, before the request was written completely; it has not run.
+    /// The deadline passed, or no connection was available, before a byte of the request was written; it has not run.
     NotSent,
-    /// The request was sent and no valid response came: it may have run.
+    /// The request was sent at least in part and no valid response came: it may have run.
     Reset,
-    /// The request was sent and its deadline passed: it may have run.
+    /// The request was sent at least in part and its deadline passed: it may have run.
     TimedOut,
 }
 
--- a/balancer/src/mesh/proxy/tests/connection_pool_tests.rs
+++ b/balancer/src/mesh/proxy/tests/connection_pool_tests.rs
@@ -36,6 +36,22 @@
     CloseIdle,
     /// Responds after reading the head only.
     RespondEarly,
+    /// Begins to run it after reading the head only, then resets the connection.
+    ResetWithinBody,
+    /// Begins to run it after reading the head only, and reads and sends nothing more.
+    StaySilentWithinBody,
+}
+
+impl SecondRequest {
+    /// Whether the upstream begins with the request once it has its head, while a long body is still being sent.
+    fn begins_with_head(self) -> bool {
+        matches!(
+            self,
+            SecondRequest::RespondEarly
+                | SecondRequest::ResetWithinBody
+                | SecondRequest::StaySilentWithinBody
+        )
+    }
 }
 
 fn message(id: &str, body: usize) -> Arc<RequestMessage> {
@@ -100,7 +116,7 @@
                 SecondRequest::CloseIdle => return,
                 _ => {}
             }
-            let Some(next) = read_request(&mut stream, behavior != SecondRequest::RespondEarly).await else {
+            let Some(next) = read_request(&mut stream, !behavior.begins_with_head()).await else {
                 return;
             };
             let _ = received.send(next.clone());
@@ -109,7 +125,7 @@
                 SecondRequest::RespondEarly => respond(&mut stream, &next).await,
                 SecondRequest::SurplusResponseAfter => respond(&mut stream, &id).await,
                 SecondRequest::RespondWithOtherId => respond(&mut stream, "another").await,
-                SecondRequest::Reset => {
+                SecondRequest::Reset | SecondRequest::ResetWithinBody => {
                     let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
                     return;
                 }
@@ -150,7 +166,7 @@
     assert_eq!(exchange("one", 3).await, Ok("of one".to_owned()));
     // Bytes that the upstream sends after the response have time to arrive.
     tokio::time::sleep(Duration::from_millis(20)).await;
-    let body_bytes = if behavior == SecondRequest::RespondEarly { 16 << 20 } else { 3 };
+    let body_bytes = if behavior.begins_with_head() { 16 << 20 } else { 3 };
     let (two, three) = (exchange("two", body_bytes).await, exchange("three", 3).await);
     upstream.abort();
     let mut arrived = Vec::new();
@@ -174,6 +190,8 @@
         (SecondRequest::Reset, Err(ExchangeError::Reset)),
         (SecondRequest::HalfClose, Err(ExchangeError::Reset)),
         (SecondRequest::StaySilent, Err(ExchangeError::TimedOut)),
+        (SecondRequest::ResetWithinBody, Err(ExchangeError::Reset)),
+        (SecondRequest::StaySilentWithinBody, Err(ExchangeError::TimedOut)),
     ] {
         let (two, three, arrived) = run_exchanges(behavior, true).await;
         assert_eq!(two, expected, "{behavior:?}");
