Read idempotency keys as bytes, and refuse empty and ambiguous ones

Cause: the key was read as text by HeaderValue::to_str, whose refusal of such bytes counted as no key; a request without a key runs without a lease. Session values, Host and upstream ids were read the same way.

Evidence: the repeat begins at an upstream at once, without a call about a lease, and the upstream has the key unchanged.

Change: keys and session values are bytes, text headers are UTF-8; on a registered route an empty key or several get 400 before anything runs. Plain keys keep their leases. A request without the header stays an operation of its own, sent at most once.

--- a/balancer/src/mesh/control/admin_api/leases.rs
+++ b/balancer/src/mesh/control/admin_api/leases.rs
@@ -70,7 +70,7 @@
 pub fn show_lease(key: &str, stored: Option<&StoredLease>) -> AdminResponse {
     let mut entry = LeaseEntry {
         key,
-        hashed: format!("{:032x}", lease_client::hash_key(key)),
+        hashed: format!("{:032x}", lease_client::hash_key(key.as_bytes())),
         state: "none",
         known_ms: stored.map(|stored| stored.age / NANOS_PER_MS),
         disputed: false,
--- a/balancer/src/mesh/control/admin_api/request.rs
+++ b/balancer/src/mesh/control/admin_api/request.rs
@@ -173,7 +173,7 @@
     #[must_use]
     pub fn lease_key(&self) -> Option<LeaseKey> {
         match &self.kind {
-            AdminQueryKind::Lease(key) => Some(lease_client::hash_key(key)),
+            AdminQueryKind::Lease(key) => Some(lease_client::hash_key(key.as_bytes())),
             _ => None,
         }
     }
--- a/balancer/src/mesh/proxy/lease_client.rs
+++ b/balancer/src/mesh/proxy/lease_client.rs
@@ -31,8 +31,8 @@
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(150);
 
 /// Hashes an idempotency key, which may be of any length, to the key of its lease at the replicas.
-pub fn hash_key(idempotency_key: &str) -> LeaseKey {
-    xxh3_128(idempotency_key.as_bytes())
+pub fn hash_key(idempotency_key: &[u8]) -> LeaseKey {
+    xxh3_128(idempotency_key)
 }
 
 /// The known replicas and their recent failures, shared by all clients of the replicas in the data plane.
--- a/balancer/src/mesh/proxy/listener.rs
+++ b/balancer/src/mesh/proxy/listener.rs
@@ -269,9 +269,10 @@
     response
 }
 
-/// The value of a header without surrounding spaces; empty if it is missing or not visible ASCII.
+/// The value of a header without surrounding spaces; empty if it is missing or not UTF-8.
 pub fn header_str<'a>(headers: &'a HeaderMap, name: &HeaderName) -> &'a str {
-    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().trim()
+    let value = headers.get(name).and_then(|value| std::str::from_utf8(value.as_bytes()).ok());
+    value.unwrap_or_default().trim()
 }
 
 #[cfg(test)]
--- a/balancer/src/mesh/proxy/mod.rs
+++ b/balancer/src/mesh/proxy/mod.rs
@@ -12,6 +12,7 @@
 pub(super) mod exchange_failures;
 pub(super) mod fencing;
 pub(super) mod headers;
+pub(super) mod idempotency_key;
 pub(super) mod inbound;
 pub(super) mod inbound_request;
 pub(super) mod lease_client;
--- a/balancer/src/mesh/proxy/outbound.rs
+++ b/balancer/src/mesh/proxy/outbound.rs
@@ -13,6 +13,7 @@
 //! Invariants:
 //! - Only the policy chooses the endpoint of an attempt.
 //! - A request that the configuration in force on this node doesn't allow is not forwarded.
+//! - On a keyed route a request with a key doesn't run without a lease on it, and one without a key is sent once.
 //! - A response that has arrived is returned without delay.
 //! - Only if it is certain that a request has not run is its client told so. (On a repeatable route an upstream's own error
 //!   response is passed on unchanged, since a second run is harmless there.)
@@ -36,9 +37,10 @@
 use crate::mesh::proxy::connection_pool::{ExchangeError, ResponseBody};
 use crate::mesh::proxy::fencing::FencingToken;
 use crate::mesh::proxy::headers::{
-    ATTEMPT_OUTCOME, CALLER_SERVICE, FENCING_TOKEN, IDEMPOTENCY_KEY, REQUEST_ID, REQUEST_PARAMETERS,
-    TARGET_UPSTREAM, TIME_LEFT_MS,
+    ATTEMPT_OUTCOME, CALLER_SERVICE, FENCING_TOKEN, REQUEST_ID, REQUEST_PARAMETERS, TARGET_UPSTREAM,
+    TIME_LEFT_MS,
 };
+use crate::mesh::proxy::idempotency_key;
 use crate::mesh::proxy::inbound::{self, UpstreamOutcome};
 use crate::mesh::proxy::inbound_request::{InboundRequest, MAX_TIME_LEFT_MS};
 use crate::mesh::proxy::lease_client;
@@ -84,7 +86,7 @@
 
 /// Handles one request of a client or of the upstream on this node.
 ///
-/// Responses generated here: 400 without a request id, 404 without a route, the errors of [`listener::read_message`], 409
+/// Responses generated here: 400 without a request id, or with an empty key or several keys on a keyed route, 404 without a route, the errors of [`listener::read_message`], 409
 /// while the lease on the request's key is pending, 502 or 504 if the request may have run, and 503 with `Retry-After` if it
 /// has not run. Each response carries the request's id.
 pub async fn handle_request(node: Arc<Node>, received: ReceivedRequest) -> Response<ResponseBody> {
@@ -104,12 +106,16 @@
         .session_header
         .as_ref()
         .and_then(|name| headers.get(&**name))
-        .and_then(|value| value.to_str().ok());
-    let session_value = session_value.filter(|value| !value.is_empty()).map(str::to_owned);
+        .map(|value| value.as_bytes().to_vec())
+        .filter(|value| !value.is_empty());
     let time_left_ms =
         header_str(headers, &TIME_LEFT_MS).parse::<u64>().unwrap_or(route.deadline_ms).min(MAX_TIME_LEFT_MS);
-    let key =
-        Some(header_str(headers, &IDEMPOTENCY_KEY)).filter(|key| !key.is_empty()).map(lease_client::hash_key);
+    let key = match idempotency_key::from_headers(headers) {
+        Err(error) if route.repeat_policy == RepeatPolicy::Keyed => {
+            return plain_response(400, &error.to_string());
+        }
+        key => key.unwrap_or(None),
+    };
     let received_at = received.received_at;
     let caller_run_is_retry = node.record_request(&id);
     let limits = configuration.limits();
@@ -332,7 +338,7 @@
     /// Hash of its idempotency key, also on routes without leases.
     key: Option<LeaseKey>,
     /// Value of the route's session header; none if the route has no session header or the value is empty.
-    session_value: Option<String>,
+    session_value: Option<Vec<u8>>,
 }
 
 impl RequestInFlight {
--- a/balancer/src/mesh/proxy/session_affinity.rs
+++ b/balancer/src/mesh/proxy/session_affinity.rs
@@ -63,9 +63,10 @@
 const HANDOVER_PREFIX: &str = "moved ";
 
 /// Identifies a session: a hash of its service, the session header's name and that header's value.
-pub fn session_id(service: &str, header: &str, value: &str) -> SessionId {
+pub fn session_id(service: &str, header: &str, value: impl AsRef<[u8]>) -> SessionId {
     let mut hasher = Sha256::new();
-    for part in [service, &header.to_ascii_lowercase(), value] {
+    let header = header.to_ascii_lowercase();
+    for part in [service.as_bytes(), header.as_bytes(), value.as_ref()] {
         hasher.update((part.len() as u64).to_be_bytes());
         hasher.update(part);
     }
--- a/balancer/src/mesh/proxy/tests/listener_tests.rs
+++ b/balancer/src/mesh/proxy/tests/listener_tests.rs
@@ -35,3 +35,13 @@
     assert!(received.ends_with(b"begins, ends well"), "{}", String::from_utf8_lossy(&received));
     server.await.expect("no panic");
 }
+
+/// Guards against a header that counts as missing because it has letters beyond ASCII.
+#[test]
+fn header_values_beyond_ascii_are_read() {
+    let mut headers = HeaderMap::new();
+    headers.insert(HOST, HeaderValue::from_bytes("  cobro.mu\u{f1}oz ".as_bytes()).expect("a value"));
+    assert_eq!(header_str(&headers, &HOST), "cobro.mu\u{f1}oz");
+    headers.insert(HOST, HeaderValue::from_bytes(b"cobro.mu\xf1oz").expect("a value"));
+    assert_eq!(header_str(&headers, &HOST), "", "not UTF-8");
+}
--- a/balancer/src/mesh/proxy/tests/outbound_tests.rs
+++ b/balancer/src/mesh/proxy/tests/outbound_tests.rs
@@ -13,13 +13,16 @@
 use ochreshed_catalog::members::{MemberDocument, MemberRegister};
 use ochreshed_catalog::overlay::apply_overlay;
 use ochreshed_catalog::traffic_reports::{OutcomeCounts, RouteEdition};
-use ochreshed_consensus::messages::{CoreRequest, CoreResponse, LeaseOutcome, RegisterValue, StoredResponse};
+use ochreshed_consensus::messages::{
+    CoreRequest, CoreResponse, LeaseKey, LeaseOutcome, RegisterValue, StoredResponse,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use crate::clock::Clock;
 use crate::connection::lock;
+use crate::mesh::proxy::lease_client;
 use crate::mesh::proxy::listener::{self, ListenerLimits, ListenerState, ReceivedRequest};
 use crate::mesh::proxy::node::{AppliedConfiguration, Node, RequestGuard};
 use crate::mesh::proxy::outbound;
@@ -110,6 +113,8 @@
     aborted_requests: usize,
     lease_responses: VecDeque<CoreResponse>,
     lease_requests: usize,
+    /// The keys of these, hashed.
+    lease_keys: Vec<LeaseKey>,
     completed_leases: Vec<Option<LeaseOutcome>>,
     /// Requests with this path prefix fail, whatever the script says.
     failing_path: Option<&'static str>,
@@ -287,8 +292,9 @@
 
 fn replica_response(environment: &mut Environment, request: InternalRequest) -> Option<CoreResponse> {
     match request {
-        InternalRequest::Core(CoreRequest::AcquireLease { .. }) => {
+        InternalRequest::Core(CoreRequest::AcquireLease { key, .. }) => {
             environment.lease_requests += 1;
+            environment.lease_keys.push(key);
             Some(environment.lease_responses.pop_front().unwrap_or(CoreResponse::Unavailable))
         }
         InternalRequest::Core(CoreRequest::CompleteLease { outcome, .. }) => {
@@ -545,6 +551,42 @@
     assert_eq!(lock(&proxy.environment).lease_requests, 0);
 }
 
+/// Guards against a request on a keyed route that runs without a lease, whatever its key looks like.
+#[tokio::test]
+async fn on_a_keyed_route_every_key_guards_its_request_and_an_unclear_one_is_refused() {
+    let longest = vec![b'k'; 16_384];
+    let keys: [&[u8]; 5] = [b"k-1", "Mu\u{f1}oz".as_bytes(), b"Mu\xf1oz", b"\xff \x80, \"k\"; a=b", &longest];
+    let mut seen = HashSet::new();
+    for key in keys {
+        let proxy = TestProxy::new(&[], &[CoreResponse::LeaseHeld(LeaseOutcome::Pending)]).await;
+        let line = [b"Ochreshed-Tracking-Key: ", key, b" \r\n\r\n"].concat();
+        let head = request_text("/keyed/", "");
+        let response = proxy.exchange(&[&head.as_bytes()[..head.len() - 2], &line].concat()).await;
+        assert_eq!(response.status(), "409", "{}", String::from_utf8_lossy(key));
+        assert!(proxy.received().is_empty());
+        let lease_keys = lock(&proxy.environment).lease_keys.clone();
+        assert_eq!(lease_keys, [lease_client::hash_key(key)]);
+        seen.extend(lease_keys);
+    }
+    assert_eq!(seen.len(), keys.len(), "different keys share a lease");
+    for (headers, reason) in [
+        ("Ochreshed-Tracking-Key: \r\n", "the Ochreshed-Tracking-Key is empty\n"),
+        (
+            "Ochreshed-Tracking-Key: a\r\nOchreshed-Tracking-Key: b\r\n",
+            "more than one Ochreshed-Tracking-Key\n",
+        ),
+    ] {
+        let proxy = TestProxy::new(&[], &[]).await;
+        let response = proxy.call("/keyed/", headers).await;
+        assert_eq!((response.status(), &*String::from_utf8_lossy(&response.body)), ("400", reason));
+        assert!(proxy.received().is_empty() && lock(&proxy.environment).lease_requests == 0);
+    }
+    // A request without a key is an operation of its own, and is not sent again after it may have run.
+    let proxy = TestProxy::new(&[Behavior::Close], &[]).await;
+    let response = proxy.call("/keyed/", "").await;
+    assert_eq!((response.status(), proxy.received().len()), ("502", 1));
+}
+
 /// Guards against requests that wait until their deadline because the control plane accepts connections and doesn't respond:
 /// the first is rejected while its client has most of its time left, later ones much sooner.
 #[tokio::test]
