Tell replicas of released leases, and collect no votes for a released token

Cause: a replica collected votes for a token after its release, so a replica that started meanwhile stored the dead token; and a release was announced once, and again only to peers silent for 0.6 s, so who missed it never learned of it.

Change: a call ends when its token is released; who knows of releases on a key reports them to a replica that asks, and to a voter that refuses for a dead token, which is asked again. It works because a released token is never used again: a report is right at any time, in any order. No form on the wire or on disk changes.

--- a/consensus/src/core/lease_table.rs
+++ b/consensus/src/core/lease_table.rs
@@ -60,9 +60,20 @@
 /// How many released tokens are kept; the oldest are dropped first.
 const MAX_RELEASED_TOKENS: usize = 20_000;
 
+/// How many released tokens of a key another replica is told of at a time.
+const MAX_REPORTED_RELEASES: usize = 32;
+
 /// How many replicas may be registered to receive the outcomes of pending leases.
 const MAX_OUTCOME_WATCHERS: usize = 4_096;
 
+/// A token that was released, and when that is forgotten.
+#[derive(Clone, Copy, Debug)]
+struct ReleasedToken {
+    expires_at: Nanos,
+    key: LeaseKey,
+    token: LeaseToken,
+}
+
 /// All leases that this replica stores, released tokens, and the replicas that wait for an outcome.
 #[derive(Clone, Debug)]
 pub(super) struct LeaseTable {
@@ -73,8 +84,10 @@
     leases: BTreeMap<LeaseKey, StoredLease>,
     response_cache: ResponseCache,
     expiry: BTreeSet<(Nanos, LeaseKey)>,
-    released_tokens: BTreeMap<LeaseToken, Nanos>,
-    released_order: VecDeque<(Nanos, LeaseToken)>,
+    released_tokens: BTreeSet<LeaseToken>,
+    released_by_key: BTreeSet<(LeaseKey, LeaseToken)>,
+    /// Released tokens in the order in which they expire.
+    released_order: VecDeque<ReleasedToken>,
     /// Replicas whose lease request was refused because of a pending lease; its outcome is sent to them.
     outcome_watchers: BTreeSet<(LeaseKey, SocketAddr)>,
     updates: VecDeque<(Nanos, LeaseUpdate)>,
@@ -90,7 +103,8 @@
             leases: BTreeMap::new(),
             response_cache: ResponseCache::default(),
             expiry: BTreeSet::new(),
-            released_tokens: BTreeMap::new(),
+            released_tokens: BTreeSet::new(),
+            released_by_key: BTreeSet::new(),
             released_order: VecDeque::new(),
             outcome_watchers: BTreeSet::new(),
             updates: VecDeque::new(),
@@ -198,30 +212,38 @@
             self.expiry.remove(&(expires_at, key));
             self.remove(key, out);
         }
-        while let Some(&(expires_at, token)) = self.released_order.front() {
-            if expires_at > now {
-                break;
-            }
-            self.released_order.pop_front();
-            self.released_tokens.remove(&token);
+        while self.released_order.front().is_some_and(|released| released.expires_at <= now) {
+            self.forget_oldest_released_token();
         }
     }
 
     /// Whether a token was released.
     pub fn is_released(&self, token: LeaseToken) -> bool {
-        self.released_tokens.contains_key(&token)
+        self.released_tokens.contains(&token)
+    }
+
+    /// Tokens that were released on a key, at most [`MAX_REPORTED_RELEASES`].
+    pub fn released_tokens_of(&self, key: LeaseKey) -> Vec<LeaseToken> {
+        let of_key = self.released_by_key.range((key, LeaseToken::MIN)..=(key, LeaseToken::MAX));
+        of_key.map(|(_, token)| *token).take(MAX_REPORTED_RELEASES).collect()
     }
 
     /// Records that a token was released, so that a late vote request does not grant it the lease again.
-    pub fn release_token(&mut self, now: Nanos, token: LeaseToken) {
-        let expires_at = now.saturating_add(self.ttl);
-        if self.released_tokens.insert(token, expires_at).is_none() {
-            self.released_order.push_back((expires_at, token));
+    pub fn release_token(&mut self, now: Nanos, key: LeaseKey, token: LeaseToken) {
+        if self.released_tokens.insert(token) {
+            self.released_by_key.insert((key, token));
+            let expires_at = now.saturating_add(self.ttl);
+            self.released_order.push_back(ReleasedToken { expires_at, key, token });
         }
-        if self.released_order.len() > MAX_RELEASED_TOKENS
-            && let Some((_, token)) = self.released_order.pop_front()
-        {
+        if self.released_order.len() > MAX_RELEASED_TOKENS {
+            self.forget_oldest_released_token();
+        }
+    }
+
+    fn forget_oldest_released_token(&mut self) {
+        if let Some(ReleasedToken { key, token, .. }) = self.released_order.pop_front() {
             self.released_tokens.remove(&token);
+            self.released_by_key.remove(&(key, token));
         }
     }
 
--- a/consensus/src/core/leases.rs
+++ b/consensus/src/core/leases.rs
@@ -229,10 +229,26 @@
         out: &mut Vec<Effect>,
     ) {
         for request in requests {
+            let (key, token) = (request.key, request.token);
             self.vote_on_lease(request, from, out);
+            self.report_releases(key, token, from);
         }
     }
 
+    /// Reports the tokens that were released on a key to a replica that asks for votes on it: it may hold one of them as
+    /// pending, since a release is announced once only to peers that were not silent for long.
+    fn report_releases(&mut self, key: LeaseKey, requested: LeaseToken, to: ReplicaId) {
+        for token in self.lease_table.released_tokens_of(key) {
+            if token != requested {
+                self.report_release(key, token, to);
+            }
+        }
+    }
+
+    fn report_release(&mut self, key: LeaseKey, token: LeaseToken, to: ReplicaId) {
+        self.outbox.queue(to.address).completions.push(LeaseCompletion { key, token, outcome: None });
+    }
+
     pub(super) fn handle_lease_votes(
         &mut self,
         now: Nanos,
@@ -243,13 +259,24 @@
         for LeaseVoteReply { call, vote } in replies {
             let call = self.pending_calls.wire_id(call);
             let Some(Call::Lease(pending)) = self.pending_calls.get_mut(call) else { continue };
-            let ask_all = pending.quorum_only && vote != LeaseVote::Granted;
+            let key = pending.key;
+            let mut ask_all = pending.quorum_only && vote != LeaseVote::Granted;
             pending.quorum_only &= !ask_all;
             match vote {
                 LeaseVote::Granted => {
                     pending.refused_by.remove(&from);
                     pending.granted_by.insert(from);
                 }
+                LeaseVote::Held(lease)
+                    if lease.outcome == LeaseOutcome::Pending
+                        && self.lease_table.is_released(lease.token) =>
+                {
+                    // The voter has missed the release. It learns of it, and is asked again.
+                    pending.granted_by.remove(&from);
+                    pending.refused_by.remove(&from);
+                    ask_all = true;
+                    self.report_release(key, lease.token, from);
+                }
                 LeaseVote::Held(lease) => {
                     pending.granted_by.remove(&from);
                     pending.refused_by.insert(from, Some(lease));
@@ -275,6 +302,9 @@
         {
             let outcome = stored.outcome.clone();
             self.respond(call, CoreResponse::LeaseHeld(outcome), out);
+        } else if self.lease_table.is_released(token) {
+            // The request was given up: no more votes are collected for a dead token.
+            self.respond(call, CoreResponse::Unavailable, out);
         } else if pending.granted_by.len() >= self.majority() && member_count > 0 {
             if pending.granted_by.len() < member_count {
                 let update = LeaseUpdate::Requested { key, token, time_left_ms: pending.time_left_ms };
@@ -361,11 +391,11 @@
             (Some(LeaseOutcome::Pending), _) => {}
             (None, _) if matching.is_some_and(|(_, outcome_rank)| outcome_rank > 0) => {}
             (None, _) => {
-                self.lease_table.release_token(self.now, token);
+                self.lease_table.release_token(self.now, key, token);
                 if matching.is_some() {
                     self.lease_table.remove(key, out);
-                    self.resume_lease_calls(now, key, out);
                 }
+                self.resume_lease_calls(now, key, out);
             }
             (Some(outcome), Some((_, before))) if outcome_rank(&outcome) > before => {
                 let time_left_ms = self.lease_table.get(key).map_or(0, |lease| lease.time_left_ms);
