Read the rest of an unneeded request body, so that an early response arrives

Cause: a listener that answers while a body is still coming closed the connection with unread bytes in it; the reset destroyed the response at its reader.

Change: in the mesh a body that nobody needs any more is read and discarded, for 10 s, a pause of 3 s or 32 MiB at most. serve keeps its own way of lingering.

Result: an_early_response_reaches_a_client_that_sends_its_whole_body_first failed before (broken pipe) and passes, also for a second request on the connection; all tests of ochreshed-balancer pass. Responses given before a body is looked at are open (ROADMAP).

--- a/balancer/src/body.rs
+++ b/balancer/src/body.rs
@@ -10,11 +10,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use ochreshed::Nanos;
 use tokio::sync::{Notify, mpsc};
-use tokio::time::{Instant, Sleep, sleep};
+use tokio::time::{Instant, Sleep, sleep, timeout};
 
 use crate::clock::Clock;
 use crate::connection::lock;
@@ -26,6 +27,8 @@
 /// A large body that makes no progress for this long has stalled, whichever side caused it.
 const BODY_STALL_TIMEOUT: Duration = Duration::from_secs(6);
 const BODY_STALL_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// The rest of a body that nobody needs is read for no longer than this.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A request's head with its body, or with the first part of a large body.
 pub struct RequestMessage {
@@ -47,6 +50,8 @@
     forwarded_bytes: AtomicU64,
     failed: AtomicBool,
     received: Notify,
+    /// Whether what nobody needs is read and discarded, instead of the connection being closed.
+    discards_unread: bool,
 }
 
 impl BodyRemainder {
@@ -59,6 +64,23 @@
             forwarded_bytes: AtomicU64::new(0),
             failed: AtomicBool::new(false),
             received: Notify::new(),
+            discards_unread: false,
+        }
+    }
+
+    /// Reads and discards what nobody needs of the body, for a bounded time. Otherwise the connection is closed while its
+    /// client still sends, which resets it and can destroy a response that the client has not read yet.
+    pub fn discarding_unread(mut self) -> BodyRemainder {
+        self.discards_unread = true;
+        self
+    }
+
+    fn discard(&self, incoming: Option<Incoming>) {
+        let is_needed = self.discards_unread && self.received_at().is_none() && !self.has_failed();
+        if let Some(incoming) = incoming.filter(|_| is_needed)
+            && let Ok(runtime) = tokio::runtime::Handle::try_current()
+        {
+            runtime.spawn(timeout(DISCARD_TIMEOUT, discard_body(incoming)));
         }
     }
 
@@ -102,6 +124,24 @@
     }
 }
 
+impl Drop for BodyRemainder {
+    fn drop(&mut self) {
+        let incoming = lock(&self.incoming).take();
+        self.discard(incoming);
+    }
+}
+
+/// Reads a body to its end, an error, or a pause of [`CLIENT_IDLE_TIMEOUT`].
+async fn discard_body(mut incoming: Incoming) {
+    let mut discarded_bytes = 0;
+    while let Ok(Some(Ok(frame))) = timeout(CLIENT_IDLE_TIMEOUT, incoming.frame()).await {
+        discarded_bytes += frame.data_ref().map_or(0, |data| data.len() as u64);
+        if discarded_bytes > MAX_STREAMED_BODY_BYTES {
+            return;
+        }
+    }
+}
+
 impl RequestMessage {
     /// Whether the body could still be sent to a server.
     pub fn can_send_body(&self) -> bool {
@@ -189,12 +229,14 @@
 impl Drop for RemainderReader {
     fn drop(&mut self) {
         let incoming = self.incoming.take();
-        if let Some(remainder) = &self.message.remainder
-            && remainder.forwarded_bytes.load(Relaxed) == 0
+        let Some(remainder) = &self.message.remainder else { return };
+        if remainder.forwarded_bytes.load(Relaxed) == 0
             && remainder.received_at().is_none()
             && !remainder.has_failed()
         {
             *lock(&remainder.incoming) = incoming;
+        } else {
+            remainder.discard(incoming);
         }
     }
 }
--- a/balancer/src/mesh/proxy/listener.rs
+++ b/balancer/src/mesh/proxy/listener.rs
@@ -205,7 +205,8 @@
         Ok(read) => read?,
         Err(_) => return Err(RequestError(408, "body too slow")),
     };
-    let long = (!is_complete).then(|| BodyRemainder::new(body, clock, InFlightState::untracked()));
+    let long = (!is_complete)
+        .then(|| BodyRemainder::new(body, clock, InFlightState::untracked()).discarding_unread());
     let length = if is_complete { Some(first.len() as u64) } else { declared_length };
     let has_length = head.headers.contains_key(CONTENT_LENGTH) || !first.is_empty();
     remove_hop_by_hop_headers(&mut head.headers);
