--- a/balancer/src/mesh/proxy/exchange_failures.rs
+++ b/balancer/src/mesh/proxy/exchange_failures.rs
@@ -19,7 +19,7 @@
     LostBeforeResponse,
     /// The connection ended within a response, or the response is malformed or too large.
     LostInResponse,
-    /// A part of the response had arrived, and its reader gave up waiting for more before the deadline.
+    /// A part of the response had arrived, and its reader gave up waiting for more.
     Stalled,
     /// The response belongs to another request.
     Mismatched,
