exchange_failures.rs: say which exchanges are not counted

The head claimed that every failed exchange is counted. Those that get no connection because of the limit or their deadline are not, as reading the change once more showed.

--- a/balancer/src/mesh/proxy/exchange_failures.rs
+++ b/balancer/src/mesh/proxy/exchange_failures.rs
@@ -2,7 +2,8 @@
 //!
 //! Main types: [`ExchangeFailure`], [`ExchangeFailureCounts`].
 //!
-//! Invariants: every exchange that fails after its connection was requested is counted once; counts never decrease.
+//! Invariants: an exchange is counted at most once; counts never decrease. Not counted are exchanges that got no connection
+//! because of the connection limit or their deadline, since nothing was sent.
 
 use std::fmt;
 use std::sync::Mutex;
