--- a/review/stand-in-2/frozen.rs
+++ b/review/stand-in-2/frozen.rs
@@ -15,7 +15,7 @@
 const DEADLINE_MS: u64 = 2000;
 /// How long clients wait.
 const LEFT_MS: u64 = 8000;
-const ARCHIVE_BYTES: u64 = 8_000_000;
+const ARCHIVE_BYTES: u64 = 16_000_000;
 const SHEET_BYTES: usize = 90_000;
 const PAGE_BYTES: usize = 20_000;
 const DOWNLOADERS: usize = 12;
@@ -43,7 +43,7 @@
     let lines = ["recibos", "recibos", "recibos", "cobro", "cobro", "cobro", "cobro", "cobro", "cobro"];
     let mesh = Mesh::start(record, 3, &lines, &Options::default());
     let routes = [
-        route("/archivo/", "outbound_post", "recibos", DEADLINE_MS, 1000),
+        route("/archivo/", "outbound_post", "recibos", DEADLINE_MS, DEADLINE_MS),
         route("/hoja/", "registered", "recibos", 2500, 1000),
         route("/saldo/", "resendable", "cobro", 2000, 300),
     ];
