Acknowledge a first session once its directory's name is durable

Callers were told that a session is kept which a loss of power could take: with the first session ever, if syncing the data directory failed, the write that was repeated left that sync out, since the log counted as opened by then.

The log of a subdirectory is no longer one of sessions only.

The simulated disk took names of directories for durable.

--- a/storage/src/store.rs
+++ b/storage/src/store.rs
@@ -22,18 +22,21 @@
 use crate::recovery_finding::RecoveryFinding;
 use crate::register_file_name::{CONFIGURATION_DIRECTORY, NAMED_REGISTER_DIRECTORY, RegisterFilePrefix};
 use crate::register_files::RegisterFiles;
-use crate::session_log::SessionLog;
+use crate::subdirectory_log::SubdirectoryLog;
 
 /// The directories that every data directory has.
 const DIRECTORIES: [&str; 3] = [ROOT_DIRECTORY, LOG_DIRECTORY, CONFIGURATION_DIRECTORY];
 
+/// The directory of the log of sessions.
+const SESSION_DIRECTORY: &str = "sessions";
+
 /// The durable state of a replica.
 pub struct Store {
     directory: DataDirectory,
     ballots: BallotSlots,
     registers: RegisterFiles,
     leases: RecordLog,
-    sessions: SessionLog,
+    sessions: SubdirectoryLog,
 }
 
 impl Store {
@@ -65,12 +68,13 @@
         let (leases, recovered) = RecordLog::open(&mut directory, LogContent::Leases, limits)?;
         let named_registers = registers.recover_named(&mut directory)?;
         sync_directories(&mut directory, &registers)?;
-        let (sessions, recovered_sessions) = SessionLog::open(&directory, limits)?;
+        let (sessions, recovered_sessions) =
+            SubdirectoryLog::open(&directory, SESSION_DIRECTORY, LogContent::Sessions, limits)?;
 
         let ballot_state = ballots.state().cloned();
         let (membership_ballot, acceptors) =
             ballot_state.map_or((None, Vec::new()), |state| (Some(state.membership_ballot), state.acceptors));
-        let recovered_sessions = recovered_sessions.unwrap_or(recovered.sessions);
+        let recovered_sessions = recovered_sessions.map_or(recovered.sessions, |found| found.sessions);
         let persisted = PersistedState {
             membership_ballot,
             acceptors,
@@ -125,10 +129,7 @@
     }
 
     fn persist_sessions(&mut self, records: &[LogRecord]) -> Result<(), StoreError> {
-        if records.iter().any(|record| LogContent::Sessions.includes(record)) {
-            self.sessions.append(&mut self.directory, records)?;
-        }
-        Ok(())
+        self.sessions.append(&mut self.directory, records)
     }
 
     fn persist_configuration(&mut self, records: &[LogRecord]) -> Result<(), StoreError> {
--- a/storage/tests/store/session_crash_points.rs
+++ b/storage/tests/store/session_crash_points.rs
@@ -141,3 +141,25 @@
         assert_eq!(recovered_sessions(&disk), all_sessions, "refused from call {first_refused}");
     }
 }
+
+/// Guards against a first session that is acknowledged before the name of the log's directory is durable, because the
+/// sync of that name was refused and the retry left it out.
+#[test]
+fn the_first_session_survives_a_refused_call_and_a_power_loss_after_its_acknowledgement() {
+    let first = batch(0);
+    let disk = SimulatedDisk::reliable();
+    assert!(persist_with_retries(&disk, &mut None, &first));
+    let calls = disk.call_counts().calls;
+    for refused_call in 1..=calls {
+        for seed in 0..8 {
+            let disk = SimulatedDisk::new(refused_call * 8 + seed, NEVER, refused_call..refused_call + 1);
+            let mut store = None;
+            assert!(persist_with_retries(&disk, &mut store, &first), "refused in call {refused_call}");
+            drop(store);
+            disk.restart_machine();
+            let mut sessions = Sessions::new();
+            apply_all(&mut sessions, &first);
+            assert_eq!(recovered_sessions(&disk), sessions, "refused in call {refused_call}, seed {seed}");
+        }
+    }
+}
--- a/storage/tests/store/simulated_disk.rs
+++ b/storage/tests/store/simulated_disk.rs
@@ -3,7 +3,7 @@
 //! It separates what a process sees from what is durable: the content of files and the names in directories both have
 //! changes that no sync has made durable yet. A loss of power keeps any of them, completely or in part.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind};
 use std::ops::Range;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -145,6 +145,9 @@
     visible_names: BTreeMap<String, usize>,
     durable_names: BTreeMap<String, usize>,
     unsynced_names: Vec<NameChange>,
+    /// Directories whose names no sync has made durable yet; with such a name, all files below it may be lost.
+    unsynced_directories: BTreeSet<String>,
+    durable_directories: BTreeSet<String>,
     calls: u64,
     syncs: u64,
     /// The call in which power is lost.
@@ -245,8 +248,24 @@
                 change.apply_to(&mut self.durable_names);
             }
         }
+        for directory in std::mem::take(&mut self.unsynced_directories) {
+            if outcome == KEEP_ALL || outcome > KEEP_ALL && self.random.below(2) == 1 {
+                self.durable_directories.insert(directory);
+            } else {
+                let prefix = format!("{directory}/");
+                self.durable_names.retain(|path, _| !path.starts_with(&prefix));
+            }
+        }
         self.visible_names = self.durable_names.clone();
     }
+
+    fn sync_directory_names(&mut self, parent: &str) {
+        let (synced, unsynced) = std::mem::take(&mut self.unsynced_directories)
+            .into_iter()
+            .partition(|directory| split_path(directory).0 == parent);
+        self.unsynced_directories = unsynced;
+        self.durable_directories.extend::<BTreeSet<String>>(synced);
+    }
 }
 
 /// The number of calls that the store made to the disk.
@@ -286,6 +305,8 @@
             visible_names: BTreeMap::new(),
             durable_names: BTreeMap::new(),
             unsynced_names: Vec::new(),
+            unsynced_directories: BTreeSet::new(),
+            durable_directories: BTreeSet::new(),
             calls: 0,
             syncs: 0,
             power_loss_call,
@@ -384,8 +405,13 @@
 }
 
 impl FileSystem for SimulatedDisk {
-    /// Directories exist from the start and are durable.
-    fn create_directory(&mut self, _: &str) -> io::Result<()> {
+    /// Never fails. The root exists from the start and is durable.
+    fn create_directory(&mut self, path: &str) -> io::Result<()> {
+        let path = self.full_path(path);
+        let mut state = self.lock();
+        if path != ROOT_DIRECTORY && !state.durable_directories.contains(&path) {
+            state.unsynced_directories.insert(path);
+        }
         Ok(())
     }
 
@@ -473,6 +499,7 @@
                 .partition(|change| change.is_within(&path));
             state.unsynced_names = unsynced;
             synced.iter().for_each(|change| change.apply_to(&mut state.durable_names));
+            state.sync_directory_names(&path);
         }
         returned
     }
