Walks: check a write accepted by a replica that is in no epoch yet

Traced: node 2 had lost its disk and was in no epoch; it acknowledged r1, since its peers reported r2 as committed, which was on the disks of nodes 0 and 1, a majority of epoch 1.

--- a/consensus/tests/random_walks.rs
+++ b/consensus/tests/random_walks.rs
@@ -539,6 +539,13 @@
     assert_eq!(search("no mutation", None, None, walks(500)), None);
 }
 
+/// Guards against a check that takes a rightly accepted write for lost: it is answered by a replica with a new disk, which
+/// is in no epoch yet and goes by its peers' reports of a later version.
+#[test]
+fn a_write_accepted_by_a_replica_without_an_epoch_violates_no_invariant() {
+    assert_eq!(walk(2456, None, 0).violation, None);
+}
+
 /// Replicas roll back whenever that is safe, whichever replicas are reachable. `WALKS` sets the number of walks.
 #[test]
 fn no_walk_with_rollbacks_violates_an_invariant() {
