--- a/balancer/src/mesh/proxy/inbound.rs
+++ b/balancer/src/mesh/proxy/inbound.rs
@@ -6,7 +6,7 @@
 //! waits for a permit from the admission queue, exchanges the request with the upstream and verifies that the response
 //! belongs to it. The outcome goes to the outlier detector and back to the outbound proxy.
 //!
-//! The upstream registers by heartbeats ([`InboundProxy::handle_control_call`]). Other nodes learn of it through this node's
+//! The upstream registers by heartbeats (`registration`, [`InboundProxy::handle_control_call`]). Other nodes learn of it through this node's
 //! endpoint record ([`InboundProxy::endpoint_record`]).
 //!
 //! Main types: [`InboundProxy`], [`UpstreamOutcome`], `Upstream`, `AdmissionPermit`.
@@ -17,7 +17,7 @@
 //! - An incarnation that is draining or has ended never serves again.
 //! - A request that is reported as rejected, refused, not accepted, fenced, not connected or not sent has not run.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
@@ -25,10 +25,9 @@
 
 use arc_swap::ArcSwap;
 use hyper::body::Body as _;
-use hyper::header::{CONTENT_ENCODING, HOST, HeaderMap, HeaderValue};
+use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
-use jzon::JsonValue as Json;
 use ochreshed::Nanos;
 use ochreshed_catalog::configuration::Name;
 use ochreshed_catalog::endpoints::{EndpointRecord, UpstreamState};
@@ -38,7 +37,6 @@
 use tokio::sync::{Semaphore, oneshot};
 use tokio::time::timeout_at;
 
-use crate::body::RequestMessage;
 use crate::clock::Clock;
 use crate::connection::lock;
 use crate::mesh::proxy::connection_limit::ConnectionLimit;
@@ -47,8 +45,9 @@
 use crate::mesh::proxy::fencing::{FencingTable, FencingToken};
 use crate::mesh::proxy::headers::{
     ATTEMPT_OUTCOME, CALLER_SERVICE, EXECUTION_STAMP, FENCING_TOKEN, NOT_RUN, REQUEST_ID, REQUEST_PARAMETERS,
-    RESPONDING_UPSTREAM, TARGET_UPSTREAM, TIME_LEFT_MS,
+    TARGET_UPSTREAM, TIME_LEFT_MS,
 };
+use crate::mesh::proxy::inbound::incarnation_history::IncarnationHistory;
 use crate::mesh::proxy::inbound_request::{InboundRequest, MAX_TIME_LEFT_MS, RequestParameters};
 use crate::mesh::proxy::listener::{self, ReceivedRequest, RequestError, header_str, plain_response};
 use crate::mesh::proxy::session_affinity::SessionTable;
@@ -56,29 +55,19 @@
 /// Prefix of the outcome of a fenced request, followed by the term of the session's current owner.
 const FENCED_PREFIX: &str = "fenced-";
 
+mod heartbeat;
+mod incarnation_history;
+mod registration;
+
 const MS: Nanos = 1_000_000;
 /// A draining upstream still gets requests that are already in transit, for the drain timeout divided by this.
 const DRAIN_ACCEPT_DIVISOR: u32 = 2;
-/// Timeout of the health check after a start.
-const PROBE_TIMEOUT: Nanos = 1_000 * MS;
-/// Time within which a heartbeat must have been received.
-const HEARTBEAT_READ_TIMEOUT: Duration = Duration::from_secs(1);
-/// Memory budget for the body of one heartbeat.
-const HEARTBEAT_MEMORY_BYTES: usize = 1 << 16;
-/// Longest warm-up time that is accepted from a heartbeat.
-const MAX_WARM_UP_MS: f64 = 600_000.0;
-/// Greatest concurrency limit that is accepted from a heartbeat.
-const MAX_REPORTED_CONCURRENCY_LIMIT: u32 = 100_000;
 /// Time within which the body of a request from another node must have been received.
 const REQUEST_READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// Separators in a request's id up to which the id of its run is searched for.
 const MAX_ID_SEPARATORS: usize = 8;
 /// Ids in control calls are truncated to this number of characters.
 const MAX_SUBJECT_CHARS: usize = 256;
-/// Number of ended incarnations whose ids are remembered.
-const MAX_PAST_INCARNATIONS: usize = 32;
-/// Longest accepted body of a heartbeat.
-const MAX_HEARTBEAT_BYTES: u64 = 4 * 1024;
 /// Estimated size of a message on the wire without its body.
 const ESTIMATED_HEADER_BYTES: usize = 400;
 /// Weight of the newest sample in the moving average of the size of large responses.
@@ -163,75 +152,15 @@
     connections: Arc<ConnectionPool>,
 }
 
-/// A heartbeat of an upstream incarnation.
-struct Heartbeat {
-    address: SocketAddr,
-    service: String,
-    zone: String,
-    software_version: String,
-    concurrency_limit: u32,
-    sequence: u64,
-    /// Serving or draining.
-    state: UpstreamState,
-    warming_up_ms: u64,
-}
-
-impl Heartbeat {
-    /// Parses the JSON body of a heartbeat. The error says what is malformed.
-    fn parse(body: &[u8]) -> Result<Heartbeat, &'static str> {
-        let text = std::str::from_utf8(body).map_err(|_| "not UTF-8")?;
-        let heartbeat = jzon::parse(text).map_err(|_| "no JSON")?;
-        let (notice, status) = (&heartbeat["notice"], &heartbeat["status"]);
-        let string_field = |object: &Json, name: &str| object[name].as_str().unwrap_or_default().to_owned();
-        let address = heartbeat["address"].as_str().and_then(|text| text.parse().ok()).ok_or("no address")?;
-        let service = string_field(notice, "line");
-        if service.is_empty() {
-            return Err("no line");
-        }
-        let state = if status["state"].as_str() == Some("closing") {
-            UpstreamState::Draining
-        } else {
-            UpstreamState::Serving
-        };
-        Ok(Heartbeat {
-            address,
-            service,
-            zone: string_field(notice, "zone"),
-            software_version: string_field(notice, "edition"),
-            concurrency_limit: notice["pigeonholes"]
-                .as_u32()
-                .unwrap_or(1)
-                .clamp(1, MAX_REPORTED_CONCURRENCY_LIMIT),
-            sequence: status["postmark_seq"].as_u64().unwrap_or(0),
-            state,
-            warming_up_ms: status["cold_left_ms"].as_f64().unwrap_or(0.0).clamp(0.0, MAX_WARM_UP_MS) as u64,
-        })
-    }
-}
-
 struct ProxyState {
     upstream: Option<Upstream>,
-    /// Ids of ended incarnations, oldest first.
-    past_incarnations: VecDeque<String>,
+    history: IncarnationHistory,
     /// Sequence number of this node's endpoint record, within `incarnation`.
     record_sequence: u64,
     /// Incarnation of this process.
     incarnation: u64,
 }
 
-impl ProxyState {
-    /// Marks an upstream incarnation as ended: its heartbeats are ignored from now on.
-    fn end_incarnation(&mut self, id: &str) {
-        if self.past_incarnations.iter().any(|ended| ended == id) {
-            return;
-        }
-        self.past_incarnations.push_back(id.to_owned());
-        if self.past_incarnations.len() > MAX_PAST_INCARNATIONS {
-            self.past_incarnations.pop_front();
-        }
-    }
-}
-
 /// Settings of an inbound proxy.
 pub struct InboundSettings {
     /// Listen address; identifies the node in endpoint records.
@@ -416,7 +345,7 @@
     pub fn new(settings: InboundSettings, clock: Clock, incarnation: u64) -> Arc<InboundProxy> {
         let state = ProxyState {
             upstream: None,
-            past_incarnations: VecDeque::new(),
+            history: IncarnationHistory::default(),
             record_sequence: 1,
             incarnation,
         };
@@ -476,100 +405,6 @@
         record
     }
 
-    /// Whether the current upstream incarnation has signed off, and so accepts no more requests.
-    pub fn has_upstream_ended(&self) -> bool {
-        lock(&self.state).upstream.as_ref().is_some_and(|upstream| upstream.state == UpstreamState::Absent)
-    }
-
-    /// Whether a heartbeat or the probe has found the upstream since this process started.
-    pub fn knows_upstream(&self) -> bool {
-        lock(&self.state).upstream.is_some()
-    }
-
-    /// Restores the upstream after a restart from this node's earlier `record`, if one health check confirms that the same
-    /// incarnation still runs. The inbound proxy can then serve before the upstream's next heartbeat.
-    pub async fn restore_probed_upstream(self: Arc<Self>, record: EndpointRecord, health_path: String) {
-        let Some(address) = self.upstream_address.filter(|_| record.state != UpstreamState::Absent) else {
-            return;
-        };
-        let connections = self.connection_pool(address);
-        let mut head = hyper::Request::new(());
-        match health_path.parse() {
-            Ok(uri) => *head.uri_mut() = uri,
-            Err(_) => return,
-        }
-        if let Ok(host) = HeaderValue::try_from(address.to_string()) {
-            head.headers_mut().insert(HOST, host);
-        }
-        let message = Arc::new(RequestMessage {
-            head,
-            first_bytes: bytes::Bytes::new(),
-            body_length: Some(0),
-            remainder: None,
-        });
-        let deadline = self.clock.now() + PROBE_TIMEOUT;
-        let Ok((head, _)) = connections.exchange(&message, &HeaderMap::new(), deadline, None, |_| true).await
-        else {
-            return;
-        };
-        // Health responses can be wrong, and marking an incarnation as draining or ended is irreversible. A failure or
-        // another incarnation's id is therefore ignored, and the next heartbeat decides.
-        if header_str(&head.headers, &RESPONDING_UPSTREAM) != record.upstream_id || !head.status.is_success()
-        {
-            return;
-        }
-        let now = self.clock.now();
-        let mut state = lock(&self.state);
-        if state.upstream.is_some() || state.past_incarnations.contains(&record.upstream_id) {
-            return;
-        }
-        let is_draining = record.state == UpstreamState::Draining;
-        log::info!(
-            "upstream restored by a health check: upstream={} service={} state={}",
-            record.upstream_id,
-            record.service,
-            record.state
-        );
-        state.upstream = Some(Upstream {
-            id: record.upstream_id,
-            service: record.service,
-            zone: record.zone,
-            software_version: record.software_version,
-            concurrency_limit: record.concurrency_limit,
-            state: record.state,
-            heartbeat_sequence: 0,
-            warming_up_ms: 0,
-            last_seen_at: now,
-            draining_since: is_draining.then_some(now),
-            connections,
-        });
-        lock(&self.admission).set_limit(record.concurrency_limit);
-        drop(state);
-        self.publish_record();
-    }
-
-    /// Restores the state that other nodes know from an earlier run of this process: an upstream incarnation that was
-    /// draining or had ended then still is, even if a late heartbeat has said otherwise, since its drain was acknowledged.
-    pub fn restore_upstream_state(&self, id: &str, known: UpstreamState) {
-        let mut state = lock(&self.state);
-        if known == UpstreamState::Serving || id.is_empty() {
-            return;
-        }
-        if known == UpstreamState::Absent {
-            state.end_incarnation(id);
-        }
-        // The start of the drain is unknown, so its time counts as over.
-        let drain_started_at = self.clock.now().saturating_sub(self.drain_timeout.as_nanos() as Nanos);
-        let Some(upstream) = &mut state.upstream else { return };
-        if upstream.id != id || upstream.state != UpstreamState::Serving {
-            return;
-        }
-        (upstream.state, upstream.draining_since) = (known, Some(drain_started_at));
-        log::info!("upstream state restored from before this start: upstream={id} state={known}");
-        drop(state);
-        self.publish_record();
-    }
-
     /// Increments the sequence number of the endpoint record and wakes the tasks that report it to the control plane.
     pub fn publish_record(&self) {
         lock(&self.state).record_sequence += 1;
@@ -611,129 +446,6 @@
         lock(&self.state).upstream.as_ref().map(|upstream| upstream.service.clone())
     }
 
-    /// Handles a call at the control address: heartbeats and sign-off of the upstream, and the session counts for operators.
-    pub async fn handle_control_call(self: Arc<Self>, received: ReceivedRequest) -> Response<ResponseBody> {
-        let uri = received.request.uri().clone();
-        let (call_name, subject) = call_and_subject(&uri);
-        match (call_name.as_str(), subject) {
-            ("offices.beat", Some(upstream_id)) => {
-                let body_memory = Arc::new(Semaphore::new(HEARTBEAT_MEMORY_BYTES));
-                let read = listener::read_message(
-                    received,
-                    &body_memory,
-                    self.clock,
-                    MAX_HEARTBEAT_BYTES,
-                    HEARTBEAT_READ_TIMEOUT,
-                )
-                .await;
-                let heartbeat = match read {
-                    Ok((message, _permit)) => self.handle_heartbeat(&upstream_id, &message.first_bytes),
-                    Err(RequestError(status, reason)) => return plain_response(status, reason),
-                };
-                match heartbeat {
-                    Ok(()) => listener::json_response(200, "{}".into()),
-                    Err(reason) => plain_response(400, reason),
-                }
-            }
-            ("offices.sign_off", Some(upstream_id)) => {
-                self.end_upstream(&upstream_id);
-                listener::json_response(200, "{}".into())
-            }
-            ("sessions.count", _) => {
-                listener::json_response(200, self.sessions.status_json(self.fencing_table.rejections()))
-            }
-            _ => plain_response(404, "no such call here"),
-        }
-    }
-
-    /// Handles a heartbeat of an upstream incarnation. Heartbeats of ended incarnations and those older than the last one are
-    /// accepted and ignored. The error says what is malformed.
-    pub fn handle_heartbeat(self: &Arc<Self>, upstream_id: &str, body: &[u8]) -> Result<(), &'static str> {
-        let Heartbeat {
-            address,
-            service,
-            zone,
-            software_version,
-            concurrency_limit,
-            sequence: heartbeat_sequence,
-            state: reported_state,
-            warming_up_ms,
-        } = Heartbeat::parse(body)?;
-        let now = self.clock.now();
-        let mut state = lock(&self.state);
-        if state.past_incarnations.iter().any(|ended| ended == upstream_id) {
-            return Ok(());
-        }
-        let previous = state.upstream.take();
-        let (connections, draining_since) = match &previous {
-            Some(previous) if previous.id == upstream_id => {
-                if heartbeat_sequence < previous.heartbeat_sequence {
-                    state.upstream = Some(previous.clone());
-                    return Ok(());
-                }
-                let connections = if previous.connections.address() == address {
-                    previous.connections.clone()
-                } else {
-                    self.connection_pool(address)
-                };
-                (connections, previous.draining_since)
-            }
-            Some(previous) => {
-                let ended = previous.id.clone();
-                state.end_incarnation(&ended);
-                (self.connection_pool(address), None)
-            }
-            None => (self.connection_pool(address), None),
-        };
-        // An incarnation that has started to drain never serves again, whatever its heartbeats say.
-        let upstream_state = if draining_since.is_some() { UpstreamState::Draining } else { reported_state };
-        let draining_since = draining_since.or((upstream_state == UpstreamState::Draining).then_some(now));
-        let is_unchanged = previous.as_ref().is_some_and(|previous| {
-            previous.id == upstream_id
-                && previous.state == upstream_state
-                && previous.concurrency_limit == concurrency_limit
-                && previous.service == service
-                && previous.software_version == software_version
-        });
-        let upstream = Upstream {
-            id: upstream_id.to_owned(),
-            service,
-            zone,
-            software_version,
-            concurrency_limit,
-            state: upstream_state,
-            heartbeat_sequence,
-            warming_up_ms,
-            last_seen_at: now,
-            draining_since,
-            connections,
-        };
-        if !is_unchanged {
-            log::info!(
-                "upstream state: upstream={} service={} state={} concurrency_limit={} zone={}",
-                upstream.id,
-                upstream.service,
-                upstream_state,
-                concurrency_limit,
-                upstream.zone
-            );
-        }
-        state.upstream = Some(upstream);
-        drop(state);
-        if previous.is_none_or(|previous| previous.id != upstream_id) {
-            lock(&self.outlier_detector).reset();
-        }
-        if !is_unchanged {
-            let mut admission = lock(&self.admission);
-            admission.set_limit(concurrency_limit);
-            let granted = self.admit_waiting(&mut admission, now);
-            drop(admission);
-            granted.into_iter().for_each(GrantedPermit::deliver);
-            self.publish_record();
-        }
-        Ok(())
-    }
-
     /// A pool of connections to the upstream at this address. They count against the connection limit.
     fn connection_pool(&self, address: SocketAddr) -> Arc<ConnectionPool> {
         Arc::new(
@@ -744,37 +456,6 @@
         )
     }
 
-    /// Ends an upstream incarnation that has signed off. It is remembered even if it was unknown, since a late heartbeat of it
-    /// may still arrive.
-    fn end_upstream(&self, upstream_id: &str) {
-        let mut state = lock(&self.state);
-        state.end_incarnation(upstream_id);
-        let Some(upstream) = &mut state.upstream else { return };
-        if upstream.id != upstream_id || upstream.state == UpstreamState::Absent {
-            return;
-        }
-        upstream.state = UpstreamState::Absent;
-        upstream.connections.close_idle();
-        log::info!("upstream ended, its requests go elsewhere: upstream={upstream_id}");
-        drop(state);
-        self.publish_record();
-    }
-
-    /// Drains the upstream on an operator's request, as if its heartbeat had reported that. Ignored for another incarnation.
-    pub fn drain(&self, id: &str) {
-        let mut state = lock(&self.state);
-        if let Some(upstream) = &mut state.upstream
-            && upstream.id == id
-            && upstream.state == UpstreamState::Serving
-        {
-            upstream.state = UpstreamState::Draining;
-            upstream.draining_since = Some(self.clock.now());
-            log::info!("upstream drained by an operator: upstream={id}");
-            drop(state);
-            self.publish_record();
-        }
-    }
-
     /// Periodic work, to be called about once a second: logs failed exchanges, closes connections that were idle for too long,
     /// updates the health, and publishes the record when the upstream has warmed up.
     pub fn run_housekeeping(&self) {
--- a/balancer/src/mesh/proxy/tests/inbound_tests.rs
+++ b/balancer/src/mesh/proxy/tests/inbound_tests.rs
@@ -6,6 +6,7 @@
 use tokio::net::TcpListener;
 
 use super::*;
+use crate::body::RequestMessage;
 
 /// An inbound proxy whose upstream `i-1` has this concurrency limit, and the upstream's listener.
 async fn proxy_with_upstream(concurrency_limit: u32) -> (Arc<InboundProxy>, TcpListener) {
