--- a/catalog/tests/internal_rpc.rs
+++ b/catalog/tests/internal_rpc.rs
@@ -60,6 +60,7 @@
             registers: Vec::new(),
             next_register: None,
             acceptors: Vec::new(),
+            tombstones: Vec::new(),
         },
     ];
     for (older, newer) in older.iter().zip(&newer) {
--- a/consensus/src/core.rs
+++ b/consensus/src/core.rs
@@ -2,7 +2,8 @@
 //!
 //! Main types: `Core` takes messages, requests and the time, and returns effects. Its parts are the membership
 //! (`membership`, `rollback`, `zone_spread`), the configuration and other registers (`registers`, `named_registers`,
-//! `register_paxos`), leases on idempotency keys (`leases`, `response_cache`) and sessions (`sessions`). This module
+//! `register_paxos`), leases on idempotency keys (`leases`, `response_cache`), sessions (`sessions`) and tombstones
+//! (`tombstones`); `quorum_writes` brings outcomes of leases and tombstones to a majority. This module
 //! holds what they share: peers, heartbeats, pending calls and the outbox. It does no I/O and reads no clock.
 //!
 //! Invariants:
@@ -34,6 +35,7 @@
 use crate::core::register::Register;
 use crate::core::register_proposals::RegisterPaxos;
 use crate::core::session_table::Sessions;
+use crate::core::tombstone_table::TombstoneTable;
 use crate::messages::{
     Ballot, CoreEvent, CoreRequest, CoreResponse, Effect, LeaseCompletion, LeaseEntry, LogRecord, Membership,
     MembershipBallotState, Message, MessageBody, NamedRegister, RegisterValue, ReplicaId, SessionEntry,
@@ -60,6 +62,8 @@
 mod rollback;
 mod session_table;
 mod sessions;
+mod tombstone_table;
+mod tombstones;
 mod zone_spread;
 
 pub use config::{Config, StartOptions};
@@ -71,6 +75,7 @@
 pub use peers::PeerStatus;
 pub use response_cache::ResponseCacheUsage;
 pub use session_table::{SESSION_IDLE, SessionCounts};
+pub use tombstone_table::TombstoneCounts;
 
 /// Who sent a message.
 #[derive(Clone, Copy, Debug)]
@@ -108,6 +113,7 @@
 
     lease_table: LeaseTable,
     sessions: Sessions,
+    tombstones: TombstoneTable,
 
     pending_calls: PendingCalls,
     stored_reports: StoredReports,
@@ -173,6 +179,7 @@
             register_paxos: RegisterPaxos::default(),
             lease_table,
             sessions,
+            tombstones: TombstoneTable::default(),
             pending_calls: PendingCalls::new(call_id_mask),
             stored_reports: StoredReports::default(),
             outbox: Outbox::default(),
@@ -185,6 +192,9 @@
         for SessionEntry { session, record } in saved.sessions {
             core.sessions.insert(now, session, record);
         }
+        for id in saved.tombstones {
+            core.tombstones.insert(now, id);
+        }
         core.load_acceptors(saved.acceptors);
         core.lease_table.evict_responses(now, out);
         if is_empty_disk || is_new_replica {
@@ -255,6 +265,12 @@
             MessageBody::QuorumWritesStored(calls) if from_member => {
                 self.handle_stored_writes(from, calls, out)
             }
+            MessageBody::FindTombstones(queries) if same_epoch => {
+                self.handle_tombstone_queries(from, queries)
+            }
+            MessageBody::TombstonesFound(replies) if from_member => {
+                self.handle_tombstone_replies(from, replies, out)
+            }
             MessageBody::StoreConfiguration(value) => {
                 self.handle_store_configuration(from, same_epoch, value, out)
             }
@@ -279,6 +295,7 @@
                 registers,
                 next_register,
                 acceptors,
+                tombstones,
             } if same_epoch || self.breaks(Mutation::ServeSnapshotInAnyEpoch) => {
                 let content = SnapshotContent {
                     catch_up_id,
@@ -287,6 +304,7 @@
                     configuration,
                     registers,
                     acceptors,
+                    tombstones,
                     next_key,
                     next_register,
                 };
@@ -339,6 +357,8 @@
             CoreRequest::Session(session, session_request) => {
                 self.begin_session_request(now, call, session, session_request, out)
             }
+            CoreRequest::StoreTombstone(id) => self.begin_tombstone_write(now, call, id, out),
+            CoreRequest::FindTombstone(id) => self.begin_tombstone_query(now, call, id, out),
         }
     }
 
@@ -364,12 +384,14 @@
                 Some(Call::Lease(_)) => self.handle_lease_timer(now, call, out),
                 Some(Call::Session(_)) => self.handle_session_timer(now, call, out),
                 Some(Call::QuorumWrite(_)) => self.handle_quorum_write_timer(now, call, out),
+                Some(Call::TombstoneQuery(_)) => self.handle_tombstone_query_timer(now, call, out),
                 Some(_) => self.handle_register_timer(now, call, out),
                 None => {}
             }
         }
         self.lease_table.expire(now, out);
         self.sessions.expire(now, out);
+        self.tombstones.expire(now, out);
         self.request_snapshots(now, out);
         self.propose_membership(now, out);
         self.drive_register_proposals(now, out);
@@ -526,7 +548,14 @@
         let acceptors = LogRecord::RegisterAcceptors(self.acceptor_states());
         let ballots =
             [LogRecord::MembershipBallot(self.voting.ballot_state(self.replica_id)), acceptors].into_iter();
-        ballots.chain(configuration).chain(registers).chain(leases).chain(sessions).collect()
+        let tombstones = self.tombstones.iter().map(LogRecord::Tombstone);
+        ballots
+            .chain(configuration)
+            .chain(registers)
+            .chain(leases)
+            .chain(sessions)
+            .chain(tombstones)
+            .collect()
     }
 
     /// Makes this replica break a rule, so that a test can show that it detects the violation.
--- a/consensus/src/core/calls.rs
+++ b/consensus/src/core/calls.rs
@@ -1,7 +1,7 @@
 //! Pending calls and their timers.
 //!
 //! Main types: `PendingCalls` holds a `Call` for each number; `PendingLease`, `PendingWrite`, `PendingRead`,
-//! `PendingSessionChange` and `PendingQuorumWrite` are what the kinds of calls wait for.
+//! `PendingSessionChange`, `PendingQuorumWrite` and `PendingTombstoneQuery` are what the kinds of calls wait for.
 //!
 //! Invariants: every pending call has exactly one timer, and a removed call has none.
 
@@ -12,7 +12,7 @@
 use crate::core::quorum_writes::WriteSubject;
 use crate::messages::{
     CommittedSession, Lease, LeaseKey, LeaseToken, RegisterName, RegisterValue, ReplicaId, Revision,
-    SessionId, SessionRequest,
+    SessionId, SessionRequest, TombstoneId,
 };
 
 /// All calls that wait for their answer.
@@ -43,7 +43,7 @@
         }
     }
 
-    /// The number of calls on leases and sessions that wait for votes.
+    /// The number of calls on leases, sessions and tombstones that wait for votes.
     pub fn voting_call_count(&self) -> usize {
         self.by_number.len() - self.register_calls.len() - self.quorum_writes.len()
     }
@@ -73,7 +73,7 @@
             Call::QuorumWrite(_) => {
                 self.quorum_writes.insert(number);
             }
-            Call::Session(_) => {}
+            Call::Session(_) | Call::TombstoneQuery(_) => {}
         }
         self.timers.insert((call.timer(), number));
         self.by_number.insert(number, call);
@@ -126,6 +126,12 @@
         &self.quorum_writes
     }
 
+    /// The calls that ask for tombstones.
+    pub fn tombstone_queries(&self) -> Vec<u64> {
+        let is_query = |call: &Call| matches!(call, Call::TombstoneQuery(_));
+        self.by_number.iter().filter(|(_, call)| is_query(call)).map(|(number, _)| *number).collect()
+    }
+
     /// The calls that wait for the lease of a key, oldest first.
     pub fn lease_calls_for(&self, key: LeaseKey) -> Vec<u64> {
         self.by_key.get(&key).cloned().unwrap_or_default()
@@ -155,6 +161,7 @@
     Read(PendingRead),
     Session(Box<PendingSessionChange>),
     QuorumWrite(PendingQuorumWrite),
+    TombstoneQuery(PendingTombstoneQuery),
 }
 
 impl Call {
@@ -166,6 +173,7 @@
             Call::Read(read) => read.timer,
             Call::Session(pending) => pending.timer,
             Call::QuorumWrite(pending) => pending.timer,
+            Call::TombstoneQuery(pending) => pending.timer,
         }
     }
 
@@ -176,6 +184,7 @@
             Call::Read(read) => &mut read.timer,
             Call::Session(pending) => &mut pending.timer,
             Call::QuorumWrite(pending) => &mut pending.timer,
+            Call::TombstoneQuery(pending) => &mut pending.timer,
         }
     }
 }
@@ -225,6 +234,16 @@
     pub stored_by: BTreeSet<ReplicaId>,
 }
 
+/// A call that asks a majority whether a tombstone exists.
+#[derive(Clone, Debug)]
+pub(super) struct PendingTombstoneQuery {
+    pub id: TombstoneId,
+    pub started_at: Nanos,
+    pub timer: Nanos,
+    /// Voters that have reported in this epoch that they don't store it.
+    pub absent_at: BTreeSet<ReplicaId>,
+}
+
 /// A call that changes a session.
 #[derive(Clone, Debug)]
 pub(super) struct PendingSessionChange {
--- a/consensus/src/core/limits.rs
+++ b/consensus/src/core/limits.rs
@@ -40,7 +40,8 @@
 /// Longer zone names are truncated.
 pub(super) const MAX_ZONE_BYTES: usize = 255;
 
-/// Pending calls on leases and sessions that wait for votes; further lease requests are answered `Unavailable`.
+/// Pending calls on leases, sessions and tombstones that wait for votes; further requests for leases and tombstones are
+/// answered `Unavailable`.
 pub(super) const MAX_VOTING_CALLS: usize = 16_384;
 
 /// Pending calls on all registers together; further ones are answered `Unavailable`.
--- a/consensus/src/core/membership.rs
+++ b/consensus/src/core/membership.rs
@@ -75,6 +75,7 @@
         self.restart_lease_calls(out);
         self.restart_session_calls(out);
         self.restart_quorum_writes(out);
+        self.restart_tombstone_queries(out);
         self.restart_register_calls(now, out);
     }
 
@@ -153,11 +154,16 @@
             bytes += payload_bytes(&lease.outcome);
             leases.push(LeaseEntry { key, lease: lease.clone() });
         }
-        let (sessions, next_key) = match &from_register {
+        let (mut sessions, next_key) = match &from_register {
             None => self.sessions.batch_from(from_key, next_key),
             Some(_) => (Vec::new(), None),
         };
+        let (tombstones, next_key) = match &from_register {
+            None => self.tombstones.batch_from(from_key, next_key),
+            Some(_) => (Vec::new(), None),
+        };
         leases.retain(|entry| next_key.is_none_or(|next| entry.key < next));
+        sessions.retain(|entry| next_key.is_none_or(|next| entry.session < next));
         let is_last_of_leases = next_key.is_none() && from_register.is_none();
         let configuration = self.configuration.stored.clone().filter(|_| is_last_of_leases);
         let acceptors = if is_last_of_leases { self.acceptors_with_accepted_value() } else { Vec::new() };
@@ -174,6 +180,7 @@
             registers,
             next_register,
             acceptors,
+            tombstones,
         };
         self.send_after_persist(from.address, chunk, out);
     }
@@ -216,6 +223,9 @@
         for SessionEntry { session, record } in content.sessions {
             self.merge_session(session, record, out);
         }
+        if !self.breaks(Mutation::IgnoreTombstonesOfSnapshot) {
+            content.tombstones.into_iter().for_each(|id| self.tombstones.store(self.now, id, out));
+        }
         if let Some(value) = content.configuration {
             self.store_value(CONFIGURATION, value, out);
         }
@@ -237,6 +247,7 @@
             self.restart_lease_calls(out);
             self.restart_session_calls(out);
             self.restart_quorum_writes(out);
+            self.restart_tombstone_queries(out);
             self.restart_register_calls(now, out);
         } else if let Some(request) = next.next_request(catch_up_id).filter(|_| advanced) {
             self.send_now(from.address, request, out);
--- a/consensus/src/core/membership_state.rs
+++ b/consensus/src/core/membership_state.rs
@@ -12,7 +12,7 @@
 use crate::core::limits::Nanos;
 use crate::messages::{
     AcceptedMembership, AcceptorState, Ballot, LeaseEntry, LeaseKey, Membership, MembershipBallotState,
-    MessageBody, NamedRegister, RegisterName, RegisterValue, ReplicaId, SessionEntry,
+    MessageBody, NamedRegister, RegisterName, RegisterValue, ReplicaId, SessionEntry, TombstoneId,
 };
 
 /// A ballot of this replica on the next membership.
@@ -33,7 +33,7 @@
 /// How much of its snapshot a source has sent to this new member, in the order of sending.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum CatchUpProgress {
-    /// Leases and sessions from this key on are missing, and all registers.
+    /// Leases, sessions and tombstones from this key on are missing, and all registers.
     Leases(LeaseKey),
     /// Registers from this name on are missing.
     Registers(RegisterName),
@@ -74,7 +74,8 @@
     pub registers: Vec<NamedRegister>,
     /// What the sender accepted for versions that are not decided yet.
     pub acceptors: Vec<AcceptorState>,
-    /// The key from which on leases and sessions are still to be sent.
+    pub tombstones: Vec<TombstoneId>,
+    /// The key from which on leases, sessions and tombstones are still to be sent.
     pub next_key: Option<LeaseKey>,
     /// The name from which on registers are still to be sent.
     pub next_register: Option<RegisterName>,
--- a/consensus/src/core/mutation.rs
+++ b/consensus/src/core/mutation.rs
@@ -79,11 +79,15 @@
     ReportWritesBeforePersist,
     /// A replica without a vote reports quorum writes.
     ReportWritesWithoutVote,
+    /// A tombstone is said not to exist without a majority.
+    FindTombstoneWithoutMajority,
+    /// A new member ignores the tombstones of a snapshot.
+    IgnoreTombstonesOfSnapshot,
 }
 
 impl Mutation {
     /// Every mutation, in the order of declaration.
-    pub const ALL: [Mutation; 37] = [
+    pub const ALL: [Mutation; 39] = [
         Mutation::CountStaleLeaseVotes,
         Mutation::VoteBeforeCaughtUp,
         Mutation::SendLeaseVotesBeforePersist,
@@ -121,5 +125,7 @@
         Mutation::AcknowledgeWriteBeforeMajority,
         Mutation::ReportWritesBeforePersist,
         Mutation::ReportWritesWithoutVote,
+        Mutation::FindTombstoneWithoutMajority,
+        Mutation::IgnoreTombstonesOfSnapshot,
     ];
 }
--- a/consensus/src/core/outbox.rs
+++ b/consensus/src/core/outbox.rs
@@ -10,7 +10,7 @@
 use crate::core::limits::{MAX_ITEMS_PER_MESSAGE, MAX_MESSAGE_BYTES};
 use crate::messages::{
     LeaseCompletion, LeaseOutcome, LeaseRequest, LeaseVote, LeaseVoteReply, MessageBody, QuorumWrite,
-    QuorumWriteRequest, SessionMessage,
+    QuorumWriteRequest, SessionMessage, TombstoneQuery, TombstoneReply,
 };
 
 /// The queued items by destination address.
@@ -54,6 +54,8 @@
     pub session_replies: Vec<SessionMessage>,
     /// The call numbers of writes that were stored.
     pub stored_writes: Vec<u64>,
+    pub tombstone_queries: Vec<TombstoneQuery>,
+    pub tombstone_replies: Vec<TombstoneReply>,
 }
 
 impl QueuedItems {
@@ -62,6 +64,7 @@
             |completion: &LeaseCompletion| completion.outcome.as_ref().map_or(0, payload_bytes);
         let write_bytes = |request: &QuorumWriteRequest| match &request.write {
             QuorumWrite::LeaseCompletion(completion) => completion_bytes(completion),
+            QuorumWrite::Tombstone(_) => 0,
         };
         let vote_bytes = |reply: &LeaseVoteReply| match &reply.vote {
             LeaseVote::Held(lease) => payload_bytes(&lease.outcome),
@@ -91,6 +94,12 @@
         for batch in split_into_batches(self.stored_writes, |_| 0) {
             append(MessageBody::QuorumWritesStored(batch), true);
         }
+        for batch in split_into_batches(self.tombstone_queries, |_| 0) {
+            append(MessageBody::FindTombstones(batch), false);
+        }
+        for batch in split_into_batches(self.tombstone_replies, |_| 0) {
+            append(MessageBody::TombstonesFound(batch), false);
+        }
     }
 }
 
--- a/consensus/src/core/quorum_writes.rs
+++ b/consensus/src/core/quorum_writes.rs
@@ -21,7 +21,7 @@
 use crate::core::mutation::Mutation;
 use crate::messages::{
     CoreResponse, Effect, LeaseCompletion, LeaseKey, LeaseOutcome, LeaseToken, QuorumWrite,
-    QuorumWriteRequest, ReplicaId,
+    QuorumWriteRequest, ReplicaId, TombstoneId,
 };
 
 /// Members that were not sent a write in the first round are sent it after this time.
@@ -40,6 +40,8 @@
     LeaseOutcome(LeaseKey),
     /// The release of a token on a key.
     LeaseRelease(LeaseKey, LeaseToken),
+    /// A tombstone.
+    Tombstone(TombstoneId),
 }
 
 /// Reports of stored writes, by the address to which they are sent with the next tick.
@@ -95,7 +97,7 @@
 
     /// The members that are sent a write first. An outcome goes to as many as a majority needs, reachable ones that are
     /// placed nearest to the key before others. A release goes to all, since a voter that keeps a released token would
-    /// refuse the key's next request.
+    /// refuse the key's next request, and so does a tombstone, which is small.
     fn first_targets(&self, subject: WriteSubject) -> Vec<ReplicaId> {
         let mut targets: Vec<ReplicaId> = self.others().collect();
         if let WriteSubject::LeaseOutcome(key) = subject {
@@ -136,9 +138,10 @@
             queued.quorum_writes.push(QuorumWriteRequest { call, write });
             return;
         }
-        let QuorumWrite::LeaseCompletion(completion) = write;
-        queued.completions.push(completion);
-        // An earlier version stores the outcome without a report, so it counts as stored there.
+        if let QuorumWrite::LeaseCompletion(completion) = write {
+            queued.completions.push(completion);
+        }
+        // An earlier version stores an outcome without a report, and no tombstones; it counts as one that stores the write.
         let is_earlier_version = supports_quorum_writes == Some(false);
         if is_earlier_version
             && self.is_voter(&target)
@@ -160,6 +163,7 @@
                 let (token, outcome) = (lease.token, Some(lease.outcome.clone()));
                 is_known.then_some(QuorumWrite::LeaseCompletion(LeaseCompletion { key, token, outcome }))
             }
+            WriteSubject::Tombstone(id) => Some(QuorumWrite::Tombstone(id)),
         }
     }
 
@@ -172,9 +176,17 @@
         out: &mut Vec<Effect>,
     ) {
         for QuorumWriteRequest { call, write } in requests {
-            let QuorumWrite::LeaseCompletion(completion) = write;
-            let subject = completion.subject();
-            self.apply_completion(now, completion, out);
+            let subject = match write {
+                QuorumWrite::LeaseCompletion(completion) => {
+                    let subject = completion.subject();
+                    self.apply_completion(now, completion, out);
+                    subject
+                }
+                QuorumWrite::Tombstone(id) => {
+                    self.tombstones.store(self.now, id, out);
+                    WriteSubject::Tombstone(id)
+                }
+            };
             if self.stores_write(subject) {
                 self.stored_reports.add(from.address, call);
             }
@@ -204,6 +216,7 @@
                 .lease_table
                 .get(key)
                 .is_none_or(|lease| lease.token != token || lease.outcome != LeaseOutcome::Pending),
+            WriteSubject::Tombstone(id) => self.tombstones.contains(id),
         }
     }
 
--- a/consensus/src/core/registers.rs
+++ b/consensus/src/core/registers.rs
@@ -90,7 +90,7 @@
         match self.pending_calls.get(call)? {
             Call::Write(write) => Some(&write.name),
             Call::Read(read) => Some(&read.name),
-            Call::Lease(_) | Call::Session(_) | Call::QuorumWrite(_) => None,
+            Call::Lease(_) | Call::Session(_) | Call::QuorumWrite(_) | Call::TombstoneQuery(_) => None,
         }
     }
 
--- a/consensus/src/messages.rs
+++ b/consensus/src/messages.rs
@@ -32,6 +32,7 @@
 mod replicas;
 mod requests;
 mod sessions;
+mod tombstones;
 
 pub use effects::{CoreEvent, Effect};
 pub use leases::{
@@ -51,3 +52,4 @@
     CommittedSession, SessionBinding, SessionEntry, SessionId, SessionMessage, SessionOwner,
     SessionOwnership, SessionRecord, SessionRequest,
 };
+pub use tombstones::{TombstoneId, TombstoneQuery, TombstoneReply};
--- a/consensus/src/messages/quorum_writes.rs
+++ b/consensus/src/messages/quorum_writes.rs
@@ -6,12 +6,15 @@
 use serde::{Deserialize, Serialize};
 
 use super::leases::LeaseCompletion;
+use super::tombstones::TombstoneId;
 
 /// The content of a write.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum QuorumWrite {
     /// The outcome of the request under a lease.
     LeaseCompletion(LeaseCompletion),
+    /// A mark of something that has ended.
+    Tombstone(TombstoneId),
 }
 
 /// Asks the receiver to store a write and to report that.
--- a/consensus/src/messages/records.rs
+++ b/consensus/src/messages/records.rs
@@ -12,6 +12,7 @@
 use super::membership::MembershipBallotState;
 use super::registers::{AcceptorState, NamedRegister, RegisterValue};
 use super::sessions::{SessionEntry, SessionId, SessionRecord};
+use super::tombstones::TombstoneId;
 
 /// A record of the replica's log. Records take effect in the order in which they are written.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,6 +40,10 @@
     /// The acceptor states of all undecided versions of registers; replaces the previous record.
     #[serde(rename = "VersionBallots")]
     RegisterAcceptors(Vec<AcceptorState>),
+    /// A tombstone.
+    Tombstone(TombstoneId),
+    /// The tombstone is removed.
+    TombstoneExpired(TombstoneId),
 }
 
 /// The state that a replica's disk held when the replica started.
@@ -56,4 +61,6 @@
     pub registers: Vec<NamedRegister>,
     /// All sessions, in any order.
     pub sessions: Vec<SessionEntry>,
+    /// All tombstones, in any order.
+    pub tombstones: Vec<TombstoneId>,
 }
--- a/consensus/src/messages/replicas.rs
+++ b/consensus/src/messages/replicas.rs
@@ -18,6 +18,7 @@
     RegisterValue, Revision,
 };
 use super::sessions::{SessionEntry, SessionMessage};
+use super::tombstones::{TombstoneId, TombstoneQuery, TombstoneReply};
 
 /// A message between replicas.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -100,6 +101,10 @@
     StoreQuorumWrites(Vec<QuorumWriteRequest>),
     /// The sender votes and has stored the writes with these call numbers durably.
     QuorumWritesStored(Vec<u64>),
+    /// Asks whether the receiver stores tombstones.
+    FindTombstones(Vec<TombstoneQuery>),
+    /// A voter's replies to `FindTombstones`.
+    TombstonesFound(Vec<TombstoneReply>),
     /// A configuration to be stored.
     #[serde(rename = "Hold")]
     StoreConfiguration(Arc<RegisterValue>),
@@ -126,7 +131,7 @@
     /// A member that is catching up requests the next chunk of the receiver's snapshot.
     #[serde(rename = "WantState")]
     FetchSnapshot {
-        /// The first key of the leases and sessions that are wanted.
+        /// The first key of the leases, sessions and tombstones that are wanted.
         #[serde(rename = "from")]
         from_key: u128,
         /// Distinguishes the attempts of one replica to catch up.
@@ -145,7 +150,7 @@
         /// Leases in the order of their keys.
         #[serde(rename = "part")]
         leases: Vec<LeaseEntry>,
-        /// The first key of the leases and sessions that are still to be sent.
+        /// The first key of the leases, sessions and tombstones that are still to be sent.
         #[serde(rename = "next")]
         next_key: Option<u128>,
         /// The stored configuration; sent with the last chunk of leases.
@@ -163,6 +168,9 @@
         /// The sender's accepted values for undecided versions; sent with the last chunk of leases.
         #[serde(rename = "version_ballots", default, skip_serializing_if = "Vec::is_empty")]
         acceptors: Vec<AcceptorState>,
+        /// Tombstones in the order of their ids.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        tombstones: Vec<TombstoneId>,
     },
     /// Paxos on sessions.
     Sessions(Vec<SessionMessage>),
--- a/consensus/src/messages/requests.rs
+++ b/consensus/src/messages/requests.rs
@@ -11,6 +11,7 @@
 use super::leases::{LeaseKey, LeaseOutcome, LeaseToken};
 use super::registers::{NamedRegister, RegisterName, RegisterValue};
 use super::sessions::{CommittedSession, SessionId, SessionRequest};
+use super::tombstones::TombstoneId;
 
 /// A request of a proxy or an operator to the replicated core.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -54,6 +55,10 @@
     ReadRegister(RegisterName),
     /// Changes or reads a session. Answered by `Session`, or `Unavailable` without a quorum.
     Session(SessionId, SessionRequest),
+    /// Stores a tombstone. Answered by `Accepted` once a majority stores it.
+    StoreTombstone(TombstoneId),
+    /// Asks whether a tombstone was acknowledged. Answered by `Tombstone`, or `Unavailable` without a quorum.
+    FindTombstone(TombstoneId),
 }
 
 /// The core's answer to a `CoreRequest`.
@@ -65,7 +70,7 @@
     /// Another token holds the lease; `Pending` if its outcome was not known in time.
     #[serde(rename = "Held")]
     LeaseHeld(LeaseOutcome),
-    /// A majority stores the outcome, or the value was committed.
+    /// A majority stores the outcome or the tombstone, or the value was committed.
     #[serde(rename = "Taken")]
     Accepted,
     /// The newest committed value of a register.
@@ -78,6 +83,8 @@
     CapacityExceeded,
     /// The committed state of a session; `None` if the session has none.
     Session(Option<CommittedSession>),
+    /// Whether the tombstone exists.
+    Tombstone(bool),
     /// No quorum answered in time. A lease may or may not be held under the token.
     #[serde(rename = "Unsure")]
     Unavailable,
--- a/consensus/tests/cluster/mod.rs
+++ b/consensus/tests/cluster/mod.rs
@@ -37,6 +37,7 @@
     pub leases: BTreeMap<LeaseKey, Lease>,
     pub registers: BTreeMap<RegisterName, Arc<RegisterValue>>,
     pub sessions: BTreeMap<SessionId, SessionRecord>,
+    pub tombstones: BTreeSet<TombstoneId>,
 }
 
 impl Disk {
@@ -50,6 +51,12 @@
             }
             LogRecord::Session(session, entry) => drop(self.sessions.insert(session, entry)),
             LogRecord::SessionEnded(session) => drop(self.sessions.remove(&session)),
+            LogRecord::Tombstone(id) => {
+                self.tombstones.insert(id);
+            }
+            LogRecord::TombstoneExpired(id) => {
+                self.tombstones.remove(&id);
+            }
             LogRecord::LeaseReleased(key, token) => {
                 if self.leases.get(&key).is_some_and(|lease| lease.token == token) {
                     self.leases.remove(&key);
@@ -82,6 +89,7 @@
             leases,
             sessions,
             registers,
+            tombstones: self.tombstones.iter().copied().collect(),
         }
     }
 }
@@ -129,6 +137,12 @@
         session: SessionId,
         floor: Option<u64>,
     },
+    StoreTombstone(TombstoneId),
+    FindTombstone {
+        id: TombstoneId,
+        /// The tombstone had been acknowledged when the call began.
+        is_acknowledged: bool,
+    },
 }
 
 #[derive(Clone)]
@@ -161,7 +175,10 @@
     pub completed: BTreeSet<LeaseToken>,
     /// Keys with an outcome that was acknowledged.
     pub settled: BTreeSet<LeaseKey>,
-    /// More disks are lost than the cluster tolerates, so that acknowledged outcomes may be lost.
+    /// Tombstones that clients asked to store.
+    pub requested_tombstones: BTreeSet<TombstoneId>,
+    pub acknowledged_tombstones: BTreeSet<TombstoneId>,
+    /// More disks are lost than the cluster tolerates, so that acknowledged outcomes and tombstones may be lost.
     pub loses_too_many_disks: bool,
     pub written_configurations: BTreeSet<Revision>,
     /// Every read that starts from now on must return at least this revision.
@@ -244,6 +261,8 @@
             released: BTreeSet::new(),
             completed: BTreeSet::new(),
             settled: BTreeSet::new(),
+            requested_tombstones: BTreeSet::new(),
+            acknowledged_tombstones: BTreeSet::new(),
             loses_too_many_disks: false,
             written_configurations: BTreeSet::new(),
             read_floor: Revision::NONE,
@@ -445,6 +464,14 @@
                 PendingRequest::ReadRegister { name: name.clone(), floor: self.read_floor_of(name) }
             }
             CoreRequest::Session(session, request) => self.roaming_sessions.record_request(*session, request),
+            CoreRequest::StoreTombstone(id) => {
+                self.requested_tombstones.insert(*id);
+                PendingRequest::StoreTombstone(*id)
+            }
+            CoreRequest::FindTombstone(id) => PendingRequest::FindTombstone {
+                id: *id,
+                is_acknowledged: self.acknowledged_tombstones.contains(id),
+            },
         };
         let incarnation = self.nodes[node].incarnation;
         self.pending_calls.insert((node, incarnation, call), pending);
@@ -649,6 +676,21 @@
                 let violation = self.roaming_sessions.check_response(session, floor, committed);
                 violation.into_iter().for_each(|violation| self.fail(violation));
             }
+            (PendingRequest::StoreTombstone(id), CoreResponse::Accepted) => {
+                self.acknowledged_tombstones.insert(id);
+                let epoch = self.nodes[node].core.as_ref().map_or(0, |core| core.membership().epoch);
+                if !self.majority_of_disks(epoch, |disk| disk.tombstones.contains(&id)) {
+                    self.fail(format!("tombstone {id} acknowledged without a majority"));
+                }
+            }
+            (PendingRequest::FindTombstone { id, is_acknowledged }, CoreResponse::Tombstone(exists)) => {
+                if is_acknowledged && !exists && !self.loses_too_many_disks {
+                    self.fail(format!("tombstone {id} was not found, though it was acknowledged"));
+                }
+                if exists && !self.requested_tombstones.contains(&id) {
+                    self.fail(format!("tombstone {id} was found, which nobody stored"));
+                }
+            }
             (_, CoreResponse::Unavailable) => self.counts[UNAVAILABLE] += 1,
             (_, response) => self.fail(format!("{response:?} is not a valid response to that request")),
         }
@@ -874,6 +916,7 @@
         MessageBody::RequestLeases(_) => "lease_request",
         MessageBody::LeaseVotes(_) => "lease_vote",
         MessageBody::CompleteLeases(_) | MessageBody::StoreQuorumWrites(_) => "completion",
+        MessageBody::FindTombstones(_) | MessageBody::TombstonesFound(_) => "tombstone",
         MessageBody::StoreConfiguration(_) | MessageBody::StoreRegisters(_) => "store",
         MessageBody::Sessions(_) => "session",
         MessageBody::RegisterPaxos(_) => "register_paxos",
--- a/consensus/tests/frozen_forms.rs
+++ b/consensus/tests/frozen_forms.rs
@@ -13,7 +13,7 @@
     Membership, MembershipBallotState, Message, MessageBody, NamedRegister, ProposalNumber, QuorumWrite,
     QuorumWriteRequest, RegisterPaxosMessage, RegisterRevision, RegisterValue, ReplicaId, Revision,
     SessionBinding, SessionEntry, SessionMessage, SessionOwner, SessionOwnership, SessionRecord,
-    SessionRequest, StoredResponse,
+    SessionRequest, StoredResponse, TombstoneQuery, TombstoneReply,
 };
 
 fn address(last: u8) -> SocketAddr {
@@ -227,6 +227,8 @@
         ("session_over", LogRecord::SessionEnded(SESSION)),
         ("version_ballots", LogRecord::RegisterAcceptors(vec![acceptor_state()])),
         ("version_ballots_none", LogRecord::RegisterAcceptors(Vec::new())),
+        ("tombstone", LogRecord::Tombstone(KEY)),
+        ("tombstone_expired", LogRecord::TombstoneExpired(KEY)),
     ];
     for (name, record) in records {
         forms.assert_encodes_as(name, &record);
@@ -248,6 +250,8 @@
         ("read".into(), CoreRequest::ReadConfiguration),
         ("paper".into(), CoreRequest::ReplaceRegister(named())),
         ("read_paper".into(), CoreRequest::ReadRegister("members".into())),
+        ("store_tombstone".into(), CoreRequest::StoreTombstone(KEY)),
+        ("find_tombstone".into(), CoreRequest::FindTombstone(KEY)),
     ];
     requests.extend(
         session_requests()
@@ -270,6 +274,7 @@
         ("session", CoreResponse::Session(Some(committed()))),
         ("session_none", CoreResponse::Session(None)),
         ("unsure", CoreResponse::Unavailable),
+        ("tombstone", CoreResponse::Tombstone(true)),
     ];
     for (name, response) in responses {
         forms.assert_encodes_as(&format!("got_{name}"), &response);
@@ -338,6 +343,7 @@
             outcome: Some(LeaseOutcome::Completed(response())),
         }),
     }];
+    let tombstone_writes = vec![QuorumWriteRequest { call: 1, write: QuorumWrite::Tombstone(KEY) }];
     let quorum_write_heartbeat = MessageBody::Heartbeat {
         voter: false,
         configuration: REVISION,
@@ -359,6 +365,7 @@
         registers: vec![named()],
         next_register: Some("n".into()),
         acceptors: vec![acceptor_state()],
+        tombstones: Vec::new(),
     };
     let minimal_chunk = MessageBody::SnapshotChunk {
         catch_up_id: 7,
@@ -369,6 +376,18 @@
         registers: Vec::new(),
         next_register: None,
         acceptors: Vec::new(),
+        tombstones: Vec::new(),
+    };
+    let tombstone_chunk = MessageBody::SnapshotChunk {
+        catch_up_id: 7,
+        leases: Vec::new(),
+        next_key: None,
+        configuration: None,
+        sessions: Vec::new(),
+        registers: Vec::new(),
+        next_register: None,
+        acceptors: Vec::new(),
+        tombstones: vec![KEY],
     };
     let revisions = || vec![RegisterRevision { name: "members".into(), revision: REVISION }];
     let all = vec![
@@ -401,6 +420,10 @@
         ("store_quorum_writes", MessageBody::StoreQuorumWrites(quorum_writes)),
         ("quorum_writes_stored", MessageBody::QuorumWritesStored(vec![1, 2])),
         ("beat_quorum_writes", quorum_write_heartbeat),
+        ("store_tombstones", MessageBody::StoreQuorumWrites(tombstone_writes)),
+        ("find_tombstones", MessageBody::FindTombstones(vec![TombstoneQuery { call: 1, id: KEY }])),
+        ("tombstones_found", MessageBody::TombstonesFound(vec![TombstoneReply { call: 1, exists: true }])),
+        ("state_tombstones", tombstone_chunk),
         ("hold", MessageBody::StoreConfiguration(content())),
         ("want_sheet", MessageBody::FetchConfiguration { read_id: 5, known: REVISION }),
         ("held", MessageBody::ConfigurationStored { read_id: 5, revision: REVISION }),
@@ -463,6 +486,8 @@
         | MessageBody::CompleteLeases(_)
         | MessageBody::StoreQuorumWrites(_)
         | MessageBody::QuorumWritesStored(_)
+        | MessageBody::FindTombstones(_)
+        | MessageBody::TombstonesFound(_)
         | MessageBody::StoreConfiguration(_)
         | MessageBody::FetchConfiguration { .. } => true,
         MessageBody::ConfigurationStored { .. }
--- a/consensus/tests/protocol_scenarios.rs
+++ b/consensus/tests/protocol_scenarios.rs
@@ -894,7 +894,7 @@
         token: number(rng),
         outcome: rng.random::<bool>().then(|| outcome(rng)),
     };
-    let body = match rng.random_range(0..26) {
+    let body = match rng.random_range(0..29) {
         22 | 23 => MessageBody::RegisterPaxos(arbitrary_register_paxos_message(rng, value)),
         16 => MessageBody::PrepareRollback(ballot(rng)),
         17 => MessageBody::RollbackPromise {
@@ -935,6 +935,12 @@
             write: QuorumWrite::LeaseCompletion(completion),
         }]),
         25 => MessageBody::QuorumWritesStored(vec![number(rng), number(rng)]),
+        26 => MessageBody::StoreQuorumWrites(vec![QuorumWriteRequest {
+            call: number(rng),
+            write: QuorumWrite::Tombstone(key(rng)),
+        }]),
+        27 => MessageBody::FindTombstones(vec![TombstoneQuery { call: number(rng), id: key(rng) }]),
+        28 => MessageBody::TombstonesFound(vec![TombstoneReply { call: number(rng), exists: rng.random() }]),
         10 => MessageBody::StoreConfiguration(value),
         11 => MessageBody::FetchConfiguration { read_id: number(rng), known: revision.into() },
         12 => MessageBody::ConfigurationStored { read_id: number(rng), revision: revision.into() },
@@ -973,6 +979,7 @@
                     value: Arc::new(RegisterValue::new(1, Vec::new())),
                 }),
             }],
+            tombstones: vec![key(rng)],
         },
     };
     Message { from: replica(rng), epoch: number(rng), body }
@@ -986,7 +993,9 @@
         for _ in 0..150 {
             let node = rng.random_range(0..4);
             let (key, token) = (7, rng.random_range(0..30));
-            match rng.random_range(0..9) {
+            match rng.random_range(0..11) {
+                9 => drop(cluster.request(node, CoreRequest::StoreTombstone(key))),
+                10 => drop(cluster.request(node, CoreRequest::FindTombstone(key))),
                 8 => drop(cluster.request(
                     node,
                     CoreRequest::Session(
--- a/consensus/tests/random_walks.rs
+++ b/consensus/tests/random_walks.rs
@@ -51,6 +51,7 @@
     eager_rollback: bool,
     /// How many zones may be lost without losing the quorum.
     tolerated_zone_losses: usize,
+    tombstone_calls: u32,
 }
 
 impl WalkParameters {
@@ -87,6 +88,7 @@
             tolerated_zone_losses: choose(rng, &[0, 1]) as usize,
             register_calls: choose(rng, &[0, 10, 40]),
             large_registers: rng.random_range(0..4) == 0,
+            tombstone_calls: 0,
         }
     }
 
@@ -186,6 +188,7 @@
                 keys: 4,
                 ..plain
             }),
+            15 => Some(WalkParameters { tombstone_calls: 60, disk_losses: 8, time_steps: 60, ..plain }),
             14 => Some(WalkParameters {
                 configuration_calls: 60,
                 register_calls: 60,
@@ -224,6 +227,7 @@
         parameters.configuration_calls,
         parameters.partitions,
         parameters.register_calls,
+        parameters.tombstone_calls,
     ];
     let mut draw = cluster.rng.random_range(0..weights.iter().sum());
     let kind = weights.iter().position(|weight| {
@@ -316,6 +320,13 @@
                 cluster.request(node, CoreRequest::ReplaceRegister(named));
             }
         }
+        (Some(12), _) if cluster.is_up(node) => {
+            let id = cluster.rng.random_range(0..40);
+            let stores = cluster.rng.random_range(0..3) == 0;
+            let request =
+                if stores { CoreRequest::StoreTombstone(id) } else { CoreRequest::FindTombstone(id) };
+            cluster.request(node, request);
+        }
         _ => {}
     }
     // Bounds the messages in flight: drops heartbeats first, then the oldest messages.
@@ -496,7 +507,7 @@
     let started_at = Instant::now();
     let (mut steps, mut totals) = (0, [0; 12]);
     for seed in 0..walks {
-        let cluster = walk(seed, mutation, focus.unwrap_or(seed % 15));
+        let cluster = walk(seed, mutation, focus.unwrap_or(seed % 16));
         steps += cluster.steps;
         totals.iter_mut().zip(cluster.counts).for_each(|(total, count)| *total += count);
         if let Some(violation) = cluster.violation {
@@ -678,6 +689,16 @@
     assert!(detects(Mutation::ReportWritesBeforePersist, 7));
 }
 
+#[test]
+fn detects_find_tombstone_without_majority() {
+    assert!(detects(Mutation::FindTombstoneWithoutMajority, 15));
+}
+
+#[test]
+fn detects_ignore_tombstones_of_snapshot() {
+    assert!(detects(Mutation::IgnoreTombstonesOfSnapshot, 15));
+}
+
 /// Prints the state at the end of one walk.
 #[test]
 #[ignore = "prints one walk for debugging; SEED, MUTATION (a variant of `Mutation`) and ON (the focus) select it"]
@@ -688,7 +709,7 @@
         let named = Mutation::ALL.into_iter().find(|mutation| format!("{mutation:?}") == name);
         named.expect("MUTATION names a variant")
     });
-    let cluster = walk(seed, mutation, read_number("ON").unwrap_or(seed % 15));
+    let cluster = walk(seed, mutation, read_number("ON").unwrap_or(seed % 16));
     println!("{:?}", cluster.violation);
     for node in &cluster.nodes {
         let core = node.core.as_ref();
--- a/emulator/src/mesh/resource_usage.rs
+++ b/emulator/src/mesh/resource_usage.rs
@@ -67,6 +67,9 @@
             InternalRequest::Core(CoreRequest::AcquireLease { .. } | CoreRequest::CompleteLease { .. }) => {
                 Cause::Leases
             }
+            InternalRequest::Core(CoreRequest::StoreTombstone(_) | CoreRequest::FindTombstone(_)) => {
+                Cause::RecordUpdates
+            }
             InternalRequest::Core(_)
             | InternalRequest::Configuration(_)
             | InternalRequest::Registers(_)
@@ -78,6 +81,7 @@
                 | MessageBody::CompleteLeases(_)
                 | MessageBody::StoreQuorumWrites(_)
                 | MessageBody::QuorumWritesStored(_) => Cause::Leases,
+                MessageBody::FindTombstones(_) | MessageBody::TombstonesFound(_) => Cause::RecordUpdates,
                 MessageBody::StoreConfiguration(_)
                 | MessageBody::FetchConfiguration { .. }
                 | MessageBody::ConfigurationStored { .. } => Cause::Configurations,
--- a/emulator/src/mesh/steward.rs
+++ b/emulator/src/mesh/steward.rs
@@ -2,7 +2,7 @@
 //! writes, sends and responses follows `balancer/src/mesh/steward.rs`: nothing that depends on a write is sent or answered
 //! before the write is synced.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -34,6 +34,7 @@
     leases: BTreeMap<LeaseKey, Lease>,
     registers: BTreeMap<RegisterName, Arc<RegisterValue>>,
     sessions: BTreeMap<SessionId, SessionRecord>,
+    tombstones: BTreeSet<TombstoneId>,
 }
 
 impl StableStorage {
@@ -49,6 +50,12 @@
             LogRecord::Register(register) => drop(self.registers.insert(register.name, register.value)),
             LogRecord::Session(session, record) => drop(self.sessions.insert(session, record)),
             LogRecord::SessionEnded(session) => drop(self.sessions.remove(&session)),
+            LogRecord::Tombstone(id) => {
+                self.tombstones.insert(id);
+            }
+            LogRecord::TombstoneExpired(id) => {
+                self.tombstones.remove(&id);
+            }
             LogRecord::RegisterAcceptors(membership_ballot) => self.acceptors = membership_ballot,
             LogRecord::LeaseReleased(key, token) => {
                 if self.leases.get(&key).is_some_and(|lease| lease.token == token) {
@@ -79,6 +86,7 @@
             leases,
             registers,
             sessions,
+            tombstones: self.tombstones.iter().copied().collect(),
         }
     }
 }
--- a/storage/src/lib.rs
+++ b/storage/src/lib.rs
@@ -6,7 +6,7 @@
 //! - `ballot_slots`: the replica's promises and accepted values as an acceptor (Paxos);
 //! - `register_files`: the operator's configuration and the named registers, a file for each version;
 //! - `record_log`: an append-only log of leases on idempotency keys, in segments of checksummed frames (`frame`);
-//! - `subdirectory_log`: the same kind of log for sessions, in a subdirectory.
+//! - `subdirectory_log`: the same kind of log for sessions and for tombstones, each in a subdirectory.
 //!
 //! `data_directory` holds what the components share: calls to the file system with errors that name the path, and the
 //! findings of recovery. `file_system` holds the calls to the operating system, which tests replace by a simulated
--- a/storage/src/record_log.rs
+++ b/storage/src/record_log.rs
@@ -1,4 +1,4 @@
-//! An append-only log of leases or of sessions, in numbered segments `claims/000001`, `claims/000002` and so on.
+//! An append-only log of leases, of sessions or of tombstones, in numbered segments `claims/000001`, `claims/000002` and so on.
 //!
 //! All records of one call are appended with one write and one sync. A record is live until a later record replaces or
 //! ends it. The oldest segment is removed once none of its records is live; if the log is much larger than its live
@@ -44,6 +44,7 @@
 pub(crate) enum LogContent {
     Leases,
     Sessions,
+    Tombstones,
 }
 
 impl LogContent {
@@ -52,6 +53,7 @@
         match record {
             LogRecord::Lease(..) | LogRecord::LeaseReleased(..) => self == LogContent::Leases,
             LogRecord::Session(..) | LogRecord::SessionEnded(_) => self == LogContent::Sessions,
+            LogRecord::Tombstone(_) | LogRecord::TombstoneExpired(_) => self == LogContent::Tombstones,
             LogRecord::MembershipBallot(_)
             | LogRecord::Configuration(_)
             | LogRecord::Register(_)
@@ -71,7 +73,7 @@
     pub live_bytes: u64,
 }
 
-/// A log of leases or of sessions.
+/// A log of leases, of sessions or of tombstones.
 pub(crate) struct RecordLog {
     content: LogContent,
     limits: LogLimits,
--- a/storage/src/record_log/replay.rs
+++ b/storage/src/record_log/replay.rs
@@ -2,9 +2,9 @@
 //!
 //! Invariants: a record is recovered only once its segment is synced.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use ochreshed_consensus::messages::{Lease, LeaseKey, LogRecord, SessionId, SessionRecord};
+use ochreshed_consensus::messages::{Lease, LeaseKey, LogRecord, SessionId, SessionRecord, TombstoneId};
 
 use super::segment_index::{LogMutation, LogSegment, SegmentIndex};
 use super::segment_path;
@@ -13,17 +13,19 @@
 use crate::frame::{DecodedRecord, FRAME_HEADER_BYTES, decode_records, read_frame};
 use crate::recovery_finding::RecoveryFinding;
 
-/// The leases and sessions of a log, in the order of their keys.
+/// The leases, sessions and tombstones of a log, in the order of their keys.
 pub(crate) struct RecoveredRecords {
     pub(crate) leases: Vec<(LeaseKey, Lease)>,
     pub(crate) sessions: Vec<(SessionId, SessionRecord)>,
+    pub(crate) tombstones: Vec<TombstoneId>,
 }
 
-/// The leases and sessions of the segments read so far.
+/// The leases, sessions and tombstones of the segments read so far.
 #[derive(Default)]
 pub(super) struct Replay {
     leases: HashMap<LeaseKey, Lease>,
     sessions: BTreeMap<SessionId, SessionRecord>,
+    tombstones: BTreeSet<TombstoneId>,
 }
 
 impl Replay {
@@ -80,6 +82,12 @@
             LogRecord::SessionEnded(id) => {
                 self.sessions.remove(&id);
             }
+            LogRecord::Tombstone(id) => {
+                self.tombstones.insert(id);
+            }
+            LogRecord::TombstoneExpired(id) => {
+                self.tombstones.remove(&id);
+            }
             _ => {}
         }
     }
@@ -87,6 +95,10 @@
     pub(super) fn finish(self) -> RecoveredRecords {
         let mut leases: Vec<(LeaseKey, Lease)> = self.leases.into_iter().collect();
         leases.sort_unstable_by_key(|(key, _)| *key);
-        RecoveredRecords { leases, sessions: self.sessions.into_iter().collect() }
+        RecoveredRecords {
+            leases,
+            sessions: self.sessions.into_iter().collect(),
+            tombstones: self.tombstones.into_iter().collect(),
+        }
     }
 }
--- a/storage/src/record_log/segment_index.rs
+++ b/storage/src/record_log/segment_index.rs
@@ -9,11 +9,11 @@
 
 use super::LogUsage;
 
-/// The key of a lease or the id of a session.
+/// The key of a lease, or the id of a session or a tombstone.
 pub(super) type RecordKey = u128;
 
-/// Sessions have no token in the index: the last record of a session is its live one.
-const SESSION_TOKEN: LeaseToken = 0;
+/// Sessions and tombstones have no token in the index: the last record of an id is its live one.
+const NO_TOKEN: LeaseToken = 0;
 
 /// A segment of the log.
 #[derive(Clone, Copy, Debug)]
@@ -62,11 +62,13 @@
             LogRecord::Lease(key, lease) => {
                 Some(LogMutation::Insert { key: *key, location: locate(lease.token)? })
             }
-            LogRecord::Session(id, _) => {
-                Some(LogMutation::Insert { key: *id, location: locate(SESSION_TOKEN)? })
+            LogRecord::Session(id, _) | LogRecord::Tombstone(id) => {
+                Some(LogMutation::Insert { key: *id, location: locate(NO_TOKEN)? })
             }
             LogRecord::LeaseReleased(key, token) => Some(LogMutation::Remove { key: *key, token: *token }),
-            LogRecord::SessionEnded(id) => Some(LogMutation::Remove { key: *id, token: SESSION_TOKEN }),
+            LogRecord::SessionEnded(id) | LogRecord::TombstoneExpired(id) => {
+                Some(LogMutation::Remove { key: *id, token: NO_TOKEN })
+            }
             LogRecord::MembershipBallot(_)
             | LogRecord::Configuration(_)
             | LogRecord::Register(_)
@@ -133,7 +135,7 @@
     pub(super) fn is_live(&self, record: &LogRecord, segment: u32, frame_offset: u64) -> bool {
         let (key, token) = match record {
             LogRecord::Lease(key, lease) => (key, lease.token),
-            LogRecord::Session(id, _) => (id, SESSION_TOKEN),
+            LogRecord::Session(id, _) | LogRecord::Tombstone(id) => (id, NO_TOKEN),
             _ => return false,
         };
         self.locations.get(key).is_some_and(|location| {
--- a/storage/src/store.rs
+++ b/storage/src/store.rs
@@ -29,6 +29,8 @@
 
 /// The directory of the log of sessions.
 const SESSION_DIRECTORY: &str = "sessions";
+/// The directory of the log of tombstones.
+const TOMBSTONE_DIRECTORY: &str = "tombstones";
 
 /// The durable state of a replica.
 pub struct Store {
@@ -37,6 +39,7 @@
     registers: RegisterFiles,
     leases: RecordLog,
     sessions: SubdirectoryLog,
+    tombstones: SubdirectoryLog,
 }
 
 impl Store {
@@ -71,6 +74,9 @@
         let (sessions, recovered_sessions) =
             SubdirectoryLog::open(&directory, SESSION_DIRECTORY, LogContent::Sessions, limits)?;
 
+        let (tombstones, recovered_tombstones) =
+            SubdirectoryLog::open(&directory, TOMBSTONE_DIRECTORY, LogContent::Tombstones, limits)?;
+
         let ballot_state = ballots.state().cloned();
         let (membership_ballot, acceptors) =
             ballot_state.map_or((None, Vec::new()), |state| (Some(state.membership_ballot), state.acceptors));
@@ -82,8 +88,9 @@
             leases: recovered.leases.into_iter().map(Into::into).collect(),
             registers: named_registers,
             sessions: recovered_sessions.into_iter().map(Into::into).collect(),
+            tombstones: recovered_tombstones.map_or(Vec::new(), |found| found.tombstones),
         };
-        Ok((Store { directory, ballots, registers, leases, sessions }, persisted))
+        Ok((Store { directory, ballots, registers, leases, sessions, tombstones }, persisted))
     }
 
     /// Makes records durable, in the order in which they are given for each lease and session.
@@ -93,6 +100,7 @@
     pub fn persist(&mut self, records: &[LogRecord]) -> Result<(), StoreError> {
         self.persist_leases(records)?;
         self.persist_sessions(records)?;
+        self.tombstones.append(&mut self.directory, records)?;
         self.persist_configuration(records)?;
         self.persist_named_registers(records)?;
         self.persist_ballots(records)
@@ -103,6 +111,7 @@
     pub fn disk_bytes(&self) -> u64 {
         self.leases.disk_bytes()
             + self.sessions.disk_bytes()
+            + self.tombstones.disk_bytes()
             + self.ballots.disk_bytes()
             + self.registers.disk_bytes()
             + self.directory.quarantined_bytes()
--- a/storage/tests/store/main.rs
+++ b/storage/tests/store/main.rs
@@ -13,5 +13,6 @@
 mod simulated_disk;
 #[path = "../temp_directory/mod.rs"]
 mod temp_directory;
+mod tombstone_crash_points;
 mod workload;
 mod write_cost;
--- a/storage/tests/store/replica_state.rs
+++ b/storage/tests/store/replica_state.rs
@@ -47,7 +47,10 @@
                 self.registers.insert(register.name.to_string(), register.value.clone());
             }
             LogRecord::RegisterAcceptors(acceptors) => self.acceptors = acceptors.clone(),
-            LogRecord::Session(..) | LogRecord::SessionEnded(_) => {}
+            LogRecord::Session(..)
+            | LogRecord::SessionEnded(_)
+            | LogRecord::Tombstone(_)
+            | LogRecord::TombstoneExpired(_) => {}
         }
     }
 
