Drill: log a request before it is written

a_balancer_that_keeps_the_rules_is_not_reported failed once in a run of the whole workspace: 170 calls, 169 dispatches.

The request is logged before its first byte. The auditor counts one that is sent again on another connection as it did.

--- a/drill/src/client.rs
+++ b/drill/src/client.rs
@@ -229,10 +229,11 @@
                 },
             };
             let _ = stream.set_nodelay(true);
+            // Before it is written, so that the log never has a dispatch of a request that it does not know.
+            record_request();
             if stream.write_all(request.as_bytes()).await.is_err() {
                 continue;
             }
-            record_request();
             let Ok(response) =
                 timeout(until.saturating_duration_since(Instant::now()), Message::read(&mut stream)).await
             else {
@@ -264,7 +265,6 @@
                 }
             }
         }
-        record_request();
         (AttemptOutcome::ConnectionLost, None)
     }
 
