Acknowledge an upstream's end once a majority has it on disk

All stewards and the attendant beside it were killed and started again, a heartbeat sent before the sign-off came late, and all machines sent it requests again: 65 to 69 more than drain_ms after the acknowledgement, none allowed.

Cause: that an incarnation drains or has ended was acknowledged at once and known to the memory of its attendant and of the stewards alone.

Evidence: the restarted attendant's log, "upstream state: ... state=serving" at the late heartbeat, and nothing at the stewards. The same in a live mesh.

Change: closing and a sign-off are recorded as a tombstone by a majority of the stewards before they are acknowledged, an operator's drain soon after; a heartbeat, or a health check after a start, of an incarnation that is not known is looked up with a majority first. Without one it is served as before and looked up later; closing takes effect and is answered 503. Ignored heartbeats are counted by cause. Stewards of earlier versions alone: as before.

Why it works: what is acknowledged is on a majority's disks, which no kill takes, and every majority that is asked has one that knows.

--- a/balancer/src/mesh/control/admin_api/replica_metrics.rs
+++ b/balancer/src/mesh/control/admin_api/replica_metrics.rs
@@ -24,6 +24,8 @@
     let page = add_membership(MetricsPage::for_role(ROLE), &status);
     add_leases(page, &status)
         .gauge("sessions", "Sessions held", status.sessions.sessions as f64)
+        .gauge("tombstones", "Ends of upstreams that are kept", status.tombstones.stored as f64)
+        .counter("tombstones_evicted", "Ends dropped before their time", status.tombstones.evicted)
         .gauge("endpoint_records", "Records of upstreams", endpoints as f64)
         .gauge("unreachable", "Machines not heard of late", suspects as f64)
         .counter("disk_writes", "Writes to the disk, each with a sync", server.disk_writes.writes())
--- a/balancer/src/mesh/control/replica_status.rs
+++ b/balancer/src/mesh/control/replica_status.rs
@@ -5,7 +5,9 @@
 //! Invariants: all fields are read at the same time.
 
 use ochreshed::Nanos;
-use ochreshed_consensus::core::{Core, LeaseCounts, PeerStatus, ResponseCacheUsage, SessionCounts};
+use ochreshed_consensus::core::{
+    Core, LeaseCounts, PeerStatus, ResponseCacheUsage, SessionCounts, TombstoneCounts,
+};
 use ochreshed_consensus::messages::{Lease, LeaseKey, Revision};
 
 /// A lease as stored by the replica.
@@ -32,6 +34,7 @@
     pub pending_quorum_writes: usize,
     pub oldest_quorum_write_age: Option<Nanos>,
     pub sessions: SessionCounts,
+    pub tombstones: TombstoneCounts,
     /// The lease on the requested key.
     pub lease: Option<StoredLease>,
 }
@@ -51,6 +54,7 @@
             pending_quorum_writes: core.pending_quorum_writes(),
             oldest_quorum_write_age: core.oldest_quorum_write_age(),
             sessions: core.session_counts(),
+            tombstones: core.tombstone_counts(),
             lease: key.and_then(|key| stored_lease(core, key)),
         }
     }
--- a/balancer/src/mesh/control/tests/admin_api_tests.rs
+++ b/balancer/src/mesh/control/tests/admin_api_tests.rs
@@ -8,7 +8,9 @@
 use ochreshed_catalog::endpoints::{EndpointRecord, EndpointTable, UpstreamState};
 use ochreshed_catalog::traffic_reports::{AttemptCounts, BudgetReport};
 use ochreshed_catalog::traffic_reports::{OutcomeCounts, RouteEdition};
-use ochreshed_consensus::core::{LeaseCounts, PeerStatus, ResponseCacheUsage, SessionCounts};
+use ochreshed_consensus::core::{
+    LeaseCounts, PeerStatus, ResponseCacheUsage, SessionCounts, TombstoneCounts,
+};
 use ochreshed_consensus::messages::{Lease, LeaseOutcome, ReplicaId, Revision, StoredResponse};
 use ochreshed_traffic::budget_reports::BudgetReports;
 
@@ -69,6 +71,7 @@
         sessions: SessionCounts::default(),
         oldest_pending_lease_age: Some(1_250 * MS),
         pending_quorum_writes: 0,
+        tombstones: TombstoneCounts::default(),
         oldest_quorum_write_age: None,
         lease: None,
     }
--- a/balancer/src/mesh/load_generator.rs
+++ b/balancer/src/mesh/load_generator.rs
@@ -147,7 +147,7 @@
 impl LoadGenerator {
     async fn start_nodes(self: Arc<Self>) {
         for (index, node) in self.nodes.iter().enumerate() {
-            self.start_incarnation(index, 0);
+            self.start_incarnation(index, 0).await;
             (0..WATCHES_PER_NODE).for_each(|watch_index| {
                 drop(tokio::spawn(control_plane_watch::run(node.clone(), watch_index, WATCHES_PER_NODE)));
             });
@@ -158,7 +158,7 @@
     }
 
     /// Starts a new incarnation of an attendant's upstream, which changes its endpoint record.
-    fn start_incarnation(&self, node_index: usize, incarnation: u64) {
+    async fn start_incarnation(&self, node_index: usize, incarnation: u64) {
         let number = self.options.first_node_number + node_index;
         let heartbeat = format!(
             r#"{{"address":"127.0.0.1:1","notice":{{"line":"s{}","edition":"v1","zone":"a","pigeonholes":{CONCURRENCY_LIMIT}}},
@@ -167,7 +167,7 @@
         );
         let upstream_id = format!("h-{number}-{incarnation}");
         let inbound = &self.nodes[node_index].inbound;
-        if let Err(error) = inbound.handle_heartbeat(&upstream_id, heartbeat.as_bytes()) {
+        if let Err(error) = inbound.handle_heartbeat(&upstream_id, heartbeat.as_bytes()).await {
             eprintln!("heartbeat rejected: upstream={upstream_id} error={error}");
         }
     }
@@ -196,7 +196,7 @@
             let per_s = self.changes_per_s.load(Relaxed);
             due_at = wait_for_next_event(due_at, per_s).await;
             if per_s > 0 {
-                self.start_incarnation(node_index, incarnation);
+                self.start_incarnation(node_index, incarnation).await;
                 node_index += 1;
                 if node_index == self.nodes.len() {
                     (node_index, incarnation) = (0, incarnation + 1);
--- a/balancer/src/mesh/proxy/control_plane_watch.rs
+++ b/balancer/src/mesh/proxy/control_plane_watch.rs
@@ -69,6 +69,7 @@
                     }
                 }
                 node.record_replica_response(response.has_quorum);
+                node.replicas.record_tombstone_support(replica, response.supports_tombstones);
                 reporter.request_finished(response.known_incarnation.is_some());
                 let suspected = watcher.handle_response(
                     node.clock.now(),
--- a/balancer/src/mesh/proxy/inbound.rs
+++ b/balancer/src/mesh/proxy/inbound.rs
@@ -47,15 +47,18 @@
     ATTEMPT_OUTCOME, CALLER_SERVICE, EXECUTION_STAMP, FENCING_TOKEN, NOT_RUN, REQUEST_ID, REQUEST_PARAMETERS,
     TARGET_UPSTREAM, TIME_LEFT_MS,
 };
+use crate::mesh::proxy::inbound::ignored_heartbeats::IgnoredHeartbeatCounts;
 use crate::mesh::proxy::inbound::incarnation_history::IncarnationHistory;
 use crate::mesh::proxy::inbound_request::{InboundRequest, MAX_TIME_LEFT_MS, RequestParameters};
 use crate::mesh::proxy::listener::{self, ReceivedRequest, RequestError, header_str, plain_response};
 use crate::mesh::proxy::session_affinity::SessionTable;
+use crate::mesh::proxy::tombstone_client::TombstoneClient;
 
 /// Prefix of the outcome of a fenced request, followed by the term of the session's current owner.
 const FENCED_PREFIX: &str = "fenced-";
 
 mod heartbeat;
+pub mod ignored_heartbeats;
 mod incarnation_history;
 mod registration;
 
@@ -177,6 +180,8 @@
     pub read_ahead_bytes: usize,
     /// Capacity of the node's network link, in Mbit/s.
     pub link_mbps: f64,
+    /// Client for the tombstones of the upstream's incarnations.
+    pub tombstones: TombstoneClient,
 }
 
 /// The inbound proxy of one node.
@@ -219,6 +224,10 @@
     pub fencing_table: FencingTable,
     /// Failed exchanges with the upstream.
     pub upstream_failures: Arc<ExchangeFailureCounts>,
+    /// Heartbeats that were acknowledged and changed nothing.
+    pub ignored_heartbeats: IgnoredHeartbeatCounts,
+    /// The control plane's record of incarnations that drain or have ended.
+    tombstones: TombstoneClient,
 }
 
 /// The right to run one request at the upstream. It is dropped when the response has arrived or the request is abandoned,
@@ -372,6 +381,8 @@
             sessions: SessionTable::default(),
             fencing_table: FencingTable::default(),
             upstream_failures: Arc::default(),
+            ignored_heartbeats: IgnoredHeartbeatCounts::default(),
+            tombstones: settings.tombstones,
         })
     }
 
@@ -851,3 +862,7 @@
 #[cfg(test)]
 #[path = "tests/inbound_tests.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "tests/registration_tests.rs"]
+mod registration_tests;
--- a/balancer/src/mesh/proxy/lease_client.rs
+++ b/balancer/src/mesh/proxy/lease_client.rs
@@ -2,27 +2,21 @@
 //! afterwards.
 //!
 //! [`acquire_lease`] calls the replicas in the order for the key, with a hedged request to the next one when a response is
-//! late; [`complete_lease`] reports the outcome until a replica accepts it. [`ReplicaPool`] holds the known replicas.
+//! late; [`complete_lease`] reports the outcome until a replica accepts it.
 //!
 //! Invariants: a request runs only under a lease that was granted; a lease under which it may have run is never released.
 //! (The caller, `outbound`, ensures both; here a lease counts as granted only if a replica responded so.)
 
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::stream::{FuturesUnordered, StreamExt};
-use ochreshed_catalog::watch_client::ReplicaDirectory;
 use ochreshed_consensus::messages::{CoreRequest, CoreResponse, LeaseKey, LeaseOutcome, LeaseToken};
-use tokio::time::{sleep, sleep_until};
+use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_128;
 
-use crate::clock::Clock;
-use crate::connection::lock;
+use crate::mesh::proxy::replica_pool::{ReplicaPool, call_hedged};
 use crate::mesh::rpc::{InternalRequest, InternalResponse, RpcClients};
 
-/// Delay after which a lease request is also sent to the next replica.
-const HEDGE_DELAY: Duration = Duration::from_millis(90);
 /// Timeout of one call that completes a lease.
 const COMPLETE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Number of rounds over all replicas to complete a lease. After these the lease is left to expire.
@@ -35,43 +29,6 @@
     xxh3_128(idempotency_key)
 }
 
-/// The known replicas and their recent failures, shared by all clients of the replicas in the data plane.
-pub struct ReplicaPool {
-    clock: Clock,
-    directory: Mutex<ReplicaDirectory>,
-}
-
-impl ReplicaPool {
-    pub fn new(clock: Clock) -> ReplicaPool {
-        ReplicaPool { clock, directory: Mutex::default() }
-    }
-
-    /// Replaces the known replicas.
-    pub fn set_replicas(&self, replicas: impl IntoIterator<Item = SocketAddr>) {
-        lock(&self.directory).set_replicas(replicas);
-    }
-
-    /// The known replicas.
-    pub fn replicas(&self) -> Vec<SocketAddr> {
-        lock(&self.directory).replicas()
-    }
-
-    /// Records that a replica gave no usable response: others are preferred for a while.
-    pub fn request_failed(&self, replica: SocketAddr) {
-        lock(&self.directory).mark_unresponsive(self.clock.now(), replica);
-    }
-
-    /// Records that a replica has responded.
-    pub fn response_received(&self, replica: SocketAddr) {
-        lock(&self.directory).mark_responsive(replica);
-    }
-
-    /// The replicas in the order in which they are called for a key.
-    pub fn replicas_for_key(&self, key: LeaseKey) -> Vec<SocketAddr> {
-        lock(&self.directory).replicas_for_key(self.clock.now(), key)
-    }
-}
-
 /// Acquires the lease of a key for a token. The first definite response of a replica counts. The same request may go to several
 /// replicas, since they all grant the lease to the same token. `left_ms` is the request's time left. Returns
 /// [`CoreResponse::Unavailable`] if no replica has decided within `timeout`; the lease may still have been granted.
@@ -82,43 +39,8 @@
     left_ms: u32,
     timeout: Duration,
 ) -> CoreResponse {
-    let deadline = tokio::time::Instant::now() + timeout;
-    let mut remaining = replicas.replicas_for_key(key).into_iter();
-    let mut calls = FuturesUnordered::new();
-    let mut unanswered = Vec::new();
-    loop {
-        if let Some(replica) = remaining.next() {
-            let call = async move {
-                let request =
-                    InternalRequest::Core(CoreRequest::AcquireLease { key, token, time_left_ms: left_ms });
-                (replica, clients.client_for(replica).call(request, timeout).await)
-            };
-            unanswered.push(replica);
-            calls.push(call);
-        } else if calls.is_empty() {
-            return CoreResponse::Unavailable;
-        }
-        let hedge_at = (tokio::time::Instant::now() + HEDGE_DELAY).min(deadline);
-        tokio::select! {
-            Some((replica, response)) = calls.next(), if !calls.is_empty() => {
-                unanswered.retain(|called| *called != replica);
-                match response {
-                    Ok(InternalResponse::Core(CoreResponse::Unavailable)) => {}
-                    Ok(InternalResponse::Core(response)) => {
-                        replicas.response_received(replica);
-                        // Replicas that were called and have not responded count as failed.
-                        unanswered.into_iter().for_each(|called| replicas.request_failed(called));
-                        return response;
-                    }
-                    _ => replicas.request_failed(replica),
-                }
-            }
-            () = sleep_until(hedge_at) => {}
-        }
-        if tokio::time::Instant::now() >= deadline {
-            return CoreResponse::Unavailable;
-        }
-    }
+    let request = CoreRequest::AcquireLease { key, token, time_left_ms: left_ms };
+    call_hedged(replicas, clients, replicas.replicas_for_key(key), &request, timeout).await
 }
 
 /// Completes a lease with its outcome, or releases it with `None`. Retries in the background until a replica has accepted that,
--- a/balancer/src/mesh/proxy/mod.rs
+++ b/balancer/src/mesh/proxy/mod.rs
@@ -19,10 +19,12 @@
 pub(super) mod listener;
 pub(super) mod node;
 pub(super) mod outbound;
+pub(super) mod replica_pool;
 pub(super) mod request_scheduler;
 pub(super) mod scheduler_set;
 pub(super) mod session_affinity;
 #[cfg(test)]
 mod tests;
+pub(super) mod tombstone_client;
 
 pub(super) use node::run;
--- a/balancer/src/mesh/proxy/node.rs
+++ b/balancer/src/mesh/proxy/node.rs
@@ -49,15 +49,18 @@
 use crate::mesh::proxy::connection_pool::{ConnectionPool, ResponseBody};
 use crate::mesh::proxy::control_plane_watch;
 use crate::mesh::proxy::exchange_failures::{ExchangeFailure, ExchangeFailureCounts};
+use crate::mesh::proxy::inbound::ignored_heartbeats::IgnoredHeartbeat;
 use crate::mesh::proxy::inbound::{InboundProxy, InboundSettings};
-use crate::mesh::proxy::lease_client::ReplicaPool;
+
 use crate::mesh::proxy::listener::{self, ListenerLimits, ListenerState, ReceivedRequest, plain_response};
 use crate::mesh::proxy::outbound;
+use crate::mesh::proxy::replica_pool::ReplicaPool;
 use crate::mesh::proxy::request_scheduler::{
     self, RequestScheduler, SchedulerKey, SchedulerPlan, ServiceSettings,
 };
 use crate::mesh::proxy::scheduler_set::SchedulerSet;
 use crate::mesh::proxy::session_affinity::SessionTable;
+use crate::mesh::proxy::tombstone_client::TombstoneClient;
 use crate::mesh::rpc::RpcClients;
 use crate::mesh::settings::{Settings, SettingsError};
 use crate::mesh::shared::member_documents::{MemberDocumentStore, MemberEdition, NodeConfiguration};
@@ -236,6 +239,12 @@
         let incarnation_ms = clock.now() / 1_000_000;
         let mut rng = ChaCha8Rng::seed_from_u64(rand::random());
         let seed: u64 = rng.random();
+        let (rpc, replicas): (Arc<RpcClients>, _) = (Arc::default(), Arc::new(ReplicaPool::new(clock)));
+        let tombstones = TombstoneClient {
+            replicas: replicas.clone(),
+            clients: rpc.clone(),
+            inbound_proxy: inbound_address,
+        };
         let inbound_settings = InboundSettings {
             address: inbound_address,
             zone: settings.zone.clone(),
@@ -244,12 +253,13 @@
             max_connections: max_sockets / UPSTREAM_SOCKET_DIVISOR,
             read_ahead_bytes,
             link_mbps: settings.limits.link_mbps,
+            tombstones,
         };
         let node = Arc::new(Node {
             clock,
-            rpc: Arc::default(),
+            rpc,
             lease_breaker: Mutex::default(),
-            replicas: Arc::new(ReplicaPool::new(clock)),
+            replicas,
             configuration: ArcSwapOption::empty(),
             base_documents: Mutex::default(),
             versions: Mutex::default(),
@@ -716,6 +726,13 @@
                 "Requests sent on without a valid response, by receiver and cause",
                 exchange_failures,
             )
+            .labelled_counter(
+                "heartbeats_ignored",
+                "Heartbeats of the upstream that changed nothing, by cause",
+                IgnoredHeartbeat::ALL.map(|cause| {
+                    (vec![("cause", cause.name())], self.inbound.ignored_heartbeats.count(cause))
+                }),
+            )
             .counter("requests", "Requests answered", self.requests_received.load(Relaxed))
             .into_response()
     }
--- a/catalog/src/endpoints.rs
+++ b/catalog/src/endpoints.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 
 use ochreshed::Nanos;
+use ochreshed_consensus::messages::TombstoneId;
 use serde::{Deserialize, Serialize};
 
 pub use ochreshed_consensus::placement::placement_rank;
@@ -360,6 +361,12 @@
     }
 }
 
+/// The id of the tombstone that marks an upstream's process beside a node as draining or ended.
+#[must_use]
+pub fn tombstone_id(inbound_proxy: SocketAddr, upstream_id: &str) -> TombstoneId {
+    xxhash_rust::xxh3::xxh3_128(format!("upstream {inbound_proxy} {upstream_id}").as_bytes())
+}
+
 /// The replicas that a node watches: the first `count` at or after the node's position on the hash ring.
 pub fn watching_replicas(node: SocketAddr, replicas: &[SocketAddr], count: usize) -> Vec<SocketAddr> {
     let ring_hash = |address: &SocketAddr| xxhash_rust::xxh3::xxh3_64(address.to_string().as_bytes());
--- a/catalog/src/internal_rpc.rs
+++ b/catalog/src/internal_rpc.rs
@@ -183,6 +183,9 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     #[serde(rename = "members")]
     pub outcomes: Vec<(SocketAddr, EditionOutcomes)>,
+    /// Whether the replica handles requests on tombstones. Earlier versions close connections on which one arrives.
+    #[serde(default, skip_serializing_if = "Not::not")]
+    pub supports_tombstones: bool,
 }
 
 fn is_zero(digest: &u64) -> bool {
--- a/catalog/src/watch_client.rs
+++ b/catalog/src/watch_client.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 
 use ochreshed::Nanos;
-use ochreshed_consensus::messages::{LeaseKey, Revision};
+use ochreshed_consensus::messages::{LeaseKey, Revision, TombstoneId};
 
 use crate::endpoints::{EndpointRecord, RecordVersion, TablePosition, placement_rank, watching_replicas};
 use crate::internal_rpc::{AppliedEditions, WatchRequest, WatchResponse};
@@ -242,6 +242,17 @@
     address: SocketAddr,
     /// The time until which the replica is tried last because it did not respond.
     avoided_until: Option<Nanos>,
+    /// Whether it stores tombstones; `None` until it has responded to a watch.
+    supports_tombstones: Option<bool>,
+}
+
+/// The replicas that a request on a tombstone may be sent to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TombstoneReplicas {
+    /// Those that are known to store tombstones, in the order of sending; none before the first has responded.
+    Supporting(Vec<SocketAddr>),
+    /// All replicas that have responded are of earlier versions.
+    Unsupported,
 }
 
 /// The replicas known to a node, for selecting the order in which requests are sent to them.
@@ -257,7 +268,7 @@
         self.replicas.retain(|known| addresses.contains(&known.address));
         for address in addresses {
             if self.find(address).is_none() {
-                self.replicas.push(KnownReplica { address, avoided_until: None });
+                self.replicas.push(KnownReplica { address, avoided_until: None, supports_tombstones: None });
             }
         }
     }
@@ -281,6 +292,28 @@
         }
     }
 
+    /// Records whether a replica stores tombstones.
+    pub fn record_tombstone_support(&mut self, replica: SocketAddr, is_supported: bool) {
+        if let Some(known) = self.find(replica) {
+            known.supports_tombstones = Some(is_supported);
+        }
+    }
+
+    /// The replicas that a request on this tombstone may be sent to.
+    pub fn replicas_for_tombstone(&self, now: Nanos, id: TombstoneId) -> TombstoneReplicas {
+        let support = |address: &SocketAddr| {
+            let known = self.replicas.iter().find(|known| known.address == *address);
+            known.and_then(|known| known.supports_tombstones)
+        };
+        let mut order = self.replicas_for_key(now, id);
+        let is_unsupported = order.iter().any(|replica| support(replica) == Some(false));
+        order.retain(|replica| support(replica) == Some(true));
+        if order.is_empty() && is_unsupported {
+            return TombstoneReplicas::Unsupported;
+        }
+        TombstoneReplicas::Supporting(order)
+    }
+
     fn find(&mut self, replica: SocketAddr) -> Option<&mut KnownReplica> {
         self.replicas.iter_mut().find(|known| known.address == replica)
     }
--- a/catalog/src/watch_server.rs
+++ b/catalog/src/watch_server.rs
@@ -218,6 +218,7 @@
             reports,
             registers,
             outcomes: Vec::new(),
+            supports_tombstones: true,
         }
     }
 
--- a/catalog/tests/encoding_fixtures.rs
+++ b/catalog/tests/encoding_fixtures.rs
@@ -129,6 +129,7 @@
         })),
         registers: Some(RegisterList { digest: 5, revisions: vec![("members".into(), REVISION)] }),
         outcomes: vec![(address(8), outcome_counts())],
+        supports_tombstones: false,
     }
 }
 
@@ -146,6 +147,7 @@
         reports: None,
         registers: None,
         outcomes: Vec::new(),
+        supports_tombstones: false,
     }
 }
 
